--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# berylcleat: `make demo` and `make test` set up a fresh machine on their own.
+VENV := .venv
+PY := $(VENV)/bin/python
+PACKAGES := $(wildcard libs/*) $(wildcard programs/*) standins
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test lint format bench slopes capacity spec clean
+
+$(STAMP): requirements-dev.txt $(addsuffix /pyproject.toml,$(PACKAGES))
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install -q --disable-pip-version-check -r requirements-dev.txt $(addprefix -e ,$(PACKAGES))
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(PY) examples/demo.py --user press
+
+test: $(STAMP)
+	$(PY) tools/run_features.py
+
+lint: $(STAMP)
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: $(STAMP)
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+bench: $(STAMP)
+	$(PY) benchmarks/bench_routing.py
+	$(PY) benchmarks/bench_policies.py
+
+slopes: $(STAMP)
+	$(PY) benchmarks/slopes.py --write docs/capacity/slopes.json
+
+capacity: $(STAMP)
+	$(PY) tools/capacity_page.py --write
+
+spec: $(STAMP)
+	$(PY) tools/check_spec.py
+
+clean:
+	rm -rf $(VENV) out
--- /dev/null
+++ b/features/steps/path_steps.py
@@ -0,0 +1,171 @@
+import asyncio
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+from behave import then, when
+from fleet_steps import apply_document, berylctl, send
+
+from berylcleat.standins import ask
+
+
+@when("a render is sent through every host")
+def when_render(context):
+    context.answers = {}
+    for index in range(len(context.fleet.hosts)):
+        request_id = f"render-{index}"
+        response = context.run(
+            send(context, index, "GET", f"/cards/{request_id}", x_request_id=request_id)
+        )
+        context.answers[request_id] = response
+
+
+@then("every answer is whole and its caller's own")
+def then_whole(context):
+    for request_id, response in context.answers.items():
+        assert response and response.status == 200, (request_id, response)
+        assert response.header("beryl-outcome") == "answered"
+        assert json.loads(response.body)["request_id"] == request_id
+
+
+@then("the trace of the last request has a span for each hop")
+def then_trace(context):
+    trace_id = list(context.answers.values())[-1].header("beryl-trace")
+    spans = berylctl(context, "trace", trace_id)
+    names = [span["name"] for span in spans]
+    assert names == ["entry.request", "entry.attempt", "upstream.run"], names
+    by_id = {span["span_id"]: span for span in spans}
+    assert by_id[spans[2]["parent_id"]]["name"] == "entry.attempt"
+
+
+@then('berylctl explains the job "{job_id}" and its first task')
+def then_explains(context, job_id):
+    records = berylctl(context, "explain", f"job/{job_id}")
+    assert any("claimed" in record["action"] for record in records), records
+    records = berylctl(context, "explain", f"task/{job_id}/0")
+    assert any("placed on" in record["action"] for record in records), records
+    assert any("finished" in record["action"] for record in records), records
+
+
+@then("the trace of the job has spans of planner and worker")
+def then_job_trace(context):
+    spans = berylctl(context, "trace", context.accepted[0]["trace_id"])
+    names = {span["name"] for span in spans}
+    assert {"planner.submit", "planner.assign", "worker.exchange"} <= names, names
+
+
+def check_refusal(response, status):
+    assert response is not None
+    assert response.status == status, response
+    assert response.header("beryl-outcome") == "not-run"
+    assert response.header("retry-after"), response
+
+
+@then("an unknown service answers 404 as not run with code {code}")
+def then_unknown_service(context, code):
+    response = context.run(send(context, 0, "GET", "/nothing/here"))
+    check_refusal(response, 404)
+    assert response.header("beryl-code") == code
+
+
+@then("an oversize body answers 413 as not run")
+def then_oversize(context):
+    response = context.run(send(context, 0, "POST", "/cards/big", b"x" * 1_200_000))
+    check_refusal(response, 413)
+
+
+async def raw_exchange(address, data, timeout_s=8.0):
+    host, port = address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await reader.read()
+    finally:
+        writer.close()
+
+
+@then("a malformed request answers 400 as not run")
+def then_malformed(context):
+    address = context.fleet.hosts[0].address("entry")
+    answer = context.run(raw_exchange(address, b"THIS IS NOT HTTP\r\n\r\n"))
+    assert answer.startswith(b"HTTP/1.1 400"), answer
+    assert b"beryl-outcome: not-run" in answer
+
+
+@then("a caller that never ends its request gets 408 as not run")
+def then_slow_caller(context):
+    fleet = context.fleet
+    settings = json.loads((fleet.folder / "entry-host-1.json").read_text())
+    fleet.stop_one("entry-host-1")
+    fleet.spawn("entry-host-1", "beryl-entry", {**settings, "receive_timeout_s": 0.5})
+    context.run(fleet.wait_ready())
+    head = b"POST /cards/slow HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nabc"
+    answer = context.run(raw_exchange(fleet.hosts[0].address("entry"), head))
+    assert answer.startswith(b"HTTP/1.1 408"), answer
+    assert b"beryl-outcome: not-run" in answer
+
+
+def run_program(context, program, name, settings):
+    path = context.fleet.folder / f"{name}.json5"
+    path.write_text(settings, encoding="utf-8")
+    command = [str(Path(sys.executable).with_name(program)), "--settings", str(path)]
+    return subprocess.run(
+        command, capture_output=True, text=True, check=False, timeout=20
+    )
+
+
+def entry_settings(context):
+    return json.loads((context.fleet.folder / "entry-host-1.json").read_text())
+
+
+@then("a second entry on the same port exits 2 saying port-in-use")
+def then_port_in_use(context):
+    text = json.dumps(entry_settings(context))
+    done = run_program(context, "beryl-entry", "second", text)
+    assert done.returncode == 2, done
+    assert "port-in-use" in done.stderr and "change the port" in done.stderr
+
+
+@then("settings with an unknown key exit 2 naming its place")
+def then_unknown_key(context):
+    text = json.dumps({**entry_settings(context), "entry_adress": "typo"})
+    done = run_program(context, "beryl-entry", "unknown", text)
+    assert done.returncode == 2, done
+    assert "$.entry_adress" in done.stderr and "entry_address" in done.stderr
+    assert len(done.stderr.strip().splitlines()) == 1, done.stderr
+
+
+@then("settings with a wrong type exit 2 naming its place")
+def then_wrong_type(context):
+    text = json.dumps({**entry_settings(context), "drain_delay_s": "soon"})
+    done = run_program(context, "beryl-entry", "wrong", text)
+    assert done.returncode == 2, done
+    assert "$.drain_delay_s" in done.stderr, done.stderr
+
+
+@then("a job file with an unknown key exits 2 naming its place")
+def then_bad_job(context):
+    apply_document(context, {"jobs": [{"job_id": "a", "tasks": 3}]}, "bad")
+    assert context.ctl.returncode == 2, context.ctl
+    assert "$.jobs[0].tasks" in context.ctl.stderr, context.ctl.stderr
+
+
+@then("a job that no worker can hold is refused with the reason")
+def then_never(context):
+    job = {"job_id": "huge", "per_task": {"cores": 1, "accelerators": 3}}
+    apply_document(context, {"jobs": [job]}, "huge")
+    assert context.ctl.returncode == 1, context.ctl
+    assert "needs 3 accelerators" in context.ctl.stderr, context.ctl.stderr
+
+
+@when("{n:d} callers leave before their answer")
+def when_leave(context, n):
+    async def leave():
+        address = context.fleet.hosts[0].address("entry")
+        await asyncio.gather(
+            *(ask(address, "GET", f"/cards/left-{i}", timeout_s=0.1) for i in range(n))
+        )
+
+    context.run(leave())
--- /dev/null
+++ b/libs/http/src/berylcleat/http/__init__.py
@@ -0,0 +1,24 @@
+"""HTTP/1.1 server and client over h11."""
+
+from ._client import HttpClient
+from ._messages import (
+    AbandonConnectionError,
+    ExchangeError,
+    ExchangeFailure,
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+)
+from ._server import HttpServer, parse_address
+
+__all__ = [
+    "AbandonConnectionError",
+    "ExchangeError",
+    "ExchangeFailure",
+    "HttpClient",
+    "HttpLimits",
+    "HttpRequest",
+    "HttpResponse",
+    "HttpServer",
+    "parse_address",
+]
--- /dev/null
+++ b/libs/model/src/berylcleat/model/__init__.py
@@ -0,0 +1,76 @@
+"""Frozen data classes, settings and errors shared by every part."""
+
+from ._config import (
+    ConfigDocument,
+    Rule,
+    Service,
+    Steering,
+    Team,
+    check_config,
+    check_rule,
+    effective_services,
+    steer,
+)
+from ._errors import (
+    BadRequestError,
+    BerylError,
+    ConflictError,
+    DocumentError,
+    ErrorCode,
+    FencedError,
+    HostUnreachableError,
+    NeverRunnableError,
+    NotFoundError,
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+    PortInUseError,
+    SettingsError,
+)
+from ._jobs import (
+    URGENT_PRIORITY,
+    JobSpec,
+    WorkerSpec,
+    check_job,
+    check_runnable,
+    worker_labels,
+)
+from ._load import load_settings, parse_document
+from ._resources import Resources
+from ._selectors import Labels, Selector, parse_selector
+
+__all__ = [
+    "URGENT_PRIORITY",
+    "BadRequestError",
+    "BerylError",
+    "ConfigDocument",
+    "ConflictError",
+    "DocumentError",
+    "ErrorCode",
+    "FencedError",
+    "HostUnreachableError",
+    "JobSpec",
+    "Labels",
+    "NeverRunnableError",
+    "NotFoundError",
+    "OutcomeUnknownError",
+    "PlatformUnavailableError",
+    "PortInUseError",
+    "Resources",
+    "Rule",
+    "Selector",
+    "Service",
+    "SettingsError",
+    "Steering",
+    "Team",
+    "WorkerSpec",
+    "check_config",
+    "check_job",
+    "check_rule",
+    "check_runnable",
+    "effective_services",
+    "load_settings",
+    "parse_document",
+    "parse_selector",
+    "steer",
+    "worker_labels",
+]
--- /dev/null
+++ b/libs/model/src/berylcleat/model/_config.py
@@ -0,0 +1,133 @@
+"""Versioned configuration: services, rules over labels, teams."""
+
+from dataclasses import dataclass, field, replace
+
+from ._errors import DocumentError
+from ._resources import Resources
+from ._selectors import Labels, parse_selector
+
+RULE_KINDS = ("service", "job")
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """Describe a service that upstreams of matching workers answer for."""
+
+    name: str
+    labels: Labels = field(default_factory=dict)
+    placement: str = "*"
+    priority: int = 100
+    retired: bool = False
+    reserve: Resources = field(default_factory=Resources)
+    slots_per_worker: int = 8
+    connections_per_worker: int = 64
+    deadline_ms: int = 2000
+    idempotent_methods: tuple[str, ...] = ("GET", "HEAD", "PUT", "DELETE", "OPTIONS")
+
+
+@dataclass(frozen=True, slots=True)
+class Rule:
+    """Override fields of every service or job that a selector matches."""
+
+    selector: str
+    kind: str = "service"
+    priority: int | None = None
+    placement: str | None = None
+    retired: bool | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Team:
+    """Give a team its share (0 to 1) of the batch capacity."""
+
+    name: str
+    share: float
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigDocument:
+    """Hold one immutable version of the whole configuration."""
+
+    version: int = 0
+    author: str = ""
+    services: tuple[Service, ...] = ()
+    rules: tuple[Rule, ...] = ()
+    teams: tuple[Team, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Steering:
+    """State the priority, placement and retirement in force for one thing."""
+
+    priority: int
+    placement: str
+    retired: bool
+
+
+def steer(
+    base: Steering, kind: str, labels: Labels, rules: tuple[Rule, ...]
+) -> Steering:
+    """Return ``base`` with every matching rule applied in order."""
+    for rule in rules:
+        if rule.kind == kind and parse_selector(rule.selector).matches(labels):
+            base = _override(base, rule)
+    return base
+
+
+def _override(base: Steering, rule: Rule) -> Steering:
+    changes = {
+        name: getattr(rule, name)
+        for name in ("priority", "placement", "retired")
+        if getattr(rule, name) is not None
+    }
+    return replace(base, **changes)
+
+
+def effective_services(document: ConfigDocument) -> dict[str, Service]:
+    """Return the services by name with all rules applied."""
+    return {
+        service.name: _steered(service, document.rules) for service in document.services
+    }
+
+
+def _steered(service: Service, rules: tuple[Rule, ...]) -> Service:
+    base = Steering(service.priority, service.placement, service.retired)
+    now = steer(base, "service", service.labels, rules)
+    return replace(
+        service, priority=now.priority, placement=now.placement, retired=now.retired
+    )
+
+
+def check_config(document: ConfigDocument) -> None:
+    """Raise ``DocumentError`` unless every part of ``document`` can be used."""
+    for service in document.services:
+        _check_service(service)
+    for rule in document.rules:
+        check_rule(rule)
+    if sum(team.share for team in document.teams) > 1.0 + 1e-9:
+        raise DocumentError("teams: shares exceed 1", "Lower some team's share")
+
+
+def check_rule(rule: Rule) -> None:
+    """Raise ``DocumentError`` unless ``rule`` can be used."""
+    parse_selector(rule.selector)
+    parse_selector(rule.placement or "*")
+    if rule.kind not in RULE_KINDS:
+        raise DocumentError(f"rule: unknown kind {rule.kind!r}", "Use service or job")
+    if rule.priority is None and rule.placement is None and rule.retired is None:
+        raise DocumentError(
+            "rule: changes nothing", "Set priority, placement or retired"
+        )
+
+
+def _check_service(service: Service) -> None:
+    place = f"service {service.name!r}"
+    parse_selector(service.placement)
+    if not service.name or "/" in service.name:
+        raise DocumentError(f"{place}: bad name", "Use a name without slashes")
+    if service.slots_per_worker < 1 or service.connections_per_worker < 1:
+        raise DocumentError(f"{place}: no slots", "Give at least 1 slot and connection")
+    if service.deadline_ms < 1:
+        raise DocumentError(
+            f"{place}: deadline_ms below 1", "Give milliseconds above 0"
+        )
--- /dev/null
+++ b/libs/peers/src/berylcleat/peers/__init__.py
@@ -0,0 +1,29 @@
+"""Membership and messages between the hosts of a data centre."""
+
+from ._config_source import CONFIG_HEAD_KEY, ConfigSource, config_key
+from ._group import PEER_LAPSE_S, PEER_PERIOD_S, PeerGroup
+from ._link import PeerLink
+from ._membership import (
+    PeerTable,
+    PeerView,
+    forget_silent,
+    live_peers,
+    on_peer_state,
+)
+from ._messages import PeerState
+
+__all__ = [
+    "CONFIG_HEAD_KEY",
+    "ConfigSource",
+    "config_key",
+    "PEER_LAPSE_S",
+    "PEER_PERIOD_S",
+    "PeerGroup",
+    "PeerLink",
+    "PeerState",
+    "PeerTable",
+    "PeerView",
+    "forget_silent",
+    "live_peers",
+    "on_peer_state",
+]
--- /dev/null
+++ b/libs/peers/src/berylcleat/peers/_config_source.py
@@ -0,0 +1,50 @@
+"""Follow the configuration: from the table, or from peers when it is out."""
+
+import logging
+
+import msgspec
+
+from berylcleat.model import ConfigDocument
+from berylcleat.ownership import ConfigFollower, adopt
+from berylcleat.ports import Table
+
+CONFIG_HEAD_KEY = "config/head"
+logger = logging.getLogger(__name__)
+
+
+def config_key(version: int) -> str:
+    """Return the key of the immutable row of ``version``."""
+    return f"config/{version}"
+
+
+class ConfigSource:
+    """Keep the highest version heard of in force."""
+
+    def __init__(self, table: Table):
+        self._table = table
+        self._table_version = 0
+        self.follower = ConfigFollower()
+        self.has_changed = False
+
+    async def poll(self) -> None:
+        """Ask the table for a newer document."""
+        result = await self._table.scan(CONFIG_HEAD_KEY, self._table_version)
+        self._table_version = result.version
+        for row in result.rows:
+            self.on_document(msgspec.json.decode(row.value, type=ConfigDocument))
+        if not result.rows and not self.follower.is_known:
+            self.on_document(ConfigDocument())
+
+    def on_document(self, document: ConfigDocument) -> None:
+        """Adopt ``document`` unless it is older than what is in force."""
+        before = self.follower
+        self.follower = adopt(before, document)
+        if self.follower.document.version != before.document.version:
+            self.has_changed = True
+            logger.info("configuration %d is in force", document.version)
+        elif not before.is_known:
+            self.has_changed = True
+
+    def current(self) -> ConfigDocument:
+        """Return the document in force."""
+        return self.follower.document
--- /dev/null
+++ b/libs/ports/src/berylcleat/ports/__init__.py
@@ -0,0 +1,54 @@
+"""Clients of the platform's table, object store, host list and workers."""
+
+from ._base import (
+    Check,
+    CommitResult,
+    HostList,
+    ListedHost,
+    ListedWorker,
+    ObjectStore,
+    PlatformList,
+    Put,
+    Row,
+    ScanResult,
+    Table,
+    Transaction,
+    WorkerControl,
+)
+from ._http_clients import HttpHostList, HttpObjectStore, HttpTable, HttpWorkerControl
+from ._list_source import ListSource
+from ._worker_messages import (
+    ExchangeReply,
+    ExchangeRequest,
+    TaskEnd,
+    TaskRunning,
+    TaskStart,
+    TaskStop,
+)
+
+__all__ = [
+    "Check",
+    "CommitResult",
+    "ExchangeReply",
+    "ExchangeRequest",
+    "HostList",
+    "HttpHostList",
+    "HttpObjectStore",
+    "HttpTable",
+    "HttpWorkerControl",
+    "ListSource",
+    "ListedHost",
+    "ListedWorker",
+    "ObjectStore",
+    "PlatformList",
+    "Put",
+    "Row",
+    "ScanResult",
+    "Table",
+    "TaskEnd",
+    "TaskRunning",
+    "TaskStart",
+    "TaskStop",
+    "Transaction",
+    "WorkerControl",
+]
--- /dev/null
+++ b/libs/routing/src/berylcleat/routing/_router.py
@@ -0,0 +1,181 @@
+"""Choose upstreams for the requests of one service.
+
+State changes in place, one entry replaced at a time, since a copy of the table for
+each request would cost more than the decision. No clock, socket or global randomness.
+"""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from berylcleat.model import WorkerSpec
+
+from ._budget import RetryBudget
+from ._outcomes import AttemptResult
+from ._upstreams import (
+    Upstream,
+    on_begin,
+    on_busy,
+    on_failure,
+    on_leaving,
+    on_success,
+)
+
+MAX_EJECTED_SHARE = 0.5
+N_CHOICES = 2
+
+
+@dataclass(frozen=True, slots=True)
+class ListedUpstream:
+    """Describe an upstream as the platform's list gives it."""
+
+    spec: WorkerSpec
+    is_leaving: bool
+
+
+class Router:
+    """Hold the upstreams of one service by worker id."""
+
+    def __init__(self, data_centre: str, n_slots: int, random_state: random.Random):
+        self.data_centre = data_centre
+        self.n_slots = n_slots
+        self.n_sharers = 1
+        self.budget = RetryBudget()
+        self.by_worker_id: dict[str, Upstream] = {}
+        self._random_state = random_state
+
+    def update(self, listed: Iterable[ListedUpstream], n_sharers: int) -> None:
+        """Take over the list; what is known of an upstream stays.
+
+        ``n_sharers`` is how many entry hosts share the upstreams, this one included.
+        """
+        fresh = {}
+        for item in listed:
+            known = self.by_worker_id.get(item.spec.worker_id)
+            fresh[item.spec.worker_id] = self._refreshed(known, item, n_sharers)
+        self.by_worker_id = fresh
+        self.n_sharers = n_sharers
+
+    def _refreshed(
+        self, known: Upstream | None, item: ListedUpstream, n_sharers: int
+    ) -> Upstream:
+        if known:
+            return replace(
+                known, is_listed_leaving=item.is_leaving, n_slots=self.n_slots
+            )
+        return Upstream(
+            item.spec.worker_id,
+            item.spec.upstream_address,
+            item.spec.data_centre,
+            item.spec.rack,
+            self.n_slots,
+            limit=max(1.0, self.n_slots / n_sharers),
+            is_listed_leaving=item.is_leaving,
+        )
+
+    def choose(
+        self, now: float, avoid: frozenset[str] = frozenset()
+    ) -> Upstream | None:
+        """Return an upstream with room, or None.
+
+        ``avoid`` names worker ids not to be tried again; their racks come last. Own
+        data centre first, then the less loaded of two choices. Source: Mitzenmacher,
+        The Power of Two Choices, IEEE TPDS 2001.
+        """
+        avoided_racks = {
+            self.by_worker_id[w].rack for w in avoid if w in self.by_worker_id
+        }
+        open_now = [
+            upstream
+            for worker_id, upstream in self.by_worker_id.items()
+            if worker_id not in avoid
+            and not upstream.is_leaving(now)
+            and not upstream.is_ejected(now)
+            and upstream.room(now) >= 1.0
+        ]
+        for pool in self._pools(open_now, avoided_racks):
+            if pool:
+                return self._less_loaded(pool, now)
+        return None
+
+    def _pools(
+        self, open_now: list[Upstream], avoided_racks: set[str]
+    ) -> tuple[list[Upstream], ...]:
+        near = [u for u in open_now if u.data_centre == self.data_centre]
+        if not avoided_racks:
+            return (near, open_now)
+        other_racks = [u for u in open_now if u.rack not in avoided_racks]
+        near_other_racks = [u for u in near if u.rack not in avoided_racks]
+        return (near_other_racks, other_racks, near, open_now)
+
+    def _less_loaded(self, pool: list[Upstream], now: float) -> Upstream:
+        if len(pool) <= N_CHOICES:
+            return min(pool, key=lambda upstream: upstream.cost(now))
+        picked = self._random_state.sample(pool, N_CHOICES)
+        return min(picked, key=lambda upstream: upstream.cost(now))
+
+    def has_any(self, now: float) -> bool:
+        """Tell whether some upstream is listed and not leaving."""
+        return any(not u.is_leaving(now) for u in self.by_worker_id.values())
+
+    def begin(self, worker_id: str) -> None:
+        """Note that an attempt starts."""
+        self.by_worker_id[worker_id] = on_begin(self.by_worker_id[worker_id])
+
+    def cancel(self, worker_id: str) -> None:
+        """Note that an attempt that had begun was never made."""
+        upstream = self.by_worker_id[worker_id]
+        n_in_flight = upstream.n_in_flight - 1
+        self.by_worker_id[worker_id] = replace(upstream, n_in_flight=n_in_flight)
+
+    def finish(
+        self, worker_id: str, result: AttemptResult, latency_s: float, now: float
+    ) -> None:
+        """Note how an attempt ended."""
+        upstream = self.by_worker_id.get(worker_id)
+        if upstream is None:
+            return
+        self.by_worker_id[worker_id] = self._after(upstream, result, latency_s, now)
+
+    def _after(
+        self, upstream: Upstream, result: AttemptResult, latency_s: float, now: float
+    ) -> Upstream:
+        if result is AttemptResult.ANSWERED:
+            return on_success(upstream, latency_s)
+        if result is AttemptResult.REFUSED_BUSY:
+            return on_busy(upstream, now)
+        if result is AttemptResult.REFUSED_LEAVING:
+            return on_leaving(upstream, now)
+        return on_failure(upstream, now, self._may_eject(now))
+
+    def _may_eject(self, now: float) -> bool:
+        n_ejected = sum(u.is_ejected(now) for u in self.by_worker_id.values())
+        return n_ejected + 1 <= MAX_EJECTED_SHARE * len(self.by_worker_id)
+
+    def mark_leaving(self, worker_id: str, now: float) -> None:
+        """Note a peer's word that the upstream is leaving."""
+        upstream = self.by_worker_id.get(worker_id)
+        if upstream and not upstream.is_leaving(now):
+            marked = on_leaving(on_begin(upstream), now)
+            self.by_worker_id[worker_id] = marked
+
+    def leaving_workers(self, now: float) -> tuple[str, ...]:
+        """Return the worker ids that told us themselves that they leave."""
+        return tuple(
+            worker_id
+            for worker_id, upstream in self.by_worker_id.items()
+            if now < upstream.leaving_until
+        )
+
+    def n_room(self, now: float) -> float:
+        """Return the sum of the limits of open upstreams."""
+        return sum(
+            upstream.limit
+            for upstream in self.by_worker_id.values()
+            if not upstream.is_leaving(now) and not upstream.is_ejected(now)
+        )
+
+    def mean_latency_s(self) -> float:
+        """Return the mean latency of upstreams that have answered."""
+        known = [u.latency_s for u in self.by_worker_id.values() if u.latency_s]
+        return sum(known) / len(known) if known else 0.0
--- /dev/null
+++ b/libs/runtime/src/berylcleat/runtime/__init__.py
@@ -0,0 +1,20 @@
+"""What every process shares: signals, periodic steps, admin endpoint."""
+
+from importlib.metadata import version
+
+from ._admin import AdminRouter, error_response, json_response
+from ._process import EXIT_BAD_SETTINGS, StopSignal, cancel_all, repeat, run_process
+
+VERSION = version("berylcleat-runtime")
+
+__all__ = [
+    "EXIT_BAD_SETTINGS",
+    "VERSION",
+    "AdminRouter",
+    "StopSignal",
+    "cancel_all",
+    "error_response",
+    "json_response",
+    "repeat",
+    "run_process",
+]
--- /dev/null
+++ b/programs/beryl-entry/src/berylcleat/entry/_commands.py
@@ -0,0 +1,35 @@
+"""Command line of the entry process."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from berylcleat.model import load_settings
+from berylcleat.runtime import VERSION, run_process
+
+from ._process import serve_entry
+from ._settings import EntrySettings, check_entry_settings
+
+
+@cappa.command(name="beryl-entry")
+@dataclass
+class EntryArguments:
+    """Serve callers' requests on this host."""
+
+    settings: Annotated[
+        Path, cappa.Arg(long=True, help="settings file, JSON with comments")
+    ]
+
+
+def main() -> None:
+    """Start the entry process."""
+    arguments = cappa.parse(EntryArguments, version=VERSION)
+
+    async def serve(stop) -> None:
+        settings = load_settings(arguments.settings, EntrySettings)
+        check_entry_settings(settings)
+        await serve_entry(settings, stop)
+
+    run_process("beryl-entry", serve)
--- /dev/null
+++ b/programs/beryl-entry/src/berylcleat/entry/_metrics.py
@@ -0,0 +1,14 @@
+"""Counters of the entry process."""
+
+from prometheus_client import Counter, Gauge, Histogram
+
+REQUESTS = Counter(
+    "beryl_entry_requests", "Requests by outcome and code", ("outcome", "code")
+)
+ATTEMPTS = Counter(
+    "beryl_entry_attempts", "Attempts at upstreams by result", ("result",)
+)
+RETRIES = Counter("beryl_entry_retries", "Retries inside the budget")
+WAITING = Gauge("beryl_entry_waiting", "Requests waiting for an upstream")
+CONFIG_VERSION = Gauge("beryl_entry_config_version", "Configuration version in force")
+LATENCY = Histogram("beryl_entry_latency_seconds", "Time from request to answer")
--- /dev/null
+++ b/programs/beryl-entry/src/berylcleat/entry/_process.py
@@ -0,0 +1,153 @@
+"""The entry process: a shell around the routing decisions."""
+
+import asyncio
+import logging
+import random
+import secrets
+
+from berylcleat.http import HttpLimits, HttpServer
+from berylcleat.ownership import incarnation_id
+from berylcleat.peers import (
+    PEER_PERIOD_S,
+    ConfigSource,
+    PeerGroup,
+    PeerLink,
+    PeerState,
+)
+from berylcleat.ports import HttpHostList, HttpTable, ListSource
+from berylcleat.runtime import AdminRouter, StopSignal, cancel_all, repeat
+from berylcleat.telemetry import Tracer
+
+from ._keys import KeyKeeper
+from ._service_desk import ServiceDesk
+from ._settings import EntrySettings
+
+logger = logging.getLogger(__name__)
+
+
+class EntryProcess:
+    """Hold what the entry process is made of."""
+
+    def __init__(self, settings: EntrySettings):
+        self.settings = settings
+        self.incarnation = secrets.token_hex(4)
+        name = incarnation_id(settings.host_id, self.incarnation)
+        self.tracer = Tracer(f"entry@{settings.host_id}", settings.traces_kept)
+        self.table = HttpTable(settings.platform_address)
+        self.list_source = ListSource(HttpHostList(settings.platform_address))
+        self.config_source = ConfigSource(HttpTable(settings.platform_address))
+        self.keys = KeyKeeper(self.table, name)
+        self.desk = ServiceDesk(
+            settings.data_centre,
+            self.tracer,
+            self.keys,
+            settings.n_waiting_places,
+            random.Random(name),
+        )
+        self.is_stopping = False
+        self._beat = 0
+        self._n_sharers = 0
+        self.peers = PeerGroup(
+            PeerLink(settings.peer_address),
+            self._describe,
+            self._peer_addresses,
+            self.config_source.current,
+            self._on_document,
+        )
+        self.admin = AdminRouter(self.tracer, self._is_ready)
+        limits = HttpLimits(settings.max_body_bytes, settings.receive_timeout_s)
+        self.server = HttpServer(settings.entry_address, self.desk.handle, limits)
+        self.admin_server = HttpServer(settings.admin_address, self.admin.handle)
+
+    def _is_ready(self) -> bool:
+        return self.config_source.follower.is_known and not self.is_stopping
+
+    def _describe(self) -> PeerState:
+        self._beat += 1
+        follower = self.config_source.follower
+        return PeerState(
+            name=f"entry@{self.settings.host_id}",
+            incarnation=self.incarnation,
+            data_centre=self.settings.data_centre,
+            beat=self._beat,
+            config_version=follower.document.version,
+            config_known=follower.is_known,
+            is_entry=True,
+            is_leaving=self.is_stopping,
+            leaving_workers=self.desk.leaving_workers(),
+        )
+
+    def _peer_addresses(self) -> frozenset[str]:
+        listed = (
+            address
+            for host in self.list_source.host_by_id.values()
+            if host.data_centre == self.settings.data_centre
+            for address in (host.entry_peer_address, host.planner_peer_address)
+        )
+        return frozenset(listed) | frozenset(self.settings.seed_peers)
+
+    def _on_document(self, document) -> None:
+        self.config_source.on_document(document)
+        self._refresh_desk()
+
+    def _refresh_desk(self) -> None:
+        if self.config_source.has_changed:
+            self.config_source.has_changed = False
+            self.desk.apply_config(self.config_source.current())
+        n_sharers = max(
+            1, sum(not h.is_leaving for h in self.list_source.host_by_id.values())
+        )
+        workers = tuple(self.list_source.worker_by_id.values())
+        self.desk.apply_workers(workers, n_sharers)
+
+    async def poll_config(self) -> None:
+        """Ask the table for a newer configuration."""
+        await self.config_source.poll()
+        if self.config_source.has_changed:
+            self._refresh_desk()
+
+    async def poll_list(self) -> None:
+        """Ask the platform for changes of the list."""
+        if await self.list_source.refresh():
+            self._refresh_desk()
+
+    async def talk_to_peers(self) -> None:
+        """Send our state and take over the peers' word."""
+        await self.peers.send_all()
+        for peer in self.peers.live():
+            if peer.leaving_workers:
+                self.desk.mark_leaving(peer.leaving_workers)
+
+    async def serve(self, stop: StopSignal) -> None:
+        """Serve until the stop signal, then drain."""
+        await self.server.start()
+        await self.admin_server.start()
+        self.peers.link.start()
+        settings = self.settings
+        loops = [
+            asyncio.create_task(repeat(settings.config_period_s, self.poll_config)),
+            asyncio.create_task(repeat(settings.list_period_s, self.poll_list)),
+            asyncio.create_task(repeat(PEER_PERIOD_S, self.talk_to_peers)),
+            asyncio.create_task(self.peers.receive_forever()),
+        ]
+        logger.info("serving callers on %s", settings.entry_address)
+        await stop.wait()
+        await self._drain()
+        await cancel_all(loops)
+        await self.admin_server.stop(grace_s=0.5)
+        self.peers.link.stop()
+        logger.info("stopped")
+
+    async def _drain(self) -> None:
+        """Tell the balancer, wait its delay, finish what is in flight."""
+        logger.info("draining: not ready any more")
+        self.is_stopping = True
+        await self.peers.send_all()
+        await asyncio.sleep(self.settings.drain_delay_s)
+        await self.server.stop(self.settings.drain_grace_s)
+        await self.keys.flush(self.settings.drain_grace_s)
+
+
+async def serve_entry(settings: EntrySettings, stop: StopSignal) -> None:
+    """Run the entry process until the stop signal."""
+    await EntryProcess(settings).serve(stop)
--- /dev/null
+++ b/programs/beryl-entry/src/berylcleat/entry/_settings.py
@@ -0,0 +1,39 @@
+"""Settings of the entry process."""
+
+from dataclasses import dataclass
+
+from berylcleat.model import SettingsError
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Set addresses, data centre and bounds; times in seconds."""
+
+    host_id: str
+    data_centre: str
+    entry_address: str
+    admin_address: str
+    peer_address: str
+    platform_address: str
+    seed_peers: tuple[str, ...] = ()
+    max_body_bytes: int = 1_048_576
+    receive_timeout_s: float = 10.0
+    n_waiting_places: int = 256
+    drain_delay_s: float = 1.0
+    drain_grace_s: float = 15.0
+    list_period_s: float = 1.0
+    config_period_s: float = 1.0
+    traces_kept: int = 5000
+
+
+def check_entry_settings(settings: EntrySettings) -> None:
+    """Raise ``SettingsError`` unless the settings can be used."""
+    if not settings.host_id or not settings.data_centre:
+        raise SettingsError(
+            "host_id or data_centre is empty", "Name this host and its data centre"
+        )
+    for name in ("receive_timeout_s", "list_period_s", "config_period_s"):
+        if getattr(settings, name) <= 0:
+            raise SettingsError(f"{name} is not above 0", "Give seconds above 0")
+    if settings.n_waiting_places < 1:
+        raise SettingsError("n_waiting_places below 1", "Give at least 1 place")
--- /dev/null
+++ b/programs/beryl-planner/src/berylcleat/planner/_cell_runtime.py
@@ -0,0 +1,171 @@
+"""One owned cell at run time, and the view of it that policies get."""
+
+from dataclasses import dataclass, field
+
+from berylcleat.model import (
+    ConfigDocument,
+    JobSpec,
+    Labels,
+    Resources,
+    WorkerSpec,
+    effective_services,
+    parse_selector,
+    worker_labels,
+)
+from berylcleat.ownership import (
+    CellRow,
+    CellState,
+    OwnedCell,
+    TaskState,
+    is_placeable,
+)
+from berylcleat.placement import PlacementView, QueuedTask, RunningTask, WorkerLoad
+from berylcleat.ports import TaskRunning
+
+from ._job_board import steer_job
+
+
+def cell_id_of(spec: WorkerSpec) -> str:
+    """Return the cell of a worker: its rack."""
+    return f"{spec.data_centre}/{spec.rack}"
+
+
+def group_of(labels: Labels) -> str:
+    """Return the name under which alike tasks are learnt about."""
+    return ",".join(f"{key}={value}" for key, value in sorted(labels.items()))
+
+
+@dataclass
+class CellRuntime:
+    """Hold a cell that this process owns."""
+
+    row: CellRow
+    row_version: int
+    owned: OwnedCell
+    spec_by_worker: dict[str, WorkerSpec]
+    memory: object
+    is_dirty: bool = True
+    evictions: set[str] = field(default_factory=set)
+    failed_on: dict[str, frozenset[str]] = field(default_factory=dict)
+    started_at: dict[str, float] = field(default_factory=dict)
+    queued_at: dict[str, float] = field(default_factory=dict)
+    busy_workers: set[str] = field(default_factory=set)
+    due_at: dict[str, float] = field(default_factory=dict)
+    trace_by_task: dict[str, str] = field(default_factory=dict)
+
+
+def reserve_by_worker(
+    specs: dict[str, WorkerSpec], document: ConfigDocument
+) -> dict[str, Resources]:
+    """Return what services in force keep free on each worker."""
+    reserves = dict.fromkeys(specs, Resources())
+    for service in effective_services(document).values():
+        if service.retired:
+            continue
+        selector = parse_selector(service.placement)
+        for worker_id, spec in specs.items():
+            if selector.matches(worker_labels(spec)):
+                reserves[worker_id] += service.reserve
+    return reserves
+
+
+def make_view(
+    cell: CellRuntime,
+    owned: OwnedCell,
+    document: ConfigDocument,
+    now: float,
+    fresh_s: float,
+) -> PlacementView:
+    """Return the view of a cell, in the state ``owned``, that placement decides on."""
+    reserves = reserve_by_worker(cell.spec_by_worker, document)
+    workers = {
+        worker_id: _worker_load(
+            cell, owned, spec, reserves[worker_id], document, now, fresh_s
+        )
+        for worker_id, spec in cell.spec_by_worker.items()
+    }
+    return PlacementView(now, workers, _queue(cell, owned.cell, document, now))
+
+
+def _worker_load(
+    cell: CellRuntime,
+    owned: OwnedCell,
+    spec: WorkerSpec,
+    reserved: Resources,
+    document: ConfigDocument,
+    now: float,
+    fresh_s: float,
+) -> WorkerLoad:
+    used = {}
+    reply = owned.worker_by_id[spec.worker_id].reply
+    if reply:
+        used = {item.task_id: item for item in reply.running}
+    running = tuple(
+        _running_task(cell, owned.cell, task_id, used.get(task_id), document)
+        for task_id in sorted(owned.cell.assigned_to(spec.worker_id))
+    )
+    return WorkerLoad(
+        spec.worker_id,
+        worker_labels(spec),
+        spec.capacity,
+        reserved,
+        running,
+        is_placeable(owned, spec.worker_id, now, fresh_s),
+    )
+
+
+def _running_task(
+    cell: CellRuntime,
+    state: CellState,
+    task_id: str,
+    report: TaskRunning | None,
+    document: ConfigDocument,
+) -> RunningTask:
+    task = state.task_by_id[task_id]
+    spec = state.job_by_id[task.job_id]
+    observed = Resources()
+    if report:
+        observed = Resources(report.cores_used, report.memory_gb_used)
+    return RunningTask(
+        task_id,
+        spec.team,
+        group_of(spec.labels),
+        spec.per_task,
+        observed,
+        steer_job(spec, document).priority,
+        cell.started_at.get(task_id, 0.0),
+        is_leaving=task_id in cell.evictions or task.job_id in state.cancelled,
+    )
+
+
+def _queue(
+    cell: CellRuntime, state: CellState, document: ConfigDocument, now: float
+) -> tuple[QueuedTask, ...]:
+    return tuple(
+        _queued_task(cell, state.job_by_id[task.job_id], task_id, task, document, now)
+        for task_id, task in state.task_by_id.items()
+        if task.state == "queued" and task.job_id not in state.cancelled
+    )
+
+
+def _queued_task(
+    cell: CellRuntime,
+    spec: JobSpec,
+    task_id: str,
+    task: TaskState,
+    document: ConfigDocument,
+    now: float,
+) -> QueuedTask:
+    steering = steer_job(spec, document)
+    return QueuedTask(
+        task_id,
+        task.job_id,
+        spec.team,
+        group_of(spec.labels),
+        spec.per_task,
+        spec.run_s - task.progress_s,
+        steering.priority,
+        cell.queued_at.setdefault(task_id, now),
+        steering.placement,
+        failed_on=cell.failed_on.get(task_id, frozenset()),
+    )
--- /dev/null
+++ b/programs/beryl-planner/src/berylcleat/planner/_metrics.py
@@ -0,0 +1,15 @@
+"""Counters of the planner process."""
+
+from prometheus_client import Counter, Gauge
+
+STARTS = Counter("beryl_planner_task_starts", "Tasks assigned to workers")
+ENDS = Counter("beryl_planner_task_ends", "Attempts ended by outcome", ("outcome",))
+EVICTIONS = Counter("beryl_planner_evictions", "Tasks evicted")
+COMMITS = Counter("beryl_planner_commits", "Journal commits by result", ("result",))
+RECORDS = Counter("beryl_planner_records", "Journal records written")
+TAKEOVERS = Counter("beryl_planner_takeovers", "Cells taken over")
+CELLS = Gauge("beryl_planner_cells", "Cells owned")
+EXCHANGES = Counter(
+    "beryl_planner_exchanges", "Worker exchanges by result", ("result",)
+)
+CONFIG_VERSION = Gauge("beryl_planner_config_version", "Configuration version in force")
--- /dev/null
+++ b/programs/beryl-planner/src/berylcleat/planner/_process.py
@@ -0,0 +1,161 @@
+"""The planner process: a shell around ownership and placement decisions."""
+
+import asyncio
+import logging
+import secrets
+
+from berylcleat.http import HttpServer
+from berylcleat.model import BerylError
+from berylcleat.peers import (
+    PEER_PERIOD_S,
+    ConfigSource,
+    PeerGroup,
+    PeerLink,
+    PeerState,
+)
+from berylcleat.placement import make_colocate
+from berylcleat.ports import HttpHostList, HttpTable, HttpWorkerControl, ListSource
+from berylcleat.runtime import AdminRouter, StopSignal, cancel_all, repeat
+from berylcleat.telemetry import Tracer
+
+from . import _metrics
+from ._decision_log import DecisionLog
+from ._job_board import JobBoard
+from ._operators import OperatorDesk
+from ._ownership_keeper import OwnershipKeeper
+from ._scheduler import Scheduler
+from ._settings import PlannerSettings
+
+logger = logging.getLogger(__name__)
+
+
+class PlannerProcess:
+    """Hold what the planner process is made of."""
+
+    def __init__(self, settings: PlannerSettings):
+        self.settings = settings
+        self.incarnation = secrets.token_hex(4)
+        self.tracer = Tracer(f"planner@{settings.host_id}", settings.traces_kept)
+        self.table = HttpTable(settings.platform_address)
+        self.list_source = ListSource(HttpHostList(settings.platform_address))
+        self.config = ConfigSource(self.table)
+        self.board = JobBoard(self.table)
+        self.log = DecisionLog(settings.host_id)
+        policy = make_colocate()
+        self.keeper = OwnershipKeeper(
+            settings, self.incarnation, self.table, self.list_source, policy.make_memory
+        )
+        self.workers = HttpWorkerControl()
+        self.scheduler = Scheduler(
+            settings,
+            self.keeper,
+            self.table,
+            self.workers,
+            self.board,
+            self.config,
+            policy,
+            self.tracer,
+            self.log,
+        )
+        self.is_stopping = False
+        self._beat = 0
+        self.peers = PeerGroup(
+            PeerLink(settings.peer_address),
+            self._describe,
+            self._peer_addresses,
+            self.config.current,
+            self.config.on_document,
+        )
+        self.admin = AdminRouter(self.tracer, self._is_ready)
+        OperatorDesk(self).add_routes(self.admin)
+        self.admin_server = HttpServer(settings.admin_address, self.admin.handle)
+
+    def _is_ready(self) -> bool:
+        return self.config.follower.is_known and not self.is_stopping
+
+    def _describe(self) -> PeerState:
+        self._beat += 1
+        follower = self.config.follower
+        return PeerState(
+            name=f"planner@{self.settings.host_id}",
+            incarnation=self.incarnation,
+            data_centre=self.settings.data_centre,
+            beat=self._beat,
+            config_version=follower.document.version,
+            config_known=follower.is_known,
+            is_leaving=self.is_stopping,
+        )
+
+    def _peer_addresses(self) -> frozenset[str]:
+        listed = (
+            address
+            for host in self.list_source.host_by_id.values()
+            if host.data_centre == self.settings.data_centre
+            for address in (host.entry_peer_address, host.planner_peer_address)
+        )
+        return frozenset(listed) | frozenset(self.settings.seed_peers)
+
+    async def poll_list(self) -> None:
+        """Ask the platform for changes of the list."""
+        await self.list_source.refresh()
+
+    async def poll_jobs(self) -> None:
+        """Ask the table for changes of jobs; cancelled ones need attention."""
+        for job_id in await self.board.poll():
+            for cell in self.keeper.cell_by_id.values():
+                if job_id in cell.owned.cell.job_by_id:
+                    cell.is_dirty = True
+
+    async def poll_config(self) -> None:
+        """Ask the table for a newer configuration."""
+        await self.config.poll()
+        version = self.config.current().version
+        self.keeper.config_version = version
+        _metrics.CONFIG_VERSION.set(version)
+
+    async def tick(self) -> None:
+        """Run the cells, once the configuration is known."""
+        if self.config.follower.is_known:
+            await self.scheduler.tick()
+
+    async def renew(self) -> None:
+        """Exchange with the workers that are due; the table may be out meanwhile."""
+        self.scheduler.send_exchanges()
+
+    async def serve(self, stop: StopSignal) -> None:
+        """Serve until the stop signal, then hand over."""
+        await self.admin_server.start()
+        self.peers.link.start()
+        settings = self.settings
+        loops = [
+            asyncio.create_task(repeat(settings.list_period_s, self.poll_list)),
+            asyncio.create_task(repeat(settings.config_period_s, self.poll_config)),
+            asyncio.create_task(repeat(settings.beat_period_s, self.keeper.step)),
+            asyncio.create_task(repeat(settings.jobs_period_s, self.poll_jobs)),
+            asyncio.create_task(repeat(settings.tick_period_s, self.tick)),
+            asyncio.create_task(repeat(settings.tick_period_s, self.renew)),
+            asyncio.create_task(repeat(PEER_PERIOD_S, self.peers.send_all)),
+            asyncio.create_task(self.peers.receive_forever()),
+        ]
+        logger.info("planning on %s", settings.admin_address)
+        await stop.wait()
+        self.is_stopping = True
+        await cancel_all(loops)
+        await self._hand_over()
+        await self.admin_server.stop(grace_s=0.5)
+        self.peers.link.stop()
+        logger.info("stopped")
+
+    async def _hand_over(self) -> None:
+        """Release the cells; if the table is out, their leases lapse instead."""
+        await self.scheduler.drain()
+        try:
+            async with asyncio.timeout(5.0):
+                await self.keeper.leave()
+        except (BerylError, TimeoutError) as problem:
+            logger.warning("cells not handed over, they lapse instead: %s", problem)
+
+
+async def serve_planner(settings: PlannerSettings, stop: StopSignal) -> None:
+    """Run the planner process until the stop signal."""
+    await PlannerProcess(settings).serve(stop)
--- /dev/null
+++ b/programs/beryl-planner/src/berylcleat/planner/_scheduler.py
@@ -0,0 +1,435 @@
+"""Decide, make durable, act: the tick over all owned cells."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from functools import partial
+
+import msgspec
+
+from berylcleat.http import ExchangeError
+from berylcleat.model import OutcomeUnknownError, PlatformUnavailableError
+from berylcleat.ownership import (
+    ENDED_STATES,
+    Assign,
+    CancelJob,
+    CellRow,
+    CellState,
+    Claim,
+    DoneRow,
+    End,
+    JobRow,
+    OwnedCell,
+    Record,
+    Settle,
+    apply_records,
+    derive_ends,
+    is_fenced_out,
+    make_exchange,
+    on_reply,
+)
+from berylcleat.peers import ConfigSource
+from berylcleat.placement import Evict, Place, PlacementPolicy, PlacementView, Wait
+from berylcleat.ports import Check, Put, Table, WorkerControl
+from berylcleat.telemetry import Tracer
+
+from . import _metrics
+from ._cell_runtime import CellRuntime, make_view
+from ._decision_log import DecisionLog
+from ._job_board import JobBoard, ListedJob, done_key, job_key
+from ._journal import JournalWriter, journal_key
+from ._ownership_keeper import OwnershipKeeper, cell_key
+from ._settings import PlannerSettings
+
+SNAPSHOT_EVERY_ROWS = 200
+FRESH_PERIODS = 2.5
+logger = logging.getLogger(__name__)
+
+
+@dataclass
+class _Batch:
+    """Gather what one group commit changes."""
+
+    records: list[Record] = field(default_factory=list)
+    checks: list[Check] = field(default_factory=list)
+    puts: list[Put] = field(default_factory=list)
+    deletes: list[str] = field(default_factory=list)
+    cells: dict[str, CellRuntime] = field(default_factory=dict)
+    pointer_by_cell: dict[str, CellRow] = field(default_factory=dict)
+    job_by_id: dict[str, JobRow] = field(default_factory=dict)
+    on_applied: list[Callable[[], None]] = field(default_factory=list)
+
+    def add(self, cell: CellRuntime, records: tuple[Record, ...]) -> None:
+        """Add records of one cell."""
+        if records:
+            self.records.extend(records)
+            self.cells[cell.row.cell_id] = cell
+
+
+class Scheduler:
+    """Run the cells that ``keeper`` owns."""
+
+    def __init__(
+        self,
+        settings: PlannerSettings,
+        keeper: OwnershipKeeper,
+        table: Table,
+        workers: WorkerControl,
+        board: JobBoard,
+        config: ConfigSource,
+        policy: PlacementPolicy,
+        tracer: Tracer,
+        log: DecisionLog,
+    ):
+        self._settings = settings
+        self._keeper = keeper
+        self._workers = workers
+        self._board = board
+        self._config = config
+        self._policy = policy
+        self._tracer = tracer
+        self._log = log
+        self.journal = JournalWriter(table, keeper.me)
+        self._pending: _Batch | None = None
+        self._exchanges: set[asyncio.Task] = set()
+        self._n_first_kept = 0
+
+    async def tick(self) -> None:
+        """Decide and commit for every cell, then talk to the workers that are due."""
+        now = asyncio.get_running_loop().time()
+        if not self._keeper.may_act(now):
+            return
+        self._notice_lapses(now)
+        try:
+            await self._commit_ends_and_starts(now)
+            await self._commit_claims(now)
+        except (OutcomeUnknownError, PlatformUnavailableError):
+            # Renewals go on; nothing new is decided until the table answers.
+            pass
+        self.send_exchanges()
+
+    def _notice_lapses(self, now: float) -> None:
+        for cell in self._keeper.cell_by_id.values():
+            for worker_id, view in cell.owned.worker_by_id.items():
+                if now > view.lease_ends_by and cell.owned.cell.assigned_to(worker_id):
+                    cell.is_dirty = True
+
+    async def _commit_ends_and_starts(self, now: float) -> None:
+        if not self.journal.is_settled:
+            await self._finish(await self.journal.settle())
+            return
+        batch = _Batch()
+        for cell in self._keeper.cell_by_id.values():
+            if cell.is_dirty or _has_queue(cell.owned):
+                self._decide(cell, batch, now)
+        self._add_snapshot(batch)
+        await self._commit(batch)
+
+    def _decide(self, cell: CellRuntime, batch: _Batch, now: float) -> None:
+        """Add what has ended, was cancelled, is settled or can start in ``cell``."""
+        ends = derive_ends(cell.owned, now)
+        cancels = self._cancels(cell)
+        ended = apply_records(cell.owned.cell, (*cancels, *ends))
+        settled = self._settle_claims(ended, batch)
+        batch.add(cell, (*cancels, *ends, *settled))
+        for end in ends:
+            batch.on_applied.append(partial(self._note_end, cell, end))
+        after = _with_cell(cell.owned, apply_records(ended, settled))
+        batch.add(cell, self._starts(cell, after, batch, now))
+        cell.is_dirty = False
+
+    def _cancels(self, cell: CellRuntime) -> tuple[CancelJob, ...]:
+        state = cell.owned.cell
+        return tuple(
+            CancelJob(state.cell_id, job_id)
+            for job_id in state.job_by_id
+            if job_id not in state.cancelled
+            and (job := self._board.job_by_id.get(job_id))
+            and job.row.state == "cancelled"
+        )
+
+    def _settle_claims(self, after: CellState, batch: _Batch) -> tuple[Settle, ...]:
+        settled = []
+        for claim in after.claims:
+            states = [task.state for task in after.tasks_of(claim)]
+            if any(state not in ENDED_STATES for state in states):
+                continue
+            counts = {name: states.count(name) for name in ENDED_STATES}
+            row = DoneRow(
+                claim.job_id,
+                claim.first,
+                counts["finished"],
+                counts["failed"],
+                counts["cancelled"],
+            )
+            key = done_key(claim.job_id, claim.first)
+            batch.checks.append(Check(key, 0))
+            batch.puts.append(Put(key, msgspec.json.encode(row).decode()))
+            settled.append(Settle(after.cell_id, claim.job_id, claim.first))
+        return tuple(settled)
+
+    def _note_end(self, cell: CellRuntime, end: End) -> None:
+        """Count and explain an end; the cell still shows where it ran."""
+        _metrics.ENDS.labels(end.outcome).inc()
+        task = cell.owned.cell.task_by_id[end.task_id]
+        if end.outcome in ("failed", "refused"):
+            known = cell.failed_on.get(end.task_id, frozenset())
+            cell.failed_on[end.task_id] = known | {task.worker_id}
+        cell.evictions.discard(end.task_id)
+        cell.queued_at.pop(end.task_id, None)
+        subjects = (f"task/{end.task_id}", f"worker/{task.worker_id}")
+        reason = f"attempt {end.attempt} on {task.worker_id}"
+        self._log.note(subjects, f"ended: {end.outcome}", reason)
+
+    def _starts(
+        self, cell: CellRuntime, after: OwnedCell, batch: _Batch, now: float
+    ) -> tuple[Assign, ...]:
+        """Return the assignments that the policy wants once ``after`` holds."""
+        if not _has_queue(after):
+            return ()
+        view = self.view_of(cell, after, now)
+        step = self._policy.decide(cell.memory, view)
+        cell.memory = step.memory
+        assigns = []
+        for decision in step.decisions:
+            if isinstance(decision, Place):
+                assign = _assign(after, decision)
+                assigns.append(assign)
+                note = partial(self._note_assign, cell, assign, decision.reason, now)
+                batch.on_applied.append(note)
+            elif isinstance(decision, Evict):
+                self._evict(cell, decision)
+            elif isinstance(decision, Wait):
+                self._log.note((f"task/{decision.task_id}",), "waits", decision.reason)
+        return tuple(assigns)
+
+    def view_of(self, cell: CellRuntime, owned: OwnedCell, now: float) -> PlacementView:
+        """Return the placement view of ``cell`` in the state ``owned``."""
+        fresh_s = FRESH_PERIODS * self._settings.exchange_period_s
+        return make_view(cell, owned, self._config.current(), now, fresh_s)
+
+    def _note_assign(
+        self, cell: CellRuntime, assign: Assign, reason: str, now: float
+    ) -> None:
+        """Count, trace and explain a durable assignment; the worker is due."""
+        task_id, worker_id = assign.task_id, assign.worker_id
+        job = self._board.job_by_id.get(cell.owned.cell.task_by_id[task_id].job_id)
+        with self._tracer.span(
+            "planner.assign",
+            parent=job.row.trace if job else "",
+            task=task_id,
+            worker=worker_id,
+        ) as span:
+            cell.trace_by_task[task_id] = self._tracer.header(span)
+        cell.started_at[task_id] = now
+        cell.due_at[worker_id] = now
+        _metrics.STARTS.inc()
+        subjects = (f"task/{task_id}", f"worker/{worker_id}")
+        action = f"attempt {assign.attempt} placed on {worker_id}"
+        self._log.note(subjects, action, reason)
+
+    def _evict(self, cell: CellRuntime, decision: Evict) -> None:
+        if decision.task_id in cell.evictions:
+            return
+        cell.evictions.add(decision.task_id)
+        cell.due_at[decision.worker_id] = 0.0
+        _metrics.EVICTIONS.inc()
+        subjects = (f"task/{decision.task_id}", f"worker/{decision.worker_id}")
+        self._log.note(subjects, f"evicted from {decision.worker_id}", decision.reason)
+
+    def _add_snapshot(self, batch: _Batch) -> None:
+        """Write a cell whole when its state begins in another journal or far back."""
+        for cell in self._keeper.cell_by_id.values():
+            row = cell.row
+            is_own = row.journal == self.journal.journal
+            if (
+                is_own
+                and self.journal.sequence - row.journal_from < SNAPSHOT_EVERY_ROWS
+            ):
+                continue
+            if not is_own and cell.row.cell_id not in batch.cells:
+                continue
+            after = apply_records(cell.owned.cell, tuple(batch.records))
+            batch.add(cell, (after.full_record(),))
+            batch.pointer_by_cell[row.cell_id] = msgspec.structs.replace(
+                row, journal=self.journal.journal, journal_from=self.journal.sequence
+            )
+
+    async def _commit_claims(self, now: float) -> None:
+        if not self._board.open_by_id or not self._keeper.cell_by_id:
+            return
+        views = {
+            cell_id: self.view_of(cell, cell.owned, now)
+            for cell_id, cell in self._keeper.cell_by_id.items()
+        }
+        claims = self._board.choose_claims(views, self._config.current())
+        batch = _Batch()
+        for claim in claims:
+            batch.add(self._keeper.cell_by_id[claim.cell_id], (claim,))
+            self._claim_job(batch, claim)
+        self._add_snapshot(batch)
+        await self._commit(batch)
+
+    def _claim_job(self, batch: _Batch, claim: Claim) -> None:
+        job_id = claim.spec.job_id
+        listed = self._board.job_by_id[job_id]
+        row = batch.job_by_id.get(job_id)
+        if row is None:
+            batch.checks.append(Check(job_key(job_id), listed.version))
+            row = listed.row
+        n_claimed = row.n_claimed + claim.n_tasks
+        batch.job_by_id[job_id] = msgspec.structs.replace(row, n_claimed=n_claimed)
+
+    async def _commit(self, batch: _Batch) -> None:
+        if not batch.records:
+            return
+        for cell in batch.cells.values():
+            batch.checks.append(Check(cell_key(cell.row.cell_id), cell.row_version))
+        for cell_id, row in batch.pointer_by_cell.items():
+            value = msgspec.json.encode(row).decode()
+            batch.puts.append(Put(cell_key(cell_id), value))
+        for job_id, row in batch.job_by_id.items():
+            batch.puts.append(Put(job_key(job_id), msgspec.json.encode(row).decode()))
+        batch.deletes.extend(self._truncated_keys())
+        self._pending = batch
+        result = await self.journal.commit(
+            tuple(batch.records),
+            tuple(batch.checks),
+            tuple(batch.puts),
+            tuple(batch.deletes),
+        )
+        await self._finish(result)
+
+    def _truncated_keys(self) -> list[str]:
+        """Return the keys of own journal rows that no owned cell needs."""
+        pointers = [
+            cell.row.journal_from
+            for cell in self._keeper.cell_by_id.values()
+            if cell.row.journal == self.journal.journal
+        ]
+        released = [
+            row.journal_from
+            for row, _ in self._keeper.row_by_cell.values()
+            if row.journal == self.journal.journal
+        ]
+        first_needed = min(pointers + released, default=self._n_first_kept)
+        keys = [
+            journal_key(self.journal.journal, sequence)
+            for sequence in range(self._n_first_kept, first_needed)
+        ]
+        self._n_first_kept = max(self._n_first_kept, first_needed)
+        return keys
+
+    async def _finish(self, result) -> None:
+        """Apply the pending batch, or undo what it was based on."""
+        batch, self._pending = self._pending, None
+        if not result.applied:
+            await self._on_conflict(batch, result.failed_key)
+            return
+        for note in batch.on_applied:
+            note()
+        for cell in batch.cells.values():
+            state = apply_records(cell.owned.cell, tuple(batch.records))
+            cell.owned = _with_cell(cell.owned, state)
+            cell.is_dirty = True
+        for cell_id, row in batch.pointer_by_cell.items():
+            cell = batch.cells[cell_id]
+            cell.row, cell.row_version = row, result.version
+            self._keeper.row_by_cell[cell_id] = (row, result.version)
+        for job_id, row in batch.job_by_id.items():
+            self._board.put(ListedJob(row, result.version))
+            self._log.note(
+                (f"job/{job_id}",),
+                f"claimed {row.n_claimed} of {row.spec.n_tasks} tasks",
+                "cells of this host have room",
+            )
+
+    async def _on_conflict(self, batch: _Batch, failed_key: str) -> None:
+        logger.info("commit lost to another writer at %s", failed_key)
+        for cell in batch.cells.values():
+            cell.is_dirty = True
+        if failed_key.startswith("cell/"):
+            self._keeper.drop(failed_key.removeprefix("cell/"))
+        elif failed_key.startswith("job/"):
+            await self._board.poll()
+
+    def send_exchanges(self) -> None:
+        """Talk to the workers that are due, whether or not the table answers."""
+        now = asyncio.get_running_loop().time()
+        if not self._keeper.may_act(now):
+            return
+        for cell in self._keeper.cell_by_id.values():
+            for worker_id in cell.owned.worker_by_id:
+                if (
+                    worker_id in cell.busy_workers
+                    or cell.due_at.get(worker_id, 0.0) > now
+                ):
+                    continue
+                if cell.owned.worker_by_id[worker_id].is_gone:
+                    continue
+                cell.busy_workers.add(worker_id)
+                task = asyncio.create_task(self._exchange(cell, worker_id))
+                self._exchanges.add(task)
+                task.add_done_callback(self._exchanges.discard)
+
+    async def _exchange(self, cell: CellRuntime, worker_id: str) -> None:
+        """Send one request to a worker and note its reply."""
+        loop = asyncio.get_running_loop()
+        spec = cell.spec_by_worker[worker_id]
+        try:
+            cell.due_at[worker_id] = loop.time() + self._settings.exchange_period_s
+            cell.owned, request = make_exchange(
+                cell.owned, worker_id, frozenset(cell.evictions), cell.trace_by_task
+            )
+            reply = await self._workers.exchange(spec.control_address, request)
+        except ExchangeError as error:
+            _metrics.EXCHANGES.labels(error.failure.value).inc()
+            self._log.note(
+                (f"worker/{worker_id}",), "does not answer", error.failure.value
+            )
+            return
+        finally:
+            cell.busy_workers.discard(worker_id)
+        if self._keeper.cell_by_id.get(cell.row.cell_id) is not cell:
+            return
+        _metrics.EXCHANGES.labels("answered" if reply.accepted else "refused").inc()
+        if is_fenced_out(cell.owned, reply):
+            self._keeper.drop(cell.row.cell_id)
+            return
+        self._note_reply(cell, worker_id, reply, loop.time())
+
+    def _note_reply(self, cell: CellRuntime, worker_id: str, reply, now: float) -> None:
+        before = cell.owned.worker_by_id[worker_id].reply
+        cell.owned = on_reply(cell.owned, reply, now)
+        is_new = before is None or before.incarnation != reply.incarnation
+        if reply.ended or reply.refused or is_new or cell.owned.cell.cancelled:
+            cell.is_dirty = True
+        if is_new:
+            cell.due_at[worker_id] = now
+
+    async def drain(self) -> None:
+        """Wait for exchanges under way."""
+        if self._exchanges:
+            await asyncio.wait(self._exchanges, timeout=2.0)
+
+
+def _has_queue(owned: OwnedCell) -> bool:
+    return any(task.state == "queued" for task in owned.cell.task_by_id.values())
+
+
+def _with_cell(owned: OwnedCell, state: CellState) -> OwnedCell:
+    return replace(owned, cell=state)
+
+
+def _assign(owned: OwnedCell, decision: Place) -> Assign:
+    """Return the record that binds the next attempt to the worker as it is now."""
+    task = owned.cell.task_by_id[decision.task_id]
+    reply = owned.worker_by_id[decision.worker_id].reply
+    return Assign(
+        owned.cell.cell_id,
+        decision.task_id,
+        task.attempt + 1,
+        decision.worker_id,
+        reply.incarnation,
+    )
--- /dev/null
+++ b/programs/beryl-planner/src/berylcleat/planner/_settings.py
@@ -0,0 +1,50 @@
+"""Settings of the planner process."""
+
+from dataclasses import dataclass, field
+
+from berylcleat.model import SettingsError
+from berylcleat.ownership import LeaseRules
+
+
+@dataclass(frozen=True, slots=True)
+class PlannerSettings:
+    """Set addresses, data centre, leases and periods; times in seconds."""
+
+    host_id: str
+    data_centre: str
+    admin_address: str
+    peer_address: str
+    platform_address: str
+    seed_peers: tuple[str, ...] = ()
+    leases: LeaseRules = field(default_factory=LeaseRules)
+    tick_period_s: float = 0.2
+    exchange_period_s: float = 1.0
+    beat_period_s: float = 1.0
+    jobs_period_s: float = 0.5
+    list_period_s: float = 1.0
+    config_period_s: float = 1.0
+    traces_kept: int = 5000
+
+
+def check_planner_settings(settings: PlannerSettings) -> None:
+    """Raise ``SettingsError`` unless the settings can be used."""
+    if not settings.host_id or not settings.data_centre:
+        raise SettingsError(
+            "host_id or data_centre is empty", "Name this host and its data centre"
+        )
+    leases = settings.leases
+    if settings.beat_period_s * 2 > leases.host_lapse_s:
+        raise SettingsError(
+            "leases.host_lapse_s is below two beat periods",
+            "Lengthen it, or shorten beat_period_s",
+        )
+    if settings.exchange_period_s * 2 > leases.worker_lease_s:
+        raise SettingsError(
+            "leases.worker_lease_s is below two exchange periods",
+            "Lengthen it, or shorten exchange_period_s",
+        )
+    if leases.renewal_limit_s < leases.host_lapse_s:
+        raise SettingsError(
+            "leases.renewal_limit_s is below leases.host_lapse_s",
+            "Lengthen the limit",
+        )
--- /dev/null
+++ b/programs/beryl-replay/src/berylcleat/replay/__init__.py
@@ -0,0 +1,5 @@
+"""Load generator and trace replay."""
+
+
+def main() -> None:
+    """Placeholder."""
--- /dev/null
+++ b/programs/berylctl/src/berylcleat/ctl/__init__.py
@@ -0,0 +1,5 @@
+"""The operators' command line."""
+
+from ._commands import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/programs/berylctl/src/berylcleat/ctl/_print.py
@@ -0,0 +1,21 @@
+"""Show answers as tables for people or as JSON for scripts."""
+
+import json
+from collections.abc import Iterable
+from typing import Any
+
+from rich.console import Console
+from rich.table import Table
+
+
+def show_json(value: Any) -> None:
+    """Print ``value`` as one JSON document."""
+    print(json.dumps(value, indent=2, sort_keys=True))
+
+
+def show_table(title: str, columns: tuple[str, ...], rows: Iterable[tuple]) -> None:
+    """Print rows as a table."""
+    table = Table(*columns, title=title, title_justify="left")
+    for row in rows:
+        table.add_row(*(str(cell) for cell in row))
+    Console().print(table)
--- /dev/null
+++ b/standins/src/berylcleat/standins/__init__.py
@@ -0,0 +1,27 @@
+"""Small stand-ins of the platform and its workers, and a fleet to start them."""
+
+from ._commands import platform_main, rack_main
+from ._fleet import Fleet, FleetPlan, Host, ask, free_ports, make_fleet_plan
+from ._history import HistoryEvent, read_history
+from ._platform import Faults, PlatformSettings
+from ._rack import RackSettings, WorkerFault
+from ._verdicts import double_runs, overlapping_attempts
+
+__all__ = [
+    "Faults",
+    "Fleet",
+    "FleetPlan",
+    "HistoryEvent",
+    "Host",
+    "PlatformSettings",
+    "RackSettings",
+    "WorkerFault",
+    "ask",
+    "double_runs",
+    "free_ports",
+    "make_fleet_plan",
+    "overlapping_attempts",
+    "platform_main",
+    "rack_main",
+    "read_history",
+]
--- /dev/null
+++ b/standins/src/berylcleat/standins/_commands.py
@@ -0,0 +1,40 @@
+"""Command lines of the stand-ins."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from berylcleat.model import load_settings
+from berylcleat.runtime import run_process
+
+from ._platform import PlatformSettings, serve_platform
+from ._rack import RackSettings, serve_rack
+
+
+@dataclass
+class StandinArguments:
+    """Start a stand-in from its settings file."""
+
+    settings: Annotated[Path, cappa.Arg(long=True, help="settings file")]
+
+
+def platform_main() -> None:
+    """Start the platform's stand-in."""
+    arguments = cappa.parse(StandinArguments)
+
+    async def serve(stop) -> None:
+        await serve_platform(load_settings(arguments.settings, PlatformSettings), stop)
+
+    run_process("standin-platform", serve)
+
+
+def rack_main() -> None:
+    """Start the stand-in of a rack."""
+    arguments = cappa.parse(StandinArguments)
+
+    async def serve(stop) -> None:
+        await serve_rack(load_settings(arguments.settings, RackSettings), stop)
+
+    run_process("standin-rack", serve)
--- /dev/null
+++ b/standins/src/berylcleat/standins/_worker.py
@@ -0,0 +1,137 @@
+"""Stand-in of a worker: runs tasks under a lease, checked by its own clock."""
+
+import asyncio
+import secrets
+from dataclasses import dataclass, field
+
+from berylcleat.model import Resources, WorkerSpec
+from berylcleat.ports import (
+    ExchangeReply,
+    ExchangeRequest,
+    TaskEnd,
+    TaskRunning,
+    TaskStart,
+    TaskStop,
+)
+
+from ._history import History
+
+
+@dataclass(frozen=True, slots=True)
+class _Attempt:
+    """Hold one running attempt."""
+
+    start: TaskStart
+    started_at: float
+
+    def progress_s(self, now: float) -> float:
+        """Return the seconds of work done, earlier attempts included."""
+        return min(self.start.run_s, self.start.progress_s + now - self.started_at)
+
+
+@dataclass
+class WorkerStandin:
+    """Run tasks of one worker and refuse what its epoch or lease forbids."""
+
+    spec: WorkerSpec
+    history: History
+    fails_all: bool = False
+    is_fencing: bool = True
+    is_leaving: bool = False
+    incarnation: str = field(default_factory=lambda: secrets.token_hex(4))
+    epoch: int = 0
+    sequence: int = 0
+    lease_until: float = 0.0
+    attempt_by_task: dict[str, _Attempt] = field(default_factory=dict)
+    end_by_task: dict[str, TaskEnd] = field(default_factory=dict)
+
+    def exchange(self, request: ExchangeRequest) -> ExchangeReply:
+        """Apply one exchange and report."""
+        now = asyncio.get_running_loop().time()
+        self.expire(now)
+        order = (request.epoch, request.sequence)
+        if self.is_fencing and order <= (self.epoch, self.sequence):
+            return self._reply(now, accepted=False)
+        self.epoch, self.sequence = order
+        is_same = request.incarnation == self.incarnation
+        if is_same:
+            granted = request.echo_time_s + request.lease_s
+            self.lease_until = max(self.lease_until, granted)
+        for stop in request.stops:
+            self._stop(stop, now)
+        for forget in request.forget:
+            self._forget(forget)
+        refused = [s for s in request.starts if not is_same or not self._start(s, now)]
+        return self._reply(
+            now, refused=tuple(TaskStop(s.task_id, s.attempt) for s in refused)
+        )
+
+    def expire(self, now: float) -> None:
+        """End what is done and stop everything once the lease has run out."""
+        for task_id, attempt in tuple(self.attempt_by_task.items()):
+            if attempt.progress_s(now) >= attempt.start.run_s:
+                self._end(task_id, "failed" if self.fails_all else "finished", now)
+            elif now >= self.lease_until:
+                self._end(task_id, "lapsed", now)
+
+    def _start(self, start: TaskStart, now: float) -> bool:
+        known = self.attempt_by_task.get(start.task_id)
+        if known:
+            return known.start.attempt == start.attempt
+        ended = self.end_by_task.get(start.task_id)
+        if ended and ended.attempt >= start.attempt:
+            return ended.attempt == start.attempt
+        if now >= self.lease_until or not self._has_room(start):
+            return False
+        self.end_by_task.pop(start.task_id, None)
+        self.attempt_by_task[start.task_id] = _Attempt(start, now)
+        self.history.write(
+            "task-start", start.task_id, self.spec.worker_id, start.attempt
+        )
+        return True
+
+    def _has_room(self, start: TaskStart) -> bool:
+        used = Resources(start.cores, start.memory_gb, start.accelerators)
+        for attempt in self.attempt_by_task.values():
+            other = attempt.start
+            used += Resources(other.cores, other.memory_gb, other.accelerators)
+        return used.fits_in(self.spec.capacity)
+
+    def _stop(self, stop: TaskStop, now: float) -> None:
+        attempt = self.attempt_by_task.get(stop.task_id)
+        if attempt and attempt.start.attempt == stop.attempt:
+            self._end(
+                stop.task_id, "checkpointed" if stop.checkpoint else "stopped", now
+            )
+
+    def _end(self, task_id: str, state: str, now: float) -> None:
+        attempt = self.attempt_by_task.pop(task_id)
+        number = attempt.start.attempt
+        kept = state in ("finished", "checkpointed")
+        progress_s = attempt.progress_s(now) if kept else attempt.start.progress_s
+        self.end_by_task[task_id] = TaskEnd(task_id, number, state, progress_s)
+        self.history.write(f"task-{state}", task_id, self.spec.worker_id, number)
+
+    def _forget(self, forget: TaskStop) -> None:
+        ended = self.end_by_task.get(forget.task_id)
+        if ended and ended.attempt == forget.attempt:
+            del self.end_by_task[forget.task_id]
+
+    def _reply(
+        self, now: float, *, accepted: bool = True, refused: tuple[TaskStop, ...] = ()
+    ) -> ExchangeReply:
+        running = tuple(
+            TaskRunning(task_id, a.start.attempt, a.start.cores, a.start.memory_gb)
+            for task_id, a in self.attempt_by_task.items()
+        )
+        return ExchangeReply(
+            worker_id=self.spec.worker_id,
+            incarnation=self.incarnation,
+            epoch=self.epoch,
+            worker_time_s=now,
+            accepted=accepted,
+            running=running,
+            ended=tuple(self.end_by_task.values()),
+            refused=refused,
+            is_leaving=self.is_leaving,
+        )
