Entry: retries wait for a place, and a whole failure is never called not run

Cause: a new feature (60 renders at once, one worker failing or leaving) got 503 upstreams-refused for 9 to 16 of 60. A retry that found no upstream with room gave up at once, while a first attempt waits. Worse, the same path called a request not run although an upstream had run it and answered 500. Ruled out: ejection and limits (one request at a time never failed); leaked in-flight counts (the unit trace shows none). Change: retries use the waiting room; what attempts led to is kept in one value whose give_up() answers the whole failure, says unknown, or not run, in that order.

--- a/programs/beryl-entry/src/berylcleat/entry/_forwarder.py
+++ b/programs/beryl-entry/src/berylcleat/entry/_forwarder.py
@@ -67,6 +67,41 @@
     response: HttpResponse | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _Progress:
+    """Hold what the attempts at one request have led to so far."""
+
+    n_attempts: int = 0
+    tried: frozenset[str] = frozenset()
+    has_unknown: bool = False
+    failed_whole: HttpResponse | None = None
+
+    def after(self, worker_id: str, attempt: _Attempt) -> "_Progress":
+        """Return the progress after one more attempt."""
+        return _Progress(
+            self.n_attempts + 1,
+            self.tried | {worker_id},
+            self.has_unknown or attempt.result in UNKNOWN_RESULTS,
+            attempt.response
+            if attempt.result is AttemptResult.FAILED_WHOLE
+            else self.failed_whole,
+        )
+
+    def give_up(self) -> Forwarded:
+        """Return the honest end: what may have run is never called not run."""
+        if self.failed_whole:
+            return Forwarded(Outcome.ANSWERED, "answered", self.failed_whole)
+        if self.has_unknown:
+            return Forwarded(Outcome.UNKNOWN, "retries-exhausted")
+        code = "upstreams-refused" if self.tried else "overloaded"
+        return Forwarded(Outcome.NOT_RUN, code)
+
+
+UNKNOWN_RESULTS = frozenset(
+    (AttemptResult.LOST, AttemptResult.TIMED_OUT, AttemptResult.CUT_SHORT)
+)
+
+
 def without_hop_headers(
     headers: tuple[tuple[str, str], ...],
 ) -> tuple[tuple[str, str], ...]:
@@ -104,34 +139,22 @@
         unless the request is idempotent.
         """
         self.router.budget = self.router.budget.earn()
-        tried: frozenset[str] = frozenset()
-        n_attempts = 0
-        has_unknown = False
+        progress = _Progress()
         while True:
-            upstream = await self._obtain(request_class, tried)
+            upstream = await self._obtain(request_class, progress.tried)
             if upstream is None:
-                return self._give_up(has_unknown, tried)
+                return progress.give_up()
             attempt = await self._attempt(upstream, request, request_class, trace)
-            n_attempts += 1
-            tried = tried | {upstream.worker_id}
-            has_unknown = has_unknown or attempt.result in UNKNOWN_RESULTS
-            step = next_step(request_class, attempt.result, n_attempts)
+            progress = progress.after(upstream.worker_id, attempt)
+            step = next_step(request_class, attempt.result, progress.n_attempts)
             if step is NextStep.RETRY_IN_BUDGET and not self._spend():
-                step = NextStep.ANSWER if attempt.response else NextStep.REPORT_UNKNOWN
+                return progress.give_up()
             if step is NextStep.ANSWER:
                 return Forwarded(Outcome.ANSWERED, "answered", attempt.response)
             if step is NextStep.REPORT_UNKNOWN:
                 return Forwarded(Outcome.UNKNOWN, attempt.result.value)
             if step is NextStep.REFUSE:
-                return self._give_up(has_unknown, tried)
-
-    @staticmethod
-    def _give_up(has_unknown: bool, tried: frozenset[str]) -> Forwarded:
-        if has_unknown:
-            return Forwarded(Outcome.UNKNOWN, "retries-exhausted")
-        return Forwarded(
-            Outcome.NOT_RUN, "upstreams-refused" if tried else "overloaded"
-        )
+                return progress.give_up()
 
     def _spend(self) -> bool:
         budget = self.router.budget.spend()
@@ -148,7 +171,7 @@
         loop = asyncio.get_running_loop()
         if not self._future_by_waiter or tried:
             upstream = self._begin(loop.time(), tried)
-            if upstream or tried:
+            if upstream:
                 return upstream
         if not self.router.has_any(loop.time()):
             return None
@@ -264,8 +287,3 @@
     if response.status >= FAILED_STATUS:
         return AttemptResult.FAILED_WHOLE
     return AttemptResult.ANSWERED
-
-
-UNKNOWN_RESULTS = frozenset(
-    (AttemptResult.LOST, AttemptResult.TIMED_OUT, AttemptResult.CUT_SHORT)
-)
