Planner: one scan for all it follows, decisions on events, fewer exchanges

The profile shows little time in our Python code: the cost is HTTP calls (nine a second) and wake-ups of the loop (some 60 a second). Change: ChangeFeed follows configuration, hosts, cells, jobs and settled claims by one scan; exchanges every 2 s, and at the expected end of a task; ticks run on events with a group-commit pause; planners talk to the entry of their own host only, entries to each other once a second; entry bytes counted.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -129,9 +129,11 @@
     slope = Slope(unit, points)
     slope.fit()
     print(
-        f"{unit:36s} cpu {slope.cpu_us_per_unit:8.1f} us  "
-        f"bytes {slope.bytes_per_unit:6.1f}  memory {slope.memory_bytes_per_unit:7.1f}  "
-        f"spread {slope.cpu_spread:5.2f}  bend {slope.cpu_bend:5.2f}",
+        f"{unit:36s} cpu {slope.cpu_us_per_unit:8.1f} us",
+        f"bytes {slope.bytes_per_unit:6.1f}",
+        f"memory {slope.memory_bytes_per_unit:7.1f}",
+        f"spread {slope.cpu_spread:5.2f}",
+        f"bend {slope.cpu_bend:5.2f}",
         flush=True,
     )
     return slope
@@ -302,8 +304,8 @@
     return 0.0
 
 
-async def _metrics_of(fleet: Fleet) -> dict[str, float]:
-    response = await ask(fleet.hosts[0].address("planner_admin"), "GET", "/metrics")
+async def _metrics_of(fleet: Fleet, name: str = "planner_admin") -> dict[str, float]:
+    response = await ask(fleet.hosts[0].address(name), "GET", "/metrics")
     values = {}
     for line in response.body.decode().splitlines():
         if not line.startswith("#"):
@@ -313,12 +315,10 @@
 
 
 def _control_bytes(metrics: dict[str, float]) -> float:
-    return sum(
-        v for n, v in metrics.items() if n.startswith("beryl_planner_control_bytes")
-    )
+    return sum(v for n, v in metrics.items() if "_control_bytes{" in n)
 
 
-async def idle_planner(n_workers: int, seconds: float = 6.0):
+async def idle_planner(n_workers: int, seconds: float = 8.0):
     """Return the cost of one second of a planner that owns idle workers."""
     fleet = _one_host_fleet(n_workers)
     try:
@@ -336,6 +336,22 @@
         fleet.stop()
 
 
+async def idle_entry(n_hosts: int, seconds: float = 8.0):
+    """Return the cost of one second of an idle entry among ``n_hosts`` hosts."""
+    fleet = _one_host_fleet(8, n_hosts)
+    try:
+        await fleet.wait_ready()
+        pid = fleet.process_by_name["entry-host-1"].pid
+        before = _process_cpu_us(pid)
+        bytes_before = _control_bytes(await _metrics_of(fleet, "entry_admin"))
+        await asyncio.sleep(seconds)
+        cpu_us = (_process_cpu_us(pid) - before) / seconds
+        n_bytes = _control_bytes(await _metrics_of(fleet, "entry_admin")) - bytes_before
+        return cpu_us, n_bytes / seconds, _process_rss(pid)
+    finally:
+        fleet.stop()
+
+
 async def run_tasks(n_tasks: int):
     """Return the cost of starting and finishing ``n_tasks``, idle cost taken off."""
     fleet = _one_host_fleet(64)
@@ -374,10 +390,10 @@
 ROW_WRITES: list[tuple[int, float, float]] = []
 
 
-def _one_host_fleet(n_workers: int) -> Fleet:
+def _one_host_fleet(n_workers: int, n_hosts: int = 1) -> Fleet:
     plan = FleetPlan(
         ("dc-1",),
-        n_hosts=1,
+        n_hosts=n_hosts,
         n_racks_per_data_centre=n_workers // 8,
         n_workers_per_rack=8,
     )
@@ -429,6 +445,9 @@
         )
     finally:
         fleet.stop()
+    slopes["entry_host_second"] = await measure_slope(
+        "entry, a second, by hosts", (1, 4, 7), idle_entry
+    )
     slopes["owned_worker_second"] = await measure_slope(
         "worker owned, a second", (8, 24, 64), idle_planner
     )
--- a/features/environment.py
+++ b/features/environment.py
@@ -16,9 +16,9 @@
     "leases": SHORT_LEASES,
     "beat_period_s": 0.3,
     "exchange_period_s": 0.4,
-    "jobs_period_s": 0.2,
+    "feed_period_s": 0.2,
+    "renew_check_s": 0.2,
     "list_period_s": 0.3,
-    "config_period_s": 0.3,
 }
 SHORT_ENTRY = {"list_period_s": 0.3, "config_period_s": 0.3, "drain_delay_s": 0.3}
 
--- a/libs/peers/src/berylcleat/peers/_config_source.py
+++ b/libs/peers/src/berylcleat/peers/_config_source.py
@@ -6,7 +6,7 @@
 
 from berylcleat.model import ConfigDocument
 from berylcleat.ownership import ConfigFollower, adopt
-from berylcleat.ports import Table
+from berylcleat.ports import Changes
 
 CONFIG_HEAD_KEY = "config/head"
 logger = logging.getLogger(__name__)
@@ -20,19 +20,15 @@
 class ConfigSource:
     """Keep the highest version heard of in force."""
 
-    def __init__(self, table: Table):
-        self._table = table
-        self._table_version = 0
+    def __init__(self):
         self.follower = ConfigFollower()
         self.has_changed = False
 
-    async def poll(self) -> None:
-        """Ask the table for a newer document."""
-        result = await self._table.scan(CONFIG_HEAD_KEY, self._table_version)
-        self._table_version = result.version
-        for row in result.rows:
+    def on_changes(self, changes: Changes) -> None:
+        """Take over a newer document from the table; its silence means version 0."""
+        for row in changes.rows:
             self.on_document(msgspec.json.decode(row.value, type=ConfigDocument))
-        if not result.rows and not self.follower.is_known:
+        if not changes.rows and not self.follower.is_known:
             self.on_document(ConfigDocument())
 
     def on_document(self, document: ConfigDocument) -> None:
--- a/libs/peers/src/berylcleat/peers/_group.py
+++ b/libs/peers/src/berylcleat/peers/_group.py
@@ -11,8 +11,8 @@
 from ._membership import PeerTable, forget_silent, live_peers, on_peer_state
 from ._messages import PeerState
 
-PEER_PERIOD_S = 0.5
-PEER_LAPSE_S = 2.0
+PEER_PERIOD_S = 1.0
+PEER_LAPSE_S = 3.5
 PEER_FORGET_S = 30.0
 
 
--- a/libs/ports/src/berylcleat/ports/__init__.py
+++ b/libs/ports/src/berylcleat/ports/__init__.py
@@ -15,6 +15,7 @@
     Transaction,
     WorkerControl,
 )
+from ._change_feed import ChangeFeed, Changes
 from ._http_clients import HttpHostList, HttpObjectStore, HttpTable, HttpWorkerControl
 from ._list_source import ListSource
 from ._worker_messages import (
@@ -27,6 +28,8 @@
 )
 
 __all__ = [
+    "ChangeFeed",
+    "Changes",
     "Check",
     "CommitResult",
     "ExchangeReply",
--- a/libs/ports/src/berylcleat/ports/_base.py
+++ b/libs/ports/src/berylcleat/ports/_base.py
@@ -107,8 +107,8 @@
     async def read(self, key: str) -> Row | None:
         """Return the row under ``key``."""
 
-    async def scan(self, prefix: str, since: int = 0) -> ScanResult:
-        """Return rows under ``prefix`` written after version ``since``."""
+    async def scan(self, prefixes: tuple[str, ...], since: int = 0) -> ScanResult:
+        """Return rows under any of ``prefixes`` written after version ``since``."""
 
 
 class ObjectStore(Protocol):
--- a/libs/ports/src/berylcleat/ports/_http_clients.py
+++ b/libs/ports/src/berylcleat/ports/_http_clients.py
@@ -90,9 +90,10 @@
         target = f"/rows?key={quote(key, safe='')}"
         return await self._caller.decode(Row | None, "GET", target)
 
-    async def scan(self, prefix: str, since: int = 0) -> ScanResult:
-        """Return rows under ``prefix`` written after version ``since``."""
-        target = f"/scan?prefix={quote(prefix, safe='')}&since={since}"
+    async def scan(self, prefixes: tuple[str, ...], since: int = 0) -> ScanResult:
+        """Return rows under any of ``prefixes`` written after version ``since``."""
+        words = "&".join(f"prefix={quote(prefix, safe='')}" for prefix in prefixes)
+        target = f"/scan?{words}&since={since}"
         return await self._caller.decode(ScanResult, "GET", target)
 
     async def _send(self, transaction: Transaction) -> CommitResult:
--- a/programs/beryl-entry/src/berylcleat/entry/_metrics.py
+++ b/programs/beryl-entry/src/berylcleat/entry/_metrics.py
@@ -11,4 +11,7 @@
 RETRIES = Counter("beryl_entry_retries", "Retries inside the budget")
 WAITING = Gauge("beryl_entry_waiting", "Requests waiting for an upstream")
 CONFIG_VERSION = Gauge("beryl_entry_config_version", "Configuration version in force")
+CONTROL_BYTES = Gauge(
+    "beryl_entry_control_bytes", "Bytes sent and received for control", ("channel",)
+)
 LATENCY = Histogram("beryl_entry_latency_seconds", "Time from request to answer")
--- a/programs/beryl-entry/src/berylcleat/entry/_process.py
+++ b/programs/beryl-entry/src/berylcleat/entry/_process.py
@@ -8,16 +8,18 @@
 from berylcleat.http import HttpLimits, HttpServer
 from berylcleat.ownership import incarnation_id
 from berylcleat.peers import (
+    CONFIG_HEAD_KEY,
     PEER_PERIOD_S,
     ConfigSource,
     PeerGroup,
     PeerLink,
     PeerState,
 )
-from berylcleat.ports import HttpHostList, HttpTable, ListSource
+from berylcleat.ports import ChangeFeed, HttpHostList, HttpTable, ListedHost, ListSource
 from berylcleat.runtime import AdminRouter, StopSignal, cancel_all, repeat
 from berylcleat.telemetry import Tracer
 
+from . import _metrics
 from ._keys import KeyKeeper
 from ._service_desk import ServiceDesk
 from ._settings import EntrySettings
@@ -34,8 +36,12 @@
         name = incarnation_id(settings.host_id, self.incarnation)
         self.tracer = Tracer(f"entry@{settings.host_id}", settings.traces_kept)
         self.table = HttpTable(settings.platform_address)
-        self.list_source = ListSource(HttpHostList(settings.platform_address))
-        self.config_source = ConfigSource(HttpTable(settings.platform_address))
+        self.host_list = HttpHostList(settings.platform_address)
+        self.list_source = ListSource(self.host_list)
+        self.config_source = ConfigSource()
+        self.feed_table = HttpTable(settings.platform_address)
+        self.feed = ChangeFeed(self.feed_table)
+        self.feed.listen(CONFIG_HEAD_KEY, self.config_source.on_changes)
         self.keys = KeyKeeper(self.table, name)
         self.desk = ServiceDesk(
             settings.data_centre,
@@ -58,6 +64,18 @@
         limits = HttpLimits(settings.max_body_bytes, settings.receive_timeout_s)
         self.server = HttpServer(settings.entry_address, self.desk.handle, limits)
         self.admin_server = HttpServer(settings.admin_address, self.admin.handle)
+        self._publish_counts()
+
+    def _publish_counts(self) -> None:
+        """Let /metrics read the byte counts when it is asked."""
+        by_channel = {
+            "table": self.feed_table,
+            "list": self.host_list,
+            "peers": self.peers.link,
+        }
+        for channel, source in by_channel.items():
+            gauge = _metrics.CONTROL_BYTES.labels(channel)
+            gauge.set_function(lambda source=source: source.n_bytes)
 
     def _is_ready(self) -> bool:
         return self.config_source.follower.is_known and not self.is_stopping
@@ -82,10 +100,16 @@
             address
             for host in self.list_source.host_by_id.values()
             if host.data_centre == self.settings.data_centre
-            for address in (host.entry_peer_address, host.planner_peer_address)
+            for address in self._addresses_of(host)
         )
         return frozenset(listed) | frozenset(self.settings.seed_peers)
 
+    def _addresses_of(self, host: ListedHost) -> tuple[str, ...]:
+        """Return the entry of any host of the data centre, and our own planner."""
+        if host.host_id == self.settings.host_id:
+            return (host.planner_peer_address,)
+        return (host.entry_peer_address,)
+
     def _on_document(self, document) -> None:
         self.config_source.on_document(document)
         self._refresh_desk()
@@ -102,7 +126,7 @@
 
     async def poll_config(self) -> None:
         """Ask the table for a newer configuration."""
-        await self.config_source.poll()
+        await self.feed.poll()
         if self.config_source.has_changed:
             self._refresh_desk()
 
--- a/programs/beryl-planner/src/berylcleat/planner/_cell_runtime.py
+++ b/programs/beryl-planner/src/berylcleat/planner/_cell_runtime.py
@@ -51,6 +51,7 @@
     queued_at: dict[str, float] = field(default_factory=dict)
     busy_workers: set[str] = field(default_factory=set)
     due_at: dict[str, float] = field(default_factory=dict)
+    ends_at: dict[str, list[float]] = field(default_factory=dict)
     trace_by_task: dict[str, str] = field(default_factory=dict)
 
 
--- a/programs/beryl-planner/src/berylcleat/planner/_job_board.py
+++ b/programs/beryl-planner/src/berylcleat/planner/_job_board.py
@@ -15,7 +15,7 @@
 )
 from berylcleat.ownership import Claim, DoneRow, JobRow
 from berylcleat.placement import PlacementView, free_by_worker
-from berylcleat.ports import Row, Table
+from berylcleat.ports import Changes
 
 JOB_PREFIX = "job/"
 DONE_PREFIX = "done/"
@@ -55,29 +55,29 @@
 class JobBoard:
     """Keep jobs and settled claims by id, from the table's changes."""
 
-    def __init__(self, table: Table):
-        self._table = table
-        self._job_version = 0
-        self._done_version = 0
+    def __init__(self):
         self.job_by_id: dict[str, ListedJob] = {}
         self.open_by_id: dict[str, ListedJob] = {}
         self.done_by_key: dict[str, DoneRow] = {}
-
-    async def poll(self) -> tuple[str, ...]:
-        """Fetch changes; return the ids of jobs that are cancelled."""
-        result = await self._table.scan(JOB_PREFIX, self._job_version)
-        self._job_version = result.version
-        cancelled = [job_id for row in result.rows if (job_id := self._note(row))]
-        done = await self._table.scan(DONE_PREFIX, self._done_version)
-        self._done_version = done.version
-        for row in done.rows:
+        self._cancelled: set[str] = set()
+
+    def on_jobs(self, changes: Changes) -> None:
+        """Note changed jobs."""
+        for row in changes.rows:
+            job = ListedJob(msgspec.json.decode(row.value, type=JobRow), row.version)
+            self.put(job)
+            if job.row.state == "cancelled":
+                self._cancelled.add(job.row.spec.job_id)
+
+    def on_done(self, changes: Changes) -> None:
+        """Note settled claims."""
+        for row in changes.rows:
             self.done_by_key[row.key] = msgspec.json.decode(row.value, type=DoneRow)
-        return tuple(cancelled)
 
-    def _note(self, row: Row) -> str:
-        job = ListedJob(msgspec.json.decode(row.value, type=JobRow), row.version)
-        self.put(job)
-        return job.row.spec.job_id if job.row.state == "cancelled" else ""
+    def take_cancelled(self) -> frozenset[str]:
+        """Return the jobs found cancelled since the last call."""
+        found, self._cancelled = frozenset(self._cancelled), set()
+        return found
 
     def put(self, job: ListedJob) -> None:
         """Note a job's newest row."""
--- a/programs/beryl-planner/src/berylcleat/planner/_operators.py
+++ b/programs/beryl-planner/src/berylcleat/planner/_operators.py
@@ -120,7 +120,7 @@
     async def apply(self, request: HttpRequest) -> Accepted:
         """Accept a new configuration version, durable before the answer."""
         wanted = _decode(request.body, ApplyRequest)
-        await self._process.config.poll()
+        await self._process.feed.poll()
         current = self._process.config.current()
         if wanted.base_version != current.version:
             raise ConflictError(
@@ -144,7 +144,7 @@
             (Put(CONFIG_HEAD_KEY, value), Put(own_key, value)),
         )
         result = await self._process.table.commit(transaction)
-        await self._process.config.poll()
+        await self._process.feed.poll()
         if not result.applied:
             winner = self._process.config.current()
             raise ConflictError(
--- a/programs/beryl-planner/src/berylcleat/planner/_ownership_keeper.py
+++ b/programs/beryl-planner/src/berylcleat/planner/_ownership_keeper.py
@@ -26,6 +26,7 @@
     take_cell,
 )
 from berylcleat.ports import (
+    Changes,
     Check,
     ListedWorker,
     ListSource,
@@ -74,8 +75,6 @@
         self._host_key = f"host/{settings.data_centre}/{settings.host_id}"
         self._host_version: int | None = None
         self._beat = 0
-        self._scanned_hosts = 0
-        self._scanned_cells = 0
         self._confirmed_at = float("-inf")
 
     def may_act(self, now: float) -> bool:
@@ -85,11 +84,10 @@
         return now - self._confirmed_at < self.settings.leases.renewal_limit_s
 
     async def step(self) -> None:
-        """Beat, look at the others, take over or release what is due."""
+        """Beat, then take over or release what is due."""
         if self.is_superseded:
             return
         await self._send_beat()
-        await self._look()
         self._follow_workers()
         await self._create_missing_cells()
         if not self.is_leaving:
@@ -140,21 +138,19 @@
         )
         return await self._table.commit(transaction)
 
-    async def _look(self) -> None:
-        loop = asyncio.get_running_loop()
-        asked_at = loop.time()
-        prefix = f"host/{self.settings.data_centre}/"
-        hosts = await self._table.scan(prefix, self._scanned_hosts)
-        self._scanned_hosts = hosts.version
+    def on_hosts(self, changes: Changes) -> None:
+        """Note the heartbeats of the data centre's hosts, or their silence."""
         changed = tuple(
             (msgspec.json.decode(row.value, type=HostRow), row.version)
-            for row in hosts.rows
+            for row in changes.rows
         )
-        self.sightings = observe(self.sightings, changed, asked_at, loop.time())
-        prefix = f"cell/{self.settings.data_centre}/"
-        cells = await self._table.scan(prefix, self._scanned_cells)
-        self._scanned_cells = cells.version
-        for row in cells.rows:
+        self.sightings = observe(
+            self.sightings, changed, changes.asked_at, changes.answered_at
+        )
+
+    def on_cells(self, changes: Changes) -> None:
+        """Note the cells that changed hands."""
+        for row in changes.rows:
             self.note_row(row)
 
     def note_row(self, row: Row) -> None:
@@ -197,6 +193,8 @@
 
     async def _create_missing_cells(self) -> None:
         wanted = {cell_id_of(worker.spec) for worker in self._listed()}
+        if self.sightings.observed_at == float("-inf"):
+            return
         for cell_id in sorted(wanted - set(self.row_by_cell)):
             key = cell_key(cell_id)
             await self._write(key, CellRow(cell_id), (Check(key, 0),))
@@ -254,7 +252,7 @@
         first = sequence_of(journal_key(row.journal, row.journal_from))
         while True:
             try:
-                result = await self._table.scan(f"log/{row.journal}/")
+                result = await self._table.scan((f"log/{row.journal}/",))
                 break
             except (OutcomeUnknownError, PlatformUnavailableError):
                 await asyncio.sleep(self.settings.beat_period_s)
--- a/programs/beryl-planner/src/berylcleat/planner/_process.py
+++ b/programs/beryl-planner/src/berylcleat/planner/_process.py
@@ -7,6 +7,7 @@
 from berylcleat.http import HttpServer
 from berylcleat.model import BerylError
 from berylcleat.peers import (
+    CONFIG_HEAD_KEY,
     PEER_PERIOD_S,
     ConfigSource,
     PeerGroup,
@@ -14,13 +15,19 @@
     PeerState,
 )
 from berylcleat.placement import make_colocate
-from berylcleat.ports import HttpHostList, HttpTable, HttpWorkerControl, ListSource
+from berylcleat.ports import (
+    ChangeFeed,
+    HttpHostList,
+    HttpTable,
+    HttpWorkerControl,
+    ListSource,
+)
 from berylcleat.runtime import AdminRouter, StopSignal, cancel_all, repeat
 from berylcleat.telemetry import Tracer
 
 from . import _metrics
 from ._decision_log import DecisionLog
-from ._job_board import JobBoard
+from ._job_board import DONE_PREFIX, JOB_PREFIX, JobBoard
 from ._operators import OperatorDesk
 from ._ownership_keeper import OwnershipKeeper
 from ._scheduler import Scheduler
@@ -39,8 +46,9 @@
         self.table = HttpTable(settings.platform_address)
         self.host_list = HttpHostList(settings.platform_address)
         self.list_source = ListSource(self.host_list)
-        self.config = ConfigSource(self.table)
-        self.board = JobBoard(self.table)
+        self.config = ConfigSource()
+        self.board = JobBoard()
+        self.feed = ChangeFeed(self.table)
         self.log = DecisionLog(settings.host_id)
         policy = make_colocate()
         self.keeper = OwnershipKeeper(
@@ -53,6 +61,7 @@
             self.table,
             self.workers,
             self.board,
+            self.feed,
             self.config,
             policy,
             self.tracer,
@@ -71,6 +80,16 @@
         OperatorDesk(self).add_routes(self.admin)
         self.admin_server = HttpServer(settings.admin_address, self.admin.handle)
         self._publish_counts()
+        self._listen()
+
+    def _listen(self) -> None:
+        """Follow with one scan all that the table tells this process."""
+        data_centre = self.settings.data_centre
+        self.feed.listen(CONFIG_HEAD_KEY, self.config.on_changes)
+        self.feed.listen(f"host/{data_centre}/", self.keeper.on_hosts)
+        self.feed.listen(f"cell/{data_centre}/", self.keeper.on_cells)
+        self.feed.listen(JOB_PREFIX, self.board.on_jobs)
+        self.feed.listen(DONE_PREFIX, self.board.on_done)
 
     def _publish_counts(self) -> None:
         """Let /metrics read the byte and write counts when it is asked."""
@@ -102,37 +121,28 @@
         )
 
     def _peer_addresses(self) -> frozenset[str]:
-        listed = (
-            address
-            for host in self.list_source.host_by_id.values()
-            if host.data_centre == self.settings.data_centre
-            for address in (host.entry_peer_address, host.planner_peer_address)
-        )
+        """Return the entry process of this host: it talks to the other hosts."""
+        own = self.list_source.host_by_id.get(self.settings.host_id)
+        listed = (own.entry_peer_address,) if own else ()
         return frozenset(listed) | frozenset(self.settings.seed_peers)
 
     async def poll_list(self) -> None:
         """Ask the platform for changes of the list."""
         await self.list_source.refresh()
 
-    async def poll_jobs(self) -> None:
-        """Ask the table for changes of jobs; cancelled ones need attention."""
-        for job_id in await self.board.poll():
+    async def poll_feed(self) -> None:
+        """Ask the table for all changes; cancelled jobs need attention."""
+        await self.feed.poll()
+        for job_id in self.board.take_cancelled():
             for cell in self.keeper.cell_by_id.values():
                 if job_id in cell.owned.cell.job_by_id:
-                    cell.is_dirty = True
-
-    async def poll_config(self) -> None:
-        """Ask the table for a newer configuration."""
-        await self.config.poll()
+                    self.scheduler.mark(cell)
+        if self.board.open_by_id:
+            self.scheduler.wake()
         version = self.config.current().version
         self.keeper.config_version = version
         _metrics.CONFIG_VERSION.set(version)
 
-    async def tick(self) -> None:
-        """Run the cells, once the configuration is known."""
-        if self.config.follower.is_known:
-            await self.scheduler.tick()
-
     async def renew(self) -> None:
         """Exchange with the workers that are due; the table may be out meanwhile."""
         self.scheduler.send_exchanges()
@@ -144,11 +154,10 @@
         settings = self.settings
         loops = [
             asyncio.create_task(repeat(settings.list_period_s, self.poll_list)),
-            asyncio.create_task(repeat(settings.config_period_s, self.poll_config)),
             asyncio.create_task(repeat(settings.beat_period_s, self.keeper.step)),
-            asyncio.create_task(repeat(settings.jobs_period_s, self.poll_jobs)),
-            asyncio.create_task(repeat(settings.tick_period_s, self.tick)),
-            asyncio.create_task(repeat(settings.tick_period_s, self.renew)),
+            asyncio.create_task(repeat(settings.feed_period_s, self.poll_feed)),
+            asyncio.create_task(repeat(settings.idle_period_s, self.scheduler.run)),
+            asyncio.create_task(repeat(settings.renew_check_s, self.renew)),
             asyncio.create_task(repeat(PEER_PERIOD_S, self.peers.send_all)),
             asyncio.create_task(self.peers.receive_forever()),
         ]
--- a/programs/beryl-planner/src/berylcleat/planner/_scheduler.py
+++ b/programs/beryl-planner/src/berylcleat/planner/_scheduler.py
@@ -1,6 +1,7 @@
 """Decide, make durable, act: the tick over all owned cells."""
 
 import asyncio
+import heapq
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -31,7 +32,7 @@
 )
 from berylcleat.peers import ConfigSource
 from berylcleat.placement import Evict, Place, PlacementPolicy, PlacementView, Wait
-from berylcleat.ports import Check, Put, Table, WorkerControl
+from berylcleat.ports import ChangeFeed, Check, Put, Table, WorkerControl
 from berylcleat.telemetry import Tracer
 
 from . import _metrics
@@ -44,6 +45,8 @@
 
 SNAPSHOT_EVERY_ROWS = 200
 FRESH_PERIODS = 2.5
+END_MARGIN_S = 0.1
+MIN_PAUSE_S = 0.25
 logger = logging.getLogger(__name__)
 
 
@@ -77,6 +80,7 @@
         table: Table,
         workers: WorkerControl,
         board: JobBoard,
+        feed: ChangeFeed,
         config: ConfigSource,
         policy: PlacementPolicy,
         tracer: Tracer,
@@ -86,6 +90,7 @@
         self._keeper = keeper
         self._workers = workers
         self._board = board
+        self._feed = feed
         self._config = config
         self._policy = policy
         self._tracer = tracer
@@ -94,6 +99,30 @@
         self._pending: _Batch | None = None
         self._exchanges: set[asyncio.Task] = set()
         self._n_first_kept = 0
+        self._has_work = asyncio.Event()
+
+    def mark(self, cell: CellRuntime) -> None:
+        """Note that ``cell`` needs a decision soon."""
+        cell.is_dirty = True
+        self._has_work.set()
+
+    def wake(self) -> None:
+        """Decide soon: there may be something to claim."""
+        self._has_work.set()
+
+    async def run(self) -> None:
+        """Decide when something has happened, or a period has passed without."""
+        while True:
+            try:
+                async with asyncio.timeout(self._settings.idle_period_s):
+                    await self._has_work.wait()
+            except TimeoutError:
+                pass
+            self._has_work.clear()
+            if self._config.follower.is_known:
+                await self.tick()
+            # What comes meanwhile shares the next group commit.
+            await asyncio.sleep(self._settings.commit_period_s)
 
     async def tick(self) -> None:
         """Decide and commit for every cell, then talk to the workers that are due."""
@@ -106,7 +135,7 @@
             await self._commit_claims(now)
         except (OutcomeUnknownError, PlatformUnavailableError):
             # Renewals go on; nothing new is decided until the table answers.
-            pass
+            logger.debug("the table does not answer")
         self.send_exchanges()
 
     def _notice_lapses(self, now: float) -> None:
@@ -224,11 +253,27 @@
             cell.trace_by_task[task_id] = self._tracer.header(span)
         cell.started_at[task_id] = now
         cell.due_at[worker_id] = now
+        self._expect_end(cell, assign, now)
         _metrics.STARTS.inc()
         subjects = (f"task/{task_id}", f"worker/{worker_id}")
         action = f"attempt {assign.attempt} placed on {worker_id}"
         self._log.note(subjects, action, reason)
 
+    def _expect_end(self, cell: CellRuntime, assign: Assign, now: float) -> None:
+        """Plan an exchange for when the task should have ended."""
+        task = cell.owned.cell.task_by_id[assign.task_id]
+        run_s = cell.owned.cell.job_by_id[task.job_id].run_s - task.progress_s
+        ends = cell.ends_at.setdefault(assign.worker_id, [])
+        heapq.heappush(ends, now + max(run_s, 0.0) + END_MARGIN_S)
+
+    def _next_due(self, cell: CellRuntime, worker_id: str, now: float) -> float:
+        """Return when to talk to a worker next: a period on, or an expected end."""
+        due_at = now + self._settings.exchange_period_s
+        ends = cell.ends_at.get(worker_id, [])
+        while ends and ends[0] <= now:
+            heapq.heappop(ends)
+        return min(due_at, max(ends[0], now + MIN_PAUSE_S)) if ends else due_at
+
     def _evict(self, cell: CellRuntime, decision: Evict) -> None:
         if decision.task_id in cell.evictions:
             return
@@ -332,7 +377,7 @@
         for cell in batch.cells.values():
             state = apply_records(cell.owned.cell, tuple(batch.records))
             cell.owned = _with_cell(cell.owned, state)
-            cell.is_dirty = True
+            self.mark(cell)
         for cell_id, row in batch.pointer_by_cell.items():
             cell = batch.cells[cell_id]
             cell.row, cell.row_version = row, result.version
@@ -348,11 +393,11 @@
     async def _on_conflict(self, batch: _Batch, failed_key: str) -> None:
         logger.info("commit lost to another writer at %s", failed_key)
         for cell in batch.cells.values():
-            cell.is_dirty = True
+            self.mark(cell)
         if failed_key.startswith("cell/"):
             self._keeper.drop(failed_key.removeprefix("cell/"))
         elif failed_key.startswith("job/"):
-            await self._board.poll()
+            await self._feed.poll()
 
     def send_exchanges(self) -> None:
         """Talk to the workers that are due, whether or not the table answers."""
@@ -378,7 +423,7 @@
         loop = asyncio.get_running_loop()
         spec = cell.spec_by_worker[worker_id]
         try:
-            cell.due_at[worker_id] = loop.time() + self._settings.exchange_period_s
+            cell.due_at[worker_id] = self._next_due(cell, worker_id, loop.time())
             cell.owned, request = make_exchange(
                 cell.owned, worker_id, frozenset(cell.evictions), cell.trace_by_task
             )
@@ -404,7 +449,7 @@
         cell.owned = on_reply(cell.owned, reply, now)
         is_new = before is None or before.incarnation != reply.incarnation
         if reply.ended or reply.refused or is_new or cell.owned.cell.cancelled:
-            cell.is_dirty = True
+            self.mark(cell)
         if is_new:
             cell.due_at[worker_id] = now
 
--- a/programs/beryl-planner/src/berylcleat/planner/_settings.py
+++ b/programs/beryl-planner/src/berylcleat/planner/_settings.py
@@ -17,12 +17,13 @@
     platform_address: str
     seed_peers: tuple[str, ...] = ()
     leases: LeaseRules = field(default_factory=LeaseRules)
-    tick_period_s: float = 0.2
-    exchange_period_s: float = 1.0
+    idle_period_s: float = 1.0
+    commit_period_s: float = 0.1
+    renew_check_s: float = 0.5
+    exchange_period_s: float = 2.0
     beat_period_s: float = 1.0
-    jobs_period_s: float = 0.5
+    feed_period_s: float = 0.5
     list_period_s: float = 1.0
-    config_period_s: float = 1.0
     traces_kept: int = 5000
 
 
@@ -33,6 +34,11 @@
             "host_id or data_centre is empty", "Name this host and its data centre"
         )
     leases = settings.leases
+    if settings.feed_period_s * 2 > leases.host_lapse_s:
+        raise SettingsError(
+            "leases.host_lapse_s is below two feed periods",
+            "Lengthen it, or shorten feed_period_s",
+        )
     if settings.beat_period_s * 2 > leases.host_lapse_s:
         raise SettingsError(
             "leases.host_lapse_s is below two beat periods",
--- a/standins/src/berylcleat/standins/_fleet.py
+++ b/standins/src/berylcleat/standins/_fleet.py
@@ -190,10 +190,9 @@
 
     def _seed_peers(self, host: Host) -> list[str]:
         return [
-            other.address(name)
+            other.address("entry_peer")
             for other in self.hosts
             if other.data_centre == host.data_centre and other is not host
-            for name in ("entry_peer", "planner_peer")
         ]
 
     def start_entry(self, host: Host) -> None:
@@ -205,7 +204,7 @@
             "admin_address": host.address("entry_admin"),
             "peer_address": host.address("entry_peer"),
             "platform_address": self.platform_address,
-            "seed_peers": self._seed_peers(host),
+            "seed_peers": [*self._seed_peers(host), host.address("planner_peer")],
             **self.plan.entry,
         }
         self.spawn(f"entry-{host.host_id}", "beryl-entry", settings)
@@ -218,7 +217,7 @@
             "admin_address": host.address("planner_admin"),
             "peer_address": host.address("planner_peer"),
             "platform_address": self.platform_address,
-            "seed_peers": self._seed_peers(host),
+            "seed_peers": [host.address("entry_peer")],
             **self.plan.planner,
         }
         self.spawn(f"planner-{host.host_id}", "beryl-planner", settings)
--- a/standins/src/berylcleat/standins/_platform.py
+++ b/standins/src/berylcleat/standins/_platform.py
@@ -79,7 +79,7 @@
             await asyncio.sleep(SWALLOW_S)
         if self.faults.delay_ms:
             await asyncio.sleep(self.faults.delay_ms / 1000)
-        query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        query = parse_qs(url.query)
         response = self._answer(request, url.path, query)
         if request.method in ("POST", "PUT") and self.faults.n_answers_to_lose:
             self.faults = replace(
@@ -89,18 +89,20 @@
         return response
 
     def _answer(
-        self, request: HttpRequest, path: str, query: dict[str, str]
+        self, request: HttpRequest, path: str, query: dict[str, list[str]]
     ) -> HttpResponse:
         if path == "/commit":
             return json_response(
                 self._commit(msgspec.json.decode(request.body, type=Transaction))
             )
         if path == "/rows":
-            return json_response(self.row_by_key.get(query["key"]))
+            return json_response(self.row_by_key.get(query["key"][0]))
         if path == "/scan":
-            return json_response(self._scan(query["prefix"], int(query["since"])))
+            return json_response(
+                self._scan(tuple(query["prefix"]), int(query["since"][0]))
+            )
         if path == "/list":
-            return json_response(self._changes(int(query["since"])))
+            return json_response(self._changes(int(query["since"][0])))
         return self._object(request, unquote(path.removeprefix("/objects/")))
 
     def _commit(self, transaction: Transaction) -> CommitResult:
@@ -119,11 +121,11 @@
         self.n_row_writes += len(transaction.puts) + len(transaction.deletes)
         return CommitResult(True, version=self.version)
 
-    def _scan(self, prefix: str, since: int) -> ScanResult:
+    def _scan(self, prefixes: tuple[str, ...], since: int) -> ScanResult:
         rows = (
             row
             for key, row in self.row_by_key.items()
-            if row.version > since and key.startswith(prefix)
+            if row.version > since and key.startswith(prefixes)
         )
         return ScanResult(self.version, tuple(sorted(rows, key=lambda row: row.key)))
 
