--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -106,3 +106,14 @@
     Then the job "handover" finishes all 20 tasks
     And no task ran in two places at once
     And no task lapsed or was restarted
+
+  Scenario: A slow service has its worker's batch throttled, and freed when it is calm
+    Given a fleet of 2 hosts and 4 workers in one data centre
+    And the service cards is in force everywhere
+    When a job "neighbour" of 16 tasks of 2 cores running 6 s is applied
+    And 16 tasks of "neighbour" have started
+    And the service on every worker is 1.3 times as slow
+    Then tasks of "neighbour" are throttled and none is evicted
+    When the service on every worker is 1.0 times as slow
+    Then the job "neighbour" finishes all 16 tasks
+    And no task ran in two places at once
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -149,3 +149,19 @@
         assert [e.attempt for e in starts] == list(range(1, len(starts) + 1)), starts
         worked = (saved[0].at_s - starts[0].at_s) + (ends[0].at_s - starts[-1].at_s)
         assert len(ends) == 1 and worked < 9.0, worked
+
+
+@when("the service on every worker is {factor:g} times as slow")
+def when_slow(context, factor):
+    for spec in context.fleet.worker_specs:
+        fault = context.fleet.set_worker_fault(spec["worker_id"], slowdown=factor)
+        context.run(fault)
+
+
+@then('tasks of "{job_id}" are throttled and none is evicted')
+def then_throttled(context, job_id):
+    def is_throttled():
+        return any(e.kind == "task-throttled" for e in history(context))
+
+    wait_until(context, is_throttled, "a throttle", 10.0)
+    assert not any(e.kind == "task-checkpointed" for e in history(context))
--- a/libs/ownership/src/berylcleat/ownership/__init__.py
+++ b/libs/ownership/src/berylcleat/ownership/__init__.py
@@ -21,6 +21,7 @@
 from ._owner import (
     LeaseRules,
     OwnedCell,
+    Wishes,
     WorkerView,
     add_worker,
     derive_ends,
@@ -72,6 +73,7 @@
     "Settle",
     "Sightings",
     "TaskState",
+    "Wishes",
     "WorkerView",
     "add_worker",
     "adopt",
--- a/libs/ownership/src/berylcleat/ownership/_owner.py
+++ b/libs/ownership/src/berylcleat/ownership/_owner.py
@@ -4,13 +4,17 @@
 on the grantor's clock after Gray and Cheriton, SOSP 1989.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
+import msgspec
+
 from berylcleat.ports import (
     ExchangeReply,
     ExchangeRequest,
     TaskStart,
     TaskStop,
+    TaskThrottle,
 )
 
 from ._cell import CellState
@@ -35,6 +39,18 @@
         return seconds * (1 + self.clock_drift)
 
 
+@dataclass(frozen=True, slots=True)
+class Wishes:
+    """Hold what the owner wants of running tasks, by task id."""
+
+    evictions: frozenset[str] = frozenset()
+    throttled: frozenset[str] = frozenset()
+    trace_by_task: Mapping[str, str] = field(default_factory=dict)
+
+
+NO_WISHES = Wishes()
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerView:
     """Hold what the owner knows of one worker.
@@ -98,7 +114,7 @@
     bound = now + owned.rules.longest(owned.rules.worker_lease_s)
     fresh = replace(
         view,
-        reply=reply,
+        reply=_completed(view.reply, reply),
         replied_at=now,
         replied_sequence=view.sequence,
         lease_ends_by=bound,
@@ -106,6 +122,20 @@
     return _with_view(owned, fresh)
 
 
+def _completed(before: ExchangeReply | None, reply: ExchangeReply) -> ExchangeReply:
+    """Return ``reply`` with what it left out since ``before`` filled in."""
+    if not reply.base_version:
+        return reply
+    ended = {(item.task_id, item.attempt) for item in reply.ended}
+    fresh = {item.task_id for item in reply.running}
+    kept = tuple(
+        item
+        for item in before.running
+        if item.task_id not in fresh and (item.task_id, item.attempt) not in ended
+    )
+    return msgspec.structs.replace(reply, running=kept + reply.running)
+
+
 def is_fenced_out(owned: OwnedCell, reply: ExchangeReply) -> bool:
     """Tell whether the worker has seen a higher epoch than ours."""
     return reply.epoch > owned.epoch
@@ -175,8 +205,7 @@
 def make_exchange(
     owned: OwnedCell,
     worker_id: str,
-    evictions: frozenset[str] = frozenset(),
-    trace_by_task: dict[str, str] | None = None,
+    wishes: Wishes = NO_WISHES,
 ) -> tuple[OwnedCell, ExchangeRequest]:
     """Return the next request to a worker: its renewal, starts, stops, forgets."""
     view = owned.worker_by_id[worker_id]
@@ -190,15 +219,17 @@
         lease_s=owned.rules.worker_lease_s,
         incarnation=reply.incarnation if reply else "",
         echo_time_s=reply.worker_time_s if reply else 0.0,
-        starts=_starts(owned, view, trace_by_task or {}),
-        stops=_stops(owned, view, evictions),
+        seen_version=reply.version if reply else 0,
+        starts=_starts(owned, view, wishes.trace_by_task),
+        stops=_stops(owned, view, wishes.evictions),
         forget=_forgets(owned, view),
+        throttles=_throttles(view, wishes.throttled),
     )
     return _with_view(owned, view), request
 
 
 def _starts(
-    owned: OwnedCell, view: WorkerView, trace_by_task: dict[str, str]
+    owned: OwnedCell, view: WorkerView, trace_by_task: Mapping[str, str]
 ) -> tuple[TaskStart, ...]:
     if view.reply is None:
         return ()
@@ -214,7 +245,7 @@
 
 
 def _start_of(
-    cell: CellState, task_id: str, task: TaskState, trace_by_task: dict[str, str]
+    cell: CellState, task_id: str, task: TaskState, trace_by_task: Mapping[str, str]
 ) -> TaskStart:
     spec = cell.job_by_id[task.job_id]
     return TaskStart(
@@ -246,6 +277,16 @@
     return tuple(stops)
 
 
+def _throttles(view: WorkerView, throttled: frozenset[str]) -> tuple[TaskThrottle, ...]:
+    if view.reply is None:
+        return ()
+    return tuple(
+        TaskThrottle(item.task_id, item.attempt, item.task_id in throttled)
+        for item in view.reply.running
+        if item.is_throttled != (item.task_id in throttled)
+    )
+
+
 def _forgets(owned: OwnedCell, view: WorkerView) -> tuple[TaskStop, ...]:
     if view.reply is None:
         return ()
--- a/libs/ownership/src/berylcleat/ownership/_records.py
+++ b/libs/ownership/src/berylcleat/ownership/_records.py
@@ -5,7 +5,7 @@
 from berylcleat.model import JobSpec
 
 
-class TaskState(msgspec.Struct, frozen=True, omit_defaults=True):
+class TaskState(msgspec.Struct, frozen=True, array_like=True):
     """Hold the durable state of one task.
 
     ``state`` is queued, assigned, finished, failed or cancelled. ``attempt`` counts
@@ -21,7 +21,7 @@
     n_failures: int = 0
 
 
-class ClaimState(msgspec.Struct, frozen=True, omit_defaults=True):
+class ClaimState(msgspec.Struct, frozen=True, array_like=True):
     """Hold one claimed range of a job's tasks."""
 
     job_id: str
@@ -29,7 +29,7 @@
     n_tasks: int
 
 
-class Claim(msgspec.Struct, frozen=True, tag="claim"):
+class Claim(msgspec.Struct, frozen=True, array_like=True, tag="claim"):
     """Take a range of a job's tasks into the cell."""
 
     cell_id: str
@@ -38,7 +38,7 @@
     n_tasks: int
 
 
-class Assign(msgspec.Struct, frozen=True, tag="assign"):
+class Assign(msgspec.Struct, frozen=True, array_like=True, tag="assign"):
     """Bind the next attempt of a task to one incarnation of a worker."""
 
     cell_id: str
@@ -48,7 +48,7 @@
     incarnation: str
 
 
-class End(msgspec.Struct, frozen=True, tag="end"):
+class End(msgspec.Struct, frozen=True, array_like=True, tag="end"):
     """Record how an attempt ended.
 
     ``outcome`` is finished, failed, checkpointed, stopped, lapsed, lost or refused.
@@ -61,14 +61,14 @@
     progress_s: float = 0.0
 
 
-class CancelJob(msgspec.Struct, frozen=True, tag="cancel"):
+class CancelJob(msgspec.Struct, frozen=True, array_like=True, tag="cancel"):
     """Cancel the tasks of a job that have not ended."""
 
     cell_id: str
     job_id: str
 
 
-class Settle(msgspec.Struct, frozen=True, tag="settle"):
+class Settle(msgspec.Struct, frozen=True, array_like=True, tag="settle"):
     """Drop a claim whose every task has ended; its sum stands in a row."""
 
     cell_id: str
@@ -76,7 +76,7 @@
     first: int
 
 
-class Full(msgspec.Struct, frozen=True, tag="full"):
+class Full(msgspec.Struct, frozen=True, array_like=True, tag="full"):
     """Hold the whole state of a cell; older records are not needed."""
 
     cell_id: str
--- a/libs/placement/src/berylcleat/placement/__init__.py
+++ b/libs/placement/src/berylcleat/placement/__init__.py
@@ -2,6 +2,7 @@
 
 from ._base import (
     Decision,
+    EndedTask,
     Evict,
     Place,
     PlacementPolicy,
@@ -13,13 +14,17 @@
     Wait,
     WorkerLoad,
 )
-from ._colocate import make_colocate
+from ._claims import CellClaim, OpenJob, choose_claims
+from ._colocate import make_colocate, make_informed
 from ._first_fit import make_first_fit, make_no_colocation
 from ._packing import free_by_worker, used_by_tasks
 
 __all__ = [
+    "CellClaim",
     "Decision",
+    "EndedTask",
     "Evict",
+    "OpenJob",
     "Place",
     "PlacementPolicy",
     "PlacementView",
@@ -29,9 +34,11 @@
     "Throttle",
     "Wait",
     "WorkerLoad",
+    "choose_claims",
     "free_by_worker",
     "make_colocate",
     "make_first_fit",
+    "make_informed",
     "make_no_colocation",
     "used_by_tasks",
 ]
--- a/libs/placement/src/berylcleat/placement/_base.py
+++ b/libs/placement/src/berylcleat/placement/_base.py
@@ -57,6 +57,16 @@
     failed_on: frozenset[str] = frozenset()
 
 
+@dataclass(frozen=True, slots=True)
+class EndedTask:
+    """State how an attempt ended since the last decision: finished or failed."""
+
+    task_id: str
+    worker_id: str
+    group: str
+    outcome: str
+
+
 @dataclass(frozen=True, slots=True)
 class PlacementView:
     """Hold the queue and the workers of one cell at time ``now``."""
@@ -64,6 +74,7 @@
     now: float
     worker_by_id: dict[str, WorkerLoad]
     queue: tuple[QueuedTask, ...] = ()
+    ended: tuple[EndedTask, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/placement/src/berylcleat/placement/_first_fit.py
+++ b/libs/placement/src/berylcleat/placement/_first_fit.py
@@ -11,6 +11,7 @@
     PlacementView,
     PolicyStep,
     QueuedTask,
+    RunningTask,
     Wait,
     WorkerLoad,
 )
@@ -64,15 +65,29 @@
 
     def _preempt(self, task: QueuedTask, view: PlacementView) -> list[Decision]:
         for worker in eligible_workers(task, view):
-            victims = [r for r in worker.running if r.priority < task.priority]
-            if victims and (self.colocates or not worker.reserved.cores):
-                return [
-                    Evict(v.task_id, worker.worker_id, f"makes room for {task.task_id}")
-                    for v in victims
-                ]
+            if not self.colocates and worker.reserved.cores:
+                continue
+            victims = _victims(task, worker, self._free(worker))
+            if victims:
+                reason = f"makes room for {task.task_id}"
+                return [Evict(v.task_id, worker.worker_id, reason) for v in victims]
         return [Wait(task.task_id, "nothing of lower priority to evict")]
 
 
+def _victims(
+    task: QueuedTask, worker: WorkerLoad, free: Resources
+) -> list[RunningTask]:
+    """Return running tasks of lower priority, in order, that make room; or none."""
+    chosen: list[RunningTask] = []
+    for running in worker.running:
+        if task.declared.fits_in(free):
+            break
+        if running.priority < task.priority:
+            chosen.append(running)
+            free += running.declared
+    return chosen if task.declared.fits_in(free) else []
+
+
 def make_first_fit() -> FirstFitPolicy:
     """Return first fit by declared size."""
     return FirstFitPolicy()
--- a/libs/ports/src/berylcleat/ports/__init__.py
+++ b/libs/ports/src/berylcleat/ports/__init__.py
@@ -25,6 +25,7 @@
     TaskRunning,
     TaskStart,
     TaskStop,
+    TaskThrottle,
 )
 
 __all__ = [
@@ -52,6 +53,7 @@
     "TaskRunning",
     "TaskStart",
     "TaskStop",
+    "TaskThrottle",
     "Transaction",
     "WorkerControl",
 ]
--- a/libs/ports/src/berylcleat/ports/_worker_messages.py
+++ b/libs/ports/src/berylcleat/ports/_worker_messages.py
@@ -8,7 +8,7 @@
 import msgspec
 
 
-class TaskStart(msgspec.Struct, frozen=True, omit_defaults=True):
+class TaskStart(msgspec.Struct, frozen=True, array_like=True):
     """Ask to start one attempt of a task."""
 
     task_id: str
@@ -21,7 +21,7 @@
     trace: str = ""
 
 
-class TaskStop(msgspec.Struct, frozen=True, omit_defaults=True):
+class TaskStop(msgspec.Struct, frozen=True, array_like=True):
     """Ask to stop one attempt, after a checkpoint if ``checkpoint`` is set."""
 
     task_id: str
@@ -29,16 +29,25 @@
     checkpoint: bool = False
 
 
-class TaskRunning(msgspec.Struct, frozen=True, omit_defaults=True):
+class TaskThrottle(msgspec.Struct, frozen=True, array_like=True):
+    """Ask to slow one attempt down, or to let it run freely again."""
+
+    task_id: str
+    attempt: int
+    is_on: bool
+
+
+class TaskRunning(msgspec.Struct, frozen=True, array_like=True):
     """Report one running attempt with its lagging usage."""
 
     task_id: str
     attempt: int
     cores_used: float = 0.0
     memory_gb_used: float = 0.0
+    is_throttled: bool = False
 
 
-class TaskEnd(msgspec.Struct, frozen=True, omit_defaults=True):
+class TaskEnd(msgspec.Struct, frozen=True, array_like=True):
     """Report how one attempt ended; kept until the owner forgets it.
 
     ``state`` is finished, failed, checkpointed, stopped or lapsed.
@@ -56,7 +65,8 @@
     ``incarnation`` is the worker's own, as of its last reply; starts are refused
     when it is another one. ``echo_time_s`` is the last reply's ``worker_time_s``.
     ``sequence`` rises with each request under an epoch; an older one that arrives
-    late is refused.
+    late is refused. ``seen_version`` is the version of the worker's state that the
+    owner has; 0 asks for everything.
     """
 
     worker_id: str
@@ -66,22 +76,31 @@
     lease_s: float
     incarnation: str = ""
     echo_time_s: float = 0.0
+    seen_version: int = 0
     starts: tuple[TaskStart, ...] = ()
     stops: tuple[TaskStop, ...] = ()
     forget: tuple[TaskStop, ...] = ()
+    throttles: tuple[TaskThrottle, ...] = ()
 
 
 class ExchangeReply(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Report all that the worker runs, what ended and what it uses."""
+    """Report what the worker runs, what ended and what it uses.
+
+    With ``base_version`` above 0, ``running`` holds only what is new since that
+    version; what was known and is not in ``ended`` runs on. ``service_slowdown`` is
+    the lagging ratio of the service's tail latency to its target.
+    """
 
     worker_id: str
     incarnation: str
     epoch: int
     worker_time_s: float
+    version: int = 0
+    base_version: int = 0
     accepted: bool = True
     running: tuple[TaskRunning, ...] = ()
     ended: tuple[TaskEnd, ...] = ()
     refused: tuple[TaskStop, ...] = ()
     is_leaving: bool = False
-    service_p99_ms: float = 0.0
+    service_slowdown: float = 1.0
     service_cores_used: float = 0.0
--- a/programs/beryl-planner/src/berylcleat/planner/_cell_runtime.py
+++ b/programs/beryl-planner/src/berylcleat/planner/_cell_runtime.py
@@ -19,7 +19,13 @@
     TaskState,
     is_placeable,
 )
-from berylcleat.placement import PlacementView, QueuedTask, RunningTask, WorkerLoad
+from berylcleat.placement import (
+    EndedTask,
+    PlacementView,
+    QueuedTask,
+    RunningTask,
+    WorkerLoad,
+)
 from berylcleat.ports import TaskRunning
 
 from ._job_board import steer_job
@@ -45,7 +51,10 @@
     spec_by_worker: dict[str, WorkerSpec]
     memory: object
     is_dirty: bool = True
+    has_new_report: bool = False
     evictions: set[str] = field(default_factory=set)
+    throttled: set[str] = field(default_factory=set)
+    ended: list[EndedTask] = field(default_factory=list)
     failed_on: dict[str, frozenset[str]] = field(default_factory=dict)
     started_at: dict[str, float] = field(default_factory=dict)
     queued_at: dict[str, float] = field(default_factory=dict)
@@ -85,7 +94,8 @@
         )
         for worker_id, spec in cell.spec_by_worker.items()
     }
-    return PlacementView(now, workers, _queue(cell, owned.cell, document, now))
+    queue = _queue(cell, owned.cell, document, now)
+    return PlacementView(now, workers, queue, tuple(cell.ended))
 
 
 def _worker_load(
@@ -98,7 +108,8 @@
     fresh_s: float,
 ) -> WorkerLoad:
     used = {}
-    reply = owned.worker_by_id[spec.worker_id].reply
+    view = owned.worker_by_id[spec.worker_id]
+    reply = view.reply
     if reply:
         used = {item.task_id: item for item in reply.running}
     running = tuple(
@@ -112,6 +123,9 @@
         reserved,
         running,
         is_placeable(owned, spec.worker_id, now, fresh_s),
+        reply.service_slowdown if reply else 1.0,
+        reply.service_cores_used if reply else 0.0,
+        view.replied_at,
     )
 
 
@@ -135,6 +149,7 @@
         observed,
         steer_job(spec, document).priority,
         cell.started_at.get(task_id, 0.0),
+        task_id in cell.throttled,
         is_leaving=task_id in cell.evictions or task.job_id in state.cancelled,
     )
 
--- a/programs/beryl-planner/src/berylcleat/planner/_metrics.py
+++ b/programs/beryl-planner/src/berylcleat/planner/_metrics.py
@@ -5,6 +5,7 @@
 STARTS = Counter("beryl_planner_task_starts", "Tasks assigned to workers")
 ENDS = Counter("beryl_planner_task_ends", "Attempts ended by outcome", ("outcome",))
 EVICTIONS = Counter("beryl_planner_evictions", "Tasks evicted")
+THROTTLES = Counter("beryl_planner_throttles", "Throttles set or lifted")
 COMMITS = Counter("beryl_planner_commits", "Journal commits by result", ("result",))
 RECORDS = Counter("beryl_planner_records", "Journal records written")
 TAKEOVERS = Counter("beryl_planner_takeovers", "Cells taken over")
--- a/programs/beryl-planner/src/berylcleat/planner/_scheduler.py
+++ b/programs/beryl-planner/src/berylcleat/planner/_scheduler.py
@@ -24,6 +24,7 @@
     OwnedCell,
     Record,
     Settle,
+    Wishes,
     apply_records,
     derive_ends,
     is_fenced_out,
@@ -31,12 +32,27 @@
     on_reply,
 )
 from berylcleat.peers import ConfigSource
-from berylcleat.placement import Evict, Place, PlacementPolicy, PlacementView, Wait
-from berylcleat.ports import ChangeFeed, Check, Put, Table, WorkerControl
+from berylcleat.placement import (
+    EndedTask,
+    Evict,
+    Place,
+    PlacementPolicy,
+    PlacementView,
+    Throttle,
+    Wait,
+)
+from berylcleat.ports import (
+    ChangeFeed,
+    Check,
+    ExchangeReply,
+    Put,
+    Table,
+    WorkerControl,
+)
 from berylcleat.telemetry import Tracer
 
 from . import _metrics
-from ._cell_runtime import CellRuntime, make_view
+from ._cell_runtime import CellRuntime, group_of, make_view
 from ._decision_log import DecisionLog
 from ._job_board import JobBoard, ListedJob, done_key, job_key
 from ._journal import JournalWriter, journal_key
@@ -150,7 +166,7 @@
             return
         batch = _Batch()
         for cell in self._keeper.cell_by_id.values():
-            if cell.is_dirty or _has_queue(cell.owned):
+            if cell.is_dirty or cell.has_new_report or _has_queue(cell.owned):
                 self._decide(cell, batch, now)
         self._add_snapshot(batch)
         await self._commit(batch)
@@ -206,6 +222,10 @@
             known = cell.failed_on.get(end.task_id, frozenset())
             cell.failed_on[end.task_id] = known | {task.worker_id}
         cell.evictions.discard(end.task_id)
+        cell.throttled.discard(end.task_id)
+        cell.trace_by_task.pop(end.task_id, None)
+        group = group_of(cell.owned.cell.job_by_id[task.job_id].labels)
+        cell.ended.append(EndedTask(end.task_id, task.worker_id, group, end.outcome))
         cell.queued_at.pop(end.task_id, None)
         subjects = (f"task/{end.task_id}", f"worker/{task.worker_id}")
         reason = f"attempt {end.attempt} on {task.worker_id}"
@@ -215,11 +235,13 @@
         self, cell: CellRuntime, after: OwnedCell, batch: _Batch, now: float
     ) -> tuple[Assign, ...]:
         """Return the assignments that the policy wants once ``after`` holds."""
-        if not _has_queue(after):
+        if not _has_queue(after) and not cell.has_new_report:
             return ()
         view = self.view_of(cell, after, now)
         step = self._policy.decide(cell.memory, view)
         cell.memory = step.memory
+        cell.ended.clear()
+        cell.has_new_report = False
         assigns = []
         for decision in step.decisions:
             if isinstance(decision, Place):
@@ -229,6 +251,8 @@
                 batch.on_applied.append(note)
             elif isinstance(decision, Evict):
                 self._evict(cell, decision)
+            elif isinstance(decision, Throttle):
+                self._throttle(cell, decision)
             elif isinstance(decision, Wait):
                 self._log.note((f"task/{decision.task_id}",), "waits", decision.reason)
         return tuple(assigns)
@@ -283,6 +307,17 @@
         subjects = (f"task/{decision.task_id}", f"worker/{decision.worker_id}")
         self._log.note(subjects, f"evicted from {decision.worker_id}", decision.reason)
 
+    def _throttle(self, cell: CellRuntime, decision: Throttle) -> None:
+        if decision.is_on:
+            cell.throttled.add(decision.task_id)
+        else:
+            cell.throttled.discard(decision.task_id)
+        cell.due_at[decision.worker_id] = 0.0
+        _metrics.THROTTLES.inc()
+        action = "throttled" if decision.is_on else "runs freely again"
+        subjects = (f"task/{decision.task_id}", f"worker/{decision.worker_id}")
+        self._log.note(subjects, f"{action} on {decision.worker_id}", decision.reason)
+
     def _add_snapshot(self, batch: _Batch) -> None:
         """Write a cell whole when its state begins in another journal or far back."""
         for cell in self._keeper.cell_by_id.values():
@@ -424,9 +459,7 @@
         spec = cell.spec_by_worker[worker_id]
         try:
             cell.due_at[worker_id] = self._next_due(cell, worker_id, loop.time())
-            cell.owned, request = make_exchange(
-                cell.owned, worker_id, frozenset(cell.evictions), cell.trace_by_task
-            )
+            cell.owned, request = make_exchange(cell.owned, worker_id, _wishes(cell))
             reply = await self._workers.exchange(spec.control_address, request)
         except ExchangeError as error:
             _metrics.EXCHANGES.labels(error.failure.value).inc()
@@ -448,6 +481,9 @@
         before = cell.owned.worker_by_id[worker_id].reply
         cell.owned = on_reply(cell.owned, reply, now)
         is_new = before is None or before.incarnation != reply.incarnation
+        if _has_tension(cell, worker_id, reply):
+            cell.has_new_report = True
+            self.mark(cell)
         if reply.ended or reply.refused or is_new or cell.owned.cell.cancelled:
             self.mark(cell)
         if is_new:
@@ -463,6 +499,19 @@
     return any(task.state == "queued" for task in owned.cell.task_by_id.values())
 
 
+def _has_tension(cell: CellRuntime, worker_id: str, reply: ExchangeReply) -> bool:
+    """Tell whether the policy should see this report though nothing waits."""
+    if reply.service_slowdown > 1.0:
+        return True
+    return not cell.throttled.isdisjoint(cell.owned.cell.assigned_to(worker_id))
+
+
+def _wishes(cell: CellRuntime) -> Wishes:
+    return Wishes(
+        frozenset(cell.evictions), frozenset(cell.throttled), cell.trace_by_task
+    )
+
+
 def _with_cell(owned: OwnedCell, state: CellState) -> OwnedCell:
     return replace(owned, cell=state)
 
--- a/standins/src/berylcleat/standins/_worker.py
+++ b/standins/src/berylcleat/standins/_worker.py
@@ -12,21 +12,30 @@
     TaskRunning,
     TaskStart,
     TaskStop,
+    TaskThrottle,
 )
 
 from ._history import History
 
+THROTTLED_RATE = 0.3
+
 
 @dataclass(frozen=True, slots=True)
 class _Attempt:
-    """Hold one running attempt."""
+    """Hold one running attempt; ``done_s`` is its work up to ``since``."""
 
     start: TaskStart
-    started_at: float
+    since: float
+    done_s: float
+    rate: float = 1.0
 
     def progress_s(self, now: float) -> float:
         """Return the seconds of work done, earlier attempts included."""
-        return min(self.start.run_s, self.start.progress_s + now - self.started_at)
+        return min(self.start.run_s, self.done_s + self.rate * (now - self.since))
+
+    def at_rate(self, rate: float, now: float) -> "_Attempt":
+        """Return the attempt as it goes on at another rate."""
+        return _Attempt(self.start, now, self.progress_s(now), rate)
 
 
 @dataclass
@@ -38,12 +47,15 @@
     fails_all: bool = False
     is_fencing: bool = True
     is_leaving: bool = False
+    slowdown: float = 1.0
     incarnation: str = field(default_factory=lambda: secrets.token_hex(4))
     epoch: int = 0
     sequence: int = 0
     lease_until: float = 0.0
     attempt_by_task: dict[str, _Attempt] = field(default_factory=dict)
     end_by_task: dict[str, TaskEnd] = field(default_factory=dict)
+    version: int = 1
+    version_by_task: dict[str, int] = field(default_factory=dict)
 
     def exchange(self, request: ExchangeRequest) -> ExchangeReply:
         """Apply one exchange and report."""
@@ -59,11 +71,16 @@
             self.lease_until = max(self.lease_until, granted)
         for stop in request.stops:
             self._stop(stop, now)
+        for throttle in request.throttles:
+            self._throttle(throttle, now)
         for forget in request.forget:
             self._forget(forget)
+        seen = request.seen_version if is_same else 0
         refused = [s for s in request.starts if not is_same or not self._start(s, now)]
         return self._reply(
-            now, refused=tuple(TaskStop(s.task_id, s.attempt) for s in refused)
+            now,
+            seen=seen,
+            refused=tuple(TaskStop(s.task_id, s.attempt) for s in refused),
         )
 
     def expire(self, now: float) -> None:
@@ -84,7 +101,9 @@
         if now >= self.lease_until or not self._has_room(start):
             return False
         self.end_by_task.pop(start.task_id, None)
-        self.attempt_by_task[start.task_id] = _Attempt(start, now)
+        self.attempt_by_task[start.task_id] = _Attempt(start, now, start.progress_s)
+        self.version += 1
+        self.version_by_task[start.task_id] = self.version
         self.history.write(
             "task-start", start.task_id, self.spec.worker_id, start.attempt
         )
@@ -104,8 +123,23 @@
                 stop.task_id, "checkpointed" if stop.checkpoint else "stopped", now
             )
 
+    def _throttle(self, throttle: TaskThrottle, now: float) -> None:
+        attempt = self.attempt_by_task.get(throttle.task_id)
+        if attempt is None or attempt.start.attempt != throttle.attempt:
+            return
+        rate = THROTTLED_RATE if throttle.is_on else 1.0
+        self.attempt_by_task[throttle.task_id] = attempt.at_rate(rate, now)
+        self.version += 1
+        self.version_by_task[throttle.task_id] = self.version
+        kind = "task-throttled" if throttle.is_on else "task-freed"
+        self.history.write(
+            kind, throttle.task_id, self.spec.worker_id, throttle.attempt
+        )
+
     def _end(self, task_id: str, state: str, now: float) -> None:
         attempt = self.attempt_by_task.pop(task_id)
+        del self.version_by_task[task_id]
+        self.version += 1
         number = attempt.start.attempt
         kept = state in ("finished", "checkpointed")
         progress_s = attempt.progress_s(now) if kept else attempt.start.progress_s
@@ -118,20 +152,35 @@
             del self.end_by_task[forget.task_id]
 
     def _reply(
-        self, now: float, *, accepted: bool = True, refused: tuple[TaskStop, ...] = ()
+        self,
+        now: float,
+        *,
+        seen: int = 0,
+        accepted: bool = True,
+        refused: tuple[TaskStop, ...] = (),
     ) -> ExchangeReply:
         running = tuple(
-            TaskRunning(task_id, a.start.attempt, a.start.cores, a.start.memory_gb)
+            TaskRunning(
+                task_id,
+                a.start.attempt,
+                a.start.cores * a.rate,
+                a.start.memory_gb,
+                a.rate < 1.0,
+            )
             for task_id, a in self.attempt_by_task.items()
+            if self.version_by_task[task_id] > seen
         )
         return ExchangeReply(
             worker_id=self.spec.worker_id,
             incarnation=self.incarnation,
             epoch=self.epoch,
             worker_time_s=now,
+            version=self.version,
+            base_version=seen,
             accepted=accepted,
             running=running,
             ended=tuple(self.end_by_task.values()),
             refused=refused,
             is_leaving=self.is_leaving,
+            service_slowdown=self.slowdown,
         )
