--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -54,11 +54,20 @@
     Given a fleet of two racks
     When a job "rack" of 24 tasks of 4 cores running 4 s is applied
     And 24 tasks of "rack" have started
-    And rack 1 is frozen for 6 s
+    And the rack that runs them is frozen for 6 s
     Then the job "rack" finishes all 24 tasks
+    And every task of "rack" lapsed once
     And no task ran in two places at once
     And no task of "rack" finished twice
 
+  Scenario: The tasks of a rack that is lost for good run on another rack
+    Given a fleet of two racks
+    When a job "moved" of 24 tasks of 4 cores running 4 s is applied
+    And 24 tasks of "moved" have started
+    And the rack that runs them is lost
+    Then the job "moved" finishes all 24 tasks
+    And no task ran in two places at once
+
   Scenario: A restarted worker runs nothing that it had before
     Given a fleet of 2 hosts and 4 workers in one data centre
     When a job "restart" of 20 tasks of 4 cores running 2 s is applied
@@ -78,9 +87,9 @@
   Scenario: Urgent work evicts by checkpoint and the evicted work resumes once
     Given a fleet of 2 hosts and 4 workers in one data centre
     When a job "batch" of 16 tasks of 8 cores running 6 s is applied
-    And 16 tasks of "batch" have started
-    And an urgent job "urgent" of 2 tasks of 8 cores running 1 s is applied
-    Then the job "urgent" finishes all 2 tasks
+    And 15 tasks of "batch" have started
+    And an urgent job "urgent" of 3 tasks of 8 cores running 1 s is applied
+    Then the job "urgent" finishes all 3 tasks
     And the job "batch" finishes all 16 tasks
     And no more than 2 tasks were evicted
     And no task ran in two places at once
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -49,9 +49,31 @@
     assert context.fleet.stop_one(planner_of_first_cell(context)) == 0
 
 
-@when("rack 1 is frozen for {seconds:g} s")
+def rack_that_runs(context):
+    """Return the one rack on which tasks have started."""
+    starts = [e.place for e in history(context) if e.kind == "task-start"]
+    racks = {place.rsplit("-w", 1)[0] for place in starts}
+    assert len(racks) == 1, racks
+    return racks.pop()
+
+
+@when("the rack that runs them is frozen for {seconds:g} s")
 def when_rack(context, seconds):
-    freeze(context, "dc-1-rack-1", seconds)
+    freeze(context, rack_that_runs(context), seconds)
+
+
+@when("the rack that runs them is lost")
+def when_rack_lost(context):
+    context.fleet.kill(rack_that_runs(context))
+
+
+@then('every task of "{job_id}" lapsed once')
+def then_lapsed(context, job_id):
+    kinds = Counter(
+        e.kind for e in history(context) if e.subject.startswith(f"{job_id}/")
+    )
+    assert kinds["task-lapsed"] == 24, kinds
+    assert kinds["task-start"] == 48, kinds
 
 
 @when("worker {number:d} restarts")
--- /dev/null
+++ b/features/steps/page_steps.py
@@ -0,0 +1,18 @@
+import subprocess
+import sys
+from pathlib import Path
+
+from behave import then, when
+
+ROOT = Path(__file__).resolve().parents[2]
+
+
+@when("the capacity page is recomputed")
+def when_recomputed(context):
+    command = [sys.executable, str(ROOT / "tools" / "capacity_page.py")]
+    context.done = subprocess.run(command, capture_output=True, text=True, check=False)
+
+
+@then("it does not differ")
+def then_same(context):
+    assert context.done.returncode == 0, context.done.stdout + context.done.stderr
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -169,3 +169,15 @@
         )
 
     context.run(leave())
+
+
+@then("berylctl against hosts that are gone exits 4 for status and for cancel")
+def then_gone(context):
+    program = str(Path(sys.executable).with_name("berylctl"))
+    path = context.fleet.folder / "gone.json"
+    path.write_text('{"author": "a", "planners": ["127.0.0.1:9"]}', encoding="utf-8")
+    for words in (["status"], ["cancel", "x"]):
+        command = [program, "--settings", str(path), *words]
+        done = subprocess.run(command, capture_output=True, text=True, check=False)
+        assert done.returncode == 4, done
+        assert "Check the addresses" in done.stderr, done
--- a/features/whole_path.feature
+++ b/features/whole_path.feature
@@ -29,6 +29,7 @@
     And settings with a wrong type exit 2 naming its place
     And a job file with an unknown key exits 2 naming its place
     And a job that no worker can hold is refused with the reason
+    And berylctl against hosts that are gone exits 4 for status and for cancel
 
   Scenario: A caller that leaves early harms nobody
     Given a fleet whose upstreams take 300 ms
--- a/libs/placement/src/berylcleat/placement/_colocate.py
+++ b/libs/placement/src/berylcleat/placement/_colocate.py
@@ -37,7 +37,8 @@
     ordered_queue,
 )
 
-SLOWDOWN_BUDGET = 0.07
+SLOWDOWN_BUDGET = 0.08
+URGENT_HEADROOM_SHARE = 0.25
 GENTLE_COEFFICIENT = 0.15
 PLANNED_LOAD = 0.8
 STARVING_S = 60.0
@@ -84,6 +85,20 @@
         return PolicyStep(ColocateMemory(model, blame, ladder), decisions)
 
 
+@dataclass(frozen=True, slots=True)
+class _Alike:
+    """Name what makes two queued tasks find room on the same workers."""
+
+    group: str
+    declared: Resources
+    priority: int
+    placement: str
+
+
+def _alike(task: QueuedTask) -> _Alike:
+    return _Alike(task.group, task.declared, task.priority, task.placement)
+
+
 class _Placement:
     """Serve the queue once: room and slowdown budget shrink as tasks are placed."""
 
@@ -104,6 +119,15 @@
             for worker_id, worker in view.worker_by_id.items()
         }
         self._held_for: str | None = None
+        self._headroom_on = self._headroom_worker()
+        self._blocked: dict[_Alike, str] = {}
+
+    def _headroom_worker(self) -> str | None:
+        """Return the worker that keeps room for urgent work: the least reserved."""
+        open_now = [w for w in self._view.worker_by_id.values() if w.is_open]
+        if not open_now:
+            return None
+        return min(open_now, key=lambda w: (w.reserved.cores, w.worker_id)).worker_id
 
     def _left_budget(self, worker: WorkerLoad) -> float:
         if worker.reserved.cores <= 0:
@@ -118,14 +142,22 @@
         """Return the decisions for the whole queue, in order."""
         decisions: list[Decision] = []
         for task in ordered_queue(self._view):
+            is_urgent = task.priority >= URGENT_PRIORITY
+            if not (is_urgent or task.failed_on) and _alike(task) in self._blocked:
+                # Room only shrinks within a decision: its equals found none.
+                decisions.append(Wait(task.task_id, self._blocked[_alike(task)]))
+                continue
             best = self._best_worker(task)
             if best:
                 decisions.append(self._place(task, best))
-            elif task.priority >= URGENT_PRIORITY:
+            elif is_urgent:
                 decisions.extend(self._preempt(task))
             else:
                 self._hold_if_starving(task)
-                decisions.append(Wait(task.task_id, self._why_waiting(task)))
+                reason = self._why_waiting(task)
+                if not task.failed_on:
+                    self._blocked[_alike(task)] = reason
+                decisions.append(Wait(task.task_id, reason))
         return decisions
 
     def _cost(self, task: QueuedTask, worker: WorkerLoad) -> float:
@@ -143,8 +175,14 @@
             return False
         if task.priority >= URGENT_PRIORITY:
             return True
+        if worker_id == self._headroom_on and not self._leaves_headroom(task, worker):
+            return False
         return self._cost(task, worker) <= self._budget[worker_id]
 
+    def _leaves_headroom(self, task: QueuedTask, worker: WorkerLoad) -> bool:
+        left = self._free[worker.worker_id].cores - task.declared.cores
+        return left >= URGENT_HEADROOM_SHARE * worker.capacity.cores
+
     def _best_worker(self, task: QueuedTask) -> WorkerLoad | None:
         fitting = [
             worker
--- a/libs/placement/src/berylcleat/placement/_interference.py
+++ b/libs/placement/src/berylcleat/placement/_interference.py
@@ -30,7 +30,10 @@
 
     def upper_bound(self) -> float:
         """Return the coefficient that is assumed when room is given."""
-        return self.coefficient + PRIOR_DOUBT / (1.0 + EVIDENCE_WEIGHT * self.evidence) ** 0.5
+        return (
+            self.coefficient
+            + PRIOR_DOUBT / (1.0 + EVIDENCE_WEIGHT * self.evidence) ** 0.5
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/placement/src/berylcleat/placement/_ladder.py
+++ b/libs/placement/src/berylcleat/placement/_ladder.py
@@ -10,8 +10,8 @@
 from ._base import Decision, Evict, RunningTask, Throttle, WorkerLoad
 from ._interference import InterferenceModel, exposure, service_load
 
-THROTTLE_SLOWDOWN = 1.10
-CALM_SLOWDOWN = 1.04
+THROTTLE_SLOWDOWN = 1.15
+CALM_SLOWDOWN = 1.06
 EVICT_SLOWDOWN = 1.50
 CALM_S = 20.0
 EVICT_AFTER_S = 30.0
--- a/programs/beryl-planner/src/berylcleat/planner/_process.py
+++ b/programs/beryl-planner/src/berylcleat/planner/_process.py
@@ -145,7 +145,7 @@
 
     async def renew(self) -> None:
         """Exchange with the workers that are due; the table may be out meanwhile."""
-        self.scheduler.send_exchanges()
+        self.scheduler.exchanges.send_due()
 
     async def serve(self, stop: StopSignal) -> None:
         """Serve until the stop signal, then hand over."""
@@ -172,7 +172,7 @@
 
     async def _hand_over(self) -> None:
         """Release the cells; if the table is out, their leases lapse instead."""
-        await self.scheduler.drain()
+        await self.scheduler.exchanges.drain()
         try:
             async with asyncio.timeout(5.0):
                 await self.keeper.leave()
--- a/programs/beryl-planner/src/berylcleat/planner/_scheduler.py
+++ b/programs/beryl-planner/src/berylcleat/planner/_scheduler.py
@@ -1,35 +1,25 @@
 """Decide, make durable, act: the tick over all owned cells."""
 
 import asyncio
-import heapq
 import logging
-from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from functools import partial
 
 import msgspec
 
-from berylcleat.http import ExchangeError
 from berylcleat.model import OutcomeUnknownError, PlatformUnavailableError
 from berylcleat.ownership import (
     ENDED_STATES,
     Assign,
     CancelJob,
-    CellRow,
     CellState,
     Claim,
     DoneRow,
     End,
-    JobRow,
     OwnedCell,
-    Record,
     Settle,
-    Wishes,
     apply_records,
     derive_ends,
-    is_fenced_out,
-    make_exchange,
-    on_reply,
 )
 from berylcleat.peers import ConfigSource
 from berylcleat.placement import (
@@ -44,7 +34,6 @@
 from berylcleat.ports import (
     ChangeFeed,
     Check,
-    ExchangeReply,
     Put,
     Table,
     WorkerControl,
@@ -52,8 +41,10 @@
 from berylcleat.telemetry import Tracer
 
 from . import _metrics
+from ._batch import Batch
 from ._cell_runtime import CellRuntime, group_of, make_view
 from ._decision_log import DecisionLog
+from ._exchanges import Exchanges
 from ._job_board import JobBoard, ListedJob, done_key, job_key
 from ._journal import JournalWriter
 from ._ownership_keeper import OwnershipKeeper, cell_key
@@ -61,30 +52,9 @@
 
 SNAPSHOT_EVERY_ROWS = 200
 FRESH_PERIODS = 2.5
-END_MARGIN_S = 0.1
-MIN_PAUSE_S = 0.25
 logger = logging.getLogger(__name__)
 
 
-@dataclass
-class _Batch:
-    """Gather what one group commit changes."""
-
-    records: list[Record] = field(default_factory=list)
-    checks: list[Check] = field(default_factory=list)
-    puts: list[Put] = field(default_factory=list)
-    cells: dict[str, CellRuntime] = field(default_factory=dict)
-    pointer_by_cell: dict[str, CellRow] = field(default_factory=dict)
-    job_by_id: dict[str, JobRow] = field(default_factory=dict)
-    on_applied: list[Callable[[], None]] = field(default_factory=list)
-
-    def add(self, cell: CellRuntime, records: tuple[Record, ...]) -> None:
-        """Add records of one cell."""
-        if records:
-            self.records.extend(records)
-            self.cells[cell.row.cell_id] = cell
-
-
 class Scheduler:
     """Run the cells that ``keeper`` owns."""
 
@@ -103,7 +73,6 @@
     ):
         self._settings = settings
         self._keeper = keeper
-        self._workers = workers
         self._board = board
         self._feed = feed
         self._config = config
@@ -111,9 +80,11 @@
         self._tracer = tracer
         self._log = log
         self.journal = JournalWriter(table, keeper.me)
-        self._pending: _Batch | None = None
-        self._exchanges: set[asyncio.Task] = set()
+        self._pending: Batch | None = None
         self._has_work = asyncio.Event()
+        self.exchanges = Exchanges(
+            keeper, workers, log, settings.exchange_period_s, self.mark
+        )
 
     def mark(self, cell: CellRuntime) -> None:
         """Note that ``cell`` needs a decision soon."""
@@ -150,7 +121,7 @@
         except (OutcomeUnknownError, PlatformUnavailableError):
             # Renewals go on; nothing new is decided until the table answers.
             logger.debug("the table does not answer")
-        self.send_exchanges()
+        self.exchanges.send_due()
 
     def _notice_lapses(self, now: float) -> None:
         for cell in self._keeper.cell_by_id.values():
@@ -162,14 +133,14 @@
         if not self.journal.is_settled:
             await self._finish(await self.journal.settle())
             return
-        batch = _Batch()
+        batch = Batch()
         for cell in self._keeper.cell_by_id.values():
             if cell.is_dirty or cell.has_new_report or _has_queue(cell.owned):
                 self._decide(cell, batch, now)
         self._add_snapshot(batch)
         await self._commit(batch)
 
-    def _decide(self, cell: CellRuntime, batch: _Batch, now: float) -> None:
+    def _decide(self, cell: CellRuntime, batch: Batch, now: float) -> None:
         """Add what has ended, was cancelled, is settled or can start in ``cell``."""
         ends = derive_ends(cell.owned, now)
         cancels = self._cancels(cell)
@@ -192,7 +163,7 @@
             and job.row.state == "cancelled"
         )
 
-    def _settle_claims(self, after: CellState, batch: _Batch) -> tuple[Settle, ...]:
+    def _settle_claims(self, after: CellState, batch: Batch) -> tuple[Settle, ...]:
         settled = []
         for claim in after.claims:
             states = [task.state for task in after.tasks_of(claim)]
@@ -230,7 +201,7 @@
         self._log.note(subjects, f"ended: {end.outcome}", reason)
 
     def _starts(
-        self, cell: CellRuntime, after: OwnedCell, batch: _Batch, now: float
+        self, cell: CellRuntime, after: OwnedCell, batch: Batch, now: float
     ) -> tuple[Assign, ...]:
         """Return the assignments that the policy wants once ``after`` holds."""
         if not _has_queue(after) and not cell.has_new_report:
@@ -275,27 +246,12 @@
             cell.trace_by_task[task_id] = self._tracer.header(span)
         cell.started_at[task_id] = now
         cell.due_at[worker_id] = now
-        self._expect_end(cell, assign, now)
+        self.exchanges.expect_end(cell, assign, now)
         _metrics.STARTS.inc()
         subjects = (f"task/{task_id}", f"worker/{worker_id}")
         action = f"attempt {assign.attempt} placed on {worker_id}"
         self._log.note(subjects, action, reason)
 
-    def _expect_end(self, cell: CellRuntime, assign: Assign, now: float) -> None:
-        """Plan an exchange for when the task should have ended."""
-        task = cell.owned.cell.task_by_id[assign.task_id]
-        run_s = cell.owned.cell.job_by_id[task.job_id].run_s - task.progress_s
-        ends = cell.ends_at.setdefault(assign.worker_id, [])
-        heapq.heappush(ends, now + max(run_s, 0.0) + END_MARGIN_S)
-
-    def _next_due(self, cell: CellRuntime, worker_id: str, now: float) -> float:
-        """Return when to talk to a worker next: a period on, or an expected end."""
-        due_at = now + self._settings.exchange_period_s
-        ends = cell.ends_at.get(worker_id, [])
-        while ends and ends[0] <= now:
-            heapq.heappop(ends)
-        return min(due_at, max(ends[0], now + MIN_PAUSE_S)) if ends else due_at
-
     def _evict(self, cell: CellRuntime, decision: Evict) -> None:
         if decision.task_id in cell.evictions:
             return
@@ -316,7 +272,7 @@
         subjects = (f"task/{decision.task_id}", f"worker/{decision.worker_id}")
         self._log.note(subjects, f"{action} on {decision.worker_id}", decision.reason)
 
-    def _add_snapshot(self, batch: _Batch) -> None:
+    def _add_snapshot(self, batch: Batch) -> None:
         """Write a cell whole when its state begins in another journal or far back."""
         for cell in self._keeper.cell_by_id.values():
             row = cell.row
@@ -342,14 +298,14 @@
             for cell_id, cell in self._keeper.cell_by_id.items()
         }
         claims = self._board.choose_claims(views, self._config.current())
-        batch = _Batch()
+        batch = Batch()
         for claim in claims:
             batch.add(self._keeper.cell_by_id[claim.cell_id], (claim,))
             self._claim_job(batch, claim)
         self._add_snapshot(batch)
         await self._commit(batch)
 
-    def _claim_job(self, batch: _Batch, claim: Claim) -> None:
+    def _claim_job(self, batch: Batch, claim: Claim) -> None:
         job_id = claim.spec.job_id
         listed = self._board.job_by_id[job_id]
         row = batch.job_by_id.get(job_id)
@@ -359,7 +315,7 @@
         n_claimed = row.n_claimed + claim.n_tasks
         batch.job_by_id[job_id] = msgspec.structs.replace(row, n_claimed=n_claimed)
 
-    async def _commit(self, batch: _Batch) -> None:
+    async def _commit(self, batch: Batch) -> None:
         if not batch.records:
             return
         for cell in batch.cells.values():
@@ -401,7 +357,7 @@
                 "cells of this host have room",
             )
 
-    async def _on_conflict(self, batch: _Batch, failed_key: str) -> None:
+    async def _on_conflict(self, batch: Batch, failed_key: str) -> None:
         logger.info("commit lost to another writer at %s", failed_key)
         for cell in batch.cells.values():
             self.mark(cell)
@@ -410,84 +366,11 @@
         elif failed_key.startswith("job/"):
             await self._feed.poll()
 
-    def send_exchanges(self) -> None:
-        """Talk to the workers that are due, whether or not the table answers."""
-        now = asyncio.get_running_loop().time()
-        if not self._keeper.may_act(now):
-            return
-        for cell in self._keeper.cell_by_id.values():
-            for worker_id in cell.owned.worker_by_id:
-                if (
-                    worker_id in cell.busy_workers
-                    or cell.due_at.get(worker_id, 0.0) > now
-                ):
-                    continue
-                if cell.owned.worker_by_id[worker_id].is_gone:
-                    continue
-                cell.busy_workers.add(worker_id)
-                task = asyncio.create_task(self._exchange(cell, worker_id))
-                self._exchanges.add(task)
-                task.add_done_callback(self._exchanges.discard)
-
-    async def _exchange(self, cell: CellRuntime, worker_id: str) -> None:
-        """Send one request to a worker and note its reply."""
-        loop = asyncio.get_running_loop()
-        spec = cell.spec_by_worker[worker_id]
-        try:
-            cell.due_at[worker_id] = self._next_due(cell, worker_id, loop.time())
-            cell.owned, request = make_exchange(cell.owned, worker_id, _wishes(cell))
-            reply = await self._workers.exchange(spec.control_address, request)
-        except ExchangeError as error:
-            _metrics.EXCHANGES.labels(error.failure.value).inc()
-            self._log.note(
-                (f"worker/{worker_id}",), "does not answer", error.failure.value
-            )
-            return
-        finally:
-            cell.busy_workers.discard(worker_id)
-        if self._keeper.cell_by_id.get(cell.row.cell_id) is not cell:
-            return
-        _metrics.EXCHANGES.labels("answered" if reply.accepted else "refused").inc()
-        if is_fenced_out(cell.owned, reply):
-            self._keeper.drop(cell.row.cell_id)
-            return
-        self._note_reply(cell, worker_id, reply, loop.time())
-
-    def _note_reply(self, cell: CellRuntime, worker_id: str, reply, now: float) -> None:
-        before = cell.owned.worker_by_id[worker_id].reply
-        cell.owned = on_reply(cell.owned, reply, now)
-        is_new = before is None or before.incarnation != reply.incarnation
-        if _has_tension(cell, worker_id, reply):
-            cell.has_new_report = True
-            self.mark(cell)
-        if reply.ended or reply.refused or is_new or cell.owned.cell.cancelled:
-            self.mark(cell)
-        if is_new:
-            cell.due_at[worker_id] = now
-
-    async def drain(self) -> None:
-        """Wait for exchanges under way."""
-        if self._exchanges:
-            await asyncio.wait(self._exchanges, timeout=2.0)
-
 
 def _has_queue(owned: OwnedCell) -> bool:
     return any(task.state == "queued" for task in owned.cell.task_by_id.values())
 
 
-def _has_tension(cell: CellRuntime, worker_id: str, reply: ExchangeReply) -> bool:
-    """Tell whether the policy should see this report though nothing waits."""
-    if reply.service_slowdown > 1.0:
-        return True
-    return not cell.throttled.isdisjoint(cell.owned.cell.assigned_to(worker_id))
-
-
-def _wishes(cell: CellRuntime) -> Wishes:
-    return Wishes(
-        frozenset(cell.evictions), frozenset(cell.throttled), cell.trace_by_task
-    )
-
-
 def _with_cell(owned: OwnedCell, state: CellState) -> OwnedCell:
     return replace(owned, cell=state)
 
--- a/programs/berylctl/src/berylcleat/ctl/_client.py
+++ b/programs/berylctl/src/berylcleat/ctl/_client.py
@@ -62,13 +62,13 @@
                         f"{address} took the request but did not answer",
                         "Look with berylctl status whether it took effect",
                     ) from error
-        raise HostUnreachableError(
-            f"none of {len(self._settings.planners)} planners answers",
-            "Check the addresses in the settings file",
-        )
+        raise _none_answers(len(self._settings.planners))
 
     async def ask_all(self, target: str, *, entries: bool = False) -> dict[str, Any]:
-        """Return the answers of all hosts by address; None where there was none."""
+        """Return the answers of all hosts by address; None where there was none.
+
+        Raises ``HostUnreachableError`` if no host answers.
+        """
         addresses = self._settings.planners
         if entries:
             addresses = addresses + self._settings.entries
@@ -78,6 +78,8 @@
                 answers[address] = await self._ask_one(address, "GET", target, None)
             except ExchangeError:
                 answers[address] = None
+        if all(answer is None for answer in answers.values()):
+            raise _none_answers(len(addresses))
         return answers
 
     async def _ask_one(self, address: str, method: str, target: str, value: Any) -> Any:
@@ -93,3 +95,9 @@
             code = ErrorCode(answer["code"])
             raise RemoteError(code, answer["message"], answer["remedy"])
         return answer
+
+
+def _none_answers(n_asked: int) -> HostUnreachableError:
+    return HostUnreachableError(
+        f"none of {n_asked} hosts answers", "Check the addresses in the settings file"
+    )
--- a/standins/src/berylcleat/standins/_history.py
+++ b/standins/src/berylcleat/standins/_history.py
@@ -26,13 +26,21 @@
     path: str
     _file: TextIOWrapper | None = field(default=None, repr=False)
 
-    def write(self, kind: str, subject: str, place: str, attempt: int = 0) -> None:
-        """Append one event at once."""
+    def write(
+        self,
+        kind: str,
+        subject: str,
+        place: str,
+        attempt: int = 0,
+        at_s: float | None = None,
+    ) -> None:
+        """Append one event at once; ``at_s`` is when it was, if not now."""
         if not self.path:
             return
         if self._file is None:
             self._file = Path(self.path).open("a", encoding="utf-8")  # noqa: SIM115
-        event = HistoryEvent(kind, subject, place, attempt, time.monotonic())
+        happened_at = time.monotonic() if at_s is None else at_s
+        event = HistoryEvent(kind, subject, place, attempt, happened_at)
         self._file.write(msgspec.json.encode(event).decode() + "\n")
         self._file.flush()
 
--- a/standins/src/berylcleat/standins/_worker.py
+++ b/standins/src/berylcleat/standins/_worker.py
@@ -32,6 +32,10 @@
         """Return the seconds of work done, earlier attempts included."""
         return min(self.start.run_s, self.done_s + self.rate * (now - self.since))
 
+    def finishes_at(self) -> float:
+        """Return when its work will be done if it goes on like this."""
+        return self.since + (self.start.run_s - self.done_s) / self.rate
+
     def at_rate(self, rate: float, now: float) -> "_Attempt":
         """Return the attempt as it goes on at another rate."""
         return _Attempt(self.start, now, self.progress_s(now), rate)
@@ -84,10 +88,12 @@
     def expire(self, now: float) -> None:
         """End what is done and stop everything once the lease has run out."""
         for task_id, attempt in tuple(self.attempt_by_task.items()):
-            if attempt.progress_s(now) >= attempt.start.run_s:
+            finishes_at = attempt.finishes_at()
+            if finishes_at <= min(now, self.lease_until):
                 self._end(task_id, "failed" if self.fails_all else "finished", now)
             elif now >= self.lease_until:
-                self._end(task_id, "lapsed", now)
+                # A worker that was frozen ran nothing after its lease had run out.
+                self._end(task_id, "lapsed", self.lease_until)
 
     def _start(self, start: TaskStart, now: float) -> bool:
         known = self.attempt_by_task.get(start.task_id)
@@ -142,7 +148,8 @@
         kept = state in ("finished", "checkpointed")
         progress_s = attempt.progress_s(now) if kept else attempt.start.progress_s
         self.end_by_task[task_id] = TaskEnd(task_id, number, state, progress_s)
-        self.history.write(f"task-{state}", task_id, self.spec.worker_id, number)
+        kind = f"task-{state}"
+        self.history.write(kind, task_id, self.spec.worker_id, number, now)
 
     def _forget(self, forget: TaskStop) -> None:
         ended = self.end_by_task.get(forget.task_id)
--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -32,6 +32,7 @@
 TABLE_READS_LIMIT = 2_000.0
 BYTES_PER_MB = 1e6
 NODE_COUNTS = (13, 42)
+MOST_NODES = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -193,6 +194,20 @@
     return [*rows, ""]
 
 
+def _fits(costs: Costs, n_nodes: int) -> bool:
+    lines = node_lines(costs, n_nodes)
+    fits_cpu = sum(line.cpu_us for line in lines) <= CPU_LIMIT_US
+    fits_bytes = sum(line.n_bytes for line in lines) <= BYTES_LIMIT
+    writes = sum(line[1] for line in table_lines(n_nodes))
+    return fits_cpu and fits_bytes and writes <= TABLE_WRITES_LIMIT
+
+
+def _range_section(costs: Costs) -> list[str]:
+    fitting = [n for n in range(N_DATA_CENTRES, MOST_NODES) if _fits(costs, n)]
+    text = f"{min(fitting)} to {max(fitting)}" if fitting else "none"
+    return [f"Numbers of nodes at which every line above fits: **{text}**.", ""]
+
+
 def _table_section() -> list[str]:
     rows = ["### What all nodes ask of the table, a second", ""]
     heads = " | ".join(f"writes, {n} | reads, {n}" for n in NODE_COUNTS)
@@ -240,7 +255,8 @@
     rows: list[str] = []
     for n_nodes in NODE_COUNTS:
         rows += _node_section(costs, n_nodes)
-    rows += _table_section() + _takeover_section(costs) + _slope_section(costs, result)
+    rows += _table_section() + _range_section(costs)
+    rows += _takeover_section(costs) + _slope_section(costs, result)
     return "\n".join(rows)
 
 
