A cell whose workers have all gone gives its waiting tasks back to their jobs

Cause: the feature of a rack lost for good stayed red: tasks that a cell has claimed never left it, so with all its workers gone they waited for ever. Ruled out: taking the tasks over by another cell directly (two owners would write one task's state); a larger claim row with lists of tasks (every claim would pay). Change: after 10 s without an answer from any worker the owner commits, in one transaction, a Return record and the task's index, attempt and kept work in the job's row; another cell adopts it with an Adopt record and the next attempt. A task is only queued once its end or lapse is proven, so the proof is kept. Rows of settled claims are told apart by attempt. The verdict takes the loss of a killed rack as the end of what ran there: a killed process runs nothing.

--- a/features/environment.py
+++ b/features/environment.py
@@ -19,6 +19,7 @@
     "feed_period_s": 0.2,
     "commit_period_s": 0.1,
     "renew_check_s": 0.2,
+    "return_after_s": 3.0,
     "list_period_s": 0.3,
 }
 SHORT_ENTRY = {"list_period_s": 0.3, "config_period_s": 0.3, "drain_delay_s": 0.3}
--- a/libs/ownership/src/berylcleat/ownership/__init__.py
+++ b/libs/ownership/src/berylcleat/ownership/__init__.py
@@ -4,6 +4,7 @@
     ENDED_STATES,
     CellState,
     apply_records,
+    index_of,
     task_id_of,
 )
 from ._membership import (
@@ -33,6 +34,7 @@
     own_cell,
 )
 from ._records import (
+    Adopt,
     Assign,
     CancelJob,
     CellRow,
@@ -45,6 +47,8 @@
     JobRow,
     JournalRow,
     Record,
+    Return,
+    ReturnedTask,
     Settle,
     TaskState,
 )
@@ -52,6 +56,7 @@
 
 __all__ = [
     "ENDED_STATES",
+    "Adopt",
     "Assign",
     "CancelJob",
     "CellRow",
@@ -70,6 +75,8 @@
     "OwnedCell",
     "OwnershipChange",
     "Record",
+    "Return",
+    "ReturnedTask",
     "Settle",
     "Sightings",
     "TaskState",
@@ -81,6 +88,7 @@
     "derive_ends",
     "has_lapsed",
     "incarnation_id",
+    "index_of",
     "is_fenced_out",
     "is_placeable",
     "live_hosts",
--- a/libs/ownership/src/berylcleat/ownership/_cell.py
+++ b/libs/ownership/src/berylcleat/ownership/_cell.py
@@ -7,6 +7,7 @@
 from berylcleat.model import JobSpec
 
 from ._records import (
+    Adopt,
     Assign,
     CancelJob,
     Claim,
@@ -14,12 +15,13 @@
     End,
     Full,
     Record,
+    Return,
     Settle,
     TaskState,
 )
 
 MAX_FAILURES = 5
-ENDED_STATES = ("finished", "failed", "cancelled")
+ENDED_STATES = ("finished", "failed", "cancelled", "returned")
 
 
 def task_id_of(job_id: str, index: int) -> str:
@@ -27,6 +29,11 @@
     return f"{job_id}/{index}"
 
 
+def index_of(task_id: str) -> int:
+    """Return the index in a task's id."""
+    return int(task_id.rsplit("/", 1)[1])
+
+
 @dataclass(frozen=True, slots=True)
 class CellState:
     """Hold jobs by id, tasks by id, claims and cancelled job ids of one cell."""
@@ -102,6 +109,25 @@
     return replace(state, claims=(*state.claims, claim))
 
 
+def _apply_adopt(state: CellState, record: Adopt) -> CellState:
+    job_id = record.spec.job_id
+    state.job_by_id[job_id] = record.spec
+    claims = list(state.claims)
+    for task in record.tasks:
+        state.task_by_id[task_id_of(job_id, task.index)] = TaskState(
+            job_id, attempt=task.attempt, progress_s=task.progress_s
+        )
+        claims.append(ClaimState(job_id, task.index, 1))
+    return replace(state, claims=tuple(claims))
+
+
+def _apply_return(state: CellState, record: Return) -> CellState:
+    task = state.task_by_id[record.task_id]
+    returned = msgspec.structs.replace(task, state="returned")
+    state.task_by_id[record.task_id] = returned
+    return state
+
+
 def _apply_assign(state: CellState, record: Assign) -> CellState:
     task = state.task_by_id[record.task_id]
     state.task_by_id[record.task_id] = msgspec.structs.replace(
@@ -175,6 +201,8 @@
 _APPLY_BY_TYPE = {
     Full: _apply_full,
     Claim: _apply_claim,
+    Adopt: _apply_adopt,
+    Return: _apply_return,
     Assign: _apply_assign,
     End: _apply_end,
     CancelJob: _apply_cancel,
--- a/libs/ownership/src/berylcleat/ownership/_records.py
+++ b/libs/ownership/src/berylcleat/ownership/_records.py
@@ -8,8 +8,8 @@
 class TaskState(msgspec.Struct, frozen=True, array_like=True):
     """Hold the durable state of one task.
 
-    ``state`` is queued, assigned, finished, failed or cancelled. ``attempt`` counts
-    assignments; ``progress_s`` is the work kept by the last checkpoint.
+    ``state`` is queued, assigned, finished, failed, cancelled or returned. ``attempt``
+    counts assignments; ``progress_s`` is the work kept by the last checkpoint.
     """
 
     job_id: str
@@ -38,6 +38,29 @@
     n_tasks: int
 
 
+class ReturnedTask(msgspec.Struct, frozen=True, array_like=True):
+    """Hold a task that no cell has: its attempts so far and its kept work."""
+
+    index: int
+    attempt: int
+    progress_s: float
+
+
+class Return(msgspec.Struct, frozen=True, array_like=True, tag="return"):
+    """Give a queued task back to its job, for any cell to adopt."""
+
+    cell_id: str
+    task_id: str
+
+
+class Adopt(msgspec.Struct, frozen=True, array_like=True, tag="adopt"):
+    """Take returned tasks of a job into the cell."""
+
+    cell_id: str
+    spec: JobSpec
+    tasks: tuple[ReturnedTask, ...]
+
+
 class Assign(msgspec.Struct, frozen=True, array_like=True, tag="assign"):
     """Bind the next attempt of a task to one incarnation of a worker."""
 
@@ -86,7 +109,7 @@
     cancelled: tuple[str, ...]
 
 
-Record = Claim | Assign | End | CancelJob | Settle | Full
+Record = Claim | Adopt | Return | Assign | End | CancelJob | Settle | Full
 
 
 class JournalRow(msgspec.Struct, frozen=True):
@@ -122,13 +145,17 @@
 
 
 class JobRow(msgspec.Struct, frozen=True):
-    """Hold a submitted job, its state and how many tasks cells have claimed."""
+    """Hold a submitted job, its state and how many tasks cells have claimed.
+
+    ``returned`` holds claimed tasks that a cell without workers has given back.
+    """
 
     spec: JobSpec
     state: str = "open"
     n_claimed: int = 0
     reason: str = ""
     trace: str = ""
+    returned: tuple[ReturnedTask, ...] = ()
 
 
 class DoneRow(msgspec.Struct, frozen=True):
--- a/programs/beryl-planner/src/berylcleat/planner/_cell_runtime.py
+++ b/programs/beryl-planner/src/berylcleat/planner/_cell_runtime.py
@@ -50,6 +50,7 @@
     owned: OwnedCell
     spec_by_worker: dict[str, WorkerSpec]
     memory: object
+    owned_at: float
     is_dirty: bool = True
     has_new_report: bool = False
     evictions: set[str] = field(default_factory=set)
@@ -64,6 +65,12 @@
     trace_by_task: dict[str, str] = field(default_factory=dict)
 
 
+def is_deserted(cell: CellRuntime, now: float, silent_s: float) -> bool:
+    """Tell whether no worker of the cell has answered for ``silent_s``."""
+    answered = (view.replied_at for view in cell.owned.worker_by_id.values())
+    return now - max(cell.owned_at, *answered) > silent_s
+
+
 def reserve_by_worker(
     specs: dict[str, WorkerSpec], document: ConfigDocument
 ) -> dict[str, Resources]:
--- a/programs/beryl-planner/src/berylcleat/planner/_job_board.py
+++ b/programs/beryl-planner/src/berylcleat/planner/_job_board.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from berylcleat.model import ConfigDocument, JobSpec, Steering, steer
-from berylcleat.ownership import Claim, DoneRow, JobRow
+from berylcleat.ownership import Adopt, Claim, DoneRow, JobRow
 from berylcleat.placement import OpenJob, PlacementView, choose_claims
 from berylcleat.ports import Changes
 
@@ -18,9 +18,13 @@
     return JOB_PREFIX + job_id
 
 
-def done_key(job_id: str, first: int) -> str:
-    """Return the key of a settled claim's row."""
-    return f"{DONE_PREFIX}{job_id}/{first}"
+def done_key(job_id: str, first: int, attempt: int) -> str:
+    """Return the key of a settled claim's row.
+
+    A returned task is claimed again: the attempts of a claim's first task tell its
+    claims apart.
+    """
+    return f"{DONE_PREFIX}{job_id}/{first}.{attempt}"
 
 
 def steer_job(spec: JobSpec, document: ConfigDocument) -> Steering:
@@ -38,8 +42,9 @@
 
     @property
     def n_unclaimed(self) -> int:
-        """Return how many tasks no cell has claimed."""
-        return self.row.spec.n_tasks - self.row.n_claimed
+        """Return how many tasks no cell has."""
+        n_new = self.row.spec.n_tasks - self.row.n_claimed
+        return n_new + len(self.row.returned)
 
 
 class JobBoard:
@@ -88,17 +93,35 @@
 
     def choose_claims(
         self, view_by_cell: dict[str, PlacementView], document: ConfigDocument
-    ) -> tuple[Claim, ...]:
-        """Return the ranges of tasks that the cells take in now."""
+    ) -> tuple[Claim | Adopt, ...]:
+        """Return the tasks that the cells take in now."""
         jobs = [
             OpenJob(job.row.spec, steer_job(job.row.spec, document), job.n_unclaimed)
             for job in self.open_by_id.values()
         ]
-        first_by_job = {i: job.row.n_claimed for i, job in self.open_by_id.items()}
-        claims = []
+        row_by_job = {job_id: job.row for job_id, job in self.open_by_id.items()}
+        claims: list[Claim | Adopt] = []
         for chosen in choose_claims(jobs, view_by_cell):
-            first = first_by_job[chosen.job_id]
-            spec = self.open_by_id[chosen.job_id].row.spec
-            claims.append(Claim(chosen.cell_id, spec, first, chosen.n_tasks))
-            first_by_job[chosen.job_id] = first + chosen.n_tasks
+            row, taken = take_tasks(
+                row_by_job[chosen.job_id], chosen.cell_id, chosen.n_tasks
+            )
+            row_by_job[chosen.job_id] = row
+            claims.extend(taken)
         return tuple(claims)
+
+
+def take_tasks(
+    row: JobRow, cell_id: str, n_tasks: int
+) -> tuple[JobRow, tuple[Claim | Adopt, ...]]:
+    """Return the row without ``n_tasks`` more, and the records: returned ones first."""
+    records: list[Claim | Adopt] = []
+    adopted = row.returned[:n_tasks]
+    if adopted:
+        records.append(Adopt(cell_id, row.spec, adopted))
+    n_new = n_tasks - len(adopted)
+    if n_new:
+        records.append(Claim(cell_id, row.spec, row.n_claimed, n_new))
+    left = msgspec.structs.replace(
+        row, n_claimed=row.n_claimed + n_new, returned=row.returned[n_tasks:]
+    )
+    return left, tuple(records)
--- a/programs/beryl-planner/src/berylcleat/planner/_ownership_keeper.py
+++ b/programs/beryl-planner/src/berylcleat/planner/_ownership_keeper.py
@@ -231,7 +231,7 @@
         owned = own_cell(state, taken.epoch, self.settings.leases, tuple(specs), now)
         self.row_by_cell[cell_id] = (taken, result.version)
         self.cell_by_id[cell_id] = CellRuntime(
-            taken, result.version, owned, specs, self._make_memory()
+            taken, result.version, owned, specs, self._make_memory(), now
         )
         _metrics.TAKEOVERS.inc()
         logger.info("own cell %s at epoch %d", cell_id, taken.epoch)
--- a/programs/beryl-planner/src/berylcleat/planner/_scheduler.py
+++ b/programs/beryl-planner/src/berylcleat/planner/_scheduler.py
@@ -10,16 +10,22 @@
 from berylcleat.model import OutcomeUnknownError, PlatformUnavailableError
 from berylcleat.ownership import (
     ENDED_STATES,
+    Adopt,
     Assign,
     CancelJob,
     CellState,
     Claim,
     DoneRow,
     End,
+    JobRow,
     OwnedCell,
+    Return,
+    ReturnedTask,
     Settle,
     apply_records,
     derive_ends,
+    index_of,
+    task_id_of,
 )
 from berylcleat.peers import ConfigSource
 from berylcleat.placement import (
@@ -42,10 +48,15 @@
 
 from . import _metrics
 from ._batch import Batch
-from ._cell_runtime import CellRuntime, group_of, make_view
+from ._cell_runtime import CellRuntime, group_of, is_deserted, make_view
 from ._decision_log import DecisionLog
 from ._exchanges import Exchanges
-from ._job_board import JobBoard, ListedJob, done_key, job_key
+from ._job_board import (
+    JobBoard,
+    ListedJob,
+    done_key,
+    job_key,
+)
 from ._journal import JournalWriter
 from ._ownership_keeper import OwnershipKeeper, cell_key
 from ._settings import PlannerSettings
@@ -147,6 +158,7 @@
         ended = apply_records(cell.owned.cell, (*cancels, *ends))
         settled = self._settle_claims(ended, batch)
         batch.add(cell, (*cancels, *ends, *settled))
+        self._returns(cell, apply_records(ended, settled), batch, now)
         for end in ends:
             batch.on_applied.append(partial(self._note_end, cell, end))
         after = _with_cell(cell.owned, apply_records(ended, settled))
@@ -177,7 +189,8 @@
                 counts["failed"],
                 counts["cancelled"],
             )
-            key = done_key(claim.job_id, claim.first)
+            attempt = after.tasks_of(claim)[0].attempt
+            key = done_key(claim.job_id, claim.first, attempt)
             batch.checks.append(Check(key, 0))
             batch.puts.append(Put(key, msgspec.json.encode(row).decode()))
             settled.append(Settle(after.cell_id, claim.job_id, claim.first))
@@ -300,20 +313,57 @@
         claims = self._board.choose_claims(views, self._config.current())
         batch = Batch()
         for claim in claims:
+            if self._is_held(claim):
+                continue
             batch.add(self._keeper.cell_by_id[claim.cell_id], (claim,))
             self._claim_job(batch, claim)
         self._add_snapshot(batch)
         await self._commit(batch)
 
-    def _claim_job(self, batch: Batch, claim: Claim) -> None:
-        job_id = claim.spec.job_id
+    def _job_row(self, batch: Batch, job_id: str) -> JobRow:
+        """Return the job as the batch leaves it; the commit checks its version."""
         listed = self._board.job_by_id[job_id]
-        row = batch.job_by_id.get(job_id)
-        if row is None:
+        if job_id not in batch.job_by_id:
             batch.checks.append(Check(job_key(job_id), listed.version))
-            row = listed.row
-        n_claimed = row.n_claimed + claim.n_tasks
-        batch.job_by_id[job_id] = msgspec.structs.replace(row, n_claimed=n_claimed)
+            batch.job_by_id[job_id] = listed.row
+        return batch.job_by_id[job_id]
+
+    def _claim_job(self, batch: Batch, claim: Claim | Adopt) -> None:
+        job_id = claim.spec.job_id
+        row = self._job_row(batch, job_id)
+        if isinstance(claim, Claim):
+            n_claimed = row.n_claimed + claim.n_tasks
+            row = msgspec.structs.replace(row, n_claimed=n_claimed)
+        else:
+            left = tuple(task for task in row.returned if task not in claim.tasks)
+            row = msgspec.structs.replace(row, returned=left)
+        batch.job_by_id[job_id] = row
+
+    def _is_held(self, claim: Claim | Adopt) -> bool:
+        """Tell whether the cell still keeps the record of a task it gave back."""
+        if isinstance(claim, Claim):
+            return False
+        held = self._keeper.cell_by_id[claim.cell_id].owned.cell.task_by_id
+        job_id = claim.spec.job_id
+        return any(task_id_of(job_id, task.index) in held for task in claim.tasks)
+
+    def _returns(
+        self, cell: CellRuntime, after: CellState, batch: Batch, now: float
+    ) -> None:
+        """Give back what waits in a cell whose workers have all gone silent."""
+        if not is_deserted(cell, now, self._settings.return_after_s):
+            return
+        for task_id, task in after.task_by_id.items():
+            if task.state != "queued" or task.job_id not in self._board.job_by_id:
+                continue
+            row = self._job_row(batch, task.job_id)
+            given = ReturnedTask(index_of(task_id), task.attempt, task.progress_s)
+            batch.job_by_id[task.job_id] = msgspec.structs.replace(
+                row, returned=(*row.returned, given)
+            )
+            batch.add(cell, (Return(after.cell_id, task_id),))
+            note = partial(self._log.note, (f"task/{task_id}",), "returned to its job")
+            batch.on_applied.append(partial(note, "no worker of its cell answers"))
 
     async def _commit(self, batch: Batch) -> None:
         if not batch.records:
--- a/programs/beryl-planner/src/berylcleat/planner/_settings.py
+++ b/programs/beryl-planner/src/berylcleat/planner/_settings.py
@@ -20,6 +20,7 @@
     idle_period_s: float = 1.0
     commit_period_s: float = 0.25
     renew_check_s: float = 0.5
+    return_after_s: float = 10.0
     exchange_period_s: float = 2.0
     beat_period_s: float = 1.0
     feed_period_s: float = 0.5
--- a/standins/src/berylcleat/standins/_fleet.py
+++ b/standins/src/berylcleat/standins/_fleet.py
@@ -18,6 +18,8 @@
 
 from berylcleat.http import ExchangeError, HttpClient, HttpRequest, HttpResponse
 
+from ._history import History
+
 LOOPBACK = "127.0.0.1"
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 25.0
@@ -254,6 +256,15 @@
         process = self.process_by_name.pop(name)
         process.kill()
         process.wait()
+        if name in self.rack_admin:
+            self._record_loss(name)
+
+    def _record_loss(self, rack: str) -> None:
+        """Record that what ran on the workers of a killed rack runs no more."""
+        history = History(str(self.folder / f"history-{rack}.jsonl"))
+        for spec in self.worker_specs:
+            if spec["worker_id"].startswith(f"{rack}-w"):
+                history.write("worker-lost", spec["worker_id"], spec["worker_id"])
 
     def stop_one(self, name: str) -> int:
         """Stop a process gracefully and return its exit status."""
--- a/standins/src/berylcleat/standins/_verdicts.py
+++ b/standins/src/berylcleat/standins/_verdicts.py
@@ -11,13 +11,14 @@
     "task-stopped",
     "task-lapsed",
 )
+WORKER_END_KINDS = ("worker-restart", "worker-lost")
 
 
 def overlapping_attempts(events: list[HistoryEvent]) -> list[str]:
     """Return the tasks that ran in two places at once.
 
     Events of one machine share its monotonic clock, so they can be ordered across
-    processes. A worker's restart ends all that it ran.
+    processes. A worker's restart or loss ends all that it ran.
     """
     place_by_task: dict[str, str] = {}
     doubled = []
@@ -29,7 +30,7 @@
         elif event.kind in TASK_END_KINDS:
             if place_by_task.get(event.subject) == event.place:
                 del place_by_task[event.subject]
-        elif event.kind == "worker-restart":
+        elif event.kind in WORKER_END_KINDS:
             gone = [t for t, place in place_by_task.items() if place == event.place]
             for task_id in gone:
                 del place_by_task[task_id]
