A leaving upstream: count what it was sent, not only what it ran

Cause: with the router made to ignore leaving (a deliberate fault), the feature still passed: the stand-in's guard refuses when leaving, so it runs nothing. Change: the stand-in records refusals; feature and demo count runs and refusals.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -149,7 +149,7 @@
     def _count_after_drain(self, drained_at: float) -> None:
         events = [e for p in self.fleet.history_paths() for e in read_history(p)]
         self.summary.requests_after_drain = sum(
-            e.kind == "request-run"
+            e.kind in ("request-run", "request-refused")
             and e.place == self.summary.drained_worker
             and e.at_s > drained_at
             for e in events
--- a/features/request_outcomes.feature
+++ b/features/request_outcomes.feature
@@ -99,7 +99,7 @@
     And I wait 2 s
     And 40 renders are sent through every host
     Then every render is answered with status 200
-    And worker 1 ran none of the last 40 renders
+    And worker 1 was sent none of the last 40 renders
 
   Scenario: A graceful stop under load cuts nothing off
     Given a fleet whose upstreams take 100 ms
--- a/features/steps/outcome_steps.py
+++ b/features/steps/outcome_steps.py
@@ -237,13 +237,13 @@
     assert {seen_status for seen_status, _ in seen} == {status}, seen
 
 
-@then("worker {number:d} ran none of the last {n:d} renders")
+@then("worker {number:d} was sent none of the last {n:d} renders")
 def then_none(context, number, n):
     last = f"batch{context.n_batches}-"
     ran = [
         e.subject
         for e in history(context)
-        if e.kind == "request-run"
+        if e.kind in ("request-run", "request-refused")
         and e.place == worker_id(context, number)
         and e.subject.startswith(last)
     ]
--- a/standins/src/berylcleat/standins/_upstream.py
+++ b/standins/src/berylcleat/standins/_upstream.py
@@ -34,9 +34,9 @@
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Run one request, or refuse it unrun."""
         if self.is_leaving:
-            return HttpResponse(503, (*REFUSED_HEADERS, ("x-guard-reason", "leaving")))
+            return self._refuse(request, "leaving")
         if self.n_busy >= self.n_slots:
-            return HttpResponse(503, (*REFUSED_HEADERS, ("x-guard-reason", "busy")))
+            return self._refuse(request, "busy")
         self.n_busy += 1
         try:
             with self.tracer.span(
@@ -48,6 +48,11 @@
         finally:
             self.n_busy -= 1
 
+    def _refuse(self, request: HttpRequest, reason: str) -> HttpResponse:
+        request_id = request.header("x-request-id")
+        self.history.write("request-refused", request_id, self.worker_id)
+        return HttpResponse(503, (*REFUSED_HEADERS, ("x-guard-reason", reason)))
+
     async def _run(self, request: HttpRequest) -> HttpResponse:
         request_id = request.header("x-request-id")
         self.history.write("request-run", request_id, self.worker_id)
