--- a/programs/beryl-entry/src/berylcleat/entry/_service_desk.py
+++ b/programs/beryl-entry/src/berylcleat/entry/_service_desk.py
@@ -23,7 +23,7 @@
     Router,
     request_digest,
 )
-from berylcleat.telemetry import TRACE_HEADER, Tracer, trace_id_of
+from berylcleat.telemetry import TRACE_HEADER, Span, Tracer, trace_id_of
 
 from . import _metrics
 from ._forwarder import Forwarded, Forwarder, without_hop_headers
@@ -122,18 +122,18 @@
         try:
             parent = request.header(TRACE_HEADER)
             with self._tracer.span("entry.request", parent=parent) as span:
-                trace = self._tracer.header(span)
-                ended = await self._serve(request, trace, started_at)
+                trace_id = trace_id_of(self._tracer.header(span))
+                ended = await self._serve(request, span, started_at)
                 span.set_attribute("outcome", ended.outcome.value)
                 span.set_attribute("code", ended.code)
             _metrics.REQUESTS.labels(ended.outcome.value, ended.code).inc()
             _metrics.LATENCY.observe(loop.time() - started_at)
-            return _to_response(ended, trace)
+            return _to_response(ended, trace_id)
         finally:
             self.n_in_flight -= 1
 
     async def _serve(
-        self, request: HttpRequest, trace: str, started_at: float
+        self, request: HttpRequest, span: Span, started_at: float
     ) -> Forwarded:
         name = request.target.lstrip("/").split("/", 1)[0].split("?", 1)[0]
         service = self.service_by_name.get(name)
@@ -156,10 +156,8 @@
         if len(key) > MAX_KEY_CHARACTERS:
             return Forwarded(Outcome.NOT_RUN, "bad-key")
         if key and not request_class.is_idempotent:
-            return await self._serve_keyed(
-                forwarder, message, request_class, trace, key
-            )
-        return await forwarder.forward(message, request_class, trace)
+            return await self._serve_keyed(forwarder, message, request_class, span, key)
+        return await forwarder.forward(message, request_class, span)
 
     def _refusal(self, service: Service | None) -> str:
         if not self._is_config_known:
@@ -173,12 +171,12 @@
         forwarder: Forwarder,
         request: HttpRequest,
         request_class: RequestClass,
-        trace: str,
+        span: Span,
         key: str,
     ) -> Forwarded:
         name = request.target.lstrip("/").split("/", 1)[0]
         digest = request_digest(request.method, request.target, request.body)
-        with self._tracer.span("entry.claim-key", parent=trace):
+        with self._tracer.span("entry.claim-key", parent=span):
             try:
                 claim = await self._keys.claim(
                     name, key, digest, request_class.deadline_at
@@ -189,7 +187,7 @@
             return _without_run(claim)
         ended = Forwarded(Outcome.UNKNOWN, "interrupted")
         try:
-            ended = await forwarder.forward(request, request_class, trace)
+            ended = await forwarder.forward(request, request_class, span)
             return ended
         finally:
             self._keys.settle(claim, ended.outcome, ended.response)
@@ -224,11 +222,11 @@
     return HttpRequest(request.method, request.target, headers, request.body)
 
 
-def _to_response(ended: Forwarded, trace: str) -> HttpResponse:
+def _to_response(ended: Forwarded, trace_id: str) -> HttpResponse:
     own = (
         ("beryl-outcome", ended.outcome.value),
         ("beryl-code", ended.code),
-        ("beryl-trace", trace_id_of(trace)),
+        ("beryl-trace", trace_id),
     )
     if ended.response is not None:
         headers = without_hop_headers(ended.response.headers)
