--- a/libs/telemetry/src/berylcleat/telemetry/__init__.py
+++ b/libs/telemetry/src/berylcleat/telemetry/__init__.py
@@ -1,13 +1,6 @@
 """Counters, structured logs and spans."""
 
 from ._logs import setup_logging
-from ._spans import TRACE_HEADER, Span, SpanRecord, Tracer, trace_id_of
+from ._spans import TRACE_HEADER, SpanRecord, Tracer, trace_id_of
 
-__all__ = [
-    "TRACE_HEADER",
-    "Span",
-    "SpanRecord",
-    "Tracer",
-    "setup_logging",
-    "trace_id_of",
-]
+__all__ = ["TRACE_HEADER", "SpanRecord", "Tracer", "setup_logging", "trace_id_of"]
--- a/libs/telemetry/src/berylcleat/telemetry/_spans.py
+++ b/libs/telemetry/src/berylcleat/telemetry/_spans.py
@@ -8,7 +8,6 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
-from opentelemetry.context import Context
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.sdk.trace import ReadableSpan, Span, TracerProvider
 from opentelemetry.sdk.trace.export import (
@@ -62,28 +61,20 @@
         self._propagator = TraceContextTextMapPropagator()
 
     @contextmanager
-    def span(
-        self, name: str, *, parent: Span | str = "", **attributes: str
-    ) -> Iterator[Span]:
-        """Open a span under ``parent``, a span or a header value, for the block."""
-        context = self._context_of(parent) if parent else None
+    def span(self, name: str, *, parent: str = "", **attributes: str) -> Iterator[Span]:
+        """Open a span under the ``parent`` header value while the block runs."""
+        context = self._propagator.extract({TRACE_HEADER: parent}) if parent else None
         span = self._tracer.start_span(name, context=context, attributes=attributes)
         try:
             yield span
         finally:
             span.end()
 
-    def _context_of(self, parent: Span | str) -> Context:
-        if isinstance(parent, str):
-            return self._propagator.extract({TRACE_HEADER: parent})
-        return set_span_in_context(parent)
-
-    @staticmethod
-    def header(span: Span) -> str:
+    def header(self, span: Span) -> str:
         """Return the header value that makes ``span`` the parent elsewhere."""
-        context = span.get_span_context()
-        flags = int(context.trace_flags)
-        return f"00-{context.trace_id:032x}-{context.span_id:016x}-{flags:02x}"
+        carrier: dict[str, str] = {}
+        self._propagator.inject(carrier, set_span_in_context(span))
+        return carrier.get(TRACE_HEADER, "")
 
     def find(self, trace_id: str) -> tuple[SpanRecord, ...]:
         """Return the spans kept of ``trace_id`` (32 hex digits)."""
--- a/programs/beryl-entry/src/berylcleat/entry/_forwarder.py
+++ b/programs/beryl-entry/src/berylcleat/entry/_forwarder.py
@@ -20,7 +20,7 @@
     WaitingRoom,
     next_step,
 )
-from berylcleat.telemetry import TRACE_HEADER, Span, Tracer
+from berylcleat.telemetry import TRACE_HEADER, Tracer
 
 from . import _metrics
 
@@ -133,7 +133,7 @@
         self._client_by_address: dict[str, HttpClient] = {}
 
     async def forward(
-        self, request: HttpRequest, request_class: RequestClass, parent: Span
+        self, request: HttpRequest, request_class: RequestClass, trace: str
     ) -> Forwarded:
         """Return the end of ``request``; at most one attempt has unknown outcome
         unless the request is idempotent.
@@ -144,7 +144,7 @@
             upstream = await self._obtain(request_class, progress.tried)
             if upstream is None:
                 return progress.give_up()
-            attempt = await self._attempt(upstream, request, request_class, parent)
+            attempt = await self._attempt(upstream, request, request_class, trace)
             progress = progress.after(upstream.worker_id, attempt)
             step = next_step(request_class, attempt.result, progress.n_attempts)
             if step is NextStep.RETRY_IN_BUDGET and not self._spend():
@@ -233,14 +233,14 @@
         upstream: Upstream,
         request: HttpRequest,
         request_class: RequestClass,
-        parent: Span,
+        trace: str,
     ) -> _Attempt:
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         result = AttemptResult.LOST
         try:
             with self._tracer.span(
-                "entry.attempt", parent=parent, worker=upstream.worker_id
+                "entry.attempt", parent=trace, worker=upstream.worker_id
             ) as span:
                 message = HttpRequest(
                     request.method,
--- a/programs/beryl-entry/src/berylcleat/entry/_service_desk.py
+++ b/programs/beryl-entry/src/berylcleat/entry/_service_desk.py
@@ -23,7 +23,7 @@
     Router,
     request_digest,
 )
-from berylcleat.telemetry import TRACE_HEADER, Span, Tracer, trace_id_of
+from berylcleat.telemetry import TRACE_HEADER, Tracer, trace_id_of
 
 from . import _metrics
 from ._forwarder import Forwarded, Forwarder, without_hop_headers
@@ -122,18 +122,18 @@
         try:
             parent = request.header(TRACE_HEADER)
             with self._tracer.span("entry.request", parent=parent) as span:
-                trace_id = trace_id_of(self._tracer.header(span))
-                ended = await self._serve(request, span, started_at)
+                trace = self._tracer.header(span)
+                ended = await self._serve(request, trace, started_at)
                 span.set_attribute("outcome", ended.outcome.value)
                 span.set_attribute("code", ended.code)
             _metrics.REQUESTS.labels(ended.outcome.value, ended.code).inc()
             _metrics.LATENCY.observe(loop.time() - started_at)
-            return _to_response(ended, trace_id)
+            return _to_response(ended, trace)
         finally:
             self.n_in_flight -= 1
 
     async def _serve(
-        self, request: HttpRequest, span: Span, started_at: float
+        self, request: HttpRequest, trace: str, started_at: float
     ) -> Forwarded:
         name = request.target.lstrip("/").split("/", 1)[0].split("?", 1)[0]
         service = self.service_by_name.get(name)
@@ -156,8 +156,10 @@
         if len(key) > MAX_KEY_CHARACTERS:
             return Forwarded(Outcome.NOT_RUN, "bad-key")
         if key and not request_class.is_idempotent:
-            return await self._serve_keyed(forwarder, message, request_class, span, key)
-        return await forwarder.forward(message, request_class, span)
+            return await self._serve_keyed(
+                forwarder, message, request_class, trace, key
+            )
+        return await forwarder.forward(message, request_class, trace)
 
     def _refusal(self, service: Service | None) -> str:
         if not self._is_config_known:
@@ -171,12 +173,12 @@
         forwarder: Forwarder,
         request: HttpRequest,
         request_class: RequestClass,
-        span: Span,
+        trace: str,
         key: str,
     ) -> Forwarded:
         name = request.target.lstrip("/").split("/", 1)[0]
         digest = request_digest(request.method, request.target, request.body)
-        with self._tracer.span("entry.claim-key", parent=span):
+        with self._tracer.span("entry.claim-key", parent=trace):
             try:
                 claim = await self._keys.claim(
                     name, key, digest, request_class.deadline_at
@@ -187,7 +189,7 @@
             return _without_run(claim)
         ended = Forwarded(Outcome.UNKNOWN, "interrupted")
         try:
-            ended = await forwarder.forward(request, request_class, span)
+            ended = await forwarder.forward(request, request_class, trace)
             return ended
         finally:
             self._keys.settle(claim, ended.outcome, ended.response)
@@ -222,11 +224,11 @@
     return HttpRequest(request.method, request.target, headers, request.body)
 
 
-def _to_response(ended: Forwarded, trace_id: str) -> HttpResponse:
+def _to_response(ended: Forwarded, trace: str) -> HttpResponse:
     own = (
         ("beryl-outcome", ended.outcome.value),
         ("beryl-code", ended.code),
-        ("beryl-trace", trace_id),
+        ("beryl-trace", trace_id_of(trace)),
     )
     if ended.response is not None:
         headers = without_hop_headers(ended.response.headers)
