--- a/programs/beryl-replay/src/berylcleat/replay/_make.py
+++ b/programs/beryl-replay/src/berylcleat/replay/_make.py
@@ -183,7 +183,7 @@
 
 
 def _permit_desk(random_state: np.random.Generator) -> Trace:
-    events = _batch(random_state, 60) + _urgent(random_state)
+    events = _batch(random_state, 200) + _urgent(random_state)
     return _trace("permit-desk", random_state, events, cores=64.0, memory_gb=250.0)
 
 
