--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # berylcleat: `make demo` and `make test` set up a fresh machine on their own.
 VENV := .venv
 PY := $(VENV)/bin/python
-PACKAGES := $(wildcard libs/*) $(wildcard programs/*) standins
+PACKAGES := $(wildcard libs/*) $(wildcard programs/*) platform standins
 STAMP := $(VENV)/.installed
 
 .PHONY: demo spin test lint format bench slopes capacity spec clean
--- a/libs/model/src/berylcleat/model/__init__.py
+++ b/libs/model/src/berylcleat/model/__init__.py
@@ -37,9 +37,22 @@
 from ._load import load_settings, parse_document
 from ._resources import Resources
 from ._selectors import Labels, Selector, parse_selector
+from ._submissions import (
+    ENDED_SUBMISSION_STATES,
+    AdvicePolicy,
+    QueuePolicy,
+    Step,
+    Submission,
+    SubmissionState,
+    TaskDemand,
+    TaskKey,
+    longest_chain_s,
+)
 
 __all__ = [
+    "ENDED_SUBMISSION_STATES",
     "URGENT_PRIORITY",
+    "AdvicePolicy",
     "BadRequestError",
     "BerylError",
     "ConfigDocument",
@@ -55,12 +68,18 @@
     "OutcomeUnknownError",
     "PlatformUnavailableError",
     "PortInUseError",
+    "QueuePolicy",
     "Resources",
     "Rule",
     "Selector",
     "Service",
     "SettingsError",
     "Steering",
+    "Step",
+    "Submission",
+    "SubmissionState",
+    "TaskDemand",
+    "TaskKey",
     "Team",
     "WorkerSpec",
     "check_config",
@@ -69,6 +88,7 @@
     "check_runnable",
     "effective_services",
     "load_settings",
+    "longest_chain_s",
     "parse_document",
     "parse_selector",
     "steer",
--- a/libs/runtime/src/berylcleat/runtime/__init__.py
+++ b/libs/runtime/src/berylcleat/runtime/__init__.py
@@ -1,11 +1,8 @@
 """What every process shares: signals, periodic steps, admin endpoint."""
 
-from importlib.metadata import version
-
 from ._admin import AdminRouter, error_response, json_response
 from ._process import EXIT_BAD_SETTINGS, StopSignal, cancel_all, repeat, run_process
-
-VERSION = version("berylcleat-runtime")
+from ._version import VERSION
 
 __all__ = [
     "EXIT_BAD_SETTINGS",
--- /dev/null
+++ b/libs/runtime/src/berylcleat/runtime/_version.py
@@ -0,0 +1,3 @@
+"""Version of the product."""
+
+VERSION = "0.2.0"
--- /dev/null
+++ b/libs/scheduling/src/berylcleat/scheduling/__init__.py
@@ -0,0 +1,27 @@
+"""Pure decisions of a cell's owner."""
+
+from ._book import SubmissionBook, TrackedSubmission
+from ._cell import Cell, ProgressWrite, RecordBatch, WorkerOrder
+from ._leases import CLOCK_DRIFT, LeaseTimes, WorkerClock
+from ._placement import choose_worker
+from ._progress import Progress, decode_progress, encode_progress
+from ._workers import Run, RunPhase, WorkerView
+
+__all__ = [
+    "CLOCK_DRIFT",
+    "Cell",
+    "LeaseTimes",
+    "Progress",
+    "ProgressWrite",
+    "RecordBatch",
+    "Run",
+    "RunPhase",
+    "SubmissionBook",
+    "TrackedSubmission",
+    "WorkerClock",
+    "WorkerOrder",
+    "WorkerView",
+    "choose_worker",
+    "decode_progress",
+    "encode_progress",
+]
--- /dev/null
+++ b/libs/scheduling/src/berylcleat/scheduling/_book.py
@@ -0,0 +1,218 @@
+"""The submissions of a cell: which steps may run, and when one has ended."""
+
+from dataclasses import dataclass, field
+
+from berylcleat.model import (
+    Step,
+    Submission,
+    SubmissionState,
+    TaskKey,
+    longest_chain_s,
+)
+
+from ._progress import Progress
+
+
+@dataclass(slots=True)
+class ReadyStep:
+    """Hold the tasks of one step of one occurrence that wait for a start."""
+
+    tracked: "TrackedSubmission"
+    occurrence: int
+    number: int
+    waiting: set[int]
+
+    @property
+    def step(self) -> Step:
+        """Return the step's description."""
+        return self.tracked.submission.steps[self.number]
+
+    def task(self, index: int) -> TaskKey:
+        """Return the name of the task at ``index``."""
+        submission_id = self.tracked.submission.submission_id
+        return TaskKey(submission_id, self.occurrence, self.number, index)
+
+    def order(self) -> tuple[int, float, str, int, int]:
+        """Return the key that sorts ready steps by urgency."""
+        submission = self.tracked.submission
+        return (
+            submission.queue.priority,
+            self.tracked.due_at,
+            submission.submission_id,
+            self.occurrence,
+            self.number,
+        )
+
+
+@dataclass(slots=True)
+class TrackedSubmission:
+    """Follow one submission of the cell.
+
+    ``due_at`` is when it should have ended, on the owner's clock. ``run_floor`` is
+    the highest run number that any task may have had.
+    """
+
+    submission: Submission
+    progress: Progress
+    due_at: float
+    is_cancelled: bool = False
+    has_started: bool = False
+    is_dirty: bool = False
+    ready_by_step: dict[tuple[int, int], ReadyStep] = field(default_factory=dict)
+    opened: set[tuple[int, int]] = field(default_factory=set)
+    run_floor_by_task: dict[TaskKey, int] = field(default_factory=dict)
+
+    @property
+    def is_over(self) -> bool:
+        """Tell whether no task of it may start any more."""
+        return self.is_cancelled or self.progress.final_state is not None
+
+    def open_steps(self, wall_ms: float) -> None:
+        """Make the tasks of every step ready whose turn has come."""
+        if self.is_over:
+            return
+        for occurrence in self.submission.occurrences():
+            if self._due_ms(occurrence) > wall_ms:
+                return
+            for number in range(len(self.submission.steps)):
+                self.open_step(occurrence, number)
+
+    def next_due_ms(self, wall_ms: float) -> float | None:
+        """Return the wall time at which the next occurrence is due."""
+        if self.is_over or not self.submission.is_scheduled:
+            return None
+        later = (self._due_ms(k) for k in self.submission.occurrences())
+        return next((due for due in later if due > wall_ms), None)
+
+    def _due_ms(self, occurrence: int) -> float:
+        if not self.submission.is_scheduled:
+            return 0.0
+        submission = self.submission
+        return submission.first_due_ms + occurrence * submission.interval_ms
+
+    def open_step(self, occurrence: int, number: int) -> bool:
+        """Make the tasks of a step ready if all earlier steps are done."""
+        key = (occurrence, number)
+        step = self.submission.steps[number]
+        if key in self.opened:
+            return True
+        if not all(self.step_is_done(occurrence, earlier) for earlier in step.after):
+            return False
+        self.opened.add(key)
+        done = self.progress.done_by_step.get(key, ())
+        waiting = {index for index in range(step.n_tasks) if index not in done}
+        if waiting:
+            self.ready_by_step[key] = ReadyStep(self, occurrence, number, waiting)
+        return True
+
+    def step_is_done(self, occurrence: int, number: int) -> bool:
+        """Tell whether every task of a step has ended as done."""
+        step = self.submission.steps[number]
+        done = self.progress.done_by_step.get((occurrence, number), ())
+        return len(done) >= step.n_tasks
+
+    def all_done(self) -> bool:
+        """Tell whether every task has ended as done."""
+        return all(
+            self.step_is_done(occurrence, number)
+            for occurrence in self.submission.occurrences()
+            for number in range(len(self.submission.steps))
+        )
+
+    def take(self, task: TaskKey) -> None:
+        """Take ``task`` from the waiting ones."""
+        key = (task.occurrence, task.step)
+        ready = self.ready_by_step.get(key)
+        if ready is None:
+            return
+        ready.waiting.discard(task.index)
+        if not ready.waiting:
+            del self.ready_by_step[key]
+
+    def put_back(self, task: TaskKey) -> None:
+        """Let ``task`` wait for another start, unless it is done."""
+        key = (task.occurrence, task.step)
+        if self.is_over or key not in self.opened or self.progress.is_done(task):
+            return
+        ready = self.ready_by_step.get(key)
+        if ready is None:
+            self.ready_by_step[key] = ReadyStep(self, *key, {task.index})
+        else:
+            ready.waiting.add(task.index)
+
+    def add_done(self, task: TaskKey) -> None:
+        """Note the end of ``task``; end the submission with its last task."""
+        self.progress.add_done(task)
+        self.take(task)
+        self.is_dirty = True
+        if self.all_done():
+            self.progress.final_state = SubmissionState.DONE
+            self.ready_by_step.clear()
+
+    def add_failure(self, task: TaskKey, run: int) -> None:
+        """Note a failed run; end the submission when its attempts are spent."""
+        self.progress.add_failure(task, run)
+        self.is_dirty = True
+        if self.progress.n_failures(task) >= self.submission.queue.max_attempts:
+            self.progress.final_state = SubmissionState.FAILED
+            self.ready_by_step.clear()
+
+    def cancel(self) -> None:
+        """Let nothing of it start any more."""
+        self.is_cancelled = True
+        self.ready_by_step.clear()
+
+
+class SubmissionBook:
+    """Hold the submissions of a cell by id; ``live_by_id`` those not ended yet."""
+
+    def __init__(self):
+        self.by_id: dict[str, TrackedSubmission] = {}
+        self.live_by_id: dict[str, TrackedSubmission] = {}
+
+    def add(
+        self, submission: Submission, progress: Progress, accepted_at: float
+    ) -> TrackedSubmission:
+        """Follow ``submission`` from now on."""
+        queue = submission.queue
+        length_s = longest_chain_s(submission.steps) * queue.stretch
+        due_at = accepted_at + length_s + queue.objective_ms / 1000
+        tracked = TrackedSubmission(submission, progress, due_at)
+        self.by_id[submission.submission_id] = tracked
+        if not tracked.is_over:
+            self.live_by_id[submission.submission_id] = tracked
+        return tracked
+
+    def retire(self, tracked: TrackedSubmission) -> None:
+        """Take an ended submission with nothing to record from the live ones."""
+        if tracked.is_over and not tracked.is_dirty:
+            self.live_by_id.pop(tracked.submission.submission_id, None)
+
+    def open_scheduled(self, wall_ms: float) -> None:
+        """Open the steps of scheduled submissions whose time has come."""
+        for tracked in self.live_by_id.values():
+            if tracked.submission.is_scheduled:
+                tracked.open_steps(wall_ms)
+
+    def ready_steps(self) -> list[ReadyStep]:
+        """Return the steps with waiting tasks, most urgent first."""
+        ready = (
+            step
+            for tracked in self.live_by_id.values()
+            for step in tracked.ready_by_step.values()
+        )
+        return sorted(ready, key=ReadyStep.order)
+
+    def dirty(self) -> list[TrackedSubmission]:
+        """Return the submissions with progress that is not recorded yet."""
+        return [tracked for tracked in self.live_by_id.values() if tracked.is_dirty]
+
+    def n_pending_by_queue(self) -> dict[str, int]:
+        """Return how many submissions of each queue have not begun."""
+        counts: dict[str, int] = {}
+        for tracked in self.live_by_id.values():
+            if tracked.has_started or tracked.is_over:
+                continue
+            name = tracked.submission.queue.name
+            counts[name] = counts.get(name, 0) + 1
+        return counts
--- /dev/null
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -0,0 +1,538 @@
+"""The owner's decisions on one cell: state and event in, orders out.
+
+Fencing tokens after Kleppmann, How to do distributed locking, 2016.
+"""
+
+import logging
+from dataclasses import dataclass
+
+from berylcleat.model import Submission, SubmissionState, TaskKey
+from berylcleat.ports import (
+    EndedTask,
+    OrderAnswer,
+    OrderResult,
+    PaceOrder,
+    RunEnd,
+    RunningTask,
+    StartOrder,
+    StopOrder,
+    WorkerEntry,
+    WorkerReport,
+)
+
+from ._book import ReadyStep, SubmissionBook, TrackedSubmission
+from ._leases import LeaseTimes, WorkerClock
+from ._placement import choose_worker
+from ._progress import Progress, encode_progress
+from ._workers import Run, RunPhase, WorkerView
+
+# Run numbers of one epoch lie above those of every earlier epoch.
+RUNS_PER_EPOCH = 1000
+# Pause after a worker had no room although our books said so.
+NO_ROOM_PAUSE_S = 0.3
+UNHEALTHY_PAUSE_S = 1.0
+STOP_RETRY_S = 0.5
+# A report lists at most this many ends.
+ENDS_IN_REPORT = 500
+RECORDED_ENDS = frozenset({RunEnd.DONE, RunEnd.FAILED})
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerOrder:
+    """Hold an order and the worker that it goes to."""
+
+    worker_id: str
+    order: StartOrder | StopOrder | PaceOrder
+
+
+@dataclass(frozen=True, slots=True)
+class ProgressWrite:
+    """Hold the progress of one submission to be recorded."""
+
+    submission_id: str
+    value: bytes
+    is_final: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RecordBatch:
+    """Hold what to record, and the ends that may be acknowledged after it."""
+
+    writes: tuple[ProgressWrite, ...]
+    ack_by_worker: dict[str, tuple[int, int]]
+
+
+class Cell:
+    """Decide for one cell under one epoch; times are seconds on one clock.
+
+    ``settled_at`` is when runs that an earlier owner may have started on workers
+    that have not answered since have ended for certain.
+    """
+
+    def __init__(
+        self,
+        cell_id: str,
+        epoch: int,
+        times: LeaseTimes,
+        settled_at: float,
+        worker_ids: frozenset[str],
+    ):
+        self.cell_id = cell_id
+        self.epoch = epoch
+        self.times = times
+        self.book = SubmissionBook()
+        self.worker_by_id: dict[str, WorkerView] = {}
+        self.run_by_task: dict[TaskKey, Run] = {}
+        self.is_fenced_out = False
+        self._settled_at = settled_at
+        self._unsettled = set(worker_ids)
+        self._inherited: set[str] = set()
+        self._orders: list[WorkerOrder] = []
+
+    # Submissions
+
+    def add_submission(
+        self, submission: Submission, progress: Progress, now: float, *, inherited: bool
+    ) -> None:
+        """Follow a submission; an ``inherited`` one may have runs we don't know."""
+        if submission.submission_id in self.book.by_id:
+            return
+        tracked = self.book.add(submission, progress, now)
+        if not submission.is_scheduled:
+            tracked.open_steps(0.0)
+        if inherited:
+            self._inherited.add(submission.submission_id)
+            tracked.has_started = bool(progress.done_by_step)
+
+    def cancel(self, submission_id: str, now: float) -> None:
+        """Stop all runs of a submission and let none start."""
+        tracked = self.book.by_id.get(submission_id)
+        if tracked is None or tracked.is_over:
+            return
+        tracked.cancel()
+        self.book.retire(tracked)
+        self._stop_runs_of(submission_id, now)
+
+    def state_of(self, submission_id: str) -> SubmissionState | None:
+        """Return what a client may be told; recorded ends only."""
+        tracked = self.book.by_id.get(submission_id)
+        if tracked is None:
+            return None
+        if tracked.progress.final_state and not tracked.is_dirty:
+            return tracked.progress.final_state
+        if tracked.is_cancelled:
+            return SubmissionState.CANCELLED
+        started = tracked.has_started
+        return SubmissionState.RUNNING if started else SubmissionState.QUEUED
+
+    # Workers
+
+    def list_worker(self, entry: WorkerEntry) -> None:
+        """Note a listed worker, or news of a known one."""
+        view = self.worker_by_id.get(entry.worker_id)
+        if view is None:
+            self.worker_by_id[entry.worker_id] = WorkerView(entry)
+            return
+        if entry.started_at_ms > view.life_ms and view.life_ms:
+            self._end_life(view, "listed again")
+        view.entry = entry
+        view.is_listed = True
+
+    def unlist_worker(self, worker_id: str) -> None:
+        """Start nothing more on a worker that is no longer listed."""
+        view = self.worker_by_id.get(worker_id)
+        if view is not None:
+            view.is_listed = False
+
+    def on_report(
+        self, worker_id: str, report: WorkerReport, asked_at: float, now: float
+    ) -> None:
+        """Take in a worker's answer to a hold sent at ``asked_at``."""
+        view = self.worker_by_id.get(worker_id)
+        if view is None:
+            return
+        if report.started_at_ms != view.life_ms:
+            if report.started_at_ms < view.life_ms:
+                return
+            if view.life_ms:
+                self._end_life(view, "started again")
+            view.life_ms = report.started_at_ms
+        view.clock.observe(report.clock_ms, now)
+        if not view.is_fenced:
+            view.is_fenced = True
+            self._unsettled.discard(worker_id)
+        for end in report.ended:
+            if end.number > view.handled_number:
+                self._on_end(view, end, now)
+        if report.ended:
+            view.handled_number = max(view.handled_number, report.ended[-1].number)
+        self._match_running(view, report, asked_at, now)
+
+    def on_other_life(self, worker_id: str) -> None:
+        """Note that another life answers at the worker's address."""
+        view = self.worker_by_id.get(worker_id)
+        if view is not None:
+            self._unsettled.discard(worker_id)
+            self._end_life(view, "another life answers")
+            view.is_listed = False
+
+    def on_fenced(self, worker_id: str) -> None:
+        """Note that a worker has seen a higher epoch: the cell has a new owner."""
+        logger.warning("cell %s: %s saw a newer epoch", self.cell_id, worker_id)
+        self.is_fenced_out = True
+
+    def on_start_answer(
+        self, worker_id: str, order: StartOrder, answer: OrderAnswer, now: float
+    ) -> None:
+        """Take in the answer to a start."""
+        run = self.run_by_task.get(order.task)
+        if run is None or run.number != order.run:
+            return
+        result = answer.result
+        if result is OrderResult.ACCEPTED:
+            if run.phase in (RunPhase.STARTING, RunPhase.UNSURE):
+                run.phase = RunPhase.RUNNING
+                run.phase_since = now
+        elif result is OrderResult.NO_ANSWER:
+            if run.phase is RunPhase.STARTING:
+                run.phase = RunPhase.UNSURE
+                run.phase_since = now
+        elif result is OrderResult.FENCED:
+            self._drop_run(run)
+            self.on_fenced(worker_id)
+        elif run.phase is not RunPhase.RUNNING:
+            self._on_rejected_start(run, result, now)
+
+    def on_stop_answer(
+        self, worker_id: str, order: StopOrder, answer: OrderAnswer, now: float
+    ) -> None:
+        """Take in the answer to a stop."""
+        run = self.run_by_task.get(order.task)
+        if answer.result is OrderResult.FENCED:
+            self.on_fenced(worker_id)
+        if run is None or run.number != order.run:
+            return
+        if answer.result is OrderResult.ACCEPTED:
+            run.stop_answered_at = now
+        else:
+            run.stop_sent_at = None
+
+    # Time
+
+    def plan(self, now: float, wall_ms: float) -> list[WorkerOrder]:
+        """Return the orders to send now."""
+        self._lapse_workers(now)
+        self._retry_stops(now)
+        self.book.open_scheduled(wall_ms)
+        blocked = bool(self._unsettled) and now < self._settled_at
+        for ready in self.book.ready_steps():
+            if blocked and ready.tracked.submission.submission_id in self._inherited:
+                continue
+            self._start_ready(ready, now)
+        orders, self._orders = self._orders, []
+        return orders
+
+    def lease_until_ms(self, view: WorkerView, now: float) -> int:
+        """Return the lease to ask for, and note that it may be granted."""
+        until_ms = view.clock.earliest_ms(now) + int(self.times.worker_lease_s * 1000)
+        view.clock.grant(until_ms)
+        return until_ms
+
+    def take_batch(self) -> RecordBatch:
+        """Return what is to be recorded now."""
+        writes = []
+        for tracked in self.book.dirty():
+            progress = tracked.progress
+            writes.append(
+                ProgressWrite(
+                    tracked.submission.submission_id,
+                    encode_progress(progress),
+                    progress.final_state is not None,
+                )
+            )
+        acks = {
+            worker_id: (view.life_ms, view.handled_number)
+            for worker_id, view in self.worker_by_id.items()
+            if view.handled_number > view.acked_number
+        }
+        return RecordBatch(tuple(writes), acks)
+
+    def on_recorded(self, batch: RecordBatch) -> None:
+        """Note that ``batch`` is durable."""
+        for write in batch.writes:
+            tracked = self.book.by_id.get(write.submission_id)
+            if tracked and encode_progress(tracked.progress) == write.value:
+                tracked.is_dirty = False
+                self.book.retire(tracked)
+        for worker_id, (life_ms, number) in batch.ack_by_worker.items():
+            view = self.worker_by_id.get(worker_id)
+            if view is not None and view.life_ms == life_ms:
+                view.acked_number = max(view.acked_number, number)
+
+    # Inside
+
+    def _on_end(self, view: WorkerView, end: EndedTask, now: float) -> None:
+        run = self.run_by_task.get(end.task)
+        is_ours = (
+            run is not None
+            and run.number == end.run
+            and run.worker_id == view.entry.worker_id
+        )
+        if is_ours:
+            self._drop_run(run)
+        tracked = self.book.by_id.get(end.task.submission_id)
+        if tracked is None:
+            return
+        step = tracked.submission.steps[end.task.step]
+        floor = tracked.run_floor_by_task.get(end.task, 0)
+        tracked.run_floor_by_task[end.task] = max(floor, end.run)
+        if end.checkpoint and step.saves_progress:
+            tracked.progress.checkpoint_by_task[end.task] = end.checkpoint
+        if step.is_long_running:
+            self._note_health(view, end, now)
+        elif end.end is RunEnd.DONE:
+            view.note_success()
+            tracked.has_started = True
+            tracked.add_done(end.task)
+            if not tracked.submission.is_scheduled:
+                tracked.open_steps(0.0)
+            self._stop_extra_run(end.task, now)
+        elif end.end is RunEnd.FAILED:
+            self._note_health(view, end, now)
+            tracked.has_started = True
+            tracked.add_failure(end.task, end.run)
+            logger.info(
+                "run failed: task %s run %d on %s, %d of %d attempts",
+                end.task,
+                end.run,
+                view.entry.worker_id,
+                tracked.progress.n_failures(end.task),
+                tracked.submission.queue.max_attempts,
+            )
+        if tracked.progress.final_state is not None:
+            self._stop_runs_of(end.task.submission_id, now)
+        elif is_ours:
+            tracked.put_back(end.task)
+
+    def _note_health(self, view: WorkerView, end: EndedTask, now: float) -> None:
+        if end.end is RunEnd.FAILED:
+            view.note_failure(now)
+
+    def _stop_extra_run(self, task: TaskKey, now: float) -> None:
+        run = self.run_by_task.get(task)
+        if run is not None:
+            self._stop(run, now)
+
+    def _match_running(
+        self, view: WorkerView, report: WorkerReport, asked_at: float, now: float
+    ) -> None:
+        seen = {}
+        for running in report.running:
+            seen[(running.task, running.run)] = running
+            self._on_running(view, running, now)
+        for run in tuple(view.run_by_task.values()):
+            if (run.task, run.number) not in seen:
+                self._on_absent(run, report, asked_at, now)
+
+    def _on_running(self, view: WorkerView, running: RunningTask, now: float) -> None:
+        run = self.run_by_task.get(running.task)
+        if (
+            run is None
+            or run.number != running.run
+            or run.worker_id != view.entry.worker_id
+        ):
+            run = self._adopt(view, running, now)
+        if run is None:
+            return
+        run.percent = running.percent
+        run.reading = running.reading
+        if running.checkpoint:
+            run.checkpoint = running.checkpoint
+        if run.phase in (RunPhase.STARTING, RunPhase.UNSURE):
+            run.phase = RunPhase.RUNNING
+            run.phase_since = now
+
+    def _adopt(self, view: WorkerView, running: RunningTask, now: float) -> Run | None:
+        """Take over a run that an earlier owner has started, or stop it."""
+        task = running.task
+        tracked = self.book.by_id.get(task.submission_id)
+        wanted = (
+            tracked is not None
+            and not tracked.is_over
+            and task not in self.run_by_task
+            and not tracked.progress.is_done(task)
+            and self._has_step(tracked, task)
+        )
+        if not wanted:
+            self._order(
+                view.entry.worker_id, StopOrder(task, running.run, self.epoch)
+            )
+            return None
+        step = tracked.submission.steps[task.step]
+        run = Run(
+            task,
+            running.run,
+            view.entry.worker_id,
+            step,
+            RunPhase.RUNNING,
+            now,
+            now,
+            checkpoint=running.checkpoint,
+        )
+        tracked.has_started = True
+        self._add_run(tracked, run)
+        return run
+
+    def _has_step(self, tracked: TrackedSubmission, task: TaskKey) -> bool:
+        key = (task.occurrence, task.step)
+        if task.step >= len(tracked.submission.steps):
+            return False
+        if key in tracked.opened:
+            return True
+        return tracked.open_step(*key)
+
+    def _on_absent(
+        self, run: Run, report: WorkerReport, asked_at: float, now: float
+    ) -> None:
+        if len(report.ended) >= ENDS_IN_REPORT:
+            return
+        if run.phase is RunPhase.STARTING:
+            return
+        if run.stop_answered_at is not None:
+            if asked_at > run.stop_answered_at:
+                self._lose(run, "stopped before it started")
+            return
+        if run.phase is RunPhase.UNSURE and asked_at > run.phase_since:
+            self._stop(run, now)
+        elif run.phase is RunPhase.RUNNING and asked_at > run.phase_since:
+            self._lose(run, "no longer listed")
+
+    def _on_rejected_start(self, run: Run, result: OrderResult, now: float) -> None:
+        view = self.worker_by_id.get(run.worker_id)
+        if view is not None:
+            if result is OrderResult.NO_ROOM:
+                view.avoid_until = max(view.avoid_until, now + NO_ROOM_PAUSE_S)
+            elif result is not OrderResult.OLD_RUN:
+                view.avoid_until = max(view.avoid_until, now + UNHEALTHY_PAUSE_S)
+        self._lose(run, result.value)
+
+    def _lose(self, run: Run, reason: str) -> None:
+        """Forget a run that has ended for certain and let its task start again."""
+        logger.info(
+            "run lost: task %s run %d on %s: %s",
+            run.task,
+            run.number,
+            run.worker_id,
+            reason,
+        )
+        self._drop_run(run)
+        tracked = self.book.by_id.get(run.task.submission_id)
+        if tracked is None:
+            return
+        if run.checkpoint and run.step.saves_progress:
+            tracked.progress.checkpoint_by_task[run.task] = run.checkpoint
+        tracked.put_back(run.task)
+
+    def _end_life(self, view: WorkerView, reason: str) -> None:
+        logger.info("worker %s: life ended: %s", view.entry.worker_id, reason)
+        for run in tuple(view.run_by_task.values()):
+            self._lose(run, reason)
+        view.clock = WorkerClock()
+        view.life_ms = 0
+        view.is_fenced = False
+        view.handled_number = 0
+        view.acked_number = 0
+
+    def _lapse_workers(self, now: float) -> None:
+        for view in self.worker_by_id.values():
+            if view.run_by_task and now > view.clock.lapsed_by():
+                logger.info("worker %s: lease lapsed", view.entry.worker_id)
+                for run in tuple(view.run_by_task.values()):
+                    self._lose(run, "lease lapsed")
+
+    def _start_ready(self, ready: ReadyStep, now: float) -> None:
+        tracked = ready.tracked
+        step = ready.step
+        for index in sorted(ready.waiting):
+            task = ready.task(index)
+            if task in self.run_by_task:
+                continue
+            failed_on = frozenset()
+            view = choose_worker(
+                task,
+                step,
+                tracked.submission.queue.service,
+                self.worker_by_id.values(),
+                now,
+                failed_on,
+            )
+            if view is None:
+                return
+            self._start(tracked, task, view, now)
+
+    def _start(
+        self, tracked: TrackedSubmission, task: TaskKey, view: WorkerView, now: float
+    ) -> None:
+        base = (self.epoch - 1) * RUNS_PER_EPOCH
+        number = max(base, tracked.run_floor_by_task.get(task, 0)) + 1
+        step = tracked.submission.steps[task.step]
+        deadline_ms = self.lease_until_ms(view, now)
+        checkpoint = tracked.progress.checkpoint_by_task.get(task, "")
+        run = Run(
+            task,
+            number,
+            view.entry.worker_id,
+            step,
+            RunPhase.STARTING,
+            now,
+            now,
+            start_deadline_ms=deadline_ms,
+            checkpoint=checkpoint,
+        )
+        tracked.has_started = True
+        self._add_run(tracked, run)
+        order = StartOrder(
+            task, number, tracked.submission.spec, deadline_ms, self.epoch, checkpoint
+        )
+        self._order(view.entry.worker_id, order)
+
+    def _add_run(self, tracked: TrackedSubmission, run: Run) -> None:
+        floor = tracked.run_floor_by_task.get(run.task, 0)
+        tracked.run_floor_by_task[run.task] = max(floor, run.number)
+        tracked.take(run.task)
+        self.run_by_task[run.task] = run
+        self.worker_by_id[run.worker_id].add_run(run)
+
+    def _drop_run(self, run: Run) -> None:
+        if self.run_by_task.get(run.task) is run:
+            del self.run_by_task[run.task]
+        view = self.worker_by_id.get(run.worker_id)
+        if view is not None:
+            view.drop_run(run)
+
+    def _stop_runs_of(self, submission_id: str, now: float) -> None:
+        for run in tuple(self.run_by_task.values()):
+            if run.task.submission_id == submission_id:
+                self._stop(run, now)
+
+    def _stop(self, run: Run, now: float) -> None:
+        if run.phase is not RunPhase.STOPPING:
+            run.phase = RunPhase.STOPPING
+            run.phase_since = now
+        if run.stop_sent_at is None:
+            run.stop_sent_at = now
+            self._order(run.worker_id, StopOrder(run.task, run.number, self.epoch))
+
+    def _retry_stops(self, now: float) -> None:
+        for run in self.run_by_task.values():
+            if run.phase is not RunPhase.STOPPING or run.stop_answered_at is not None:
+                continue
+            if run.stop_sent_at is None or now - run.stop_sent_at > STOP_RETRY_S:
+                run.stop_sent_at = None
+                self._stop(run, now)
+
+    def _order(
+        self, worker_id: str, order: StartOrder | StopOrder | PaceOrder
+    ) -> None:
+        self._orders.append(WorkerOrder(worker_id, order))
--- /dev/null
+++ b/libs/scheduling/src/berylcleat/scheduling/_leases.py
@@ -0,0 +1,60 @@
+"""Lease arithmetic on a worker's clock, seen from the owner's.
+
+Leases bounded on the grantor's clock after Gray and Cheriton, SOSP 1989.
+"""
+
+from dataclasses import dataclass
+
+# Workers' clocks may run this much slower than ours (relative).
+CLOCK_DRIFT = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseTimes:
+    """Set the times of leases, in seconds.
+
+    ``owner_limit_s`` bounds how long an owner goes on after the store last confirmed
+    it; it must exceed the store outages that work should survive.
+    """
+
+    worker_lease_s: float = 5.0
+    owner_limit_s: float = 12.0
+    start_lead_s: float = 1.5
+
+    def takeover_wait_s(self, owner_is_dead: bool) -> float:
+        """Return how long runs of an earlier owner may last unseen."""
+        renewals_s = 0.0 if owner_is_dead else self.owner_limit_s
+        return (renewals_s + self.worker_lease_s) * (1 + 2 * CLOCK_DRIFT)
+
+
+@dataclass(slots=True)
+class WorkerClock:
+    """Bound a worker's steady clock by its latest answer."""
+
+    clock_ms: int = 0
+    answered_at: float = 0.0
+    lease_until_ms: int = 0
+
+    def observe(self, clock_ms: int, now: float) -> None:
+        """Note that the worker's clock read ``clock_ms`` at ``now`` or before."""
+        if clock_ms >= self.clock_ms:
+            self.clock_ms = clock_ms
+            self.answered_at = now
+
+    def earliest_ms(self, now: float) -> int:
+        """Return a time that the worker's clock has reached by ``now``."""
+        elapsed_ms = (now - self.answered_at) * 1000 / (1 + CLOCK_DRIFT)
+        return self.clock_ms + int(elapsed_ms)
+
+    def grant(self, until_ms: int) -> None:
+        """Note a lease that may have been granted up to ``until_ms``."""
+        self.lease_until_ms = max(self.lease_until_ms, until_ms)
+
+    def passed_by(self, clock_ms: int) -> float:
+        """Return our time by which the worker's clock has passed ``clock_ms``."""
+        left_s = max(0, clock_ms - self.clock_ms) / 1000
+        return self.answered_at + left_s * (1 + 2 * CLOCK_DRIFT)
+
+    def lapsed_by(self) -> float:
+        """Return our time by which every granted lease has run out."""
+        return self.passed_by(self.lease_until_ms)
--- /dev/null
+++ b/libs/scheduling/src/berylcleat/scheduling/_progress.py
@@ -0,0 +1,87 @@
+"""Durable progress of one submission: ends that must outlive the owner."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+from berylcleat.model import SubmissionState, TaskKey
+
+
+class _ProgressRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Hold progress as stored: [occurrence, step, ...] rows in place of keys."""
+
+    final_state: str
+    done: tuple[tuple[int, int, tuple[int, ...]], ...]
+    failed: tuple[tuple[int, int, int, tuple[int, ...]], ...]
+    checkpoints: tuple[tuple[int, int, int, str], ...]
+
+
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder(_ProgressRecord)
+
+
+@dataclass(slots=True)
+class Progress:
+    """Hold which tasks are done, which runs failed, and saved checkpoints."""
+
+    final_state: SubmissionState | None = None
+    done_by_step: dict[tuple[int, int], set[int]] = field(default_factory=dict)
+    failed_runs_by_task: dict[TaskKey, set[int]] = field(default_factory=dict)
+    checkpoint_by_task: dict[TaskKey, str] = field(default_factory=dict)
+
+    def is_done(self, task: TaskKey) -> bool:
+        """Tell whether ``task`` has ended as done."""
+        done = self.done_by_step.get((task.occurrence, task.step))
+        return done is not None and task.index in done
+
+    def add_done(self, task: TaskKey) -> None:
+        """Note that ``task`` has ended as done."""
+        key = (task.occurrence, task.step)
+        self.done_by_step.setdefault(key, set()).add(task.index)
+        self.checkpoint_by_task.pop(task, None)
+
+    def add_failure(self, task: TaskKey, run: int) -> None:
+        """Note a failed run; the same run counts once."""
+        self.failed_runs_by_task.setdefault(task, set()).add(run)
+
+    def n_failures(self, task: TaskKey) -> int:
+        """Return how many runs of ``task`` have failed."""
+        return len(self.failed_runs_by_task.get(task, ()))
+
+
+def encode_progress(progress: Progress) -> bytes:
+    """Return ``progress`` as stored."""
+    record = _ProgressRecord(
+        progress.final_state.value if progress.final_state else "",
+        tuple(
+            (occurrence, step, tuple(sorted(indices)))
+            for (occurrence, step), indices in progress.done_by_step.items()
+        ),
+        tuple(
+            (task.occurrence, task.step, task.index, tuple(sorted(runs)))
+            for task, runs in progress.failed_runs_by_task.items()
+        ),
+        tuple(
+            (task.occurrence, task.step, task.index, checkpoint)
+            for task, checkpoint in progress.checkpoint_by_task.items()
+        ),
+    )
+    return _encoder.encode(record)
+
+
+def decode_progress(submission_id: str, data: bytes) -> Progress:
+    """Return the progress of ``submission_id``; raise ``msgspec.MsgspecError``."""
+    record = _decoder.decode(data)
+    state = SubmissionState(record.final_state) if record.final_state else None
+    return Progress(
+        state,
+        {(k, step): set(indices) for k, step, indices in record.done},
+        {
+            TaskKey(submission_id, k, step, index): set(runs)
+            for k, step, index, runs in record.failed
+        },
+        {
+            TaskKey(submission_id, k, step, index): checkpoint
+            for k, step, index, checkpoint in record.checkpoints
+        },
+    )
--- /dev/null
+++ b/programs/beryl-host/src/berylcleat/host/__main__.py
@@ -0,0 +1,5 @@
+"""Run the host process."""
+
+from . import main
+
+main()
--- /dev/null
+++ b/programs/beryl-host/src/berylcleat/host/_cell_driver.py
@@ -0,0 +1,374 @@
+"""Drive one owned cell: renew leases, send orders, record ends."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+import msgspec
+
+from berylcleat.model import BerylError, SubmissionState
+from berylcleat.platform import PlatformWorker
+from berylcleat.ports import (
+    Commit,
+    CommitOutcome,
+    Condition,
+    HoldOrder,
+    OrderResult,
+    PaceOrder,
+    RowWrite,
+    StartOrder,
+    StopOrder,
+    Store,
+    StoreRow,
+    WorkerEntry,
+)
+from berylcleat.runtime import cancel_all
+from berylcleat.scheduling import (
+    Cell,
+    LeaseTimes,
+    Progress,
+    RecordBatch,
+    WorkerOrder,
+    WorkerView,
+    decode_progress,
+)
+
+from ._clock import now_s, wall_ms
+from ._directory import Directory, DirectoryEntry
+from ._records import (
+    CELL_TABLE,
+    OWNER_KEY,
+    PROGRESS_TABLE,
+    CellSummary,
+    OwnerRow,
+    encode,
+)
+
+# The longest that a hold waits for an end, and so the longest between renewals.
+HOLD_WAIT_MS = 1000
+HOLD_RETRY_S = 0.25
+# Ends that are listed but not yet recorded make a hold return at once.
+HOLD_PAUSE_S = 0.1
+TICK_S = 0.1
+RECORD_PAUSE_S = 0.08
+RECORD_RETRY_S = 0.3
+MAX_WRITES = 90
+logger = logging.getLogger(__name__)
+
+
+class CellDriver:
+    """Carry out the decisions of a ``Cell`` until it is released or lost."""
+
+    def __init__(
+        self,
+        cell_id: str,
+        data_centre: str,
+        owner: OwnerRow,
+        owner_version: int,
+        store: Store,
+        directory: Directory,
+        times: LeaseTimes,
+        settled_at: float,
+        is_confirmed: Callable[[], bool],
+    ):
+        self.cell_id = cell_id
+        self.data_centre = data_centre
+        self.owner = owner
+        self.owner_version = owner_version
+        self.cell: Cell | None = None
+        self.is_lost = False
+        self._store = store
+        self._directory = directory
+        self._times = times
+        self._settled_at = settled_at
+        self._is_confirmed = is_confirmed
+        self._version_by_id: dict[str, int] = {}
+        self._port_by_worker: dict[str, PlatformWorker] = {}
+        self._task_by_worker: dict[str, asyncio.Task] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._wake = asyncio.Event()
+        self._dirty = asyncio.Event()
+
+    # Life
+
+    async def start(self, entries: dict[str, WorkerEntry]) -> None:
+        """Read what earlier owners recorded and begin."""
+        page = await self._store.read(PROGRESS_TABLE, self.cell_id)
+        progress_by_id = self._decode(page.rows)
+        cell = Cell(
+            self.cell_id,
+            self.owner.epoch,
+            self._times,
+            self._settled_at,
+            frozenset(entries),
+        )
+        now = now_s()
+        for entry in self._directory.in_cell(self.cell_id):
+            submission = entry.accepted.submission
+            progress = progress_by_id.get(submission.submission_id, Progress())
+            age_s = max(0.0, wall_ms() - entry.accepted.accepted_at_ms) / 1000
+            cell.add_submission(submission, progress, now - age_s, inherited=True)
+            if entry.is_cancelled:
+                cell.cancel(submission.submission_id, now)
+        self.cell = cell
+        self.update_workers(entries)
+        self._spawn(self._pump())
+        self._spawn(self._record())
+        logger.info(
+            "cell %s: epoch %d begins with %d submissions and %d workers",
+            self.cell_id,
+            self.owner.epoch,
+            len(cell.book.live_by_id),
+            len(entries),
+        )
+
+    async def release(self) -> None:
+        """Give the cell up: nothing is started or renewed from now on."""
+        self.is_lost = True
+        await self._stop_tasks()
+        if self.cell is None:
+            return
+        batch = self.cell.take_batch()
+        row = OwnerRow(self.owner.epoch, "", "")
+        write = RowWrite(CELL_TABLE, self.cell_id, OWNER_KEY, encode(row))
+        try:
+            await self._commit(batch, (write,))
+            logger.info("cell %s: released", self.cell_id)
+        except BerylError as error:
+            logger.warning("cell %s: release not recorded: %s", self.cell_id, error)
+
+    async def abandon(self) -> None:
+        """Stop at once: another host owns the cell."""
+        self.is_lost = True
+        await self._stop_tasks()
+        logger.info("cell %s: epoch %d ends", self.cell_id, self.owner.epoch)
+
+    async def _stop_tasks(self) -> None:
+        await cancel_all([*self._tasks, *self._task_by_worker.values()])
+        for port in self._port_by_worker.values():
+            port.close()
+
+    # News
+
+    def on_submission(self, submission_id: str, entry: DirectoryEntry) -> None:
+        """Take in a new submission of this cell, or its cancelling."""
+        if self.cell is None or entry.accepted is None:
+            return
+        now = now_s()
+        self.cell.add_submission(
+            entry.accepted.submission, Progress(), now, inherited=False
+        )
+        if entry.is_cancelled:
+            self.cell.cancel(submission_id, now)
+        self._wake.set()
+
+    def update_workers(self, entries: dict[str, WorkerEntry]) -> None:
+        """Take in the listed workers of this cell."""
+        if self.cell is None:
+            return
+        for worker_id, entry in entries.items():
+            self.cell.list_worker(entry)
+            if worker_id not in self._task_by_worker:
+                self._open_worker(entry)
+        for worker_id in self.cell.worker_by_id.keys() - entries.keys():
+            self.cell.unlist_worker(worker_id)
+        self._wake.set()
+
+    def state_of(self, submission_id: str) -> SubmissionState | None:
+        """Return the state that a client may be told."""
+        return self.cell.state_of(submission_id) if self.cell else None
+
+    def summary(self) -> CellSummary | None:
+        """Return the load of the cell for other hosts."""
+        if self.cell is None:
+            return None
+        views = [v for v in self.cell.worker_by_id.values() if v.can_start(now_s())]
+        waiting = sum(
+            len(ready.waiting) * ready.step.room.cpu_millis
+            for tracked in self.cell.book.live_by_id.values()
+            for ready in tracked.ready_by_step.values()
+        )
+        return CellSummary(
+            service=views[0].entry.service if views else "",
+            data_centre=self.data_centre,
+            cpu_capacity=sum(v.entry.capacity.cpu_millis for v in views),
+            cpu_free=sum(v.free().cpu_millis for v in views),
+            cpu_waiting=waiting,
+            pending_by_queue=self.cell.book.n_pending_by_queue(),
+        )
+
+    # Workers
+
+    def _open_worker(self, entry: WorkerEntry) -> None:
+        worker_id = entry.worker_id
+        port = PlatformWorker(worker_id, entry.address)
+        self._port_by_worker[worker_id] = port
+        loop = asyncio.get_running_loop()
+        self._task_by_worker[worker_id] = loop.create_task(self._hold(worker_id, port))
+
+    async def _hold(self, worker_id: str, port: PlatformWorker) -> None:
+        """Renew the worker's lease and take in its reports, one hold at a time."""
+        while not self.is_lost:
+            view = self.cell.worker_by_id[worker_id]
+            if not self._is_confirmed():
+                await asyncio.sleep(HOLD_RETRY_S)
+                continue
+            asked_at = now_s()
+            answer = await port.hold(self._hold_order(view, asked_at))
+            if answer.result is OrderResult.ACCEPTED:
+                self.cell.on_report(worker_id, answer.report, asked_at, now_s())
+                self._after_news()
+                await self._pause_while_unrecorded(view)
+            elif answer.result is OrderResult.FENCED:
+                self.cell.on_fenced(worker_id)
+                return
+            else:
+                if answer.result is OrderResult.OTHER_LIFE:
+                    self.cell.on_other_life(worker_id)
+                    self._after_news()
+                if self._is_forgotten(view):
+                    break
+                await asyncio.sleep(HOLD_RETRY_S)
+        self._close_worker(worker_id)
+
+    def _hold_order(self, view: WorkerView, now: float) -> HoldOrder:
+        if not view.is_fenced:
+            return HoldOrder(self.owner.epoch, view.acked_number, None, 0)
+        until_ms = self.cell.lease_until_ms(view, now)
+        return HoldOrder(self.owner.epoch, view.acked_number, until_ms, HOLD_WAIT_MS)
+
+    async def _pause_while_unrecorded(self, view: WorkerView) -> None:
+        for _ in range(3):
+            if view.acked_number >= view.handled_number:
+                return
+            await asyncio.sleep(HOLD_PAUSE_S / 2)
+
+    def _is_forgotten(self, view: WorkerView) -> bool:
+        return not view.is_listed and not view.run_by_task
+
+    def _close_worker(self, worker_id: str) -> None:
+        self._port_by_worker.pop(worker_id).close()
+        del self._task_by_worker[worker_id]
+        self.cell.worker_by_id.pop(worker_id, None)
+
+    def _after_news(self) -> None:
+        self._wake.set()
+        self._dirty.set()
+
+    # Orders
+
+    async def _pump(self) -> None:
+        """Plan after every piece of news, and from time to time."""
+        while True:
+            try:
+                async with asyncio.timeout(TICK_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            if self._is_confirmed() and not self.is_lost:
+                for item in self.cell.plan(now_s(), wall_ms()):
+                    self._spawn(self._send(item))
+
+    async def _send(self, item: WorkerOrder) -> None:
+        port = self._port_by_worker.get(item.worker_id)
+        order = item.order
+        if port is None:
+            logger.warning("no connection to worker %s", item.worker_id)
+            return
+        if isinstance(order, StartOrder):
+            answer = await port.start(order)
+            if answer.result is not OrderResult.ACCEPTED:
+                self._log_order(item, answer.result)
+            self.cell.on_start_answer(item.worker_id, order, answer, now_s())
+        elif isinstance(order, StopOrder):
+            answer = await port.stop(order)
+            self.cell.on_stop_answer(item.worker_id, order, answer, now_s())
+        elif isinstance(order, PaceOrder):
+            answer = await port.pace(order)
+        if answer.result is not OrderResult.ACCEPTED:
+            self._wake.set()
+
+    def _log_order(self, item: WorkerOrder, result: OrderResult) -> None:
+        logger.info(
+            "start refused: task %s run %d on %s: %s",
+            ".".join(map(str, item.order.task)),
+            item.order.run,
+            item.worker_id,
+            result.value,
+        )
+
+    # Records
+
+    async def _record(self) -> None:
+        """Record ends, then let the workers forget them."""
+        while True:
+            await self._dirty.wait()
+            self._dirty.clear()
+            batch = self.cell.take_batch()
+            if not any(write.is_final for write in batch.writes):
+                await asyncio.sleep(RECORD_PAUSE_S)
+                batch = self.cell.take_batch()
+            if not batch.writes:
+                self.cell.on_recorded(batch)
+                continue
+            try:
+                recorded = await self._commit(batch, ())
+            except BerylError as error:
+                logger.warning("cell %s: ends not recorded: %s", self.cell_id, error)
+                await asyncio.sleep(RECORD_RETRY_S)
+                recorded = False
+            if not recorded:
+                self._dirty.set()
+
+    async def _commit(self, batch: RecordBatch, extra: tuple[RowWrite, ...]) -> bool:
+        """Commit a batch; return whether all of it is durable."""
+        part = batch.writes[:MAX_WRITES]
+        conditions = [
+            Condition(CELL_TABLE, self.cell_id, OWNER_KEY, self.owner_version)
+        ]
+        writes = list(extra)
+        for write in part:
+            version = self._version_by_id.get(write.submission_id, 0)
+            key = (PROGRESS_TABLE, self.cell_id, write.submission_id)
+            conditions.append(Condition(*key, version))
+            writes.append(RowWrite(*key, write.value))
+        outcome = await self._store.commit(Commit(tuple(conditions), tuple(writes)))
+        if not outcome.applied:
+            self._on_conflict(outcome)
+            return False
+        for write in part:
+            self._version_by_id[write.submission_id] = outcome.version
+        complete = len(part) == len(batch.writes)
+        acks = batch.ack_by_worker if complete else {}
+        self.cell.on_recorded(RecordBatch(part, acks))
+        return complete
+
+    def _on_conflict(self, outcome: CommitOutcome) -> None:
+        for row in outcome.current:
+            if row.table == PROGRESS_TABLE:
+                # An earlier try of ours whose answer was lost.
+                self._version_by_id[row.key] = row.version
+            elif row.version != self.owner_version:
+                logger.warning("cell %s: owned by another host", self.cell_id)
+                self.is_lost = True
+
+    def _decode(self, rows: tuple[StoreRow, ...]) -> dict[str, Progress]:
+        progress_by_id = {}
+        for row in rows:
+            self._version_by_id[row.key] = row.version
+            try:
+                progress_by_id[row.key] = decode_progress(row.key, row.value)
+            except msgspec.MsgspecError as error:
+                logger.error("progress row %s can't be read: %s", row.key, error)
+        return progress_by_id
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.error("cell %s: task failed", self.cell_id, exc_info=task.exception())
--- /dev/null
+++ b/programs/beryl-host/src/berylcleat/host/_cells.py
@@ -0,0 +1,175 @@
+"""Take cells without an owner, give them up, and keep their drivers."""
+
+import asyncio
+import logging
+
+from berylcleat.model import BerylError
+from berylcleat.ports import (
+    Commit,
+    Condition,
+    RowWrite,
+    Store,
+    StoreRow,
+    WorkerEntry,
+)
+from berylcleat.scheduling import LeaseTimes
+
+from ._cell_driver import CellDriver
+from ._clock import now_s
+from ._directory import Directory, DirectoryEntry
+from ._follower import TableFollower
+from ._membership import Knowledge, Membership, OwnerSighting, assign_cells
+from ._records import CELL_TABLE, OWNER_KEY, CellSummary, OwnerRow, encode
+from ._worker_list import WorkerList
+
+logger = logging.getLogger(__name__)
+
+
+class CellKeeper:
+    """Hold the drivers of the cells that this incarnation owns, by cell id."""
+
+    def __init__(
+        self,
+        host_id: str,
+        incarnation: str,
+        store: Store,
+        directory: Directory,
+        membership: Membership,
+        workers: WorkerList,
+        cells: TableFollower,
+        submissions: TableFollower,
+        times: LeaseTimes,
+    ):
+        self.driver_by_cell: dict[str, CellDriver] = {}
+        self.is_leaving = False
+        self._host_id = host_id
+        self._incarnation = incarnation
+        self._store = store
+        self._directory = directory
+        self._membership = membership
+        self._workers = workers
+        self._cells = cells
+        self._submissions = submissions
+        self._times = times
+        directory.listeners.append(self._on_submission)
+        workers.listeners.append(self._on_workers)
+
+    async def step(self, known: Knowledge) -> None:
+        """Drop what is lost and take what falls to this host."""
+        await self._drop_lost()
+        if self.is_leaving or not self._cells.has_read:
+            return
+        if self._cells.failing_since is not None:
+            return
+        for cell_id, host_id in self._wanted(known).items():
+            if host_id == self._host_id and cell_id not in self.driver_by_cell:
+                await self._take(cell_id, known)
+
+    async def release_all(self) -> None:
+        """Give all cells up."""
+        self.is_leaving = True
+        drivers = list(self.driver_by_cell.values())
+        self.driver_by_cell.clear()
+        await asyncio.gather(*(driver.release() for driver in drivers))
+
+    def summaries(self) -> dict[str, CellSummary]:
+        """Return the loads of the cells owned here."""
+        summaries = {}
+        for cell_id, driver in self.driver_by_cell.items():
+            summary = driver.summary()
+            if summary is not None:
+                summaries[cell_id] = summary
+        return summaries
+
+    def _wanted(self, known: Knowledge) -> dict[str, str]:
+        live = self._membership.live_hosts(known)
+        owners = {}
+        for cell_id, owner in self._membership.owner_by_cell.items():
+            row = owner.row
+            if row.host_id in live and self._membership.is_live(
+                row.host_id, row.incarnation, known
+            ):
+                owners[cell_id] = row.host_id
+        return assign_cells(self._workers.data_centre_by_cell(), owners, live)
+
+    async def _take(self, cell_id: str, known: Knowledge) -> None:
+        before = self._membership.owner_by_cell.get(cell_id)
+        epoch = before.row.epoch + 1 if before else 1
+        version = before.version if before else 0
+        row = OwnerRow(epoch, self._host_id, self._incarnation)
+        place = (CELL_TABLE, cell_id, OWNER_KEY)
+        commit = Commit(
+            (Condition(*place, version),), (RowWrite(*place, encode(row)),)
+        )
+        try:
+            outcome = await self._store.commit(commit)
+        except BerylError as error:
+            logger.warning("cell %s: not taken: %s", cell_id, error)
+            return
+        if not outcome.applied:
+            self._membership.on_owner_rows(outcome.current)
+            return
+        written = StoreRow(*place, encode(row), outcome.version)
+        self._membership.on_owner_rows((written,))
+        await self._drive(cell_id, row, outcome.version, before)
+
+    async def _drive(
+        self,
+        cell_id: str,
+        row: OwnerRow,
+        version: int,
+        before: OwnerSighting | None,
+    ) -> None:
+        driver = CellDriver(
+            cell_id,
+            self._workers.data_centre_by_cell().get(cell_id, ""),
+            row,
+            version,
+            self._store,
+            self._directory,
+            self._times,
+            now_s() + self._takeover_wait_s(before),
+            self._is_confirmed,
+        )
+        self.driver_by_cell[cell_id] = driver
+        try:
+            await self._submissions.wait_for(version)
+            await driver.start(self._workers.in_cell(cell_id))
+        except BerylError as error:
+            logger.warning("cell %s: not begun: %s", cell_id, error)
+            del self.driver_by_cell[cell_id]
+            await driver.release()
+
+    def _takeover_wait_s(self, before: OwnerSighting | None) -> float:
+        if before is None:
+            return 0.0
+        row = before.row
+        is_dead = not row.host_id or (
+            row.host_id == self._host_id and row.incarnation != self._incarnation
+        )
+        return self._times.takeover_wait_s(is_dead)
+
+    def _is_confirmed(self) -> bool:
+        """Tell whether ownership was confirmed recently enough to go on."""
+        age_s = now_s() - self._cells.confirmed_at
+        return age_s < self._times.owner_limit_s
+
+    async def _drop_lost(self) -> None:
+        for cell_id, driver in tuple(self.driver_by_cell.items()):
+            owner = self._membership.owner_by_cell[cell_id]
+            is_ours = owner.version == driver.owner_version
+            fenced = driver.cell is not None and driver.cell.is_fenced_out
+            if not is_ours or fenced or driver.is_lost:
+                del self.driver_by_cell[cell_id]
+                await driver.abandon()
+
+    def _on_submission(self, submission_id: str, entry: DirectoryEntry) -> None:
+        if entry.accepted is None:
+            return
+        driver = self.driver_by_cell.get(entry.accepted.cell_id)
+        if driver is not None:
+            driver.on_submission(submission_id, entry)
+
+    def _on_workers(self, by_cell: dict[str, dict[str, WorkerEntry]]) -> None:
+        for cell_id, driver in self.driver_by_cell.items():
+            driver.update_workers(by_cell.get(cell_id, {}))
--- /dev/null
+++ b/programs/beryl-host/src/berylcleat/host/_desk.py
@@ -0,0 +1,275 @@
+"""Answer clients: take submissions, tell states, cancel, count what waits."""
+
+import asyncio
+import logging
+
+import msgspec
+
+from berylcleat.http import HttpRequest, HttpResponse
+from berylcleat.model import (
+    BadRequestError,
+    BerylError,
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+    Submission,
+    SubmissionState,
+)
+from berylcleat.platform import (
+    IngressKind,
+    IngressRequest,
+    decode_submission,
+    encode_pending,
+    encode_state,
+    parse_ingress,
+)
+from berylcleat.ports import (
+    Commit,
+    Condition,
+    OperatorConfig,
+    RowWrite,
+    Store,
+    StoreRow,
+)
+from berylcleat.scheduling import decode_progress
+
+from ._cells import CellKeeper
+from ._choice import CellChooser
+from ._clock import now_s, wall_ms
+from ._directory import Directory, DirectoryEntry
+from ._membership import Membership
+from ._peers import News, PeerClient
+from ._records import (
+    CANCEL_SUFFIX,
+    PROGRESS_TABLE,
+    SUBMISSION_TABLE,
+    AcceptedRow,
+    encode,
+    submission_part,
+)
+
+JSON_TYPE = ("content-type", "application/json")
+RETRY_AFTER_S = 1
+DEFAULT_WAIT_S = 3.0
+# Kept back from the client's time limit for the answer's way.
+ANSWER_MARGIN_S = 0.15
+COMMIT_RETRY_S = 0.1
+logger = logging.getLogger(__name__)
+
+
+def answer(status: int, body: bytes = b"") -> HttpResponse:
+    """Return a response to a client."""
+    headers = (JSON_TYPE,) if body else ()
+    if status in (429, 503):
+        headers += (("retry-after", str(RETRY_AFTER_S)),)
+    return HttpResponse(status, headers, body)
+
+
+class Desk:
+    """Answer the requests of clients."""
+
+    def __init__(
+        self,
+        store: Store,
+        directory: Directory,
+        membership: Membership,
+        keeper: CellKeeper,
+        chooser: CellChooser,
+        peers: PeerClient,
+    ):
+        self.config: OperatorConfig | None = None
+        self._store = store
+        self._directory = directory
+        self._membership = membership
+        self._keeper = keeper
+        self._chooser = chooser
+        self._peers = peers
+        self._background: set[asyncio.Task] = set()
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one client request."""
+        if self.config is None:
+            return answer(503)
+        ingress = parse_ingress(request, self.config)
+        if ingress.kind is IngressKind.UNKNOWN:
+            return answer(404)
+        if ingress.kind is IngressKind.COUNT_PENDING:
+            return answer(200, encode_pending(self._count_pending(ingress)))
+        wait_s = (ingress.deadline_ms or DEFAULT_WAIT_S * 1000) / 1000
+        deadline = now_s() + wait_s - ANSWER_MARGIN_S
+        if ingress.kind is IngressKind.SUBMIT:
+            return await self._submit(ingress, request.body, deadline)
+        if ingress.kind is IngressKind.CANCEL:
+            return await self._cancel(ingress.submission_id, deadline)
+        return await self._read_state(ingress.submission_id)
+
+    # Submitting
+
+    async def _submit(
+        self, ingress: IngressRequest, body: bytes, deadline: float
+    ) -> HttpResponse:
+        submission_id = ingress.submission_id
+        known = self._directory.by_id.get(submission_id)
+        if known is not None:
+            return answer(200)
+        try:
+            submission = decode_submission(submission_id, ingress.queue.policy, body)
+        except BadRequestError as error:
+            logger.info("submission %s: malformed: %s", submission_id, error)
+            return answer(400, msgspec.json.encode({"error": str(error)}))
+        cell_id = self._chooser.choose(submission)
+        if cell_id is None:
+            logger.info("submission %s: refused, no cell known", submission_id)
+            return answer(503)
+        accepted = AcceptedRow(cell_id, int(wall_ms()), submission)
+        status = await self._accept(accepted, deadline)
+        if status != 200:
+            logger.info("submission %s: answered %d", submission_id, status)
+        return answer(status)
+
+    async def _accept(self, accepted: AcceptedRow, deadline: float) -> int:
+        """Store an accepted submission; return the status for the client.
+
+        A try without an answer may still take effect, so after one the client is
+        never told that the submission was refused.
+        """
+        submission_id = accepted.submission.submission_id
+        commit = _acceptance(accepted)
+        is_unsure = False
+        while True:
+            try:
+                outcome = await self._store.commit(commit)
+            except PlatformUnavailableError as error:
+                if not is_unsure:
+                    logger.info("submission %s: refused: %s", submission_id, error)
+                    return 503
+            except OutcomeUnknownError as error:
+                logger.info("submission %s: outcome unknown: %s", submission_id, error)
+                is_unsure = True
+            else:
+                if outcome.applied:
+                    self._on_accepted(accepted)
+                else:
+                    self._directory.on_rows(outcome.current)
+                return 200
+            if now_s() + COMMIT_RETRY_S >= deadline:
+                return 504
+            await asyncio.sleep(COMMIT_RETRY_S)
+
+    def _on_accepted(self, accepted: AcceptedRow) -> None:
+        self._directory.add(accepted)
+        self._tell_owner(accepted.cell_id, News(accepted=accepted))
+
+    def _tell_owner(self, cell_id: str, news: News) -> None:
+        """Tell the owner now; its feed of the store brings the same later."""
+        if cell_id in self._keeper.driver_by_cell:
+            return
+        address = self._membership.peer_of_cell(cell_id)
+        if address is None:
+            return
+        task = asyncio.get_running_loop().create_task(self._peers.tell(address, news))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    # States
+
+    async def _read_state(self, submission_id: str) -> HttpResponse:
+        entry = self._directory.by_id.get(submission_id)
+        if entry is None or entry.accepted is None:
+            try:
+                entry = await self._look_up(submission_id)
+            except BerylError as error:
+                logger.info("state of %s: not known: %s", submission_id, error)
+                return answer(503)
+        if entry is None:
+            return answer(410)
+        state = await self._state_of(submission_id, entry)
+        return answer(200, encode_state(state))
+
+    async def _state_of(
+        self, submission_id: str, entry: DirectoryEntry
+    ) -> SubmissionState:
+        if entry.accepted is None:
+            return SubmissionState.CANCELLED
+        cell_id = entry.accepted.cell_id
+        state = None
+        driver = self._keeper.driver_by_cell.get(cell_id)
+        if driver is not None:
+            state = driver.state_of(submission_id)
+        else:
+            address = self._membership.peer_of_cell(cell_id)
+            if address is not None:
+                state = await self._peers.ask_state(address, submission_id)
+        if state is None:
+            state = await self._recorded_state(cell_id, submission_id)
+        if entry.is_cancelled and state in (
+            SubmissionState.QUEUED,
+            SubmissionState.RUNNING,
+        ):
+            return SubmissionState.CANCELLED
+        return state
+
+    async def _recorded_state(
+        self, cell_id: str, submission_id: str
+    ) -> SubmissionState:
+        """Return what the store tells while no owner answers."""
+        try:
+            page = await self._store.read(
+                PROGRESS_TABLE, cell_id, submission_id, submission_id + "\x00"
+            )
+            if not page.rows:
+                return SubmissionState.QUEUED
+            progress = decode_progress(submission_id, page.rows[0].value)
+        except (BerylError, msgspec.MsgspecError) as error:
+            logger.info("progress of %s not read: %s", submission_id, error)
+            return SubmissionState.RUNNING
+        return progress.final_state or SubmissionState.RUNNING
+
+    async def _look_up(self, submission_id: str) -> DirectoryEntry | None:
+        """Read a submission that this host doesn't know yet."""
+        part = submission_part(submission_id)
+        page = await self._store.read(
+            SUBMISSION_TABLE, part, submission_id, submission_id + "/"
+        )
+        self._directory.on_rows(page.rows)
+        return self._directory.by_id.get(submission_id)
+
+    # Cancelling
+
+    async def _cancel(self, submission_id: str, deadline: float) -> HttpResponse:
+        try:
+            entry = self._directory.by_id.get(submission_id)
+            if entry is None or entry.accepted is None:
+                entry = await self._look_up(submission_id)
+            if entry is None or entry.accepted is None:
+                return answer(410)
+            if not entry.is_cancelled:
+                await self._store.commit(_cancelling(submission_id))
+        except PlatformUnavailableError as error:
+            logger.info("cancel of %s: refused: %s", submission_id, error)
+            return answer(503)
+        except BerylError as error:
+            logger.info("cancel of %s: outcome unknown: %s", submission_id, error)
+            return answer(504)
+        self._directory.add_cancel(submission_id)
+        self._tell_owner(entry.accepted.cell_id, News(cancelled_id=submission_id))
+        return answer(200)
+
+    # Counting
+
+    def _count_pending(self, ingress: IngressRequest) -> int:
+        return self._chooser.n_pending(ingress.queue.policy.name)
+
+
+def _acceptance(accepted: AcceptedRow) -> Commit:
+    submission_id = accepted.submission.submission_id
+    part = submission_part(submission_id)
+    keys = (submission_id, submission_id + CANCEL_SUFFIX)
+    conditions = tuple(Condition(SUBMISSION_TABLE, part, key, 0) for key in keys)
+    write = RowWrite(SUBMISSION_TABLE, part, submission_id, encode(accepted))
+    return Commit(conditions, (write,))
+
+
+def _cancelling(submission_id: str) -> Commit:
+    part = submission_part(submission_id)
+    key = submission_id + CANCEL_SUFFIX
+    return Commit((), (RowWrite(SUBMISSION_TABLE, part, key, b"{}"),))
--- /dev/null
+++ b/programs/beryl-host/src/berylcleat/host/_follower.py
@@ -0,0 +1,135 @@
+"""Follow one table of the store: read it whole, then its changes."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from berylcleat.model import BerylError
+from berylcleat.ports import HistoryLostError, Store, StoreRow
+
+from ._clock import now_s
+
+RETRY_PAUSE_S = 0.4
+RowsListener = Callable[[tuple[StoreRow, ...]], None]
+logger = logging.getLogger(__name__)
+
+
+class TableFollower:
+    """Give ``on_rows`` every row of a table and then each change, in order.
+
+    ``confirmed_at`` is when the last answered request was sent: all that was
+    written before it is known.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        table: str,
+        on_rows: RowsListener,
+        *,
+        wait_s: float,
+        min_period_s: float,
+        parts: tuple[str, ...] | None = None,
+    ):
+        self._store = store
+        self._table = table
+        self._on_rows = on_rows
+        self._wait_s = wait_s
+        self._min_period_s = min_period_s
+        self._parts = parts
+        self._version_by_row: dict[tuple[str, str], int] = {}
+        self.version = 0
+        self.confirmed_at = float("-inf")
+        self.failing_since: float | None = None
+        self.recovered_at = 0.0
+        self.progressed = asyncio.Event()
+
+    @property
+    def has_read(self) -> bool:
+        """Tell whether the whole table was read at least once."""
+        return self.confirmed_at > float("-inf")
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        must_read = True
+        while True:
+            asked_at = now_s()
+            try:
+                if must_read:
+                    await self._read_all()
+                    must_read = False
+                else:
+                    await self._follow()
+            except HistoryLostError as error:
+                logger.info("table %s: %s", self._table, error)
+                must_read = True
+                continue
+            except BerylError as error:
+                self._note_failure(error)
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            self._note_success(asked_at)
+            pause_s = self._min_period_s - (now_s() - asked_at)
+            if pause_s > 0:
+                await asyncio.sleep(pause_s)
+
+    async def wait_for(self, version: int) -> None:
+        """Return once all changes up to ``version`` are known."""
+        while self.version < version:
+            self.progressed.clear()
+            await self.progressed.wait()
+
+    async def _read_all(self) -> None:
+        parts = self._parts
+        if parts is None:
+            parts = await self._store.list_parts(self._table)
+        versions = []
+        live: set[tuple[str, str]] = set()
+        for part in parts or ("",):
+            page = await self._store.read(self._table, part)
+            versions.append(page.version)
+            live.update((row.part, row.key) for row in page.rows)
+            self._take(page.rows)
+        if self._version_by_row:
+            self._drop_missing(live)
+        self.version = max(self.version, min(versions))
+
+    def _drop_missing(self, live: set[tuple[str, str]]) -> None:
+        gone = [row for row in self._version_by_row if row not in live]
+        self._on_rows(
+            tuple(
+                StoreRow(self._table, part, key, b"", self.version, is_removed=True)
+                for part, key in gone
+            )
+        )
+        for row in gone:
+            del self._version_by_row[row]
+
+    async def _follow(self) -> None:
+        page = await self._store.follow(self._table, self.version, self._wait_s)
+        self._take(page.rows)
+        self.version = max(self.version, page.version)
+
+    def _take(self, rows: tuple[StoreRow, ...]) -> None:
+        fresh = []
+        for row in rows:
+            key = (row.part, row.key)
+            if row.version > self._version_by_row.get(key, 0):
+                self._version_by_row[key] = row.version
+                fresh.append(row)
+        if fresh:
+            self._on_rows(tuple(fresh))
+
+    def _note_failure(self, error: BerylError) -> None:
+        if self.failing_since is None:
+            self.failing_since = now_s()
+            logger.warning("dependency lost: table %s: %s", self._table, error)
+
+    def _note_success(self, asked_at: float) -> None:
+        if self.failing_since is not None:
+            lost_s = now_s() - self.failing_since
+            logger.info("dependency back: table %s after %.1f s", self._table, lost_s)
+            self.failing_since = None
+            self.recovered_at = now_s()
+        self.confirmed_at = asked_at
+        self.progressed.set()
--- /dev/null
+++ b/programs/beryl-host/src/berylcleat/host/_membership.py
@@ -0,0 +1,139 @@
+"""Hosts of ours and owners of cells, as the store tells."""
+
+import logging
+from dataclasses import dataclass
+
+import msgspec
+
+from berylcleat.ports import StoreRow
+
+from ._clock import now_s
+from ._records import OWNER_KEY, HostRow, OwnerRow
+
+# A host whose heartbeat has not changed for this long is taken as dead.
+HOST_LAPSE_S = 3.0
+logger = logging.getLogger(__name__)
+_host_decoder = msgspec.json.Decoder(HostRow)
+_owner_decoder = msgspec.json.Decoder(OwnerRow)
+
+
+@dataclass(frozen=True, slots=True)
+class HostSighting:
+    """Hold a host's last heartbeat and when it was seen."""
+
+    row: HostRow
+    seen_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerSighting:
+    """Hold a cell's owner and the version of its row."""
+
+    row: OwnerRow
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Knowledge:
+    """Bound the time in which the store told every heartbeat without a gap."""
+
+    since: float
+    until: float
+
+
+class Membership:
+    """Hold hosts and owners by id."""
+
+    def __init__(self):
+        self.host_by_id: dict[str, HostSighting] = {}
+        self.owner_by_cell: dict[str, OwnerSighting] = {}
+
+    def on_host_rows(self, rows: tuple[StoreRow, ...]) -> None:
+        """Take in heartbeats."""
+        for row in rows:
+            try:
+                host = _host_decoder.decode(row.value)
+            except msgspec.MsgspecError as error:
+                logger.error("host row %s can't be read: %s", row.key, error)
+                continue
+            known = self.host_by_id.get(row.key)
+            if known is None or known.row.incarnation != host.incarnation:
+                logger.info("host %s: incarnation %s", row.key, host.incarnation)
+            self.host_by_id[row.key] = HostSighting(host, now_s())
+
+    def on_owner_rows(self, rows: tuple[StoreRow, ...]) -> None:
+        """Take in owners of cells."""
+        for row in rows:
+            if row.key != OWNER_KEY:
+                continue
+            try:
+                owner = _owner_decoder.decode(row.value)
+            except msgspec.MsgspecError as error:
+                logger.error("owner row of %s can't be read: %s", row.part, error)
+                continue
+            known = self.owner_by_cell.get(row.part)
+            if known is None or row.version > known.version:
+                self.owner_by_cell[row.part] = OwnerSighting(owner, row.version)
+                logger.info(
+                    "cell %s: owner %s epoch %d",
+                    row.part,
+                    owner.host_id or "(none)",
+                    owner.epoch,
+                )
+
+    def is_live(self, host_id: str, incarnation: str, known: "Knowledge") -> bool:
+        """Tell whether an incarnation of a host is taken as alive."""
+        sighting = self.host_by_id.get(host_id)
+        if sighting is None or sighting.row.incarnation != incarnation:
+            return False
+        silent_since = max(sighting.seen_at, known.since)
+        return known.until - silent_since < HOST_LAPSE_S
+
+    def live_hosts(self, known: "Knowledge") -> dict[str, HostRow]:
+        """Return the hosts that may own cells."""
+        return {
+            host_id: sighting.row
+            for host_id, sighting in self.host_by_id.items()
+            if not sighting.row.is_leaving
+            and self.is_live(host_id, sighting.row.incarnation, known)
+        }
+
+    def peer_of_cell(self, cell_id: str) -> str | None:
+        """Return the peer address of a cell's owner."""
+        owner = self.owner_by_cell.get(cell_id)
+        if owner is None or not owner.row.host_id:
+            return None
+        sighting = self.host_by_id.get(owner.row.host_id)
+        return sighting.row.peer_address if sighting else None
+
+
+def assign_cells(
+    data_centre_by_cell: dict[str, str],
+    owner_by_cell: dict[str, str],
+    host_by_id: dict[str, HostRow],
+) -> dict[str, str]:
+    """Return the host that should take each cell without a live owner.
+
+    Hosts of the cell's data centre go first, then those with fewest cells for
+    their processor share.
+    """
+    n_owned = dict.fromkeys(host_by_id, 0)
+    for host_id in owner_by_cell.values():
+        if host_id in n_owned:
+            n_owned[host_id] += 1
+    wanted = {}
+    for cell_id in sorted(data_centre_by_cell):
+        if owner_by_cell.get(cell_id) in host_by_id or not host_by_id:
+            continue
+        place = data_centre_by_cell[cell_id]
+        best = min(
+            host_by_id,
+            key=lambda host_id: (
+                host_by_id[host_id].data_centre != place,
+                (n_owned[host_id] + 1) / host_by_id[host_id].cpu_share,
+                host_id,
+            ),
+        )
+        wanted[cell_id] = best
+        n_owned[best] += 1
+    return wanted
--- /dev/null
+++ b/programs/beryl-host/src/berylcleat/host/_peers.py
@@ -0,0 +1,66 @@
+"""Messages between hosts: who asks for a state, and who tells of a submission."""
+
+import logging
+
+import msgspec
+
+from berylcleat.http import ExchangeError, HttpClient, HttpRequest, HttpResponse
+from berylcleat.model import SubmissionState
+
+from ._records import AcceptedRow
+
+PEER_TIMEOUT_S = 0.5
+STATE_PREFIX = "/state/"
+NEWS_PATH = "/news"
+logger = logging.getLogger(__name__)
+
+
+class News(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Tell a cell's owner of a submission or a cancelling before its feed does."""
+
+    accepted: AcceptedRow | None = None
+    cancelled_id: str = ""
+
+
+class StateReply(msgspec.Struct, frozen=True):
+    """Tell a submission's state; empty if the asked host doesn't know it."""
+
+    state: str
+
+
+class PeerClient:
+    """Send messages to other hosts."""
+
+    def __init__(self):
+        self._client_by_address: dict[str, HttpClient] = {}
+        self._decoder = msgspec.json.Decoder(StateReply)
+
+    async def ask_state(
+        self, address: str, submission_id: str
+    ) -> SubmissionState | None:
+        """Return the state that the host at ``address`` tells, or None."""
+        response = await self._send(address, "GET", STATE_PREFIX + submission_id)
+        if response is None or response.status != 200:
+            return None
+        word = self._decoder.decode(response.body).state
+        return SubmissionState(word) if word else None
+
+    async def tell(self, address: str, news: News) -> bool:
+        """Send ``news``; return whether it was taken."""
+        body = msgspec.json.encode(news)
+        response = await self._send(address, "POST", NEWS_PATH, body)
+        return response is not None and response.status == 200
+
+    async def _send(
+        self, address: str, method: str, target: str, body: bytes = b""
+    ) -> HttpResponse | None:
+        client = self._client_by_address.get(address)
+        if client is None:
+            client = HttpClient(address, max_connections=8)
+            self._client_by_address[address] = client
+        request = HttpRequest(method, target, (), body)
+        try:
+            return await client.exchange(request, PEER_TIMEOUT_S)
+        except ExchangeError as error:
+            logger.info("peer %s: %s", address, error)
+            return None
--- /dev/null
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -0,0 +1,257 @@
+"""Wire the parts of the host process together."""
+
+import asyncio
+import logging
+import secrets
+
+import msgspec
+
+from berylcleat.http import HttpLimits, HttpRequest, HttpResponse, HttpServer
+from berylcleat.model import BerylError
+from berylcleat.platform import (
+    CONFIG_ROW,
+    WORKER_TABLE,
+    PlatformStore,
+    decode_config,
+)
+from berylcleat.ports import Commit, RowWrite, StoreRow
+from berylcleat.runtime import AdminRouter, StopSignal, cancel_all
+from berylcleat.scheduling import LeaseTimes
+from berylcleat.telemetry import Tracer
+
+from ._cells import CellKeeper
+from ._choice import CellChooser
+from ._clock import now_s
+from ._desk import Desk
+from ._directory import Directory
+from ._follower import TableFollower
+from ._membership import Knowledge, Membership
+from ._peers import NEWS_PATH, STATE_PREFIX, News, PeerClient, StateReply
+from ._records import (
+    CELL_TABLE,
+    HOST_PART,
+    HOST_TABLE,
+    SUBMISSION_TABLE,
+    HostRow,
+    encode,
+)
+from ._settings import HostSettings
+from ._worker_list import WorkerList
+
+HEARTBEAT_S = 1.0
+KEEPER_PERIOD_S = 0.25
+LONG_WAIT_S = 10.0
+CELL_WAIT_S = 3.0
+WORKER_PERIOD_S = 0.7
+SUBMISSION_PERIOD_S = 0.4
+HOST_PERIOD_S = 0.8
+# Clients are led elsewhere before the listening socket closes.
+LEAVE_PAUSE_S = 2.2
+logger = logging.getLogger(__name__)
+
+
+class Host:
+    """Hold the parts of one host process."""
+
+    def __init__(self, settings: HostSettings):
+        self.settings = settings
+        self.incarnation = secrets.token_hex(4)
+        self.is_leaving = False
+        self.store = PlatformStore(settings.store_address)
+        self.directory = Directory()
+        self.membership = Membership()
+        self.workers = WorkerList()
+        self.peers = PeerClient()
+        self._follow_tables()
+        self.keeper = CellKeeper(
+            settings.host_id,
+            self.incarnation,
+            self.store,
+            self.directory,
+            self.membership,
+            self.workers,
+            self.cells,
+            self.submissions,
+            LeaseTimes(worker_lease_s=settings.worker_lease_s),
+        )
+        chooser = CellChooser(settings.data_centre, self.membership, self.keeper)
+        self.desk = Desk(
+            self.store,
+            self.directory,
+            self.membership,
+            self.keeper,
+            chooser,
+            self.peers,
+        )
+
+    def _follow_tables(self) -> None:
+        self.config = TableFollower(
+            self.store,
+            CONFIG_ROW[0],
+            self._on_operator_rows,
+            wait_s=LONG_WAIT_S,
+            min_period_s=0.1,
+            parts=("",),
+        )
+        self.listed = TableFollower(
+            self.store,
+            WORKER_TABLE,
+            self.workers.on_rows,
+            wait_s=LONG_WAIT_S,
+            min_period_s=WORKER_PERIOD_S,
+            parts=("",),
+        )
+        self.submissions = TableFollower(
+            self.store,
+            SUBMISSION_TABLE,
+            self.directory.on_rows,
+            wait_s=LONG_WAIT_S,
+            min_period_s=SUBMISSION_PERIOD_S,
+        )
+        self.cells = TableFollower(
+            self.store,
+            CELL_TABLE,
+            self.membership.on_owner_rows,
+            wait_s=CELL_WAIT_S,
+            min_period_s=0.05,
+        )
+        self.hosts = TableFollower(
+            self.store,
+            HOST_TABLE,
+            self.membership.on_host_rows,
+            wait_s=LONG_WAIT_S,
+            min_period_s=HOST_PERIOD_S,
+            parts=(HOST_PART,),
+        )
+
+    @property
+    def followers(self) -> tuple[TableFollower, ...]:
+        """Return what this host follows."""
+        return (self.config, self.listed, self.submissions, self.cells, self.hosts)
+
+    def is_ready(self) -> bool:
+        """Tell whether clients should be sent here."""
+        if self.is_leaving or self.desk.config is None:
+            return False
+        return all(follower.has_read for follower in self.followers)
+
+    async def heartbeat(self) -> None:
+        """Write this host's row from time to time."""
+        is_failing = False
+        while True:
+            try:
+                await self.write_row()
+                is_failing = False
+            except BerylError as error:
+                if not is_failing:
+                    logger.warning("heartbeat not written: %s", error)
+                is_failing = True
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def write_row(self) -> None:
+        """Write this host's row once."""
+        row = HostRow(
+            self.incarnation,
+            self.settings.data_centre,
+            self.settings.peer_address,
+            self.settings.cpu_share,
+            self.is_leaving,
+            self.keeper.summaries(),
+        )
+        key = self.settings.host_id
+        write = RowWrite(HOST_TABLE, HOST_PART, key, encode(row))
+        await self.store.commit(Commit((), (write,)))
+
+    async def keep_cells(self) -> None:
+        """Take and drop cells as membership changes."""
+        while True:
+            known = Knowledge(self.hosts.recovered_at, self.hosts.confirmed_at)
+            await self.keeper.step(known)
+            await asyncio.sleep(KEEPER_PERIOD_S)
+
+    async def leave(self) -> None:
+        """Tell clients and hosts that this one goes."""
+        self.is_leaving = True
+        await self.keeper.release_all()
+        try:
+            await self.write_row()
+        except BerylError as error:
+            logger.warning("leaving not written: %s", error)
+
+    # Messages
+
+    async def on_ready(self, request: HttpRequest) -> HttpResponse:
+        """Answer the platform's question whether this host is ready."""
+        return HttpResponse(200 if self.is_ready() else 503)
+
+    async def on_peer(self, request: HttpRequest) -> HttpResponse:
+        """Answer another host."""
+        if request.target.startswith(STATE_PREFIX):
+            return self._tell_state(request.target.removeprefix(STATE_PREFIX))
+        if request.target == NEWS_PATH:
+            return self._take_news(request.body)
+        return HttpResponse(404)
+
+    def _tell_state(self, submission_id: str) -> HttpResponse:
+        entry = self.directory.by_id.get(submission_id)
+        state = None
+        if entry is not None and entry.accepted is not None:
+            driver = self.keeper.driver_by_cell.get(entry.accepted.cell_id)
+            state = driver.state_of(submission_id) if driver else None
+        word = state.value if state else ""
+        return HttpResponse(200, (), msgspec.json.encode(StateReply(word)))
+
+    def _take_news(self, body: bytes) -> HttpResponse:
+        try:
+            news = msgspec.json.decode(body, type=News)
+        except msgspec.MsgspecError as error:
+            logger.error("news can't be read: %s", error)
+            return HttpResponse(400)
+        if news.accepted is not None:
+            self.directory.add(news.accepted)
+        if news.cancelled_id:
+            self.directory.add_cancel(news.cancelled_id)
+        return HttpResponse(200)
+
+    def _on_operator_rows(self, rows: tuple[StoreRow, ...]) -> None:
+        for row in rows:
+            if row.key == CONFIG_ROW[1]:
+                self._on_config(row)
+
+    def _on_config(self, row: StoreRow) -> None:
+        config = decode_config(row)
+        current = self.desk.config
+        if config is None:
+            logger.error("configuration at %d can't be read; kept", row.version)
+        elif current is None or config.version > current.version:
+            self.desk.config = config
+            logger.info("configuration %d in force", config.version)
+
+
+async def serve_host(settings: HostSettings, stop: StopSignal) -> None:
+    """Serve until a stop signal, then leave gracefully."""
+    host = Host(settings)
+    tracer = Tracer("beryl-host")
+    limits = HttpLimits(idle_timeout_s=60.0)
+    front = HttpServer(settings.front_address, host.desk.handle, limits)
+    ready = HttpServer(settings.ready_address, host.on_ready)
+    peer = HttpServer(settings.peer_address, host.on_peer)
+    admin = HttpServer(
+        settings.metrics_address, AdminRouter(tracer, host.is_ready).handle
+    )
+    for server in (ready, front, peer, admin):
+        await server.start()
+    logger.info("host %s incarnation %s started", settings.host_id, host.incarnation)
+    loop = asyncio.get_running_loop()
+    tasks = [loop.create_task(follower.run()) for follower in host.followers]
+    tasks.append(loop.create_task(host.heartbeat()))
+    tasks.append(loop.create_task(host.keep_cells()))
+    await stop.wait()
+    logger.info("stopping")
+    started_at = now_s()
+    await host.leave()
+    await asyncio.sleep(LEAVE_PAUSE_S)
+    grace_s = settings.drain_grace_s - (now_s() - started_at) - 0.5
+    await front.stop(max(grace_s, 0.1))
+    await cancel_all(tasks)
+    logger.info("stopped")
--- /dev/null
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -0,0 +1,63 @@
+"""Rows that this program keeps in the store."""
+
+import msgspec
+
+from berylcleat.model import Submission
+
+SUBMISSION_TABLE = "submissions"
+CELL_TABLE = "cells"
+HOST_TABLE = "hosts"
+PROGRESS_TABLE = "progress"
+OWNER_KEY = "owner"
+HOST_PART = ""
+CANCEL_SUFFIX = ".cancel"
+# Parts of the submission table: one part carries 250 transactions a second.
+N_SUBMISSION_PARTS = 4
+
+
+class AcceptedRow(msgspec.Struct, frozen=True):
+    """Hold an accepted submission and the cell that runs it."""
+
+    cell_id: str
+    accepted_at_ms: int
+    submission: Submission
+
+
+class OwnerRow(msgspec.Struct, frozen=True):
+    """Name the owner of a cell; ``host_id`` is empty when it was given up."""
+
+    epoch: int
+    host_id: str
+    incarnation: str
+
+
+class CellSummary(msgspec.Struct, frozen=True):
+    """Tell other hosts about a cell's load; amounts in thousandths of a core."""
+
+    service: str
+    data_centre: str
+    cpu_capacity: int
+    cpu_free: int
+    cpu_waiting: int
+    pending_by_queue: dict[str, int]
+
+
+class HostRow(msgspec.Struct, frozen=True):
+    """Heartbeat of one host."""
+
+    incarnation: str
+    data_centre: str
+    peer_address: str
+    cpu_share: float
+    is_leaving: bool = False
+    summary_by_cell: dict[str, CellSummary] = {}
+
+
+def submission_part(submission_id: str) -> str:
+    """Return the part that the rows of a submission lie in."""
+    return str(int(submission_id[-4:], 16) % N_SUBMISSION_PARTS)
+
+
+def encode(row: msgspec.Struct) -> bytes:
+    """Return ``row`` as stored."""
+    return msgspec.json.encode(row)
--- /dev/null
+++ b/programs/beryl-host/src/berylcleat/host/_worker_list.py
@@ -0,0 +1,68 @@
+"""The workers that the platform lists, by cell.
+
+A cell is a rack: its workers share a fate and lie in one data centre.
+"""
+
+import logging
+from collections.abc import Callable
+
+from berylcleat.platform import decode_worker
+from berylcleat.ports import StoreRow, WorkerEntry
+
+WorkersListener = Callable[[dict[str, dict[str, WorkerEntry]]], None]
+logger = logging.getLogger(__name__)
+
+
+class WorkerList:
+    """Hold listed workers by id."""
+
+    def __init__(self):
+        self.by_id: dict[str, WorkerEntry] = {}
+        self.listeners: list[WorkersListener] = []
+        self._data_centre_by_cell: dict[str, str] = {}
+        self._unreadable: set[str] = set()
+
+    def on_rows(self, rows: tuple[StoreRow, ...]) -> None:
+        """Take in rows of the list."""
+        for row in rows:
+            self._take(row)
+        by_cell = self._by_cell()
+        for listener in self.listeners:
+            listener(by_cell)
+
+    def in_cell(self, cell_id: str) -> dict[str, WorkerEntry]:
+        """Return the listed workers of a cell."""
+        return self._by_cell().get(cell_id, {})
+
+    def data_centre_by_cell(self) -> dict[str, str]:
+        """Return every cell ever seen with its data centre."""
+        return self._data_centre_by_cell
+
+    def _take(self, row: StoreRow) -> None:
+        known = self.by_id.get(row.key)
+        entry = None if row.is_removed else decode_worker(row)
+        if row.is_removed:
+            if known:
+                logger.info("worker %s: no longer listed", row.key)
+            self.by_id.pop(row.key, None)
+        elif entry is None:
+            if row.key not in self._unreadable:
+                logger.warning("worker entry %s can't be used", row.key)
+                self._unreadable.add(row.key)
+            self.by_id.pop(row.key, None)
+        else:
+            self._note_change(known, entry)
+            self.by_id[row.key] = entry
+            self._data_centre_by_cell[entry.rack] = entry.data_centre
+
+    def _note_change(self, known: WorkerEntry | None, entry: WorkerEntry) -> None:
+        if known is None:
+            logger.info("worker %s: listed in %s", entry.worker_id, entry.rack)
+        elif entry.is_draining and not known.is_draining:
+            logger.info("worker %s: draining", entry.worker_id)
+
+    def _by_cell(self) -> dict[str, dict[str, WorkerEntry]]:
+        by_cell: dict[str, dict[str, WorkerEntry]] = {}
+        for entry in self.by_id.values():
+            by_cell.setdefault(entry.rack, {})[entry.worker_id] = entry
+        return by_cell
