Fillers are placed by learnt pairs of images

Cause: serving tasks reserve all but 10% of the processors and use about half; fillers were kept off every worker with one, so 63 of 80 owed batch submissions never ended. Change: verdict a pair, trials of two tasks, heavy fillers stopped, shared by heartbeat.

--- a/libs/scheduling/src/berylcleat/scheduling/__init__.py
+++ b/libs/scheduling/src/berylcleat/scheduling/__init__.py
@@ -2,6 +2,7 @@
 
 from ._book import SubmissionBook, TrackedSubmission
 from ._cell import Cell, ProgressWrite, RecordBatch, WorkerOrder
+from ._interference import PairTable, Verdict
 from ._leases import CLOCK_DRIFT, LeaseTimes, WorkerClock
 from ._placement import choose_worker
 from ._progress import Progress, decode_progress, encode_progress
@@ -11,6 +12,7 @@
     "CLOCK_DRIFT",
     "Cell",
     "LeaseTimes",
+    "PairTable",
     "Progress",
     "ProgressWrite",
     "RecordBatch",
@@ -18,6 +20,7 @@
     "RunPhase",
     "SubmissionBook",
     "TrackedSubmission",
+    "Verdict",
     "WorkerClock",
     "WorkerOrder",
     "WorkerView",
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -21,6 +21,7 @@
 )
 
 from ._book import ReadyStep, SubmissionBook, TrackedSubmission
+from ._interference import DISTURBED_RATIO, PairTable, Verdict
 from ._leases import LeaseTimes, WorkerClock
 from ._placement import choose_worker
 from ._progress import Progress, encode_progress
@@ -77,11 +78,13 @@
         times: LeaseTimes,
         settled_at: float,
         worker_ids: frozenset[str],
+        pairs: PairTable,
     ):
         self.cell_id = cell_id
         self.epoch = epoch
         self.times = times
         self.book = SubmissionBook()
+        self.pairs = pairs
         self.worker_by_id: dict[str, WorkerView] = {}
         self.run_by_task: dict[TaskKey, Run] = {}
         self.is_fenced_out = False
@@ -128,14 +131,14 @@
 
     # Workers
 
-    def list_worker(self, entry: WorkerEntry) -> None:
+    def list_worker(self, entry: WorkerEntry, now: float) -> None:
         """Note a listed worker, or news of a known one."""
         view = self.worker_by_id.get(entry.worker_id)
         if view is None:
             self.worker_by_id[entry.worker_id] = WorkerView(entry)
             return
         if entry.started_at_ms > view.life_ms and view.life_ms:
-            self._end_life(view, "listed again")
+            self._end_life(view, "listed again", now)
         view.entry = entry
         view.is_listed = True
 
@@ -156,7 +159,7 @@
             if report.started_at_ms < view.life_ms:
                 return
             if view.life_ms:
-                self._end_life(view, "started again")
+                self._end_life(view, "started again", now)
             view.life_ms = report.started_at_ms
         view.clock.observe(report.clock_ms, now)
         if not view.is_fenced:
@@ -168,13 +171,14 @@
         if report.ended:
             view.handled_number = max(view.handled_number, report.ended[-1].number)
         self._match_running(view, report, asked_at, now)
+        self.pairs.observe(view.filler_uses(now), view.readings(), now)
 
-    def on_other_life(self, worker_id: str) -> None:
+    def on_other_life(self, worker_id: str, now: float) -> None:
         """Note that another life answers at the worker's address."""
         view = self.worker_by_id.get(worker_id)
         if view is not None:
             self._unsettled.discard(worker_id)
-            self._end_life(view, "another life answers")
+            self._end_life(view, "another life answers", now)
             view.is_listed = False
 
     def on_fenced(self, worker_id: str) -> None:
@@ -199,7 +203,7 @@
                 run.phase = RunPhase.UNSURE
                 run.phase_since = now
         elif result is OrderResult.FENCED:
-            self._drop_run(run)
+            self._drop_run(run, now)
             self.on_fenced(worker_id)
         elif run.phase is not RunPhase.RUNNING:
             self._on_rejected_start(run, result, now)
@@ -224,6 +228,7 @@
         """Return the orders to send now."""
         self._lapse_workers(now)
         self._retry_stops(now)
+        self._guard_serving(now)
         self.book.open_scheduled(wall_ms)
         blocked = bool(self._unsettled) and now < self._settled_at
         for ready in self.book.ready_steps():
@@ -280,7 +285,7 @@
             and run.worker_id == view.entry.worker_id
         )
         if is_ours:
-            self._drop_run(run)
+            self._drop_run(run, now)
         tracked = self.book.by_id.get(end.task.submission_id)
         if tracked is None:
             return
@@ -365,9 +370,7 @@
             and self._has_step(tracked, task)
         )
         if not wanted:
-            self._order(
-                view.entry.worker_id, StopOrder(task, running.run, self.epoch)
-            )
+            self._order(view.entry.worker_id, StopOrder(task, running.run, self.epoch))
             return None
         step = tracked.submission.steps[task.step]
         run = Run(
@@ -401,12 +404,12 @@
             return
         if run.stop_answered_at is not None:
             if asked_at > run.stop_answered_at:
-                self._lose(run, "stopped before it started")
+                self._lose(run, "stopped before it started", now)
             return
         if run.phase is RunPhase.UNSURE and asked_at > run.phase_since:
             self._stop(run, now)
         elif run.phase is RunPhase.RUNNING and asked_at > run.phase_since:
-            self._lose(run, "no longer listed")
+            self._lose(run, "no longer listed", now)
 
     def _on_rejected_start(self, run: Run, result: OrderResult, now: float) -> None:
         view = self.worker_by_id.get(run.worker_id)
@@ -415,9 +418,9 @@
                 view.avoid_until = max(view.avoid_until, now + NO_ROOM_PAUSE_S)
             elif result is not OrderResult.OLD_RUN:
                 view.avoid_until = max(view.avoid_until, now + UNHEALTHY_PAUSE_S)
-        self._lose(run, result.value)
+        self._lose(run, result.value, now)
 
-    def _lose(self, run: Run, reason: str) -> None:
+    def _lose(self, run: Run, reason: str, now: float) -> None:
         """Forget a run that has ended for certain and let its task start again."""
         logger.info(
             "run lost: task %s run %d on %s: %s",
@@ -426,7 +429,7 @@
             run.worker_id,
             reason,
         )
-        self._drop_run(run)
+        self._drop_run(run, now)
         tracked = self.book.by_id.get(run.task.submission_id)
         if tracked is None:
             return
@@ -434,10 +437,10 @@
             tracked.progress.checkpoint_by_task[run.task] = run.checkpoint
         tracked.put_back(run.task)
 
-    def _end_life(self, view: WorkerView, reason: str) -> None:
+    def _end_life(self, view: WorkerView, reason: str, now: float) -> None:
         logger.info("worker %s: life ended: %s", view.entry.worker_id, reason)
         for run in tuple(view.run_by_task.values()):
-            self._lose(run, reason)
+            self._lose(run, reason, now)
         view.clock = WorkerClock()
         view.life_ms = 0
         view.is_fenced = False
@@ -449,7 +452,38 @@
             if view.run_by_task and now > view.clock.lapsed_by():
                 logger.info("worker %s: lease lapsed", view.entry.worker_id)
                 for run in tuple(view.run_by_task.values()):
-                    self._lose(run, "lease lapsed")
+                    self._lose(run, "lease lapsed", now)
+
+    def _guard_serving(self, now: float) -> None:
+        """Stop fillers that disturb what serves beside them."""
+        for view in self.worker_by_id.values():
+            fillers = view.filling_runs()
+            if not fillers:
+                continue
+            disturbed = {
+                reading.image
+                for reading in view.readings()
+                if reading.ratio > DISTURBED_RATIO
+            }
+            images = view.serving_images()
+            for run in fillers:
+                if run.phase is not RunPhase.RUNNING:
+                    continue
+                if self._disturbs(run, images, disturbed, now):
+                    logger.info(
+                        "filler stopped: task %s image %s on %s",
+                        ".".join(map(str, run.task)),
+                        run.step.image,
+                        run.worker_id,
+                    )
+                    self._stop(run, now)
+
+    def _disturbs(
+        self, run: Run, images: set[str], disturbed: set[str], now: float
+    ) -> bool:
+        if self.pairs.worst(run.step.image, images, now) is Verdict.HEAVY:
+            return True
+        return self.pairs.worst(run.step.image, disturbed, now) is Verdict.SUSPECT
 
     def _start_ready(self, ready: ReadyStep, now: float) -> None:
         tracked = ready.tracked
@@ -458,14 +492,13 @@
             task = ready.task(index)
             if task in self.run_by_task:
                 continue
-            failed_on = frozenset()
             view = choose_worker(
                 task,
                 step,
                 tracked.submission.queue.service,
                 self.worker_by_id.values(),
+                self.pairs,
                 now,
-                failed_on,
             )
             if view is None:
                 return
@@ -504,12 +537,12 @@
         self.run_by_task[run.task] = run
         self.worker_by_id[run.worker_id].add_run(run)
 
-    def _drop_run(self, run: Run) -> None:
+    def _drop_run(self, run: Run, now: float) -> None:
         if self.run_by_task.get(run.task) is run:
             del self.run_by_task[run.task]
         view = self.worker_by_id.get(run.worker_id)
         if view is not None:
-            view.drop_run(run)
+            view.drop_run(run, now)
 
     def _stop_runs_of(self, submission_id: str, now: float) -> None:
         for run in tuple(self.run_by_task.values()):
@@ -532,7 +565,5 @@
                 run.stop_sent_at = None
                 self._stop(run, now)
 
-    def _order(
-        self, worker_id: str, order: StartOrder | StopOrder | PaceOrder
-    ) -> None:
+    def _order(self, worker_id: str, order: StartOrder | StopOrder | PaceOrder) -> None:
         self._orders.append(WorkerOrder(worker_id, order))
--- a/libs/scheduling/src/berylcleat/scheduling/_placement.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_placement.py
@@ -1,16 +1,20 @@
 """Choose the worker for a task.
 
-Filling tasks and serving tasks disturb each other, so they are kept on different
-workers; ordinary tasks are packed beside the serving ones.
+Ordinary tasks are packed; serving tasks are spread over workers and kept off fillers
+that disturb them; fillers go where they are known to be mild, and an image that is not
+known yet is tried with few tasks on a calm worker.
 """
 
 from collections.abc import Iterable
 
 from berylcleat.model import Step, TaskKey
 
+from ._interference import CALM_RATIO, PairTable, Verdict
 from ._workers import WorkerView
 
 Score = tuple[float, ...]
+# Tasks of an image that may be tried at once beside an image it is not known with.
+N_TRIAL_TASKS = 2
 
 
 def choose_worker(
@@ -18,8 +22,8 @@
     step: Step,
     service: str,
     workers: Iterable[WorkerView],
+    pairs: PairTable,
     now: float,
-    avoid: frozenset[str] = frozenset(),
 ) -> WorkerView | None:
     """Return the best worker that may run ``task`` now, or None."""
     best: WorkerView | None = None
@@ -27,7 +31,9 @@
     for worker in workers:
         if not _may_run(task, step, service, worker, now):
             continue
-        score = (float(worker.entry.worker_id in avoid), *_score(task, step, worker))
+        if step.fills and not _may_fill(step, worker, pairs, now):
+            continue
+        score = _score(task, step, worker, pairs, now)
         if best_score is None or score < best_score:
             best, best_score = worker, score
     return best
@@ -43,9 +49,30 @@
         return False
     if not step.room.fits_in(worker.free()):
         return False
-    if step.max_per_worker and _n_siblings(task, worker) >= step.max_per_worker:
+    return not step.max_per_worker or _n_siblings(task, worker) < step.max_per_worker
+
+
+def _may_fill(step: Step, worker: WorkerView, pairs: PairTable, now: float) -> bool:
+    if worker.cpu_left() < step.demand.cpu_millis:
+        return False
+    verdict = pairs.worst(step.image, worker.serving_images(), now)
+    if verdict is Verdict.MILD:
+        return True
+    if verdict is not Verdict.UNKNOWN or worker.worst_reading() >= CALM_RATIO:
         return False
-    return not (step.fills and worker.n_serving())
+    return _may_try(step, worker, pairs, now)
+
+
+def _may_try(step: Step, worker: WorkerView, pairs: PairTable, now: float) -> bool:
+    """Tell whether a trial on this worker would show its effect apart from others."""
+    images = worker.serving_images()
+    n_same = 0
+    for run in worker.filling_runs():
+        if run.step.image == step.image:
+            n_same += 1
+        elif pairs.worst(run.step.image, images, now) is not Verdict.MILD:
+            return False
+    return n_same < N_TRIAL_TASKS
 
 
 def _n_siblings(task: TaskKey, worker: WorkerView) -> int:
@@ -53,13 +80,19 @@
     return sum(1 for other in worker.run_by_task if other[:3] == family)
 
 
-def _score(task: TaskKey, step: Step, worker: WorkerView) -> Score:
+def _score(
+    task: TaskKey, step: Step, worker: WorkerView, pairs: PairTable, now: float
+) -> Score:
     free_cpu = worker.free().cpu_millis
     if step.target_latency_ms:
-        # Two siblings a worker at first, so that one loss costs little; workers
-        # without serving tasks are left to the fillers.
+        # Two siblings a worker at first, so that one loss costs little.
         n_pairs = _n_siblings(task, worker) // 2
-        return (worker.n_fills(), n_pairs, float(worker.n_serving() == 0), free_cpu)
+        n_disturbing = sum(
+            pairs.verdict(run.step.image, step.image, now) is not Verdict.MILD
+            for run in worker.filling_runs()
+        )
+        return (n_disturbing, n_pairs, free_cpu)
     if step.fills:
-        return (worker.fills_cpu() - free_cpu,)
-    return (float(worker.n_fills() > 0), free_cpu)
+        verdict = pairs.worst(step.image, worker.serving_images(), now)
+        return (float(verdict is not Verdict.MILD), -worker.cpu_left())
+    return (-worker.cpu_left(),)
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -6,11 +6,17 @@
 from berylcleat.model import Step, TaskDemand, TaskKey
 from berylcleat.ports import WorkerEntry
 
+from ._interference import FillerUse, ServingReading
 from ._leases import WorkerClock
 
 # Failures without a success in between after which a worker is avoided for a while.
 N_FAILURES_SUSPECT = 3
-SUSPECT_S = 4.0
+AVOID_S = 4.0
+# A reading tells of the last half second: a filler shows in it for a while after
+# its end, in seconds.
+READING_SPAN_S = 0.8
+# Share of their processors that serving tasks are taken to use.
+SERVING_USE = 0.6
 
 
 class RunPhase(Enum):
@@ -61,6 +67,7 @@
     acked_number: int = 0
     n_failures_in_a_row: int = 0
     avoid_until: float = 0.0
+    past_fillers: list[tuple[float, FillerUse]] = field(default_factory=list)
 
     def can_start(self, now: float) -> bool:
         """Tell whether new runs may go to this worker now."""
@@ -80,36 +87,67 @@
         self.run_by_task[run.task] = run
         self.used = self.used + run.step.room
 
-    def drop_run(self, run: Run) -> None:
+    def drop_run(self, run: Run, now: float) -> None:
         """Give the room of ``run`` back."""
         if self.run_by_task.get(run.task) is run:
             del self.run_by_task[run.task]
             self.used = self.used - run.step.room
+            if run.step.fills and run.reading > 0:
+                self.past_fillers.append((now, self._use_of(run)))
 
     def note_failure(self, now: float) -> None:
         """Avoid a worker that fails one run after the other."""
         self.n_failures_in_a_row += 1
         if self.n_failures_in_a_row >= N_FAILURES_SUSPECT:
-            self.avoid_until = now + SUSPECT_S
+            self.avoid_until = now + AVOID_S
 
     def note_success(self) -> None:
         """Forget earlier failures."""
         self.n_failures_in_a_row = 0
 
-    def n_fills(self) -> int:
-        """Return how many runs fill."""
-        return sum(1 for run in self.run_by_task.values() if run.step.fills)
-
-    def fills_cpu(self) -> int:
-        """Return the processor time that filling runs ask for."""
-        return sum(
-            run.step.demand.cpu_millis
-            for run in self.run_by_task.values()
-            if run.step.fills
-        )
-
-    def n_serving(self) -> int:
-        """Return how many runs have a latency target."""
-        return sum(
-            1 for run in self.run_by_task.values() if run.step.target_latency_ms
-        )
+    def filling_runs(self) -> list[Run]:
+        """Return the runs that fill."""
+        return [run for run in self.run_by_task.values() if run.step.fills]
+
+    def serving_runs(self) -> list[Run]:
+        """Return the runs that have a latency target."""
+        return [run for run in self.run_by_task.values() if run.step.target_latency_ms]
+
+    def serving_images(self) -> set[str]:
+        """Return the images of the runs that have a latency target."""
+        return {run.step.image for run in self.serving_runs()}
+
+    def cpu_left(self) -> int:
+        """Return the processor time that should be left for another filler."""
+        left = float(self.entry.capacity.cpu_millis)
+        for run in self.run_by_task.values():
+            use = SERVING_USE if run.step.target_latency_ms else 1.0
+            left -= run.step.demand.cpu_millis * use
+        return int(left)
+
+    def readings(self) -> list[ServingReading]:
+        """Return the latest readings of serving runs that are at work."""
+        return [
+            ServingReading(run.step.image, run.reading / run.step.target_latency_ms)
+            for run in self.serving_runs()
+            if run.reading > 0
+        ]
+
+    def worst_reading(self) -> float:
+        """Return the highest ratio of tail latency to target."""
+        return max((reading.ratio for reading in self.readings()), default=0.0)
+
+    def filler_uses(self, now: float) -> list[FillerUse]:
+        """Return what filled within the span of the latest readings."""
+        share_by_image: dict[str, float] = {}
+        self.past_fillers = [
+            item for item in self.past_fillers if now - item[0] < READING_SPAN_S
+        ]
+        uses = [use for _, use in self.past_fillers]
+        uses += (self._use_of(run) for run in self.filling_runs())
+        for use in uses:
+            share_by_image[use.image] = share_by_image.get(use.image, 0.0) + use.share
+        return [FillerUse(image, share) for image, share in share_by_image.items()]
+
+    def _use_of(self, run: Run) -> FillerUse:
+        return FillerUse(run.step.image, run.reading / self.entry.capacity.cpu_millis)
--- a/programs/beryl-host/src/berylcleat/host/_cell_driver.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_driver.py
@@ -26,6 +26,7 @@
 from berylcleat.scheduling import (
     Cell,
     LeaseTimes,
+    PairTable,
     Progress,
     RecordBatch,
     WorkerOrder,
@@ -53,6 +54,7 @@
 RECORD_PAUSE_S = 0.08
 RECORD_RETRY_S = 0.3
 MAX_WRITES = 90
+LOAD_LOG_S = 5.0
 logger = logging.getLogger(__name__)
 
 
@@ -70,6 +72,7 @@
         times: LeaseTimes,
         settled_at: float,
         is_confirmed: Callable[[], bool],
+        pairs: PairTable,
     ):
         self.cell_id = cell_id
         self.data_centre = data_centre
@@ -82,6 +85,7 @@
         self._times = times
         self._settled_at = settled_at
         self._is_confirmed = is_confirmed
+        self._pairs = pairs
         self._version_by_id: dict[str, int] = {}
         self._port_by_worker: dict[str, PlatformWorker] = {}
         self._task_by_worker: dict[str, asyncio.Task] = {}
@@ -101,6 +105,7 @@
             self._times,
             self._settled_at,
             frozenset(entries),
+            self._pairs,
         )
         now = now_s()
         for entry in self._directory.in_cell(self.cell_id):
@@ -114,6 +119,7 @@
         self.update_workers(entries)
         self._spawn(self._pump())
         self._spawn(self._record())
+        self._spawn(self._report_load())
         logger.info(
             "cell %s: epoch %d begins with %d submissions and %d workers",
             self.cell_id,
@@ -167,7 +173,7 @@
         if self.cell is None:
             return
         for worker_id, entry in entries.items():
-            self.cell.list_worker(entry)
+            self.cell.list_worker(entry, now_s())
             if worker_id not in self._task_by_worker:
                 self._open_worker(entry)
         for worker_id in self.cell.worker_by_id.keys() - entries.keys():
@@ -188,12 +194,20 @@
             for tracked in self.cell.book.live_by_id.values()
             for ready in tracked.ready_by_step.values()
         )
+        fill_waiting = sum(
+            len(ready.waiting) * ready.step.demand.cpu_millis
+            for tracked in self.cell.book.live_by_id.values()
+            for ready in tracked.ready_by_step.values()
+            if ready.step.fills
+        )
         return CellSummary(
             service=views[0].entry.service if views else "",
             data_centre=self.data_centre,
             cpu_capacity=sum(v.entry.capacity.cpu_millis for v in views),
             cpu_free=sum(v.free().cpu_millis for v in views),
             cpu_waiting=waiting,
+            cpu_left=sum(max(0, v.cpu_left()) for v in views),
+            fill_waiting=fill_waiting,
             pending_by_queue=self.cell.book.n_pending_by_queue(),
         )
 
@@ -224,7 +238,7 @@
                 return
             else:
                 if answer.result is OrderResult.OTHER_LIFE:
-                    self.cell.on_other_life(worker_id)
+                    self.cell.on_other_life(worker_id, now_s())
                     self._after_news()
                 if self._is_forgotten(view):
                     break
@@ -255,6 +269,31 @@
         self._wake.set()
         self._dirty.set()
 
+    async def _report_load(self) -> None:
+        """Log the load of the cell from time to time."""
+        while True:
+            await asyncio.sleep(LOAD_LOG_S)
+            for view in self.cell.worker_by_id.values():
+                logger.info(
+                    "load: worker %s free %d of %d left %d, serving %d, filling %d",
+                    view.entry.worker_id,
+                    view.free().cpu_millis,
+                    view.entry.capacity.cpu_millis,
+                    view.cpu_left(),
+                    len(view.serving_runs()),
+                    len(view.filling_runs()),
+                )
+            waiting = {}
+            for tracked in self.cell.book.live_by_id.values():
+                for ready in tracked.ready_by_step.values():
+                    name = (
+                        tracked.submission.queue.priority,
+                        ready.step.fills,
+                        ready.step.is_long_running,
+                    )
+                    waiting[name] = waiting.get(name, 0) + len(ready.waiting)
+            logger.info("load: cell %s waiting %s", self.cell_id, waiting)
+
     # Orders
 
     async def _pump(self) -> None:
@@ -371,4 +410,6 @@
     def _on_task_done(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            logger.error("cell %s: task failed", self.cell_id, exc_info=task.exception())
+            logger.error(
+                "cell %s: task failed", self.cell_id, exc_info=task.exception()
+            )
--- a/programs/beryl-host/src/berylcleat/host/_cells.py
+++ b/programs/beryl-host/src/berylcleat/host/_cells.py
@@ -12,7 +12,7 @@
     StoreRow,
     WorkerEntry,
 )
-from berylcleat.scheduling import LeaseTimes
+from berylcleat.scheduling import LeaseTimes, PairTable
 
 from ._cell_driver import CellDriver
 from ._clock import now_s
@@ -39,6 +39,7 @@
         cells: TableFollower,
         submissions: TableFollower,
         times: LeaseTimes,
+        pairs: PairTable,
     ):
         self.driver_by_cell: dict[str, CellDriver] = {}
         self.is_leaving = False
@@ -51,6 +52,7 @@
         self._cells = cells
         self._submissions = submissions
         self._times = times
+        self._pairs = pairs
         directory.listeners.append(self._on_submission)
         workers.listeners.append(self._on_workers)
 
@@ -98,9 +100,7 @@
         version = before.version if before else 0
         row = OwnerRow(epoch, self._host_id, self._incarnation)
         place = (CELL_TABLE, cell_id, OWNER_KEY)
-        commit = Commit(
-            (Condition(*place, version),), (RowWrite(*place, encode(row)),)
-        )
+        commit = Commit((Condition(*place, version),), (RowWrite(*place, encode(row)),))
         try:
             outcome = await self._store.commit(commit)
         except BerylError as error:
@@ -130,10 +130,11 @@
             self._times,
             now_s() + self._takeover_wait_s(before),
             self._is_confirmed,
+            self._pairs,
         )
         self.driver_by_cell[cell_id] = driver
         try:
-            await self._submissions.wait_for(version)
+            await self._submissions.refresh()
             await driver.start(self._workers.in_cell(cell_id))
         except BerylError as error:
             logger.warning("cell %s: not begun: %s", cell_id, error)
--- a/programs/beryl-host/src/berylcleat/host/_choice.py
+++ b/programs/beryl-host/src/berylcleat/host/_choice.py
@@ -1,5 +1,7 @@
 """Choose the cell of a new submission from the loads that owners tell."""
 
+from dataclasses import dataclass
+
 from berylcleat.model import Submission
 
 from ._cells import CellKeeper
@@ -13,6 +15,16 @@
 MEMORY_S = 1.6
 
 
+@dataclass(frozen=True, slots=True)
+class _Sent:
+    """Remember work that was sent to a cell; ``cpu`` in thousandths of a core."""
+
+    sent_at: float
+    cell_id: str
+    cpu: int
+    fills: bool
+
+
 class CellChooser:
     """Choose cells for submissions that clients of this host hand in."""
 
@@ -20,7 +32,7 @@
         self._data_centre = data_centre
         self._membership = membership
         self._keeper = keeper
-        self._sent: list[tuple[float, str, int]] = []
+        self._sent: list[_Sent] = []
 
     def choose(self, submission: Submission) -> str | None:
         """Return the cell to run ``submission``, or None if none is known."""
@@ -34,11 +46,14 @@
         if not suitable:
             return None
         wanted = next((s.data_rack for s in submission.steps if s.data_rack), "")
+        fills = all(step.fills for step in submission.steps)
         chosen = wanted
         if wanted not in suitable:
-            chosen = min(suitable, key=lambda cell: self._load(cell, suitable[cell]))
-        cpu = sum(step.n_tasks * step.room.cpu_millis for step in submission.steps)
-        self._sent.append((now_s(), chosen, cpu))
+            chosen = min(
+                suitable, key=lambda cell: self._load(cell, suitable[cell], fills)
+            )
+        cpu = sum(step.n_tasks * step.demand.cpu_millis for step in submission.steps)
+        self._sent.append(_Sent(now_s(), chosen, cpu, fills))
         return chosen
 
     def n_pending(self, queue: str) -> int:
@@ -48,12 +63,19 @@
             for summary in self._summaries().values()
         )
 
-    def _load(self, cell_id: str, summary: CellSummary) -> float:
+    def _load(self, cell_id: str, summary: CellSummary, fills: bool) -> float:
+        """Return how full a cell is for fillers, or for all other work."""
         oldest = now_s() - MEMORY_S
-        self._sent = [item for item in self._sent if item[0] >= oldest]
-        sent = sum(cpu for _, cell, cpu in self._sent if cell == cell_id)
-        used = summary.cpu_capacity - summary.cpu_free
-        load = (used + summary.cpu_waiting + sent) / summary.cpu_capacity
+        self._sent = [item for item in self._sent if item.sent_at >= oldest]
+        sent = sum(
+            item.cpu
+            for item in self._sent
+            if item.cell_id == cell_id and item.fills == fills
+        )
+        free = summary.cpu_left if fills else summary.cpu_free
+        waiting = summary.fill_waiting if fills else summary.cpu_waiting
+        used = summary.cpu_capacity - free
+        load = (used + waiting + sent) / summary.cpu_capacity
         is_local = summary.data_centre == self._data_centre
         return load - LOCAL_ADVANTAGE if is_local else load
 
--- a/programs/beryl-host/src/berylcleat/host/_follower.py
+++ b/programs/beryl-host/src/berylcleat/host/_follower.py
@@ -42,7 +42,6 @@
         self.confirmed_at = float("-inf")
         self.failing_since: float | None = None
         self.recovered_at = 0.0
-        self.progressed = asyncio.Event()
 
     @property
     def has_read(self) -> bool:
@@ -73,11 +72,9 @@
             if pause_s > 0:
                 await asyncio.sleep(pause_s)
 
-    async def wait_for(self, version: int) -> None:
-        """Return once all changes up to ``version`` are known."""
-        while self.version < version:
-            self.progressed.clear()
-            await self.progressed.wait()
+    async def refresh(self) -> None:
+        """Read the whole table now, beside the running follower."""
+        await self._read_all()
 
     async def _read_all(self) -> None:
         parts = self._parts
@@ -132,4 +129,3 @@
             self.failing_since = None
             self.recovered_at = now_s()
         self.confirmed_at = asked_at
-        self.progressed.set()
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -16,7 +16,7 @@
 )
 from berylcleat.ports import Commit, RowWrite, StoreRow
 from berylcleat.runtime import AdminRouter, StopSignal, cancel_all
-from berylcleat.scheduling import LeaseTimes
+from berylcleat.scheduling import LeaseTimes, PairTable
 from berylcleat.telemetry import Tracer
 
 from ._cells import CellKeeper
@@ -61,6 +61,7 @@
         self.directory = Directory()
         self.membership = Membership()
         self.workers = WorkerList()
+        self.pairs = PairTable()
         self.peers = PeerClient()
         self._follow_tables()
         self.keeper = CellKeeper(
@@ -73,6 +74,7 @@
             self.cells,
             self.submissions,
             LeaseTimes(worker_lease_s=settings.worker_lease_s),
+            self.pairs,
         )
         chooser = CellChooser(settings.data_centre, self.membership, self.keeper)
         self.desk = Desk(
@@ -118,7 +120,7 @@
         self.hosts = TableFollower(
             self.store,
             HOST_TABLE,
-            self.membership.on_host_rows,
+            self._on_host_rows,
             wait_s=LONG_WAIT_S,
             min_period_s=HOST_PERIOD_S,
             parts=(HOST_PART,),
@@ -157,6 +159,8 @@
             self.settings.cpu_share,
             self.is_leaving,
             self.keeper.summaries(),
+            self.pairs.heavy_pairs(),
+            self.pairs.mild_pairs(),
         )
         key = self.settings.host_id
         write = RowWrite(HOST_TABLE, HOST_PART, key, encode(row))
@@ -213,6 +217,13 @@
             self.directory.add_cancel(news.cancelled_id)
         return HttpResponse(200)
 
+    def _on_host_rows(self, rows: tuple[StoreRow, ...]) -> None:
+        self.membership.on_host_rows(rows)
+        for row in rows:
+            sighting = self.membership.host_by_id.get(row.key)
+            if sighting is not None and row.key != self.settings.host_id:
+                self.pairs.merge(sighting.row.heavy_pairs, sighting.row.mild_pairs)
+
     def _on_operator_rows(self, rows: tuple[StoreRow, ...]) -> None:
         for row in rows:
             if row.key == CONFIG_ROW[1]:
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -39,6 +39,8 @@
     cpu_capacity: int
     cpu_free: int
     cpu_waiting: int
+    cpu_left: int
+    fill_waiting: int
     pending_by_queue: dict[str, int]
 
 
@@ -51,6 +53,8 @@
     cpu_share: float
     is_leaving: bool = False
     summary_by_cell: dict[str, CellSummary] = {}
+    heavy_pairs: tuple[tuple[str, str], ...] = ()
+    mild_pairs: tuple[tuple[str, str], ...] = ()
 
 
 def submission_part(submission_id: str) -> str:
