Pairs learnt as a noisy-OR; cells go to hosts of their own data centre

Cause: a verdict a pair blamed whole groups, so most fillers were shut out everywhere. Change: probability a pair, noisy-OR update, the likeliest filler stopped first, evidence of other hosts added; serving images packed together; local advantage 0.03.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -25,7 +25,7 @@
 from ._leases import LeaseTimes, WorkerClock
 from ._placement import choose_worker
 from ._progress import Progress, encode_progress
-from ._workers import Run, RunPhase, WorkerView
+from ._workers import READING_SPAN_S, Run, RunPhase, WorkerView
 
 # Run numbers of one epoch lie above those of every earlier epoch.
 RUNS_PER_EPOCH = 1000
@@ -33,6 +33,8 @@
 NO_ROOM_PAUSE_S = 0.3
 UNHEALTHY_PAUSE_S = 1.0
 STOP_RETRY_S = 0.5
+# Readings tell of the last half second: more often, the same one would count twice.
+LEARN_PERIOD_S = 0.45
 # A report lists at most this many ends.
 ENDS_IN_REPORT = 500
 RECORDED_ENDS = frozenset({RunEnd.DONE, RunEnd.FAILED})
@@ -171,7 +173,9 @@
         if report.ended:
             view.handled_number = max(view.handled_number, report.ended[-1].number)
         self._match_running(view, report, asked_at, now)
-        self.pairs.observe(view.filler_uses(now), view.readings(), now)
+        if now - view.learnt_at > LEARN_PERIOD_S:
+            view.learnt_at = now
+            self.pairs.observe(view.filler_uses(now), view.readings())
 
     def on_other_life(self, worker_id: str, now: float) -> None:
         """Note that another life answers at the worker's address."""
@@ -457,33 +461,49 @@
     def _guard_serving(self, now: float) -> None:
         """Stop fillers that disturb what serves beside them."""
         for view in self.worker_by_id.values():
-            fillers = view.filling_runs()
-            if not fillers:
-                continue
-            disturbed = {
-                reading.image
-                for reading in view.readings()
-                if reading.ratio > DISTURBED_RATIO
-            }
-            images = view.serving_images()
-            for run in fillers:
-                if run.phase is not RunPhase.RUNNING:
-                    continue
-                if self._disturbs(run, images, disturbed, now):
-                    logger.info(
-                        "filler stopped: task %s image %s on %s",
-                        ".".join(map(str, run.task)),
-                        run.step.image,
-                        run.worker_id,
-                    )
-                    self._stop(run, now)
-
-    def _disturbs(
-        self, run: Run, images: set[str], disturbed: set[str], now: float
-    ) -> bool:
-        if self.pairs.worst(run.step.image, images, now) is Verdict.HEAVY:
-            return True
-        return self.pairs.worst(run.step.image, disturbed, now) is Verdict.SUSPECT
+            fillers = [
+                run for run in view.filling_runs() if run.phase is RunPhase.RUNNING
+            ]
+            if fillers:
+                self._guard_worker(view, fillers, now)
+
+    def _guard_worker(self, view: WorkerView, fillers: list[Run], now: float) -> None:
+        images = view.serving_images()
+        heavy = {
+            run.step.image
+            for run in fillers
+            if self.pairs.worst(run.step.image, images) is Verdict.HEAVY
+        }
+        if not heavy and now - view.guarded_at > READING_SPAN_S:
+            heavy = self._likeliest(view, fillers)
+        if heavy:
+            view.guarded_at = now
+        for run in fillers:
+            if run.step.image in heavy:
+                logger.info(
+                    "filler stopped: task %s image %s on %s",
+                    ".".join(map(str, run.task)),
+                    run.step.image,
+                    run.worker_id,
+                )
+                self._stop(run, now)
+
+    def _likeliest(self, view: WorkerView, fillers: list[Run]) -> set[str]:
+        """Return the image that most likely disturbs something here, if any."""
+        disturbed = {
+            reading.image
+            for reading in view.readings()
+            if reading.ratio > DISTURBED_RATIO
+        }
+        if not disturbed:
+            return set()
+        images = {run.step.image for run in fillers}
+        return {
+            max(
+                images,
+                key=lambda image: self.pairs.worst_probability(image, disturbed),
+            )
+        }
 
     def _start_ready(self, ready: ReadyStep, now: float) -> None:
         tracked = ready.tracked
--- a/libs/scheduling/src/berylcleat/scheduling/_interference.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_interference.py
@@ -1,41 +1,51 @@
 """Learn which filling images disturb which serving images.
 
-Interference is a property of a pair of images, and most pairs are harmless while the
-others multiply the tail latency even at a small share of a worker. So each pair has a
-verdict instead of a coefficient, as in Bubble-Flux (Yang et al., ISCA 2013) probed with
-few tasks at first.
+Interference is a property of a pair of images: most pairs are harmless, the others
+multiply the tail latency even at a small share of a worker. Each pair has a
+probability of being heavy. A reading is a noisy-OR of the pairs present (Pearl,
+Probabilistic Reasoning in Intelligent Systems, 1988), so that a disturbance is
+shared among its possible causes and a calm reading clears all of them.
 """
 
-from collections.abc import Iterable
+import logging
+import math
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 
 # Tail latency relative to the target: calm below, disturbed above.
 CALM_RATIO = 0.7
 DISTURBED_RATIO = 1.0
-# Calm readings after which a pair counts as mild.
-N_CALM_READINGS = 2
-# How long a pair stays suspected when several could be behind a disturbance.
-SUSPECT_S = 4.0
 # Share of a worker's processors below which a filler's effect would not show.
 MIN_SHARE = 0.03
+PRIOR_HEAVY = 0.25
+# Probabilities of a disturbed reading with a heavy pair present, and with none.
+HIT = 0.9
+NOISE = 0.03
+MILD_BELOW = 0.1
+HEAVY_ABOVE = 0.6
+MAX_LOG_ODDS = 8.0
+logger = logging.getLogger(__name__)
 
 
 class Verdict(Enum):
     """Tell what is known of a filling image beside a serving image."""
 
-    UNKNOWN = "unknown"
     MILD = "mild"
-    SUSPECT = "suspect"
+    UNKNOWN = "unknown"
     HEAVY = "heavy"
 
 
 @dataclass(frozen=True, slots=True)
 class FillerUse:
-    """Hold the share of a worker's processors that an image's fillers use."""
+    """Hold the share of a worker's processors that an image's fillers use.
+
+    ``is_settled`` tells that they were at work through the whole span of a reading.
+    """
 
     image: str
     share: float
+    is_settled: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,90 +59,88 @@
 Pair = tuple[str, str]
 
 
+def _log_odds(probability: float) -> float:
+    return math.log(probability / (1 - probability))
+
+
+def _probability(log_odds: float) -> float:
+    return 1 / (1 + math.exp(-log_odds))
+
+
 class PairTable:
-    """Hold the verdict on each pair (filling image, serving image)."""
+    """Hold the probability that each pair (filling image, serving image) is heavy.
+
+    What other hosts have seen is kept apart by host, so that nothing counts twice.
+    """
 
     def __init__(self):
-        self._verdict_by_pair: dict[Pair, Verdict] = {}
-        self._n_calm_by_pair: dict[Pair, int] = {}
-        self._suspected_at_by_pair: dict[Pair, float] = {}
+        self._seen_by_pair: dict[Pair, float] = {}
+        self._told_by_host: dict[str, Mapping[Pair, float]] = {}
 
-    def verdict(self, filler: str, serving: str, now: float) -> Verdict:
-        """Return what is known of a pair."""
+    def probability(self, filler: str, serving: str) -> float:
+        """Return the probability that the pair is heavy."""
         pair = (filler, serving)
-        verdict = self._verdict_by_pair.get(pair, Verdict.UNKNOWN)
-        if verdict is not Verdict.SUSPECT:
-            return verdict
-        is_fresh = now - self._suspected_at_by_pair[pair] < SUSPECT_S
-        return Verdict.SUSPECT if is_fresh else Verdict.UNKNOWN
-
-    def worst(self, filler: str, serving: Iterable[str], now: float) -> Verdict:
-        """Return the worst verdict on ``filler`` beside any of ``serving``."""
-        verdicts = {self.verdict(filler, image, now) for image in serving}
-        for verdict in (Verdict.HEAVY, Verdict.SUSPECT, Verdict.UNKNOWN):
-            if verdict in verdicts:
-                return verdict
-        return Verdict.MILD
+        log_odds = _log_odds(PRIOR_HEAVY) + self._seen_by_pair.get(pair, 0.0)
+        for told in self._told_by_host.values():
+            log_odds += told.get(pair, 0.0)
+        return _probability(max(-MAX_LOG_ODDS, min(MAX_LOG_ODDS, log_odds)))
+
+    def worst_probability(self, filler: str, serving: Iterable[str]) -> float:
+        """Return the highest probability of ``filler`` beside any of ``serving``."""
+        return max((self.probability(filler, image) for image in serving), default=0.0)
+
+    def worst(self, filler: str, serving: Iterable[str]) -> Verdict:
+        """Return the verdict on ``filler`` beside all of ``serving``."""
+        probability = self.worst_probability(filler, serving)
+        if probability > HEAVY_ABOVE:
+            return Verdict.HEAVY
+        return Verdict.MILD if probability < MILD_BELOW else Verdict.UNKNOWN
 
     def observe(
-        self,
-        fillers: Iterable[FillerUse],
-        readings: Iterable[ServingReading],
-        now: float,
+        self, fillers: Iterable[FillerUse], readings: Iterable[ServingReading]
     ) -> None:
         """Learn from the readings of one worker and what filled beside them."""
-        present = [filler for filler in fillers if filler.share >= MIN_SHARE]
-        if not present:
-            return
+        present = list(fillers)
+        at_work = [f for f in present if f.is_settled and f.share >= MIN_SHARE]
+        worst_by_image: dict[str, float] = {}
         for reading in readings:
-            pairs = [(filler.image, reading.image) for filler in present]
-            if reading.ratio < CALM_RATIO:
-                self._note_calm(pairs)
-            elif reading.ratio > DISTURBED_RATIO:
-                self._blame(pairs, now)
-
-    def heavy_pairs(self) -> tuple[Pair, ...]:
-        """Return the pairs known to be heavy."""
-        return self._pairs_with(Verdict.HEAVY)
-
-    def mild_pairs(self) -> tuple[Pair, ...]:
-        """Return the pairs known to be mild."""
-        return self._pairs_with(Verdict.MILD)
-
-    def merge(self, heavy: Iterable[Pair], mild: Iterable[Pair]) -> None:
-        """Take in what another host has learnt; what is known here stays."""
-        for pair in heavy:
-            self._verdict_by_pair[pair] = Verdict.HEAVY
-        for pair in mild:
-            self._verdict_by_pair.setdefault(pair, Verdict.MILD)
-
-    def _pairs_with(self, wanted: Verdict) -> tuple[Pair, ...]:
-        return tuple(
-            pair for pair, verdict in self._verdict_by_pair.items() if verdict is wanted
-        )
-
-    def _note_calm(self, pairs: list[Pair]) -> None:
-        for pair in pairs:
-            n_calm = self._n_calm_by_pair.get(pair, 0) + 1
-            self._n_calm_by_pair[pair] = n_calm
-            known = self._verdict_by_pair.get(pair)
-            if known is not Verdict.HEAVY and n_calm >= N_CALM_READINGS:
-                self._verdict_by_pair[pair] = Verdict.MILD
-
-    def _blame(self, pairs: list[Pair], now: float) -> None:
-        """Find the pair behind a disturbance: a heavy one explains it."""
-        by_verdict: dict[Verdict, list[Pair]] = {}
+            known = worst_by_image.get(reading.image, 0.0)
+            worst_by_image[reading.image] = max(known, reading.ratio)
+        for image, ratio in worst_by_image.items():
+            if ratio < CALM_RATIO:
+                self._clear([(f.image, image) for f in at_work])
+            elif ratio > DISTURBED_RATIO:
+                self._blame(ratio, [(f.image, image) for f in present])
+
+    def seen(self) -> dict[Pair, float]:
+        """Return what was learnt here, as log odds beyond the prior."""
+        return self._seen_by_pair
+
+    def tell(self, host_id: str, seen: Mapping[Pair, float]) -> None:
+        """Take in all that another host has learnt."""
+        self._told_by_host[host_id] = seen
+
+    def _clear(self, pairs: list[Pair]) -> None:
         for pair in pairs:
-            verdict = self.verdict(*pair, now)
-            by_verdict.setdefault(verdict, []).append(pair)
-        if Verdict.HEAVY in by_verdict:
+            self._add(pair, math.log((1 - HIT) / (1 - NOISE)))
+
+    def _blame(self, ratio: float, pairs: list[Pair]) -> None:
+        if not pairs:
             return
-        doubtful = by_verdict.get(Verdict.UNKNOWN, [])
-        doubtful += by_verdict.get(Verdict.SUSPECT, [])
-        suspects = doubtful or by_verdict.get(Verdict.MILD, [])
-        is_proof = len(suspects) == 1 and bool(doubtful)
-        for pair in suspects:
-            self._n_calm_by_pair.pop(pair, None)
-            verdict = Verdict.HEAVY if is_proof else Verdict.SUSPECT
-            self._verdict_by_pair[pair] = verdict
-            self._suspected_at_by_pair[pair] = now
+        before = {pair: self.probability(*pair) for pair in pairs}
+        for pair in pairs:
+            calm = 1 - NOISE
+            for other in pairs:
+                if other != pair:
+                    calm *= 1 - (HIT - NOISE) * before[other]
+            self._add(pair, math.log(HIT / (1 - calm)))
+        logger.info(
+            "disturbed: %s at %.1f of its target: %s",
+            pairs[0][1],
+            ratio,
+            " ".join(f"{pair[0]}={self.probability(*pair):.2f}" for pair in pairs),
+        )
+
+    def _add(self, pair: Pair, log_odds: float) -> None:
+        total = self._seen_by_pair.get(pair, 0.0) + log_odds
+        self._seen_by_pair[pair] = max(-MAX_LOG_ODDS, min(MAX_LOG_ODDS, total))
--- a/libs/scheduling/src/berylcleat/scheduling/_placement.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_placement.py
@@ -31,9 +31,9 @@
     for worker in workers:
         if not _may_run(task, step, service, worker, now):
             continue
-        if step.fills and not _may_fill(step, worker, pairs, now):
+        if step.fills and not _may_fill(step, worker, pairs):
             continue
-        score = _score(task, step, worker, pairs, now)
+        score = _score(task, step, worker, pairs)
         if best_score is None or score < best_score:
             best, best_score = worker, score
     return best
@@ -52,25 +52,25 @@
     return not step.max_per_worker or _n_siblings(task, worker) < step.max_per_worker
 
 
-def _may_fill(step: Step, worker: WorkerView, pairs: PairTable, now: float) -> bool:
+def _may_fill(step: Step, worker: WorkerView, pairs: PairTable) -> bool:
     if worker.cpu_left() < step.demand.cpu_millis:
         return False
-    verdict = pairs.worst(step.image, worker.serving_images(), now)
+    verdict = pairs.worst(step.image, worker.serving_images())
     if verdict is Verdict.MILD:
         return True
     if verdict is not Verdict.UNKNOWN or worker.worst_reading() >= CALM_RATIO:
         return False
-    return _may_try(step, worker, pairs, now)
+    return _may_try(step, worker, pairs)
 
 
-def _may_try(step: Step, worker: WorkerView, pairs: PairTable, now: float) -> bool:
+def _may_try(step: Step, worker: WorkerView, pairs: PairTable) -> bool:
     """Tell whether a trial on this worker would show its effect apart from others."""
     images = worker.serving_images()
     n_same = 0
     for run in worker.filling_runs():
         if run.step.image == step.image:
             n_same += 1
-        elif pairs.worst(run.step.image, images, now) is not Verdict.MILD:
+        elif pairs.worst(run.step.image, images) is not Verdict.MILD:
             return False
     return n_same < N_TRIAL_TASKS
 
@@ -80,19 +80,17 @@
     return sum(1 for other in worker.run_by_task if other[:3] == family)
 
 
-def _score(
-    task: TaskKey, step: Step, worker: WorkerView, pairs: PairTable, now: float
-) -> Score:
+def _score(task: TaskKey, step: Step, worker: WorkerView, pairs: PairTable) -> Score:
     free_cpu = worker.free().cpu_millis
     if step.target_latency_ms:
-        # Two siblings a worker at first, so that one loss costs little.
-        n_pairs = _n_siblings(task, worker) // 2
-        n_disturbing = sum(
-            pairs.verdict(run.step.image, step.image, now) is not Verdict.MILD
+        disturbance = sum(
+            pairs.probability(run.step.image, step.image)
             for run in worker.filling_runs()
         )
-        return (n_disturbing, n_pairs, free_cpu)
+        # Few images a worker leave room for more kinds of fillers.
+        n_others = len(worker.serving_images() - {step.image})
+        return (n_others, disturbance, free_cpu)
     if step.fills:
-        verdict = pairs.worst(step.image, worker.serving_images(), now)
+        verdict = pairs.worst(step.image, worker.serving_images())
         return (float(verdict is not Verdict.MILD), -worker.cpu_left())
     return (-worker.cpu_left(),)
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -67,6 +67,8 @@
     acked_number: int = 0
     n_failures_in_a_row: int = 0
     avoid_until: float = 0.0
+    guarded_at: float = 0.0
+    learnt_at: float = 0.0
     past_fillers: list[tuple[float, FillerUse]] = field(default_factory=list)
 
     def can_start(self, now: float) -> bool:
@@ -93,7 +95,7 @@
             del self.run_by_task[run.task]
             self.used = self.used - run.step.room
             if run.step.fills and run.reading > 0:
-                self.past_fillers.append((now, self._use_of(run)))
+                self.past_fillers.append((now, self._use_of(run, now)))
 
     def note_failure(self, now: float) -> None:
         """Avoid a worker that fails one run after the other."""
@@ -139,15 +141,20 @@
 
     def filler_uses(self, now: float) -> list[FillerUse]:
         """Return what filled within the span of the latest readings."""
-        share_by_image: dict[str, float] = {}
         self.past_fillers = [
             item for item in self.past_fillers if now - item[0] < READING_SPAN_S
         ]
+        use_by_image: dict[str, FillerUse] = {}
         uses = [use for _, use in self.past_fillers]
-        uses += (self._use_of(run) for run in self.filling_runs())
+        uses += (self._use_of(run, now) for run in self.filling_runs())
         for use in uses:
-            share_by_image[use.image] = share_by_image.get(use.image, 0.0) + use.share
-        return [FillerUse(image, share) for image, share in share_by_image.items()]
-
-    def _use_of(self, run: Run) -> FillerUse:
-        return FillerUse(run.step.image, run.reading / self.entry.capacity.cpu_millis)
+            known = use_by_image.get(use.image, use)
+            share = use.share if known is use else known.share + use.share
+            settled = known.is_settled and use.is_settled
+            use_by_image[use.image] = FillerUse(use.image, share, settled)
+        return list(use_by_image.values())
+
+    def _use_of(self, run: Run, now: float) -> FillerUse:
+        share = run.reading / self.entry.capacity.cpu_millis
+        is_settled = now - run.started_at > READING_SPAN_S
+        return FillerUse(run.step.image, share, is_settled)
--- a/programs/beryl-host/src/berylcleat/host/_cells.py
+++ b/programs/beryl-host/src/berylcleat/host/_cells.py
@@ -22,6 +22,8 @@
 from ._records import CELL_TABLE, OWNER_KEY, CellSummary, OwnerRow, encode
 from ._worker_list import WorkerList
 
+# Hosts of a cell's own data centre have this long to show up before others take it.
+FOREIGN_WAIT_S = 1.5
 logger = logging.getLogger(__name__)
 
 
@@ -31,6 +33,7 @@
     def __init__(
         self,
         host_id: str,
+        data_centre: str,
         incarnation: str,
         store: Store,
         directory: Directory,
@@ -44,6 +47,8 @@
         self.driver_by_cell: dict[str, CellDriver] = {}
         self.is_leaving = False
         self._host_id = host_id
+        self._data_centre = data_centre
+        self._wished_at_by_cell: dict[str, float] = {}
         self._incarnation = incarnation
         self._store = store
         self._directory = directory
@@ -63,9 +68,16 @@
             return
         if self._cells.failing_since is not None:
             return
+        now = now_s()
         for cell_id, host_id in self._wanted(known).items():
-            if host_id == self._host_id and cell_id not in self.driver_by_cell:
-                await self._take(cell_id, known)
+            if host_id != self._host_id or cell_id in self.driver_by_cell:
+                continue
+            place = self._workers.data_centre_by_cell()[cell_id]
+            wished_at = self._wished_at_by_cell.setdefault(cell_id, now)
+            if place != self._data_centre and now - wished_at < FOREIGN_WAIT_S:
+                continue
+            self._wished_at_by_cell.pop(cell_id)
+            await self._take(cell_id)
 
     async def release_all(self) -> None:
         """Give all cells up."""
@@ -94,7 +106,7 @@
                 owners[cell_id] = row.host_id
         return assign_cells(self._workers.data_centre_by_cell(), owners, live)
 
-    async def _take(self, cell_id: str, known: Knowledge) -> None:
+    async def _take(self, cell_id: str) -> None:
         before = self._membership.owner_by_cell.get(cell_id)
         epoch = before.row.epoch + 1 if before else 1
         version = before.version if before else 0
--- a/programs/beryl-host/src/berylcleat/host/_choice.py
+++ b/programs/beryl-host/src/berylcleat/host/_choice.py
@@ -10,7 +10,7 @@
 from ._records import CellSummary
 
 # How much fuller the cell of our own data centre may be before another is chosen.
-LOCAL_ADVANTAGE = 0.1
+LOCAL_ADVANTAGE = 0.03
 # What we sent to a cell counts until its owner's next heartbeat is sure to show it.
 MEMORY_S = 1.6
 
--- a/programs/beryl-host/src/berylcleat/host/_desk.py
+++ b/programs/beryl-host/src/berylcleat/host/_desk.py
@@ -11,7 +11,6 @@
     BerylError,
     OutcomeUnknownError,
     PlatformUnavailableError,
-    Submission,
     SubmissionState,
 )
 from berylcleat.platform import (
@@ -28,7 +27,6 @@
     OperatorConfig,
     RowWrite,
     Store,
-    StoreRow,
 )
 from berylcleat.scheduling import decode_progress
 
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -33,6 +33,7 @@
     HOST_TABLE,
     SUBMISSION_TABLE,
     HostRow,
+    PairRow,
     encode,
 )
 from ._settings import HostSettings
@@ -66,6 +67,7 @@
         self._follow_tables()
         self.keeper = CellKeeper(
             settings.host_id,
+            settings.data_centre,
             self.incarnation,
             self.store,
             self.directory,
@@ -159,8 +161,10 @@
             self.settings.cpu_share,
             self.is_leaving,
             self.keeper.summaries(),
-            self.pairs.heavy_pairs(),
-            self.pairs.mild_pairs(),
+            tuple(
+                PairRow(filler, serving, round(log_odds, 1))
+                for (filler, serving), log_odds in self.pairs.seen().items()
+            ),
         )
         key = self.settings.host_id
         write = RowWrite(HOST_TABLE, HOST_PART, key, encode(row))
@@ -222,7 +226,13 @@
         for row in rows:
             sighting = self.membership.host_by_id.get(row.key)
             if sighting is not None and row.key != self.settings.host_id:
-                self.pairs.merge(sighting.row.heavy_pairs, sighting.row.mild_pairs)
+                self.pairs.tell(
+                    row.key,
+                    {
+                        (pair.filler, pair.serving): pair.log_odds
+                        for pair in sighting.row.pairs
+                    },
+                )
 
     def _on_operator_rows(self, rows: tuple[StoreRow, ...]) -> None:
         for row in rows:
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -44,6 +44,14 @@
     pending_by_queue: dict[str, int]
 
 
+class PairRow(msgspec.Struct, frozen=True, array_like=True):
+    """Tell what was learnt here of a filling image beside a serving image."""
+
+    filler: str
+    serving: str
+    log_odds: float
+
+
 class HostRow(msgspec.Struct, frozen=True):
     """Heartbeat of one host."""
 
@@ -53,8 +61,7 @@
     cpu_share: float
     is_leaving: bool = False
     summary_by_cell: dict[str, CellSummary] = {}
-    heavy_pairs: tuple[tuple[str, str], ...] = ()
-    mild_pairs: tuple[tuple[str, str], ...] = ()
+    pairs: tuple[PairRow, ...] = ()
 
 
 def submission_part(submission_id: str) -> str:
