Takeover: leases and running tasks of the earlier owner are adopted

Cause: an adopted run had no lease bound and lapsed at once; a task of a step whose earlier ends were not recorded yet was stopped and started again (TWICE, ROUTE). Ruled out: starts of the old owner after the fence (none in the trace). Change: first report of a life grants the longest lease; running tasks are adopted even if their step looks closed; submissions of the handover count as inherited.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -33,6 +33,8 @@
 NO_ROOM_PAUSE_S = 0.3
 UNHEALTHY_PAUSE_S = 1.0
 STOP_RETRY_S = 0.5
+# After a takeover the earlier owner may still be given submissions for so long.
+HANDOVER_S = 5.0
 # Readings tell of the last half second: more often, the same one would count twice.
 LEARN_PERIOD_S = 0.45
 # A report lists at most this many ends.
@@ -78,6 +80,7 @@
         cell_id: str,
         epoch: int,
         times: LeaseTimes,
+        began_at: float,
         settled_at: float,
         worker_ids: frozenset[str],
         pairs: PairTable,
@@ -90,6 +93,7 @@
         self.worker_by_id: dict[str, WorkerView] = {}
         self.run_by_task: dict[TaskKey, Run] = {}
         self.is_fenced_out = False
+        self._began_at = began_at
         self._settled_at = settled_at
         self._unsettled = set(worker_ids)
         self._inherited: set[str] = set()
@@ -100,14 +104,18 @@
     def add_submission(
         self, submission: Submission, progress: Progress, now: float, *, inherited: bool
     ) -> None:
-        """Follow a submission; an ``inherited`` one may have runs we don't know."""
+        """Follow a submission; an ``inherited`` one may have runs we don't know.
+
+        So may one that comes before the earlier owner has surely heard of us.
+        """
         if submission.submission_id in self.book.by_id:
             return
         tracked = self.book.add(submission, progress, now)
         if not submission.is_scheduled:
             tracked.open_steps(0.0)
-        if inherited:
+        if inherited or now < self._began_at + HANDOVER_S:
             self._inherited.add(submission.submission_id)
+        if inherited:
             tracked.has_started = bool(progress.done_by_step)
 
     def cancel(self, submission_id: str, now: float) -> None:
@@ -165,6 +173,9 @@
             view.life_ms = report.started_at_ms
         view.clock.observe(report.clock_ms, now)
         if not view.is_fenced:
+            # An earlier owner may just have renewed what runs here.
+            lease_ms = int(self.times.max_lease_s * 1000)
+            view.clock.grant(report.clock_ms + lease_ms)
             view.is_fenced = True
             self._unsettled.discard(worker_id)
         for end in report.ended:
@@ -392,12 +403,15 @@
         return run
 
     def _has_step(self, tracked: TrackedSubmission, task: TaskKey) -> bool:
-        key = (task.occurrence, task.step)
-        if task.step >= len(tracked.submission.steps):
+        """Tell whether the task exists; its step may look closed to us.
+
+        The earlier owner may have seen ends of earlier steps that no report has told
+        us yet.
+        """
+        steps = tracked.submission.steps
+        if task.step >= len(steps):
             return False
-        if key in tracked.opened:
-            return True
-        return tracked.open_step(*key)
+        return task.index < steps[task.step].n_tasks
 
     def _on_absent(
         self, run: Run, report: WorkerReport, asked_at: float, now: float
--- a/libs/scheduling/src/berylcleat/scheduling/_leases.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_leases.py
@@ -14,17 +14,19 @@
     """Set the times of leases, in seconds.
 
     ``owner_limit_s`` bounds how long an owner goes on after the store last confirmed
-    it; it must exceed the store outages that work should survive.
+    it; it must exceed the store outages that work should survive. ``max_lease_s`` is
+    the longest lease that a worker grants.
     """
 
     worker_lease_s: float = 5.0
+    max_lease_s: float = 6.0
     owner_limit_s: float = 12.0
     start_lead_s: float = 1.5
 
     def takeover_wait_s(self, owner_is_dead: bool) -> float:
         """Return how long runs of an earlier owner may last unseen."""
         renewals_s = 0.0 if owner_is_dead else self.owner_limit_s
-        return (renewals_s + self.worker_lease_s) * (1 + 2 * CLOCK_DRIFT)
+        return (renewals_s + self.max_lease_s) * (1 + 2 * CLOCK_DRIFT)
 
 
 @dataclass(slots=True)
--- a/programs/beryl-host/src/berylcleat/host/_cell_driver.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_driver.py
@@ -83,6 +83,7 @@
         self._store = store
         self._directory = directory
         self._times = times
+        self._began_at = now_s()
         self._settled_at = settled_at
         self._is_confirmed = is_confirmed
         self._pairs = pairs
@@ -103,6 +104,7 @@
             self.cell_id,
             self.owner.epoch,
             self._times,
+            self._began_at,
             self._settled_at,
             frozenset(entries),
             self._pairs,
