Workers of a cell are recorded before use; the earlier owner is told of a takeover

Ruled out: waiting the full owner limit for every takeover (blocks work for 18 s). Change: row of workers a cell, written before the first start; holds to recorded workers at takeover; handover message; an incarnation that was replaced counts as dead; heartbeats conditional, so that a late write of an earlier incarnation fails.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -82,7 +82,7 @@
         times: LeaseTimes,
         began_at: float,
         settled_at: float,
-        worker_ids: frozenset[str],
+        earlier_workers: tuple[WorkerEntry, ...],
         pairs: PairTable,
     ):
         self.cell_id = cell_id
@@ -95,9 +95,12 @@
         self.is_fenced_out = False
         self._began_at = began_at
         self._settled_at = settled_at
-        self._unsettled = set(worker_ids)
+        self._unsettled = {entry.worker_id for entry in earlier_workers}
+        self._recorded = set(self._unsettled)
         self._inherited: set[str] = set()
         self._orders: list[WorkerOrder] = []
+        for entry in earlier_workers:
+            self.worker_by_id[entry.worker_id] = WorkerView(entry, is_listed=False)
 
     # Submissions
 
@@ -152,6 +155,18 @@
         view.entry = entry
         view.is_listed = True
 
+    def unrecorded_workers(self) -> bool:
+        """Tell whether a worker is not yet recorded as one of this cell."""
+        return not self._recorded.issuperset(self.worker_by_id)
+
+    def on_workers_recorded(self, worker_ids: frozenset[str]) -> None:
+        """Let runs start on workers that the next owner will know of."""
+        self._recorded = set(worker_ids)
+
+    def is_settled(self, worker_id: str) -> bool:
+        """Tell whether nothing of an earlier owner can be unknown on a worker."""
+        return worker_id not in self._unsettled
+
     def unlist_worker(self, worker_id: str) -> None:
         """Start nothing more on a worker that is no longer listed."""
         view = self.worker_by_id.get(worker_id)
@@ -530,14 +545,20 @@
                 task,
                 step,
                 tracked.submission.queue.service,
-                self.worker_by_id.values(),
+                self._startable(now),
                 self.pairs,
-                now,
             )
             if view is None:
                 return
             self._start(tracked, task, view, now)
 
+    def _startable(self, now: float) -> list[WorkerView]:
+        return [
+            view
+            for worker_id, view in self.worker_by_id.items()
+            if worker_id in self._recorded and view.can_start(now)
+        ]
+
     def _start(
         self, tracked: TrackedSubmission, task: TaskKey, view: WorkerView, now: float
     ) -> None:
--- a/libs/scheduling/src/berylcleat/scheduling/_placement.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_placement.py
@@ -23,13 +23,12 @@
     service: str,
     workers: Iterable[WorkerView],
     pairs: PairTable,
-    now: float,
 ) -> WorkerView | None:
-    """Return the best worker that may run ``task`` now, or None."""
+    """Return the best of ``workers`` that may run ``task``, or None."""
     best: WorkerView | None = None
     best_score: Score | None = None
     for worker in workers:
-        if not _may_run(task, step, service, worker, now):
+        if not _may_run(task, step, service, worker):
             continue
         if step.fills and not _may_fill(step, worker, pairs):
             continue
@@ -39,11 +38,9 @@
     return best
 
 
-def _may_run(
-    task: TaskKey, step: Step, service: str, worker: WorkerView, now: float
-) -> bool:
+def _may_run(task: TaskKey, step: Step, service: str, worker: WorkerView) -> bool:
     entry = worker.entry
-    if entry.service != service or not worker.can_start(now):
+    if entry.service != service:
         return False
     if step.required_label and step.required_label not in entry.labels:
         return False
--- a/programs/beryl-host/src/berylcleat/host/_cell_driver.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_driver.py
@@ -40,8 +40,10 @@
     CELL_TABLE,
     OWNER_KEY,
     PROGRESS_TABLE,
+    WORKERS_KEY,
     CellSummary,
     OwnerRow,
+    WorkersRow,
     encode,
 )
 
@@ -88,6 +90,7 @@
         self._is_confirmed = is_confirmed
         self._pairs = pairs
         self._version_by_id: dict[str, int] = {}
+        self._workers_version = 0
         self._port_by_worker: dict[str, PlatformWorker] = {}
         self._task_by_worker: dict[str, asyncio.Task] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -100,13 +103,14 @@
         """Read what earlier owners recorded and begin."""
         page = await self._store.read(PROGRESS_TABLE, self.cell_id)
         progress_by_id = self._decode(page.rows)
+        earlier_workers = await self._read_workers()
         cell = Cell(
             self.cell_id,
             self.owner.epoch,
             self._times,
             self._began_at,
             self._settled_at,
-            frozenset(entries),
+            earlier_workers,
             self._pairs,
         )
         now = now_s()
@@ -118,6 +122,8 @@
             if entry.is_cancelled:
                 cell.cancel(submission.submission_id, now)
         self.cell = cell
+        for worker in earlier_workers:
+            self._open_worker(worker)
         self.update_workers(entries)
         self._spawn(self._pump())
         self._spawn(self._record())
@@ -180,7 +186,7 @@
                 self._open_worker(entry)
         for worker_id in self.cell.worker_by_id.keys() - entries.keys():
             self.cell.unlist_worker(worker_id)
-        self._wake.set()
+        self._after_news()
 
     def state_of(self, submission_id: str) -> SubmissionState | None:
         """Return the state that a client may be told."""
@@ -260,7 +266,8 @@
             await asyncio.sleep(HOLD_PAUSE_S / 2)
 
     def _is_forgotten(self, view: WorkerView) -> bool:
-        return not view.is_listed and not view.run_by_task
+        is_settled = self.cell.is_settled(view.entry.worker_id)
+        return not view.is_listed and not view.run_by_task and is_settled
 
     def _close_worker(self, worker_id: str) -> None:
         self._port_by_worker.pop(worker_id).close()
@@ -346,6 +353,10 @@
         while True:
             await self._dirty.wait()
             self._dirty.clear()
+            if self.cell.unrecorded_workers() and not await self._record_workers():
+                await asyncio.sleep(RECORD_RETRY_S)
+                self._dirty.set()
+                continue
             batch = self.cell.take_batch()
             if not any(write.is_final for write in batch.writes):
                 await asyncio.sleep(RECORD_PAUSE_S)
@@ -362,6 +373,38 @@
             if not recorded:
                 self._dirty.set()
 
+    async def _read_workers(self) -> tuple[WorkerEntry, ...]:
+        page = await self._store.read(CELL_TABLE, self.cell_id, WORKERS_KEY)
+        for row in page.rows:
+            self._workers_version = row.version
+            try:
+                return msgspec.json.decode(row.value, type=WorkersRow).workers
+            except msgspec.MsgspecError as error:
+                logger.error("workers of %s can't be read: %s", self.cell_id, error)
+        return ()
+
+    async def _record_workers(self) -> bool:
+        """Record the cell's workers; return whether they are durable."""
+        views = dict(self.cell.worker_by_id)
+        row = WorkersRow(tuple(view.entry for view in views.values()))
+        place = (CELL_TABLE, self.cell_id, WORKERS_KEY)
+        owner = Condition(CELL_TABLE, self.cell_id, OWNER_KEY, self.owner_version)
+        conditions = (owner, Condition(*place, self._workers_version))
+        try:
+            outcome = await self._store.commit(
+                Commit(conditions, (RowWrite(*place, encode(row)),))
+            )
+        except BerylError as error:
+            logger.warning("cell %s: workers not recorded: %s", self.cell_id, error)
+            return False
+        if not outcome.applied:
+            self._on_conflict(outcome)
+            return False
+        self._workers_version = outcome.version
+        self.cell.on_workers_recorded(frozenset(views))
+        self._wake.set()
+        return True
+
     async def _commit(self, batch: RecordBatch, extra: tuple[RowWrite, ...]) -> bool:
         """Commit a batch; return whether all of it is durable."""
         part = batch.writes[:MAX_WRITES]
@@ -387,7 +430,9 @@
 
     def _on_conflict(self, outcome: CommitOutcome) -> None:
         for row in outcome.current:
-            if row.table == PROGRESS_TABLE:
+            if row.key == WORKERS_KEY:
+                self._workers_version = row.version
+            elif row.table == PROGRESS_TABLE:
                 # An earlier try of ours whose answer was lost.
                 self._version_by_id[row.key] = row.version
             elif row.version != self.owner_version:
--- a/programs/beryl-host/src/berylcleat/host/_cells.py
+++ b/programs/beryl-host/src/berylcleat/host/_cells.py
@@ -19,6 +19,7 @@
 from ._directory import Directory, DirectoryEntry
 from ._follower import TableFollower
 from ._membership import Knowledge, Membership, OwnerSighting, assign_cells
+from ._peers import Handover, PeerClient
 from ._records import CELL_TABLE, OWNER_KEY, CellSummary, OwnerRow, encode
 from ._worker_list import WorkerList
 
@@ -43,6 +44,7 @@
         submissions: TableFollower,
         times: LeaseTimes,
         pairs: PairTable,
+        peers: PeerClient,
     ):
         self.driver_by_cell: dict[str, CellDriver] = {}
         self.is_leaving = False
@@ -58,6 +60,7 @@
         self._submissions = submissions
         self._times = times
         self._pairs = pairs
+        self._peers = peers
         directory.listeners.append(self._on_submission)
         workers.listeners.append(self._on_workers)
 
@@ -132,6 +135,7 @@
         version: int,
         before: OwnerSighting | None,
     ) -> None:
+        wait_s = self._times.takeover_wait_s(await self._has_ended(cell_id, before))
         driver = CellDriver(
             cell_id,
             self._workers.data_centre_by_cell().get(cell_id, ""),
@@ -140,7 +144,7 @@
             self._store,
             self._directory,
             self._times,
-            now_s() + self._takeover_wait_s(before),
+            now_s() + wait_s,
             self._is_confirmed,
             self._pairs,
         )
@@ -153,14 +157,27 @@
             del self.driver_by_cell[cell_id]
             await driver.release()
 
-    def _takeover_wait_s(self, before: OwnerSighting | None) -> float:
-        if before is None:
-            return 0.0
+    async def _has_ended(self, cell_id: str, before: OwnerSighting | None) -> bool:
+        """Tell whether the earlier owner surely renews and starts nothing more."""
+        if before is None or not before.row.host_id:
+            return True
         row = before.row
-        is_dead = not row.host_id or (
-            row.host_id == self._host_id and row.incarnation != self._incarnation
-        )
-        return self._times.takeover_wait_s(is_dead)
+        if row.host_id == self._host_id:
+            return row.incarnation != self._incarnation
+        sighting = self._membership.host_by_id.get(row.host_id)
+        if sighting is None:
+            return False
+        if sighting.row.incarnation != row.incarnation:
+            return True
+        address = sighting.row.peer_address
+        return await self._peers.take_over(address, Handover(cell_id, row.epoch))
+
+    async def give_up(self, cell_id: str, epoch: int) -> None:
+        """Stop driving a cell that another host has taken."""
+        driver = self.driver_by_cell.get(cell_id)
+        if driver is not None and driver.owner.epoch <= epoch:
+            del self.driver_by_cell[cell_id]
+            await driver.abandon()
 
     def _is_confirmed(self) -> bool:
         """Tell whether ownership was confirmed recently enough to go on."""
@@ -170,7 +187,7 @@
     async def _drop_lost(self) -> None:
         for cell_id, driver in tuple(self.driver_by_cell.items()):
             owner = self._membership.owner_by_cell[cell_id]
-            is_ours = owner.version == driver.owner_version
+            is_ours = owner.row == driver.owner
             fenced = driver.cell is not None and driver.cell.is_fenced_out
             if not is_ours or fenced or driver.is_lost:
                 del self.driver_by_cell[cell_id]
--- a/programs/beryl-host/src/berylcleat/host/_peers.py
+++ b/programs/beryl-host/src/berylcleat/host/_peers.py
@@ -12,6 +12,7 @@
 PEER_TIMEOUT_S = 0.5
 STATE_PREFIX = "/state/"
 NEWS_PATH = "/news"
+HANDOVER_PATH = "/handover"
 logger = logging.getLogger(__name__)
 
 
@@ -28,6 +29,13 @@
     state: str
 
 
+class Handover(msgspec.Struct, frozen=True):
+    """Tell the owner of a cell under ``epoch`` that another host has taken it."""
+
+    cell_id: str
+    epoch: int
+
+
 class PeerClient:
     """Send messages to other hosts."""
 
@@ -51,6 +59,12 @@
         response = await self._send(address, "POST", NEWS_PATH, body)
         return response is not None and response.status == 200
 
+    async def take_over(self, address: str, handover: Handover) -> bool:
+        """Tell an earlier owner to stop; return whether it has stopped."""
+        body = msgspec.json.encode(handover)
+        response = await self._send(address, "POST", HANDOVER_PATH, body)
+        return response is not None and response.status == 200
+
     async def _send(
         self, address: str, method: str, target: str, body: bytes = b""
     ) -> HttpResponse | None:
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -7,14 +7,14 @@
 import msgspec
 
 from berylcleat.http import HttpLimits, HttpRequest, HttpResponse, HttpServer
-from berylcleat.model import BerylError
+from berylcleat.model import BerylError, ConflictError
 from berylcleat.platform import (
     CONFIG_ROW,
     WORKER_TABLE,
     PlatformStore,
     decode_config,
 )
-from berylcleat.ports import Commit, RowWrite, StoreRow
+from berylcleat.ports import Commit, Condition, RowWrite, StoreRow
 from berylcleat.runtime import AdminRouter, StopSignal, cancel_all
 from berylcleat.scheduling import LeaseTimes, PairTable
 from berylcleat.telemetry import Tracer
@@ -26,7 +26,15 @@
 from ._directory import Directory
 from ._follower import TableFollower
 from ._membership import Knowledge, Membership
-from ._peers import NEWS_PATH, STATE_PREFIX, News, PeerClient, StateReply
+from ._peers import (
+    HANDOVER_PATH,
+    NEWS_PATH,
+    STATE_PREFIX,
+    Handover,
+    News,
+    PeerClient,
+    StateReply,
+)
 from ._records import (
     CELL_TABLE,
     HOST_PART,
@@ -58,6 +66,7 @@
         self.settings = settings
         self.incarnation = secrets.token_hex(4)
         self.is_leaving = False
+        self._row_version = 0
         self.store = PlatformStore(settings.store_address)
         self.directory = Directory()
         self.membership = Membership()
@@ -77,6 +86,7 @@
             self.submissions,
             LeaseTimes(worker_lease_s=settings.worker_lease_s),
             self.pairs,
+            self.peers,
         )
         chooser = CellChooser(settings.data_centre, self.membership, self.keeper)
         self.desk = Desk(
@@ -146,6 +156,9 @@
             try:
                 await self.write_row()
                 is_failing = False
+            except ConflictError as error:
+                logger.info("%s", error)
+                continue
             except BerylError as error:
                 if not is_failing:
                     logger.warning("heartbeat not written: %s", error)
@@ -166,9 +179,18 @@
                 for (filler, serving), log_odds in self.pairs.seen().items()
             ),
         )
-        key = self.settings.host_id
-        write = RowWrite(HOST_TABLE, HOST_PART, key, encode(row))
-        await self.store.commit(Commit((), (write,)))
+        place = (HOST_TABLE, HOST_PART, self.settings.host_id)
+        # A late write of an earlier incarnation must not undo ours.
+        condition = Condition(*place, self._row_version)
+        outcome = await self.store.commit(
+            Commit((condition,), (RowWrite(*place, encode(row)),))
+        )
+        if outcome.applied:
+            self._row_version = outcome.version
+            return
+        for current in outcome.current:
+            self._row_version = current.version
+        raise ConflictError("heartbeat: the row has changed", "Write it again")
 
     async def keep_cells(self) -> None:
         """Take and drop cells as membership changes."""
@@ -198,6 +220,8 @@
             return self._tell_state(request.target.removeprefix(STATE_PREFIX))
         if request.target == NEWS_PATH:
             return self._take_news(request.body)
+        if request.target == HANDOVER_PATH:
+            return await self._give_up(request.body)
         return HttpResponse(404)
 
     def _tell_state(self, submission_id: str) -> HttpResponse:
@@ -221,6 +245,15 @@
             self.directory.add_cancel(news.cancelled_id)
         return HttpResponse(200)
 
+    async def _give_up(self, body: bytes) -> HttpResponse:
+        try:
+            handover = msgspec.json.decode(body, type=Handover)
+        except msgspec.MsgspecError as error:
+            logger.error("handover can't be read: %s", error)
+            return HttpResponse(400)
+        await self.keeper.give_up(handover.cell_id, handover.epoch)
+        return HttpResponse(200)
+
     def _on_host_rows(self, rows: tuple[StoreRow, ...]) -> None:
         self.membership.on_host_rows(rows)
         for row in rows:
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -3,12 +3,14 @@
 import msgspec
 
 from berylcleat.model import Submission
+from berylcleat.ports import WorkerEntry
 
 SUBMISSION_TABLE = "submissions"
 CELL_TABLE = "cells"
 HOST_TABLE = "hosts"
 PROGRESS_TABLE = "progress"
 OWNER_KEY = "owner"
+WORKERS_KEY = "workers"
 HOST_PART = ""
 CANCEL_SUFFIX = ".cancel"
 # Parts of the submission table: one part carries 250 transactions a second.
@@ -31,6 +33,12 @@
     incarnation: str
 
 
+class WorkersRow(msgspec.Struct, frozen=True):
+    """List the workers on which the owner of a cell may have started something."""
+
+    workers: tuple[WorkerEntry, ...]
+
+
 class CellSummary(msgspec.Struct, frozen=True):
     """Tell other hosts about a cell's load; amounts in thousandths of a core."""
 
