--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -155,9 +155,9 @@
         view.entry = entry
         view.is_listed = True
 
-    def unrecorded_workers(self) -> bool:
-        """Tell whether a worker is not yet recorded as one of this cell."""
-        return not self._recorded.issuperset(self.worker_by_id)
+    def must_record_workers(self) -> bool:
+        """Tell whether the recorded workers are other than those of this cell."""
+        return self._recorded != self.worker_by_id.keys()
 
     def on_workers_recorded(self, worker_ids: frozenset[str]) -> None:
         """Let runs start on workers that the next owner will know of."""
--- a/programs/beryl-host/src/berylcleat/host/_cell_driver.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_driver.py
@@ -273,6 +273,7 @@
         self._port_by_worker.pop(worker_id).close()
         del self._task_by_worker[worker_id]
         self.cell.worker_by_id.pop(worker_id, None)
+        self._dirty.set()
 
     def _after_news(self) -> None:
         self._wake.set()
@@ -353,7 +354,7 @@
         while True:
             await self._dirty.wait()
             self._dirty.clear()
-            if self.cell.unrecorded_workers() and not await self._record_workers():
+            if self.cell.must_record_workers() and not await self._record_workers():
                 await asyncio.sleep(RECORD_RETRY_S)
                 self._dirty.set()
                 continue
--- a/programs/beryl-host/src/berylcleat/host/_follower.py
+++ b/programs/beryl-host/src/berylcleat/host/_follower.py
@@ -9,7 +9,7 @@
 
 from ._clock import now_s
 
-RETRY_PAUSE_S = 0.4
+RETRY_PAUSE_S = 0.2
 RowsListener = Callable[[tuple[StoreRow, ...]], None]
 logger = logging.getLogger(__name__)
 
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -49,8 +49,8 @@
 
 HEARTBEAT_S = 1.0
 KEEPER_PERIOD_S = 0.25
-LONG_WAIT_S = 10.0
-CELL_WAIT_S = 3.0
+# A connection that has fallen silent is noticed after this wait and a margin.
+FOLLOW_WAIT_S = 1.0
 WORKER_PERIOD_S = 0.7
 SUBMISSION_PERIOD_S = 0.4
 HOST_PERIOD_S = 0.8
@@ -103,7 +103,7 @@
             self.store,
             CONFIG_ROW[0],
             self._on_operator_rows,
-            wait_s=LONG_WAIT_S,
+            wait_s=FOLLOW_WAIT_S,
             min_period_s=0.1,
             parts=("",),
         )
@@ -111,7 +111,7 @@
             self.store,
             WORKER_TABLE,
             self.workers.on_rows,
-            wait_s=LONG_WAIT_S,
+            wait_s=FOLLOW_WAIT_S,
             min_period_s=WORKER_PERIOD_S,
             parts=("",),
         )
@@ -119,21 +119,21 @@
             self.store,
             SUBMISSION_TABLE,
             self.directory.on_rows,
-            wait_s=LONG_WAIT_S,
+            wait_s=FOLLOW_WAIT_S,
             min_period_s=SUBMISSION_PERIOD_S,
         )
         self.cells = TableFollower(
             self.store,
             CELL_TABLE,
             self.membership.on_owner_rows,
-            wait_s=CELL_WAIT_S,
+            wait_s=FOLLOW_WAIT_S,
             min_period_s=0.05,
         )
         self.hosts = TableFollower(
             self.store,
             HOST_TABLE,
             self._on_host_rows,
-            wait_s=LONG_WAIT_S,
+            wait_s=FOLLOW_WAIT_S,
             min_period_s=HOST_PERIOD_S,
             parts=(HOST_PART,),
         )
