Leaving workers are emptied; starving fillers run where they do least harm

Cause: tasks that last stayed on a draining worker until it had gone and its lease had lapsed; fillers heavy with every mix never ran (LOST). Change: MAX_MOVING stops at a time while there is room elsewhere; unlisted + draining + refused counts as left; forced runs below harmMs.

--- a/libs/scheduling/src/berylcleat/scheduling/_book.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_book.py
@@ -21,6 +21,7 @@
     occurrence: int
     number: int
     waiting: set[int]
+    stuck_since: float | None = None
 
     @property
     def step(self) -> Step:
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -23,7 +23,7 @@
 from ._book import ReadyStep, SubmissionBook, TrackedSubmission
 from ._interference import DISTURBED_RATIO, PairTable, Verdict
 from ._leases import LeaseTimes, WorkerClock
-from ._placement import choose_worker
+from ._placement import choose_forced_worker, choose_worker
 from ._progress import Progress, encode_progress
 from ._workers import READING_SPAN_S, Run, RunPhase, WorkerView
 
@@ -35,6 +35,13 @@
 STOP_RETRY_S = 0.5
 # After a takeover the earlier owner may still be given submissions for so long.
 HANDOVER_S = 5.0
+# A filler that fits nowhere is run where it does least harm after this wait, for less
+# than the platform allows a task to be over its target, with a pause in between.
+STARVING_S = 4.0
+FORCED_RUN_S = 2.5
+FORCED_PAUSE_S = 1.5
+# Tasks that are moved off leaving workers at a time.
+MAX_MOVING = 3
 # Readings tell of the last half second: more often, the same one would count twice.
 LEARN_PERIOD_S = 0.45
 # A report lists at most this many ends.
@@ -211,6 +218,17 @@
             self._end_life(view, "another life answers", now)
             view.is_listed = False
 
+    def on_refused(self, worker_id: str, now: float) -> None:
+        """Note that nothing listens at a worker's address.
+
+        A worker that said it would leave and is no longer listed has left.
+        """
+        view = self.worker_by_id.get(worker_id)
+        if view is None or view.is_listed or not view.entry.is_draining:
+            return
+        self._unsettled.discard(worker_id)
+        self._end_life(view, "has left", now)
+
     def on_fenced(self, worker_id: str) -> None:
         """Note that a worker has seen a higher epoch: the cell has a new owner."""
         logger.warning("cell %s: %s saw a newer epoch", self.cell_id, worker_id)
@@ -259,6 +277,7 @@
         self._lapse_workers(now)
         self._retry_stops(now)
         self._guard_serving(now)
+        self._leave_draining(now)
         self.book.open_scheduled(wall_ms)
         blocked = bool(self._unsettled) and now < self._settled_at
         for ready in self.book.ready_steps():
@@ -491,11 +510,41 @@
         """Stop fillers that disturb what serves beside them."""
         for view in self.worker_by_id.values():
             fillers = [
-                run for run in view.filling_runs() if run.phase is RunPhase.RUNNING
+                run
+                for run in view.filling_runs()
+                if run.phase is RunPhase.RUNNING and not self._is_spared(run, now)
             ]
             if fillers:
                 self._guard_worker(view, fillers, now)
 
+    def _leave_draining(self, now: float) -> None:
+        """Move tasks that last off workers that are about to leave."""
+        n_moving = sum(
+            run.step.is_long_running and run.phase is RunPhase.STOPPING
+            for run in self.run_by_task.values()
+        )
+        for view in self.worker_by_id.values():
+            if not view.entry.is_draining or not view.is_listed:
+                continue
+            for run in tuple(view.run_by_task.values()):
+                if n_moving >= MAX_MOVING:
+                    return
+                if self._can_move(run, now):
+                    n_moving += 1
+                    self._stop(run, now)
+
+    def _can_move(self, run: Run, now: float) -> bool:
+        if not run.step.is_long_running or run.phase is not RunPhase.RUNNING:
+            return False
+        tracked = self.book.by_id[run.task.submission_id]
+        service = tracked.submission.queue.service
+        workers = self._startable(now)
+        place = choose_worker(run.task, run.step, service, workers, self.pairs)
+        return place is not None
+
+    def _is_spared(self, run: Run, now: float) -> bool:
+        return run.is_forced and now - run.started_at < FORCED_RUN_S
+
     def _guard_worker(self, view: WorkerView, fillers: list[Run], now: float) -> None:
         images = view.serving_images()
         heavy = {
@@ -535,22 +584,47 @@
         }
 
     def _start_ready(self, ready: ReadyStep, now: float) -> None:
-        tracked = ready.tracked
-        step = ready.step
         for index in sorted(ready.waiting):
             task = ready.task(index)
             if task in self.run_by_task:
                 continue
-            view = choose_worker(
-                task,
-                step,
-                tracked.submission.queue.service,
-                self._startable(now),
-                self.pairs,
-            )
-            if view is None:
-                return
-            self._start(tracked, task, view, now)
+            view = self._choose(ready, task, now)
+            if view is not None:
+                ready.stuck_since = None
+                self._start(ready.tracked, task, view, now)
+                continue
+            if ready.stuck_since is None:
+                ready.stuck_since = now
+            if ready.step.fills and now - ready.stuck_since > STARVING_S:
+                self._force(ready, task, now)
+            return
+
+    def _choose(self, ready: ReadyStep, task: TaskKey, now: float) -> WorkerView | None:
+        return choose_worker(
+            task,
+            ready.step,
+            ready.tracked.submission.queue.service,
+            self._startable(now),
+            self.pairs,
+        )
+
+    def _force(self, ready: ReadyStep, task: TaskKey, now: float) -> None:
+        """Run a starving filler for a while where it does least harm."""
+        service = ready.tracked.submission.queue.service
+        view = choose_forced_worker(
+            task, ready.step, service, self._startable(now), self.pairs
+        )
+        if view is None or now - view.forced_at < FORCED_PAUSE_S + FORCED_RUN_S:
+            return
+        view.forced_at = now
+        logger.info(
+            "filler forced: task %s image %s on %s",
+            ".".join(map(str, task)),
+            ready.step.image,
+            view.entry.worker_id,
+        )
+        self._start(ready.tracked, task, view, now)
+        self.run_by_task[task].is_forced = True
 
     def _startable(self, now: float) -> list[WorkerView]:
         return [
--- a/libs/scheduling/src/berylcleat/scheduling/_placement.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_placement.py
@@ -38,6 +38,33 @@
     return best
 
 
+def choose_forced_worker(
+    task: TaskKey,
+    step: Step,
+    service: str,
+    workers: Iterable[WorkerView],
+    pairs: PairTable,
+) -> WorkerView | None:
+    """Return the worker where a filler that fits nowhere else does least harm."""
+    best: WorkerView | None = None
+    best_score: Score | None = None
+    for worker in workers:
+        if not _may_run(task, step, service, worker):
+            continue
+        if any(run.is_forced for run in worker.run_by_task.values()):
+            continue
+        if worker.cpu_left() < step.demand.cpu_millis:
+            continue
+        harmed = sum(
+            pairs.probability(step.image, run.step.image)
+            for run in worker.serving_runs()
+        )
+        score = (harmed, -float(worker.cpu_left()))
+        if best_score is None or score < best_score:
+            best, best_score = worker, score
+    return best
+
+
 def _may_run(task: TaskKey, step: Step, service: str, worker: WorkerView) -> bool:
     entry = worker.entry
     if entry.service != service:
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -45,6 +45,7 @@
     percent: int = 0
     reading: float = 0.0
     pace: int = 100
+    is_forced: bool = False
     stop_answered_at: float | None = None
     stop_sent_at: float | None = None
 
@@ -69,6 +70,7 @@
     avoid_until: float = 0.0
     guarded_at: float = 0.0
     learnt_at: float = 0.0
+    forced_at: float = 0.0
     past_fillers: list[tuple[float, FillerUse]] = field(default_factory=list)
 
     def can_start(self, now: float) -> bool:
--- a/programs/beryl-host/src/berylcleat/host/_cell_driver.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_driver.py
@@ -245,6 +245,8 @@
                 self.cell.on_fenced(worker_id)
                 return
             else:
+                if answer.result is OrderResult.NOT_SENT:
+                    self.cell.on_refused(worker_id, now_s())
                 if answer.result is OrderResult.OTHER_LIFE:
                     self.cell.on_other_life(worker_id, now_s())
                     self._after_news()
