Stuck tasks move to cells that have room

Ruled out: one cell for all workers (a zone cut would lose every other zone's runs). Change: moves are recorded beside the submission under the owner's row (across parts); guests' ends go home after they are recorded; the home alone tells states.

--- a/libs/ports/src/berylcleat/ports/_store.py
+++ b/libs/ports/src/berylcleat/ports/_store.py
@@ -41,10 +41,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Commit:
-    """Change several rows of one part at once, or none."""
+    """Change several rows at once, or none; of one part unless ``spans_parts``."""
 
     conditions: tuple[Condition, ...] = ()
     writes: tuple[RowWrite, ...] = ()
+    spans_parts: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/scheduling/src/berylcleat/scheduling/__init__.py
+++ b/libs/scheduling/src/berylcleat/scheduling/__init__.py
@@ -4,6 +4,7 @@
 from ._cell import Cell, ProgressWrite, RecordBatch, WorkerOrder
 from ._interference import PairTable, Verdict
 from ._leases import CLOCK_DRIFT, LeaseTimes, WorkerClock
+from ._moves import CellRoom, GuestEnd, MoveProposal, TaskMove
 from ._placement import choose_worker
 from ._progress import Progress, decode_progress, encode_progress
 from ._workers import Run, RunPhase, WorkerView
@@ -11,7 +12,10 @@
 __all__ = [
     "CLOCK_DRIFT",
     "Cell",
+    "CellRoom",
+    "GuestEnd",
     "LeaseTimes",
+    "MoveProposal",
     "PairTable",
     "Progress",
     "ProgressWrite",
@@ -19,6 +23,7 @@
     "Run",
     "RunPhase",
     "SubmissionBook",
+    "TaskMove",
     "TrackedSubmission",
     "Verdict",
     "WorkerClock",
--- a/libs/scheduling/src/berylcleat/scheduling/_book.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_book.py
@@ -49,19 +49,39 @@
 class TrackedSubmission:
     """Follow one submission of the cell.
 
-    ``due_at`` is when it should have ended, on the owner's clock. ``run_floor`` is
-    the highest run number that any task may have had.
+    ``due_at`` is when it should have ended, on the owner's clock. The cell that it
+    was accepted for is its home; other cells follow only the tasks moved to them.
     """
 
     submission: Submission
     progress: Progress
     due_at: float
+    is_home: bool = True
     is_cancelled: bool = False
     has_started: bool = False
     is_dirty: bool = False
     ready_by_step: dict[tuple[int, int], ReadyStep] = field(default_factory=dict)
     opened: set[tuple[int, int]] = field(default_factory=set)
     run_floor_by_task: dict[TaskKey, int] = field(default_factory=dict)
+    earlier_failures_by_task: dict[TaskKey, int] = field(default_factory=dict)
+    elsewhere: set[TaskKey] = field(default_factory=set)
+    guests: set[TaskKey] = field(default_factory=set)
+    reported: set[TaskKey] = field(default_factory=set)
+
+    def is_ours(self, task: TaskKey) -> bool:
+        """Tell whether ``task`` is to run in this cell."""
+        if not self.is_home:
+            return task in self.guests
+        return task not in self.elsewhere
+
+    def n_failures(self, task: TaskKey) -> int:
+        """Return how many runs of ``task`` have failed here and elsewhere."""
+        earlier = self.earlier_failures_by_task.get(task, 0)
+        return earlier + self.progress.n_failures(task)
+
+    def key(self, occurrence: int, step: int, index: int) -> TaskKey:
+        """Return the name of a task of this submission."""
+        return TaskKey(self.submission.submission_id, occurrence, step, index)
 
     @property
     def is_over(self) -> bool:
@@ -70,7 +90,7 @@
 
     def open_steps(self, wall_ms: float) -> None:
         """Make the tasks of every step ready whose turn has come."""
-        if self.is_over:
+        if self.is_over or not self.is_home:
             return
         for occurrence in self.submission.occurrences():
             if self._due_ms(occurrence) > wall_ms:
@@ -101,7 +121,11 @@
             return False
         self.opened.add(key)
         done = self.progress.done_by_step.get(key, ())
-        waiting = {index for index in range(step.n_tasks) if index not in done}
+        waiting = {
+            index
+            for index in range(step.n_tasks)
+            if index not in done and self.is_ours(self.key(*key, index))
+        }
         if waiting:
             self.ready_by_step[key] = ReadyStep(self, occurrence, number, waiting)
         return True
@@ -133,7 +157,9 @@
     def put_back(self, task: TaskKey) -> None:
         """Let ``task`` wait for another start, unless it is done."""
         key = (task.occurrence, task.step)
-        if self.is_over or key not in self.opened or self.progress.is_done(task):
+        if self.is_over or self.progress.is_done(task) or not self.is_ours(task):
+            return
+        if self.is_home and key not in self.opened:
             return
         ready = self.ready_by_step.get(key)
         if ready is None:
@@ -146,7 +172,7 @@
         self.progress.add_done(task)
         self.take(task)
         self.is_dirty = True
-        if self.all_done():
+        if self.is_home and self.all_done():
             self.progress.final_state = SubmissionState.DONE
             self.ready_by_step.clear()
 
@@ -154,9 +180,14 @@
         """Note a failed run; end the submission when its attempts are spent."""
         self.progress.add_failure(task, run)
         self.is_dirty = True
-        if self.progress.n_failures(task) >= self.submission.queue.max_attempts:
-            self.progress.final_state = SubmissionState.FAILED
-            self.ready_by_step.clear()
+        if self.n_failures(task) >= self.submission.queue.max_attempts:
+            self.fail()
+
+    def fail(self) -> None:
+        """End the submission as failed."""
+        self.progress.final_state = SubmissionState.FAILED
+        self.is_dirty = True
+        self.ready_by_step.clear()
 
     def cancel(self) -> None:
         """Let nothing of it start any more."""
@@ -172,13 +203,18 @@
         self.live_by_id: dict[str, TrackedSubmission] = {}
 
     def add(
-        self, submission: Submission, progress: Progress, accepted_at: float
+        self,
+        submission: Submission,
+        progress: Progress,
+        accepted_at: float,
+        *,
+        is_home: bool = True,
     ) -> TrackedSubmission:
         """Follow ``submission`` from now on."""
         queue = submission.queue
         length_s = longest_chain_s(submission.steps) * queue.stretch
         due_at = accepted_at + length_s + queue.objective_ms / 1000
-        tracked = TrackedSubmission(submission, progress, due_at)
+        tracked = TrackedSubmission(submission, progress, due_at, is_home)
         self.by_id[submission.submission_id] = tracked
         if not tracked.is_over:
             self.live_by_id[submission.submission_id] = tracked
@@ -212,7 +248,7 @@
         """Return how many submissions of each queue have not begun."""
         counts: dict[str, int] = {}
         for tracked in self.live_by_id.values():
-            if tracked.has_started or tracked.is_over:
+            if tracked.has_started or tracked.is_over or not tracked.is_home:
                 continue
             name = tracked.submission.queue.name
             counts[name] = counts.get(name, 0) + 1
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -4,6 +4,7 @@
 """
 
 import logging
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from berylcleat.model import Submission, SubmissionState, TaskKey
@@ -23,6 +24,15 @@
 from ._book import ReadyStep, SubmissionBook, TrackedSubmission
 from ._interference import DISTURBED_RATIO, PairTable, Verdict
 from ._leases import LeaseTimes, WorkerClock
+from ._moves import (
+    CellRoom,
+    GuestEnd,
+    MoveProposal,
+    RoomBook,
+    TaskMove,
+    is_stuck,
+    make_move,
+)
 from ._placement import choose_forced_worker, choose_worker
 from ._progress import Progress, encode_progress
 from ._workers import READING_SPAN_S, Run, RunPhase, WorkerView
@@ -106,13 +116,22 @@
         self._recorded = set(self._unsettled)
         self._inherited: set[str] = set()
         self._orders: list[WorkerOrder] = []
+        self._withheld: set[TaskKey] = set()
+        self._wall_ms = 0.0
         for entry in earlier_workers:
             self.worker_by_id[entry.worker_id] = WorkerView(entry, is_listed=False)
 
     # Submissions
 
     def add_submission(
-        self, submission: Submission, progress: Progress, now: float, *, inherited: bool
+        self,
+        submission: Submission,
+        progress: Progress,
+        accepted_at: float,
+        now: float,
+        *,
+        inherited: bool,
+        is_home: bool = True,
     ) -> None:
         """Follow a submission; an ``inherited`` one may have runs we don't know.
 
@@ -120,9 +139,8 @@
         """
         if submission.submission_id in self.book.by_id:
             return
-        tracked = self.book.add(submission, progress, now)
-        if not submission.is_scheduled:
-            tracked.open_steps(0.0)
+        tracked = self.book.add(submission, progress, accepted_at, is_home=is_home)
+        tracked.open_steps(self._wall_ms)
         if inherited or now < self._began_at + HANDOVER_S:
             self._inherited.add(submission.submission_id)
         if inherited:
@@ -137,6 +155,121 @@
         self.book.retire(tracked)
         self._stop_runs_of(submission_id, now)
 
+    def update_moves(
+        self, submission_id: str, move_by_task: Mapping[TaskKey, TaskMove], now: float
+    ) -> None:
+        """Take in which tasks of a submission run in which cell."""
+        tracked = self.book.by_id.get(submission_id)
+        if tracked is None:
+            return
+        for task, move in move_by_task.items():
+            if move.cell_id == self.cell_id:
+                self._receive(tracked, task, move)
+            else:
+                self._hand_away(tracked, task, now)
+
+    def _receive(
+        self, tracked: TrackedSubmission, task: TaskKey, move: TaskMove
+    ) -> None:
+        is_known = (
+            task in tracked.guests
+            if not tracked.is_home
+            else (task not in tracked.elsewhere)
+        )
+        if is_known:
+            return
+        tracked.elsewhere.discard(task)
+        tracked.guests.add(task)
+        floor = tracked.run_floor_by_task.get(task, 0)
+        tracked.run_floor_by_task[task] = max(floor, move.run_floor)
+        tracked.earlier_failures_by_task[task] = move.n_failures
+        if move.checkpoint:
+            tracked.progress.checkpoint_by_task.setdefault(task, move.checkpoint)
+        if task not in self.run_by_task:
+            tracked.put_back(task)
+
+    def _hand_away(self, tracked: TrackedSubmission, task: TaskKey, now: float) -> None:
+        tracked.guests.discard(task)
+        if tracked.is_home:
+            tracked.elsewhere.add(task)
+        self._withheld.discard(task)
+        tracked.take(task)
+        run = self.run_by_task.get(task)
+        if run is not None:
+            logger.error("task %s was moved while it ran", task)
+            self._stop(run, now)
+
+    def propose_moves(
+        self, rooms: tuple[CellRoom, ...], now: float
+    ) -> list[MoveProposal]:
+        """Return stuck tasks that other cells have room for, and withhold them."""
+        book = RoomBook(rooms)
+        proposals = []
+        for ready in self.book.ready_steps():
+            if is_stuck(ready, now) and not self._is_blocked(ready, now):
+                move_by_task = self._moves_of(ready, book)
+                if move_by_task:
+                    submission_id = ready.tracked.submission.submission_id
+                    proposals.append(MoveProposal(submission_id, move_by_task))
+        return proposals
+
+    def _moves_of(self, ready: ReadyStep, book: RoomBook) -> dict[TaskKey, TaskMove]:
+        move_by_task = {}
+        service = ready.tracked.submission.queue.service
+        for index in sorted(ready.waiting):
+            task = ready.task(index)
+            if task in self.run_by_task or task in self._withheld:
+                continue
+            cell_id = book.take(ready.step, service)
+            if cell_id is None:
+                break
+            move_by_task[task] = make_move(ready.tracked, task, cell_id)
+        self._withheld.update(move_by_task)
+        return move_by_task
+
+    def on_move_refused(self, proposal: MoveProposal) -> None:
+        """Let tasks start here again whose move was not recorded."""
+        self._withheld.difference_update(proposal.move_by_task)
+
+    def guest_ends(self) -> dict[str, list[GuestEnd]]:
+        """Return recorded ends of guests that their home has not confirmed, by id."""
+        ends = {}
+        for tracked in self.book.live_by_id.values():
+            if tracked.is_home or tracked.is_dirty:
+                continue
+            has_failed = tracked.progress.final_state is SubmissionState.FAILED
+            unreported = [
+                GuestEnd(task, not tracked.progress.is_done(task))
+                for task in tracked.guests - tracked.reported
+                if has_failed or tracked.progress.is_done(task)
+            ]
+            if unreported:
+                ends[tracked.submission.submission_id] = unreported
+        return ends
+
+    def on_guest_ends_confirmed(
+        self, submission_id: str, ends: list[GuestEnd], now: float
+    ) -> None:
+        """Note that the home has recorded the ends of guests."""
+        tracked = self.book.by_id[submission_id]
+        tracked.reported.update(end.task for end in ends)
+
+    def on_guest_ends(
+        self, submission_id: str, ends: list[GuestEnd], now: float
+    ) -> bool:
+        """Take in ends told by another cell; return whether they are durable."""
+        tracked = self.book.by_id.get(submission_id)
+        if tracked is None:
+            return False
+        for end in ends:
+            if end.has_failed and not tracked.is_over:
+                tracked.fail()
+                self._stop_runs_of(submission_id, now)
+            elif not tracked.is_over and not tracked.progress.is_done(end.task):
+                tracked.add_done(end.task)
+                tracked.open_steps(self._wall_ms)
+        return not tracked.is_dirty
+
     def state_of(self, submission_id: str) -> SubmissionState | None:
         """Return what a client may be told; recorded ends only."""
         tracked = self.book.by_id.get(submission_id)
@@ -278,15 +411,20 @@
         self._retry_stops(now)
         self._guard_serving(now)
         self._leave_draining(now)
+        self._wall_ms = wall_ms
         self.book.open_scheduled(wall_ms)
-        blocked = bool(self._unsettled) and now < self._settled_at
         for ready in self.book.ready_steps():
-            if blocked and ready.tracked.submission.submission_id in self._inherited:
-                continue
-            self._start_ready(ready, now)
+            if not self._is_blocked(ready, now):
+                self._start_ready(ready, now)
         orders, self._orders = self._orders, []
         return orders
 
+    def _is_blocked(self, ready: ReadyStep, now: float) -> bool:
+        """Tell whether an earlier owner's runs of a step may still be unknown."""
+        if not self._unsettled or now >= self._settled_at:
+            return False
+        return ready.tracked.submission.submission_id in self._inherited
+
     def lease_until_ms(self, view: WorkerView, now: float) -> int:
         """Return the lease to ask for, and note that it may be granted."""
         until_ms = view.clock.earliest_ms(now) + int(self.times.worker_lease_s * 1000)
@@ -349,8 +487,7 @@
             view.note_success()
             tracked.has_started = True
             tracked.add_done(end.task)
-            if not tracked.submission.is_scheduled:
-                tracked.open_steps(0.0)
+            tracked.open_steps(self._wall_ms)
             self._stop_extra_run(end.task, now)
         elif end.end is RunEnd.FAILED:
             self._note_health(view, end, now)
@@ -361,7 +498,7 @@
                 end.task,
                 end.run,
                 view.entry.worker_id,
-                tracked.progress.n_failures(end.task),
+                tracked.n_failures(end.task),
                 tracked.submission.queue.max_attempts,
             )
         if tracked.progress.final_state is not None:
@@ -416,6 +553,7 @@
             and not tracked.is_over
             and task not in self.run_by_task
             and not tracked.progress.is_done(task)
+            and tracked.is_ours(task)
             and self._has_step(tracked, task)
         )
         if not wanted:
@@ -586,7 +724,7 @@
     def _start_ready(self, ready: ReadyStep, now: float) -> None:
         for index in sorted(ready.waiting):
             task = ready.task(index)
-            if task in self.run_by_task:
+            if task in self.run_by_task or task in self._withheld:
                 continue
             view = self._choose(ready, task, now)
             if view is not None:
--- a/programs/beryl-host/src/berylcleat/host/_cell_driver.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_driver.py
@@ -25,6 +25,7 @@
 from berylcleat.runtime import cancel_all
 from berylcleat.scheduling import (
     Cell,
+    GuestEnd,
     LeaseTimes,
     PairTable,
     Progress,
@@ -46,6 +47,7 @@
     WorkersRow,
     encode,
 )
+from ._task_carrier import TaskCarrier
 
 # The longest that a hold waits for an end, and so the longest between renewals.
 HOLD_WAIT_MS = 1000
@@ -57,6 +59,7 @@
 RECORD_RETRY_S = 0.3
 MAX_WRITES = 90
 LOAD_LOG_S = 5.0
+CARRY_PERIOD_S = 0.25
 logger = logging.getLogger(__name__)
 
 
@@ -75,6 +78,7 @@
         settled_at: float,
         is_confirmed: Callable[[], bool],
         pairs: PairTable,
+        carrier: TaskCarrier,
     ):
         self.cell_id = cell_id
         self.data_centre = data_centre
@@ -89,6 +93,7 @@
         self._settled_at = settled_at
         self._is_confirmed = is_confirmed
         self._pairs = pairs
+        self._carrier = carrier
         self._version_by_id: dict[str, int] = {}
         self._workers_version = 0
         self._port_by_worker: dict[str, PlatformWorker] = {}
@@ -118,7 +123,15 @@
             submission = entry.accepted.submission
             progress = progress_by_id.get(submission.submission_id, Progress())
             age_s = max(0.0, wall_ms() - entry.accepted.accepted_at_ms) / 1000
-            cell.add_submission(submission, progress, now - age_s, inherited=True)
+            cell.add_submission(
+                submission,
+                progress,
+                now - age_s,
+                now,
+                inherited=True,
+                is_home=entry.accepted.cell_id == self.cell_id,
+            )
+            cell.update_moves(submission.submission_id, entry.move_by_task, now)
             if entry.is_cancelled:
                 cell.cancel(submission.submission_id, now)
         self.cell = cell
@@ -128,6 +141,7 @@
         self._spawn(self._pump())
         self._spawn(self._record())
         self._spawn(self._report_load())
+        self._spawn(self._carry())
         logger.info(
             "cell %s: epoch %d begins with %d submissions and %d workers",
             self.cell_id,
@@ -170,8 +184,14 @@
             return
         now = now_s()
         self.cell.add_submission(
-            entry.accepted.submission, Progress(), now, inherited=False
+            entry.accepted.submission,
+            Progress(),
+            now,
+            now,
+            inherited=False,
+            is_home=entry.accepted.cell_id == self.cell_id,
         )
+        self.cell.update_moves(submission_id, entry.move_by_task, now)
         if entry.is_cancelled:
             self.cell.cancel(submission_id, now)
         self._wake.set()
@@ -351,6 +371,27 @@
 
     # Records
 
+    async def _carry(self) -> None:
+        """Move stuck tasks to other cells, and report the ends of guests."""
+        while True:
+            await asyncio.sleep(CARRY_PERIOD_S)
+            if not self._is_confirmed() or self.is_lost:
+                continue
+            rooms = self._carrier.rooms(self.cell_id)
+            for proposal in self.cell.propose_moves(rooms, now_s()):
+                self._spawn(self._carrier.move(self, proposal))
+            for submission_id, ends in self.cell.guest_ends().items():
+                if await self._carrier.report(submission_id, ends):
+                    self.cell.on_guest_ends_confirmed(submission_id, ends, now_s())
+
+    def on_guest_ends(self, submission_id: str, ends: list[GuestEnd]) -> bool:
+        """Take in ends told by another cell; return whether they are durable."""
+        if self.cell is None:
+            return False
+        is_durable = self.cell.on_guest_ends(submission_id, ends, now_s())
+        self._after_news()
+        return is_durable
+
     async def _record(self) -> None:
         """Record ends, then let the workers forget them."""
         while True:
--- a/programs/beryl-host/src/berylcleat/host/_cells.py
+++ b/programs/beryl-host/src/berylcleat/host/_cells.py
@@ -21,6 +21,7 @@
 from ._membership import Knowledge, Membership, OwnerSighting, assign_cells
 from ._peers import Handover, PeerClient
 from ._records import CELL_TABLE, OWNER_KEY, CellSummary, OwnerRow, encode
+from ._task_carrier import TaskCarrier
 from ._worker_list import WorkerList
 
 # Hosts of a cell's own data centre have this long to show up before others take it.
@@ -61,6 +62,7 @@
         self._times = times
         self._pairs = pairs
         self._peers = peers
+        self._carrier = TaskCarrier(store, directory, membership, peers, self)
         directory.listeners.append(self._on_submission)
         workers.listeners.append(self._on_workers)
 
@@ -147,6 +149,7 @@
             now_s() + wait_s,
             self._is_confirmed,
             self._pairs,
+            self._carrier,
         )
         self.driver_by_cell[cell_id] = driver
         try:
@@ -196,9 +199,10 @@
     def _on_submission(self, submission_id: str, entry: DirectoryEntry) -> None:
         if entry.accepted is None:
             return
-        driver = self.driver_by_cell.get(entry.accepted.cell_id)
-        if driver is not None:
-            driver.on_submission(submission_id, entry)
+        for cell_id in entry.cells():
+            driver = self.driver_by_cell.get(cell_id)
+            if driver is not None:
+                driver.on_submission(submission_id, entry)
 
     def _on_workers(self, by_cell: dict[str, dict[str, WorkerEntry]]) -> None:
         for cell_id, driver in self.driver_by_cell.items():
--- a/programs/beryl-host/src/berylcleat/host/_choice.py
+++ b/programs/beryl-host/src/berylcleat/host/_choice.py
@@ -80,8 +80,6 @@
         return load - LOCAL_ADVANTAGE if is_local else load
 
     def _summaries(self) -> dict[str, CellSummary]:
-        summaries = {}
-        for sighting in self._membership.host_by_id.values():
-            summaries.update(sighting.row.summary_by_cell)
+        summaries = self._membership.summaries()
         summaries.update(self._keeper.summaries())
         return summaries
--- a/programs/beryl-host/src/berylcleat/host/_desk.py
+++ b/programs/beryl-host/src/berylcleat/host/_desk.py
@@ -81,7 +81,6 @@
         self._keeper = keeper
         self._chooser = chooser
         self._peers = peers
-        self._background: set[asyncio.Task] = set()
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one client request."""
@@ -164,9 +163,7 @@
         address = self._membership.peer_of_cell(cell_id)
         if address is None:
             return
-        task = asyncio.get_running_loop().create_task(self._peers.tell(address, news))
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
+        self._peers.tell_soon(address, news)
 
     # States
 
--- a/programs/beryl-host/src/berylcleat/host/_directory.py
+++ b/programs/beryl-host/src/berylcleat/host/_directory.py
@@ -2,16 +2,19 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
+from berylcleat.model import TaskKey
 from berylcleat.ports import StoreRow
+from berylcleat.scheduling import TaskMove
 
-from ._records import CANCEL_SUFFIX, AcceptedRow
+from ._records import CANCEL_SUFFIX, MOVES_SUFFIX, AcceptedRow, MovesRow
 
 logger = logging.getLogger(__name__)
 _decoder = msgspec.json.Decoder(AcceptedRow)
+_moves_decoder = msgspec.json.Decoder(MovesRow)
 
 
 @dataclass(slots=True)
@@ -20,6 +23,15 @@
 
     accepted: AcceptedRow | None = None
     is_cancelled: bool = False
+    move_by_task: dict[TaskKey, TaskMove] = field(default_factory=dict)
+    moves_version: int = 0
+
+    def cells(self) -> set[str]:
+        """Return the cells that run tasks of the submission."""
+        if self.accepted is None:
+            return set()
+        moved = {move.cell_id for move in self.move_by_task.values()}
+        return moved | {self.accepted.cell_id}
 
 
 EntryListener = Callable[[str, DirectoryEntry], None]
@@ -39,9 +51,25 @@
                 continue
             if row.key.endswith(CANCEL_SUFFIX):
                 self.add_cancel(row.key.removesuffix(CANCEL_SUFFIX))
+            elif row.key.endswith(MOVES_SUFFIX):
+                self.add_moves(row.key.removesuffix(MOVES_SUFFIX), row)
             else:
                 self._add_row(row)
 
+    def add_moves(self, submission_id: str, row: StoreRow) -> None:
+        """Note where the tasks of a submission run."""
+        entry = self.by_id.setdefault(submission_id, DirectoryEntry())
+        if row.version <= entry.moves_version:
+            return
+        try:
+            moves = _moves_decoder.decode(row.value).moves
+        except msgspec.MsgspecError as error:
+            logger.error("moves of %s can't be read: %s", submission_id, error)
+            return
+        entry.move_by_task = {move.task: move.move for move in moves}
+        entry.moves_version = row.version
+        self._tell(submission_id, entry)
+
     def add(self, accepted: AcceptedRow) -> None:
         """Note an accepted submission."""
         submission_id = accepted.submission.submission_id
@@ -58,12 +86,8 @@
             self._tell(submission_id, entry)
 
     def in_cell(self, cell_id: str) -> list[DirectoryEntry]:
-        """Return the submissions of a cell."""
-        return [
-            entry
-            for entry in self.by_id.values()
-            if entry.accepted and entry.accepted.cell_id == cell_id
-        ]
+        """Return the submissions with tasks in a cell."""
+        return [entry for entry in self.by_id.values() if cell_id in entry.cells()]
 
     def _add_row(self, row: StoreRow) -> None:
         try:
--- a/programs/beryl-host/src/berylcleat/host/_membership.py
+++ b/programs/beryl-host/src/berylcleat/host/_membership.py
@@ -8,7 +8,7 @@
 from berylcleat.ports import StoreRow
 
 from ._clock import now_s
-from ._records import OWNER_KEY, HostRow, OwnerRow
+from ._records import OWNER_KEY, CellSummary, HostRow, OwnerRow
 
 # A host whose heartbeat has not changed for this long is taken as dead.
 HOST_LAPSE_S = 3.0
@@ -98,6 +98,16 @@
             and self.is_live(host_id, sighting.row.incarnation, known)
         }
 
+    def summaries(self) -> dict[str, CellSummary]:
+        """Return the loads of all cells as their owners told last."""
+        summaries: dict[str, CellSummary] = {}
+        for host_id, sighting in self.host_by_id.items():
+            for cell_id, summary in sighting.row.summary_by_cell.items():
+                owner = self.owner_by_cell.get(cell_id)
+                if owner is not None and owner.row.host_id == host_id:
+                    summaries[cell_id] = summary
+        return summaries
+
     def peer_of_cell(self, cell_id: str) -> str | None:
         """Return the peer address of a cell's owner."""
         owner = self.owner_by_cell.get(cell_id)
--- a/programs/beryl-host/src/berylcleat/host/_peers.py
+++ b/programs/beryl-host/src/berylcleat/host/_peers.py
@@ -1,11 +1,13 @@
 """Messages between hosts: who asks for a state, and who tells of a submission."""
 
+import asyncio
 import logging
 
 import msgspec
 
 from berylcleat.http import ExchangeError, HttpClient, HttpRequest, HttpResponse
 from berylcleat.model import SubmissionState
+from berylcleat.scheduling import GuestEnd
 
 from ._records import AcceptedRow
 
@@ -13,6 +15,7 @@
 STATE_PREFIX = "/state/"
 NEWS_PATH = "/news"
 HANDOVER_PATH = "/handover"
+ENDS_PATH = "/ends"
 logger = logging.getLogger(__name__)
 
 
@@ -21,6 +24,16 @@
 
     accepted: AcceptedRow | None = None
     cancelled_id: str = ""
+    moves_of: str = ""
+    moves: bytes = b""
+    version: int = 0
+
+
+class GuestEnds(msgspec.Struct, frozen=True):
+    """Tell a submission's home of tasks that have ended in another cell."""
+
+    submission_id: str
+    ends: tuple[GuestEnd, ...]
 
 
 class StateReply(msgspec.Struct, frozen=True):
@@ -42,6 +55,7 @@
     def __init__(self):
         self._client_by_address: dict[str, HttpClient] = {}
         self._decoder = msgspec.json.Decoder(StateReply)
+        self._background: set[asyncio.Task] = set()
 
     async def ask_state(
         self, address: str, submission_id: str
@@ -59,6 +73,18 @@
         response = await self._send(address, "POST", NEWS_PATH, body)
         return response is not None and response.status == 200
 
+    def tell_soon(self, address: str, news: News) -> None:
+        """Send ``news`` without waiting for it to be taken."""
+        task = asyncio.get_running_loop().create_task(self.tell(address, news))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def tell_ends(self, address: str, ends: GuestEnds) -> bool:
+        """Tell of ends; return whether the home has recorded them."""
+        body = msgspec.json.encode(ends)
+        response = await self._send(address, "POST", ENDS_PATH, body)
+        return response is not None and response.status == 200
+
     async def take_over(self, address: str, handover: Handover) -> bool:
         """Tell an earlier owner to stop; return whether it has stopped."""
         body = msgspec.json.encode(handover)
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -27,9 +27,11 @@
 from ._follower import TableFollower
 from ._membership import Knowledge, Membership
 from ._peers import (
+    ENDS_PATH,
     HANDOVER_PATH,
     NEWS_PATH,
     STATE_PREFIX,
+    GuestEnds,
     Handover,
     News,
     PeerClient,
@@ -39,6 +41,7 @@
     CELL_TABLE,
     HOST_PART,
     HOST_TABLE,
+    MOVES_SUFFIX,
     SUBMISSION_TABLE,
     HostRow,
     PairRow,
@@ -220,6 +223,8 @@
             return self._tell_state(request.target.removeprefix(STATE_PREFIX))
         if request.target == NEWS_PATH:
             return self._take_news(request.body)
+        if request.target == ENDS_PATH:
+            return self._take_ends(request.body)
         if request.target == HANDOVER_PATH:
             return await self._give_up(request.body)
         return HttpResponse(404)
@@ -241,10 +246,29 @@
             return HttpResponse(400)
         if news.accepted is not None:
             self.directory.add(news.accepted)
+        if news.moves_of:
+            key = news.moves_of + MOVES_SUFFIX
+            row = StoreRow(SUBMISSION_TABLE, "", key, news.moves, news.version)
+            self.directory.on_rows((row,))
         if news.cancelled_id:
             self.directory.add_cancel(news.cancelled_id)
         return HttpResponse(200)
 
+    def _take_ends(self, body: bytes) -> HttpResponse:
+        try:
+            told = msgspec.json.decode(body, type=GuestEnds)
+        except msgspec.MsgspecError as error:
+            logger.error("ends can't be read: %s", error)
+            return HttpResponse(400)
+        entry = self.directory.by_id.get(told.submission_id)
+        if entry is None or entry.accepted is None:
+            return HttpResponse(409)
+        driver = self.keeper.driver_by_cell.get(entry.accepted.cell_id)
+        if driver is None:
+            return HttpResponse(409)
+        is_durable = driver.on_guest_ends(told.submission_id, list(told.ends))
+        return HttpResponse(200 if is_durable else 409)
+
     async def _give_up(self, body: bytes) -> HttpResponse:
         try:
             handover = msgspec.json.decode(body, type=Handover)
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -2,8 +2,9 @@
 
 import msgspec
 
-from berylcleat.model import Submission
+from berylcleat.model import Submission, TaskKey
 from berylcleat.ports import WorkerEntry
+from berylcleat.scheduling import TaskMove
 
 SUBMISSION_TABLE = "submissions"
 CELL_TABLE = "cells"
@@ -13,6 +14,7 @@
 WORKERS_KEY = "workers"
 HOST_PART = ""
 CANCEL_SUFFIX = ".cancel"
+MOVES_SUFFIX = ".moves"
 # Parts of the submission table: one part carries 250 transactions a second.
 N_SUBMISSION_PARTS = 4
 
@@ -39,6 +41,19 @@
     workers: tuple[WorkerEntry, ...]
 
 
+class MoveRow(msgspec.Struct, frozen=True, array_like=True):
+    """Tell that one task runs in another cell than its submission's home."""
+
+    task: TaskKey
+    move: TaskMove
+
+
+class MovesRow(msgspec.Struct, frozen=True):
+    """List every task of a submission that was moved."""
+
+    moves: tuple[MoveRow, ...]
+
+
 class CellSummary(msgspec.Struct, frozen=True):
     """Tell other hosts about a cell's load; amounts in thousandths of a core."""
 
