--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -15,6 +15,8 @@
 # A reading tells of the last half second: a filler shows in it for a while after
 # its end, in seconds.
 READING_SPAN_S = 0.8
+# Nothing is started on a worker that has not answered for so long, in seconds.
+FRESH_S = 2.5
 # Share of their processors that serving tasks are taken to use.
 SERVING_USE = 0.6
 
@@ -80,6 +82,7 @@
             and self.is_listed
             and not self.entry.is_draining
             and now >= self.avoid_until
+            and now - self.clock.answered_at < FRESH_S
         )
 
     def free(self) -> TaskDemand:
--- a/programs/beryl-host/src/berylcleat/host/_cell_driver.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_driver.py
@@ -250,13 +250,16 @@
 
     async def _hold(self, worker_id: str, port: PlatformWorker) -> None:
         """Renew the worker's lease and take in its reports, one hold at a time."""
+        must_look = True
         while not self.is_lost:
             view = self.cell.worker_by_id[worker_id]
             if not self._is_confirmed():
                 await asyncio.sleep(HOLD_RETRY_S)
                 continue
             asked_at = now_s()
-            answer = await port.hold(self._hold_order(view, asked_at))
+            answer = await port.hold(self._hold_order(view, must_look, asked_at))
+            # A worker that doesn't answer gets no longer lease with each try.
+            must_look = answer.result is not OrderResult.ACCEPTED
             if answer.result is OrderResult.ACCEPTED:
                 self.cell.on_report(worker_id, answer.report, asked_at, now_s())
                 self._after_news()
@@ -275,8 +278,10 @@
                 await asyncio.sleep(HOLD_RETRY_S)
         self._close_worker(worker_id)
 
-    def _hold_order(self, view: WorkerView, now: float) -> HoldOrder:
-        if not view.is_fenced:
+    def _hold_order(
+        self, view: WorkerView, must_look: bool, now: float
+    ) -> HoldOrder:
+        if must_look or not view.is_fenced:
             return HoldOrder(self.owner.epoch, view.acked_number, None, 0)
         until_ms = self.cell.lease_until_ms(view, now)
         return HoldOrder(self.owner.epoch, view.acked_number, until_ms, HOLD_WAIT_MS)
