Late work goes after work in time; evidence of pairs survives a restart

Change: order key with a hopeless flag; own earlier row restores what was learnt; explain_waiting tells why a task doesn't start.

--- a/libs/model/src/berylcleat/model/__init__.py
+++ b/libs/model/src/berylcleat/model/__init__.py
@@ -47,6 +47,7 @@
     TaskDemand,
     TaskKey,
     longest_chain_s,
+    tail_lengths_s,
 )
 
 __all__ = [
@@ -92,5 +93,6 @@
     "parse_document",
     "parse_selector",
     "steer",
+    "tail_lengths_s",
     "worker_labels",
 ]
--- a/libs/model/src/berylcleat/model/_submissions.py
+++ b/libs/model/src/berylcleat/model/_submissions.py
@@ -148,3 +148,13 @@
         before = max((ends[i] for i in step.after if i < len(ends)), default=0.0)
         ends.append(before + step.estimate_s)
     return max(ends, default=0.0)
+
+
+def tail_lengths_s(steps: tuple[Step, ...]) -> tuple[float, ...]:
+    """Return for each step the estimated time from its start to the end of all."""
+    tails = [step.estimate_s for step in steps]
+    for number in reversed(range(len(steps))):
+        for earlier in steps[number].after:
+            through = steps[earlier].estimate_s + tails[number]
+            tails[earlier] = max(tails[earlier], through)
+    return tuple(tails)
--- a/libs/scheduling/src/berylcleat/scheduling/_book.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_book.py
@@ -8,11 +8,16 @@
     SubmissionState,
     TaskKey,
     longest_chain_s,
+    tail_lengths_s,
 )
 
 from ._progress import Progress
 
 
+# Share of an estimated length that the work surely takes: estimates are rough.
+SURE_SHARE = 0.6
+
+
 @dataclass(slots=True)
 class ReadyStep:
     """Hold the tasks of one step of one occurrence that wait for a start."""
@@ -33,13 +38,18 @@
         submission_id = self.tracked.submission.submission_id
         return TaskKey(submission_id, self.occurrence, self.number, index)
 
-    def order(self) -> tuple[int, float, str, int, int]:
-        """Return the key that sorts ready steps by urgency."""
-        submission = self.tracked.submission
+    def order(self, now: float) -> tuple[int, bool, float, str, int, int]:
+        """Return the key that sorts ready steps by urgency.
+
+        Work that can't end in time any more goes after work that can.
+        """
+        tracked = self.tracked
+        remaining_s = tracked.tail_s_by_step[self.number] * SURE_SHARE
         return (
-            submission.queue.priority,
-            self.tracked.due_at,
-            submission.submission_id,
+            tracked.submission.queue.priority,
+            now + remaining_s > tracked.due_at,
+            tracked.due_at,
+            tracked.submission.submission_id,
             self.occurrence,
             self.number,
         )
@@ -67,6 +77,10 @@
     elsewhere: set[TaskKey] = field(default_factory=set)
     guests: set[TaskKey] = field(default_factory=set)
     reported: set[TaskKey] = field(default_factory=set)
+    tail_s_by_step: tuple[float, ...] = ()
+
+    def __post_init__(self):
+        self.tail_s_by_step = tail_lengths_s(self.submission.steps)
 
     def is_ours(self, task: TaskKey) -> bool:
         """Tell whether ``task`` is to run in this cell."""
@@ -231,14 +245,14 @@
             if tracked.submission.is_scheduled:
                 tracked.open_steps(wall_ms)
 
-    def ready_steps(self) -> list[ReadyStep]:
+    def ready_steps(self, now: float) -> list[ReadyStep]:
         """Return the steps with waiting tasks, most urgent first."""
         ready = (
             step
             for tracked in self.live_by_id.values()
             for step in tracked.ready_by_step.values()
         )
-        return sorted(ready, key=ReadyStep.order)
+        return sorted(ready, key=lambda step: step.order(now))
 
     def dirty(self) -> list[TrackedSubmission]:
         """Return the submissions with progress that is not recorded yet."""
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -33,7 +33,7 @@
     is_stuck,
     make_move,
 )
-from ._placement import choose_forced_worker, choose_worker
+from ._placement import choose_forced_worker, choose_worker, explain_rejection
 from ._progress import Progress, encode_progress
 from ._workers import READING_SPAN_S, Run, RunPhase, WorkerView
 
@@ -205,7 +205,7 @@
         """Return stuck tasks that other cells have room for, and withhold them."""
         book = RoomBook(rooms)
         proposals = []
-        for ready in self.book.ready_steps():
+        for ready in self.book.ready_steps(now):
             if is_stuck(ready, now) and not self._is_blocked(ready, now):
                 move_by_task = self._moves_of(ready, book)
                 if move_by_task:
@@ -413,7 +413,7 @@
         self._leave_draining(now)
         self._wall_ms = wall_ms
         self.book.open_scheduled(wall_ms)
-        for ready in self.book.ready_steps():
+        for ready in self.book.ready_steps(now):
             if not self._is_blocked(ready, now):
                 self._start_ready(ready, now)
         orders, self._orders = self._orders, []
@@ -425,6 +425,25 @@
             return False
         return ready.tracked.submission.submission_id in self._inherited
 
+    def explain_waiting(self, ready: ReadyStep, now: float) -> dict[str, int]:
+        """Return why the first waiting task of a step doesn't start, by reason."""
+        task = ready.task(min(ready.waiting))
+        counts: dict[str, int] = {}
+        if self._is_blocked(ready, now):
+            return {"earlier owner's runs unknown": len(self._unsettled)}
+        if task in self._withheld:
+            return {"move under way": 1}
+        service = ready.tracked.submission.queue.service
+        for worker_id, view in self.worker_by_id.items():
+            reason = view.explain_unfit(now)
+            if worker_id not in self._recorded:
+                reason = "not recorded yet"
+            reason = reason or explain_rejection(
+                task, ready.step, service, view, self.pairs
+            )
+            counts[reason or "fits"] = counts.get(reason or "fits", 0) + 1
+        return counts
+
     def lease_until_ms(self, view: WorkerView, now: float) -> int:
         """Return the lease to ask for, and note that it may be granted."""
         until_ms = view.clock.earliest_ms(now) + int(self.times.worker_lease_s * 1000)
--- a/libs/scheduling/src/berylcleat/scheduling/_interference.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_interference.py
@@ -116,6 +116,11 @@
         """Return what was learnt here, as log odds beyond the prior."""
         return self._seen_by_pair
 
+    def restore(self, seen: Mapping[Pair, float]) -> None:
+        """Take back what an earlier incarnation of this host had learnt."""
+        for pair, log_odds in seen.items():
+            self._seen_by_pair.setdefault(pair, log_odds)
+
     def tell(self, host_id: str, seen: Mapping[Pair, float]) -> None:
         """Take in all that another host has learnt."""
         self._told_by_host[host_id] = seen
--- a/libs/scheduling/src/berylcleat/scheduling/_placement.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_placement.py
@@ -65,6 +65,24 @@
     return best
 
 
+def explain_rejection(
+    task: TaskKey, step: Step, service: str, worker: WorkerView, pairs: PairTable
+) -> str:
+    """Return why ``worker`` may not run ``task``, or an empty text if it may."""
+    entry = worker.entry
+    if entry.service != service:
+        return "other service"
+    if step.required_label and step.required_label not in entry.labels:
+        return "label missing"
+    if not step.room.fits_in(worker.free()):
+        return "no room"
+    if step.max_per_worker and _n_siblings(task, worker) >= step.max_per_worker:
+        return "too many siblings"
+    if step.fills and not _may_fill(step, worker, pairs):
+        return "would disturb"
+    return ""
+
+
 def _may_run(task: TaskKey, step: Step, service: str, worker: WorkerView) -> bool:
     entry = worker.entry
     if entry.service != service:
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -77,13 +77,21 @@
 
     def can_start(self, now: float) -> bool:
         """Tell whether new runs may go to this worker now."""
-        return (
-            self.is_fenced
-            and self.is_listed
-            and not self.entry.is_draining
-            and now >= self.avoid_until
-            and now - self.clock.answered_at < FRESH_S
-        )
+        return not self.explain_unfit(now)
+
+    def explain_unfit(self, now: float) -> str:
+        """Return why no new run may go to this worker now, or an empty text."""
+        if not self.is_fenced:
+            return "not fenced"
+        if not self.is_listed:
+            return "not listed"
+        if self.entry.is_draining:
+            return "draining"
+        if now < self.avoid_until:
+            return "avoided"
+        if now - self.clock.answered_at >= FRESH_S:
+            return "silent"
+        return ""
 
     def free(self) -> TaskDemand:
         """Return the capacity that no run has taken."""
--- a/programs/beryl-host/src/berylcleat/host/_cell_driver.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_driver.py
@@ -278,9 +278,7 @@
                 await asyncio.sleep(HOLD_RETRY_S)
         self._close_worker(worker_id)
 
-    def _hold_order(
-        self, view: WorkerView, must_look: bool, now: float
-    ) -> HoldOrder:
+    def _hold_order(self, view: WorkerView, must_look: bool, now: float) -> HoldOrder:
         if must_look or not view.is_fenced:
             return HoldOrder(self.owner.epoch, view.acked_number, None, 0)
         until_ms = self.cell.lease_until_ms(view, now)
@@ -320,16 +318,19 @@
                     len(view.serving_runs()),
                     len(view.filling_runs()),
                 )
-            waiting = {}
-            for tracked in self.cell.book.live_by_id.values():
-                for ready in tracked.ready_by_step.values():
-                    name = (
-                        tracked.submission.queue.priority,
-                        ready.step.fills,
-                        ready.step.is_long_running,
-                    )
-                    waiting[name] = waiting.get(name, 0) + len(ready.waiting)
-            logger.info("load: cell %s waiting %s", self.cell_id, waiting)
+            self._report_waiting()
+
+    def _report_waiting(self) -> None:
+        for ready in self.cell.book.ready_steps(now_s()):
+            task = ready.task(min(ready.waiting))
+            logger.info(
+                "waiting: %d tasks from %s (fills %s, lasts %s): %s",
+                len(ready.waiting),
+                ".".join(map(str, task)),
+                ready.step.fills,
+                ready.step.is_long_running,
+                self.cell.explain_waiting(ready, now_s()),
+            )
 
     # Orders
 
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -282,14 +282,16 @@
         self.membership.on_host_rows(rows)
         for row in rows:
             sighting = self.membership.host_by_id.get(row.key)
-            if sighting is not None and row.key != self.settings.host_id:
-                self.pairs.tell(
-                    row.key,
-                    {
-                        (pair.filler, pair.serving): pair.log_odds
-                        for pair in sighting.row.pairs
-                    },
-                )
+            if sighting is None or sighting.row.incarnation == self.incarnation:
+                continue
+            seen = {
+                (pair.filler, pair.serving): pair.log_odds
+                for pair in sighting.row.pairs
+            }
+            if row.key == self.settings.host_id:
+                self.pairs.restore(seen)
+            else:
+                self.pairs.tell(row.key, seen)
 
     def _on_operator_rows(self, rows: tuple[StoreRow, ...]) -> None:
         for row in rows:
