Slow workers and own load are not blamed on fillers; guests that go on are let go; SIGHUP

Change: blame from 1.5 of the target, none where all images of a worker suffer, one filler less where none is suspected; every cell that follows a submission hears of moves; reload logs what waits for the next start.

--- a/libs/runtime/src/berylcleat/runtime/_process.py
+++ b/libs/runtime/src/berylcleat/runtime/_process.py
@@ -14,16 +14,23 @@
 
 
 class StopSignal:
-    """Turn SIGTERM and SIGINT into one awaitable event."""
+    """Turn SIGTERM and SIGINT into one awaitable event, SIGHUP into a call."""
 
     def __init__(self):
         self._event = asyncio.Event()
+        self.on_reload: Callable[[], None] | None = None
 
     def install(self) -> None:
         """Start to listen for the signals."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._event.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+
+    def _reload(self) -> None:
+        logger.info("reload asked for by SIGHUP")
+        if self.on_reload is not None:
+            self.on_reload()
 
     async def wait(self) -> None:
         """Return when a signal has come."""
--- a/libs/scheduling/src/berylcleat/scheduling/_book.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_book.py
@@ -13,7 +13,6 @@
 
 from ._progress import Progress
 
-
 # Share of an estimated length that the work surely takes: estimates are rough.
 SURE_SHARE = 0.6
 
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -22,7 +22,7 @@
 )
 
 from ._book import ReadyStep, SubmissionBook, TrackedSubmission
-from ._interference import DISTURBED_RATIO, PairTable, Verdict
+from ._interference import DISTURBED_RATIO, PairTable, Verdict, is_slow_worker
 from ._leases import LeaseTimes, WorkerClock
 from ._moves import (
     CellRoom,
@@ -52,6 +52,8 @@
 FORCED_PAUSE_S = 1.5
 # Tasks that are moved off leaving workers at a time.
 MAX_MOVING = 3
+# A filler with a lower probability of being heavy is not stopped for it alone.
+MIN_SUSPICION = 0.15
 # Readings tell of the last half second: more often, the same one would count twice.
 LEARN_PERIOD_S = 0.45
 # A report lists at most this many ends.
@@ -704,41 +706,41 @@
 
     def _guard_worker(self, view: WorkerView, fillers: list[Run], now: float) -> None:
         images = view.serving_images()
-        heavy = {
-            run.step.image
+        stopped = [
+            run
             for run in fillers
             if self.pairs.worst(run.step.image, images) is Verdict.HEAVY
-        }
-        if not heavy and now - view.guarded_at > READING_SPAN_S:
-            heavy = self._likeliest(view, fillers)
-        if heavy:
+        ]
+        if not stopped and now - view.guarded_at > READING_SPAN_S:
+            stopped = self._likeliest(view, fillers)
+        if stopped:
             view.guarded_at = now
-        for run in fillers:
-            if run.step.image in heavy:
-                logger.info(
-                    "filler stopped: task %s image %s on %s",
-                    ".".join(map(str, run.task)),
-                    run.step.image,
-                    run.worker_id,
-                )
-                self._stop(run, now)
-
-    def _likeliest(self, view: WorkerView, fillers: list[Run]) -> set[str]:
-        """Return the image that most likely disturbs something here, if any."""
-        disturbed = {
-            reading.image
-            for reading in view.readings()
-            if reading.ratio > DISTURBED_RATIO
-        }
-        if not disturbed:
-            return set()
-        images = {run.step.image for run in fillers}
-        return {
-            max(
-                images,
-                key=lambda image: self.pairs.worst_probability(image, disturbed),
+        for run in stopped:
+            logger.info(
+                "filler stopped: task %s image %s on %s",
+                ".".join(map(str, run.task)),
+                run.step.image,
+                run.worker_id,
             )
-        }
+            self._stop(run, now)
+
+    def _likeliest(self, view: WorkerView, fillers: list[Run]) -> list[Run]:
+        """Return the fillers that most likely disturb something on a worker.
+
+        Where none is suspected, the load of what serves is the cause and one filler
+        less will do; a worker that is slow by itself gets no better by it.
+        """
+        worst = view.worst_reading_by_image()
+        disturbed = {i for i, ratio in worst.items() if ratio > DISTURBED_RATIO}
+        if not disturbed or is_slow_worker(worst):
+            return []
+        suspicion, image = max(
+            (self.pairs.worst_probability(run.step.image, disturbed), run.step.image)
+            for run in fillers
+        )
+        if suspicion >= MIN_SUSPICION:
+            return [run for run in fillers if run.step.image == image]
+        return [max(fillers, key=lambda run: run.started_at)]
 
     def _start_ready(self, ready: ReadyStep, now: float) -> None:
         for index in sorted(ready.waiting):
--- a/libs/scheduling/src/berylcleat/scheduling/_interference.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_interference.py
@@ -16,6 +16,8 @@
 # Tail latency relative to the target: calm below, disturbed above.
 CALM_RATIO = 0.7
 DISTURBED_RATIO = 1.0
+# Between the two a serving image's own load may be the cause: nothing is learnt.
+BLAMED_RATIO = 1.5
 # Share of a worker's processors below which a filler's effect would not show.
 MIN_SHARE = 0.03
 PRIOR_HEAVY = 0.25
@@ -24,7 +26,7 @@
 NOISE = 0.03
 MILD_BELOW = 0.1
 HEAVY_ABOVE = 0.6
-MAX_LOG_ODDS = 8.0
+MAX_LOG_ODDS = 4.6
 logger = logging.getLogger(__name__)
 
 
@@ -59,6 +61,12 @@
 Pair = tuple[str, str]
 
 
+def is_slow_worker(worst_by_image: Mapping[str, float]) -> bool:
+    """Tell whether so much is disturbed that the worker itself must be slow."""
+    n_disturbed = sum(ratio > BLAMED_RATIO for ratio in worst_by_image.values())
+    return n_disturbed >= 2 and n_disturbed == len(worst_by_image)
+
+
 def _log_odds(probability: float) -> float:
     return math.log(probability / (1 - probability))
 
@@ -106,10 +114,11 @@
         for reading in readings:
             known = worst_by_image.get(reading.image, 0.0)
             worst_by_image[reading.image] = max(known, reading.ratio)
+        is_slow = is_slow_worker(worst_by_image)
         for image, ratio in worst_by_image.items():
             if ratio < CALM_RATIO:
                 self._clear([(f.image, image) for f in at_work])
-            elif ratio > DISTURBED_RATIO:
+            elif ratio > BLAMED_RATIO and not is_slow:
                 self._blame(ratio, [(f.image, image) for f in present])
 
     def seen(self) -> dict[Pair, float]:
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -14,7 +14,7 @@
 AVOID_S = 4.0
 # A reading tells of the last half second: a filler shows in it for a while after
 # its end, in seconds.
-READING_SPAN_S = 0.8
+READING_SPAN_S = 1.1
 # Nothing is started on a worker that has not answered for so long, in seconds.
 FRESH_S = 2.5
 # Share of their processors that serving tasks are taken to use.
@@ -148,6 +148,13 @@
             if run.reading > 0
         ]
 
+    def worst_reading_by_image(self) -> dict[str, float]:
+        """Return the highest ratio of tail latency to target, by serving image."""
+        worst: dict[str, float] = {}
+        for reading in self.readings():
+            worst[reading.image] = max(worst.get(reading.image, 0.0), reading.ratio)
+        return worst
+
     def worst_reading(self) -> float:
         """Return the highest ratio of tail latency to target."""
         return max((reading.ratio for reading in self.readings()), default=0.0)
--- a/programs/beryl-host/src/berylcleat/host/_cell_driver.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_driver.py
@@ -196,6 +196,10 @@
             self.cell.cancel(submission_id, now)
         self._wake.set()
 
+    def follows(self, submission_id: str) -> bool:
+        """Tell whether the cell knows a submission."""
+        return self.cell is not None and submission_id in self.cell.book.by_id
+
     def update_workers(self, entries: dict[str, WorkerEntry]) -> None:
         """Take in the listed workers of this cell."""
         if self.cell is None:
--- a/programs/beryl-host/src/berylcleat/host/_cells.py
+++ b/programs/beryl-host/src/berylcleat/host/_cells.py
@@ -199,9 +199,10 @@
     def _on_submission(self, submission_id: str, entry: DirectoryEntry) -> None:
         if entry.accepted is None:
             return
-        for cell_id in entry.cells():
-            driver = self.driver_by_cell.get(cell_id)
-            if driver is not None:
+        cells = entry.cells()
+        for cell_id, driver in self.driver_by_cell.items():
+            # A cell whose guests went on to another one must hear of it too.
+            if cell_id in cells or driver.follows(submission_id):
                 driver.on_submission(submission_id, entry)
 
     def _on_workers(self, by_cell: dict[str, dict[str, WorkerEntry]]) -> None:
--- a/programs/beryl-host/src/berylcleat/host/_commands.py
+++ b/programs/beryl-host/src/berylcleat/host/_commands.py
@@ -1,17 +1,20 @@
 """Command line of the host process."""
 
-from dataclasses import dataclass
+import logging
+from dataclasses import dataclass, fields
 from pathlib import Path
 from typing import Annotated
 
 import cappa
 
-from berylcleat.model import load_settings
+from berylcleat.model import BerylError, load_settings
 from berylcleat.runtime import VERSION, run_process
 
 from ._process import serve_host
 from ._settings import HostSettings, check_host_settings
 
+logger = logging.getLogger(__name__)
+
 
 @cappa.command(name="beryl-host")
 @dataclass
@@ -33,8 +36,29 @@
     arguments = cappa.parse(HostArguments, version=VERSION)
 
     async def serve(stop) -> None:
-        settings = load_settings(arguments.settings, HostSettings)
-        check_host_settings(settings)
+        settings = _read_settings(arguments.settings)
+        stop.on_reload = lambda: _report_changes(arguments.settings, settings)
         await serve_host(settings, stop)
 
     run_process("beryl-host", serve)
+
+
+def _read_settings(path: Path) -> HostSettings:
+    settings = load_settings(path, HostSettings)
+    check_host_settings(settings)
+    return settings
+
+
+def _report_changes(path: Path, current: HostSettings) -> None:
+    """Log which settings of a changed file wait for the next start."""
+    try:
+        settings = _read_settings(path)
+    except BerylError as error:
+        logger.error("reload: settings kept, the file can't be used: %s", error)
+        return
+    changed = [
+        field.name
+        for field in fields(settings)
+        if getattr(settings, field.name) != getattr(current, field.name)
+    ]
+    logger.info("reload: changed for the next start: %s", ", ".join(changed) or "none")
