--- a/libs/scheduling/src/berylcleat/scheduling/_interference.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_interference.py
@@ -21,12 +21,13 @@
 # Share of a worker's processors below which a filler's effect would not show.
 MIN_SHARE = 0.03
 PRIOR_HEAVY = 0.25
-# Probabilities of a disturbed reading with a heavy pair present, and with none.
-HIT = 0.9
+# Probabilities of a disturbed reading with a heavy pair present, and with none. A heavy
+# pair stays calm while the serving tasks have little load.
+HIT = 0.6
 NOISE = 0.03
 MILD_BELOW = 0.1
 HEAVY_ABOVE = 0.6
-MAX_LOG_ODDS = 4.6
+MAX_LOG_ODDS = 4.0
 logger = logging.getLogger(__name__)
 
 
--- a/programs/beryl-host/src/berylcleat/host/_cell_driver.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_driver.py
@@ -314,13 +314,15 @@
             await asyncio.sleep(LOAD_LOG_S)
             for view in self.cell.worker_by_id.values():
                 logger.info(
-                    "load: worker %s free %d of %d left %d, serving %d, filling %d",
+                    "load: worker %s free %d of %d left %d, serving %d, filling %d, "
+                    "readings %s",
                     view.entry.worker_id,
                     view.free().cpu_millis,
                     view.entry.capacity.cpu_millis,
                     view.cpu_left(),
                     len(view.serving_runs()),
                     len(view.filling_runs()),
+                    " ".join(f"{r.image}={r.ratio:.2f}" for r in view.readings()),
                 )
             self._report_waiting()
 
