All fillers leave a worker that stays over its target; guard in a module of its own

Change: after 1.8 s over a target on end all fillers stop there; none is placed while a target is missed.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -22,7 +22,8 @@
 )
 
 from ._book import ReadyStep, SubmissionBook, TrackedSubmission
-from ._interference import DISTURBED_RATIO, PairTable, Verdict, is_slow_worker
+from ._guard import FORCED_RUN_S, choose_stops
+from ._interference import PairTable
 from ._leases import LeaseTimes, WorkerClock
 from ._moves import (
     CellRoom,
@@ -35,7 +36,7 @@
 )
 from ._placement import choose_forced_worker, choose_worker, explain_rejection
 from ._progress import Progress, encode_progress
-from ._workers import READING_SPAN_S, Run, RunPhase, WorkerView
+from ._workers import Run, RunPhase, WorkerView
 
 # Run numbers of one epoch lie above those of every earlier epoch.
 RUNS_PER_EPOCH = 1000
@@ -48,12 +49,9 @@
 # A filler that fits nowhere is run where it does least harm after this wait, for less
 # than the platform allows a task to be over its target, with a pause in between.
 STARVING_S = 4.0
-FORCED_RUN_S = 2.5
 FORCED_PAUSE_S = 1.5
 # Tasks that are moved off leaving workers at a time.
 MAX_MOVING = 3
-# A filler with a lower probability of being heavy is not stopped for it alone.
-MIN_SUSPICION = 0.15
 # Readings tell of the last half second: more often, the same one would count twice.
 LEARN_PERIOD_S = 0.45
 # A report lists at most this many ends.
@@ -558,7 +556,7 @@
         if run is None:
             return
         run.percent = running.percent
-        run.reading = running.reading
+        run.note_reading(running.reading, now)
         if running.checkpoint:
             run.checkpoint = running.checkpoint
         if run.phase in (RunPhase.STARTING, RunPhase.UNSURE):
@@ -668,13 +666,17 @@
     def _guard_serving(self, now: float) -> None:
         """Stop fillers that disturb what serves beside them."""
         for view in self.worker_by_id.values():
-            fillers = [
-                run
-                for run in view.filling_runs()
-                if run.phase is RunPhase.RUNNING and not self._is_spared(run, now)
-            ]
-            if fillers:
-                self._guard_worker(view, fillers, now)
+            stops = choose_stops(view, self.pairs, now)
+            if stops:
+                view.guarded_at = now
+            for run in stops:
+                logger.info(
+                    "filler stopped: task %s image %s on %s",
+                    ".".join(map(str, run.task)),
+                    run.step.image,
+                    run.worker_id,
+                )
+                self._stop(run, now)
 
     def _leave_draining(self, now: float) -> None:
         """Move tasks that last off workers that are about to leave."""
@@ -701,47 +703,6 @@
         place = choose_worker(run.task, run.step, service, workers, self.pairs)
         return place is not None
 
-    def _is_spared(self, run: Run, now: float) -> bool:
-        return run.is_forced and now - run.started_at < FORCED_RUN_S
-
-    def _guard_worker(self, view: WorkerView, fillers: list[Run], now: float) -> None:
-        images = view.serving_images()
-        stopped = [
-            run
-            for run in fillers
-            if self.pairs.worst(run.step.image, images) is Verdict.HEAVY
-        ]
-        if not stopped and now - view.guarded_at > READING_SPAN_S:
-            stopped = self._likeliest(view, fillers)
-        if stopped:
-            view.guarded_at = now
-        for run in stopped:
-            logger.info(
-                "filler stopped: task %s image %s on %s",
-                ".".join(map(str, run.task)),
-                run.step.image,
-                run.worker_id,
-            )
-            self._stop(run, now)
-
-    def _likeliest(self, view: WorkerView, fillers: list[Run]) -> list[Run]:
-        """Return the fillers that most likely disturb something on a worker.
-
-        Where none is suspected, the load of what serves is the cause and one filler
-        less will do; a worker that is slow by itself gets no better by it.
-        """
-        worst = view.worst_reading_by_image()
-        disturbed = {i for i, ratio in worst.items() if ratio > DISTURBED_RATIO}
-        if not disturbed or is_slow_worker(worst):
-            return []
-        suspicion, image = max(
-            (self.pairs.worst_probability(run.step.image, disturbed), run.step.image)
-            for run in fillers
-        )
-        if suspicion >= MIN_SUSPICION:
-            return [run for run in fillers if run.step.image == image]
-        return [max(fillers, key=lambda run: run.started_at)]
-
     def _start_ready(self, ready: ReadyStep, now: float) -> None:
         for index in sorted(ready.waiting):
             task = ready.task(index)
--- /dev/null
+++ b/libs/scheduling/src/berylcleat/scheduling/_guard.py
@@ -0,0 +1,52 @@
+"""Choose the fillers to stop so that what serves beside them keeps its target."""
+
+from ._interference import DISTURBED_RATIO, PairTable, Verdict, is_slow_worker
+from ._workers import READING_SPAN_S, Run, RunPhase, WorkerView
+
+# A filler with a lower probability of being heavy is not stopped for it alone.
+MIN_SUSPICION = 0.15
+# After so long over a target on end, all fillers leave the worker. The platform allows
+# 4 seconds, of which a stop and the age of a reading take their part.
+CLEAR_S = 1.8
+# A forced filler runs for so long whatever it disturbs.
+FORCED_RUN_S = 2.5
+
+
+def choose_stops(view: WorkerView, pairs: PairTable, now: float) -> list[Run]:
+    """Return the fillers on a worker that should stop now."""
+    fillers = [run for run in view.filling_runs() if run.phase is RunPhase.RUNNING]
+    if not fillers:
+        return []
+    if view.over_target_s(now) > CLEAR_S:
+        return fillers
+    unforced = [run for run in fillers if not _is_spared(run, now)]
+    images = view.serving_images()
+    heavy = [
+        run for run in unforced if pairs.worst(run.step.image, images) is Verdict.HEAVY
+    ]
+    if heavy or not unforced or now - view.guarded_at <= READING_SPAN_S:
+        return heavy
+    return _likeliest(view, unforced, pairs)
+
+
+def _is_spared(run: Run, now: float) -> bool:
+    return run.is_forced and now - run.started_at < FORCED_RUN_S
+
+
+def _likeliest(view: WorkerView, fillers: list[Run], pairs: PairTable) -> list[Run]:
+    """Return the fillers that most likely disturb something on a worker.
+
+    Where none is suspected, the load of what serves is the cause and one filler less
+    will do; a worker that is slow by itself gets no better by it.
+    """
+    worst = view.worst_reading_by_image()
+    disturbed = {image for image, ratio in worst.items() if ratio > DISTURBED_RATIO}
+    if not disturbed or is_slow_worker(worst):
+        return []
+    suspicion, image = max(
+        (pairs.worst_probability(run.step.image, disturbed), run.step.image)
+        for run in fillers
+    )
+    if suspicion >= MIN_SUSPICION:
+        return [run for run in fillers if run.step.image == image]
+    return [max(fillers, key=lambda run: run.started_at)]
--- a/libs/scheduling/src/berylcleat/scheduling/_placement.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_placement.py
@@ -9,7 +9,7 @@
 
 from berylcleat.model import Step, TaskKey
 
-from ._interference import CALM_RATIO, PairTable, Verdict
+from ._interference import CALM_RATIO, DISTURBED_RATIO, PairTable, Verdict
 from ._workers import WorkerView
 
 Score = tuple[float, ...]
@@ -97,6 +97,8 @@
 def _may_fill(step: Step, worker: WorkerView, pairs: PairTable) -> bool:
     if worker.cpu_left() < step.demand.cpu_millis:
         return False
+    if worker.worst_reading() > DISTURBED_RATIO:
+        return False
     verdict = pairs.worst(step.image, worker.serving_images())
     if verdict is Verdict.MILD:
         return True
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -48,9 +48,19 @@
     reading: float = 0.0
     pace: int = 100
     is_forced: bool = False
+    over_since: float | None = None
     stop_answered_at: float | None = None
     stop_sent_at: float | None = None
 
+    def note_reading(self, reading: float, now: float) -> None:
+        """Note a reading, and since when the run has been over its target."""
+        self.reading = reading
+        target = self.step.target_latency_ms
+        if not target or reading <= target:
+            self.over_since = None
+        elif self.over_since is None:
+            self.over_since = now
+
 
 @dataclass(slots=True)
 class WorkerView:
@@ -148,6 +158,11 @@
             if run.reading > 0
         ]
 
+    def over_target_s(self, now: float) -> float:
+        """Return for how long a serving run has been over its target on end."""
+        since = [r.over_since for r in self.serving_runs() if r.over_since is not None]
+        return now - min(since) if since else 0.0
+
     def worst_reading_by_image(self) -> dict[str, float]:
         """Return the highest ratio of tail latency to target, by serving image."""
         worst: dict[str, float] = {}
