--- /dev/null
+++ b/libs/scheduling/features/environment.py
@@ -0,0 +1,1 @@
+"""Nothing to set up: the decisions need no process."""
--- a/libs/scheduling/src/berylcleat/scheduling/_book.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_book.py
@@ -182,6 +182,8 @@
 
     def add_done(self, task: TaskKey) -> None:
         """Note the end of ``task``; end the submission with its last task."""
+        if self.progress.is_done(task):
+            return
         self.progress.add_done(task)
         self.take(task)
         self.is_dirty = True
@@ -191,6 +193,8 @@
 
     def add_failure(self, task: TaskKey, run: int) -> None:
         """Note a failed run; end the submission when its attempts are spent."""
+        if run in self.progress.failed_runs_by_task.get(task, ()):
+            return
         self.progress.add_failure(task, run)
         self.is_dirty = True
         if self.n_failures(task) >= self.submission.queue.max_attempts:
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -502,6 +502,8 @@
             tracked.progress.checkpoint_by_task[end.task] = end.checkpoint
         if step.is_long_running:
             self._note_health(view, end, now)
+        elif tracked.is_over:
+            pass
         elif end.end is RunEnd.DONE:
             view.note_success()
             tracked.has_started = True
