Runs and ends of a worker that started again under its id

Ruled out: Expect-Instance (names the id, which the next life keeps). Change: a run that no report has listed is unsure when a life ends; a hold that renews or acknowledges goes only over the connection that answered last.

--- a/libs/http/src/berylcleat/http/_client.py
+++ b/libs/http/src/berylcleat/http/_client.py
@@ -142,6 +142,10 @@
             self._drop(connection)
             raise
 
+    def has_connection(self) -> bool:
+        """Tell whether an idle connection is open for the next exchange."""
+        return any(connection.is_usable for connection in self._idle)
+
     def close(self) -> None:
         """Drop all idle connections."""
         while self._idle:
--- a/libs/ports/src/berylcleat/ports/_store.py
+++ b/libs/ports/src/berylcleat/ports/_store.py
@@ -197,6 +197,7 @@
     OTHER_LIFE = "other-life"
     NO_ANSWER = "no-answer"
     NOT_SENT = "not-sent"
+    NOT_CONNECTED = "not-connected"
 
 
 @dataclass(frozen=True, slots=True)
@@ -242,7 +243,11 @@
 
 @dataclass(frozen=True, slots=True)
 class HoldOrder:
-    """Renew the lease to ``deadline_ms``, acknowledge ends, and ask for a report."""
+    """Renew the lease to ``deadline_ms``, acknowledge ends, and ask for a report.
+
+    One that renews goes only over the connection that answered last: a new one could
+    lead to another life of the worker, whose ends have other numbers.
+    """
 
     epoch: int
     acked_number: int
--- a/libs/scheduling/features/steps/sim_cell.py
+++ b/libs/scheduling/features/steps/sim_cell.py
@@ -91,6 +91,9 @@
             return
         self.noted.add(end.task)
         progress = self.recorded.get(end.task.submission_id)
+        if progress is not None and progress.final_state is not None:
+            # The submission has failed: what its other tasks did no longer counts.
+            return
         if progress is None or not progress.is_done(end.task):
             self.broken.append(f"{end.task} acknowledged before it was recorded")
 
@@ -108,6 +111,7 @@
         self.cell = sim.make_cell(epoch, settled_at, workers)
         self.next_hold: dict[str, float] = {}
         self.must_look: dict[str, bool] = {}
+        self.answered_life: dict[str, int] = {}
 
     def step(self) -> None:
         """Do what is due."""
@@ -131,10 +135,15 @@
 
     def _hold(self, worker_id: str) -> None:
         view = self.cell.worker_by_id[worker_id]
-        until = None
-        if view.is_fenced and not self.must_look.get(worker_id, True):
-            until = self.cell.lease_until_ms(view, self.sim.now)
+        must_look = self.must_look.get(worker_id, True) or not view.is_fenced
         self.must_look[worker_id] = True
+        if must_look:
+            self.sim.send(self, worker_id, HoldOrder(self.epoch, 0, None, 0))
+            return
+        if self.sim.workers[worker_id].life_ms != self.answered_life[worker_id]:
+            # The connection that answered last has gone with that life.
+            return
+        until = self.cell.lease_until_ms(view, self.sim.now)
         order = HoldOrder(self.epoch, view.acked_number, until, 0)
         self.sim.send(self, worker_id, order)
 
@@ -164,6 +173,7 @@
             self.cell.on_stop_answer(worker_id, order, answer, now)
         elif answer.result is OrderResult.ACCEPTED:
             self.must_look[worker_id] = False
+            self.answered_life[worker_id] = answer.report.started_at_ms
             self.cell.on_report(worker_id, answer.report, sent_at, now)
         elif answer.result is OrderResult.FENCED:
             self.cell.on_fenced(worker_id)
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -557,6 +557,7 @@
             run = self._adopt(view, running, now)
         if run is None:
             return
+        run.was_listed = True
         run.percent = running.percent
         run.note_reading(running.reading, now)
         if running.checkpoint:
@@ -590,6 +591,7 @@
             now,
             now,
             checkpoint=running.checkpoint,
+            was_listed=True,
         )
         tracked.has_started = True
         self._add_run(tracked, run)
@@ -649,9 +651,17 @@
         tracked.put_back(run.task)
 
     def _end_life(self, view: WorkerView, reason: str, now: float) -> None:
+        """Lose the runs of a life that is over.
+
+        A run that no report has listed may have begun in the next life already.
+        """
         logger.info("worker %s: life ended: %s", view.entry.worker_id, reason)
         for run in tuple(view.run_by_task.values()):
-            self._lose(run, reason, now)
+            if run.was_listed:
+                self._lose(run, reason, now)
+            elif run.phase is not RunPhase.STARTING:
+                run.phase = RunPhase.UNSURE
+                run.phase_since = now
         view.clock = WorkerClock()
         view.life_ms = 0
         view.is_fenced = False
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -49,6 +49,7 @@
     pace: int = 100
     is_forced: bool = False
     over_since: float | None = None
+    was_listed: bool = False
     stop_answered_at: float | None = None
     stop_sent_at: float | None = None
 
--- a/programs/beryl-host/src/berylcleat/host/_cell_driver.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_driver.py
@@ -272,6 +272,8 @@
                 self.cell.on_fenced(worker_id)
                 return
             else:
+                if answer.result is OrderResult.NOT_CONNECTED:
+                    continue
                 if answer.result is OrderResult.NOT_SENT:
                     self.cell.on_refused(worker_id, now_s())
                 if answer.result is OrderResult.OTHER_LIFE:
@@ -284,7 +286,7 @@
 
     def _hold_order(self, view: WorkerView, must_look: bool, now: float) -> HoldOrder:
         if must_look or not view.is_fenced:
-            return HoldOrder(self.owner.epoch, view.acked_number, None, 0)
+            return HoldOrder(self.owner.epoch, 0, None, 0)
         until_ms = self.cell.lease_until_ms(view, now)
         return HoldOrder(self.owner.epoch, view.acked_number, until_ms, HOLD_WAIT_MS)
 
