Serving images are kept in cells, fillers are led to cells where they are mild

Change: a rendezvous order of cells an image, room for fillers told by serving images, serving images counted as possible disturbers of each other.

--- a/libs/scheduling/src/berylcleat/scheduling/__init__.py
+++ b/libs/scheduling/src/berylcleat/scheduling/__init__.py
@@ -4,7 +4,7 @@
 from ._cell import Cell, ProgressWrite, RecordBatch, WorkerOrder
 from ._interference import PairTable, Verdict
 from ._leases import CLOCK_DRIFT, LeaseTimes, WorkerClock
-from ._moves import CellRoom, GuestEnd, MoveProposal, TaskMove
+from ._moves import CellRoom, FillerRoom, GuestEnd, MoveProposal, TaskMove
 from ._placement import choose_worker
 from ._progress import Progress, decode_progress, encode_progress
 from ._workers import Run, RunPhase, WorkerView
@@ -13,6 +13,7 @@
     "CLOCK_DRIFT",
     "Cell",
     "CellRoom",
+    "FillerRoom",
     "GuestEnd",
     "LeaseTimes",
     "MoveProposal",
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -27,6 +27,7 @@
 from ._leases import LeaseTimes, WorkerClock
 from ._moves import (
     CellRoom,
+    FillerRoom,
     GuestEnd,
     MoveProposal,
     RoomBook,
@@ -203,7 +204,7 @@
         self, rooms: tuple[CellRoom, ...], now: float
     ) -> list[MoveProposal]:
         """Return stuck tasks that other cells have room for, and withhold them."""
-        book = RoomBook(rooms)
+        book = RoomBook(rooms, self.pairs)
         proposals = []
         for ready in self.book.ready_steps(now):
             if is_stuck(ready, now) and not self._is_blocked(ready, now):
@@ -227,6 +228,17 @@
         self._withheld.update(move_by_task)
         return move_by_task
 
+    def filler_rooms(self) -> tuple[FillerRoom, ...]:
+        """Return what is left for fillers, by the images that serve beside them."""
+        left_by_images: dict[tuple[str, ...], int] = {}
+        for view in self.worker_by_id.values():
+            images = tuple(sorted(view.serving_images()))
+            left = left_by_images.get(images, 0)
+            left_by_images[images] = left + max(0, view.cpu_left())
+        return tuple(
+            FillerRoom(images, left) for images, left in left_by_images.items()
+        )
+
     def on_move_refused(self, proposal: MoveProposal) -> None:
         """Let tasks start here again whose move was not recorded."""
         self._withheld.difference_update(proposal.move_by_task)
@@ -341,7 +353,7 @@
         self._match_running(view, report, asked_at, now)
         if now - view.learnt_at > LEARN_PERIOD_S:
             view.learnt_at = now
-            self.pairs.observe(view.filler_uses(now), view.readings())
+            self.pairs.observe(view.image_uses(now), view.readings())
 
     def on_other_life(self, worker_id: str, now: float) -> None:
         """Note that another life answers at the worker's address."""
--- a/libs/scheduling/src/berylcleat/scheduling/_interference.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_interference.py
@@ -1,4 +1,4 @@
-"""Learn which filling images disturb which serving images.
+"""Learn which images disturb which serving images.
 
 Interference is a property of a pair of images: most pairs are harmless, the others
 multiply the tail latency even at a small share of a worker. Each pair has a
@@ -40,8 +40,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FillerUse:
-    """Hold the share of a worker's processors that an image's fillers use.
+class ImageUse:
+    """Hold the share of a worker's processors that an image's tasks use.
 
     ``is_settled`` tells that they were at work through the whole span of a reading.
     """
@@ -68,6 +68,10 @@
     return n_disturbed >= 2 and n_disturbed == len(worst_by_image)
 
 
+def _pairs(uses: list[ImageUse], serving: str) -> list[Pair]:
+    return [(use.image, serving) for use in uses if use.image != serving]
+
+
 def _log_odds(probability: float) -> float:
     return math.log(probability / (1 - probability))
 
@@ -106,10 +110,10 @@
         return Verdict.MILD if probability < MILD_BELOW else Verdict.UNKNOWN
 
     def observe(
-        self, fillers: Iterable[FillerUse], readings: Iterable[ServingReading]
+        self, uses: Iterable[ImageUse], readings: Iterable[ServingReading]
     ) -> None:
-        """Learn from the readings of one worker and what filled beside them."""
-        present = list(fillers)
+        """Learn from the readings of one worker and what ran beside them."""
+        present = list(uses)
         at_work = [f for f in present if f.is_settled and f.share >= MIN_SHARE]
         worst_by_image: dict[str, float] = {}
         for reading in readings:
@@ -118,9 +122,9 @@
         is_slow = is_slow_worker(worst_by_image)
         for image, ratio in worst_by_image.items():
             if ratio < CALM_RATIO:
-                self._clear([(f.image, image) for f in at_work])
+                self._clear(_pairs(at_work, image))
             elif ratio > BLAMED_RATIO and not is_slow:
-                self._blame(ratio, [(f.image, image) for f in present])
+                self._blame(ratio, _pairs(present, image))
 
     def seen(self) -> dict[Pair, float]:
         """Return what was learnt here, as log odds beyond the prior."""
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -5,10 +5,11 @@
 from berylcleat.model import Step, TaskKey
 
 from ._book import ReadyStep, TrackedSubmission
+from ._interference import PairTable, Verdict
 
 # A task that found no place for so long may go to another cell.
 STUCK_S = 0.5
-STUCK_FILLER_S = 2.0
+STUCK_FILLER_S = 1.0
 # The most tasks that one round moves to one cell.
 MAX_MOVED = 12
 # Share of another cell's free room that one round may take.
@@ -25,14 +26,35 @@
     checkpoint: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class FillerRoom:
+    """Hold the processor time left on workers that serve the same images."""
+
+    serving_images: tuple[str, ...]
+    cpu_left: int
+
+
 @dataclass(frozen=True, slots=True)
 class CellRoom:
-    """Hold the room of another cell, in thousandths of a core."""
+    """Hold the room of a cell, in thousandths of a core."""
 
     cell_id: str
     service: str
     free: int
-    left_for_fillers: int
+    filler_rooms: tuple[FillerRoom, ...]
+    fill_waiting: int
+
+    def left_for(self, image: str, pairs: PairTable) -> int:
+        """Return what is left for a filler of ``image`` where it is mild."""
+        total = sum(room.cpu_left for room in self.filler_rooms)
+        if total <= 0:
+            return 0
+        left = sum(
+            room.cpu_left
+            for room in self.filler_rooms
+            if pairs.worst(image, room.serving_images) is Verdict.MILD
+        )
+        return int(left * max(0.0, 1 - self.fill_waiting / total))
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,29 +76,36 @@
 class RoomBook:
     """Share out the room of other cells among the tasks of one round."""
 
-    def __init__(self, rooms: tuple[CellRoom, ...]):
+    def __init__(self, rooms: tuple[CellRoom, ...], pairs: PairTable):
         self._room_by_id = {room.cell_id: room for room in rooms}
-        self._free = {r.cell_id: int(r.free * USABLE_SHARE) for r in rooms}
-        self._left = {r.cell_id: int(r.left_for_fillers * USABLE_SHARE) for r in rooms}
-        self._n_moved = dict.fromkeys(self._free, 0)
+        self._pairs = pairs
+        self._taken = dict.fromkeys(self._room_by_id, 0)
+        self._taken_by_fillers = dict.fromkeys(self._room_by_id, 0)
+        self._n_moved = dict.fromkeys(self._room_by_id, 0)
 
     def take(self, step: Step, service: str) -> str | None:
         """Return the cell with most room for a task of ``step``, or None."""
-        room = self._left if step.fills else self._free
-        suitable = [
-            cell_id
-            for cell_id, cell in self._room_by_id.items()
-            if cell.service == service
-            and room[cell_id] >= step.demand.cpu_millis
-            and self._n_moved[cell_id] < MAX_MOVED
-        ]
-        if not suitable:
+        room_by_id = {
+            cell_id: self._room_for(step, room)
+            for cell_id, room in self._room_by_id.items()
+            if room.service == service and self._n_moved[cell_id] < MAX_MOVED
+        }
+        if not room_by_id:
+            return None
+        chosen = max(room_by_id, key=room_by_id.__getitem__)
+        if room_by_id[chosen] < step.demand.cpu_millis:
             return None
-        chosen = max(suitable, key=lambda cell_id: room[cell_id])
-        room[chosen] -= step.demand.cpu_millis
+        taken = self._taken_by_fillers if step.fills else self._taken
+        taken[chosen] += step.demand.cpu_millis
         self._n_moved[chosen] += 1
         return chosen
 
+    def _room_for(self, step: Step, room: CellRoom) -> float:
+        if not step.fills:
+            return room.free * USABLE_SHARE - self._taken[room.cell_id]
+        left = room.left_for(step.image, self._pairs) * USABLE_SHARE
+        return left - self._taken_by_fillers[room.cell_id]
+
 
 def is_stuck(ready: ReadyStep, now: float) -> bool:
     """Tell whether the waiting tasks of a step should look for another cell."""
--- a/libs/scheduling/src/berylcleat/scheduling/_placement.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_placement.py
@@ -127,14 +127,23 @@
 def _score(task: TaskKey, step: Step, worker: WorkerView, pairs: PairTable) -> Score:
     free_cpu = worker.free().cpu_millis
     if step.target_latency_ms:
-        disturbance = sum(
-            pairs.probability(run.step.image, step.image)
-            for run in worker.filling_runs()
-        )
         # Few images a worker leave room for more kinds of fillers.
         n_others = len(worker.serving_images() - {step.image})
-        return (n_others, disturbance, free_cpu)
+        return (_mutual(step.image, worker, pairs), n_others, free_cpu)
     if step.fills:
         verdict = pairs.worst(step.image, worker.serving_images())
         return (float(verdict is not Verdict.MILD), -worker.cpu_left())
     return (-worker.cpu_left(),)
+
+
+def _mutual(image: str, worker: WorkerView, pairs: PairTable) -> float:
+    """Return how much a serving image and what runs there would likely disturb."""
+    others = {
+        run.step.image
+        for run in worker.run_by_task.values()
+        if run.step.image and run.step.image != image
+    }
+    serving = worker.serving_images()
+    doubts = [pairs.probability(other, image) for other in others]
+    doubts += [pairs.probability(image, other) for other in others & serving]
+    return round(sum(doubts), 1)
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -6,7 +6,7 @@
 from berylcleat.model import Step, TaskDemand, TaskKey
 from berylcleat.ports import WorkerEntry
 
-from ._interference import FillerUse, ServingReading
+from ._interference import ImageUse, ServingReading
 from ._leases import WorkerClock
 
 # Failures without a success in between after which a worker is avoided for a while.
@@ -84,7 +84,7 @@
     guarded_at: float = 0.0
     learnt_at: float = 0.0
     forced_at: float = 0.0
-    past_fillers: list[tuple[float, FillerUse]] = field(default_factory=list)
+    past_uses: list[tuple[float, ImageUse]] = field(default_factory=list)
 
     def can_start(self, now: float) -> bool:
         """Tell whether new runs may go to this worker now."""
@@ -118,8 +118,8 @@
         if self.run_by_task.get(run.task) is run:
             del self.run_by_task[run.task]
             self.used = self.used - run.step.room
-            if run.step.fills and run.reading > 0:
-                self.past_fillers.append((now, self._use_of(run, now)))
+            if run.step.fills or run.step.target_latency_ms:
+                self.past_uses.append((now, self._use_of(run, now)))
 
     def note_failure(self, now: float) -> None:
         """Avoid a worker that fails one run after the other."""
@@ -175,22 +175,27 @@
         """Return the highest ratio of tail latency to target."""
         return max((reading.ratio for reading in self.readings()), default=0.0)
 
-    def filler_uses(self, now: float) -> list[FillerUse]:
-        """Return what filled within the span of the latest readings."""
-        self.past_fillers = [
-            item for item in self.past_fillers if now - item[0] < READING_SPAN_S
+    def image_uses(self, now: float) -> list[ImageUse]:
+        """Return what could disturb within the span of the latest readings."""
+        self.past_uses = [
+            item for item in self.past_uses if now - item[0] < READING_SPAN_S
         ]
-        use_by_image: dict[str, FillerUse] = {}
-        uses = [use for _, use in self.past_fillers]
+        use_by_image: dict[str, ImageUse] = {}
+        uses = [use for _, use in self.past_uses]
         uses += (self._use_of(run, now) for run in self.filling_runs())
+        uses += (self._use_of(run, now) for run in self.serving_runs())
         for use in uses:
             known = use_by_image.get(use.image, use)
             share = use.share if known is use else known.share + use.share
             settled = known.is_settled and use.is_settled
-            use_by_image[use.image] = FillerUse(use.image, share, settled)
+            use_by_image[use.image] = ImageUse(use.image, share, settled)
         return list(use_by_image.values())
 
-    def _use_of(self, run: Run, now: float) -> FillerUse:
-        share = run.reading / self.entry.capacity.cpu_millis
+    def _use_of(self, run: Run, now: float) -> ImageUse:
+        cpu = run.reading
+        if run.step.target_latency_ms:
+            # The reading of a serving run is a latency.
+            cpu = run.step.demand.cpu_millis * SERVING_USE
+        share = cpu / self.entry.capacity.cpu_millis
         is_settled = now - run.started_at > READING_SPAN_S
-        return FillerUse(run.step.image, share, is_settled)
+        return ImageUse(run.step.image, share, is_settled)
--- a/programs/beryl-host/src/berylcleat/host/_cell_driver.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_driver.py
@@ -238,7 +238,7 @@
             cpu_capacity=sum(v.entry.capacity.cpu_millis for v in views),
             cpu_free=sum(v.free().cpu_millis for v in views),
             cpu_waiting=waiting,
-            cpu_left=sum(max(0, v.cpu_left()) for v in views),
+            filler_rooms=self.cell.filler_rooms(),
             fill_waiting=fill_waiting,
             pending_by_queue=self.cell.book.n_pending_by_queue(),
         )
--- a/programs/beryl-host/src/berylcleat/host/_choice.py
+++ b/programs/beryl-host/src/berylcleat/host/_choice.py
@@ -2,17 +2,28 @@
 
 from dataclasses import dataclass
 
-from berylcleat.model import Submission
+import xxhash
+
+from berylcleat.model import Step, Submission
+from berylcleat.scheduling import PairTable
 
 from ._cells import CellKeeper
 from ._clock import now_s
 from ._membership import Membership
-from ._records import CellSummary
+from ._records import CellSummary, room_of
 
 # How much fuller the cell of our own data centre may be before another is chosen.
 LOCAL_ADVANTAGE = 0.03
 # What we sent to a cell counts until its owner's next heartbeat is sure to show it.
 MEMORY_S = 1.6
+# Serving tasks of one image are kept in one cell up to this load, so that fillers
+# find workers without the images they disturb.
+FULL_LOAD = 0.9
+
+
+def image_rank(image: str, cell_id: str) -> int:
+    """Return a cell's place in the order that is an image's own."""
+    return xxhash.xxh64_intdigest(f"{image}/{cell_id}".encode())
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,31 +39,34 @@
 class CellChooser:
     """Choose cells for submissions that clients of this host hand in."""
 
-    def __init__(self, data_centre: str, membership: Membership, keeper: CellKeeper):
+    def __init__(
+        self,
+        data_centre: str,
+        membership: Membership,
+        keeper: CellKeeper,
+        pairs: PairTable,
+    ):
         self._data_centre = data_centre
         self._membership = membership
         self._keeper = keeper
+        self._pairs = pairs
         self._sent: list[_Sent] = []
 
     def choose(self, submission: Submission) -> str | None:
         """Return the cell to run ``submission``, or None if none is known."""
-        summaries = self._summaries()
         service = submission.queue.service
         suitable = {
             cell_id: summary
-            for cell_id, summary in summaries.items()
+            for cell_id, summary in self._summaries().items()
             if summary.service == service and summary.cpu_capacity > 0
         }
         if not suitable:
             return None
-        wanted = next((s.data_rack for s in submission.steps if s.data_rack), "")
-        fills = all(step.fills for step in submission.steps)
-        chosen = wanted
-        if wanted not in suitable:
-            chosen = min(
-                suitable, key=lambda cell: self._load(cell, suitable[cell], fills)
-            )
+        oldest = now_s() - MEMORY_S
+        self._sent = [item for item in self._sent if item.sent_at >= oldest]
+        chosen = self._choose_among(submission, suitable)
         cpu = sum(step.n_tasks * step.demand.cpu_millis for step in submission.steps)
+        fills = all(step.fills for step in submission.steps)
         self._sent.append(_Sent(now_s(), chosen, cpu, fills))
         return chosen
 
@@ -63,21 +77,54 @@
             for summary in self._summaries().values()
         )
 
-    def _load(self, cell_id: str, summary: CellSummary, fills: bool) -> float:
-        """Return how full a cell is for fillers, or for all other work."""
-        oldest = now_s() - MEMORY_S
-        self._sent = [item for item in self._sent if item.sent_at >= oldest]
-        sent = sum(
+    def _choose_among(
+        self, submission: Submission, suitable: dict[str, CellSummary]
+    ) -> str:
+        wanted = next((s.data_rack for s in submission.steps if s.data_rack), "")
+        if wanted in suitable:
+            return wanted
+        first = submission.steps[0]
+        if first.fills:
+            return max(
+                suitable,
+                key=lambda cell: self._filler_room(cell, suitable[cell], first),
+            )
+        if first.target_latency_ms:
+            return self._choose_for_image(first, suitable)
+        return min(suitable, key=lambda cell: self._load(cell, suitable[cell]))
+
+    def _choose_for_image(self, step: Step, suitable: dict[str, CellSummary]) -> str:
+        """Return the first cell with room in an order that is the image's own."""
+        cpu = step.n_tasks * step.demand.cpu_millis
+        ranked = sorted(suitable, key=lambda cell: image_rank(step.image, cell))
+        for cell_id in ranked:
+            summary = suitable[cell_id]
+            if self._load(cell_id, summary) + cpu / summary.cpu_capacity < FULL_LOAD:
+                return cell_id
+        return min(suitable, key=lambda cell: self._load(cell, suitable[cell]))
+
+    def _load(self, cell_id: str, summary: CellSummary) -> float:
+        """Return how full a cell is, relative to its capacity."""
+        used = summary.cpu_capacity - summary.cpu_free
+        total = used + summary.cpu_waiting + self._sent_to(cell_id, fills=False)
+        load = total / summary.cpu_capacity
+        is_local = summary.data_centre == self._data_centre
+        return load - LOCAL_ADVANTAGE if is_local else load
+
+    def _filler_room(self, cell_id: str, summary: CellSummary, step: Step) -> float:
+        """Return what is left for fillers of a step's image, relative to capacity."""
+        left = room_of(cell_id, summary).left_for(step.image, self._pairs)
+        left -= self._sent_to(cell_id, fills=True)
+        is_local = summary.data_centre == self._data_centre
+        advantage = LOCAL_ADVANTAGE if is_local else 0.0
+        return left / summary.cpu_capacity + advantage
+
+    def _sent_to(self, cell_id: str, *, fills: bool) -> int:
+        return sum(
             item.cpu
             for item in self._sent
             if item.cell_id == cell_id and item.fills == fills
         )
-        free = summary.cpu_left if fills else summary.cpu_free
-        waiting = summary.fill_waiting if fills else summary.cpu_waiting
-        used = summary.cpu_capacity - free
-        load = (used + waiting + sent) / summary.cpu_capacity
-        is_local = summary.data_centre == self._data_centre
-        return load - LOCAL_ADVANTAGE if is_local else load
 
     def _summaries(self) -> dict[str, CellSummary]:
         summaries = self._membership.summaries()
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -91,7 +91,9 @@
             self.pairs,
             self.peers,
         )
-        chooser = CellChooser(settings.data_centre, self.membership, self.keeper)
+        chooser = CellChooser(
+            settings.data_centre, self.membership, self.keeper, self.pairs
+        )
         self.desk = Desk(
             self.store,
             self.directory,
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -4,7 +4,7 @@
 
 from berylcleat.model import Submission, TaskKey
 from berylcleat.ports import WorkerEntry
-from berylcleat.scheduling import TaskMove
+from berylcleat.scheduling import CellRoom, FillerRoom, TaskMove
 
 SUBMISSION_TABLE = "submissions"
 CELL_TABLE = "cells"
@@ -62,11 +62,22 @@
     cpu_capacity: int
     cpu_free: int
     cpu_waiting: int
-    cpu_left: int
+    filler_rooms: tuple[FillerRoom, ...]
     fill_waiting: int
     pending_by_queue: dict[str, int]
 
 
+def room_of(cell_id: str, summary: CellSummary) -> CellRoom:
+    """Return the room that a cell's summary tells of."""
+    return CellRoom(
+        cell_id,
+        summary.service,
+        summary.cpu_free - summary.cpu_waiting,
+        summary.filler_rooms,
+        summary.fill_waiting,
+    )
+
+
 class PairRow(msgspec.Struct, frozen=True, array_like=True):
     """Tell what was learnt here of a filling image beside a serving image."""
 
--- a/programs/beryl-host/src/berylcleat/host/_task_carrier.py
+++ b/programs/beryl-host/src/berylcleat/host/_task_carrier.py
@@ -19,6 +19,7 @@
     MoveRow,
     MovesRow,
     encode,
+    room_of,
     submission_part,
 )
 
@@ -52,15 +53,7 @@
         summaries = self._membership.summaries()
         summaries.update(self._keeper.summaries())
         summaries.pop(own_cell, None)
-        return tuple(
-            CellRoom(
-                cell_id,
-                summary.service,
-                summary.cpu_free - summary.cpu_waiting,
-                summary.cpu_left - summary.fill_waiting,
-            )
-            for cell_id, summary in summaries.items()
-        )
+        return tuple(room_of(cell_id, item) for cell_id, item in summaries.items())
 
     async def move(self, driver: "CellDriver", proposal: MoveProposal) -> None:
         """Record a proposal; until its outcome is known its tasks stay withheld."""
