Stand-in of the users' platform and features of real host processes on it

Change: TaskWorker (shared with the histories), RowStore, TaskPlatform; features: kill, SIGTERM, cancel, bad requests, store silent, busy, losing answers, forgotten history, draining, SIGHUP, unreadable configuration.

--- a/libs/scheduling/features/steps/sim_cell.py
+++ b/libs/scheduling/features/steps/sim_cell.py
@@ -7,8 +7,6 @@
 import random
 from dataclasses import dataclass, field
 
-from sim_worker import SimWorker
-
 from berylcleat.model import (
     QueuePolicy,
     Step,
@@ -33,6 +31,7 @@
     Progress,
     decode_progress,
 )
+from berylcleat.standins import TaskWorker
 
 TICK_S = 0.05
 HOLD_PERIOD_S = 0.4
@@ -80,9 +79,6 @@
         if end is RunEnd.DONE:
             self.done.add(task)
 
-    def on_ends_lost(self, worker_id: str) -> None:
-        """Note that a worker has forgotten its ends."""
-
     def on_acknowledged(self, end) -> None:
         """Check that an end was recorded before its worker forgets it."""
         if end.end is RunEnd.FAILED:
@@ -197,7 +193,7 @@
         self.owners: list[SimOwner] = []
         self.take_over(is_dead=True)
 
-    def _make_worker(self, number: int) -> SimWorker:
+    def _make_worker(self, number: int) -> TaskWorker:
         entry = WorkerEntry(
             f"w{number}",
             "svc",
@@ -210,7 +206,7 @@
             1,
         )
         rate = self.rng.choice((0.98, 1.0, 1.02))
-        return SimWorker(entry, self.ledger.steps_by_id, self.ledger, rate)
+        return TaskWorker(entry, self.ledger.steps_by_id, self.ledger, rate)
 
     def make_cell(self, epoch: int, settled_at: float, workers) -> Cell:
         """Return a new owner's cell with all that is recorded."""
--- /dev/null
+++ b/programs/beryl-host/features/environment.py
@@ -0,0 +1,27 @@
+"""Start hosts on the platform's stand-in for each scenario, and stop them after it."""
+
+import asyncio
+import shutil
+
+
+def before_all(context):
+    context.loop = asyncio.new_event_loop()
+    context.run = context.loop.run_until_complete
+
+
+def before_scenario(context, scenario):
+    context.town = None
+
+
+def after_scenario(context, scenario):
+    if context.town is None:
+        return
+    context.town.stop()
+    if scenario.status == "passed":
+        shutil.rmtree(context.town.folder, ignore_errors=True)
+    else:
+        print(f"logs of {scenario.name} are kept in {context.town.folder}")
+
+
+def after_all(context):
+    context.loop.close()
--- /dev/null
+++ b/programs/beryl-host/features/steps/host_group.py
@@ -0,0 +1,173 @@
+"""Real host processes on the platform's stand-in, and a client for them."""
+
+import asyncio
+import json
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from berylcleat.http import ExchangeError, HttpClient, HttpRequest
+from berylcleat.standins import free_ports
+
+START_TIMEOUT_S = 20.0
+HOST_NAME = "press.example"
+ROUTE = {
+    "name": "proofs",
+    "host": HOST_NAME,
+    "pathPrefix": "/proofs/",
+    "timeoutMs": 3000,
+    "sloMs": 1000,
+    "priority": 0,
+    "service": "svc",
+    "maxAttempts": 2,
+    "stretch": 2.0,
+}
+CONFIG = {
+    "version": 3,
+    "routes": [ROUTE],
+    "services": [{"name": "svc", "admissionCheck": True}],
+}
+
+
+class HostGroup:
+    """Hold the processes of one scenario."""
+
+    def __init__(self, n_hosts: int, n_workers: int):
+        self.folder = Path(tempfile.mkdtemp(prefix="beryl-host-"))
+        ports = free_ports(2 + n_workers + 4 * n_hosts)
+        self.addresses = [f"127.0.0.1:{port}" for port in ports]
+        self.store, self.control, *rest = self.addresses
+        self.workers, rest = rest[:n_workers], rest[n_workers:]
+        self.hosts = [rest[4 * n : 4 * n + 4] for n in range(n_hosts)]
+        self.processes: list[subprocess.Popen] = []
+        self.platform = self._start_platform()
+        for number in range(n_hosts):
+            self.processes.append(self.start_host(number))
+
+    def _start_platform(self) -> subprocess.Popen:
+        settings = {
+            "store_address": self.store,
+            "control_address": self.control,
+            "config": CONFIG,
+            "workers": [
+                {
+                    "worker_id": f"w{n}",
+                    "address": address,
+                    "data_centre": "dc-1",
+                    "rack": "r1",
+                }
+                for n, address in enumerate(self.workers)
+            ],
+        }
+        code = "from berylcleat.standins import task_platform_main as m; m()"
+        return self._spawn("platform", ["-c", code], settings)
+
+    def start_host(self, number: int) -> subprocess.Popen:
+        """Start the host with this number; return its process."""
+        front, ready, peer, metrics = self.hosts[number]
+        settings = {
+            "host_id": f"host-{number}",
+            "data_centre": "dc-1",
+            "front_address": front,
+            "ready_address": ready,
+            "peer_address": peer,
+            "metrics_address": metrics,
+            "store_address": self.store,
+        }
+        return self._spawn(f"host-{number}", ["-m", "berylcleat.host"], settings)
+
+    def _spawn(self, name: str, words: list[str], settings: dict) -> subprocess.Popen:
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        log = open(self.folder / f"{name}.log", "ab")  # noqa: SIM115
+        command = [sys.executable, *words, "--settings", str(path)]
+        return subprocess.Popen(command, stdout=log, stderr=log)
+
+    def log_of(self, number: int) -> str:
+        """Return what a host has logged."""
+        path = self.folder / f"host-{number}.log"
+        return path.read_text(encoding="utf-8")
+
+    async def call(self, address, method, target, body=b"", timeout_s=5.0, headers=()):
+        """Return status and body, or (0, b"") without an answer."""
+        client = HttpClient(address)
+        all_headers = (("host", HOST_NAME), *headers)
+        request = HttpRequest(method, target, all_headers, body)
+        try:
+            response = await client.exchange(request, timeout_s)
+        except ExchangeError:
+            return 0, b""
+        finally:
+            client.close()
+        return response.status, response.body
+
+    async def wait_ready(self) -> None:
+        """Return when every host says that it is ready."""
+        deadline = time.monotonic() + START_TIMEOUT_S
+        for _, ready, _, _ in self.hosts:
+            while (await self.call(ready, "GET", "/api/readiness", b"", 1.0))[0] != 200:
+                assert time.monotonic() < deadline, "host not ready"
+                await asyncio.sleep(0.1)
+        while not any("begins with" in self.log_of(n) for n in range(len(self.hosts))):
+            assert time.monotonic() < deadline, "cell without an owner"
+            await asyncio.sleep(0.1)
+        # Every host hears of the owner's load with its next heartbeat.
+        await asyncio.sleep(2.0)
+
+    async def submit(self, number: int, submission_id: str, body: dict) -> int:
+        """Hand a submission in at a host until it is answered finally."""
+        target = f"/proofs/{submission_id}"
+        data = json.dumps(body).encode()
+        status = 0
+        for _ in range(30):
+            status, _ = await self.call(self.hosts[number][0], "POST", target, data)
+            if status not in (0, 502, 503, 504):
+                return status
+            number = (number + 1) % len(self.hosts)
+            await asyncio.sleep(0.3)
+        return status
+
+    async def state(self, number: int, submission_id: str) -> str:
+        """Return the state that a host tells, or its status."""
+        target = f"/proofs/{submission_id}"
+        status, body = await self.call(self.hosts[number][0], "GET", target)
+        return json.loads(body)["state"] if status == 200 else str(status)
+
+    async def wait_state(self, number, submission_id, wanted, timeout_s=30.0) -> None:
+        """Return once a host tells the wanted state."""
+        deadline = time.monotonic() + timeout_s
+        state = ""
+        while time.monotonic() < deadline:
+            state = await self.state(number, submission_id)
+            if state == wanted:
+                return
+            await asyncio.sleep(0.1)
+        raise AssertionError(f"{submission_id}: {state}, not {wanted}")
+
+    async def ledger(self) -> dict:
+        """Return what truly ran."""
+        _, body = await self.call(self.control, "GET", "/ledger")
+        return json.loads(body)
+
+    async def order(self, target: str, **body) -> None:
+        """Tell the platform's stand-in what to do."""
+        await self.call(self.control, "POST", target, json.dumps(body).encode())
+
+    def owner(self) -> int:
+        """Return the number of the host that took the cell last."""
+        begun = {}
+        for number in range(len(self.hosts)):
+            for line in self.log_of(number).splitlines():
+                if "begins with" in line:
+                    begun[line.split('"time":"')[1][:24]] = number
+        return begun[max(begun)]
+
+    def stop(self) -> None:
+        """End every process that was started here."""
+        for process in [*self.processes, self.platform]:
+            if process.poll() is None:
+                process.send_signal(signal.SIGKILL)
+            process.wait()
--- a/standins/src/berylcleat/standins/__init__.py
+++ b/standins/src/berylcleat/standins/__init__.py
@@ -1,10 +1,13 @@
 """Small stand-ins of the platform and its workers, and a fleet to start them."""
 
-from ._commands import platform_main, rack_main
+from ._commands import platform_main, rack_main, task_platform_main
 from ._fleet import Fleet, FleetPlan, Host, ask, free_ports, make_fleet_plan
 from ._history import History, HistoryEvent, read_history
 from ._platform import Faults, PlatformSettings
 from ._rack import RackSettings, WorkerFault
+from ._row_store import RowStore
+from ._task_platform import TaskPlatformSettings
+from ._task_worker import TaskWorker, WorkerRun
 from ._verdicts import double_runs, overlapping_attempts
 from ._worker import WorkerStandin
 
@@ -17,7 +20,11 @@
     "Host",
     "PlatformSettings",
     "RackSettings",
+    "RowStore",
+    "TaskPlatformSettings",
+    "TaskWorker",
     "WorkerFault",
+    "WorkerRun",
     "WorkerStandin",
     "ask",
     "double_runs",
@@ -27,4 +34,5 @@
     "platform_main",
     "rack_main",
     "read_history",
+    "task_platform_main",
 ]
--- a/standins/src/berylcleat/standins/_commands.py
+++ b/standins/src/berylcleat/standins/_commands.py
@@ -11,6 +11,7 @@
 
 from ._platform import PlatformSettings, serve_platform
 from ._rack import RackSettings, serve_rack
+from ._task_platform import TaskPlatformSettings, serve_task_platform
 
 
 @dataclass
@@ -38,3 +39,14 @@
         await serve_rack(load_settings(arguments.settings, RackSettings), stop)
 
     run_process("standin-rack", serve)
+
+
+def task_platform_main() -> None:
+    """Start the stand-in of the users' platform with its workers."""
+    arguments = cappa.parse(StandinArguments)
+
+    async def serve(stop) -> None:
+        settings = load_settings(arguments.settings, TaskPlatformSettings)
+        await serve_task_platform(settings, stop)
+
+    run_process("standin-task-platform", serve)
--- a/libs/scheduling/features/steps/sim_worker.py
+++ b/standins/src/berylcleat/standins/_task_worker.py
@@ -1,6 +1,8 @@
 """A worker of the platform in logical time, as far as owners see it."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from berylcleat.model import Step, TaskDemand, TaskKey
 from berylcleat.ports import (
@@ -20,8 +22,24 @@
 MAX_LEASE_MS = 6000
 
 
+RunPlan = Callable[[TaskKey, int], tuple[float, RunEnd]]
+
+
+class RunLedger(Protocol):
+    """Note what truly happens on workers."""
+
+    def on_start(self, task: TaskKey, run: int, worker_id: str, now: float) -> None:
+        """Note a run that has begun."""
+
+    def on_end(self, task: TaskKey, worker_id: str, end: RunEnd | None) -> None:
+        """Note a run's end; None stands for a crash."""
+
+    def on_acknowledged(self, end: EndedTask) -> None:
+        """Note an end that the worker was told to forget."""
+
+
 @dataclass(slots=True)
-class SimRun:
+class WorkerRun:
     """Hold one run on a worker; ``ends_at`` and ``stops_at`` are true times."""
 
     run: int
@@ -32,19 +50,19 @@
 
 
 @dataclass(slots=True)
-class SimWorker:
+class TaskWorker:
     """Keep runs, ends, a lease and the highest epoch, through one life."""
 
     entry: WorkerEntry
-    steps_by_id: dict
-    ledger: object
+    steps_by_id: dict[str, tuple[Step, ...]]
+    ledger: RunLedger
     rate: float = 1.0
     born_at: float = 0.0
     life_ms: int = 1
     epoch: int = 0
     lease_until_ms: int = 0
     is_up: bool = True
-    run_by_task: dict[TaskKey, SimRun] = field(default_factory=dict)
+    run_by_task: dict[TaskKey, WorkerRun] = field(default_factory=dict)
     highest_run: dict[TaskKey, int] = field(default_factory=dict)
     ended: list[EndedTask] = field(default_factory=list)
     n_ended: int = 0
@@ -75,14 +93,13 @@
         self.run_by_task.clear()
         self.highest_run.clear()
         self.ended.clear()
-        self.ledger.on_ends_lost(self.entry.worker_id)
         self.n_ended = 0
         self.epoch = 0
         self.lease_until_ms = 0
         self.born_at = now
         self.life_ms += 1000
 
-    def start(self, order: StartOrder, now: float, plan) -> OrderAnswer:
+    def start(self, order: StartOrder, now: float, plan: RunPlan) -> OrderAnswer:
         """Take a start; ``plan`` gives how long the run takes and how it ends."""
         self.advance(now)
         clock = self.clock_ms(now)
@@ -101,7 +118,7 @@
         if not step.room.fits_in(self._free()):
             return OrderAnswer(OrderResult.NO_ROOM, clock)
         length_s, end = plan(order.task, order.run)
-        self.run_by_task[order.task] = SimRun(order.run, step, now + length_s, end)
+        self.run_by_task[order.task] = WorkerRun(order.run, step, now + length_s, end)
         self.ledger.on_start(order.task, order.run, self.entry.worker_id, now)
         return OrderAnswer(OrderResult.ACCEPTED, clock)
 
