Moves: failed runs and run numbers travel with a task; two-cell histories

Change: sets of failed runs in place of counts, numbers above the move's floor, settle after the outcome is taken in, guests live until their ends are confirmed.

--- a/libs/scheduling/src/berylcleat/scheduling/_book.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_book.py
@@ -13,6 +13,8 @@
 
 from ._progress import Progress
 
+# Run numbers of one epoch lie above those of every earlier epoch.
+RUNS_PER_EPOCH = 1000
 # Share of an estimated length that the work surely takes: estimates are rough.
 SURE_SHARE = 0.6
 
@@ -72,7 +74,7 @@
     ready_by_step: dict[tuple[int, int], ReadyStep] = field(default_factory=dict)
     opened: set[tuple[int, int]] = field(default_factory=set)
     run_floor_by_task: dict[TaskKey, int] = field(default_factory=dict)
-    earlier_failures_by_task: dict[TaskKey, int] = field(default_factory=dict)
+    move_floor_by_task: dict[TaskKey, int] = field(default_factory=dict)
     elsewhere: set[TaskKey] = field(default_factory=set)
     guests: set[TaskKey] = field(default_factory=set)
     reported: set[TaskKey] = field(default_factory=set)
@@ -89,8 +91,39 @@
 
     def n_failures(self, task: TaskKey) -> int:
         """Return how many runs of ``task`` have failed here and elsewhere."""
-        earlier = self.earlier_failures_by_task.get(task, 0)
-        return earlier + self.progress.n_failures(task)
+        return self.progress.n_failures(task)
+
+    def next_run(self, task: TaskKey, epoch: int) -> int:
+        """Return a run number above those of earlier owners and other cells."""
+        base = self.move_floor_by_task.get(task, 0) + (epoch - 1) * RUNS_PER_EPOCH
+        return max(base, self.run_floor_by_task.get(task, 0)) + 1
+
+    def note_run(self, task: TaskKey, run: int) -> None:
+        """Note a run number that is taken."""
+        self.run_floor_by_task[task] = max(self.run_floor_by_task.get(task, 0), run)
+
+    def note_move(
+        self, task: TaskKey, run_floor: int, failed_runs: tuple[int, ...], saved: str
+    ) -> None:
+        """Take over what another cell knew of a task that has come here."""
+        if run_floor > self.move_floor_by_task.get(task, -1):
+            self.move_floor_by_task[task] = run_floor
+            if saved:
+                self.progress.checkpoint_by_task[task] = saved
+        self.note_run(task, run_floor)
+        for run in failed_runs:
+            self.progress.add_failure(task, run)
+
+    def unreported(self) -> list[TaskKey]:
+        """Return guests whose end their home has not confirmed."""
+        if self.is_home or self.is_cancelled:
+            return []
+        has_failed = self.progress.final_state is SubmissionState.FAILED
+        return [
+            task
+            for task in self.guests - self.reported
+            if has_failed or self.progress.is_done(task)
+        ]
 
     def key(self, occurrence: int, step: int, index: int) -> TaskKey:
         """Return the name of a task of this submission."""
@@ -233,13 +266,13 @@
         due_at = accepted_at + length_s + queue.objective_ms / 1000
         tracked = TrackedSubmission(submission, progress, due_at, is_home)
         self.by_id[submission.submission_id] = tracked
-        if not tracked.is_over:
+        if not tracked.is_over or not is_home:
             self.live_by_id[submission.submission_id] = tracked
         return tracked
 
     def retire(self, tracked: TrackedSubmission) -> None:
         """Take an ended submission with nothing to record from the live ones."""
-        if tracked.is_over and not tracked.is_dirty:
+        if tracked.is_over and not tracked.is_dirty and not tracked.unreported():
             self.live_by_id.pop(tracked.submission.submission_id, None)
 
     def open_scheduled(self, wall_ms: float) -> None:
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -39,8 +39,6 @@
 from ._progress import Progress, encode_progress
 from ._workers import Run, RunPhase, WorkerView
 
-# Run numbers of one epoch lie above those of every earlier epoch.
-RUNS_PER_EPOCH = 1000
 # Pause after a worker had no room although our books said so.
 NO_ROOM_PAUSE_S = 0.3
 UNHEALTHY_PAUSE_S = 1.0
@@ -172,28 +170,17 @@
     def _receive(
         self, tracked: TrackedSubmission, task: TaskKey, move: TaskMove
     ) -> None:
-        is_known = (
-            task in tracked.guests
-            if not tracked.is_home
-            else (task not in tracked.elsewhere)
-        )
-        if is_known:
-            return
+        tracked.note_move(task, move.run_floor, move.failed_runs, move.checkpoint)
+        was_ours = tracked.is_ours(task)
         tracked.elsewhere.discard(task)
         tracked.guests.add(task)
-        floor = tracked.run_floor_by_task.get(task, 0)
-        tracked.run_floor_by_task[task] = max(floor, move.run_floor)
-        tracked.earlier_failures_by_task[task] = move.n_failures
-        if move.checkpoint:
-            tracked.progress.checkpoint_by_task.setdefault(task, move.checkpoint)
-        if task not in self.run_by_task:
+        if not was_ours and task not in self.run_by_task:
             tracked.put_back(task)
 
     def _hand_away(self, tracked: TrackedSubmission, task: TaskKey, now: float) -> None:
         tracked.guests.discard(task)
         if tracked.is_home:
             tracked.elsewhere.add(task)
-        self._withheld.discard(task)
         tracked.take(task)
         run = self.run_by_task.get(task)
         if run is not None:
@@ -239,8 +226,11 @@
             FillerRoom(images, left) for images, left in left_by_images.items()
         )
 
-    def on_move_refused(self, proposal: MoveProposal) -> None:
-        """Let tasks start here again whose move was not recorded."""
+    def on_move_settled(self, proposal: MoveProposal) -> None:
+        """Withhold no longer what was proposed: its outcome is taken in or refused.
+
+        A task that has meanwhile come back may start here again.
+        """
         self._withheld.difference_update(proposal.move_by_task)
 
     def guest_ends(self) -> dict[str, list[GuestEnd]]:
@@ -249,14 +239,12 @@
         for tracked in self.book.live_by_id.values():
             if tracked.is_home or tracked.is_dirty:
                 continue
-            has_failed = tracked.progress.final_state is SubmissionState.FAILED
-            unreported = [
-                GuestEnd(task, not tracked.progress.is_done(task))
-                for task in tracked.guests - tracked.reported
-                if has_failed or tracked.progress.is_done(task)
-            ]
+            unreported = tracked.unreported()
             if unreported:
-                ends[tracked.submission.submission_id] = unreported
+                ends[tracked.submission.submission_id] = [
+                    GuestEnd(task, not tracked.progress.is_done(task))
+                    for task in unreported
+                ]
         return ends
 
     def on_guest_ends_confirmed(
@@ -265,6 +253,7 @@
         """Note that the home has recorded the ends of guests."""
         tracked = self.book.by_id[submission_id]
         tracked.reported.update(end.task for end in ends)
+        self.book.retire(tracked)
 
     def on_guest_ends(
         self, submission_id: str, ends: list[GuestEnd], now: float
@@ -508,8 +497,7 @@
         if tracked is None:
             return
         step = tracked.submission.steps[end.task.step]
-        floor = tracked.run_floor_by_task.get(end.task, 0)
-        tracked.run_floor_by_task[end.task] = max(floor, end.run)
+        tracked.note_run(end.task, end.run)
         if end.checkpoint and step.saves_progress:
             tracked.progress.checkpoint_by_task[end.task] = end.checkpoint
         if step.is_long_running:
@@ -780,8 +768,7 @@
     def _start(
         self, tracked: TrackedSubmission, task: TaskKey, view: WorkerView, now: float
     ) -> None:
-        base = (self.epoch - 1) * RUNS_PER_EPOCH
-        number = max(base, tracked.run_floor_by_task.get(task, 0)) + 1
+        number = tracked.next_run(task, self.epoch)
         step = tracked.submission.steps[task.step]
         deadline_ms = self.lease_until_ms(view, now)
         checkpoint = tracked.progress.checkpoint_by_task.get(task, "")
@@ -804,8 +791,7 @@
         self._order(view.entry.worker_id, order)
 
     def _add_run(self, tracked: TrackedSubmission, run: Run) -> None:
-        floor = tracked.run_floor_by_task.get(run.task, 0)
-        tracked.run_floor_by_task[run.task] = max(floor, run.number)
+        tracked.note_run(run.task, run.number)
         tracked.take(run.task)
         self.run_by_task[run.task] = run
         self.worker_by_id[run.worker_id].add_run(run)
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -22,7 +22,7 @@
 
     cell_id: str
     run_floor: int
-    n_failures: int = 0
+    failed_runs: tuple[int, ...] = ()
     checkpoint: str = ""
 
 
@@ -120,6 +120,6 @@
     return TaskMove(
         cell_id,
         tracked.run_floor_by_task.get(task, 0),
-        tracked.n_failures(task),
+        tuple(sorted(tracked.progress.failed_runs_by_task.get(task, ()))),
         tracked.progress.checkpoint_by_task.get(task, ""),
     )
--- a/programs/beryl-host/src/berylcleat/host/_task_carrier.py
+++ b/programs/beryl-host/src/berylcleat/host/_task_carrier.py
@@ -74,7 +74,7 @@
                     self._on_moved(proposal, commit, outcome.version)
                 else:
                     self._directory.on_rows(outcome.current)
-                    driver.cell.on_move_refused(proposal)
+                driver.cell.on_move_settled(proposal)
                 return
 
     def _commit_of(
