Starving fillers are forced together where the room a harmed task is largest; pending while unowned

Change: forced fillers of a worker start within 0.5 s, end after 2.5 s, 1.5 s pause; untold cells count from the directory; build leaves equal packages in place.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -8,7 +8,15 @@
     -r deploy/requirements.txt
   touch target/deps/.installed
 fi
-rm -rf target/deps/berylcleat
+# Packages that are the same stay in place: processes of another build may use them.
+rm -rf target/next
+mkdir -p target/next
 for source in libs/*/src platform/src programs/beryl-host/src; do
-  cp -r "$source/berylcleat" target/deps/
+  cp -r "$source/berylcleat" target/next/
 done
+find target/next -name __pycache__ -prune -exec rm -rf {} +
+if ! diff -rq -x __pycache__ target/next/berylcleat target/deps/berylcleat > /dev/null 2>&1; then
+  rm -rf target/deps/berylcleat
+  mv target/next/berylcleat target/deps/berylcleat
+fi
+rm -rf target/next
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -22,7 +22,7 @@
 )
 
 from ._book import ReadyStep, SubmissionBook, TrackedSubmission
-from ._guard import FORCED_RUN_S, choose_stops
+from ._guard import choose_stops
 from ._interference import PairTable
 from ._leases import LeaseTimes, WorkerClock
 from ._moves import (
@@ -37,7 +37,7 @@
 )
 from ._placement import choose_forced_worker, choose_worker, explain_rejection
 from ._progress import Progress, encode_progress
-from ._workers import Run, RunPhase, WorkerView
+from ._workers import FORCED_OPEN_S, Run, RunPhase, WorkerView
 
 # Pause after a worker had no room although our books said so.
 NO_ROOM_PAUSE_S = 0.3
@@ -48,7 +48,6 @@
 # A filler that fits nowhere is run where it does least harm after this wait, for less
 # than the platform allows a task to be over its target, with a pause in between.
 STARVING_S = 4.0
-FORCED_PAUSE_S = 1.5
 # Tasks that are moved off leaving workers at a time.
 MAX_MOVING = 3
 # Readings tell of the last half second: more often, the same one would count twice.
@@ -727,9 +726,9 @@
                 continue
             if ready.stuck_since is None:
                 ready.stuck_since = now
-            if ready.step.fills and now - ready.stuck_since > STARVING_S:
-                self._force(ready, task, now)
-            return
+            is_starving = now - ready.stuck_since > STARVING_S
+            if not (ready.step.fills and is_starving and self._force(ready, task, now)):
+                return
 
     def _choose(self, ready: ReadyStep, task: TaskKey, now: float) -> WorkerView | None:
         return choose_worker(
@@ -740,15 +739,16 @@
             self.pairs,
         )
 
-    def _force(self, ready: ReadyStep, task: TaskKey, now: float) -> None:
-        """Run a starving filler for a while where it does least harm."""
+    def _force(self, ready: ReadyStep, task: TaskKey, now: float) -> bool:
+        """Run a starving filler for a while where it does least harm, if anywhere."""
         service = ready.tracked.submission.queue.service
         view = choose_forced_worker(
-            task, ready.step, service, self._startable(now), self.pairs
+            task, ready.step, service, self._startable(now), self.pairs, now
         )
-        if view is None or now - view.forced_at < FORCED_PAUSE_S + FORCED_RUN_S:
-            return
-        view.forced_at = now
+        if view is None:
+            return False
+        if view.may_be_forced(now) and now - view.forced_at > FORCED_OPEN_S:
+            view.forced_at = now
         logger.info(
             "filler forced: task %s image %s on %s",
             ".".join(map(str, task)),
@@ -757,6 +757,7 @@
         )
         self._start(ready.tracked, task, view, now)
         self.run_by_task[task].is_forced = True
+        return True
 
     def _startable(self, now: float) -> list[WorkerView]:
         return [
--- a/libs/scheduling/src/berylcleat/scheduling/_guard.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_guard.py
@@ -1,15 +1,13 @@
 """Choose the fillers to stop so that what serves beside them keeps its target."""
 
 from ._interference import DISTURBED_RATIO, PairTable, Verdict, is_slow_worker
-from ._workers import READING_SPAN_S, Run, RunPhase, WorkerView
+from ._workers import FORCED_RUN_S, READING_SPAN_S, Run, RunPhase, WorkerView
 
 # A filler with a lower probability of being heavy is not stopped for it alone.
 MIN_SUSPICION = 0.15
 # After so long over a target on end, all fillers leave the worker. The platform allows
 # 4 seconds, of which a stop and the age of a reading take their part.
 CLEAR_S = 1.8
-# A forced filler runs for so long whatever it disturbs.
-FORCED_RUN_S = 2.5
 
 
 def choose_stops(view: WorkerView, pairs: PairTable, now: float) -> list[Run]:
--- a/libs/scheduling/src/berylcleat/scheduling/_placement.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_placement.py
@@ -44,23 +44,26 @@
     service: str,
     workers: Iterable[WorkerView],
     pairs: PairTable,
+    now: float,
 ) -> WorkerView | None:
-    """Return the worker where a filler that fits nowhere else does least harm."""
+    """Return the worker where a filler that fits nowhere else does least harm.
+
+    Forced fillers of one worker begin together, so that it can recover in between.
+    """
     best: WorkerView | None = None
-    best_score: Score | None = None
+    best_score = 0.0
     for worker in workers:
         if not _may_run(task, step, service, worker):
             continue
-        if any(run.is_forced for run in worker.run_by_task.values()):
-            continue
-        if worker.cpu_left() < step.demand.cpu_millis:
+        left = worker.cpu_left()
+        if left < step.demand.cpu_millis or not worker.may_be_forced(now):
             continue
         harmed = sum(
             pairs.probability(step.image, run.step.image)
             for run in worker.serving_runs()
         )
-        score = (harmed, -float(worker.cpu_left()))
-        if best_score is None or score < best_score:
+        score = harmed / left
+        if best is None or score < best_score:
             best, best_score = worker, score
     return best
 
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -17,6 +17,11 @@
 READING_SPAN_S = 1.1
 # Nothing is started on a worker that has not answered for so long, in seconds.
 FRESH_S = 2.5
+# Forced fillers of a worker start within the first time and stop after the second;
+# the worker then recovers for the third, in seconds.
+FORCED_OPEN_S = 0.5
+FORCED_RUN_S = 2.5
+FORCED_PAUSE_S = 1.5
 # Share of their processors that serving tasks are taken to use.
 SERVING_USE = 0.6
 
@@ -104,6 +109,11 @@
             return "silent"
         return ""
 
+    def may_be_forced(self, now: float) -> bool:
+        """Tell whether a forced filler may start: in time with others, or rested."""
+        since_s = now - self.forced_at
+        return since_s < FORCED_OPEN_S or since_s > FORCED_RUN_S + FORCED_PAUSE_S
+
     def free(self) -> TaskDemand:
         """Return the capacity that no run has taken."""
         return self.entry.capacity - self.used
--- a/programs/beryl-host/src/berylcleat/host/_choice.py
+++ b/programs/beryl-host/src/berylcleat/host/_choice.py
@@ -8,7 +8,8 @@
 from berylcleat.scheduling import PairTable
 
 from ._cells import CellKeeper
-from ._clock import now_s
+from ._clock import now_s, wall_ms
+from ._directory import Directory
 from ._membership import Membership
 from ._records import CellSummary, room_of
 
@@ -16,6 +17,8 @@
 LOCAL_ADVANTAGE = 0.03
 # What we sent to a cell counts until its owner's next heartbeat is sure to show it.
 MEMORY_S = 1.6
+# Submissions that were accepted longer ago have begun or ended, in milliseconds.
+UNTOLD_MS = 30_000
 # Serving tasks of one image are kept in one cell up to this load, so that fillers
 # find workers without the images they disturb.
 FULL_LOAD = 0.9
@@ -44,11 +47,13 @@
         data_centre: str,
         membership: Membership,
         keeper: CellKeeper,
+        directory: Directory,
         pairs: PairTable,
     ):
         self._data_centre = data_centre
         self._membership = membership
         self._keeper = keeper
+        self._directory = directory
         self._pairs = pairs
         self._sent: list[_Sent] = []
 
@@ -71,11 +76,25 @@
         return chosen
 
     def n_pending(self, queue: str) -> int:
-        """Return how many submissions of ``queue`` have not begun."""
-        return sum(
-            summary.pending_by_queue.get(queue, 0)
-            for summary in self._summaries().values()
+        """Return how many submissions of ``queue`` have not begun.
+
+        Where no owner tells of a cell, all that it was given of late may be waiting.
+        """
+        summaries = self._summaries()
+        told = sum(
+            summary.pending_by_queue.get(queue, 0) for summary in summaries.values()
+        )
+        oldest_ms = wall_ms() - UNTOLD_MS
+        untold = sum(
+            1
+            for entry in self._directory.by_id.values()
+            if entry.accepted is not None
+            and not entry.is_cancelled
+            and entry.accepted.cell_id not in summaries
+            and entry.accepted.submission.queue.name == queue
+            and entry.accepted.accepted_at_ms > oldest_ms
         )
+        return told + untold
 
     def _choose_among(
         self, submission: Submission, suitable: dict[str, CellSummary]
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -92,7 +92,11 @@
             self.peers,
         )
         chooser = CellChooser(
-            settings.data_centre, self.membership, self.keeper, self.pairs
+            settings.data_centre,
+            self.membership,
+            self.keeper,
+            self.directory,
+            self.pairs,
         )
         self.desk = Desk(
             self.store,
