--- /dev/null
+++ b/libs/scheduling/features/steps/filler_steps.py
@@ -0,0 +1,157 @@
+from behave import given, then, when
+
+from berylcleat.model import Step, TaskDemand, TaskKey
+from berylcleat.ports import WorkerEntry
+from berylcleat.scheduling import (
+    ImageUse,
+    PairTable,
+    Run,
+    RunPhase,
+    ServingReading,
+    Verdict,
+    WorkerView,
+    choose_stops,
+    choose_worker,
+)
+
+SERVING = Step(1, TaskDemand(4000, 1000), is_long_running=True, target_latency_ms=100)
+FILLER = Step(1, TaskDemand(4000, 1000), fills=True, saves_progress=True)
+
+
+def make_view(worker_id):
+    entry = WorkerEntry(
+        worker_id,
+        "svc",
+        "a:1",
+        "dc",
+        "k",
+        "r1",
+        frozenset(),
+        TaskDemand(32000, 64000),
+        1,
+    )
+    return WorkerView(entry, is_fenced=True)
+
+
+def make_step(kind, image):
+    return Step(
+        kind.n_tasks,
+        kind.demand,
+        is_long_running=kind.is_long_running,
+        target_latency_ms=kind.target_latency_ms,
+        fills=kind.fills,
+        image=image,
+    )
+
+
+def add_run(view, number, kind, image, reading=0.0):
+    task = TaskKey(f"{number:016x}", 0, 0, 0)
+    step = make_step(kind, image)
+    run = Run(task, 1, view.entry.worker_id, step, RunPhase.RUNNING, 0.0, 0.0)
+    run.note_reading(reading, 0.0)
+    view.add_run(run)
+    return run
+
+
+@given(
+    'a serving image "{serving}" and a filler "{filler}" that use a fifth of a {place}'
+)
+def step_images(context, serving, filler, place):
+    context.pairs = PairTable()
+
+
+@when('the tail of "{image}" is at {ratio:f} of its target beside "{filler}"')
+def step_reading(context, image, ratio, filler):
+    context.pairs.observe([ImageUse(filler, 0.2)], [ServingReading(image, ratio)])
+
+
+@when(
+    'the tail of "{image}" is at {ratio:f} of its target beside "{filler}" {n:d} times'
+)
+def step_readings(context, image, ratio, filler, n):
+    for _ in range(n):
+        step_reading(context, image, ratio, filler)
+
+
+@when(
+    'the tails of "{a}" and "{b}" are both at {ratio:f} of their targets beside "{f}"'
+)
+def step_both(context, a, b, ratio, f):
+    readings = [ServingReading(a, ratio), ServingReading(b, ratio)]
+    context.pairs.observe([ImageUse(f, 0.2)], readings)
+
+
+@when('another host tells {n:d} times that "{filler}" is heavy beside "{image}"')
+def step_told(context, n, filler, image):
+    for _ in range(n):
+        context.pairs.tell("host-2", {(filler, image): 3.0})
+
+
+@when("that host takes it back")
+def step_back(context):
+    context.pairs.tell("host-2", {})
+
+
+@then('"{filler}" is {verdict} beside "{image}"')
+def step_verdict(context, filler, verdict, image):
+    found = context.pairs.worst(filler, [image])
+    if verdict == "not heavy":
+        assert found is not Verdict.HEAVY, found
+    else:
+        assert found is Verdict(verdict), found
+
+
+@given('workers that serve "web", "mail" and nothing')
+def step_workers(context):
+    context.pairs = PairTable()
+    context.views = {name: make_view(name) for name in ("web", "mail", "nothing")}
+    add_run(context.views["web"], 1, SERVING, "web", 30.0)
+    add_run(context.views["mail"], 2, SERVING, "mail", 30.0)
+
+
+@when('"{filler}" is known to be heavy beside "{heavy}" and mild beside "{mild}"')
+def step_known(context, filler, heavy, mild):
+    context.pairs.tell("host-2", {(filler, heavy): 4.0, (filler, mild): -4.0})
+
+
+@then('a filler "{image}" goes to one of the workers "{names}"')
+def step_filler_goes(context, image, names):
+    step = make_step(FILLER, image)
+    task = TaskKey("f" * 16, 0, 0, 0)
+    views = context.views.values()
+    view = choose_worker(task, step, "svc", views, context.pairs)
+    assert view.entry.worker_id in names.split(), view.entry.worker_id
+
+
+@then('a serving task "{image}" goes to the worker "{name}"')
+def step_serving_goes(context, image, name):
+    step = make_step(SERVING, image)
+    task = TaskKey("e" * 16, 0, 0, 0)
+    views = context.views.values()
+    view = choose_worker(task, step, "svc", views, context.pairs)
+    assert view.entry.worker_id == name, view.entry.worker_id
+
+
+@given("a worker with a serving task and two fillers of unknown effect")
+def step_busy(context):
+    context.pairs = PairTable()
+    context.view = make_view("w")
+    add_run(context.view, 1, SERVING, "web", 150.0)
+    add_run(context.view, 2, FILLER, "press")
+    add_run(context.view, 3, FILLER, "print")
+
+
+@when("its tail has been over the target for {seconds:f} seconds")
+def step_over(context, seconds):
+    context.view.guarded_at = -10.0
+    context.stops = choose_stops(context.view, context.pairs, seconds)
+
+
+@then("at most the likeliest filler is stopped")
+def step_one(context):
+    assert len(context.stops) <= 1, context.stops
+
+
+@then("both fillers are stopped")
+def step_two(context):
+    assert len(context.stops) == 2, context.stops
--- a/libs/scheduling/src/berylcleat/scheduling/__init__.py
+++ b/libs/scheduling/src/berylcleat/scheduling/__init__.py
@@ -2,7 +2,8 @@
 
 from ._book import SubmissionBook, TrackedSubmission
 from ._cell import Cell, ProgressWrite, RecordBatch, WorkerOrder
-from ._interference import PairTable, Verdict
+from ._guard import choose_stops
+from ._interference import ImageUse, PairTable, ServingReading, Verdict
 from ._leases import CLOCK_DRIFT, LeaseTimes, WorkerClock
 from ._moves import CellRoom, FillerRoom, GuestEnd, MoveProposal, TaskMove
 from ._placement import choose_worker
@@ -15,6 +16,7 @@
     "CellRoom",
     "FillerRoom",
     "GuestEnd",
+    "ImageUse",
     "LeaseTimes",
     "MoveProposal",
     "PairTable",
@@ -23,6 +25,7 @@
     "RecordBatch",
     "Run",
     "RunPhase",
+    "ServingReading",
     "SubmissionBook",
     "TaskMove",
     "TrackedSubmission",
@@ -30,6 +33,7 @@
     "WorkerClock",
     "WorkerOrder",
     "WorkerView",
+    "choose_stops",
     "choose_worker",
     "decode_progress",
     "encode_progress",
