--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -12,6 +12,7 @@
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 FOLDERS = (
     "libs/*/features",
+    "platform/features",
     "programs/*/features",
     "standins/features",
     "specs/features",
