--- a/libs/model/src/berylcleat/model/_submissions.py
+++ b/libs/model/src/berylcleat/model/_submissions.py
@@ -28,6 +28,9 @@
     step: int
     index: int
 
+    def __str__(self) -> str:
+        return f"{self.submission_id}.{self.occurrence}.{self.step}.{self.index}"
+
 
 @dataclass(frozen=True, slots=True)
 class TaskDemand:
--- a/libs/ports/src/berylcleat/ports/__init__.py
+++ b/libs/ports/src/berylcleat/ports/__init__.py
@@ -18,28 +18,32 @@
 from ._change_feed import ChangeFeed, Changes
 from ._http_clients import HttpHostList, HttpObjectStore, HttpTable, HttpWorkerControl
 from ._list_source import ListSource
+from ._operator import (
+    OperatorConfig,
+    Queue,
+    ServiceInfo,
+    WorkerEntry,
+)
 from ._store import (
     Commit,
     CommitOutcome,
     Condition,
-    EndedTask,
     HistoryLostError,
+    RowPage,
+    RowWrite,
+    Store,
+    StoreRow,
+)
+from ._task_workers import (
+    EndedTask,
     HoldOrder,
-    OperatorConfig,
     OrderAnswer,
     OrderResult,
     PaceOrder,
-    Queue,
-    RowPage,
-    RowWrite,
     RunEnd,
     RunningTask,
-    ServiceInfo,
     StartOrder,
     StopOrder,
-    Store,
-    StoreRow,
-    WorkerEntry,
     WorkerPort,
     WorkerReport,
 )
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -683,7 +683,7 @@
             for run in stops:
                 logger.info(
                     "filler stopped: task %s image %s on %s",
-                    ".".join(map(str, run.task)),
+                    run.task,
                     run.step.image,
                     run.worker_id,
                 )
@@ -751,7 +751,7 @@
             view.forced_at = now
         logger.info(
             "filler forced: task %s image %s on %s",
-            ".".join(map(str, task)),
+            task,
             ready.step.image,
             view.entry.worker_id,
         )
--- a/programs/beryl-host/src/berylcleat/host/_cell_driver.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_driver.py
@@ -334,7 +334,7 @@
             logger.info(
                 "waiting: %d tasks from %s (fills %s, lasts %s): %s",
                 len(ready.waiting),
-                ".".join(map(str, task)),
+                task,
                 ready.step.fills,
                 ready.step.is_long_running,
                 self.cell.explain_waiting(ready, now_s()),
@@ -377,7 +377,7 @@
     def _log_order(self, item: WorkerOrder, result: OrderResult) -> None:
         logger.info(
             "start refused: task %s run %d on %s: %s",
-            ".".join(map(str, item.order.task)),
+            item.order.task,
             item.order.run,
             item.worker_id,
             result.value,
