--- a/programs/beryl-host/src/berylcleat/host/_cell_driver.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_driver.py
@@ -4,14 +4,9 @@
 import logging
 from collections.abc import Callable
 
-import msgspec
-
 from berylcleat.model import BerylError, SubmissionState
 from berylcleat.platform import PlatformWorker
 from berylcleat.ports import (
-    Commit,
-    CommitOutcome,
-    Condition,
     HoldOrder,
     OrderResult,
     PaceOrder,
@@ -19,7 +14,6 @@
     StartOrder,
     StopOrder,
     Store,
-    StoreRow,
     WorkerEntry,
 )
 from berylcleat.runtime import cancel_all
@@ -29,22 +23,18 @@
     LeaseTimes,
     PairTable,
     Progress,
-    RecordBatch,
     WorkerOrder,
     WorkerView,
-    decode_progress,
 )
 
 from ._clock import now_s, wall_ms
 from ._directory import Directory, DirectoryEntry
+from ._recorder import ProgressRecorder
 from ._records import (
     CELL_TABLE,
     OWNER_KEY,
-    PROGRESS_TABLE,
-    WORKERS_KEY,
     CellSummary,
     OwnerRow,
-    WorkersRow,
     encode,
 )
 from ._task_carrier import TaskCarrier
@@ -57,7 +47,6 @@
 TICK_S = 0.1
 RECORD_PAUSE_S = 0.08
 RECORD_RETRY_S = 0.3
-MAX_WRITES = 90
 LOAD_LOG_S = 5.0
 CARRY_PERIOD_S = 0.25
 logger = logging.getLogger(__name__)
@@ -85,8 +74,8 @@
         self.owner = owner
         self.owner_version = owner_version
         self.cell: Cell | None = None
-        self.is_lost = False
-        self._store = store
+        self._is_stopped = False
+        self._recorder = ProgressRecorder(store, cell_id, owner_version)
         self._directory = directory
         self._times = times
         self._began_at = now_s()
@@ -94,21 +83,23 @@
         self._is_confirmed = is_confirmed
         self._pairs = pairs
         self._carrier = carrier
-        self._version_by_id: dict[str, int] = {}
-        self._workers_version = 0
         self._port_by_worker: dict[str, PlatformWorker] = {}
         self._task_by_worker: dict[str, asyncio.Task] = {}
         self._tasks: set[asyncio.Task] = set()
         self._wake = asyncio.Event()
         self._dirty = asyncio.Event()
 
+    @property
+    def is_lost(self) -> bool:
+        """Tell whether nothing may be started or renewed any more."""
+        return self._is_stopped or self._recorder.is_lost
+
     # Life
 
     async def start(self, entries: dict[str, WorkerEntry]) -> None:
         """Read what earlier owners recorded and begin."""
-        page = await self._store.read(PROGRESS_TABLE, self.cell_id)
-        progress_by_id = self._decode(page.rows)
-        earlier_workers = await self._read_workers()
+        progress_by_id = await self._recorder.read_progress()
+        earlier_workers = await self._recorder.read_workers()
         cell = Cell(
             self.cell_id,
             self.owner.epoch,
@@ -152,7 +143,7 @@
 
     async def release(self) -> None:
         """Give the cell up: nothing is started or renewed from now on."""
-        self.is_lost = True
+        self._is_stopped = True
         await self._stop_tasks()
         if self.cell is None:
             return
@@ -160,14 +151,14 @@
         row = OwnerRow(self.owner.epoch, "", "")
         write = RowWrite(CELL_TABLE, self.cell_id, OWNER_KEY, encode(row))
         try:
-            await self._commit(batch, (write,))
+            await self._recorder.commit(self.cell, batch, (write,))
             logger.info("cell %s: released", self.cell_id)
         except BerylError as error:
             logger.warning("cell %s: release not recorded: %s", self.cell_id, error)
 
     async def abandon(self) -> None:
         """Stop at once: another host owns the cell."""
-        self.is_lost = True
+        self._is_stopped = True
         await self._stop_tasks()
         logger.info("cell %s: epoch %d ends", self.cell_id, self.owner.epoch)
 
@@ -411,10 +402,12 @@
         while True:
             await self._dirty.wait()
             self._dirty.clear()
-            if self.cell.must_record_workers() and not await self._record_workers():
-                await asyncio.sleep(RECORD_RETRY_S)
-                self._dirty.set()
-                continue
+            if self.cell.must_record_workers():
+                if not await self._recorder.record_workers(self.cell):
+                    await asyncio.sleep(RECORD_RETRY_S)
+                    self._dirty.set()
+                    continue
+                self._wake.set()
             batch = self.cell.take_batch()
             if not any(write.is_final for write in batch.writes):
                 await asyncio.sleep(RECORD_PAUSE_S)
@@ -423,7 +416,7 @@
                 self.cell.on_recorded(batch)
                 continue
             try:
-                recorded = await self._commit(batch, ())
+                recorded = await self._recorder.commit(self.cell, batch)
             except BerylError as error:
                 logger.warning("cell %s: ends not recorded: %s", self.cell_id, error)
                 await asyncio.sleep(RECORD_RETRY_S)
@@ -431,82 +424,6 @@
             if not recorded:
                 self._dirty.set()
 
-    async def _read_workers(self) -> tuple[WorkerEntry, ...]:
-        page = await self._store.read(CELL_TABLE, self.cell_id, WORKERS_KEY)
-        for row in page.rows:
-            self._workers_version = row.version
-            try:
-                return msgspec.json.decode(row.value, type=WorkersRow).workers
-            except msgspec.MsgspecError as error:
-                logger.error("workers of %s can't be read: %s", self.cell_id, error)
-        return ()
-
-    async def _record_workers(self) -> bool:
-        """Record the cell's workers; return whether they are durable."""
-        views = dict(self.cell.worker_by_id)
-        row = WorkersRow(tuple(view.entry for view in views.values()))
-        place = (CELL_TABLE, self.cell_id, WORKERS_KEY)
-        owner = Condition(CELL_TABLE, self.cell_id, OWNER_KEY, self.owner_version)
-        conditions = (owner, Condition(*place, self._workers_version))
-        try:
-            outcome = await self._store.commit(
-                Commit(conditions, (RowWrite(*place, encode(row)),))
-            )
-        except BerylError as error:
-            logger.warning("cell %s: workers not recorded: %s", self.cell_id, error)
-            return False
-        if not outcome.applied:
-            self._on_conflict(outcome)
-            return False
-        self._workers_version = outcome.version
-        self.cell.on_workers_recorded(frozenset(views))
-        self._wake.set()
-        return True
-
-    async def _commit(self, batch: RecordBatch, extra: tuple[RowWrite, ...]) -> bool:
-        """Commit a batch; return whether all of it is durable."""
-        part = batch.writes[:MAX_WRITES]
-        conditions = [
-            Condition(CELL_TABLE, self.cell_id, OWNER_KEY, self.owner_version)
-        ]
-        writes = list(extra)
-        for write in part:
-            version = self._version_by_id.get(write.submission_id, 0)
-            key = (PROGRESS_TABLE, self.cell_id, write.submission_id)
-            conditions.append(Condition(*key, version))
-            writes.append(RowWrite(*key, write.value))
-        outcome = await self._store.commit(Commit(tuple(conditions), tuple(writes)))
-        if not outcome.applied:
-            self._on_conflict(outcome)
-            return False
-        for write in part:
-            self._version_by_id[write.submission_id] = outcome.version
-        complete = len(part) == len(batch.writes)
-        acks = batch.ack_by_worker if complete else {}
-        self.cell.on_recorded(RecordBatch(part, acks))
-        return complete
-
-    def _on_conflict(self, outcome: CommitOutcome) -> None:
-        for row in outcome.current:
-            if row.key == WORKERS_KEY:
-                self._workers_version = row.version
-            elif row.table == PROGRESS_TABLE:
-                # An earlier try of ours whose answer was lost.
-                self._version_by_id[row.key] = row.version
-            elif row.version != self.owner_version:
-                logger.warning("cell %s: owned by another host", self.cell_id)
-                self.is_lost = True
-
-    def _decode(self, rows: tuple[StoreRow, ...]) -> dict[str, Progress]:
-        progress_by_id = {}
-        for row in rows:
-            self._version_by_id[row.key] = row.version
-            try:
-                progress_by_id[row.key] = decode_progress(row.key, row.value)
-            except msgspec.MsgspecError as error:
-                logger.error("progress row %s can't be read: %s", row.key, error)
-        return progress_by_id
-
     def _spawn(self, coroutine) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
--- /dev/null
+++ b/programs/beryl-host/src/berylcleat/host/_recorder.py
@@ -0,0 +1,126 @@
+"""Record a cell's progress and workers in the store, under its owner's row."""
+
+import logging
+
+import msgspec
+
+from berylcleat.model import BerylError
+from berylcleat.ports import (
+    Commit,
+    CommitOutcome,
+    Condition,
+    RowWrite,
+    Store,
+    StoreRow,
+    WorkerEntry,
+)
+from berylcleat.scheduling import Cell, Progress, RecordBatch, decode_progress
+
+from ._records import (
+    CELL_TABLE,
+    OWNER_KEY,
+    PROGRESS_TABLE,
+    WORKERS_KEY,
+    WorkersRow,
+    encode,
+)
+
+# A transaction holds at most 100 rows, of which the owner's is one.
+MAX_WRITES = 90
+logger = logging.getLogger(__name__)
+
+
+class ProgressRecorder:
+    """Write rows of one cell as long as its owner's row has not changed.
+
+    Each row is written on condition of its own version too, so that a write that is
+    carried out late can't undo a newer one.
+    """
+
+    def __init__(self, store: Store, cell_id: str, owner_version: int):
+        self.is_lost = False
+        self._store = store
+        self._cell_id = cell_id
+        self._owner = Condition(CELL_TABLE, cell_id, OWNER_KEY, owner_version)
+        self._version_by_id: dict[str, int] = {}
+        self._workers_version = 0
+
+    async def read_progress(self) -> dict[str, Progress]:
+        """Return what earlier owners recorded, by submission id."""
+        page = await self._store.read(PROGRESS_TABLE, self._cell_id)
+        return self._decode(page.rows)
+
+    async def read_workers(self) -> tuple[WorkerEntry, ...]:
+        """Return the workers on which an earlier owner may have started something."""
+        page = await self._store.read(CELL_TABLE, self._cell_id, WORKERS_KEY)
+        for row in page.rows:
+            self._workers_version = row.version
+            try:
+                return msgspec.json.decode(row.value, type=WorkersRow).workers
+            except msgspec.MsgspecError as error:
+                logger.error("workers of %s can't be read: %s", self._cell_id, error)
+        return ()
+
+    async def record_workers(self, cell: Cell) -> bool:
+        """Record the cell's workers; return whether they are durable."""
+        views = dict(cell.worker_by_id)
+        row = WorkersRow(tuple(view.entry for view in views.values()))
+        place = (CELL_TABLE, self._cell_id, WORKERS_KEY)
+        conditions = (self._owner, Condition(*place, self._workers_version))
+        try:
+            outcome = await self._store.commit(
+                Commit(conditions, (RowWrite(*place, encode(row)),))
+            )
+        except BerylError as error:
+            logger.warning("cell %s: workers not recorded: %s", self._cell_id, error)
+            return False
+        if not outcome.applied:
+            self._on_conflict(outcome)
+            return False
+        self._workers_version = outcome.version
+        cell.on_workers_recorded(frozenset(views))
+        return True
+
+    async def commit(
+        self, cell: Cell, batch: RecordBatch, extra: tuple[RowWrite, ...] = ()
+    ) -> bool:
+        """Commit a batch; return whether all of it is durable."""
+        part = batch.writes[:MAX_WRITES]
+        conditions = [self._owner]
+        writes = list(extra)
+        for write in part:
+            version = self._version_by_id.get(write.submission_id, 0)
+            key = (PROGRESS_TABLE, self._cell_id, write.submission_id)
+            conditions.append(Condition(*key, version))
+            writes.append(RowWrite(*key, write.value))
+        outcome = await self._store.commit(Commit(tuple(conditions), tuple(writes)))
+        if not outcome.applied:
+            self._on_conflict(outcome)
+            return False
+        for write in part:
+            self._version_by_id[write.submission_id] = outcome.version
+        complete = len(part) == len(batch.writes)
+        acks = batch.ack_by_worker if complete else {}
+        cell.on_recorded(RecordBatch(part, acks))
+        return complete
+
+    def _on_conflict(self, outcome: CommitOutcome) -> None:
+        for row in outcome.current:
+            if row.key == WORKERS_KEY:
+                self._workers_version = row.version
+            elif row.table == PROGRESS_TABLE:
+                # An earlier try of ours whose answer was lost.
+                self._version_by_id[row.key] = row.version
+            elif row.version != self._owner.version:
+                logger.warning("cell %s: owned by another host", self._cell_id)
+                self.is_lost = True
+
+    def _decode(self, rows: tuple[StoreRow, ...]) -> dict[str, Progress]:
+        progress_by_id = {}
+        for row in rows:
+            self._version_by_id[row.key] = row.version
+            try:
+                progress_by_id[row.key] = decode_progress(row.key, row.value)
+            except msgspec.MsgspecError as error:
+                logger.error("progress row %s can't be read: %s", row.key, error)
+        return progress_by_id
