--- a/libs/scheduling/src/berylcleat/scheduling/_book.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_book.py
@@ -144,13 +144,6 @@
             for number in range(len(self.submission.steps)):
                 self.open_step(occurrence, number)
 
-    def next_due_ms(self, wall_ms: float) -> float | None:
-        """Return the wall time at which the next occurrence is due."""
-        if self.is_over or not self.submission.is_scheduled:
-            return None
-        later = (self._due_ms(k) for k in self.submission.occurrences())
-        return next((due for due in later if due > wall_ms), None)
-
     def _due_ms(self, occurrence: int) -> float:
         if not self.submission.is_scheduled:
             return 0.0
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -54,7 +54,6 @@
 LEARN_PERIOD_S = 0.45
 # A report lists at most this many ends.
 ENDS_IN_REPORT = 500
-RECORDED_ENDS = frozenset({RunEnd.DONE, RunEnd.FAILED})
 logger = logging.getLogger(__name__)
 
 
@@ -499,18 +498,27 @@
         tracked.note_run(end.task, end.run)
         if end.checkpoint and step.saves_progress:
             tracked.progress.checkpoint_by_task[end.task] = end.checkpoint
-        if step.is_long_running:
-            self._note_health(view, end, now)
-        elif tracked.is_over:
-            pass
+        if end.end is RunEnd.FAILED:
+            view.note_failure(now)
         elif end.end is RunEnd.DONE:
             view.note_success()
+        if not step.is_long_running and not tracked.is_over:
+            self._count_end(tracked, view, end, now)
+        if tracked.progress.final_state is not None:
+            self._stop_runs_of(end.task.submission_id, now)
+        elif is_ours:
+            tracked.put_back(end.task)
+
+    def _count_end(
+        self, tracked: TrackedSubmission, view: WorkerView, end: EndedTask, now: float
+    ) -> None:
+        """Count an end that decides about its submission."""
+        if end.end is RunEnd.DONE:
             tracked.has_started = True
             tracked.add_done(end.task)
             tracked.open_steps(self._wall_ms)
             self._stop_extra_run(end.task, now)
         elif end.end is RunEnd.FAILED:
-            self._note_health(view, end, now)
             tracked.has_started = True
             tracked.add_failure(end.task, end.run)
             logger.info(
@@ -521,14 +529,6 @@
                 tracked.n_failures(end.task),
                 tracked.submission.queue.max_attempts,
             )
-        if tracked.progress.final_state is not None:
-            self._stop_runs_of(end.task.submission_id, now)
-        elif is_ours:
-            tracked.put_back(end.task)
-
-    def _note_health(self, view: WorkerView, end: EndedTask, now: float) -> None:
-        if end.end is RunEnd.FAILED:
-            view.note_failure(now)
 
     def _stop_extra_run(self, task: TaskKey, now: float) -> None:
         run = self.run_by_task.get(task)
@@ -781,7 +781,6 @@
             RunPhase.STARTING,
             now,
             now,
-            start_deadline_ms=deadline_ms,
             checkpoint=checkpoint,
         )
         tracked.has_started = True
--- a/libs/scheduling/src/berylcleat/scheduling/_leases.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_leases.py
@@ -21,7 +21,6 @@
     worker_lease_s: float = 5.0
     max_lease_s: float = 6.0
     owner_limit_s: float = 12.0
-    start_lead_s: float = 1.5
 
     def takeover_wait_s(self, owner_is_dead: bool) -> float:
         """Return how long runs of an earlier owner may last unseen."""
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -47,7 +47,6 @@
     phase: RunPhase
     phase_since: float
     started_at: float
-    start_deadline_ms: int = 0
     checkpoint: str = ""
     percent: int = 0
     reading: float = 0.0
--- a/programs/beryl-host/src/berylcleat/host/_settings.py
+++ b/programs/beryl-host/src/berylcleat/host/_settings.py
@@ -19,8 +19,6 @@
     peer_address: str
     metrics_address: str
     store_address: str
-    advice_address: str = ""
-    machines_address: str = ""
     cpu_share: float = 1.0
     worker_lease_s: float = 5.0
     drain_grace_s: float = 6.0
--- a/standins/src/berylcleat/standins/_task_platform.py
+++ b/standins/src/berylcleat/standins/_task_platform.py
@@ -40,7 +40,6 @@
     OrderResult.NO_ROOM: "room",
 }
 HOLD_POLL_S = 0.02
-OUTAGE_MODES = ("", "silent", "busy", "lost")
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,7 +143,7 @@
         self.store.write("servers", place.worker_id, json.dumps(entry).encode())
 
     async def on_store(self, request: HttpRequest) -> HttpResponse:
-        """Answer one call to the store, as the outage in force says."""
+        """Answer one call to the store; ``outage`` is silent, busy, lost or empty."""
         if self.outage == "silent":
             await asyncio.sleep(30)
             raise AbandonConnectionError
