Tests take the platform's words from the stand-in

Cause: a test of the host process spelled names of the wire itself. Change: bodies and the configuration are made by the stand-in's package.

--- a/programs/beryl-host/features/steps/host_group.py
+++ b/programs/beryl-host/features/steps/host_group.py
@@ -10,26 +10,9 @@
 from pathlib import Path
 
 from berylcleat.http import ExchangeError, HttpClient, HttpRequest
-from berylcleat.standins import free_ports
+from berylcleat.standins import HOST_NAME, free_ports, make_operator_config
 
 START_TIMEOUT_S = 20.0
-HOST_NAME = "press.example"
-ROUTE = {
-    "name": "proofs",
-    "host": HOST_NAME,
-    "pathPrefix": "/proofs/",
-    "timeoutMs": 3000,
-    "sloMs": 1000,
-    "priority": 0,
-    "service": "svc",
-    "maxAttempts": 2,
-    "stretch": 2.0,
-}
-CONFIG = {
-    "version": 3,
-    "routes": [ROUTE],
-    "services": [{"name": "svc", "admissionCheck": True}],
-}
 
 
 class HostGroup:
@@ -51,7 +34,7 @@
         settings = {
             "store_address": self.store,
             "control_address": self.control,
-            "config": CONFIG,
+            "config": make_operator_config(),
             "workers": [
                 {
                     "worker_id": f"w{n}",
--- a/programs/beryl-host/features/steps/host_steps.py
+++ b/programs/beryl-host/features/steps/host_steps.py
@@ -6,14 +6,9 @@
 from behave import given, then, when
 from host_group import HostGroup
 
-N_SUBMISSIONS = 6
-
+from berylcleat.standins import DEADLINE_HEADER, make_submission_body
 
-def make_body(run_s=0.3, n_tasks=3, **more):
-    step = {"count": n_tasks, "cpu": 1000, "memMb": 100, "estimateMs": 300}
-    last = {**step, "count": 2, "after": [0]}
-    spec = json.dumps({"run_s": run_s, **more})
-    return {"spec": spec, "steps": [step, last]}
+N_SUBMISSIONS = 6
 
 
 def make_id(number):
@@ -31,7 +26,9 @@
     async def submit_all():
         town = context.town
         tasks = [
-            town.submit(number % len(town.hosts), make_id(number), make_body())
+            town.submit(
+                number % len(town.hosts), make_id(number), make_submission_body()
+            )
             for number in range(n)
         ]
         return await asyncio.gather(*tasks)
@@ -46,7 +43,9 @@
     async def again():
         town = context.town
         return [
-            await town.submit((n + 1) % len(town.hosts), submission_id, make_body())
+            await town.submit(
+                (n + 1) % len(town.hosts), submission_id, make_submission_body()
+            )
             for n, submission_id in enumerate(context.ids)
         ]
 
@@ -83,7 +82,9 @@
 @when("a submission that lasts for minutes is handed in")
 def step_long(context):
     context.ids = [make_id(77)]
-    status = context.run(context.town.submit(0, make_id(77), make_body(run_s=200)))
+    status = context.run(
+        context.town.submit(0, make_id(77), make_submission_body(run_s=200))
+    )
     assert status == 200, status
     context.run(wait_running(context, 3))
 
@@ -134,8 +135,8 @@
     async def play():
         town = context.town
         await town.order("/outage", mode=mode)
-        data = json.dumps(make_body()).encode()
-        deadline = (("berylcleat-deadline-ms", "1500"),)
+        data = json.dumps(make_submission_body()).encode()
+        deadline = ((DEADLINE_HEADER, "1500"),)
         status, _ = await town.call(
             town.hosts[0][0], "POST", f"/proofs/{make_id(5)}", data, headers=deadline
         )
@@ -153,7 +154,9 @@
 
 @then("handing it in again runs it once")
 def step_runs_once(context):
-    assert context.run(context.town.submit(1, make_id(5), make_body())) == 200
+    assert (
+        context.run(context.town.submit(1, make_id(5), make_submission_body())) == 200
+    )
     context.run(context.town.wait_state(0, make_id(5), "done"))
     ledger = context.run(context.town.ledger())
     assert ledger["n_done"] == 5 and not ledger["overlaps"], ledger
--- a/standins/src/berylcleat/standins/__init__.py
+++ b/standins/src/berylcleat/standins/__init__.py
@@ -6,12 +6,22 @@
 from ._platform import Faults, PlatformSettings
 from ._rack import RackSettings, WorkerFault
 from ._row_store import RowStore
+from ._task_client import (
+    DEADLINE_HEADER,
+    HOST_NAME,
+    PREFIX,
+    make_operator_config,
+    make_submission_body,
+)
 from ._task_platform import TaskPlatformSettings
 from ._task_worker import TaskWorker, WorkerRun
 from ._verdicts import double_runs, overlapping_attempts
 from ._worker import WorkerStandin
 
 __all__ = [
+    "DEADLINE_HEADER",
+    "HOST_NAME",
+    "PREFIX",
     "Faults",
     "Fleet",
     "FleetPlan",
@@ -30,6 +40,8 @@
     "double_runs",
     "free_ports",
     "make_fleet_plan",
+    "make_operator_config",
+    "make_submission_body",
     "overlapping_attempts",
     "platform_main",
     "rack_main",
