--- a/libs/scheduling/features/steps/sim_cell.py
+++ b/libs/scheduling/features/steps/sim_cell.py
@@ -443,7 +443,7 @@
         self.n_sent += 1
         heapq.heappush(self.queue, (at, self.n_sent, action))
 
-    def play(self, length_s: float, settle_s: float = 60.0) -> None:
+    def play(self, length_s: float, settle_s: float = 40.0) -> None:
         """Play faults for ``length_s`` seconds, then calm for ``settle_s``."""
         end = self.now + length_s + settle_s
         while self.now < end:
