--- a/programs/beryl-host/src/berylcleat/host/_desk.py
+++ b/programs/beryl-host/src/berylcleat/host/_desk.py
@@ -119,8 +119,15 @@
             return answer(503)
         accepted = AcceptedRow(cell_id, int(wall_ms()), submission)
         status = await self._accept(accepted, deadline)
-        if status != 200:
-            logger.info("submission %s: answered %d", submission_id, status)
+        logger.info(
+            "submission %s: answered %d, queue %s, cell %s, %d steps, %d tasks",
+            submission_id,
+            status,
+            submission.queue.name,
+            cell_id,
+            len(submission.steps),
+            sum(step.n_tasks for step in submission.steps),
+        )
         return answer(status)
 
     async def _accept(self, accepted: AcceptedRow, deadline: float) -> int:
