A host that leaves while it takes a cell no longer wipes the cell's recorded workers

A host got SIGTERM while it read a cell it had just taken; its driver began all the same, every hold ended at once, each forgot its worker, and the empty list of workers was recorded. The next owner took nothing as inherited and started all tasks again. Change: a driver that was given up before it began doesn't begin; holds that end with the cell forget no worker; the owner's row is released and tells for how long owners before may still have unknown runs, so that two quick changes of owner can't shorten the wait; a host told of its successor before it began doesn't begin. Conclusion: mended; each scenario of ownership.feature fails without its part.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -421,9 +421,13 @@
         orders, self._orders = self._orders, []
         return orders
 
+    def has_settled(self, now: float) -> bool:
+        """Tell whether no run of an earlier owner can be unknown any more."""
+        return not self._unsettled or now >= self._settled_at
+
     def _is_blocked(self, ready: ReadyStep, now: float) -> bool:
         """Tell whether an earlier owner's runs of a step may still be unknown."""
-        if not self._unsettled or now >= self._settled_at:
+        if self.has_settled(now):
             return False
         return ready.tracked.submission.submission_id in self._inherited
 
@@ -478,6 +482,11 @@
             if tracked and encode_progress(tracked.progress) == write.value:
                 tracked.is_dirty = False
                 self.book.retire(tracked)
+                if write.is_final:
+                    state = tracked.progress.final_state.value
+                    logger.info(
+                        "submission %s: recorded as %s", write.submission_id, state
+                    )
         for worker_id, (life_ms, number) in batch.ack_by_worker.items():
             view = self.worker_by_id.get(worker_id)
             if view is not None and view.life_ms == life_ms:
@@ -497,6 +506,13 @@
         tracked = self.book.by_id.get(end.task.submission_id)
         if tracked is None:
             return
+        logger.info(
+            "run ended: task %s run %d on %s: %s",
+            end.task,
+            end.run,
+            view.entry.worker_id,
+            end.end.value,
+        )
         step = tracked.submission.steps[end.task.step]
         tracked.note_run(end.task, end.run)
         if end.checkpoint and step.saves_progress:
@@ -806,6 +822,15 @@
         )
         tracked.has_started = True
         self._add_run(tracked, run)
+        logger.info(
+            "run started: task %s run %d on %s, %d of %d left, %.1f s before due",
+            task,
+            number,
+            view.entry.worker_id,
+            view.cpu_left(),
+            view.entry.capacity.cpu_millis,
+            tracked.due_at - now,
+        )
         order = StartOrder(
             task, number, tracked.submission.spec, deadline_ms, self.epoch, checkpoint
         )
--- /dev/null
+++ b/programs/beryl-host/features/ownership.feature
@@ -0,0 +1,23 @@
+Feature: Cells that change hands while their owner leaves
+  In memory: one cell driver on a store that answers when the scenario says so.
+
+  Scenario: A host that leaves while it takes a cell keeps the recorded workers
+    Given a cell with recorded workers "w1 w2"
+    When a host takes the cell with 18 seconds unsettled and leaves before it has read it
+    Then the cell's recorded workers are still "w1 w2"
+    And the cell was given up with at least 17 seconds unsettled
+
+  Scenario: Holds that end with a cell forget none of its workers
+    Given a cell with recorded workers "w1 w2"
+    When a host takes the cell with 6 seconds unsettled and leaves after it has read it
+    Then the cell's recorded workers are still "w1 w2"
+
+  Scenario: A host that was told of its successor before it began doesn't begin
+    Given a cell with recorded workers "w1 w2"
+    When a host is told of its successor while it takes the cell
+    Then it drives no cell
+
+  Scenario: More progress than one transaction holds is recorded in several
+    Given a cell with recorded workers "w1 w2"
+    When the progress of 120 submissions is recorded
+    Then all 120 are recorded after at most 3 transactions
--- /dev/null
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -0,0 +1,231 @@
+import asyncio
+import base64
+
+import msgspec
+from behave import given, then, when
+
+from berylcleat.host._cell_driver import CellDriver
+from berylcleat.host._cells import CellKeeper
+from berylcleat.host._directory import Directory
+from berylcleat.host._follower import TableFollower
+from berylcleat.host._membership import Membership
+from berylcleat.host._peers import PeerClient
+from berylcleat.host._recorder import ProgressRecorder
+from berylcleat.host._records import (
+    CELL_TABLE,
+    OWNER_KEY,
+    PROGRESS_TABLE,
+    WORKERS_KEY,
+    OwnerRow,
+    WorkersRow,
+    encode,
+)
+from berylcleat.host._worker_list import WorkerList
+from berylcleat.model import OutcomeUnknownError, TaskDemand
+from berylcleat.ports import CommitOutcome, RowPage, StoreRow, WorkerEntry
+from berylcleat.scheduling import LeaseTimes, PairTable, ProgressWrite, RecordBatch
+from berylcleat.standins import RowStore
+
+CELL = "r1"
+
+
+class MemoryStore:
+    """Give the product's port on rows in memory; reads wait for ``gate``."""
+
+    def __init__(self):
+        self.rows = RowStore()
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.before_commit = None
+
+    async def commit(self, commit):
+        if self.before_commit is not None:
+            await self.before_commit()
+        status, body = self.rows.transact(
+            {
+                "expectedRev": [
+                    {"table": c.table, "part": c.part, "key": c.key, "ver": c.version}
+                    for c in commit.conditions
+                ],
+                "puts": [
+                    {
+                        "table": w.table,
+                        "part": w.part,
+                        "key": w.key,
+                        "value": base64.b64encode(w.value).decode(),
+                    }
+                    for w in commit.writes
+                ],
+            }
+        )
+        if status == 400:
+            raise OutcomeUnknownError(body["error"], "Send fewer")
+        current = tuple(map(to_row, body.get("rows", ())))
+        return CommitOutcome(status == 200, body["ver"], current)
+
+    async def read(self, table, part, first="", end=""):
+        await self.gate.wait()
+        body = self.rows.read(table, part, first, end)
+        return RowPage(tuple(map(to_row, body["rows"])), body["ver"])
+
+    async def list_parts(self, table):
+        return tuple(self.rows.parts(table)["parts"])
+
+
+def to_row(row):
+    value = base64.b64decode(row["value"])
+    return StoreRow(row["table"], row["part"], row["key"], value, row["ver"])
+
+
+def make_entry(worker_id):
+    return WorkerEntry(
+        worker_id=worker_id,
+        service="cardhouse",
+        address="127.0.0.1:9",
+        data_centre="dc-1",
+        rack=CELL,
+        capacity=TaskDemand(8000, 8000, 0),
+        kind="a",
+        labels=frozenset({CELL}),
+        is_draining=False,
+        started_at_ms=1,
+    )
+
+
+def read_row(context, key, kind):
+    body = context.store.rows.read(CELL_TABLE, CELL, key, key + "\x00")
+    return msgspec.json.decode(to_row(body["rows"][0]).value, type=kind)
+
+
+@given('a cell with recorded workers "{names}"')
+def step_cell(context, names):
+    context.store = MemoryStore()
+    workers = WorkersRow(tuple(make_entry(name) for name in names.split()))
+    put(context, OWNER_KEY, encode(OwnerRow(2, "host-1", "aa", 18.0)))
+    put(context, WORKERS_KEY, encode(workers))
+
+
+def put(context, key, value):
+    text = base64.b64encode(value).decode()
+    row = {"table": CELL_TABLE, "part": CELL, "key": key, "value": text}
+    context.store.rows.transact({"puts": [row]})
+
+
+def make_driver(context, unsettled_s):
+    loop = asyncio.get_running_loop()
+    owner_body = context.store.rows.read(CELL_TABLE, CELL, OWNER_KEY, "p")
+    return CellDriver(
+        CELL,
+        "dc-1",
+        OwnerRow(2, "host-1", "aa", 18.0),
+        owner_body["rows"][0]["ver"],
+        context.store,
+        Directory(),
+        LeaseTimes(),
+        loop.time() + unsettled_s,
+        lambda: True,
+        PairTable(),
+        None,
+    )
+
+
+@when(
+    "a host takes the cell with {seconds:d} seconds unsettled and leaves "
+    "{moment} it has read it"
+)
+def step_leave(context, seconds, moment):
+    async def leave():
+        driver = make_driver(context, seconds)
+        if moment == "before":
+            context.store.gate.clear()
+        starting = asyncio.create_task(driver.start({}))
+        await asyncio.sleep(0.05)
+        await driver.release()
+        context.store.gate.set()
+        await starting
+        await asyncio.sleep(0.5)
+        assert driver.is_lost
+
+    context.run(leave())
+
+
+@when("a host is told of its successor while it takes the cell")
+def step_successor(context):
+    async def take():
+        store = context.store
+        membership = Membership()
+        directory = Directory()
+        workers = WorkerList()
+        page = await store.read(CELL_TABLE, CELL)
+        membership.on_owner_rows(page.rows)
+        follower = TableFollower(
+            store, "submissions", directory.on_rows, wait_s=1.0, min_period_s=1.0
+        )
+        keeper = CellKeeper(
+            "host-1",
+            "dc-1",
+            "bb",
+            store,
+            directory,
+            membership,
+            workers,
+            follower,
+            follower,
+            LeaseTimes(),
+            PairTable(),
+            PeerClient(),
+        )
+
+        async def hear():
+            store.before_commit = None
+            await keeper.give_up(CELL, 3)
+
+        store.before_commit = hear
+        await keeper._take(CELL)
+        context.keeper = keeper
+
+    context.run(take())
+
+
+@then('the cell\'s recorded workers are still "{names}"')
+def step_recorded(context, names):
+    row = read_row(context, WORKERS_KEY, WorkersRow)
+    assert [w.worker_id for w in row.workers] == names.split(), row
+
+
+@then("the cell was given up with at least {seconds:d} seconds unsettled")
+def step_given_up(context, seconds):
+    row = read_row(context, OWNER_KEY, OwnerRow)
+    assert not row.host_id, row
+    assert row.unsettled_s >= seconds, row
+
+
+@then("it drives no cell")
+def step_drives_none(context):
+    assert not context.keeper.driver_by_cell
+
+
+@when("the progress of {n:d} submissions is recorded")
+def step_record_many(context, n):
+    writes = [ProgressWrite(f"{i:016x}", b"{}", False) for i in range(n)]
+    owner = context.store.rows.read(CELL_TABLE, CELL, OWNER_KEY, "p")["rows"][0]
+
+    async def record():
+        recorder = ProgressRecorder(context.store, CELL, owner["ver"])
+        context.n_commits = 0
+        left = writes
+        while left:
+            context.n_commits += 1
+            await recorder.commit(None, RecordBatch(tuple(left), {}))
+            page = await context.store.read(PROGRESS_TABLE, CELL)
+            recorded = {row.key for row in page.rows}
+            left = [write for write in left if write.submission_id not in recorded]
+
+    context.run(record())
+
+
+@then("all {n:d} are recorded after at most {n_commits:d} transactions")
+def step_all_recorded(context, n, n_commits):
+    body = context.store.rows.read(PROGRESS_TABLE, CELL, "", "")
+    assert len(body["rows"]) == n
+    assert context.n_commits <= n_commits, context.n_commits
--- a/programs/beryl-host/src/berylcleat/host/_cell_driver.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_driver.py
@@ -23,6 +23,7 @@
     LeaseTimes,
     PairTable,
     Progress,
+    RecordBatch,
     WorkerOrder,
     WorkerView,
 )
@@ -100,6 +101,9 @@
         """Read what earlier owners recorded and begin."""
         progress_by_id = await self._recorder.read_progress()
         earlier_workers = await self._recorder.read_workers()
+        if self.is_lost:
+            logger.info("cell %s: given up before it began", self.cell_id)
+            return
         cell = Cell(
             self.cell_id,
             self.owner.epoch,
@@ -145,17 +149,21 @@
         """Give the cell up: nothing is started or renewed from now on."""
         self._is_stopped = True
         await self._stop_tasks()
-        if self.cell is None:
-            return
-        batch = self.cell.take_batch()
-        row = OwnerRow(self.owner.epoch, "", "")
+        row = OwnerRow(self.owner.epoch, "", "", self._unsettled_s())
         write = RowWrite(CELL_TABLE, self.cell_id, OWNER_KEY, encode(row))
+        batch = self.cell.take_batch() if self.cell else RecordBatch((), {})
         try:
             await self._recorder.commit(self.cell, batch, (write,))
             logger.info("cell %s: released", self.cell_id)
         except BerylError as error:
             logger.warning("cell %s: release not recorded: %s", self.cell_id, error)
 
+    def _unsettled_s(self) -> float:
+        """Return how long runs of earlier owners may still last unseen."""
+        if self.cell is not None and self.cell.has_settled(now_s()):
+            return 0.0
+        return max(0.0, self._settled_at - now_s())
+
     async def abandon(self) -> None:
         """Stop at once: another host owns the cell."""
         self._is_stopped = True
@@ -273,7 +281,9 @@
                 if self._is_forgotten(view):
                     break
                 await asyncio.sleep(HOLD_RETRY_S)
-        self._close_worker(worker_id)
+        # The next owner must still hear of the workers of a cell that was given up.
+        if not self.is_lost:
+            self._close_worker(worker_id)
 
     def _hold_order(self, view: WorkerView, must_look: bool, now: float) -> HoldOrder:
         if must_look or not view.is_fenced:
--- a/programs/beryl-host/src/berylcleat/host/_cells.py
+++ b/programs/beryl-host/src/berylcleat/host/_cells.py
@@ -52,6 +52,7 @@
         self._host_id = host_id
         self._data_centre = data_centre
         self._wished_at_by_cell: dict[str, float] = {}
+        self._given_up_epoch_by_cell: dict[str, int] = {}
         self._incarnation = incarnation
         self._store = store
         self._directory = directory
@@ -115,7 +116,8 @@
         before = self._membership.owner_by_cell.get(cell_id)
         epoch = before.row.epoch + 1 if before else 1
         version = before.version if before else 0
-        row = OwnerRow(epoch, self._host_id, self._incarnation)
+        unsettled_s = self._unsettled_s(before)
+        row = OwnerRow(epoch, self._host_id, self._incarnation, unsettled_s)
         place = (CELL_TABLE, cell_id, OWNER_KEY)
         commit = Commit((Condition(*place, version),), (RowWrite(*place, encode(row)),))
         try:
@@ -130,6 +132,15 @@
         self._membership.on_owner_rows((written,))
         await self._drive(cell_id, row, outcome.version, before)
 
+    def _unsettled_s(self, before: OwnerSighting | None) -> float:
+        """Return how long unknown runs may last if the earlier owner is not heard."""
+        if before is None:
+            return 0.0
+        left_s = before.unsettled_s(now_s())
+        if not before.row.host_id:
+            return left_s
+        return max(left_s, self._times.takeover_wait_s(owner_is_dead=False))
+
     async def _drive(
         self,
         cell_id: str,
@@ -137,6 +148,7 @@
         version: int,
         before: OwnerSighting | None,
     ) -> None:
+        left_s = before.unsettled_s(now_s()) if before else 0.0
         wait_s = self._times.takeover_wait_s(await self._has_ended(cell_id, before))
         driver = CellDriver(
             cell_id,
@@ -146,19 +158,23 @@
             self._store,
             self._directory,
             self._times,
-            now_s() + wait_s,
+            now_s() + max(wait_s, left_s),
             self._is_confirmed,
             self._pairs,
             self._carrier,
         )
+        if self.is_leaving or self._given_up_epoch_by_cell.get(cell_id, 0) >= row.epoch:
+            await driver.release()
+            return
         self.driver_by_cell[cell_id] = driver
         try:
             await self._submissions.refresh()
             await driver.start(self._workers.in_cell(cell_id))
         except BerylError as error:
             logger.warning("cell %s: not begun: %s", cell_id, error)
-            del self.driver_by_cell[cell_id]
-            await driver.release()
+            # Leaving may have released it meanwhile.
+            if self.driver_by_cell.pop(cell_id, None) is not None:
+                await driver.release()
 
     async def _has_ended(self, cell_id: str, before: OwnerSighting | None) -> bool:
         """Tell whether the earlier owner surely renews and starts nothing more."""
@@ -176,7 +192,9 @@
         return await self._peers.take_over(address, Handover(cell_id, row.epoch))
 
     async def give_up(self, cell_id: str, epoch: int) -> None:
-        """Stop driving a cell that another host has taken."""
+        """Stop driving a cell that another host has taken, or don't begin to."""
+        given_up = self._given_up_epoch_by_cell.get(cell_id, 0)
+        self._given_up_epoch_by_cell[cell_id] = max(given_up, epoch)
         driver = self.driver_by_cell.get(cell_id)
         if driver is not None and driver.owner.epoch <= epoch:
             del self.driver_by_cell[cell_id]
--- a/programs/beryl-host/src/berylcleat/host/_membership.py
+++ b/programs/beryl-host/src/berylcleat/host/_membership.py
@@ -27,10 +27,15 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerSighting:
-    """Hold a cell's owner and the version of its row."""
+    """Hold a cell's owner, the version of its row, and when it was first seen."""
 
     row: OwnerRow
     version: int
+    seen_at: float
+
+    def unsettled_s(self, now: float) -> float:
+        """Return how long runs of owners before this one may still last unseen."""
+        return max(0.0, self.row.unsettled_s - (now - self.seen_at))
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +78,9 @@
                 continue
             known = self.owner_by_cell.get(row.part)
             if known is None or row.version > known.version:
-                self.owner_by_cell[row.part] = OwnerSighting(owner, row.version)
+                self.owner_by_cell[row.part] = OwnerSighting(
+                    owner, row.version, now_s()
+                )
                 logger.info(
                     "cell %s: owner %s epoch %d",
                     row.part,
--- a/programs/beryl-host/src/berylcleat/host/_recorder.py
+++ b/programs/beryl-host/src/berylcleat/host/_recorder.py
@@ -25,8 +25,8 @@
     encode,
 )
 
-# A transaction holds at most 100 rows, of which the owner's is one.
-MAX_WRITES = 90
+# The store takes at most 100 entries a transaction: conditions and writes.
+MAX_ENTRIES = 100
 logger = logging.getLogger(__name__)
 
 
@@ -82,10 +82,11 @@
         return True
 
     async def commit(
-        self, cell: Cell, batch: RecordBatch, extra: tuple[RowWrite, ...] = ()
+        self, cell: Cell | None, batch: RecordBatch, extra: tuple[RowWrite, ...] = ()
     ) -> bool:
         """Commit a batch; return whether all of it is durable."""
-        part = batch.writes[:MAX_WRITES]
+        # The owner's row is a condition; each write comes with one of its own.
+        part = batch.writes[: (MAX_ENTRIES - 1 - len(extra)) // 2]
         conditions = [self._owner]
         writes = list(extra)
         for write in part:
@@ -101,7 +102,8 @@
             self._version_by_id[write.submission_id] = outcome.version
         complete = len(part) == len(batch.writes)
         acks = batch.ack_by_worker if complete else {}
-        cell.on_recorded(RecordBatch(part, acks))
+        if cell is not None:
+            cell.on_recorded(RecordBatch(part, acks))
         return complete
 
     def _on_conflict(self, outcome: CommitOutcome) -> None:
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -28,11 +28,16 @@
 
 
 class OwnerRow(msgspec.Struct, frozen=True):
-    """Name the owner of a cell; ``host_id`` is empty when it was given up."""
+    """Name the owner of a cell; ``host_id`` is empty when it was given up.
+
+    For ``unsettled_s`` seconds from the writing of the row, owners before this one may
+    still have runs that nobody has heard of.
+    """
 
     epoch: int
     host_id: str
     incarnation: str
+    unsettled_s: float = 0.0
 
 
 class WorkersRow(msgspec.Struct, frozen=True):
--- a/standins/src/berylcleat/standins/_row_store.py
+++ b/standins/src/berylcleat/standins/_row_store.py
@@ -6,6 +6,8 @@
 from typing import Any
 
 RowKey = tuple[str, str, str]
+# The platform's bound on conditions and writes of one transaction, together.
+MAX_ENTRIES = 100
 
 
 @dataclass(slots=True)
@@ -20,6 +22,9 @@
 
     def transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         """Apply a transaction; return the status and the answer's body."""
+        names = ("expectedRev", "puts", "remove")
+        if sum(len(body.get(name, ())) for name in names) > MAX_ENTRIES:
+            return 400, {"error": f"over {MAX_ENTRIES} entries"}
         failed = False
         current = []
         for condition in body.get("expectedRev", ()):
