--- a/libs/http/src/berylcleat/http/_client.py
+++ b/libs/http/src/berylcleat/http/_client.py
@@ -9,6 +9,8 @@
 from ._server import parse_address
 
 MAX_RESPONSE_BYTES = 4_194_304
+# A large answer on a slow link may take so many timeouts while its bytes keep coming.
+MAX_TIMEOUTS = 4
 
 
 class _ClientConnection(asyncio.Protocol):
@@ -22,6 +24,7 @@
         self._future: asyncio.Future | None = None
         self._head: h11.Response | None = None
         self._body = bytearray()
+        self.n_received = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
@@ -57,6 +60,7 @@
 
     def data_received(self, data: bytes) -> None:
         self._client.n_bytes += len(data)
+        self.n_received += len(data)
         self._machine.receive_data(data)
         self._advance()
 
@@ -124,23 +128,30 @@
         self._idle: deque[_ClientConnection] = deque()
 
     async def exchange(self, request: HttpRequest, timeout_s: float) -> HttpResponse:
-        """Return the whole response within ``timeout_s`` seconds.
+        """Return the whole response within ``timeout_s`` seconds, longer if it flows.
 
         Raises ``ExchangeError``; the connection of a failed exchange is never reused.
         """
-        deadline = asyncio.get_running_loop().time() + timeout_s
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
         connection = await self._connect(timeout_s)
         future = connection.send(request)
         try:
-            async with asyncio.timeout_at(deadline):
-                return await future
-        except TimeoutError:
-            self._drop(connection)
-            failure = ExchangeFailure.TIMED_OUT
-            raise ExchangeError(failure, self.address, request_sent=True) from None
+            for _ in range(MAX_TIMEOUTS):
+                n_before = connection.n_received
+                await asyncio.wait((future,), timeout=deadline - loop.time())
+                if future.done():
+                    return future.result()
+                if connection.n_received == n_before:
+                    break
+                deadline += timeout_s
         except (ExchangeError, asyncio.CancelledError):
+            future.cancel()
             self._drop(connection)
             raise
+        future.cancel()
+        self._drop(connection)
+        raise ExchangeError(ExchangeFailure.TIMED_OUT, self.address, request_sent=True)
 
     def has_connection(self) -> bool:
         """Tell whether an idle connection is open for the next exchange."""
--- a/programs/beryl-host/src/berylcleat/host/_cells.py
+++ b/programs/beryl-host/src/berylcleat/host/_cells.py
@@ -168,7 +168,7 @@
             return
         self.driver_by_cell[cell_id] = driver
         try:
-            await self._submissions.refresh()
+            await self._submissions.refresh(version)
             await driver.start(self._workers.in_cell(cell_id))
         except BerylError as error:
             logger.warning("cell %s: not begun: %s", cell_id, error)
--- a/programs/beryl-host/src/berylcleat/host/_follower.py
+++ b/programs/beryl-host/src/berylcleat/host/_follower.py
@@ -18,7 +18,8 @@
     """Give ``on_rows`` every row of a table and then each change, in order.
 
     ``confirmed_at`` is when the last answered request was sent: all that was
-    written before it is known.
+    written before it is known. A table whose rows change often is one that
+    ``reads_anew`` after a failure: its backlog of changes would be longer.
     """
 
     def __init__(
@@ -30,6 +31,7 @@
         wait_s: float,
         min_period_s: float,
         parts: tuple[str, ...] | None = None,
+        reads_anew: bool = False,
     ):
         self._store = store
         self._table = table
@@ -37,6 +39,7 @@
         self._wait_s = wait_s
         self._min_period_s = min_period_s
         self._parts = parts
+        self._reads_anew = reads_anew
         self._version_by_row: dict[tuple[str, str], int] = {}
         self.version = 0
         self.confirmed_at = float("-inf")
@@ -58,13 +61,14 @@
                     await self._read_all()
                     must_read = False
                 else:
-                    await self._follow()
+                    await self._follow(self._wait_s)
             except HistoryLostError as error:
                 logger.info("table %s: %s", self._table, error)
                 must_read = True
                 continue
             except BerylError as error:
                 self._note_failure(error)
+                must_read = must_read or self._reads_anew
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
             self._note_success(asked_at)
@@ -72,9 +76,13 @@
             if pause_s > 0:
                 await asyncio.sleep(pause_s)
 
-    async def refresh(self) -> None:
-        """Read the whole table now, beside the running follower."""
-        await self._read_all()
+    async def refresh(self, version: int) -> None:
+        """Know all that was written up to ``version``, beside the running follower."""
+        try:
+            while self.version < version:
+                await self._follow(wait_s=0.0)
+        except HistoryLostError:
+            await self._read_all()
 
     async def _read_all(self) -> None:
         parts = self._parts
@@ -102,8 +110,8 @@
         for row in gone:
             del self._version_by_row[row]
 
-    async def _follow(self) -> None:
-        page = await self._store.follow(self._table, self.version, self._wait_s)
+    async def _follow(self, wait_s: float) -> None:
+        page = await self._store.follow(self._table, self.version, wait_s)
         self._take(page.rows)
         self.version = max(self.version, page.version)
 
--- a/standins/src/berylcleat/standins/_row_store.py
+++ b/standins/src/berylcleat/standins/_row_store.py
@@ -49,14 +49,17 @@
         put = {"table": table, "part": "", "key": key, "value": text}
         self.transact({"puts": [put]})
 
-    def read(self, table: str, part: str, first: str, end: str) -> dict[str, Any]:
-        """Return the rows of a part in key order."""
+    def read(
+        self, table: str, part: str, first: str, end: str, limit: int = 500
+    ) -> dict[str, Any]:
+        """Return the first ``limit`` rows of a part in key order."""
         rows = [
             row
             for (t, p, key), row in sorted(self.row_by_key.items())
             if t == table and p == part and key >= first and (not end or key < end)
         ]
-        return {"rows": rows, "morePages": False, "ver": self.version}
+        more = len(rows) > limit
+        return {"rows": rows[:limit], "morePages": more, "ver": self.version}
 
     def parts(self, table: str) -> dict[str, Any]:
         """Return the parts of a table."""
--- a/standins/src/berylcleat/standins/_task_platform.py
+++ b/standins/src/berylcleat/standins/_task_platform.py
@@ -163,7 +163,8 @@
         if parts.path == "/api/rows-get":
             first, end = query.get("from", ""), query.get("to", "")
             part = query.get("part", "")
-            return _json(self.store.read(query["table"], part, first, end))
+            limit = int(query.get("limit", "500"))
+            return _json(self.store.read(query["table"], part, first, end, limit))
         if parts.path == "/api/rows-parts":
             return _json(self.store.parts(query["table"]))
         if parts.path == "/api/rows-feed":
