Fillers of heavy pairs are paced within a load budget; forced only where room is free

Change: own load of a serving task from its least disturbed sibling; fillers not known to be mild share a budget of load, by pace orders, and are stopped below 20%; starving fillers are forced only while under 0.6 of the service is reserved, then after 1.5 s.

--- a/libs/scheduling/features/fillers.feature
+++ b/libs/scheduling/features/fillers.feature
@@ -35,6 +35,26 @@
     When its tail has been over the target for 2.0 seconds
     Then both fillers are stopped
 
+  Scenario: No filler is forced while most processors are reserved
+    Given a cell whose only worker serves 7 times "web", beside which "press" is heavy
+    When a submission of 4 fillers and one of 1 filler have starved
+    Then none has run after 20 seconds
+
+  Scenario Outline: A heavy filler runs beside serving tasks with little load
+    Given a serving task with <load> load of its own beside a heavy filler of a tenth
+    Then the filler works at <pace> percent or is stopped
+
+    Examples:
+      | load | pace |
+      | 0.2  | 100  |
+      | 0.5  | 80   |
+      | 0.65 | 30   |
+      | 0.72 | 0    |
+
+  Scenario: The least disturbed task tells the load of its siblings
+    Given two tasks of one submission on two workers, one disturbed
+    Then both are taken to have the load of the calm one
+
   Scenario: Starving fillers take turns
     Given a cell whose only worker serves "web", beside which "press" is heavy
     When a submission of 40 fillers and one of 1 filler have starved
--- a/libs/scheduling/features/steps/filler_steps.py
+++ b/libs/scheduling/features/steps/filler_steps.py
@@ -14,6 +14,7 @@
     Cell,
     ImageUse,
     LeaseTimes,
+    LoadBook,
     PairTable,
     Progress,
     Run,
@@ -23,6 +24,7 @@
     WorkerView,
     choose_stops,
     choose_worker,
+    plan_paces,
 )
 
 SERVING = Step(1, TaskDemand(4000, 1000), is_long_running=True, target_latency_ms=100)
@@ -204,6 +206,18 @@
 
 @given('a cell whose only worker serves "{serving}", beside which "{filler}" is heavy')
 def step_cell(context, serving, filler):
+    make_cell(context, 1, serving, filler)
+
+
+@given(
+    'a cell whose only worker serves {n:d} times "{serving}", '
+    'beside which "{filler}" is heavy'
+)
+def step_full_cell(context, n, serving, filler):
+    make_cell(context, n, serving, filler)
+
+
+def make_cell(context, n_serving, serving, filler):
     context.pairs = PairTable()
     context.pairs.tell("host-2", {(filler, serving): 5.0})
     cell = Cell("r1", 1, LeaseTimes(), 0.0, 0.0, (), context.pairs)
@@ -211,7 +225,8 @@
     cell.list_worker(entry, 0.0)
     cell.on_workers_recorded(frozenset({"w"}))
     context.worker = OneWorker(cell)
-    add_submission(context, 1, make_step(SERVING, serving))
+    for number in range(n_serving):
+        add_submission(context, 100 + number, make_step(SERVING, serving))
     context.worker.step()
 
 
@@ -239,3 +254,46 @@
         context.worker.step()
     ran = {int(submission_id, 16) for submission_id in context.worker.ran}
     assert {2, 3} <= ran, ran
+
+
+@then("none has run after {seconds:d} seconds")
+def step_none_ran(context, seconds):
+    while context.worker.now < seconds:
+        context.worker.step()
+    ran = {int(submission_id, 16) for submission_id in context.worker.ran}
+    assert not {2, 3} & ran, ran
+
+
+@given("a serving task with {load:f} load of its own beside a heavy filler of a tenth")
+def step_pressed(context, load):
+    context.pairs = PairTable()
+    context.pairs.tell("host-2", {("press", "web"): 9.0})
+    context.view = make_view("w")
+    add_run(context.view, 1, SERVING, "web", 30.0).own_load = load
+    filler = Step(1, TaskDemand(3200, 1000), fills=True)
+    context.filler = add_run(context.view, 2, filler, "press")
+
+
+@then("the filler works at {pace:d} percent or is stopped")
+def step_paced(context, pace):
+    plan = plan_paces(context.view, context.pairs)
+    for change in plan.changes:
+        context.filler.pace = change.percent
+    if plan.stops:
+        context.filler.pace = 0
+    assert context.filler.pace == pace, plan
+
+
+@given("two tasks of one submission on two workers, one disturbed")
+def step_siblings(context):
+    context.views = [make_view("a"), make_view("b")]
+    book = LoadBook()
+    for view, reading in zip(context.views, (34.0, 900.0), strict=True):
+        add_run(view, 1, SERVING, "web", reading)
+        book.observe(view, 1.0)
+
+
+@then("both are taken to have the load of the calm one")
+def step_same_load(context):
+    loads = [run.own_load for v in context.views for run in v.serving_runs()]
+    assert loads == [0.5, 0.5], loads
--- a/libs/scheduling/src/berylcleat/scheduling/__init__.py
+++ b/libs/scheduling/src/berylcleat/scheduling/__init__.py
@@ -7,6 +7,7 @@
 from ._leases import CLOCK_DRIFT, LeaseTimes, WorkerClock
 from ._moves import CellRoom, FillerRoom, GuestEnd, MoveProposal, TaskMove
 from ._placement import choose_worker
+from ._pressure import LoadBook, PacePlan, plan_paces
 from ._progress import Progress, decode_progress, encode_progress
 from ._workers import Run, RunPhase, WorkerView
 
@@ -18,7 +19,9 @@
     "GuestEnd",
     "ImageUse",
     "LeaseTimes",
+    "LoadBook",
     "MoveProposal",
+    "PacePlan",
     "PairTable",
     "Progress",
     "ProgressWrite",
@@ -37,4 +40,5 @@
     "choose_worker",
     "decode_progress",
     "encode_progress",
+    "plan_paces",
 ]
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -36,6 +36,7 @@
     make_move,
 )
 from ._placement import choose_forced_worker, choose_worker, explain_rejection
+from ._pressure import LoadBook, plan_paces
 from ._progress import Progress, encode_progress
 from ._workers import FORCED_OPEN_S, Run, RunPhase, WorkerView
 
@@ -46,8 +47,11 @@
 # After a takeover the earlier owner may still be given submissions for so long.
 HANDOVER_S = 5.0
 # A filler that fits nowhere is run where it does least harm after this wait, for less
-# than the platform allows a task to be over its target, with a pause in between.
-STARVING_S = 4.0
+# than the platform allows a task to be over its target, with a pause in between: but
+# only while less than this share of the service's processors is reserved. The platform
+# asks that waiting work runs within 3 s while under half is.
+STARVING_S = 1.5
+FORCED_BELOW_USE = 0.6
 # Tasks of one step that one turn of forced fillers takes at most.
 MAX_FORCED = 6
 # Tasks that are moved off leaving workers at a time.
@@ -106,6 +110,7 @@
         self.times = times
         self.book = SubmissionBook()
         self.pairs = pairs
+        self.loads = LoadBook()
         self.worker_by_id: dict[str, WorkerView] = {}
         self.run_by_task: dict[TaskKey, Run] = {}
         self.is_fenced_out = False
@@ -117,6 +122,7 @@
         self._orders: list[WorkerOrder] = []
         self._withheld: set[TaskKey] = set()
         self._wall_ms = 0.0
+        self._rooms: tuple[CellRoom, ...] = ()
         for entry in earlier_workers:
             self.worker_by_id[entry.worker_id] = WorkerView(entry, is_listed=False)
 
@@ -152,6 +158,7 @@
             return
         tracked.cancel()
         self.book.retire(tracked)
+        self.loads.forget(submission_id)
         self._stop_runs_of(submission_id, now)
 
     def update_moves(
@@ -191,6 +198,7 @@
         self, rooms: tuple[CellRoom, ...], now: float
     ) -> list[MoveProposal]:
         """Return stuck tasks that other cells have room for, and withhold them."""
+        self._rooms = rooms
         book = RoomBook(rooms, self.pairs)
         proposals = []
         for ready in self.book.ready_steps(now):
@@ -340,6 +348,7 @@
         if report.ended:
             view.handled_number = max(view.handled_number, report.ended[-1].number)
         self._match_running(view, report, asked_at, now)
+        self.loads.observe(view, now)
         if now - view.learnt_at > LEARN_PERIOD_S:
             view.learnt_at = now
             self.pairs.observe(view.image_uses(now), view.readings())
@@ -404,6 +413,14 @@
         else:
             run.stop_sent_at = None
 
+    def on_pace_answer(self, order: PaceOrder, answer: OrderAnswer) -> None:
+        """Take in the answer to a pace; one that wasn't taken is ordered again."""
+        run = self.run_by_task.get(order.task)
+        if run is None or run.number != order.run or run.pace != order.percent:
+            return
+        if answer.result is not OrderResult.ACCEPTED:
+            run.pace = None
+
     # Time
 
     def plan(self, now: float, wall_ms: float) -> list[WorkerOrder]:
@@ -609,6 +626,7 @@
             now,
             now,
             checkpoint=running.checkpoint,
+            pace=None if step.fills else 100,
             was_listed=True,
         )
         tracked.has_started = True
@@ -694,11 +712,17 @@
                     self._lose(run, "lease lapsed", now)
 
     def _guard_serving(self, now: float) -> None:
-        """Stop fillers that disturb what serves beside them."""
+        """Pace or stop fillers that disturb what serves beside them."""
         for view in self.worker_by_id.values():
             stops = choose_stops(view, self.pairs, now)
             if stops:
                 view.guarded_at = now
+            if view.clock.answered_at > view.paced_at:
+                view.paced_at = now
+                plan = plan_paces(view, self.pairs)
+                stops += [run for run in plan.stops if run not in stops]
+                for change in plan.changes:
+                    self._pace(change.run, change.percent)
             for run in stops:
                 logger.info(
                     "filler stopped: task %s image %s on %s",
@@ -708,6 +732,17 @@
                 )
                 self._stop(run, now)
 
+    def _pace(self, run: Run, percent: int) -> None:
+        logger.info(
+            "filler paced: task %s image %s on %s to %d",
+            run.task,
+            run.step.image,
+            run.worker_id,
+            percent,
+        )
+        run.pace = percent
+        self._order(run.worker_id, PaceOrder(run.task, run.number, percent, self.epoch))
+
     def _leave_draining(self, now: float) -> None:
         """Move tasks that last off workers that are about to leave."""
         n_moving = sum(
@@ -765,6 +800,8 @@
             and ready.stuck_since is not None
             and now - ready.stuck_since > STARVING_S
             and not self._is_blocked(ready, now)
+            and self._use_of(ready.tracked.submission.queue.service, now)
+            < FORCED_BELOW_USE
         ]
         starving.sort(key=lambda ready: ready.tracked.forced_at)
         for ready in starving:
@@ -775,6 +812,20 @@
                 if not self._force(ready, task, now):
                     break
 
+    def _use_of(self, service: str, now: float) -> float:
+        """Return the share of a service's processors that is reserved."""
+        views = [
+            view
+            for view in self.worker_by_id.values()
+            if view.entry.service == service and view.can_start(now)
+        ]
+        others = [room for room in self._rooms if room.service == service]
+        capacity = sum(view.entry.capacity.cpu_millis for view in views)
+        capacity += sum(room.capacity for room in others)
+        free = sum(view.free().cpu_millis for view in views)
+        free += sum(max(0, room.free) for room in others)
+        return 1 - free / capacity if capacity else 1.0
+
     def _force(self, ready: ReadyStep, task: TaskKey, now: float) -> bool:
         """Run a starving filler for a while where it does least harm, if anywhere."""
         service = ready.tracked.submission.queue.service
--- a/libs/scheduling/src/berylcleat/scheduling/_guard.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_guard.py
@@ -1,6 +1,6 @@
 """Choose the fillers to stop so that what serves beside them keeps its target."""
 
-from ._interference import DISTURBED_RATIO, PairTable, Verdict, is_slow_worker
+from ._interference import DISTURBED_RATIO, PairTable, is_slow_worker
 from ._workers import FORCED_RUN_S, READING_SPAN_S, Run, RunPhase, WorkerView
 
 # A filler with a lower probability of being heavy is not stopped for it alone.
@@ -18,12 +18,8 @@
     if view.over_target_s(now) > CLEAR_S:
         return fillers
     unforced = [run for run in fillers if not _is_spared(run, now)]
-    images = view.serving_images()
-    heavy = [
-        run for run in unforced if pairs.worst(run.step.image, images) is Verdict.HEAVY
-    ]
-    if heavy or not unforced or now - view.guarded_at <= READING_SPAN_S:
-        return heavy
+    if not unforced or now - view.guarded_at <= READING_SPAN_S:
+        return []
     return _likeliest(view, unforced, pairs)
 
 
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -43,6 +43,7 @@
     free: int
     filler_rooms: tuple[FillerRoom, ...]
     fill_waiting: int
+    capacity: int = 0
 
     def left_for(self, image: str, pairs: PairTable) -> int:
         """Return what is left for a filler of ``image`` where it is mild."""
--- a/libs/scheduling/src/berylcleat/scheduling/_placement.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_placement.py
@@ -10,6 +10,7 @@
 from berylcleat.model import Step, TaskKey
 
 from ._interference import CALM_RATIO, DISTURBED_RATIO, PairTable, Verdict
+from ._pressure import START_PACE, pace_with
 from ._workers import WorkerView
 
 Score = tuple[float, ...]
@@ -105,9 +106,12 @@
     verdict = pairs.worst(step.image, worker.serving_images())
     if verdict is Verdict.MILD:
         return True
-    if verdict is not Verdict.UNKNOWN or worker.worst_reading() >= CALM_RATIO:
+    if worker.worst_reading() >= CALM_RATIO:
         return False
-    return _may_try(step, worker, pairs)
+    if verdict is Verdict.UNKNOWN and not _may_try(step, worker, pairs):
+        return False
+    pace = pace_with(step.image, step.demand.cpu_millis, worker, pairs)
+    return pace >= START_PACE
 
 
 def _may_try(step: Step, worker: WorkerView, pairs: PairTable) -> bool:
@@ -134,8 +138,10 @@
         n_others = len(worker.serving_images() - {step.image})
         return (_mutual(step.image, worker, pairs), n_others, free_cpu)
     if step.fills:
-        verdict = pairs.worst(step.image, worker.serving_images())
-        return (float(verdict is not Verdict.MILD), -worker.cpu_left())
+        if pairs.worst(step.image, worker.serving_images()) is Verdict.MILD:
+            return (0.0, -worker.cpu_left())
+        pace = pace_with(step.image, step.demand.cpu_millis, worker, pairs)
+        return (1.0, -pace)
     return (-worker.cpu_left(),)
 
 
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -50,7 +50,10 @@
     checkpoint: str = ""
     percent: int = 0
     reading: float = 0.0
-    pace: int = 100
+    # Percent of its processor time that a filler may use; None: not known.
+    pace: int | None = 100
+    # Load of a serving task without what disturbs it, from 0 to 1.
+    own_load: float = SERVING_USE
     is_forced: bool = False
     over_since: float | None = None
     was_listed: bool = False
@@ -88,6 +91,7 @@
     guarded_at: float = 0.0
     learnt_at: float = 0.0
     forced_at: float = 0.0
+    paced_at: float = 0.0
     past_uses: list[tuple[float, ImageUse]] = field(default_factory=list)
 
     def can_start(self, now: float) -> bool:
