Pairs are learnt from the load a reading shows; serving tasks are taken to use 0.48

And fillers waited while workers had processor time left: serving tasks were taken to use 0.6 of what they reserve. Change: a pair's log odds move by how well a heavy and a mild pair explain the load seen, given the own load and what others are expected to add; heavy pairs press at times only. SERVING_USE 0.6 to 0.48. The lower prior is not taken: one disturbed reading would no longer name a single suspect.

--- a/libs/scheduling/src/berylcleat/scheduling/_interference.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_interference.py
@@ -1,10 +1,11 @@
 """Learn which images disturb which serving images.
 
-Interference is a property of a pair of images: most pairs are harmless, the others
-multiply the tail latency even at a small share of a worker. Each pair has a
-probability of being heavy. A reading is a noisy-OR of the pairs present (Pearl,
-Probabilistic Reasoning in Intelligent Systems, 1988), so that a disturbance is
-shared among its possible causes and a calm reading clears all of them.
+Interference is a property of a pair of images: a filler adds load to what serves
+beside it, little in most pairs and much in the heavy ones, in proportion to the
+processor time it uses. The tail latency of a serving task follows its load as in a
+queue: it grows with 1 / (1 - load) (Kleinrock, Queueing Systems, 1975). Each pair has
+a probability of being heavy; a reading moves it by how much better one of the two
+explains the load seen, given what all others present are expected to add.
 """
 
 import logging
@@ -21,10 +22,23 @@
 # Share of a worker's processors below which a filler's effect would not show.
 MIN_SHARE = 0.03
 PRIOR_HEAVY = 0.25
-# Probabilities of a disturbed reading with a heavy pair present, and with none. A heavy
-# pair stays calm while the serving tasks have little load.
+# Tail latency at no load, relative to the target.
+IDLE_RATIO = 0.17
+# Load that fillers of a heavy and of a mild pair would add with all processors.
+HEAVY_PRESSURE = 3.0
+MILD_PRESSURE = 0.2
+# Readings beyond this load tell no more than that the queue is full.
+MAX_LOAD = 0.95
+# Load of a serving task whose own load is not known, and standard deviations of loads.
+UNKNOWN_LOAD = 0.48
+UNKNOWN_SPREAD = 0.2
+KNOWN_SPREAD = 0.12
+# Probabilities that a heavy pair presses at a moment, and that a mild one seems to:
+# what a pair adds changes within seconds.
 HIT = 0.6
 NOISE = 0.03
+# A reading that neither explains tells nothing.
+LEAST_LIKELIHOOD = 1e-6
 MILD_BELOW = 0.1
 HEAVY_ABOVE = 0.6
 MAX_LOG_ODDS = 4.0
@@ -53,15 +67,24 @@
 
 @dataclass(frozen=True, slots=True)
 class ServingReading:
-    """Hold a serving image's tail latency relative to its target."""
+    """Hold a serving image's tail latency relative to its target.
+
+    ``own_load`` is the load without what disturbs it here, if that is known.
+    """
 
     image: str
     ratio: float
+    own_load: float | None = None
 
 
 Pair = tuple[str, str]
 
 
+def load_of(ratio: float) -> float:
+    """Return the load at which the tail is ``ratio`` times the target."""
+    return max(0.0, 1 - IDLE_RATIO / ratio) if ratio > 0 else 0.0
+
+
 def is_slow_worker(worst_by_image: Mapping[str, float]) -> bool:
     """Tell whether so much is disturbed that the worker itself must be slow."""
     n_disturbed = sum(ratio > BLAMED_RATIO for ratio in worst_by_image.values())
@@ -113,18 +136,17 @@
         self, uses: Iterable[ImageUse], readings: Iterable[ServingReading]
     ) -> None:
         """Learn from the readings of one worker and what ran beside them."""
-        present = list(uses)
-        at_work = [f for f in present if f.is_settled and f.share >= MIN_SHARE]
-        worst_by_image: dict[str, float] = {}
+        present = [use for use in uses if use.share >= MIN_SHARE]
+        worst_by_image: dict[str, ServingReading] = {}
         for reading in readings:
-            known = worst_by_image.get(reading.image, 0.0)
-            worst_by_image[reading.image] = max(known, reading.ratio)
-        is_slow = is_slow_worker(worst_by_image)
-        for image, ratio in worst_by_image.items():
-            if ratio < CALM_RATIO:
-                self._clear(_pairs(at_work, image))
-            elif ratio > BLAMED_RATIO and not is_slow:
-                self._blame(ratio, _pairs(present, image))
+            known = worst_by_image.get(reading.image)
+            if known is None or reading.ratio > known.ratio:
+                worst_by_image[reading.image] = reading
+        ratios = {image: worst.ratio for image, worst in worst_by_image.items()}
+        if is_slow_worker(ratios):
+            return
+        for image, reading in worst_by_image.items():
+            self._learn(reading, [use for use in present if use.image != image])
 
     def seen(self) -> dict[Pair, float]:
         """Return what was learnt here, as log odds beyond the prior."""
@@ -139,25 +161,45 @@
         """Take in all that another host has learnt."""
         self._told_by_host[host_id] = seen
 
-    def _clear(self, pairs: list[Pair]) -> None:
-        for pair in pairs:
-            self._add(pair, math.log((1 - HIT) / (1 - NOISE)))
-
-    def _blame(self, ratio: float, pairs: list[Pair]) -> None:
-        if not pairs:
-            return
-        before = {pair: self.probability(*pair) for pair in pairs}
-        for pair in pairs:
-            calm = 1 - NOISE
-            for other in pairs:
-                if other != pair:
-                    calm *= 1 - (HIT - NOISE) * before[other]
-            self._add(pair, math.log(HIT / (1 - calm)))
+    def _learn(self, reading: ServingReading, uses: list[ImageUse]) -> None:
+        """Weigh for each pair present whether it is heavy, given all others."""
+        load = min(load_of(reading.ratio), MAX_LOAD)
+        own_load = UNKNOWN_LOAD if reading.own_load is None else reading.own_load
+        spread = UNKNOWN_SPREAD if reading.own_load is None else KNOWN_SPREAD
+        added = {use.image: self._expected(use, reading.image) for use in uses}
+        total = own_load + sum(added.values())
+        for use in uses:
+            others = total - added[use.image]
+            if_mild = min(others + MILD_PRESSURE * use.share, MAX_LOAD)
+            if_heavy = min(others + HEAVY_PRESSURE * use.share, MAX_LOAD)
+            mild = math.exp(-(((load - if_mild) / spread) ** 2) / 2)
+            heavy = math.exp(-(((load - if_heavy) / spread) ** 2) / 2)
+            if_heavy_pair = HIT * heavy + (1 - HIT) * mild
+            if_mild_pair = NOISE * heavy + (1 - NOISE) * mild
+            if if_mild_pair < LEAST_LIKELIHOOD:
+                continue
+            evidence = math.log(if_heavy_pair / if_mild_pair)
+            if use.is_settled or evidence > 0:
+                self._add((use.image, reading.image), evidence)
+        if reading.ratio > BLAMED_RATIO and uses:
+            self._log_disturbed(reading, uses)
+
+    def _expected(self, use: ImageUse, serving: str) -> float:
+        """Return the load that an image is expected to add."""
+        probability = self.probability(use.image, serving)
+        heavy = probability * HEAVY_PRESSURE
+        return use.share * (heavy + (1 - probability) * MILD_PRESSURE)
+
+    def _log_disturbed(self, reading: ServingReading, uses: list[ImageUse]) -> None:
         logger.info(
-            "disturbed: %s at %.1f of its target: %s",
-            pairs[0][1],
-            ratio,
-            " ".join(f"{pair[0]}={self.probability(*pair):.2f}" for pair in pairs),
+            "disturbed: %s at %.1f of its target, own load %s: %s",
+            reading.image,
+            reading.ratio,
+            "unknown" if reading.own_load is None else f"{reading.own_load:.2f}",
+            " ".join(
+                f"{use.image}={self.probability(use.image, reading.image):.2f}"
+                for use in uses
+            ),
         )
 
     def _add(self, pair: Pair, log_odds: float) -> None:
--- a/libs/scheduling/src/berylcleat/scheduling/_pressure.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_pressure.py
@@ -1,23 +1,22 @@
 """Hold the load that fillers add to what serves beside them within a budget.
 
-The tail latency of a serving task follows its load as in a queue: it grows with
-1 / (1 - load) (Kleinrock, Queueing Systems, 1975). A filler of a heavy pair adds load
-in proportion to the processor time it uses. While the serving task's own load is low a
-heavy filler is therefore harmless, and a paced one for longer.
+A filler of a heavy pair adds load in proportion to the processor time it uses. While
+the serving task's own load is low it is therefore harmless, and a paced one for longer.
 """
 
 from dataclasses import dataclass
 
-from ._interference import MILD_BELOW, PairTable
+from ._interference import (
+    HEAVY_PRESSURE,
+    MILD_BELOW,
+    MILD_PRESSURE,
+    PairTable,
+    load_of,
+)
 from ._workers import Run, RunPhase, WorkerView
 
-# Tail latency at no load, relative to the target.
-IDLE_RATIO = 0.17
 # Tail latency relative to the target that fillers may bring a serving task to.
 AIMED_RATIO = 0.7
-# Load that fillers of a heavy and of a mild pair would add with all processors.
-HEAVY_PRESSURE = 3.0
-MILD_PRESSURE = 0.2
 # Readings of one submission's tasks tell its load for so long, in seconds.
 READING_AGE_S = 1.6
 # Percent: a filler that would be paced below the first is stopped, one that would be
@@ -27,11 +26,6 @@
 PACE_STEP = 20
 
 
-def load_of(ratio: float) -> float:
-    """Return the load at which the tail is ``ratio`` times the target."""
-    return max(0.0, 1 - IDLE_RATIO / ratio) if ratio > 0 else 0.0
-
-
 BUDGET = load_of(AIMED_RATIO)
 
 
@@ -61,14 +55,16 @@
                 ratio = min(ratio, known.ratio)
             by_worker[run.worker_id] = _Sighting(ratio, now)
         for run in serving:
-            run.own_load = self._own_load(run.task.submission_id, now)
+            self._estimate(run, now)
 
-    def _own_load(self, submission_id: str, now: float) -> float:
-        by_worker = self._by_submission[submission_id]
+    def _estimate(self, run: Run, now: float) -> None:
+        by_worker = self._by_submission[run.task.submission_id]
         for worker_id, sighting in tuple(by_worker.items()):
             if now - sighting.seen_at > READING_AGE_S:
                 del by_worker[worker_id]
-        return load_of(min(sighting.ratio for sighting in by_worker.values()))
+        calmest = min(by_worker, key=lambda worker_id: by_worker[worker_id].ratio)
+        run.own_load = load_of(by_worker[calmest].ratio)
+        run.has_calm_sibling = calmest != run.worker_id
 
     def forget(self, submission_id: str) -> None:
         """Drop what is known of a submission that is over."""
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -23,7 +23,7 @@
 FORCED_RUN_S = 2.5
 FORCED_PAUSE_S = 1.5
 # Share of their processors that serving tasks are taken to use.
-SERVING_USE = 0.6
+SERVING_USE = 0.48
 
 
 class RunPhase(Enum):
@@ -54,6 +54,8 @@
     pace: int | None = 100
     # Load of a serving task without what disturbs it, from 0 to 1.
     own_load: float = SERVING_USE
+    # Whether a task of the same submission on another worker told that load.
+    has_calm_sibling: bool = False
     is_forced: bool = False
     over_since: float | None = None
     was_listed: bool = False
@@ -167,7 +169,11 @@
     def readings(self) -> list[ServingReading]:
         """Return the latest readings of serving runs that are at work."""
         return [
-            ServingReading(run.step.image, run.reading / run.step.target_latency_ms)
+            ServingReading(
+                run.step.image,
+                run.reading / run.step.target_latency_ms,
+                run.own_load if run.has_calm_sibling else None,
+            )
             for run in self.serving_runs()
             if run.reading > 0
         ]
