Gangs are started whole, under one run number, and stopped whole

Change: all members are placed at once or none, with one number; a member that is lost or rejected stops the others; one done end stands for all; failed runs of a gang count once; one checkpoint for all; a gang without room moves whole to a cell that has it.

--- /dev/null
+++ b/libs/scheduling/features/steps/gang_steps.py
@@ -0,0 +1,200 @@
+from behave import given, then, when
+
+from berylcleat.model import QueuePolicy, Step, Submission, SubmissionState, TaskDemand
+from berylcleat.ports import (
+    EndedTask,
+    OrderAnswer,
+    OrderResult,
+    RunEnd,
+    RunningTask,
+    StartOrder,
+    StopOrder,
+    WorkerEntry,
+    WorkerReport,
+)
+from berylcleat.scheduling import Cell, CellRoom, LeaseTimes, PairTable, Progress
+
+GANG_ID = "a" * 16
+
+
+class GangCell:
+    """Drive a cell whose workers do as the scenario says."""
+
+    def __init__(self, n_workers, cpu_millis):
+        self.now = 1.0
+        self.cell = Cell("r1", 1, LeaseTimes(), 0.0, 0.0, (), PairTable())
+        self.running = {f"w{n}": {} for n in range(n_workers)}
+        self.ended = {worker_id: [] for worker_id in self.running}
+        self.starts = []
+        self.stops = []
+        for worker_id in self.running:
+            capacity = TaskDemand(cpu_millis, 64000)
+            entry = WorkerEntry(
+                worker_id, "svc", "a:1", "dc", "k", "r1", frozenset(), capacity, 1
+            )
+            self.cell.list_worker(entry, self.now)
+        self.cell.on_workers_recorded(frozenset(self.running))
+        self.step()
+
+    def step(self):
+        """Let every worker report, then carry out the cell's orders."""
+        self.now += 0.2
+        for worker_id, running in self.running.items():
+            rows = tuple(
+                RunningTask(t, run, "", 100, 0.0) for t, run in running.items()
+            )
+            ended = tuple(self.ended[worker_id])
+            clock_ms = int(self.now * 1000)
+            report = WorkerReport(clock_ms, 1, rows, ended)
+            self.cell.on_report(worker_id, report, self.now, self.now)
+        for item in self.cell.plan(self.now, 0.0):
+            if isinstance(item.order, StartOrder):
+                self.starts.append(item)
+            elif isinstance(item.order, StopOrder):
+                self.stops.append(item)
+
+    def accept(self, item):
+        self.running[item.worker_id][item.order.task] = item.order.run
+        answer = OrderAnswer(OrderResult.ACCEPTED)
+        self.cell.on_start_answer(item.worker_id, item.order, answer, self.now)
+
+    def end(self, item, how, checkpoint=""):
+        run = self.running[item.worker_id].pop(item.order.task)
+        ends = self.ended[item.worker_id]
+        ends.append(EndedTask(len(ends) + 1, item.order.task, run, how, checkpoint))
+
+
+@given("a cell with {n:d} workers of {cores:d} cores")
+def step_cell(context, n, cores):
+    context.gang = GangCell(n, cores * 1000)
+
+
+def hand_in(context, n, cores, n_attempts):
+    step = Step(n, TaskDemand(cores * 1000, 100), is_gang=True, saves_progress=True)
+    queue = QueuePolicy("q", "svc", max_attempts=n_attempts)
+    gang = context.gang
+    gang.cell.add_submission(
+        Submission(GANG_ID, queue, "s", (step,)),
+        Progress(),
+        gang.now,
+        gang.now,
+        inherited=False,
+    )
+    gang.step()
+    context.first = list(gang.starts)
+
+
+@when("a gang of {n:d} tasks of {cores:d} cores is handed in")
+def step_hand_in(context, n, cores):
+    hand_in(context, n, cores, 3)
+
+
+@when("a gang of {n:d} tasks of {cores:d} cores with {tries:d} attempts is handed in")
+def step_hand_in_with(context, n, cores, tries):
+    hand_in(context, n, cores, tries)
+
+
+@when("one member is rejected")
+def step_rejected(context):
+    gang = context.gang
+    rejected, *others = gang.starts
+    answer = OrderAnswer(OrderResult.NO_ROOM)
+    gang.cell.on_start_answer(rejected.worker_id, rejected.order, answer, gang.now)
+    for item in others:
+        gang.accept(item)
+    gang.step()
+
+
+@then("the others are stopped")
+def step_stopped(context):
+    stopped = {item.order.task for item in context.gang.stops}
+    assert stopped == {item.order.task for item in context.first[1:]}, stopped
+
+
+@when("they have ended")
+def step_ended(context):
+    gang = context.gang
+    gang.starts.clear()
+    for item in context.first[1:]:
+        gang.end(item, RunEnd.STOPPED)
+    for _ in range(3):
+        gang.step()
+
+
+@when("one member is reported as done")
+def step_done(context):
+    end_members(context, 1, RunEnd.DONE)
+
+
+@when("two members are reported as failed")
+def step_failed(context):
+    end_members(context, 2, RunEnd.FAILED)
+
+
+def end_members(context, n, how):
+    gang = context.gang
+    for item in context.first:
+        gang.accept(item)
+    gang.step()
+    for item in context.first[:n]:
+        gang.end(item, how)
+    gang.step()
+
+
+@when("all members are stopped with different checkpoints")
+def step_checkpoints(context):
+    gang = context.gang
+    for item in context.first:
+        gang.accept(item)
+    gang.step()
+    gang.starts.clear()
+    for number, item in enumerate(context.first):
+        gang.end(item, RunEnd.STOPPED, f"c{number}")
+    for _ in range(3):
+        gang.step()
+
+
+@when("another cell has room for {cores:d} cores")
+def step_room(context, cores):
+    gang = context.gang
+    room = CellRoom("r2", "svc", cores * 1000, (), 0, cores * 1000)
+    context.proposals = gang.cell.propose_moves((room,), gang.now + 1.0)
+
+
+@then("{n:d} members are started under one run number")
+def step_started(context, n):
+    starts = context.gang.starts
+    assert len(starts) == n, starts
+    assert len({item.order.run for item in starts}) <= 1, starts
+
+
+@then("that number is higher than the first")
+def step_higher(context):
+    assert context.gang.starts[0].order.run > context.first[0].order.run
+
+
+@then("the submission is done")
+def step_submission_done(context):
+    tracked = context.gang.cell.book.by_id[GANG_ID]
+    assert tracked.progress.final_state is SubmissionState.DONE
+
+
+@then("the submission is not failed")
+def step_not_failed(context):
+    tracked = context.gang.cell.book.by_id[GANG_ID]
+    assert tracked.progress.final_state is None
+
+
+@then("{n:d} members are started from one checkpoint")
+def step_from_one(context, n):
+    starts = context.gang.starts
+    assert len(starts) == n, starts
+    saved = {item.order.checkpoint for item in starts}
+    assert len(saved) == 1 and saved != {""}, saved
+
+
+@then("all {n:d} members are to move there")
+def step_move_whole(context, n):
+    (proposal,) = context.proposals
+    assert len(proposal.move_by_task) == n
+    assert {move.cell_id for move in proposal.move_by_task.values()} == {"r2"}
--- a/libs/scheduling/src/berylcleat/scheduling/_book.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_book.py
@@ -91,8 +91,34 @@
         return task not in self.elsewhere
 
     def n_failures(self, task: TaskKey) -> int:
-        """Return how many runs of ``task`` have failed here and elsewhere."""
-        return self.progress.n_failures(task)
+        """Return how many runs of ``task``, or of its gang, have failed."""
+        if not self.submission.steps[task.step].is_gang:
+            return self.progress.n_failures(task)
+        failed = self.progress.failed_runs_by_task
+        runs = (failed.get(member, set()) for member in self.members(task))
+        return len(set().union(*runs))
+
+    def members(self, task: TaskKey) -> list[TaskKey]:
+        """Return all tasks of the step and occurrence of ``task``."""
+        n_tasks = self.submission.steps[task.step].n_tasks
+        return [self.key(task.occurrence, task.step, n) for n in range(n_tasks)]
+
+    def checkpoint_place(self, task: TaskKey) -> TaskKey:
+        """Return under which task a checkpoint is kept: one of a gang is for all."""
+        if self.submission.steps[task.step].is_gang:
+            return self.key(task.occurrence, task.step, 0)
+        return task
+
+    def note_checkpoint(self, task: TaskKey, checkpoint: str) -> None:
+        """Keep the newest checkpoint of a task that saves its progress."""
+        if checkpoint and self.submission.steps[task.step].saves_progress:
+            place = self.checkpoint_place(task)
+            self.progress.checkpoint_by_task[place] = checkpoint
+
+    def checkpoint_of(self, task: TaskKey) -> str:
+        """Return the checkpoint to resume ``task`` from, or an empty text."""
+        place = self.checkpoint_place(task)
+        return self.progress.checkpoint_by_task.get(place, "")
 
     def next_run(self, task: TaskKey, epoch: int) -> int:
         """Return a run number above those of earlier owners and other cells."""
@@ -109,8 +135,7 @@
         """Take over what another cell knew of a task that has come here."""
         if run_floor > self.move_floor_by_task.get(task, -1):
             self.move_floor_by_task[task] = run_floor
-            if saved:
-                self.progress.checkpoint_by_task[task] = saved
+            self.note_checkpoint(task, saved)
         self.note_run(task, run_floor)
         for run in failed_runs:
             self.progress.add_failure(task, run)
@@ -211,8 +236,11 @@
         """Note the end of ``task``; end the submission with its last task."""
         if self.progress.is_done(task):
             return
-        self.progress.add_done(task)
-        self.take(task)
+        is_gang = self.submission.steps[task.step].is_gang
+        # The members of a gang end together: one such end stands for all.
+        for member in self.members(task) if is_gang else (task,):
+            self.progress.add_done(member)
+            self.take(member)
         self.is_dirty = True
         if self.is_home and self.all_done():
             self.progress.final_state = SubmissionState.DONE
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -210,8 +210,10 @@
         return proposals
 
     def _moves_of(self, ready: ReadyStep, book: RoomBook) -> dict[TaskKey, TaskMove]:
-        move_by_task = {}
+        move_by_task: dict[TaskKey, TaskMove] = {}
         service = ready.tracked.submission.queue.service
+        if ready.step.is_gang:
+            return self._move_of_gang(ready, book, service)
         for index in sorted(ready.waiting):
             task = ready.task(index)
             if task in self.run_by_task or task in self._withheld:
@@ -223,6 +225,25 @@
         self._withheld.update(move_by_task)
         return move_by_task
 
+    def _move_of_gang(
+        self, ready: ReadyStep, book: RoomBook, service: str
+    ) -> dict[TaskKey, TaskMove]:
+        if not self._waits_whole(ready):
+            return {}
+        cell_id = book.take_gang(ready.step, service)
+        if cell_id is None:
+            return {}
+        tasks = [ready.task(index) for index in sorted(ready.waiting)]
+        self._withheld.update(tasks)
+        return {task: make_move(ready.tracked, task, cell_id) for task in tasks}
+
+    def _waits_whole(self, ready: ReadyStep) -> bool:
+        """Tell whether no member of a gang runs or is about to move."""
+        if len(ready.waiting) < ready.step.n_tasks:
+            return False
+        tasks = [ready.task(index) for index in ready.waiting]
+        return not any(t in self.run_by_task or t in self._withheld for t in tasks)
+
     def filler_rooms(self) -> tuple[FillerRoom, ...]:
         """Return what is left for fillers, by the images that serve beside them."""
         left_by_images: dict[tuple[str, ...], int] = {}
@@ -532,8 +553,7 @@
         )
         step = tracked.submission.steps[end.task.step]
         tracked.note_run(end.task, end.run)
-        if end.checkpoint and step.saves_progress:
-            tracked.progress.checkpoint_by_task[end.task] = end.checkpoint
+        tracked.note_checkpoint(end.task, end.checkpoint)
         if end.end is RunEnd.FAILED:
             view.note_failure(now)
         elif end.end is RunEnd.DONE:
@@ -544,6 +564,8 @@
             self._stop_runs_of(end.task.submission_id, now)
         elif is_ours:
             tracked.put_back(end.task)
+            if step.is_gang and end.end is not RunEnd.DONE:
+                self._break_gang(end.task, end.run, now)
 
     def _count_end(
         self, tracked: TrackedSubmission, view: WorkerView, end: EndedTask, now: float
@@ -553,7 +575,8 @@
             tracked.has_started = True
             tracked.add_done(end.task)
             tracked.open_steps(self._wall_ms)
-            self._stop_extra_run(end.task, now)
+            if not tracked.submission.steps[end.task.step].is_gang:
+                self._stop_extra_run(end.task, now)
         elif end.end is RunEnd.FAILED:
             tracked.has_started = True
             tracked.add_failure(end.task, end.run)
@@ -682,9 +705,16 @@
         tracked = self.book.by_id.get(run.task.submission_id)
         if tracked is None:
             return
-        if run.checkpoint and run.step.saves_progress:
-            tracked.progress.checkpoint_by_task[run.task] = run.checkpoint
+        tracked.note_checkpoint(run.task, run.checkpoint)
         tracked.put_back(run.task)
+        if run.step.is_gang:
+            self._break_gang(run.task, run.number, now)
+
+    def _break_gang(self, task: TaskKey, number: int, now: float) -> None:
+        """Stop the other members of a gang's run: they can't go on without this one."""
+        for run in tuple(self.run_by_task.values()):
+            if run.task[:3] == task[:3] and run.number <= number:
+                self._stop(run, now)
 
     def _end_life(self, view: WorkerView, reason: str, now: float) -> None:
         """Lose the runs of a life that is over.
@@ -768,7 +798,35 @@
         place = choose_worker(run.task, run.step, service, workers, self.pairs)
         return place is not None
 
+    def _start_gang(self, ready: ReadyStep, now: float) -> None:
+        """Start all members of a gang under one run number, or none."""
+        if not self._waits_whole(ready):
+            return
+        tracked = ready.tracked
+        tasks = [ready.task(index) for index in sorted(ready.waiting)]
+        number = max(tracked.next_run(task, self.epoch) for task in tasks)
+        runs: list[Run] = []
+        for task in tasks:
+            view = self._choose(ready, task, now)
+            if view is None:
+                break
+            runs.append(self._place(tracked, task, view, number, now))
+        if len(runs) == len(tasks):
+            ready.stuck_since = None
+            for run in runs:
+                self._send_start(tracked, run, now)
+            return
+        for run in runs:
+            self._drop_run(run, now)
+            tracked.put_back(run.task)
+        # Putting a task back may have made its step ready anew.
+        again = tracked.ready_by_step[(ready.occurrence, ready.number)]
+        again.stuck_since = ready.stuck_since if ready.stuck_since is not None else now
+
     def _start_ready(self, ready: ReadyStep, now: float) -> None:
+        if ready.step.is_gang:
+            self._start_gang(ready, now)
+            return
         for index in sorted(ready.waiting):
             task = ready.task(index)
             if task in self.run_by_task or task in self._withheld:
@@ -797,6 +855,7 @@
             ready
             for ready in self.book.ready_steps(now)
             if ready.step.fills
+            and not ready.step.is_gang
             and ready.stuck_since is not None
             and now - ready.stuck_since > STARVING_S
             and not self._is_blocked(ready, now)
@@ -858,34 +917,51 @@
         self, tracked: TrackedSubmission, task: TaskKey, view: WorkerView, now: float
     ) -> None:
         number = tracked.next_run(task, self.epoch)
-        step = tracked.submission.steps[task.step]
-        deadline_ms = self.lease_until_ms(view, now)
-        checkpoint = tracked.progress.checkpoint_by_task.get(task, "")
+        self._send_start(tracked, self._place(tracked, task, view, number, now), now)
+
+    def _place(
+        self,
+        tracked: TrackedSubmission,
+        task: TaskKey,
+        view: WorkerView,
+        number: int,
+        now: float,
+    ) -> Run:
+        """Take room for a run on a worker."""
         run = Run(
             task,
             number,
             view.entry.worker_id,
-            step,
+            tracked.submission.steps[task.step],
             RunPhase.STARTING,
             now,
             now,
-            checkpoint=checkpoint,
+            checkpoint=tracked.checkpoint_of(task),
         )
-        tracked.has_started = True
         self._add_run(tracked, run)
+        return run
+
+    def _send_start(self, tracked: TrackedSubmission, run: Run, now: float) -> None:
+        tracked.has_started = True
+        view = self.worker_by_id[run.worker_id]
         logger.info(
             "run started: task %s run %d on %s, %d of %d left, %.1f s before due",
-            task,
-            number,
-            view.entry.worker_id,
+            run.task,
+            run.number,
+            run.worker_id,
             view.cpu_left(),
             view.entry.capacity.cpu_millis,
             tracked.due_at - now,
         )
         order = StartOrder(
-            task, number, tracked.submission.spec, deadline_ms, self.epoch, checkpoint
+            run.task,
+            run.number,
+            tracked.submission.spec,
+            self.lease_until_ms(view, now),
+            self.epoch,
+            run.checkpoint,
         )
-        self._order(view.entry.worker_id, order)
+        self._order(run.worker_id, order)
 
     def _add_run(self, tracked: TrackedSubmission, run: Run) -> None:
         tracked.note_run(run.task, run.number)
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -96,11 +96,29 @@
         chosen = max(room_by_id, key=room_by_id.__getitem__)
         if room_by_id[chosen] < step.demand.cpu_millis:
             return None
-        taken = self._taken_by_fillers if step.fills else self._taken
-        taken[chosen] += step.demand.cpu_millis
-        self._n_moved[chosen] += 1
+        self._note_taken(step, chosen, 1)
         return chosen
 
+    def take_gang(self, step: Step, service: str) -> str | None:
+        """Return a cell with room for all tasks of ``step`` at once, or None."""
+        room_by_id = {
+            cell_id: self._room_for(step, room)
+            for cell_id, room in self._room_by_id.items()
+            if room.service == service
+        }
+        chosen = max(room_by_id, key=room_by_id.__getitem__, default=None)
+        if chosen is None:
+            return None
+        if room_by_id[chosen] < step.demand.cpu_millis * step.n_tasks:
+            return None
+        self._note_taken(step, chosen, step.n_tasks)
+        return chosen
+
+    def _note_taken(self, step: Step, cell_id: str, n_tasks: int) -> None:
+        taken = self._taken_by_fillers if step.fills else self._taken
+        taken[cell_id] += step.demand.cpu_millis * n_tasks
+        self._n_moved[cell_id] += n_tasks
+
     def _room_for(self, step: Step, room: CellRoom) -> float:
         if not step.fills:
             return room.free * USABLE_SHARE - self._taken[room.cell_id]
@@ -110,7 +128,7 @@
 
 def is_stuck(ready: ReadyStep, now: float) -> bool:
     """Tell whether the waiting tasks of a step should look for another cell."""
-    if ready.stuck_since is None or ready.step.is_gang:
+    if ready.stuck_since is None:
         return False
     limit_s = STUCK_FILLER_S if ready.step.fills else STUCK_S
     return now - ready.stuck_since > limit_s
@@ -122,5 +140,5 @@
         cell_id,
         tracked.run_floor_by_task.get(task, 0),
         tuple(sorted(tracked.progress.failed_runs_by_task.get(task, ()))),
-        tracked.progress.checkpoint_by_task.get(task, ""),
+        tracked.checkpoint_of(task),
     )
