Ends and runs of submissions not heard of yet wait until they are

A cell changed hands as a cut ended; the earlier owner, told by a host that didn't know of it yet, started a submission that the new owner heard of only seconds later (the store's feed was silent). The new owner took its ends for strangers', acknowledged them, and later started the tasks again. Ruled out: the fence (the starts came before the new owner's first hold), moves. Change: such an end is kept and not acknowledged until its submission is known; such a run is adopted then, and stopped only if it stays unknown for 5 s; progress recorded for it is kept from the takeover on; a submission heard of 1.5 s after its acceptance counts as inherited.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -44,6 +44,8 @@
 NO_ROOM_PAUSE_S = 0.3
 UNHEALTHY_PAUSE_S = 1.0
 STOP_RETRY_S = 0.5
+# A run of a submission that stays unknown for so long is stopped.
+UNKNOWN_S = 5.0
 # After a takeover the earlier owner may still be given submissions for so long.
 HANDOVER_S = 5.0
 # A filler that fits nowhere is run where it does least harm after this wait, for less
@@ -150,6 +152,19 @@
             self._inherited.add(submission.submission_id)
         if inherited:
             tracked.has_started = bool(progress.done_by_step)
+        self._take_unknown(submission.submission_id, now)
+
+    def _take_unknown(self, submission_id: str, now: float) -> None:
+        """Count ends and adopt runs that were reported before their submission."""
+        for view in self.worker_by_id.values():
+            for number, end in sorted(view.unknown_end_by_number.items()):
+                if end.task.submission_id == submission_id:
+                    del view.unknown_end_by_number[number]
+                    self._on_end(view, end, now)
+            for task, running in tuple(view.unknown_run_by_task.items()):
+                if task.submission_id == submission_id:
+                    del view.unknown_run_by_task[task]
+                    self._on_running(view, running, now)
 
     def cancel(self, submission_id: str, now: float) -> None:
         """Stop all runs of a submission and let none start."""
@@ -507,9 +522,9 @@
                 )
             )
         acks = {
-            worker_id: (view.life_ms, view.handled_number)
+            worker_id: (view.life_ms, view.recordable_number())
             for worker_id, view in self.worker_by_id.items()
-            if view.handled_number > view.acked_number
+            if view.recordable_number() > view.acked_number
         }
         return RecordBatch(tuple(writes), acks)
 
@@ -543,6 +558,13 @@
             self._drop_run(run, now)
         tracked = self.book.by_id.get(end.task.submission_id)
         if tracked is None:
+            view.unknown_end_by_number[end.number] = end
+            logger.info(
+                "end of an unknown submission: task %s run %d on %s",
+                end.task,
+                end.run,
+                view.entry.worker_id,
+            )
             return
         logger.info(
             "run ended: task %s run %d on %s: %s",
@@ -598,13 +620,28 @@
         self, view: WorkerView, report: WorkerReport, asked_at: float, now: float
     ) -> None:
         seen = {}
+        view.unknown_run_by_task.clear()
         for running in report.running:
             seen[(running.task, running.run)] = running
-            self._on_running(view, running, now)
+            if running.task.submission_id in self.book.by_id:
+                self._on_running(view, running, now)
+            else:
+                self._on_unknown(view, running, now)
+        if not view.unknown_run_by_task:
+            view.unknown_since = None
         for run in tuple(view.run_by_task.values()):
             if (run.task, run.number) not in seen:
                 self._on_absent(run, report, asked_at, now)
 
+    def _on_unknown(self, view: WorkerView, running: RunningTask, now: float) -> None:
+        """Keep a run until its submission is known; stop it if that takes long."""
+        view.unknown_run_by_task[running.task] = running
+        if view.unknown_since is None:
+            view.unknown_since = now
+        if now - view.unknown_since > UNKNOWN_S:
+            stop = StopOrder(running.task, running.run, self.epoch)
+            self._order(view.entry.worker_id, stop)
+
     def _on_running(self, view: WorkerView, running: RunningTask, now: float) -> None:
         run = self.run_by_task.get(running.task)
         if (
@@ -733,6 +770,8 @@
         view.is_fenced = False
         view.handled_number = 0
         view.acked_number = 0
+        view.unknown_end_by_number.clear()
+        view.unknown_run_by_task.clear()
 
     def _lapse_workers(self, now: float) -> None:
         for view in self.worker_by_id.values():
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from berylcleat.model import Step, TaskDemand, TaskKey
-from berylcleat.ports import WorkerEntry
+from berylcleat.ports import EndedTask, RunningTask, WorkerEntry
 
 from ._interference import ImageUse, ServingReading
 from ._leases import WorkerClock
@@ -88,6 +88,10 @@
     used: TaskDemand = field(default_factory=TaskDemand)
     handled_number: int = 0
     acked_number: int = 0
+    # Ends and runs of submissions that this owner hasn't heard of yet.
+    unknown_end_by_number: dict[int, EndedTask] = field(default_factory=dict)
+    unknown_run_by_task: dict[TaskKey, RunningTask] = field(default_factory=dict)
+    unknown_since: float | None = None
     n_failures_in_a_row: int = 0
     avoid_until: float = 0.0
     guarded_at: float = 0.0
@@ -96,6 +100,12 @@
     paced_at: float = 0.0
     past_uses: list[tuple[float, ImageUse]] = field(default_factory=list)
 
+    def recordable_number(self) -> int:
+        """Return the end up to which all ends have been counted."""
+        if not self.unknown_end_by_number:
+            return self.handled_number
+        return min(self.unknown_end_by_number) - 1
+
     def can_start(self, now: float) -> bool:
         """Tell whether new runs may go to this worker now."""
         return not self.explain_unfit(now)
--- a/programs/beryl-host/src/berylcleat/host/_cell_driver.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_driver.py
@@ -49,6 +49,8 @@
 RECORD_PAUSE_S = 0.08
 RECORD_RETRY_S = 0.3
 LOAD_LOG_S = 5.0
+# A submission heard of so long after its acceptance may run under an earlier owner.
+LATE_NEWS_MS = 1500
 CARRY_PERIOD_S = 0.25
 logger = logging.getLogger(__name__)
 
@@ -84,6 +86,7 @@
         self._is_confirmed = is_confirmed
         self._pairs = pairs
         self._carrier = carrier
+        self._early_progress_by_id: dict[str, Progress] = {}
         self._port_by_worker: dict[str, PlatformWorker] = {}
         self._task_by_worker: dict[str, asyncio.Task] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -116,7 +119,7 @@
         now = now_s()
         for entry in self._directory.in_cell(self.cell_id):
             submission = entry.accepted.submission
-            progress = progress_by_id.get(submission.submission_id, Progress())
+            progress = progress_by_id.pop(submission.submission_id, Progress())
             age_s = max(0.0, wall_ms() - entry.accepted.accepted_at_ms) / 1000
             cell.add_submission(
                 submission,
@@ -129,6 +132,7 @@
             cell.update_moves(submission.submission_id, entry.move_by_task, now)
             if entry.is_cancelled:
                 cell.cancel(submission.submission_id, now)
+        self._early_progress_by_id = progress_by_id
         self.cell = cell
         for worker in earlier_workers:
             self._open_worker(worker)
@@ -182,12 +186,13 @@
         if self.cell is None or entry.accepted is None:
             return
         now = now_s()
+        age_ms = wall_ms() - entry.accepted.accepted_at_ms
         self.cell.add_submission(
             entry.accepted.submission,
-            Progress(),
+            self._early_progress_by_id.pop(submission_id, Progress()),
             now,
             now,
-            inherited=False,
+            inherited=age_ms > LATE_NEWS_MS,
             is_home=entry.accepted.cell_id == self.cell_id,
         )
         self.cell.update_moves(submission_id, entry.move_by_task, now)
