Fault soak: real hosts behind loopback proxies, promises checked from outside

The stand-in's workers ended runs only when called, and its ledger took each start after a done end for a double run. Workers now end runs on time, and a start after an end is a double run if that end is noted then or later.

--- a/programs/beryl-host/features/steps/host_group.py
+++ b/programs/beryl-host/features/steps/host_group.py
@@ -18,18 +18,25 @@
 class HostGroup:
     """Hold the processes of one scenario."""
 
-    def __init__(self, n_hosts: int, n_workers: int):
+    def __init__(self, n_hosts: int, n_workers: int, *, n_racks: int = 1):
         self.folder = Path(tempfile.mkdtemp(prefix="beryl-host-"))
         ports = free_ports(2 + n_workers + 4 * n_hosts)
         self.addresses = [f"127.0.0.1:{port}" for port in ports]
         self.store, self.control, *rest = self.addresses
         self.workers, rest = rest[:n_workers], rest[n_workers:]
         self.hosts = [rest[4 * n : 4 * n + 4] for n in range(n_hosts)]
+        self.n_racks = n_racks
+        self.store_by_host = [self.store] * n_hosts
+        self.listed_by_worker = list(self.workers)
+        self._prepare()
         self.processes: list[subprocess.Popen] = []
         self.platform = self._start_platform()
         for number in range(n_hosts):
             self.processes.append(self.start_host(number))
 
+    def _prepare(self) -> None:
+        """Change addresses before anything starts."""
+
     def _start_platform(self) -> subprocess.Popen:
         settings = {
             "store_address": self.store,
@@ -40,7 +47,8 @@
                     "worker_id": f"w{n}",
                     "address": address,
                     "data_centre": "dc-1",
-                    "rack": "r1",
+                    "rack": f"r{1 + n % self.n_racks}",
+                    "listed_address": self.listed_by_worker[n],
                 }
                 for n, address in enumerate(self.workers)
             ],
@@ -58,7 +66,7 @@
             "ready_address": ready,
             "peer_address": peer,
             "metrics_address": metrics,
-            "store_address": self.store,
+            "store_address": self.store_by_host[number],
         }
         return self._spawn(f"host-{number}", ["-m", "berylcleat.host"], settings)
 
--- /dev/null
+++ b/programs/beryl-host/features/steps/loopback_proxy.py
@@ -0,0 +1,87 @@
+"""A TCP proxy on loopback that delays, silences, cuts or resets connections."""
+
+import asyncio
+from enum import Enum
+
+CHUNK_BYTES = 65536
+DELAY_S = 0.3
+
+
+class LinkMode(Enum):
+    """Name what happens to bytes on a link."""
+
+    OPEN = "open"
+    DELAYED = "delayed"
+    # Bytes towards the server, or back from it, are held until the link opens.
+    CUT_THERE = "cut there"
+    CUT_BACK = "cut back"
+    SILENT = "silent"
+    REFUSED = "refused"
+
+
+class LoopbackProxy:
+    """Carry connections from one address to another as the mode says.
+
+    A connection that was held goes silent for good: held bytes are dropped.
+    """
+
+    def __init__(self, address: str, target: str):
+        self.address = address
+        self.target = target
+        self.mode = LinkMode.OPEN
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Begin to listen."""
+        host, port = self.address.rsplit(":", 1)
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    def reset(self) -> None:
+        """Reset every open connection."""
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    async def stop(self) -> None:
+        """Stop listening and drop all connections."""
+        self._server.close()
+        self.reset()
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _serve(self, reader, writer) -> None:
+        if self.mode is LinkMode.REFUSED:
+            writer.transport.abort()
+            return
+        host, port = self.target.rsplit(":", 1)
+        try:
+            there, back = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, back}
+        self._spawn(self._carry(reader, back, LinkMode.CUT_THERE))
+        self._spawn(self._carry(there, writer, LinkMode.CUT_BACK))
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _carry(self, reader, writer, cut: LinkMode) -> None:
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                if self.mode in (cut, LinkMode.SILENT):
+                    # From now on this direction is silent for good.
+                    await asyncio.Event().wait()
+                if self.mode is LinkMode.DELAYED:
+                    await asyncio.sleep(DELAY_S)
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.transport.abort()
+            self._writers.discard(writer)
--- a/standins/src/berylcleat/standins/_task_platform.py
+++ b/standins/src/berylcleat/standins/_task_platform.py
@@ -27,7 +27,7 @@
     StopOrder,
     WorkerEntry,
 )
-from berylcleat.runtime import StopSignal
+from berylcleat.runtime import StopSignal, cancel_all
 
 from ._row_store import RowStore
 from ._task_worker import TaskWorker
@@ -40,16 +40,22 @@
     OrderResult.NO_ROOM: "room",
 }
 HOLD_POLL_S = 0.02
+# Workers end what is due this often, whether anybody calls them or not.
+ADVANCE_PERIOD_S = 0.02
 
 
 @dataclass(frozen=True, slots=True)
 class WorkerPlace:
-    """Say where a stand-in worker listens and in which rack it stands."""
+    """Say where a stand-in worker listens and in which rack it stands.
+
+    Hosts reach it at ``listed_address``, if that is another one.
+    """
 
     worker_id: str
     address: str
     data_centre: str
     rack: str
+    listed_address: str = ""
     cpu_millis: int = 8000
     memory_mb: int = 16000
 
@@ -66,29 +72,52 @@
 
 @dataclass(slots=True)
 class TaskLedger:
-    """Count what truly ran, and keep every overlap."""
+    """Count what truly ran, and keep every overlap.
+
+    A task whose run has ended as done may start again only if that end is never taken
+    note of: its worker's lease lapsed first.
+    """
 
     n_starts: int = 0
     running: dict[TaskKey, list[str]] = field(default_factory=dict)
+    started_ids: set[str] = field(default_factory=set)
     n_done: dict[TaskKey, int] = field(default_factory=dict)
     overlaps: list[str] = field(default_factory=list)
+    noted: set[TaskKey] = field(default_factory=set)
+    done_runs: dict[TaskKey, set[int]] = field(default_factory=dict)
+    runs_before_restart: dict[TaskKey, set[int]] = field(default_factory=dict)
+    run_by_worker: dict[tuple[TaskKey, str], int] = field(default_factory=dict)
 
     def on_start(self, task: TaskKey, run: int, worker_id: str, now: float) -> None:
         """Note a run that has begun."""
         self.n_starts += 1
+        self.started_ids.add(task.submission_id)
         others = self.running.setdefault(task, [])
-        if others or task in self.n_done:
+        if others:
             self.overlaps.append(f"{task} run {run} on {worker_id} beside {others}")
+        elif task in self.noted:
+            self.overlaps.append(f"{task} run {run} on {worker_id} after a noted end")
+        elif task in self.done_runs:
+            self.runs_before_restart[task] = set(self.done_runs[task])
         others.append(worker_id)
+        self.run_by_worker[task, worker_id] = run
 
     def on_end(self, task: TaskKey, worker_id: str, end: RunEnd | None) -> None:
         """Note a run's end."""
         self.running[task].remove(worker_id)
         if end is RunEnd.DONE:
+            run = self.run_by_worker[task, worker_id]
+            self.done_runs.setdefault(task, set()).add(run)
             self.n_done[task] = self.n_done.get(task, 0) + 1
 
     def on_acknowledged(self, end: EndedTask) -> None:
         """Note an end that a worker was told to forget."""
+        if end.end is not RunEnd.DONE:
+            return
+        self.noted.add(end.task)
+        if end.run in self.runs_before_restart.get(end.task, ()):
+            text = f"{end.task} was started again, then run {end.run} noted as done"
+            self.overlaps.append(text)
 
 
 def parse_spec(spec: str) -> dict[str, Any]:
@@ -132,7 +161,7 @@
         """Write a worker's entry into the store."""
         entry = {
             "service": "svc",
-            "address": place.address,
+            "address": place.listed_address or place.address,
             "zone": place.data_centre,
             "state": state,
             "capacity": {"cpu": place.cpu_millis, "memMb": place.memory_mb, "gpu": 0},
@@ -233,6 +262,13 @@
                 return answer
             await asyncio.sleep(HOLD_POLL_S)
 
+    async def advance_workers(self) -> None:
+        """End what is due on every worker, until cancelled."""
+        while True:
+            for worker in self.worker_by_id.values():
+                worker.advance(time.monotonic())
+            await asyncio.sleep(ADVANCE_PERIOD_S)
+
     async def on_control(self, request: HttpRequest) -> HttpResponse:
         """Let a test set an outage, drain a worker, or read the ledger."""
         if request.target == "/ledger":
@@ -241,6 +277,7 @@
                     "n_starts": self.ledger.n_starts,
                     "n_done": sum(self.ledger.n_done.values()),
                     "overlaps": self.ledger.overlaps,
+                    "started_ids": sorted(self.ledger.started_ids),
                     "running": sum(map(len, self.ledger.running.values())),
                 }
             )
@@ -310,4 +347,6 @@
         servers.append(HttpServer(place.address, handler))
     for server in servers:
         await server.start()
+    advancing = asyncio.get_running_loop().create_task(platform.advance_workers())
     await stop.wait()
+    await cancel_all([advancing])
