Queues with advice: only workers with a ticket get their tasks

Cause: a deployment whose queues carry advice would have had every start rejected; tickets were decoded and not asked for. Change: AdviceBook keeps tickets a step, for a worker's life and the policy's time, asks for the emptiest workers (30 a call at most) and again for a refused ticket; PlatformAdvisor speaks to the service; starts carry the ticket. Tasks of such queues are not forced.

--- a/libs/model/src/berylcleat/model/_submissions.py
+++ b/libs/model/src/berylcleat/model/_submissions.py
@@ -31,6 +31,22 @@
     def __str__(self) -> str:
         return f"{self.submission_id}.{self.occurrence}.{self.step}.{self.index}"
 
+    @property
+    def step_key(self) -> "StepKey":
+        """Return the name of the step's occurrence that the task belongs to."""
+        return StepKey(self.submission_id, self.occurrence, self.step)
+
+
+class StepKey(NamedTuple):
+    """Name one occurrence of one step of a submission."""
+
+    submission_id: str
+    occurrence: int
+    step: int
+
+    def __str__(self) -> str:
+        return f"{self.submission_id}.{self.occurrence}.{self.step}"
+
 
 @dataclass(frozen=True, slots=True)
 class TaskDemand:
--- a/libs/ports/src/berylcleat/ports/__init__.py
+++ b/libs/ports/src/berylcleat/ports/__init__.py
@@ -35,6 +35,8 @@
     StoreRow,
 )
 from ._task_workers import (
+    AdviceRequest,
+    Advisor,
     EndedTask,
     HoldOrder,
     OrderAnswer,
@@ -44,6 +46,7 @@
     RunningTask,
     StartOrder,
     StopOrder,
+    Ticket,
     WorkerPort,
     WorkerReport,
 )
@@ -58,6 +61,9 @@
 )
 
 __all__ = [
+    "AdviceRequest",
+    "Advisor",
+    "Ticket",
     "ChangeFeed",
     "Changes",
     "Check",
--- a/libs/ports/src/berylcleat/ports/_task_workers.py
+++ b/libs/ports/src/berylcleat/ports/_task_workers.py
@@ -4,7 +4,7 @@
 from enum import Enum
 from typing import Protocol
 
-from berylcleat.model import TaskKey
+from berylcleat.model import StepKey, TaskKey
 
 
 class RunEnd(Enum):
@@ -89,6 +89,31 @@
     ticket: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class AdviceRequest:
+    """Ask which of these workers may run a step of an advised queue."""
+
+    step: StepKey
+    worker_ids: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """Let the tasks of a step start on a worker, in this life of it."""
+
+    worker_id: str
+    text: str
+
+
+class Advisor(Protocol):
+    """Tell which workers may run a step."""
+
+    async def advise(
+        self, request: AdviceRequest, expected_s: float
+    ) -> tuple[Ticket, ...]:
+        """Return the tickets; raise ``PlatformUnavailableError`` without an answer."""
+
+
 @dataclass(frozen=True, slots=True)
 class StopOrder:
     """Ask a worker to stop one run."""
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -21,6 +21,7 @@
     WorkerReport,
 )
 
+from ._advice import AdviceBook
 from ._book import ReadyStep, SubmissionBook, TrackedSubmission
 from ._guard import choose_stops
 from ._interference import PairTable
@@ -113,6 +114,7 @@
         self.book = SubmissionBook()
         self.pairs = pairs
         self.loads = LoadBook()
+        self.advice = AdviceBook()
         self.worker_by_id: dict[str, WorkerView] = {}
         self.run_by_task: dict[TaskKey, Run] = {}
         self.is_fenced_out = False
@@ -174,6 +176,7 @@
         tracked.cancel()
         self.book.retire(tracked)
         self.loads.forget(submission_id)
+        self.advice.forget(submission_id)
         self._stop_runs_of(submission_id, now)
 
     def update_moves(
@@ -536,6 +539,7 @@
                 tracked.is_dirty = False
                 self.book.retire(tracked)
                 if write.is_final:
+                    self.advice.forget(write.submission_id)
                     state = tracked.progress.final_state.value
                     logger.info(
                         "submission %s: recorded as %s", write.submission_id, state
@@ -723,7 +727,9 @@
     def _on_rejected_start(self, run: Run, result: OrderResult, now: float) -> None:
         view = self.worker_by_id.get(run.worker_id)
         if view is not None:
-            if result is OrderResult.NO_ROOM:
+            if result is OrderResult.BAD_TICKET:
+                self.advice.drop(run.task, run.worker_id)
+            elif result is OrderResult.NO_ROOM:
                 view.avoid_until = max(view.avoid_until, now + NO_ROOM_PAUSE_S)
             elif result is not OrderResult.OLD_RUN:
                 view.avoid_until = max(view.avoid_until, now + UNHEALTHY_PAUSE_S)
@@ -880,13 +886,18 @@
             return
 
     def _choose(self, ready: ReadyStep, task: TaskKey, now: float) -> WorkerView | None:
-        return choose_worker(
-            task,
-            ready.step,
-            ready.tracked.submission.queue.service,
-            self._startable(now),
-            self.pairs,
-        )
+        views = self._startable(now)
+        queue = ready.tracked.submission.queue
+        if queue.advice is None:
+            return choose_worker(task, ready.step, queue.service, views, self.pairs)
+        allowed = [
+            view for view in views if self.advice.ticket_of(task, view, now) is not None
+        ]
+        chosen = choose_worker(task, ready.step, queue.service, allowed, self.pairs)
+        if chosen is None:
+            views = [view for view in views if view.entry.service == queue.service]
+            self.advice.want(ready, views, now)
+        return chosen
 
     def _force_starving(self, now: float) -> None:
         """Run starving fillers in turn, those that had none for longest first."""
@@ -895,6 +906,7 @@
             for ready in self.book.ready_steps(now)
             if ready.step.fills
             and not ready.step.is_gang
+            and ready.tracked.submission.queue.advice is None
             and ready.stuck_since is not None
             and now - ready.stuck_since > STARVING_S
             and not self._is_blocked(ready, now)
@@ -999,6 +1011,7 @@
             self.lease_until_ms(view, now),
             self.epoch,
             run.checkpoint,
+            self.advice.ticket_of(run.task, view, now) or "",
         )
         self._order(run.worker_id, order)
 
--- a/programs/beryl-host/src/berylcleat/host/_cell_driver.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_driver.py
@@ -4,9 +4,11 @@
 import logging
 from collections.abc import Callable
 
-from berylcleat.model import BerylError, SubmissionState
+from berylcleat.model import BerylError, PlatformUnavailableError, SubmissionState
 from berylcleat.platform import PlatformWorker
 from berylcleat.ports import (
+    AdviceRequest,
+    Advisor,
     HoldOrder,
     OrderResult,
     PaceOrder,
@@ -71,6 +73,7 @@
         is_confirmed: Callable[[], bool],
         pairs: PairTable,
         carrier: TaskCarrier,
+        advisor: Advisor | None = None,
     ):
         self.cell_id = cell_id
         self.data_centre = data_centre
@@ -86,6 +89,7 @@
         self._is_confirmed = is_confirmed
         self._pairs = pairs
         self._carrier = carrier
+        self._advisor = advisor
         self._early_progress_by_id: dict[str, Progress] = {}
         self._port_by_worker: dict[str, PlatformWorker] = {}
         self._task_by_worker: dict[str, asyncio.Task] = {}
@@ -360,6 +364,33 @@
             if self._is_confirmed() and not self.is_lost:
                 for item in self.cell.plan(now_s(), wall_ms()):
                     self._spawn(self._send(item))
+                for request in self.cell.advice.take_requests():
+                    self._spawn(self._ask_advice(request))
+
+    async def _ask_advice(self, request: AdviceRequest) -> None:
+        """Ask which workers may run a step; the answer is taken in at once."""
+        tracked = self.cell.book.by_id.get(request.step.submission_id)
+        if self._advisor is None or tracked is None:
+            logger.error("step %s needs advice, no service is set", request.step)
+            return
+        policy = tracked.submission.queue.advice
+        expected_s = policy.decide_s + policy.per_worker_s * len(request.worker_ids)
+        asked_at = now_s()
+        try:
+            tickets = await self._advisor.advise(request, expected_s)
+        except PlatformUnavailableError as error:
+            logger.warning("step %s: %s", request.step, error)
+            self.cell.advice.on_no_answer(request)
+            return
+        logger.info(
+            "advice: step %s may run on %d of %d workers, after %.2f s",
+            request.step,
+            len(tickets),
+            len(request.worker_ids),
+            now_s() - asked_at,
+        )
+        self.cell.advice.on_answer(request, tickets, asked_at + policy.valid_s)
+        self._wake.set()
 
     async def _send(self, item: WorkerOrder) -> None:
         port = self._port_by_worker.get(item.worker_id)
--- a/programs/beryl-host/src/berylcleat/host/_cells.py
+++ b/programs/beryl-host/src/berylcleat/host/_cells.py
@@ -5,6 +5,7 @@
 
 from berylcleat.model import BerylError
 from berylcleat.ports import (
+    Advisor,
     Commit,
     Condition,
     RowWrite,
@@ -46,6 +47,7 @@
         times: LeaseTimes,
         pairs: PairTable,
         peers: PeerClient,
+        advisor: Advisor | None = None,
     ):
         self.driver_by_cell: dict[str, CellDriver] = {}
         self.is_leaving = False
@@ -63,6 +65,7 @@
         self._times = times
         self._pairs = pairs
         self._peers = peers
+        self._advisor = advisor
         self._carrier = TaskCarrier(store, directory, membership, peers, self)
         directory.listeners.append(self._on_submission)
         workers.listeners.append(self._on_workers)
@@ -162,6 +165,7 @@
             self._is_confirmed,
             self._pairs,
             self._carrier,
+            self._advisor,
         )
         if self.is_leaving or self._given_up_epoch_by_cell.get(cell_id, 0) >= row.epoch:
             await driver.release()
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -11,6 +11,7 @@
 from berylcleat.platform import (
     CONFIG_ROW,
     WORKER_TABLE,
+    PlatformAdvisor,
     PlatformStore,
     decode_config,
 )
@@ -90,6 +91,7 @@
             LeaseTimes(worker_lease_s=settings.worker_lease_s),
             self.pairs,
             self.peers,
+            self._make_advisor(),
         )
         chooser = CellChooser(
             settings.data_centre,
@@ -107,6 +109,10 @@
             self.peers,
         )
 
+    def _make_advisor(self) -> PlatformAdvisor | None:
+        address = self.settings.advice_address
+        return PlatformAdvisor(address) if address else None
+
     def _follow_tables(self) -> None:
         self.config = TableFollower(
             self.store,
--- a/programs/beryl-host/src/berylcleat/host/_settings.py
+++ b/programs/beryl-host/src/berylcleat/host/_settings.py
@@ -20,6 +20,7 @@
     peer_address: str
     metrics_address: str
     store_address: str
+    advice_address: str = ""
     cpu_share: float = 1.0
     core_speed: float = 1.0
     worker_lease_s: float = 5.0
