Mild fillers go beside disturbed tasks too; the load budget alone keeps others away

Change: both checks go for mild fillers, the second for all, whose budget by each serving task's own load does the same better. Waiting lines name the reason.

--- a/libs/scheduling/src/berylcleat/scheduling/_placement.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_placement.py
@@ -9,7 +9,7 @@
 
 from berylcleat.model import Step, TaskKey
 
-from ._interference import CALM_RATIO, DISTURBED_RATIO, PairTable, Verdict
+from ._interference import DISTURBED_RATIO, PairTable, Verdict
 from ._pressure import START_PACE, pace_with
 from ._workers import WorkerView
 
@@ -31,7 +31,7 @@
     for worker in workers:
         if not _may_run(task, step, service, worker):
             continue
-        if step.fills and not _may_fill(step, worker, pairs):
+        if step.fills and _explain_filling(step, worker, pairs):
             continue
         score = _score(task, step, worker, pairs)
         if best_score is None or score < best_score:
@@ -82,9 +82,7 @@
         return "no room"
     if step.max_per_worker and _n_siblings(task, worker) >= step.max_per_worker:
         return "too many siblings"
-    if step.fills and not _may_fill(step, worker, pairs):
-        return "would disturb"
-    return ""
+    return _explain_filling(step, worker, pairs) if step.fills else ""
 
 
 def _may_run(task: TaskKey, step: Step, service: str, worker: WorkerView) -> bool:
@@ -98,20 +96,19 @@
     return not step.max_per_worker or _n_siblings(task, worker) < step.max_per_worker
 
 
-def _may_fill(step: Step, worker: WorkerView, pairs: PairTable) -> bool:
+def _explain_filling(step: Step, worker: WorkerView, pairs: PairTable) -> str:
+    """Return why a filler may not go to ``worker``, or an empty text if it may."""
     if worker.cpu_left() < step.demand.cpu_millis:
-        return False
-    if worker.worst_reading() > DISTURBED_RATIO:
-        return False
+        return "no processor time left"
     verdict = pairs.worst(step.image, worker.serving_images())
     if verdict is Verdict.MILD:
-        return True
-    if worker.worst_reading() >= CALM_RATIO:
-        return False
+        return ""
+    if worker.worst_reading() > DISTURBED_RATIO:
+        return "disturbed now"
     if verdict is Verdict.UNKNOWN and not _may_try(step, worker, pairs):
-        return False
+        return "tried by others"
     pace = pace_with(step.image, step.demand.cpu_millis, worker, pairs)
-    return pace >= START_PACE
+    return "" if pace >= START_PACE else "would disturb"
 
 
 def _may_try(step: Step, worker: WorkerView, pairs: PairTable) -> bool:
