A cell that was given up is taken by another data centre within 0.3 s

Each foreign host waited 1.5 s from when it became the best one, and the best one changed. Ruled out: the release itself (20 ms), the heartbeats. Change: after a release foreign hosts wait 0.3 s; after a loss, or at a first start, 1.5 s.

--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -31,3 +31,14 @@
     Given a host with a power of 2.1 and 3 hosts with a power of 0.5
     When 5 cells have no owner
     Then the strong host takes 4 of them
+
+  Scenario Outline: A cell whose data centre has no live host
+    Given a cell with recorded workers "w1 w2" that was <left>
+    When a host of another data centre is free to take it for <seconds> s
+    Then it has <taken> the cell
+
+    Examples:
+      | left     | seconds | taken     |
+      | released | 0.6     | taken     |
+      | lost     | 0.6     | not taken |
+      | lost     | 2.0     | taken     |
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -6,9 +6,10 @@
 
 from berylcleat.host._cell_driver import CellDriver
 from berylcleat.host._cells import CellKeeper
+from berylcleat.host._clock import now_s
 from berylcleat.host._directory import Directory
 from berylcleat.host._follower import TableFollower
-from berylcleat.host._membership import Membership, assign_cells
+from berylcleat.host._membership import Knowledge, Membership, assign_cells
 from berylcleat.host._peers import PeerClient
 from berylcleat.host._recorder import ProgressRecorder
 from berylcleat.host._records import (
@@ -158,6 +159,23 @@
     context.run(leave())
 
 
+def make_keeper(data_centre, store, directory, membership, workers, follower):
+    return CellKeeper(
+        "host-1",
+        data_centre,
+        "bb",
+        store,
+        directory,
+        membership,
+        workers,
+        follower,
+        follower,
+        LeaseTimes(),
+        PairTable(),
+        PeerClient(),
+    )
+
+
 @when("a host is told of its successor while it takes the cell")
 def step_successor(context):
     async def take():
@@ -170,20 +188,7 @@
         follower = TableFollower(
             store, "submissions", directory.on_rows, wait_s=1.0, min_period_s=1.0
         )
-        keeper = CellKeeper(
-            "host-1",
-            "dc-1",
-            "bb",
-            store,
-            directory,
-            membership,
-            workers,
-            follower,
-            follower,
-            LeaseTimes(),
-            PairTable(),
-            PeerClient(),
-        )
+        keeper = make_keeper("dc-1", store, directory, membership, workers, follower)
 
         async def hear():
             store.before_commit = None
@@ -291,3 +296,42 @@
 @then("the strong host takes {n:d} of them")
 def step_strong(context, n):
     assert list(context.owners.values()).count("strong") == n, context.owners
+
+
+@given('a cell with recorded workers "{names}" that was {left}')
+def step_left_cell(context, names, left):
+    step_cell(context, names)
+    owner = OwnerRow(2, "", "") if left == "released" else OwnerRow(2, "gone", "aa")
+    put(context, OWNER_KEY, encode(owner))
+
+
+@when("a host of another data centre is free to take it for {seconds:f} s")
+def step_foreign(context, seconds):
+    async def watch():
+        store = context.store
+        membership = Membership()
+        page = await store.read(CELL_TABLE, CELL)
+        membership.on_owner_rows(page.rows)
+        host = encode(HostRow("bb", "dc-2", "127.0.0.1:9", 1.0))
+        membership.on_host_rows((StoreRow("hosts", "", "host-1", host, 1),))
+        workers = WorkerList()
+        workers.data_centre_by_cell()[CELL] = "dc-1"
+        directory = Directory()
+        follower = TableFollower(
+            store, "submissions", directory.on_rows, wait_s=0.1, min_period_s=0.1
+        )
+        follower.confirmed_at = now_s()
+        keeper = make_keeper("dc-2", store, directory, membership, workers, follower)
+        began_at = now_s()
+        while now_s() - began_at < seconds:
+            await keeper.step(Knowledge(began_at - 10.0, now_s()))
+            await asyncio.sleep(0.05)
+        context.taken = bool(keeper.driver_by_cell)
+        await keeper.release_all()
+
+    context.run(watch())
+
+
+@then("it has {taken} the cell")
+def step_taken(context, taken):
+    assert context.taken == (taken == "taken")
--- a/programs/beryl-host/src/berylcleat/host/_cells.py
+++ b/programs/beryl-host/src/berylcleat/host/_cells.py
@@ -27,6 +27,8 @@
 
 # Hosts of a cell's own data centre have this long to show up before others take it.
 FOREIGN_WAIT_S = 1.5
+# A cell that was given up is known to have no host left there, or one that is late.
+RELEASED_WAIT_S = 0.3
 logger = logging.getLogger(__name__)
 
 
@@ -83,11 +85,17 @@
                 continue
             place = self._workers.data_centre_by_cell()[cell_id]
             wished_at = self._wished_at_by_cell.setdefault(cell_id, now)
-            if place != self._data_centre and now - wished_at < FOREIGN_WAIT_S:
+            wait_s = self._foreign_wait_s(cell_id)
+            if place != self._data_centre and now - wished_at < wait_s:
                 continue
             self._wished_at_by_cell.pop(cell_id)
             await self._take(cell_id)
 
+    def _foreign_wait_s(self, cell_id: str) -> float:
+        owner = self._membership.owner_by_cell.get(cell_id)
+        was_released = owner is not None and not owner.row.host_id
+        return RELEASED_WAIT_S if was_released else FOREIGN_WAIT_S
+
     async def release_all(self) -> None:
         """Give all cells up."""
         self.is_leaving = True
