Work that fits nowhere no longer hides a cell's room from others

Ruled out: the takeover (its cell had settled), the move itself. Change: owners tell which part of what waits is stuck; the rest alone is taken off the room.

--- a/libs/scheduling/features/order.feature
+++ b/libs/scheduling/features/order.feature
@@ -11,3 +11,8 @@
     Given a cell with 1 workers of 8 cores
     When an urgent task was accepted 60 s ago and urgent tasks arrive now
     Then only tasks that arrived now are started
+
+  Scenario: Work that fits nowhere doesn't hide a cell's room from others
+    Given a cell with 2 workers of 8 cores
+    When two tasks of 6 cores run and one of 4 cores has waited for a second
+    Then 4 cores are waiting, all of them stuck
--- a/libs/scheduling/features/steps/order_steps.py
+++ b/libs/scheduling/features/steps/order_steps.py
@@ -7,8 +7,8 @@
 QUEUE = QueuePolicy("q", "svc", objective_ms=500, stretch=1.5)
 
 
-def hand_in(context, submission_id, n_tasks, accepted_at, *, lasts=False):
-    step = Step(n_tasks, TaskDemand(4000, 100), estimate_s=0.5, is_long_running=lasts)
+def hand_in(context, submission_id, n_tasks, accepted_at, *, lasts=False, cpu=4000):
+    step = Step(n_tasks, TaskDemand(cpu, 100), estimate_s=0.5, is_long_running=lasts)
     gang = context.gang
     gang.cell.add_submission(
         Submission(submission_id, QUEUE, "s", (step,)),
@@ -46,3 +46,22 @@
 @then("only tasks that arrived now are started")
 def step_new_first(context):
     assert OLD_ID not in context.started and len(context.started) == 2
+
+
+@when("two tasks of 6 cores run and one of 4 cores has waited for a second")
+def step_stuck(context):
+    gang = context.gang
+    hand_in(context, "1" * 16, 2, gang.now, lasts=True, cpu=6000)
+    gang.step()
+    for item in gang.starts:
+        gang.accept(item)
+    hand_in(context, "2" * 16, 1, gang.now)
+    for _ in range(6):
+        gang.step()
+
+
+@then("4 cores are waiting, all of them stuck")
+def step_all_stuck(context):
+    cell = context.gang.cell
+    assert cell.waiting_cpu() == 4000
+    assert cell.stuck_cpu(context.gang.now) == 4000
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -262,6 +262,21 @@
         tasks = [ready.task(index) for index in ready.waiting]
         return not any(t in self.run_by_task or t in self._withheld for t in tasks)
 
+    def waiting_cpu(self) -> int:
+        """Return what waiting tasks would reserve, in thousandths of a core."""
+        return sum(
+            len(ready.waiting) * ready.step.room.cpu_millis
+            for ready in self.book.ready_steps(0.0)
+        )
+
+    def stuck_cpu(self, now: float) -> int:
+        """Return the part of ``waiting_cpu`` that fits on no worker of the cell."""
+        return sum(
+            len(ready.waiting) * ready.step.room.cpu_millis
+            for ready in self.book.ready_steps(now)
+            if is_stuck(ready, now)
+        )
+
     def filler_rooms(self) -> tuple[FillerRoom, ...]:
         """Return what is left for fillers, by the images that serve beside them."""
         left_by_images: dict[tuple[str, ...], int] = {}
--- a/programs/beryl-host/src/berylcleat/host/_cell_driver.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_driver.py
@@ -229,11 +229,6 @@
         if self.cell is None:
             return None
         views = [v for v in self.cell.worker_by_id.values() if v.can_start(now_s())]
-        waiting = sum(
-            len(ready.waiting) * ready.step.room.cpu_millis
-            for tracked in self.cell.book.live_by_id.values()
-            for ready in tracked.ready_by_step.values()
-        )
         fill_waiting = sum(
             len(ready.waiting) * ready.step.demand.cpu_millis
             for tracked in self.cell.book.live_by_id.values()
@@ -245,7 +240,8 @@
             data_centre=self.data_centre,
             cpu_capacity=sum(v.entry.capacity.cpu_millis for v in views),
             cpu_free=sum(v.free().cpu_millis for v in views),
-            cpu_waiting=waiting,
+            cpu_waiting=self.cell.waiting_cpu(),
+            cpu_stuck=self.cell.stuck_cpu(now_s()),
             filler_rooms=self.cell.filler_rooms(),
             fill_waiting=fill_waiting,
             pending_by_queue=self.cell.book.n_pending_by_queue(),
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -70,6 +70,8 @@
     filler_rooms: tuple[FillerRoom, ...]
     fill_waiting: int
     pending_by_queue: dict[str, int]
+    # Part of cpu_waiting that fits on no worker: it leaves the free room to others.
+    cpu_stuck: int = 0
 
 
 def room_of(cell_id: str, summary: CellSummary) -> CellRoom:
@@ -77,7 +79,7 @@
     return CellRoom(
         cell_id,
         summary.service,
-        summary.cpu_free - summary.cpu_waiting,
+        summary.cpu_free - (summary.cpu_waiting - summary.cpu_stuck),
         summary.filler_rooms,
         summary.fill_waiting,
         summary.cpu_capacity,
