The runs of a cell in a module of their own

Cause: _cell.py had grown to 1,068 lines. Change: CellRuns starts, paces, stops and loses runs; Cell takes in submissions, reports and moves; orders and batches lie in _orders.py. Nothing else: the same methods.

--- a/libs/scheduling/src/berylcleat/scheduling/__init__.py
+++ b/libs/scheduling/src/berylcleat/scheduling/__init__.py
@@ -1,11 +1,12 @@
 """Pure decisions of a cell's owner."""
 
 from ._book import SubmissionBook, TrackedSubmission
-from ._cell import Cell, ProgressWrite, RecordBatch, WorkerOrder
+from ._cell import Cell
 from ._guard import choose_stops
 from ._interference import ImageUse, PairTable, ServingReading, Verdict
 from ._leases import CLOCK_DRIFT, LeaseTimes, WorkerClock
 from ._moves import CellRoom, FillerRoom, GuestEnd, MoveProposal, TaskMove
+from ._orders import ProgressWrite, RecordBatch, WorkerOrder
 from ._placement import choose_worker
 from ._pressure import LoadBook, PacePlan, plan_paces
 from ._progress import Progress, decode_progress, encode_progress
