--- a/libs/scheduling/src/berylcleat/scheduling/_interference.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_interference.py
@@ -14,22 +14,23 @@
 from dataclasses import dataclass
 from enum import Enum
 
-# Tail latency relative to the target: calm below, disturbed above.
-CALM_RATIO = 0.7
+# Tail latency relative to the target above which a serving image is disturbed.
 DISTURBED_RATIO = 1.0
-# Between the two a serving image's own load may be the cause: nothing is learnt.
+# Above this ratio a reading is logged, and counts towards a worker that is slow itself.
 BLAMED_RATIO = 1.5
 # Share of a worker's processors below which a filler's effect would not show.
 MIN_SHARE = 0.03
 PRIOR_HEAVY = 0.25
-# Tail latency at no load, relative to the target.
+# Tail latency at no load, relative to the target: targets are six idle tails.
 IDLE_RATIO = 0.17
-# Load that fillers of a heavy and of a mild pair would add with all processors.
+# Load that fillers of a heavy and of a mild pair would add with all processors, as
+# readings of both show (docs/design/platform.md).
 HEAVY_PRESSURE = 3.0
 MILD_PRESSURE = 0.2
 # Readings beyond this load tell no more than that the queue is full.
 MAX_LOAD = 0.95
-# Load of a serving task whose own load is not known, and standard deviations of loads.
+# Load of a serving task whose own load is not known: the mean of a day; and standard
+# deviations of loads read beside it, and beside a known one.
 UNKNOWN_LOAD = 0.48
 UNKNOWN_SPREAD = 0.2
 KNOWN_SPREAD = 0.12
--- a/libs/scheduling/src/berylcleat/scheduling/_pressure.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_pressure.py
@@ -15,7 +15,8 @@
 )
 from ._workers import Run, RunPhase, WorkerView
 
-# Tail latency relative to the target that fillers may bring a serving task to.
+# Tail latency relative to the target that fillers may bring a serving task to: the rest
+# is for its own load, which changes while a filler runs.
 AIMED_RATIO = 0.7
 # Readings of one submission's tasks tell its load for so long, in seconds.
 READING_AGE_S = 1.6
@@ -24,8 +25,7 @@
 MIN_PACE = 20
 START_PACE = 60
 PACE_STEP = 20
-
-
+# Load that a serving task and all fillers beside it may come to.
 BUDGET = load_of(AIMED_RATIO)
 
 
--- a/programs/beryl-host/src/berylcleat/host/_cells.py
+++ b/programs/beryl-host/src/berylcleat/host/_cells.py
@@ -27,7 +27,7 @@
 
 # Hosts of a cell's own data centre have this long to show up before others take it.
 FOREIGN_WAIT_S = 1.5
-# A cell that was given up is known to have no host left there, or one that is late.
+# A cell that was given up in order: whoever is alive is known by then.
 RELEASED_WAIT_S = 0.3
 logger = logging.getLogger(__name__)
 
