No filler comes back to a worker that stays over its target

When something had been over its target for 1.8 s all fillers left; if its own load was the cause, mild ones were started again at once and left again, until the load fell. And where nothing was suspected the newest filler was stopped. Ruled out: the pace plan (it stops below 20% only), takeovers (stops at all hosts). Change: a worker that must be clear takes no filler, forced ones included, until it is below its targets; without a suspect nobody is stopped.

--- a/libs/scheduling/features/fillers.feature
+++ b/libs/scheduling/features/fillers.feature
@@ -35,6 +35,11 @@
     When its tail has been over the target for 2.0 seconds
     Then both fillers are stopped
 
+  Scenario: No filler comes back to a worker that stays over its target by its own load
+    Given a cell whose only worker serves 6 times "web", beside which "press" is mild
+    When its tail stays at 1.2 of its target for 10 seconds while 8 fillers wait
+    Then at most 8 fillers were started and none runs
+
   Scenario: No filler is forced while most processors are reserved
     Given a cell whose only worker serves 7 times "web", beside which "press" is heavy
     When a submission of 4 fillers and one of 1 filler have starved
--- a/libs/scheduling/features/steps/filler_steps.py
+++ b/libs/scheduling/features/steps/filler_steps.py
@@ -180,11 +180,14 @@
         self.ended = []
         self.n_ended = 0
         self.ran = set()
+        self.n_starts = 0
+        self.reading = 50.0
 
     def report(self):
         clock = int(self.now * 1000) + 1
         running = tuple(
-            RunningTask(task, run, "c", 100, 50.0) for task, run in self.running.items()
+            RunningTask(task, run, "c", 100, self.reading)
+            for task, run in self.running.items()
         )
         report = WorkerReport(clock, 1, running, tuple(self.ended))
         self.cell.on_report("w", report, self.now, self.now)
@@ -197,6 +200,7 @@
             if isinstance(order, StartOrder):
                 self.running[order.task] = order.run
                 self.ran.add(order.task.submission_id)
+                self.n_starts += 1
             elif isinstance(order, StopOrder) and order.task in self.running:
                 run = self.running.pop(order.task)
                 self.n_ended += 1
@@ -217,9 +221,17 @@
     make_cell(context, n, serving, filler)
 
 
-def make_cell(context, n_serving, serving, filler):
+@given(
+    'a cell whose only worker serves {n:d} times "{serving}", '
+    'beside which "{filler}" is mild'
+)
+def step_mild_cell(context, n, serving, filler):
+    make_cell(context, n, serving, filler, log_odds=-9.0)
+
+
+def make_cell(context, n_serving, serving, filler, log_odds=5.0):
     context.pairs = PairTable()
-    context.pairs.tell("host-2", {(filler, serving): 5.0})
+    context.pairs.tell("host-2", {(filler, serving): log_odds})
     cell = Cell("r1", 1, LeaseTimes(), 0.0, 0.0, (), context.pairs)
     entry = make_view("w").entry
     cell.list_worker(entry, 0.0)
@@ -297,3 +309,25 @@
 def step_same_load(context):
     loads = [run.own_load for v in context.views for run in v.serving_runs()]
     assert loads == [0.5, 0.5], loads
+
+
+@when(
+    "its tail stays at {ratio:f} of its target for {seconds:d} seconds "
+    "while {n:d} fillers wait"
+)
+def step_stays_over(context, ratio, seconds, n):
+    worker = context.worker
+    worker.reading = ratio * SERVING.target_latency_ms
+    worker.n_starts = 0
+    step = Step(n, FILLER.demand, fills=True, saves_progress=True, image="press")
+    add_submission(context, 2, step)
+    while worker.now < seconds:
+        worker.step()
+
+
+@then("at most {n:d} fillers were started and none runs")
+def step_few_starts(context, n):
+    worker = context.worker
+    assert worker.n_starts <= n, worker.n_starts
+    left = [task for task in worker.running if int(task.submission_id, 16) == 2]
+    assert not left, left
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -13,7 +13,7 @@
 
 from ._advice import AdviceBook
 from ._book import ReadyStep, SubmissionBook, TrackedSubmission
-from ._guard import choose_stops
+from ._guard import choose_stops, must_clear
 from ._interference import PairTable
 from ._leases import LeaseTimes, WorkerClock
 from ._moves import CellRoom
@@ -167,6 +167,7 @@
     def _guard_serving(self, now: float) -> None:
         """Pace or stop fillers that disturb what serves beside them."""
         for view in self.worker_by_id.values():
+            view.is_recovering = must_clear(view, now)
             stops = choose_stops(view, self.pairs, now)
             if stops:
                 view.guarded_at = now
--- a/libs/scheduling/src/berylcleat/scheduling/_guard.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_guard.py
@@ -10,12 +10,17 @@
 CLEAR_S = 1.8
 
 
+def must_clear(view: WorkerView, now: float) -> bool:
+    """Tell whether all fillers must leave a worker and none may come."""
+    return view.over_target_s(now) > CLEAR_S
+
+
 def choose_stops(view: WorkerView, pairs: PairTable, now: float) -> list[Run]:
     """Return the fillers on a worker that should stop now."""
     fillers = [run for run in view.filling_runs() if run.phase is RunPhase.RUNNING]
     if not fillers:
         return []
-    if view.over_target_s(now) > CLEAR_S:
+    if must_clear(view, now):
         return fillers
     unforced = [run for run in fillers if not _is_spared(run, now)]
     if not unforced or now - view.guarded_at <= READING_SPAN_S:
@@ -30,8 +35,8 @@
 def _likeliest(view: WorkerView, fillers: list[Run], pairs: PairTable) -> list[Run]:
     """Return the fillers that most likely disturb something on a worker.
 
-    Where none is suspected, the load of what serves is the cause and one filler less
-    will do; a worker that is slow by itself gets no better by it.
+    Where none is suspected, the load of what serves is the cause; that one, and a
+    worker that is slow by itself, get no better by a stop.
     """
     worst = view.worst_reading_by_image()
     disturbed = {image for image, ratio in worst.items() if ratio > DISTURBED_RATIO}
@@ -41,6 +46,6 @@
         (pairs.worst_probability(run.step.image, disturbed), run.step.image)
         for run in fillers
     )
-    if suspicion >= MIN_SUSPICION:
-        return [run for run in fillers if run.step.image == image]
-    return [max(fillers, key=lambda run: run.started_at)]
+    if suspicion < MIN_SUSPICION:
+        return []
+    return [run for run in fillers if run.step.image == image]
--- a/libs/scheduling/src/berylcleat/scheduling/_placement.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_placement.py
@@ -59,6 +59,8 @@
         left = worker.cpu_left()
         if left < step.demand.cpu_millis or not worker.may_be_forced(now):
             continue
+        if worker.is_recovering:
+            continue
         harmed = sum(
             pairs.probability(step.image, run.step.image)
             for run in worker.serving_runs()
@@ -100,6 +102,8 @@
     """Return why a filler may not go to ``worker``, or an empty text if it may."""
     if worker.cpu_left() < step.demand.cpu_millis:
         return "no processor time left"
+    if worker.is_recovering:
+        return "recovering"
     verdict = pairs.worst(step.image, worker.serving_images())
     if verdict is Verdict.MILD:
         return ""
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -98,6 +98,8 @@
     learnt_at: float = 0.0
     forced_at: float = 0.0
     paced_at: float = 0.0
+    # Whether all fillers had to leave and something is still over its target.
+    is_recovering: bool = False
     past_uses: list[tuple[float, ImageUse]] = field(default_factory=list)
 
     def recordable_number(self) -> int:
