MemoryStore among the stand-ins: tests of hosts don't spell the platform's names

Cause: steps of beryl-host wrote the wire's words to a store in memory. Change: the store's port on rows in memory lies in standins/, with plain reads and writes. Conclusion: no check changed.

--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -1,5 +1,4 @@
 import asyncio
-import base64
 
 import msgspec
 from behave import given, then, when
@@ -23,70 +22,14 @@
     encode,
 )
 from berylcleat.host._worker_list import WorkerList
-from berylcleat.model import OutcomeUnknownError, TaskDemand
-from berylcleat.ports import CommitOutcome, RowPage, StoreRow, WorkerEntry
+from berylcleat.model import TaskDemand
+from berylcleat.ports import StoreRow, WorkerEntry
 from berylcleat.scheduling import LeaseTimes, PairTable, ProgressWrite, RecordBatch
-from berylcleat.standins import RowStore
+from berylcleat.standins import MemoryStore
 
 CELL = "r1"
 
 
-class MemoryStore:
-    """Give the product's port on rows in memory; reads wait for ``gate``."""
-
-    def __init__(self):
-        self.rows = RowStore()
-        self.gate = asyncio.Event()
-        self.gate.set()
-        self.before_commit = None
-        self.is_away = False
-
-    async def commit(self, commit):
-        if self.before_commit is not None:
-            await self.before_commit()
-        status, body = self.rows.transact(
-            {
-                "expectedRev": [
-                    {"table": c.table, "part": c.part, "key": c.key, "ver": c.version}
-                    for c in commit.conditions
-                ],
-                "puts": [
-                    {
-                        "table": w.table,
-                        "part": w.part,
-                        "key": w.key,
-                        "value": base64.b64encode(w.value).decode(),
-                    }
-                    for w in commit.writes
-                ],
-            }
-        )
-        if status == 400:
-            raise OutcomeUnknownError(body["error"], "Send fewer")
-        current = tuple(map(to_row, body.get("rows", ())))
-        return CommitOutcome(status == 200, body["ver"], current)
-
-    async def read(self, table, part, first="", end=""):
-        await self.gate.wait()
-        body = self.rows.read(table, part, first, end)
-        return RowPage(tuple(map(to_row, body["rows"])), body["ver"])
-
-    async def follow(self, table, after, wait_s):
-        if self.is_away:
-            raise OutcomeUnknownError("store: no answer", "Try again")
-        rows = tuple(map(to_row, self.rows.changes_after(table, after)))
-        await asyncio.sleep(0.01)
-        return RowPage(rows, self.rows.version)
-
-    async def list_parts(self, table):
-        return tuple(self.rows.parts(table)["parts"])
-
-
-def to_row(row):
-    value = base64.b64decode(row["value"])
-    return StoreRow(row["table"], row["part"], row["key"], value, row["ver"])
-
-
 def make_entry(worker_id):
     return WorkerEntry(
         worker_id=worker_id,
@@ -103,8 +46,8 @@
 
 
 def read_row(context, key, kind):
-    body = context.store.rows.read(CELL_TABLE, CELL, key, key + "\x00")
-    return msgspec.json.decode(to_row(body["rows"][0]).value, type=kind)
+    row = context.store.rows_of(CELL_TABLE, CELL)[key]
+    return msgspec.json.decode(row.value, type=kind)
 
 
 @given('a cell with recorded workers "{names}"')
@@ -116,19 +59,17 @@
 
 
 def put(context, key, value):
-    text = base64.b64encode(value).decode()
-    row = {"table": CELL_TABLE, "part": CELL, "key": key, "value": text}
-    context.store.rows.transact({"puts": [row]})
+    context.store.put(CELL_TABLE, CELL, key, value)
 
 
 def make_driver(context, unsettled_s):
     loop = asyncio.get_running_loop()
-    owner_body = context.store.rows.read(CELL_TABLE, CELL, OWNER_KEY, "p")
+    owner_row = context.store.rows_of(CELL_TABLE, CELL)[OWNER_KEY]
     return CellDriver(
         CELL,
         "dc-1",
         OwnerRow(2, "host-1", "aa", 18.0),
-        owner_body["rows"][0]["ver"],
+        owner_row.version,
         context.store,
         Directory(),
         LeaseTimes(),
@@ -222,10 +163,10 @@
 @when("the progress of {n:d} submissions is recorded")
 def step_record_many(context, n):
     writes = [ProgressWrite(f"{i:016x}", b"{}", False) for i in range(n)]
-    owner = context.store.rows.read(CELL_TABLE, CELL, OWNER_KEY, "p")["rows"][0]
+    owner = context.store.rows_of(CELL_TABLE, CELL)[OWNER_KEY]
 
     async def record():
-        recorder = ProgressRecorder(context.store, CELL, owner["ver"])
+        recorder = ProgressRecorder(context.store, CELL, owner.version)
         context.n_commits = 0
         left = writes
         while left:
@@ -240,8 +181,7 @@
 
 @then("all {n:d} are recorded after at most {n_commits:d} transactions")
 def step_all_recorded(context, n, n_commits):
-    body = context.store.rows.read(PROGRESS_TABLE, CELL, "", "")
-    assert len(body["rows"]) == n
+    assert len(context.store.rows_of(PROGRESS_TABLE, CELL)) == n
     assert context.n_commits <= n_commits, context.n_commits
 
 
@@ -265,7 +205,7 @@
         store.is_away = True
         await asyncio.sleep(0.05)
         for number in range(n):
-            store.rows.write("op", "config", str(number).encode())
+            store.put("op", "", "config", str(number).encode())
         store.is_away = False
         await asyncio.sleep(0.5)
         task.cancel()
--- a/standins/src/berylcleat/standins/__init__.py
+++ b/standins/src/berylcleat/standins/__init__.py
@@ -3,6 +3,7 @@
 from ._commands import platform_main, rack_main, task_platform_main
 from ._fleet import Fleet, FleetPlan, Host, ask, free_ports, make_fleet_plan
 from ._history import History, HistoryEvent, read_history
+from ._memory_store import MemoryStore
 from ._platform import Faults, PlatformSettings
 from ._rack import RackSettings, WorkerFault
 from ._row_store import RowStore
@@ -28,6 +29,7 @@
     "History",
     "HistoryEvent",
     "Host",
+    "MemoryStore",
     "PlatformSettings",
     "RackSettings",
     "RowStore",
--- /dev/null
+++ b/standins/src/berylcleat/standins/_memory_store.py
@@ -0,0 +1,98 @@
+"""The product's store port on rows in memory, for tests without sockets."""
+
+import asyncio
+import base64
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from berylcleat.model import OutcomeUnknownError
+from berylcleat.ports import (
+    Commit,
+    CommitOutcome,
+    Condition,
+    RowPage,
+    RowWrite,
+    StoreRow,
+)
+
+from ._row_store import RowStore
+
+FOLLOW_PAUSE_S = 0.01
+REMEDY = "Try again"
+
+
+class MemoryStore:
+    """Keep rows in memory.
+
+    Reads wait for ``gate``; ``before_commit`` is awaited before each commit; while
+    ``is_away`` no change is told.
+    """
+
+    def __init__(self):
+        self._rows = RowStore()
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.before_commit: Callable[[], Awaitable[None]] | None = None
+        self.is_away = False
+
+    def put(self, table: str, part: str, key: str, value: bytes) -> None:
+        """Write a row without conditions."""
+        self._transact((), (RowWrite(table, part, key, value),))
+
+    def rows_of(self, table: str, part: str) -> dict[str, StoreRow]:
+        """Return the rows of a part by key."""
+        rows = map(_to_row, self._rows.read(table, part, "", "")["rows"])
+        return {row.key: row for row in rows}
+
+    async def commit(self, commit: Commit) -> CommitOutcome:
+        """Apply ``commit`` or report the conflict."""
+        if self.before_commit is not None:
+            await self.before_commit()
+        status, body = self._transact(commit.conditions, commit.writes)
+        if status == 400:
+            raise OutcomeUnknownError(body["error"], REMEDY)
+        current = tuple(map(_to_row, body.get("rows", ())))
+        return CommitOutcome(status == 200, body["ver"], current)
+
+    async def read(
+        self, table: str, part: str, first: str = "", end: str = ""
+    ) -> RowPage:
+        """Return all rows of a part from key ``first`` up to and without ``end``."""
+        await self.gate.wait()
+        body = self._rows.read(table, part, first, end)
+        return RowPage(tuple(map(_to_row, body["rows"])), body["ver"])
+
+    async def follow(self, table: str, after: int, wait_s: float) -> RowPage:
+        """Return rows changed after version ``after``."""
+        if self.is_away:
+            raise OutcomeUnknownError("store: no answer", REMEDY)
+        rows = tuple(map(_to_row, self._rows.changes_after(table, after)))
+        await asyncio.sleep(FOLLOW_PAUSE_S)
+        return RowPage(rows, self._rows.version)
+
+    async def list_parts(self, table: str) -> tuple[str, ...]:
+        """Return the parts of ``table`` that hold rows."""
+        return tuple(self._rows.parts(table)["parts"])
+
+    def _transact(
+        self, conditions: tuple[Condition, ...], writes: tuple[RowWrite, ...]
+    ) -> tuple[int, dict[str, Any]]:
+        expected = [
+            {"table": c.table, "part": c.part, "key": c.key, "ver": c.version}
+            for c in conditions
+        ]
+        puts = [
+            {
+                "table": write.table,
+                "part": write.part,
+                "key": write.key,
+                "value": base64.b64encode(write.value).decode(),
+            }
+            for write in writes
+        ]
+        return self._rows.transact({"expectedRev": expected, "puts": puts})
+
+
+def _to_row(row: dict[str, Any]) -> StoreRow:
+    value = base64.b64decode(row["value"])
+    return StoreRow(row["table"], row["part"], row["key"], value, row["ver"])
