A cell taken by a commit whose answer was lost is driven

Ruled out: a hanging call or a dead loop (the host went on following all tables). Change: a host drives cells whose row names it and this life of it, unless it gave them up; it waits for earlier owners' runs as after a silent one. Conclusion: ownership.feature fails without it.

--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -42,3 +42,8 @@
       | released | 0.6     | taken     |
       | lost     | 0.6     | not taken |
       | lost     | 2.0     | taken     |
+
+  Scenario: A cell that was taken by a commit without an answer is driven
+    Given a cell with recorded workers "w1 w2" that was released
+    When a host takes it and the answer to its commit is lost
+    Then it has taken the cell
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -275,3 +275,31 @@
 @then("it has {taken} the cell")
 def step_taken(context, taken):
     assert context.taken == (taken == "taken")
+
+
+@when("a host takes it and the answer to its commit is lost")
+def step_lost_answer(context):
+    async def take():
+        store = context.store
+        membership = Membership()
+        membership.on_owner_rows((await store.read(CELL_TABLE, CELL)).rows)
+        host = encode(HostRow("bb", "dc-1", "127.0.0.1:9", 1.0))
+        membership.on_host_rows((StoreRow("hosts", "", "host-1", host, 1),))
+        workers = WorkerList()
+        workers.data_centre_by_cell()[CELL] = "dc-1"
+        directory = Directory()
+        follower = TableFollower(
+            store, "submissions", directory.on_rows, wait_s=0.1, min_period_s=0.1
+        )
+        follower.confirmed_at = now_s()
+        keeper = make_keeper("dc-1", store, directory, membership, workers, follower)
+        known = Knowledge(now_s() - 10.0, now_s())
+        store.n_lost_answers = 1
+        await keeper.step(known)
+        assert not keeper.driver_by_cell
+        membership.on_owner_rows((await store.read(CELL_TABLE, CELL)).rows)
+        await keeper.step(known)
+        context.taken = bool(keeper.driver_by_cell)
+        await keeper.release_all()
+
+    context.run(take())
--- a/programs/beryl-host/src/berylcleat/host/_cells.py
+++ b/programs/beryl-host/src/berylcleat/host/_cells.py
@@ -79,6 +79,7 @@
             return
         if self._cells.failing_since is not None:
             return
+        await self._drive_unanswered()
         now = now_s()
         for cell_id, host_id in self._wanted(known).items():
             if host_id != self._host_id or cell_id in self.driver_by_cell:
@@ -91,6 +92,19 @@
             self._wished_at_by_cell.pop(cell_id)
             await self._take(cell_id)
 
+    async def _drive_unanswered(self) -> None:
+        """Drive cells that a commit of ours has taken although its answer was lost."""
+        for cell_id, owner in tuple(self._membership.owner_by_cell.items()):
+            row = owner.row
+            is_ours = (row.host_id, row.incarnation) == (
+                self._host_id,
+                self._incarnation,
+            )
+            given_up = self._given_up_epoch_by_cell.get(cell_id, 0) >= row.epoch
+            if is_ours and not given_up and cell_id not in self.driver_by_cell:
+                logger.info("cell %s: ours under epoch %d", cell_id, row.epoch)
+                await self._drive(cell_id, row, owner.version, owner)
+
     def _foreign_wait_s(self, cell_id: str) -> float:
         owner = self._membership.owner_by_cell.get(cell_id)
         was_released = owner is not None and not owner.row.host_id
--- a/standins/src/berylcleat/standins/_memory_store.py
+++ b/standins/src/berylcleat/standins/_memory_store.py
@@ -25,7 +25,7 @@
     """Keep rows in memory.
 
     Reads wait for ``gate``; ``before_commit`` is awaited before each commit; while
-    ``is_away`` no change is told.
+    ``is_away`` no change is told; the next ``n_lost_answers`` commits get no answer.
     """
 
     def __init__(self):
@@ -34,6 +34,7 @@
         self.gate.set()
         self.before_commit: Callable[[], Awaitable[None]] | None = None
         self.is_away = False
+        self.n_lost_answers = 0
 
     def put(self, table: str, part: str, key: str, value: bytes) -> None:
         """Write a row without conditions."""
@@ -51,6 +52,9 @@
         status, body = self._transact(commit.conditions, commit.writes)
         if status == 400:
             raise OutcomeUnknownError(body["error"], REMEDY)
+        if self.n_lost_answers:
+            self.n_lost_answers -= 1
+            raise OutcomeUnknownError("store: no answer", REMEDY)
         current = tuple(map(_to_row, body.get("rows", ())))
         return CommitOutcome(status == 200, body["ver"], current)
 
