--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -245,23 +245,28 @@
     put(context, OWNER_KEY, encode(owner))
 
 
+async def make_live_keeper(store, data_centre):
+    """Return the keeper and the membership of the only live host."""
+    membership = Membership()
+    membership.on_owner_rows((await store.read(CELL_TABLE, CELL)).rows)
+    host = encode(HostRow("bb", data_centre, "127.0.0.1:9", 1.0))
+    membership.on_host_rows((StoreRow("hosts", "", "host-1", host, 1),))
+    workers = WorkerList()
+    workers.data_centre_by_cell()[CELL] = "dc-1"
+    directory = Directory()
+    follower = TableFollower(
+        store, "submissions", directory.on_rows, wait_s=0.1, min_period_s=0.1
+    )
+    follower.confirmed_at = now_s()
+    keeper = make_keeper(data_centre, store, directory, membership, workers, follower)
+    return keeper, membership
+
+
 @when("a host of another data centre is free to take it for {seconds:f} s")
 def step_foreign(context, seconds):
     async def watch():
         store = context.store
-        membership = Membership()
-        page = await store.read(CELL_TABLE, CELL)
-        membership.on_owner_rows(page.rows)
-        host = encode(HostRow("bb", "dc-2", "127.0.0.1:9", 1.0))
-        membership.on_host_rows((StoreRow("hosts", "", "host-1", host, 1),))
-        workers = WorkerList()
-        workers.data_centre_by_cell()[CELL] = "dc-1"
-        directory = Directory()
-        follower = TableFollower(
-            store, "submissions", directory.on_rows, wait_s=0.1, min_period_s=0.1
-        )
-        follower.confirmed_at = now_s()
-        keeper = make_keeper("dc-2", store, directory, membership, workers, follower)
+        keeper, _ = await make_live_keeper(store, "dc-2")
         began_at = now_s()
         while now_s() - began_at < seconds:
             await keeper.step(Knowledge(began_at - 10.0, now_s()))
@@ -281,18 +286,7 @@
 def step_lost_answer(context):
     async def take():
         store = context.store
-        membership = Membership()
-        membership.on_owner_rows((await store.read(CELL_TABLE, CELL)).rows)
-        host = encode(HostRow("bb", "dc-1", "127.0.0.1:9", 1.0))
-        membership.on_host_rows((StoreRow("hosts", "", "host-1", host, 1),))
-        workers = WorkerList()
-        workers.data_centre_by_cell()[CELL] = "dc-1"
-        directory = Directory()
-        follower = TableFollower(
-            store, "submissions", directory.on_rows, wait_s=0.1, min_period_s=0.1
-        )
-        follower.confirmed_at = now_s()
-        keeper = make_keeper("dc-1", store, directory, membership, workers, follower)
+        keeper, membership = await make_live_keeper(store, "dc-1")
         known = Knowledge(now_s() - 10.0, now_s())
         store.n_lost_answers = 1
         await keeper.step(known)
