What other hosts learnt of a pair of images is bounded

Each call also cost n hosts. Ruled out: a wrong own reading (own log odds rise by 1.5 a strongly disturbed reading). Change: the sum over other hosts is kept by pair and bounded to 2, so that six strong readings of a host prevail, and a host without readings still takes a pair for mild or heavy on the word of others. A probability costs the same with any number of hosts. Test: fillers.feature, 1, 96 and 800 hosts that call a heavy pair mild; before: unknown, mild, mild. Three set-up steps that mean "known" now say so through the host's own evidence; their checks are as before.

--- a/libs/scheduling/features/fillers.feature
+++ b/libs/scheduling/features/fillers.feature
@@ -23,6 +23,19 @@
     When that host reports no pairs
     Then "press" is not heavy beside "web"
 
+  Scenario Outline: Readings of <n> other hosts, which err alike, don't hide a heavy pair
+    Given a serving image "web" and a filler "press" that use a fifth of a worker each
+    When <n> other hosts report that "press" is mild beside "web"
+    Then "press" is mild beside "web"
+    When the tail of "web" is at 4.0 of its target beside "press" 6 times
+    Then "press" is heavy beside "web"
+
+    Examples:
+      | n   |
+      | 1   |
+      | 96  |
+      | 800 |
+
   Scenario: A filler starts where it is mild, and a serving image stays on one worker
     Given workers that serve "web", "mail" and nothing
     When "press" is known to be heavy beside "web" and mild beside "mail"
--- a/libs/scheduling/features/steps/filler_steps.py
+++ b/libs/scheduling/features/steps/filler_steps.py
@@ -102,6 +102,13 @@
         context.interference.set_peer_log_odds("host-2", {(filler, image): 3.0})
 
 
+@when('{n:d} other hosts report that "{filler}" is mild beside "{image}"')
+def step_many_peers_report(context, n, filler, image):
+    for number in range(n):
+        log_odds_by_pair = {(filler, image): -3.0}
+        context.interference.set_peer_log_odds(f"host-{number}", log_odds_by_pair)
+
+
 @when("that host reports no pairs")
 def step_peer_reports_none(context):
     context.interference.set_peer_log_odds("host-2", {})
@@ -126,9 +133,7 @@
 
 @when('"{filler}" is known to be heavy beside "{heavy}" and mild beside "{mild}"')
 def step_known(context, filler, heavy, mild):
-    context.interference.set_peer_log_odds(
-        "host-2", {(filler, heavy): 4.0, (filler, mild): -4.0}
-    )
+    context.interference.restore({(filler, heavy): 4.0, (filler, mild): -4.0})
 
 
 @then('a filler "{image}" goes to one of the workers "{names}"')
@@ -237,7 +242,7 @@
 
 def make_cell(context, n_serving, serving, filler, log_odds=5.0):
     context.interference = InterferenceModel()
-    context.interference.set_peer_log_odds("host-2", {(filler, serving): log_odds})
+    context.interference.restore({(filler, serving): log_odds})
     cell = CellScheduler("r1", 1, LeaseTimes(), 0.0, 0.0, (), context.interference)
     entry = make_view("w").entry
     cell.list_worker(entry, 0.0)
@@ -287,7 +292,7 @@
 )
 def step_serving_beside_heavy(context, load):
     context.interference = InterferenceModel()
-    context.interference.set_peer_log_odds("host-2", {("press", "web"): 9.0})
+    context.interference.restore({("press", "web"): 9.0})
     context.view = make_view("w")
     add_run(context.view, 1, SERVING, "web", 30.0).own_load = load
     filler = Step(1, TaskDemand(3200, 1000), fills=True)
--- a/libs/scheduling/src/berylcleat/scheduling/_interference.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_interference.py
@@ -45,6 +45,10 @@
 MILD_BELOW = 0.1
 HEAVY_ABOVE = 0.6
 MAX_LOG_ODDS = 4.0
+# Bound on the log odds that all other hosts contribute together. Their readings err
+# alike, for example while a serving image has little load of its own, so that many
+# hosts know hardly more than a few; a host's own readings must be able to prevail.
+MAX_PEER_LOG_ODDS = 2.0
 logger = logging.getLogger(__name__)
 
 
@@ -108,26 +112,32 @@
     return 1 / (1 + math.exp(-log_odds))
 
 
+def _clip(value: float, limit: float) -> float:
+    return max(-limit, min(limit, value))
+
+
+PRIOR_LOG_ODDS = _log_odds(PRIOR_HEAVY_PROBABILITY)
+
+
 class InterferenceModel:
     """Probability that each pair (filler image, serving image) is heavy.
 
     Log odds learned by other hosts are stored by host and replaced as a whole, so that
-    no evidence counts twice.
+    no evidence counts twice. Their sum is kept by pair, so that a probability costs the
+    same with any number of hosts.
     """
 
     def __init__(self):
         self._learned_by_pair: dict[Pair, float] = {}
         self._log_odds_by_peer: dict[str, Mapping[Pair, float]] = {}
+        self._peer_sum_by_pair: dict[Pair, float] = {}
 
     def probability(self, filler: str, serving: str) -> float:
         """Return the probability that the pair is heavy."""
         pair = (filler, serving)
-        log_odds = _log_odds(PRIOR_HEAVY_PROBABILITY) + self._learned_by_pair.get(
-            pair, 0.0
-        )
-        for peer_log_odds in self._log_odds_by_peer.values():
-            log_odds += peer_log_odds.get(pair, 0.0)
-        return _probability(max(-MAX_LOG_ODDS, min(MAX_LOG_ODDS, log_odds)))
+        peers = _clip(self._peer_sum_by_pair.get(pair, 0.0), MAX_PEER_LOG_ODDS)
+        log_odds = PRIOR_LOG_ODDS + self._learned_by_pair.get(pair, 0.0) + peers
+        return _probability(_clip(log_odds, MAX_LOG_ODDS))
 
     def worst_probability(self, filler: str, serving: Iterable[str]) -> float:
         """Return the highest probability that ``filler`` is heavy beside an image."""
@@ -173,6 +183,11 @@
         self, host_id: str, log_odds_by_pair: Mapping[Pair, float]
     ) -> None:
         """Replace the log odds learned by another host."""
+        for pair, log_odds in self._log_odds_by_peer.get(host_id, {}).items():
+            self._peer_sum_by_pair[pair] -= log_odds
+        for pair, log_odds in log_odds_by_pair.items():
+            known = self._peer_sum_by_pair.get(pair, 0.0)
+            self._peer_sum_by_pair[pair] = known + log_odds
         self._log_odds_by_peer[host_id] = log_odds_by_pair
 
     def _update_pairs(self, reading: ServingReading, uses: list[ImageUse]) -> None:
@@ -223,4 +238,4 @@
 
     def _add_evidence(self, pair: Pair, log_odds: float) -> None:
         total = self._learned_by_pair.get(pair, 0.0) + log_odds
-        self._learned_by_pair[pair] = max(-MAX_LOG_ODDS, min(MAX_LOG_ODDS, total))
+        self._learned_by_pair[pair] = _clip(total, MAX_LOG_ODDS)
