A task that was found running restarts at once after a takeover

A standing task that the new owner had found running, and that was stopped at 41.3 s on a draining worker, waited until 58.1 s with all the others. Ruled out: no room (there was), a lost end (the stop was listed and recorded at once). Change: the wait holds for each task, not for each submission. One that has run under the new epoch has no other run: the earlier owner starts the next only after this one ended. Also: a fenced owner logs it once, not for every answer (200 lines in a zone cut). Test: takeover.feature; the first scenario fails before the change, the second, a task on the silent worker, holds before and after.

--- a/libs/scheduling/features/steps/gang_steps.py
+++ b/libs/scheduling/features/steps/gang_steps.py
@@ -24,30 +24,44 @@
 
 
 class ScriptedCell:
-    """Cell scheduler with simulated workers that a scenario controls."""
+    """Cell scheduler with simulated workers that a scenario controls.
 
-    def __init__(self, n_workers, cpu_millis):
+    With ``settled_at`` the cell was taken over from an owner of all these workers.
+    """
+
+    def __init__(self, n_workers, cpu_millis, *, settled_at=0.0):
         self.now = 1.0
-        self.cell = CellScheduler(
-            "r1", 1, LeaseTimes(), 0.0, 0.0, (), InterferenceModel()
-        )
         self.running = {f"w{n}": {} for n in range(n_workers)}
         self.ended = {worker_id: [] for worker_id in self.running}
+        self.silent = set()
         self.starts = []
         self.stops = []
-        for worker_id in self.running:
-            capacity = TaskDemand(cpu_millis, 64000)
-            entry = WorkerEntry(
+        capacity = TaskDemand(cpu_millis, 64000)
+        entries = tuple(
+            WorkerEntry(
                 worker_id, "svc", "a:1", "dc", "k", "r1", frozenset(), capacity, 1
             )
+            for worker_id in self.running
+        )
+        self.cell = CellScheduler(
+            "r1",
+            2 if settled_at else 1,
+            LeaseTimes(),
+            0.0,
+            settled_at,
+            entries if settled_at else (),
+            InterferenceModel(),
+        )
+        for entry in entries:
             self.cell.list_worker(entry, self.now)
         self.cell.on_workers_recorded(frozenset(self.running))
-        self.step()
 
     def step(self):
         """Deliver a report of every worker, then collect the scheduler's orders."""
         self.now += 0.2
         for worker_id, running in self.running.items():
+            if worker_id in self.silent:
+                continue
             rows = tuple(
                 RunningTask(t, run, "", 100, 0.0) for t, run in running.items()
             )
@@ -75,6 +89,7 @@
 @given("a cell with {n:d} workers of {cores:d} cores")
 def step_cell(context, n, cores):
     context.scripted_cell = ScriptedCell(n, cores * 1000)
+    context.scripted_cell.step()
 
 
 def submit(context, n, cores, n_attempts):
--- /dev/null
+++ b/libs/scheduling/features/steps/takeover_steps.py
@@ -0,0 +1,66 @@
+from behave import given, then, when
+from gang_steps import SUBMISSION_ID, ScriptedCell
+
+from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
+from berylcleat.ports import EndedTask, RunEnd
+from berylcleat.scheduling import Progress
+
+TASK = TaskKey(SUBMISSION_ID, 0, 0, 0)
+SILENT_WORKER = "w2"
+
+
+@given(
+    "a cell of {n:d} workers taken over with runs unknown for {seconds:d} s, "
+    "one of them silent"
+)
+def step_cell(context, n, seconds):
+    context.scripted_cell = ScriptedCell(n, 8000, settled_at=float(seconds))
+    context.scripted_cell.silent.add(SILENT_WORKER)
+
+
+@given("a standing task that runs on {place}")
+def step_standing_task(context, place):
+    scripted_cell = context.scripted_cell
+    context.worker = SILENT_WORKER if "silent" in place else "w0"
+    scripted_cell.running[context.worker][TASK] = 1
+    step = Step(1, TaskDemand(1000, 100), is_long_running=True)
+    scripted_cell.cell.add_submission(
+        Submission(SUBMISSION_ID, QueuePolicy("q", "svc"), "s", (step,)),
+        Progress(),
+        scripted_cell.now,
+        scripted_cell.now,
+        inherited=True,
+    )
+    scripted_cell.step()
+    assert not scripted_cell.starts, scripted_cell.starts
+
+
+@when("its run is lost to a failure")
+def step_fail(context):
+    scripted_cell = context.scripted_cell
+    run = scripted_cell.running[context.worker].pop(TASK)
+    end = EndedTask(1, TASK, run, RunEnd.FAILED, "")
+    scripted_cell.ended[context.worker].append(end)
+    scripted_cell.step()
+
+
+@then("it is started again at once")
+def step_started_again(context):
+    started = [item.order.task for item in context.scripted_cell.starts]
+    assert started == [TASK], started
+
+
+@then("it isn't started before {seconds:d} s")
+def step_waits(context, seconds):
+    scripted_cell = context.scripted_cell
+    while scripted_cell.now < seconds - 0.3:
+        scripted_cell.step()
+    assert not scripted_cell.starts, scripted_cell.starts
+
+
+@then("it is started after {seconds:d} s")
+def step_starts(context, seconds):
+    scripted_cell = context.scripted_cell
+    while scripted_cell.now < seconds + 0.3:
+        scripted_cell.step()
+    assert [item.order.task for item in scripted_cell.starts] == [TASK]
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -152,24 +152,21 @@
         reservations = HeadroomReservations(headrooms, self.interference)
         proposals = []
         for ready in self.submissions.ready_steps(now):
-            if is_stuck(ready, now) and not self._may_have_unknown_runs(ready, now):
-                move_by_task = self._propose_task_moves(ready, reservations)
+            if is_stuck(ready, now):
+                move_by_task = self._propose_task_moves(ready, reservations, now)
                 if move_by_task:
                     submission_id = ready.tracked.submission.submission_id
                     proposals.append(MoveProposal(submission_id, move_by_task))
         return proposals
 
     def _propose_task_moves(
-        self, ready: ReadyStep, reservations: HeadroomReservations
+        self, ready: ReadyStep, reservations: HeadroomReservations, now: float
     ) -> dict[TaskKey, TaskMove]:
         move_by_task: dict[TaskKey, TaskMove] = {}
         service = ready.tracked.submission.queue.service
         if ready.step.is_gang:
-            return self._propose_gang_move(ready, reservations, service)
-        for index in sorted(ready.waiting):
-            task = ready.task(index)
-            if task in self.run_by_task or task in self._tasks_with_pending_move:
-                continue
+            return self._propose_gang_move(ready, reservations, service, now)
+        for task in self._startable_tasks(ready, now):
             cell_id = reservations.reserve(ready.step, service)
             if cell_id is None:
                 break
@@ -178,14 +175,18 @@
         return move_by_task
 
     def _propose_gang_move(
-        self, ready: ReadyStep, reservations: HeadroomReservations, service: str
+        self,
+        ready: ReadyStep,
+        reservations: HeadroomReservations,
+        service: str,
+        now: float,
     ) -> dict[TaskKey, TaskMove]:
-        if not self._is_whole_gang_waiting(ready):
+        if not self._is_whole_gang_startable(ready, now):
             return {}
         cell_id = reservations.reserve_gang(ready.step, service)
         if cell_id is None:
             return {}
-        tasks = [ready.task(index) for index in sorted(ready.waiting)]
+        tasks = self._startable_tasks(ready, now)
         self._tasks_with_pending_move.update(tasks)
         return {task: make_move(ready.tracked, task, cell_id) for task in tasks}
 
@@ -362,6 +363,8 @@
 
     def on_fenced(self, worker_id: str) -> None:
         """Mark this owner as fenced: a worker has seen a higher epoch."""
+        if self.is_fenced_out:
+            return
         logger.warning(
             "cell %s: worker %s has seen a higher epoch, this owner is fenced",
             self.cell_id,
@@ -422,8 +425,7 @@
         self._wall_ms = wall_ms
         self.submissions.activate_scheduled(wall_ms)
         for ready in self.submissions.ready_steps(now):
-            if not self._may_have_unknown_runs(ready, now):
-                self._start_waiting(ready, now)
+            self._start_waiting(ready, now)
         self._force_starving_fillers(now)
         orders, self._orders = self._orders, []
         return orders
@@ -435,7 +437,7 @@
         """
         task = ready.task(min(ready.waiting))
         counts: dict[str, int] = {}
-        if self._may_have_unknown_runs(ready, now):
+        if self._may_have_unknown_run(task, now):
             return {"runs of earlier owner unknown": len(self._unsettled_workers)}
         if task in self._tasks_with_pending_move:
             return {"move pending": 1}
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -69,6 +69,7 @@
         self._unsettled_workers = {entry.worker_id for entry in earlier_workers}
         self._recorded_workers = set(self._unsettled_workers)
         self._inherited_submissions: set[str] = set()
+        self._tasks_with_known_run: set[TaskKey] = set()
         self._orders: list[WorkerOrder] = []
         self._tasks_with_pending_move: set[TaskKey] = set()
         self._wall_ms = 0.0
@@ -76,24 +77,33 @@
         for entry in earlier_workers:
             self.worker_by_id[entry.worker_id] = WorkerView(entry, is_listed=False)
 
-    def _is_whole_gang_waiting(self, ready: ReadyStep) -> bool:
-        """Return whether all members of a gang wait and none has a pending move."""
-        if len(ready.waiting) < ready.step.n_tasks:
-            return False
-        tasks = [ready.task(index) for index in ready.waiting]
-        return not any(
-            t in self.run_by_task or t in self._tasks_with_pending_move for t in tasks
-        )
+    def _startable_tasks(self, ready: ReadyStep, now: float) -> list[TaskKey]:
+        """Return the waiting tasks of a step that certainly run nowhere, in order."""
+        tasks = (ready.task(index) for index in sorted(ready.waiting))
+        return [
+            task
+            for task in tasks
+            if task not in self.run_by_task
+            and task not in self._tasks_with_pending_move
+            and not self._may_have_unknown_run(task, now)
+        ]
+
+    def _is_whole_gang_startable(self, ready: ReadyStep, now: float) -> bool:
+        return len(self._startable_tasks(ready, now)) == ready.step.n_tasks
 
     def has_settled(self, now: float) -> bool:
         """Return whether every run of earlier owners is known or has expired."""
         return not self._unsettled_workers or now >= self._settled_at
 
-    def _may_have_unknown_runs(self, ready: ReadyStep, now: float) -> bool:
-        """Return whether a step may still have unknown runs of an earlier owner."""
-        if self.has_settled(now):
+    def _may_have_unknown_run(self, task: TaskKey, now: float) -> bool:
+        """Return whether an earlier owner may have a run of a task that is unknown.
+
+        A task that has run under this epoch has none: its earlier owner could start
+        another run only after this one had ended.
+        """
+        if task.submission_id not in self._inherited_submissions:
             return False
-        return ready.tracked.submission.submission_id in self._inherited_submissions
+        return task not in self._tasks_with_known_run and not self.has_settled(now)
 
     def lease_until_ms(self, view: WorkerView, now: float) -> int:
         """Return the lease end to request, and count the lease as possibly granted."""
@@ -231,10 +241,10 @@
 
     def _start_gang(self, ready: ReadyStep, now: float) -> None:
         """Start all members of a gang under one run number, or none."""
-        if not self._is_whole_gang_waiting(ready):
+        if not self._is_whole_gang_startable(ready, now):
             return
         tracked = ready.tracked
-        tasks = [ready.task(index) for index in sorted(ready.waiting)]
+        tasks = self._startable_tasks(ready, now)
         number = max(tracked.next_run(task, self.epoch) for task in tasks)
         runs: list[Run] = []
         for task in tasks:
@@ -260,10 +270,7 @@
         if ready.step.is_gang:
             self._start_gang(ready, now)
             return
-        for index in sorted(ready.waiting):
-            task = ready.task(index)
-            if task in self.run_by_task or task in self._tasks_with_pending_move:
-                continue
+        for task in self._startable_tasks(ready, now):
             view = self._choose_worker(ready, task, now)
             if view is not None:
                 ready.stuck_since = None
@@ -306,16 +313,12 @@
             and ready.tracked.submission.queue.advice is None
             and ready.stuck_since is not None
             and now - ready.stuck_since > STARVATION_S
-            and not self._may_have_unknown_runs(ready, now)
             and self._reserved_share(ready.tracked.submission.queue.service, now)
             < MAX_RESERVED_SHARE_TO_FORCE
         ]
         starving.sort(key=lambda ready: ready.tracked.last_forced_at)
         for ready in starving:
-            for index in sorted(ready.waiting)[:MAX_FORCED_PER_STEP]:
-                task = ready.task(index)
-                if task in self.run_by_task or task in self._tasks_with_pending_move:
-                    continue
+            for task in self._startable_tasks(ready, now)[:MAX_FORCED_PER_STEP]:
                 if not self._force_start(ready, task, now):
                     break
 
@@ -429,6 +432,8 @@
     def _add_run(self, tracked: TrackedSubmission, run: Run) -> None:
         tracked.raise_run_floor(run.task, run.number)
         tracked.remove_waiting(run.task)
+        if run.task.submission_id in self._inherited_submissions:
+            self._tasks_with_known_run.add(run.task)
         self.run_by_task[run.task] = run
         self.worker_by_id[run.worker_id].add_run(run)
 
