--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+import msgspec
+
 from berylcleat.model import Step, TaskKey
 
 from ._interference import InterferenceLevel, InterferenceModel
@@ -29,11 +31,10 @@
     checkpoint: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class FillerHeadroom:
+class FillerHeadroom(msgspec.Struct, frozen=True, array_like=True):
     """Unused processor time of the workers that serve the same images.
 
-    The field names are stored and sent to other hosts.
+    It is stored and read by every host.
     """
 
     serving_images: tuple[str, ...]
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -1,19 +1,23 @@
 import asyncio
+from dataclasses import replace
 
 import msgspec
 from behave import given, then, when
 
 from berylcleat.host._cell_controller import CellController
+from berylcleat.host._cell_directory import CellDirectory
 from berylcleat.host._cell_ownership import CellOwnershipManager
 from berylcleat.host._clock import now_s
 from berylcleat.host._follower import TableFollower
-from berylcleat.host._membership import HeartbeatCoverage, Membership, assign_cells
+from berylcleat.host._identity import HostIdentity
+from berylcleat.host._membership import Coverage, Membership, assign_cells
 from berylcleat.host._peers import PeerClient
 from berylcleat.host._recorder import ProgressRecorder
 from berylcleat.host._records import (
     CELL_TABLE,
     OWNER_KEY,
     PROGRESS_TABLE,
+    RECORDED_WORKER_TABLE,
     WORKERS_KEY,
     HostRow,
     OwnerRow,
@@ -21,6 +25,7 @@
     encode,
 )
 from berylcleat.host._submission_directory import SubmissionDirectory
+from berylcleat.host._submission_feeds import SubmissionFeeds
 from berylcleat.host._worker_list import WorkerList
 from berylcleat.model import TaskDemand
 from berylcleat.ports import StoreRow, WorkerEntry
@@ -50,8 +55,11 @@
     )
 
 
+TABLE_BY_KEY = {OWNER_KEY: CELL_TABLE, WORKERS_KEY: RECORDED_WORKER_TABLE}
+
+
 def read_row(context, key, row_type):
-    row = context.store.rows_by_key(CELL_TABLE, CELL)[key]
+    row = context.store.rows_by_key(TABLE_BY_KEY[key], CELL)[key]
     return msgspec.json.decode(row.value, type=row_type)
 
 
@@ -64,7 +72,7 @@
 
 
 def put_cell_row(context, key, value):
-    context.store.put(CELL_TABLE, CELL, key, value)
+    context.store.put(TABLE_BY_KEY[key], CELL, key, value)
 
 
 def make_controller(context, unsettled_s):
@@ -106,36 +114,39 @@
     context.run(leave())
 
 
-def make_manager(data_centre, store, directory, membership, workers, follower):
+def make_manager(data_centre, store, membership, cells, workers, follower):
+    directory = SubmissionDirectory()
     return CellOwnershipManager(
-        "host-1",
-        data_centre,
-        "bb",
+        HostIdentity("host-1", data_centre, "bb", "127.0.0.1:9"),
         store,
         directory,
+        SubmissionFeeds(store, directory, 0.1),
         membership,
+        cells,
         workers,
         follower,
-        follower,
         LeaseTimes(),
         InterferenceModel(),
         PeerClient(),
     )
 
 
+def make_cell_follower(store, cells):
+    return TableFollower(
+        store, CELL_TABLE, cells.on_owner_rows, wait_s=0.1, min_period_s=0.1
+    )
+
+
 @when("a host gets a takeover notice while it acquires the cell")
 def step_takeover_notice(context):
     async def acquire():
         store = context.store
-        membership = Membership()
-        directory = SubmissionDirectory()
+        cells = CellDirectory()
         workers = WorkerList()
         page = await store.read(CELL_TABLE, CELL)
-        membership.on_owner_rows(page.rows)
-        follower = TableFollower(
-            store, "submissions", directory.on_rows, wait_s=1.0, min_period_s=1.0
-        )
-        manager = make_manager("dc-1", store, directory, membership, workers, follower)
+        cells.on_owner_rows(page.rows)
+        follower = make_cell_follower(store, cells)
+        manager = make_manager("dc-1", store, Membership(), cells, workers, follower)
 
         async def send_notice():
             store.before_commit = None
@@ -238,8 +249,8 @@
 
 @when("{n:d} cells have no owner")
 def step_no_owner(context, n):
-    cells = {f"r{number}": "dc" for number in range(n)}
-    context.host_by_cell = assign_cells(cells, {}, context.hosts)
+    cell_ids = {f"r{number}" for number in range(n)}
+    context.host_by_cell = assign_cells(cell_ids, {}, context.hosts)
 
 
 @then("the strong host gets {n:d} of them")
@@ -252,25 +263,27 @@
 @given('a cell with recorded workers "{names}" that was {state}')
 def step_unowned_cell(context, names, state):
     step_cell(context, names)
-    owner = OwnerRow(2, "", "") if state == "released" else OwnerRow(2, "gone", "aa")
+    lost = OwnerRow(2, "gone", "aa", data_centre="dc-1")
+    owner = OwnerRow(2, "", "") if state == "released" else lost
     put_cell_row(context, OWNER_KEY, encode(owner))
 
 
 async def make_live_manager(store, data_centre):
-    """Return the ownership manager and the membership of the only live host."""
+    """Return the ownership manager and the cells of the only live host."""
     membership = Membership()
-    membership.on_owner_rows((await store.read(CELL_TABLE, CELL)).rows)
+    cells = CellDirectory()
+    cells.on_owner_rows((await store.read(CELL_TABLE, CELL)).rows)
+    # The owner acquired the cell long ago.
+    observed = cells.owner_by_cell[CELL]
+    cells.owner_by_cell[CELL] = replace(observed, observed_at=now_s() - 10.0)
     host = encode(HostRow("bb", data_centre, "127.0.0.1:9", 1.0))
     membership.on_host_rows((StoreRow("hosts", "", "host-1", host, 1),))
     workers = WorkerList()
     workers.data_centre_by_cell()[CELL] = "dc-1"
-    directory = SubmissionDirectory()
-    follower = TableFollower(
-        store, "submissions", directory.on_rows, wait_s=0.1, min_period_s=0.1
-    )
+    follower = make_cell_follower(store, cells)
     follower.confirmed_at = now_s()
-    manager = make_manager(data_centre, store, directory, membership, workers, follower)
-    return manager, membership
+    manager = make_manager(data_centre, store, membership, cells, workers, follower)
+    return manager, cells
 
 
 @when("a host of another data centre is eligible to acquire it for {seconds:f} s")
@@ -280,7 +293,8 @@
         manager, _ = await make_live_manager(store, "dc-2")
         started_at = now_s()
         while now_s() - started_at < seconds:
-            await manager.reconcile(HeartbeatCoverage(started_at - 10.0, now_s()))
+            coverage = Coverage(started_at - 10.0, now_s())
+            await manager.reconcile(coverage, coverage)
             await asyncio.sleep(0.05)
         context.taken = bool(manager.controller_by_cell)
         await manager.release_all()
@@ -297,13 +311,14 @@
 def step_lost_answer(context):
     async def acquire():
         store = context.store
-        manager, membership = await make_live_manager(store, "dc-1")
-        coverage = HeartbeatCoverage(now_s() - 10.0, now_s())
+        manager, cells = await make_live_manager(store, "dc-1")
+        # The last heartbeat of the cell's owner is too long ago.
+        coverage = Coverage(now_s() - 10.0, now_s())
         store.n_lost_answers = 1
-        await manager.reconcile(coverage)
+        await manager.reconcile(coverage, coverage)
         assert not manager.controller_by_cell
-        membership.on_owner_rows((await store.read(CELL_TABLE, CELL)).rows)
-        await manager.reconcile(coverage)
+        cells.on_owner_rows((await store.read(CELL_TABLE, CELL)).rows)
+        await manager.reconcile(coverage, coverage)
         context.taken = bool(manager.controller_by_cell)
         await manager.release_all()
 
--- a/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
@@ -7,20 +7,16 @@
 from berylcleat.model import Step, Submission
 from berylcleat.scheduling import InterferenceModel
 
+from ._cell_directory import CellDirectory
 from ._cell_ownership import CellOwnershipManager
-from ._clock import now_s, wall_ms
-from ._membership import Membership
+from ._clock import now_s
 from ._records import CellSummary, headroom_from_summary
-from ._submission_directory import SubmissionDirectory
 
 # Relative load by which a local cell may exceed a remote one and still be chosen.
 LOCAL_PREFERENCE = 0.03
 # Work assigned to a cell is added to its load for this long: by then its owner's next
 # heartbeat is sure to include it.
 ASSIGNMENT_MEMORY_S = 1.6
-# In a cell whose load isn't published, submissions accepted longer ago than this are
-# assumed to have started or ended.
-UNREPORTED_MS = 30_000
 # Serving tasks of one image are packed into one cell up to this load, so that fillers
 # find workers without the images they interfere with.
 MAX_SERVING_LOAD = 0.9
@@ -47,15 +43,13 @@
     def __init__(
         self,
         data_centre: str,
-        membership: Membership,
+        cells: CellDirectory,
         ownership: CellOwnershipManager,
-        directory: SubmissionDirectory,
         interference: InterferenceModel,
     ):
         self._data_centre = data_centre
-        self._membership = membership
+        self._cells = cells
         self._ownership = ownership
-        self._directory = directory
         self._interference = interference
         self._recent_assignments: list[_RecentAssignment] = []
 
@@ -82,23 +76,13 @@
     def n_pending(self, queue: str) -> int:
         """Return how many submissions of ``queue`` have not started.
 
-        If a cell's load isn't published, all its recent submissions count as pending.
+        A cell without a current owner counts with what its last one published.
         """
-        summaries = self._summaries()
-        reported = sum(
+        summaries = self._cells.last_summaries()
+        summaries.update(self._ownership.summaries())
+        return sum(
             summary.pending_by_queue.get(queue, 0) for summary in summaries.values()
         )
-        oldest_ms = wall_ms() - UNREPORTED_MS
-        unreported = sum(
-            1
-            for entry in self._directory.by_id.values()
-            if entry.accepted is not None
-            and not entry.is_cancelled
-            and entry.accepted.cell_id not in summaries
-            and entry.accepted.submission.queue.name == queue
-            and entry.accepted.accepted_at_ms > oldest_ms
-        )
-        return reported + unreported
 
     def _choose_among(
         self, submission: Submission, suitable: dict[str, CellSummary]
@@ -164,6 +148,6 @@
         )
 
     def _summaries(self) -> dict[str, CellSummary]:
-        summaries = self._membership.summaries()
+        summaries = self._cells.summaries()
         summaries.update(self._ownership.summaries())
         return summaries
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -495,7 +495,7 @@
 
     async def _record_loop(self) -> None:
         """Record workers and task ends; recorded ends are then acknowledged."""
-        while True:
+        while not self.is_inactive:
             await self._record_needed.wait()
             self._record_needed.clear()
             if self.scheduler.must_record_workers():
--- /dev/null
+++ b/programs/beryl-host/src/berylcleat/host/_cell_directory.py
@@ -0,0 +1,113 @@
+"""Owners and loads of all cells, as observed in the store."""
+
+import logging
+from dataclasses import dataclass
+
+import msgspec
+
+from berylcleat.ports import StoreRow
+
+from ._clock import now_s
+from ._records import (
+    LIVE_OWNERS_PREFIX,
+    LOAD_PREFIX,
+    OWNER_KEY,
+    CellSummary,
+    LoadRow,
+    OwnerRow,
+)
+from ._remote_liveness import RemoteLiveness
+
+logger = logging.getLogger(__name__)
+_owner_decoder = msgspec.json.Decoder(OwnerRow)
+_load_decoder = msgspec.json.Decoder(LoadRow)
+
+
+@dataclass(frozen=True, slots=True)
+class ObservedOwner:
+    """Owner row of a cell, its version, and when it was first observed."""
+
+    row: OwnerRow
+    version: int
+    observed_at: float
+
+    def unsettled_s(self, now: float) -> float:
+        """Return the seconds for which earlier runs may be unaccounted for."""
+        return max(0.0, self.row.unsettled_s - (now - self.observed_at))
+
+
+class CellDirectory:
+    """Owners and last published loads by cell, and the liveness of remote owners."""
+
+    def __init__(self):
+        self.owner_by_cell: dict[str, ObservedOwner] = {}
+        self.remote_liveness = RemoteLiveness()
+        self._load_by_cell: dict[str, LoadRow] = {}
+
+    def on_owner_rows(self, rows: tuple[StoreRow, ...]) -> None:
+        """Apply owner rows of the cell table; other rows are ignored."""
+        for row in rows:
+            if row.key == OWNER_KEY:
+                self._on_owner_row(row)
+
+    def _on_owner_row(self, row: StoreRow) -> None:
+        known = self.owner_by_cell.get(row.part)
+        if known is not None and row.version <= known.version:
+            return
+        try:
+            owner = _owner_decoder.decode(row.value)
+        except msgspec.MsgspecError as error:
+            logger.error("owner row of cell %s can't be decoded: %s", row.part, error)
+            return
+        self.owner_by_cell[row.part] = ObservedOwner(owner, row.version, now_s())
+        logger.info(
+            "cell %s: owner %s epoch %d",
+            row.part,
+            owner.host_id or "(none)",
+            owner.epoch,
+        )
+
+    def on_load_rows(self, rows: tuple[StoreRow, ...]) -> None:
+        """Apply rows of the load table: loads of cells and digests of live owners."""
+        for row in rows:
+            if row.key.startswith(LOAD_PREFIX):
+                self._on_load_row(row)
+            elif row.key.startswith(LIVE_OWNERS_PREFIX):
+                self.remote_liveness.on_row(row)
+
+    def _on_load_row(self, row: StoreRow) -> None:
+        cell_id = row.key.removeprefix(LOAD_PREFIX)
+        try:
+            load = _load_decoder.decode(row.value)
+        except msgspec.MsgspecError as error:
+            logger.error("load of cell %s can't be decoded: %s", cell_id, error)
+            return
+        known = self._load_by_cell.get(cell_id)
+        # A delayed write of an earlier owner may arrive last.
+        if known is None or load.epoch >= known.epoch:
+            self._load_by_cell[cell_id] = load
+
+    def summaries(self) -> dict[str, CellSummary]:
+        """Return the loads that current owners published last, by cell."""
+        return {
+            cell_id: load.summary
+            for cell_id, load in self._load_by_cell.items()
+            if self._is_current(cell_id, load)
+        }
+
+    def _is_current(self, cell_id: str, load: LoadRow) -> bool:
+        owner = self.owner_by_cell.get(cell_id)
+        if owner is None or not owner.row.host_id:
+            return False
+        return owner.row.epoch == load.epoch
+
+    def last_summaries(self) -> dict[str, CellSummary]:
+        """Return the load of each cell that any of its owners published last."""
+        return {cell_id: load.summary for cell_id, load in self._load_by_cell.items()}
+
+    def owner_address(self, cell_id: str) -> str | None:
+        """Return the peer address of a cell's owner."""
+        owner = self.owner_by_cell.get(cell_id)
+        if owner is None or not owner.row.host_id:
+            return None
+        return owner.row.peer_address or None
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Set
 
 from berylcleat.model import BerylError
 from berylcleat.ports import (
@@ -16,18 +17,23 @@
 from berylcleat.scheduling import InterferenceModel, LeaseTimes
 
 from ._cell_controller import CellController
+from ._cell_directory import CellDirectory, ObservedOwner
 from ._clock import now_s
 from ._follower import TableFollower
-from ._membership import HeartbeatCoverage, Membership, ObservedOwner, assign_cells
+from ._identity import HostIdentity
+from ._membership import Coverage, Membership, assign_cells
 from ._peers import PeerClient, TakeoverNotice
 from ._records import CELL_TABLE, OWNER_KEY, CellSummary, OwnerRow, encode
+from ._remote_liveness import choose_adopting_data_centre
 from ._submission_directory import SubmissionDirectory, SubmissionEntry
+from ._submission_feeds import SubmissionFeeds
+from ._submission_store import SubmissionStore
 from ._task_mover import TaskMover
 from ._worker_list import WorkerList
 
 # Time for a live host of the cell's own data centre to appear before a host of another
 # data centre acquires the cell.
-REMOTE_TAKEOVER_DELAY_S = 1.5
+REMOTE_TAKEOVER_DELAY_S = 1.0
 # The same delay for a cell that its owner released: live hosts are known by then.
 RELEASED_TAKEOVER_DELAY_S = 0.3
 logger = logging.getLogger(__name__)
@@ -41,15 +47,14 @@
 
     def __init__(
         self,
-        host_id: str,
-        data_centre: str,
-        incarnation: str,
+        identity: HostIdentity,
         store: Store,
         directory: SubmissionDirectory,
+        feeds: SubmissionFeeds,
         membership: Membership,
+        cells: CellDirectory,
         workers: WorkerList,
         cell_follower: TableFollower,
-        submission_follower: TableFollower,
         times: LeaseTimes,
         interference: InterferenceModel,
         peers: PeerClient,
@@ -57,43 +62,53 @@
     ):
         self.controller_by_cell: dict[str, CellController] = {}
         self.is_leaving = False
-        self._host_id = host_id
-        self._data_centre = data_centre
+        self._identity = identity
         # When each cell was first assigned to this host; removed when it is acquired.
         self._eligible_since_by_cell: dict[str, float] = {}
         # Highest epoch under which this host must no longer run a cell, by cell id.
         self._relinquished_epoch_by_cell: dict[str, int] = {}
-        self._incarnation = incarnation
         self._store = store
         self._directory = directory
+        self._feeds = feeds
         self._membership = membership
+        self._cells = cells
         self._workers = workers
         self._cell_follower = cell_follower
-        self._submission_follower = submission_follower
         self._times = times
         self._interference = interference
         self._peers = peers
         self._advisor = advisor
-        self._mover = TaskMover(store, directory, membership, peers, self)
+        self._mover = TaskMover(SubmissionStore(store), directory, cells, peers, self)
         directory.listeners.append(self._on_submission)
         workers.listeners.append(self._on_workers)
 
-    async def reconcile(self, coverage: HeartbeatCoverage) -> None:
-        """Drop lost cells and acquire the cells assigned to this host."""
+    async def reconcile(self, local: Coverage, remote: Coverage) -> None:
+        """Drop lost cells and acquire the cells assigned to this host.
+
+        The coverages are those of the heartbeats of this data centre and of the digests
+        of the other ones.
+        """
         await self._drop_lost()
+        self._feeds.close_unused(set(self.controller_by_cell))
         if self.is_leaving or not self._cell_follower.has_synced:
             return
         if self._cell_follower.failing_since is not None:
             return
         await self._start_unacknowledged()
         now = now_s()
-        for cell_id, host_id in self._assignments(coverage).items():
-            if host_id != self._host_id or cell_id in self.controller_by_cell:
-                continue
+        assigned = {
+            cell_id
+            for cell_id, host_id in self._assignments(local, remote).items()
+            if host_id == self._identity.host_id
+        }
+        for cell_id in self._eligible_since_by_cell.keys() - assigned:
+            del self._eligible_since_by_cell[cell_id]
+        for cell_id in sorted(assigned - self.controller_by_cell.keys()):
             data_centre = self._workers.data_centre_by_cell()[cell_id]
             eligible_since = self._eligible_since_by_cell.setdefault(cell_id, now)
             wait_s = self._remote_takeover_delay_s(cell_id)
-            if data_centre != self._data_centre and now - eligible_since < wait_s:
+            is_remote = data_centre != self._identity.data_centre
+            if is_remote and now - eligible_since < wait_s:
                 continue
             self._eligible_since_by_cell.pop(cell_id)
             await self._acquire(cell_id)
@@ -104,11 +119,11 @@
         The commit replaced the previous owner's row, so that owner can't be asked to
         stop: its runs are waited for as if it were still alive.
         """
-        for cell_id, owner in tuple(self._membership.owner_by_cell.items()):
+        for cell_id, owner in tuple(self._cells.owner_by_cell.items()):
             row = owner.row
             is_ours = (row.host_id, row.incarnation) == (
-                self._host_id,
-                self._incarnation,
+                self._identity.host_id,
+                self._identity.incarnation,
             )
             is_relinquished = (
                 self._relinquished_epoch_by_cell.get(cell_id, 0) >= row.epoch
@@ -126,7 +141,7 @@
                 await self._start_controller(cell_id, row, owner.version, owner)
 
     def _remote_takeover_delay_s(self, cell_id: str) -> float:
-        owner = self._membership.owner_by_cell.get(cell_id)
+        owner = self._cells.owner_by_cell.get(cell_id)
         was_released = owner is not None and not owner.row.host_id
         return RELEASED_TAKEOVER_DELAY_S if was_released else REMOTE_TAKEOVER_DELAY_S
 
@@ -136,6 +151,7 @@
         controllers = list(self.controller_by_cell.values())
         self.controller_by_cell.clear()
         await asyncio.gather(*(controller.release() for controller in controllers))
+        self._feeds.close_unused(set())
 
     def summaries(self) -> dict[str, CellSummary]:
         """Return load summaries of the cells that this host owns, by cell id."""
@@ -146,23 +162,65 @@
                 summaries[cell_id] = summary
         return summaries
 
-    def _assignments(self, coverage: HeartbeatCoverage) -> dict[str, str]:
-        live = self._membership.live_hosts(coverage)
-        owners = {}
-        for cell_id, owner in self._membership.owner_by_cell.items():
-            row = owner.row
-            if row.host_id in live and self._membership.is_live(
-                row.host_id, row.incarnation, coverage
-            ):
-                owners[cell_id] = row.host_id
-        return assign_cells(self._workers.data_centre_by_cell(), owners, live)
+    def _assignments(self, local: Coverage, remote: Coverage) -> dict[str, str]:
+        """Return the host of this data centre for each cell that needs an owner."""
+        live_hosts = self._membership.live_hosts(local)
+        live_owner_by_cell = {
+            cell_id: owner.row.host_id
+            for cell_id, owner in self._cells.owner_by_cell.items()
+            if self._is_owner_live(owner, live_hosts.keys(), local, remote)
+        }
+        live_centres = self._cells.remote_liveness.live_data_centres(remote)
+        live_centres.add(self._identity.data_centre)
+        cell_ids = {
+            cell_id
+            for cell_id, data_centre in self._workers.data_centre_by_cell().items()
+            if self._is_responsible(cell_id, data_centre, live_centres)
+        }
+        return assign_cells(cell_ids, live_owner_by_cell, live_hosts)
+
+    def _is_owner_live(
+        self,
+        owner: ObservedOwner,
+        live_host_ids: Set[str],
+        local: Coverage,
+        remote: Coverage,
+    ) -> bool:
+        row = owner.row
+        if not row.host_id:
+            return False
+        if row.data_centre == self._identity.data_centre:
+            return row.host_id in live_host_ids and self._membership.is_live(
+                row.host_id, row.incarnation, local
+            )
+        # The digests may not list an owner yet that has only just acquired the cell.
+        if remote.is_recent(owner.observed_at):
+            return True
+        return self._cells.remote_liveness.is_live(
+            row.data_centre, row.host_id, row.incarnation, remote
+        )
+
+    def _is_responsible(
+        self, cell_id: str, data_centre: str, live_centres: set[str]
+    ) -> bool:
+        """Return whether hosts of this data centre should own a cell."""
+        if data_centre not in live_centres:
+            data_centre = choose_adopting_data_centre(cell_id, live_centres)
+        return data_centre == self._identity.data_centre
 
     async def _acquire(self, cell_id: str) -> None:
-        previous = self._membership.owner_by_cell.get(cell_id)
+        previous = self._cells.owner_by_cell.get(cell_id)
         epoch = previous.row.epoch + 1 if previous else 1
         version = previous.version if previous else 0
         unsettled_s = self._unsettled_s(previous)
-        row = OwnerRow(epoch, self._host_id, self._incarnation, unsettled_s)
+        row = OwnerRow(
+            epoch,
+            self._identity.host_id,
+            self._identity.incarnation,
+            unsettled_s,
+            self._identity.data_centre,
+            self._identity.peer_address,
+        )
         row_key = (CELL_TABLE, cell_id, OWNER_KEY)
         commit = Commit(
             (Condition(*row_key, version),), (RowWrite(*row_key, encode(row)),)
@@ -173,10 +231,10 @@
             logger.warning("cell %s: could not acquire ownership: %s", cell_id, error)
             return
         if not outcome.applied:
-            self._membership.on_owner_rows(outcome.current)
+            self._cells.on_owner_rows(outcome.current)
             return
         written = StoreRow(*row_key, encode(row), outcome.version)
-        self._membership.on_owner_rows((written,))
+        self._cells.on_owner_rows((written,))
         await self._start_controller(cell_id, row, outcome.version, previous)
 
     def _unsettled_s(self, previous: ObservedOwner | None) -> float:
@@ -224,7 +282,7 @@
             return
         self.controller_by_cell[cell_id] = controller
         try:
-            await self._submission_follower.refresh(version)
+            await self._feeds.open(cell_id, version)
             await controller.start(self._workers.in_cell(cell_id))
         except BerylError as error:
             logger.warning("cell %s: could not start: %s", cell_id, error)
@@ -240,16 +298,15 @@
         if previous is None or not previous.row.host_id:
             return True
         row = previous.row
-        if row.host_id == self._host_id:
-            return row.incarnation != self._incarnation
+        if row.host_id == self._identity.host_id:
+            return row.incarnation != self._identity.incarnation
         heartbeat = self._membership.heartbeat_by_host.get(row.host_id)
-        if heartbeat is None:
-            return False
-        if heartbeat.row.incarnation != row.incarnation:
+        if heartbeat is not None and heartbeat.row.incarnation != row.incarnation:
             return True
-        address = heartbeat.row.peer_address
+        if not row.peer_address:
+            return False
         return await self._peers.send_takeover(
-            address, TakeoverNotice(cell_id, row.epoch)
+            row.peer_address, TakeoverNotice(cell_id, row.epoch, row.host_id)
         )
 
     async def relinquish(self, cell_id: str, epoch: int) -> None:
@@ -268,7 +325,7 @@
 
     async def _drop_lost(self) -> None:
         for cell_id, controller in tuple(self.controller_by_cell.items()):
-            owner = self._membership.owner_by_cell[cell_id]
+            owner = self._cells.owner_by_cell[cell_id]
             is_ours = owner.row == controller.owner
             is_fenced = (
                 controller.scheduler is not None and controller.scheduler.is_fenced_out
--- a/programs/beryl-host/src/berylcleat/host/_client_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_client_api.py
@@ -21,29 +21,17 @@
     encode_state,
     parse_ingress,
 )
-from berylcleat.ports import (
-    Commit,
-    Condition,
-    OperatorConfig,
-    RowWrite,
-    Store,
-)
-from berylcleat.scheduling import decode_progress
+from berylcleat.ports import OperatorConfig, Store
+from berylcleat.scheduling import Progress, decode_progress
 
 from ._cell_chooser import CellChooser
+from ._cell_directory import CellDirectory
 from ._cell_ownership import CellOwnershipManager
 from ._clock import now_s, wall_ms
-from ._membership import Membership
 from ._peers import PeerClient, SubmissionUpdate
-from ._records import (
-    CANCEL_SUFFIX,
-    PROGRESS_TABLE,
-    SUBMISSION_TABLE,
-    AcceptedRow,
-    encode,
-    submission_part,
-)
+from ._records import PROGRESS_TABLE, AcceptedRow
 from ._submission_directory import SubmissionDirectory, SubmissionEntry
+from ._submission_store import SubmissionStore
 
 JSON_TYPE = ("content-type", "application/json")
 RETRY_AFTER_S = 1
@@ -68,16 +56,18 @@
     def __init__(
         self,
         store: Store,
+        submissions: SubmissionStore,
         directory: SubmissionDirectory,
-        membership: Membership,
+        cells: CellDirectory,
         ownership: CellOwnershipManager,
         chooser: CellChooser,
         peers: PeerClient,
     ):
         self.config: OperatorConfig | None = None
         self._store = store
+        self._submissions = submissions
         self._directory = directory
-        self._membership = membership
+        self._cells = cells
         self._ownership = ownership
         self._chooser = chooser
         self._peers = peers
@@ -105,8 +95,7 @@
         self, ingress: IngressRequest, body: bytes, deadline: float
     ) -> HttpResponse:
         submission_id = ingress.submission_id
-        known_entry = self._directory.by_id.get(submission_id)
-        if known_entry is not None:
+        if self._known_home(submission_id) is not None:
             return make_response(200)
         try:
             submission = decode_submission(submission_id, ingress.queue.policy, body)
@@ -141,11 +130,10 @@
         never told that the submission was refused: it gets 504 at the deadline.
         """
         submission_id = accepted.submission.submission_id
-        commit = _acceptance_commit(accepted)
         is_outcome_unknown = False
         while True:
             try:
-                outcome = await self._store.commit(commit)
+                outcome = await self._submissions.accept(accepted)
             except PlatformUnavailableError as error:
                 if not is_outcome_unknown:
                     logger.info("submission %s: refused: %s", submission_id, error)
@@ -158,64 +146,61 @@
             else:
                 if outcome.applied:
                     self._on_accepted(accepted)
-                else:
-                    self._directory.on_rows(outcome.current)
                 return 200
             if now_s() + COMMIT_RETRY_S >= deadline:
                 return 504
             await asyncio.sleep(COMMIT_RETRY_S)
 
     def _on_accepted(self, accepted: AcceptedRow) -> None:
-        self._directory.add_accepted(accepted)
-        self._notify_owner(accepted.cell_id, SubmissionUpdate(accepted=accepted))
+        if accepted.cell_id in self._ownership.controller_by_cell:
+            self._directory.add_accepted(accepted)
+        else:
+            update = SubmissionUpdate(accepted=accepted)
+            self._notify_owner(accepted.cell_id, update)
+
+    def _known_home(self, submission_id: str) -> str | None:
+        """Return the home cell of a submission if this host knows it."""
+        entry = self._directory.by_id.get(submission_id)
+        if entry is not None and entry.accepted is not None:
+            return entry.accepted.cell_id
+        return self._submissions.cached_home(submission_id)
 
     def _notify_owner(self, cell_id: str, update: SubmissionUpdate) -> None:
         """Send ``update`` to the cell's owner before its table follower reads it."""
-        if cell_id in self._ownership.controller_by_cell:
-            return
-        address = self._membership.owner_address(cell_id)
+        address = self._cells.owner_address(cell_id)
         if address is None:
+            logger.info("cell %s: no owner to notify", cell_id)
             return
         self._peers.schedule_update(address, update)
 
     # States
 
     async def _read_state(self, submission_id: str) -> HttpResponse:
-        entry = self._directory.by_id.get(submission_id)
-        if entry is None or entry.accepted is None:
-            try:
-                entry = await self._read_entry(submission_id)
-            except BerylError as error:
-                logger.info(
-                    "submission %s: state lookup failed: %s", submission_id, error
-                )
-                return make_response(503)
-        if entry is None:
+        try:
+            cell_id = await self._find_home(submission_id)
+        except BerylError as error:
+            logger.info("submission %s: state lookup failed: %s", submission_id, error)
+            return make_response(503)
+        if cell_id is None:
             return make_response(410)
-        state = await self._state_of(submission_id, entry)
+        state = await self._state_of(submission_id, cell_id)
         return make_response(200, encode_state(state))
 
-    async def _state_of(
-        self, submission_id: str, entry: SubmissionEntry
-    ) -> SubmissionState:
-        if entry.accepted is None:
-            return SubmissionState.CANCELLED
-        cell_id = entry.accepted.cell_id
+    async def _find_home(self, submission_id: str) -> str | None:
+        known = self._known_home(submission_id)
+        return known or await self._submissions.find_home(submission_id)
+
+    async def _state_of(self, submission_id: str, cell_id: str) -> SubmissionState:
         state = None
         controller = self._ownership.controller_by_cell.get(cell_id)
         if controller is not None:
             state = controller.state_of(submission_id)
         else:
-            address = self._membership.owner_address(cell_id)
+            address = self._cells.owner_address(cell_id)
             if address is not None:
                 state = await self._peers.fetch_state(address, submission_id)
         if state is None:
             state = await self._recorded_state(cell_id, submission_id)
-        if entry.is_cancelled and state in (
-            SubmissionState.QUEUED,
-            SubmissionState.RUNNING,
-        ):
-            return SubmissionState.CANCELLED
         return state
 
     async def _recorded_state(
@@ -229,36 +214,31 @@
             page = await self._store.read(
                 PROGRESS_TABLE, cell_id, submission_id, submission_id + "\x00"
             )
-            if not page.rows:
-                return SubmissionState.QUEUED
-            progress = decode_progress(submission_id, page.rows[0].value)
+            progress = (
+                decode_progress(submission_id, page.rows[0].value)
+                if page.rows
+                else Progress()
+            )
+            if progress.final_state is not None:
+                return progress.final_state
+            entry = await self._submissions.read_entry(submission_id, cell_id)
         except (BerylError, msgspec.MsgspecError) as error:
             logger.info(
-                "submission %s: progress could not be read: %s", submission_id, error
+                "submission %s: record could not be read: %s", submission_id, error
             )
             return SubmissionState.RUNNING
-        return progress.final_state or SubmissionState.RUNNING
-
-    async def _read_entry(self, submission_id: str) -> SubmissionEntry | None:
-        """Read a submission that isn't in the directory yet from the store."""
-        part = submission_part(submission_id)
-        page = await self._store.read(
-            SUBMISSION_TABLE, part, submission_id, submission_id + "/"
-        )
-        self._directory.on_rows(page.rows)
-        return self._directory.by_id.get(submission_id)
+        if entry.is_cancelled:
+            return SubmissionState.CANCELLED
+        return SubmissionState.RUNNING if page.rows else SubmissionState.QUEUED
 
     # Cancelling
 
     async def _cancel(self, submission_id: str, deadline: float) -> HttpResponse:
         try:
-            entry = self._directory.by_id.get(submission_id)
-            if entry is None or entry.accepted is None:
-                entry = await self._read_entry(submission_id)
-            if entry is None or entry.accepted is None:
+            cell_id = await self._find_home(submission_id)
+            if cell_id is None:
                 return make_response(410)
-            if not entry.is_cancelled:
-                await self._store.commit(_cancel_commit(submission_id))
+            entry = await self._store_cancel(submission_id, cell_id, deadline)
         except PlatformUnavailableError as error:
             logger.info("submission %s: cancellation refused: %s", submission_id, error)
             return make_response(503)
@@ -267,28 +247,46 @@
                 "submission %s: cancellation outcome unknown: %s", submission_id, error
             )
             return make_response(504)
-        self._directory.add_cancel(submission_id)
-        self._notify_owner(
-            entry.accepted.cell_id, SubmissionUpdate(cancelled_id=submission_id)
-        )
+        self._on_cancelled(submission_id, entry)
         return make_response(200)
 
-    # Counting
-
-    def _count_pending(self, ingress: IngressRequest) -> int:
-        return self._chooser.n_pending(ingress.queue.policy.name)
+    async def _store_cancel(
+        self, submission_id: str, cell_id: str, deadline: float
+    ) -> SubmissionEntry:
+        """Store a cancellation in all cells of a submission; return its entry.
 
+        Repeats it while tasks are being moved to other cells. Raises
+        ``OutcomeUnknownError`` at the deadline.
+        """
+        while now_s() < deadline:
+            entry = await self._submissions.read_entry(submission_id, cell_id)
+            if entry.accepted is None:
+                raise OutcomeUnknownError(
+                    f"submission {submission_id} is missing in cell {cell_id}",
+                    "Send the cancellation again",
+                )
+            if entry.is_cancelled:
+                return entry
+            outcome = await self._submissions.cancel(entry)
+            if outcome.applied:
+                return entry
+            logger.info(
+                "submission %s: tasks were moved during its cancellation", submission_id
+            )
+        raise OutcomeUnknownError(
+            f"submission {submission_id}: deadline passed", "Send it again"
+        )
 
-def _acceptance_commit(accepted: AcceptedRow) -> Commit:
-    submission_id = accepted.submission.submission_id
-    part = submission_part(submission_id)
-    keys = (submission_id, submission_id + CANCEL_SUFFIX)
-    conditions = tuple(Condition(SUBMISSION_TABLE, part, key, 0) for key in keys)
-    write = RowWrite(SUBMISSION_TABLE, part, submission_id, encode(accepted))
-    return Commit(conditions, (write,))
+    def _on_cancelled(self, submission_id: str, entry: SubmissionEntry) -> None:
+        """Apply a stored cancellation here and notify the other owners."""
+        update = SubmissionUpdate(cancelled_id=submission_id)
+        for cell_id in entry.cells():
+            if cell_id in self._ownership.controller_by_cell:
+                self._directory.add_cancel(submission_id)
+            else:
+                self._notify_owner(cell_id, update)
 
+    # Counting
 
-def _cancel_commit(submission_id: str) -> Commit:
-    part = submission_part(submission_id)
-    key = submission_id + CANCEL_SUFFIX
-    return Commit((), (RowWrite(SUBMISSION_TABLE, part, key, b"{}"),))
+    def _count_pending(self, ingress: IngressRequest) -> int:
+        return self._chooser.n_pending(ingress.queue.policy.name)
--- a/programs/beryl-host/src/berylcleat/host/_follower.py
+++ b/programs/beryl-host/src/berylcleat/host/_follower.py
@@ -48,9 +48,15 @@
         """Return whether the rows have been read at least once."""
         return self.confirmed_at > float("-inf")
 
+    async def sync(self) -> None:
+        """Read the rows once; ``run`` then continues with their changes."""
+        requested_at = now_s()
+        await self._read_all()
+        self._on_success(requested_at)
+
     async def run(self) -> None:
         """Read and follow the rows until cancelled."""
-        must_reread = True
+        must_reread = not self.has_synced
         while True:
             requested_at = now_s()
             try:
--- /dev/null
+++ b/programs/beryl-host/src/berylcleat/host/_peer_api.py
@@ -0,0 +1,101 @@
+"""Answer the requests of other hosts."""
+
+import logging
+
+import msgspec
+
+from berylcleat.http import HttpRequest, HttpResponse
+from berylcleat.ports import StoreRow
+
+from ._cell_ownership import CellOwnershipManager
+from ._identity import HostIdentity
+from ._peers import (
+    ENDS_PATH,
+    STATE_PREFIX,
+    TAKEOVER_PATH,
+    UPDATE_PATH,
+    MovedTaskEnds,
+    StateReply,
+    SubmissionUpdate,
+    TakeoverNotice,
+)
+from ._records import MOVES_SUFFIX, cell_submission_table
+from ._submission_directory import SubmissionDirectory
+
+logger = logging.getLogger(__name__)
+
+
+class PeerApi:
+    """Handler of the requests that ``PeerClient`` sends."""
+
+    def __init__(
+        self,
+        identity: HostIdentity,
+        directory: SubmissionDirectory,
+        ownership: CellOwnershipManager,
+    ):
+        self._identity = identity
+        self._directory = directory
+        self._ownership = ownership
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request; 400 if its body can't be decoded."""
+        try:
+            return await self._dispatch(request)
+        except msgspec.MsgspecError as error:
+            logger.error("peer request %s can't be decoded: %s", request.target, error)
+            return HttpResponse(400)
+
+    async def _dispatch(self, request: HttpRequest) -> HttpResponse:
+        if request.target.startswith(STATE_PREFIX):
+            return self._reply_state(request.target.removeprefix(STATE_PREFIX))
+        if request.target == UPDATE_PATH:
+            return self._on_submission_update(request.body)
+        if request.target == ENDS_PATH:
+            return self._on_moved_task_ends(request.body)
+        if request.target == TAKEOVER_PATH:
+            return await self._on_takeover(request.body)
+        return HttpResponse(404)
+
+    def _reply_state(self, submission_id: str) -> HttpResponse:
+        entry = self._directory.by_id.get(submission_id)
+        state = None
+        if entry is not None and entry.accepted is not None:
+            controller = self._ownership.controller_by_cell.get(entry.accepted.cell_id)
+            state = controller.state_of(submission_id) if controller else None
+        value = state.value if state else ""
+        return HttpResponse(200, (), msgspec.json.encode(StateReply(value)))
+
+    def _on_submission_update(self, body: bytes) -> HttpResponse:
+        update = msgspec.json.decode(body, type=SubmissionUpdate)
+        if update.accepted is not None:
+            self._directory.add_accepted(update.accepted)
+        if update.accepted is not None and update.moves_of:
+            table = cell_submission_table(update.accepted.cell_id)
+            key = update.moves_of + MOVES_SUFFIX
+            row = StoreRow(table, "", key, update.moves, update.version)
+            self._directory.on_rows((row,))
+        if update.cancelled_id:
+            self._directory.add_cancel(update.cancelled_id)
+        return HttpResponse(200)
+
+    def _on_moved_task_ends(self, body: bytes) -> HttpResponse:
+        report = msgspec.json.decode(body, type=MovedTaskEnds)
+        entry = self._directory.by_id.get(report.submission_id)
+        if entry is None or entry.accepted is None:
+            return HttpResponse(409)
+        controller = self._ownership.controller_by_cell.get(entry.accepted.cell_id)
+        if controller is None:
+            return HttpResponse(409)
+        is_durable = controller.on_moved_task_ends(
+            report.submission_id, list(report.ends)
+        )
+        return HttpResponse(200 if is_durable else 409)
+
+    async def _on_takeover(self, body: bytes) -> HttpResponse:
+        notice = msgspec.json.decode(body, type=TakeoverNotice)
+        if notice.host_id != self._identity.host_id:
+            logger.info("takeover notice for host %s came to this host", notice.host_id)
+            return HttpResponse(409)
+        await self._ownership.relinquish(notice.cell_id, notice.epoch)
+        return HttpResponse(200)
--- a/programs/beryl-host/src/berylcleat/host/_peers.py
+++ b/programs/beryl-host/src/berylcleat/host/_peers.py
@@ -46,10 +46,14 @@
 
 
 class TakeoverNotice(msgspec.Struct, frozen=True):
-    """Notice to the owner under ``epoch`` that another host has acquired the cell."""
+    """Notice to the owner under ``epoch`` that another host has acquired the cell.
+
+    ``host_id`` names the owner: its address may belong to another host by now.
+    """
 
     cell_id: str
     epoch: int
+    host_id: str = ""
 
 
 class PeerClient:
--- a/programs/beryl-host/src/berylcleat/host/_recorder.py
+++ b/programs/beryl-host/src/berylcleat/host/_recorder.py
@@ -20,6 +20,7 @@
     CELL_TABLE,
     OWNER_KEY,
     PROGRESS_TABLE,
+    RECORDED_WORKER_TABLE,
     WORKERS_KEY,
     WorkersRow,
     encode,
@@ -52,7 +53,7 @@
 
     async def read_workers(self) -> tuple[WorkerEntry, ...]:
         """Return the workers on which an earlier owner may have started tasks."""
-        page = await self._store.read(CELL_TABLE, self._cell_id, WORKERS_KEY)
+        page = await self._store.read(RECORDED_WORKER_TABLE, self._cell_id, WORKERS_KEY)
         for row in page.rows:
             self._workers_version = row.version
             try:
@@ -69,7 +70,7 @@
         """Record the cell's workers; return whether they are durable."""
         views = dict(scheduler.worker_by_id)
         row = WorkersRow(tuple(view.entry for view in views.values()))
-        row_key = (CELL_TABLE, self._cell_id, WORKERS_KEY)
+        row_key = (RECORDED_WORKER_TABLE, self._cell_id, WORKERS_KEY)
         conditions = (self._owner_condition, Condition(*row_key, self._workers_version))
         try:
             outcome = await self._store.commit(
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -1,22 +1,44 @@
 """Rows that the host process keeps in the store."""
 
 import msgspec
+import xxhash
 
 from berylcleat.model import Submission, TaskKey
 from berylcleat.ports import WorkerEntry
 from berylcleat.scheduling import CellHeadroom, FillerHeadroom, TaskMove
 
+# Home cell of each submission, by submission id. No host follows this table.
 SUBMISSION_TABLE = "submissions"
+# Owner of each cell; every host follows it, so it holds rows that rarely change only.
 CELL_TABLE = "cells"
-HOST_TABLE = "hosts"
+# Workers on which the owner of each cell may have started tasks.
+RECORDED_WORKER_TABLE = "cell-workers"
+# Loads of cells, and live owners of data centres, in the part of the data centre of the
+# host that writes them; every host follows it.
+LOAD_TABLE = "loads"
+PAIR_TABLE = "pairs"
 PROGRESS_TABLE = "progress"
 OWNER_KEY = "owner"
 WORKERS_KEY = "workers"
-HOST_PART = ""
+# Keys of the load table: this and a cell id, or this, a data centre and the host that
+# wrote its live owners.
+LOAD_PREFIX = "cell/"
+LIVE_OWNERS_PREFIX = "live/"
+PAIR_PART = "pairs"
 CANCEL_SUFFIX = ".cancel"
 MOVES_SUFFIX = ".moves"
-# Partitions of the submission table: one sustains 250 transactions per second.
+# Parts of the submission tables: the store limits the transactions per part.
 N_SUBMISSION_PARTS = 4
+SUBMISSION_PARTS = tuple(str(number) for number in range(N_SUBMISSION_PARTS))
+# Tables of the submissions of cells. A change feed delivers a whole table, so the cells
+# are spread over several; the store holds at most 100 tables.
+N_CELL_SUBMISSION_TABLES = 64
+
+
+class HomeRow(msgspec.Struct, frozen=True):
+    """Home cell of an accepted submission."""
+
+    cell_id: str
 
 
 class AcceptedRow(msgspec.Struct, frozen=True):
@@ -38,6 +60,8 @@
     host_id: str
     incarnation: str
     unsettled_s: float = 0.0
+    data_centre: str = ""
+    peer_address: str = ""
 
 
 class WorkersRow(msgspec.Struct, frozen=True):
@@ -59,7 +83,7 @@
     moves: tuple[MoveRow, ...]
 
 
-class CellSummary(msgspec.Struct, frozen=True):
+class CellSummary(msgspec.Struct, frozen=True, array_like=True):
     """Load of a cell, published to other hosts; CPU in thousandths of a core."""
 
     service: str
@@ -86,6 +110,20 @@
     )
 
 
+class LoadRow(msgspec.Struct, frozen=True, array_like=True):
+    """Load of a cell, as its owner under ``epoch`` published it last."""
+
+    epoch: int
+    summary: CellSummary
+
+
+class LiveOwnersRow(msgspec.Struct, frozen=True, array_like=True):
+    """Hosts of one data centre that own cells and are alive, with their incarnation."""
+
+    data_centre: str
+    incarnation_by_host: dict[str, str]
+
+
 class PairRow(msgspec.Struct, frozen=True, array_like=True):
     """Evidence that a filler image interferes with a serving image, as log odds.
 
@@ -97,20 +135,36 @@
     log_odds: float
 
 
-class HostRow(msgspec.Struct, frozen=True):
-    """Heartbeat row of one host."""
+class PairsRow(msgspec.Struct, frozen=True):
+    """What one host has learnt of pairs of images."""
+
+    incarnation: str
+    pairs: tuple[PairRow, ...]
+
+
+class HostRow(msgspec.Struct, frozen=True, array_like=True):
+    """Heartbeat row of one host, read by the hosts of its data centre."""
 
     incarnation: str
     data_centre: str
     peer_address: str
     cpu_power: float
     is_leaving: bool = False
-    summary_by_cell: dict[str, CellSummary] = {}
-    pairs: tuple[PairRow, ...] = ()
+
+
+def host_table(data_centre: str) -> str:
+    """Return the table that holds the heartbeat rows of a data centre's hosts."""
+    return f"hosts-{data_centre}"
+
+
+def cell_submission_table(cell_id: str) -> str:
+    """Return the table that holds the submissions with tasks in a cell."""
+    number = xxhash.xxh64_intdigest(cell_id.encode()) % N_CELL_SUBMISSION_TABLES
+    return f"cell-submissions-{number:02d}"
 
 
 def submission_part(submission_id: str) -> str:
-    """Return the table partition that holds the rows of a submission."""
+    """Return the part that holds the rows of a submission in every table."""
     return str(int(submission_id[-4:], 16) % N_SUBMISSION_PARTS)
 
 
--- a/programs/beryl-host/src/berylcleat/host/_submission_directory.py
+++ b/programs/beryl-host/src/berylcleat/host/_submission_directory.py
@@ -1,4 +1,4 @@
-"""Accepted submissions that this host knows."""
+"""Submissions with tasks in the cells that this host owns."""
 
 import logging
 from collections.abc import Callable
@@ -91,6 +91,14 @@
         """Return the submissions with tasks in a cell."""
         return [entry for entry in self.by_id.values() if cell_id in entry.cells()]
 
+    def keep_only(self, cell_ids: set[str]) -> None:
+        """Forget the submissions without tasks in any of the cells."""
+        self.by_id = {
+            submission_id: entry
+            for submission_id, entry in self.by_id.items()
+            if entry.cells() & cell_ids
+        }
+
     def _add_row(self, row: StoreRow) -> None:
         try:
             self.add_accepted(_accepted_decoder.decode(row.value))
--- /dev/null
+++ b/programs/beryl-host/src/berylcleat/host/_submission_store.py
@@ -0,0 +1,194 @@
+"""Rows of submissions in the store: accept, find, read, cancel and move them.
+
+The index names the home cell of each submission. The submission itself lies in the
+table of its home cell and of each cell that tasks of it were moved to, so that an owner
+follows the submissions of its own cells only. All rows of a submission share one part;
+each transaction writes all copies of what it changes.
+"""
+
+import logging
+from collections import OrderedDict
+
+import msgspec
+
+from berylcleat.model import TaskKey
+from berylcleat.ports import (
+    Commit,
+    CommitOutcome,
+    Condition,
+    RowWrite,
+    Store,
+    StoreRow,
+)
+from berylcleat.scheduling import TaskMove
+
+from ._records import (
+    CANCEL_SUFFIX,
+    CELL_TABLE,
+    MOVES_SUFFIX,
+    OWNER_KEY,
+    SUBMISSION_TABLE,
+    AcceptedRow,
+    HomeRow,
+    MoveRow,
+    MovesRow,
+    cell_submission_table,
+    encode,
+    submission_part,
+)
+from ._submission_directory import SubmissionDirectory, SubmissionEntry
+
+# Home cells remembered by a host; others are read again when they are asked for.
+MAX_CACHED_HOMES = 20_000
+logger = logging.getLogger(__name__)
+_home_decoder = msgspec.json.Decoder(HomeRow)
+
+
+class SubmissionStore:
+    """Reader and writer of the rows of submissions.
+
+    Methods raise ``PlatformUnavailableError`` (no effect) or ``OutcomeUnknownError``.
+    """
+
+    def __init__(self, store: Store):
+        self._store = store
+        self._home_by_id: OrderedDict[str, str] = OrderedDict()
+
+    def cached_home(self, submission_id: str) -> str | None:
+        """Return the home cell of a submission if it is remembered."""
+        return self._home_by_id.get(submission_id)
+
+    async def find_home(self, submission_id: str) -> str | None:
+        """Return the home cell of a submission, or None if there is no such one."""
+        if submission_id in self._home_by_id:
+            return self._home_by_id[submission_id]
+        part = submission_part(submission_id)
+        page = await self._store.read(
+            SUBMISSION_TABLE, part, submission_id, submission_id + "\x00"
+        )
+        self._remember_rows(page.rows)
+        return self._home_by_id.get(submission_id)
+
+    async def accept(self, accepted: AcceptedRow) -> CommitOutcome:
+        """Store a submission unless there is one with its id."""
+        submission_id = accepted.submission.submission_id
+        part = submission_part(submission_id)
+        condition = Condition(SUBMISSION_TABLE, part, submission_id, 0)
+        home = HomeRow(accepted.cell_id)
+        table = cell_submission_table(accepted.cell_id)
+        writes = (
+            RowWrite(SUBMISSION_TABLE, part, submission_id, encode(home)),
+            RowWrite(table, part, submission_id, encode(accepted)),
+        )
+        outcome = await self._store.commit(Commit((condition,), writes))
+        if outcome.applied:
+            self._remember(submission_id, accepted.cell_id)
+        else:
+            self._remember_rows(outcome.current)
+        return outcome
+
+    async def read_entry(self, submission_id: str, cell_id: str) -> SubmissionEntry:
+        """Return what is stored of a submission with tasks in a cell."""
+        part = submission_part(submission_id)
+        table = cell_submission_table(cell_id)
+        # "/" is the character after ".", with which the suffixes begin.
+        page = await self._store.read(table, part, submission_id, submission_id + "/")
+        directory = SubmissionDirectory()
+        directory.on_rows(page.rows)
+        return directory.by_id.get(submission_id, SubmissionEntry())
+
+    async def cancel(self, entry: SubmissionEntry) -> CommitOutcome:
+        """Store the cancellation in every cell that has tasks of the submission.
+
+        There is a conflict if tasks were moved since ``entry`` was read.
+        """
+        accepted = entry.accepted
+        submission_id = accepted.submission.submission_id
+        part = submission_part(submission_id)
+        key = submission_id + CANCEL_SUFFIX
+        tables = sorted(_tables(entry.cells()))
+        writes = tuple(RowWrite(table, part, key, b"{}") for table in tables)
+        condition = _moves_condition(entry)
+        return await self._store.commit(Commit((condition,), writes))
+
+    async def commit_move(self, move: "MoveCommit") -> CommitOutcome:
+        """Store moves of tasks.
+
+        There is a conflict if the submission was cancelled, or other tasks of it were
+        moved, since ``move.entry`` was read, or if the owner has changed.
+        """
+        return await self._store.commit(move.commit())
+
+    def _remember_rows(self, rows: tuple[StoreRow, ...]) -> None:
+        for row in rows:
+            if row.table != SUBMISSION_TABLE:
+                continue
+            try:
+                self._remember(row.key, _home_decoder.decode(row.value).cell_id)
+            except msgspec.MsgspecError as error:
+                logger.error("home of submission %s is malformed: %s", row.key, error)
+
+    def _remember(self, submission_id: str, cell_id: str) -> None:
+        self._home_by_id[submission_id] = cell_id
+        if len(self._home_by_id) > MAX_CACHED_HOMES:
+            self._home_by_id.popitem(last=False)
+
+
+class MoveCommit:
+    """Moves of tasks of one submission, under the owner row of the moving cell."""
+
+    def __init__(
+        self,
+        entry: SubmissionEntry,
+        move_by_task: dict[TaskKey, TaskMove],
+        owner: Condition,
+    ):
+        self._accepted = entry.accepted
+        self._owner = owner
+        self._moves_condition = _moves_condition(entry)
+        moves = {**entry.move_by_task, **move_by_task}
+        self._value = encode(MovesRow(tuple(MoveRow(*move) for move in moves.items())))
+        self._targets = _tables({move.cell_id for move in move_by_task.values()})
+        # The cells that tasks are moved away from must learn of it too.
+        self._tables = _tables(entry.cells()) | self._targets
+
+    def row(self, version: int) -> StoreRow:
+        """Return the row of moves as the home cell's table holds it."""
+        condition = self._moves_condition
+        return StoreRow(
+            condition.table, condition.part, condition.key, self._value, version
+        )
+
+    def commit(self) -> Commit:
+        """Return the transaction: all copies of the moves, and the submission."""
+        submission_id = self._accepted.submission.submission_id
+        part = submission_part(submission_id)
+        home_table = cell_submission_table(self._accepted.cell_id)
+        not_cancelled = Condition(home_table, part, submission_id + CANCEL_SUFFIX, 0)
+        moves_key = submission_id + MOVES_SUFFIX
+        writes = [
+            RowWrite(table, part, moves_key, self._value)
+            for table in sorted(self._tables)
+        ]
+        writes += [
+            RowWrite(table, part, submission_id, encode(self._accepted))
+            for table in sorted(self._targets - {home_table})
+        ]
+        conditions = (self._owner, self._moves_condition, not_cancelled)
+        return Commit(conditions, tuple(writes), spans_parts=True)
+
+
+def make_owner_condition(cell_id: str, owner_version: int) -> Condition:
+    """Return the condition that a cell still has the owner with this row version."""
+    return Condition(CELL_TABLE, cell_id, OWNER_KEY, owner_version)
+
+
+def _moves_condition(entry: SubmissionEntry) -> Condition:
+    submission_id = entry.accepted.submission.submission_id
+    table = cell_submission_table(entry.accepted.cell_id)
+    key = submission_id + MOVES_SUFFIX
+    return Condition(table, submission_part(submission_id), key, entry.moves_version)
+
+
+def _tables(cell_ids: set[str]) -> set[str]:
+    return {cell_submission_table(cell_id) for cell_id in cell_ids}
--- a/programs/beryl-host/src/berylcleat/host/_task_mover.py
+++ b/programs/beryl-host/src/berylcleat/host/_task_mover.py
@@ -5,23 +5,14 @@
 from typing import TYPE_CHECKING
 
 from berylcleat.model import BerylError, PlatformUnavailableError
-from berylcleat.ports import Commit, Condition, RowWrite, Store, StoreRow
+from berylcleat.ports import StoreRow
 from berylcleat.scheduling import CellHeadroom, MovedTaskEnd, MoveProposal
 
-from ._membership import Membership
+from ._cell_directory import CellDirectory
 from ._peers import MovedTaskEnds, PeerClient, SubmissionUpdate
-from ._records import (
-    CELL_TABLE,
-    MOVES_SUFFIX,
-    OWNER_KEY,
-    SUBMISSION_TABLE,
-    MoveRow,
-    MovesRow,
-    encode,
-    headroom_from_summary,
-    submission_part,
-)
+from ._records import CELL_TABLE, headroom_from_summary
 from ._submission_directory import SubmissionDirectory, SubmissionEntry
+from ._submission_store import MoveCommit, SubmissionStore, make_owner_condition
 
 if TYPE_CHECKING:
     from ._cell_controller import CellController
@@ -36,21 +27,21 @@
 
     def __init__(
         self,
-        store: Store,
+        store: SubmissionStore,
         directory: SubmissionDirectory,
-        membership: Membership,
+        cells: CellDirectory,
         peers: PeerClient,
         ownership: "CellOwnershipManager",
     ):
         self._store = store
         self._directory = directory
-        self._membership = membership
+        self._cells = cells
         self._peers = peers
         self._ownership = ownership
 
     def headrooms(self, own_cell_id: str) -> tuple[CellHeadroom, ...]:
         """Return the headroom that owners of other cells published last."""
-        summaries = self._membership.summaries()
+        summaries = self._cells.summaries()
         summaries.update(self._ownership.summaries())
         summaries.pop(own_cell_id, None)
         return tuple(
@@ -63,12 +54,11 @@
         The scheduler doesn't start the proposed tasks before the outcome is known.
         """
         entry = self._directory.by_id[proposal.submission_id]
-        moves = {**entry.move_by_task, **proposal.move_by_task}
-        row = MovesRow(tuple(MoveRow(task, move) for task, move in moves.items()))
-        commit = self._move_commit(controller, proposal.submission_id, entry, row)
+        owner = make_owner_condition(controller.cell_id, controller.owner_version)
+        move = MoveCommit(entry, proposal.move_by_task, owner)
         while not controller.is_inactive:
             try:
-                outcome = await self._store.commit(commit)
+                outcome = await self._store.commit_move(move)
             except PlatformUnavailableError:
                 await asyncio.sleep(MOVE_RETRY_S)
             except BerylError as error:
@@ -80,34 +70,15 @@
                 await asyncio.sleep(MOVE_RETRY_S)
             else:
                 if outcome.applied:
-                    self._on_move_committed(proposal, commit, outcome.version)
+                    self._on_move_committed(proposal, entry, move.row(outcome.version))
                 else:
-                    self._directory.on_rows(outcome.current)
+                    self._on_move_conflict(proposal, outcome.current)
                 controller.scheduler.on_move_settled(proposal)
                 return
 
-    def _move_commit(
-        self,
-        controller: "CellController",
-        submission_id: str,
-        entry: SubmissionEntry,
-        row: MovesRow,
-    ) -> Commit:
-        part = submission_part(submission_id)
-        moves_key = (SUBMISSION_TABLE, part, submission_id + MOVES_SUFFIX)
-        owner_key = (CELL_TABLE, controller.cell_id, OWNER_KEY)
-        conditions = (
-            Condition(*owner_key, controller.owner_version),
-            Condition(*moves_key, entry.moves_version),
-        )
-        write = RowWrite(*moves_key, encode(row))
-        return Commit(conditions, (write,), spans_parts=True)
-
     def _on_move_committed(
-        self, proposal: MoveProposal, commit: Commit, version: int
+        self, proposal: MoveProposal, entry: SubmissionEntry, row: StoreRow
     ) -> None:
-        write = commit.writes[0]
-        row = StoreRow(write.table, write.part, write.key, write.value, version)
         self._directory.on_rows((row,))
         target_cells = {move.cell_id for move in proposal.move_by_task.values()}
         logger.info(
@@ -117,16 +88,29 @@
             " ".join(sorted(target_cells)),
         )
         update = SubmissionUpdate(
-            moves_of=proposal.submission_id, moves=write.value, version=version
+            accepted=entry.accepted,
+            moves_of=proposal.submission_id,
+            moves=row.value,
+            version=row.version,
         )
         for cell_id in target_cells:
-            address = self._membership.owner_address(cell_id)
+            address = self._cells.owner_address(cell_id)
             if (
                 address is not None
                 and cell_id not in self._ownership.controller_by_cell
             ):
                 self._peers.schedule_update(address, update)
 
+    def _on_move_conflict(
+        self, proposal: MoveProposal, current: tuple[StoreRow, ...]
+    ) -> None:
+        """Apply what has changed meanwhile; the owner row is followed elsewhere."""
+        logger.info(
+            "submission %s: tasks not moved, it has changed", proposal.submission_id
+        )
+        rows = tuple(row for row in current if row.table != CELL_TABLE)
+        self._directory.on_rows(rows)
+
     async def report_moved_task_ends(
         self, submission_id: str, ends: list[MovedTaskEnd]
     ) -> bool:
@@ -136,7 +120,7 @@
         controller = self._ownership.controller_by_cell.get(home_cell_id)
         if controller is not None:
             return controller.on_moved_task_ends(submission_id, ends)
-        address = self._membership.owner_address(home_cell_id)
+        address = self._cells.owner_address(home_cell_id)
         if address is None:
             return False
         return await self._peers.send_moved_task_ends(
--- a/programs/beryl-host/src/berylcleat/host/_worker_list.py
+++ b/programs/beryl-host/src/berylcleat/host/_worker_list.py
@@ -24,9 +24,12 @@
 
     def on_rows(self, rows: tuple[StoreRow, ...]) -> None:
         """Apply rows of the worker table and notify listeners."""
+        n_known = len(self.by_id)
         for row in rows:
             self._apply(row)
         by_cell = self._by_cell()
+        if len(self.by_id) > n_known:
+            logger.info("workers: %d listed in %d cells", len(self.by_id), len(by_cell))
         for listener in self.listeners:
             listener(by_cell)
 
@@ -58,9 +61,7 @@
             self._data_centre_by_cell[entry.rack] = entry.data_centre
 
     def _log_change(self, previous: WorkerEntry | None, entry: WorkerEntry) -> None:
-        if previous is None:
-            logger.info("worker %s: listed in %s", entry.worker_id, entry.rack)
-        elif entry.is_draining and not previous.is_draining:
+        if previous and entry.is_draining and not previous.is_draining:
             logger.info("worker %s: draining", entry.worker_id)
 
     def _by_cell(self) -> dict[str, dict[str, WorkerEntry]]:
