--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -12,6 +12,7 @@
     AdviceClient,
     StoreClient,
     decode_config,
+    read_store_traffic,
 )
 from berylcleat.ports import StoreRow
 from berylcleat.runtime import AdminRouter, StopSignal, cancel_all
@@ -46,6 +47,7 @@
 PAIR_PERIOD_S = 1.0
 RECONCILE_PERIOD_S = 0.25
 PUBLISH_CHECK_PERIOD_S = 0.25
+TRAFFIC_LOG_PERIOD_S = 10.0
 # Long-poll timeout of a table follower: a dead connection is detected after this time
 # plus a margin.
 FOLLOW_TIMEOUT_S = 1.8
@@ -204,6 +206,7 @@
             ),
             publish_periodically(self.pairs.publish, "pairs", PAIR_PERIOD_S),
             self.reconcile_cells(),
+            self._log_store_traffic(),
         ]
         loop = asyncio.get_running_loop()
         return [loop.create_task(coroutine) for coroutine in coroutines]
@@ -211,6 +214,17 @@
     async def _publish_host(self) -> None:
         await self.publisher.publish_if_due(_coverage(self.host_follower))
 
+    async def _log_store_traffic(self) -> None:
+        while True:
+            await asyncio.sleep(TRAFFIC_LOG_PERIOD_S)
+            logger.info(
+                "store traffic: %s",
+                ", ".join(
+                    f"{item.call} {item.table} {item.n_calls} calls {item.n_bytes} B"
+                    for item in read_store_traffic()
+                ),
+            )
+
     async def reconcile_cells(self) -> None:
         """Acquire and drop cells periodically, as membership changes."""
         while True:
--- a/programs/beryl-host/src/berylcleat/host/_publisher.py
+++ b/programs/beryl-host/src/berylcleat/host/_publisher.py
@@ -129,7 +129,7 @@
 
         Raises ``ConflictError`` if the heartbeat row has another version than expected.
         """
-        digest = self._make_digest(coverage)
+        digest = self.make_digest(coverage)
         is_due = now_s() - self._published_at >= HEARTBEAT_PERIOD_S
         if is_due or digest != self._digest:
             await self.publish(digest)
@@ -176,7 +176,7 @@
     def _load_table_write(self, key: str, value: bytes) -> RowWrite:
         return RowWrite(LOAD_TABLE, self._identity.data_centre, key, value)
 
-    def _make_digest(self, coverage: Coverage) -> LiveOwnersRow | None:
+    def make_digest(self, coverage: Coverage) -> LiveOwnersRow | None:
         """Return the live owners of the data centre if this host has to publish them.
 
         They are sorted, so that equal digests compare and encode equally.
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -32,7 +32,7 @@
 SUBMISSION_PARTS = tuple(str(number) for number in range(N_SUBMISSION_PARTS))
 # Tables of the submissions of cells. A change feed delivers a whole table, so the cells
 # are spread over several; the store holds at most 100 tables.
-N_CELL_SUBMISSION_TABLES = 64
+N_CELL_SUBMISSION_TABLES = 84
 
 
 class HomeRow(msgspec.Struct, frozen=True):
