Quick steps go where whole tasks fit

What is left lies in pieces smaller than the 4 cores of a quick task, yet cells were chosen, and tasks moved, by the sum of free processor time: in 330 of 468 log lines of waiting steps the reason was "not enough free capacity", and quick tasks used 1 to 2% of the workers. Ruled out: fillers (they reserve nothing), pacing, late news of loads (1 to 2 s). Change: a cell publishes the free time of each worker. A quick step goes to the cell where most of its tasks start at once, then to the least loaded; a stuck task moves by the room for tasks of its size; a standing task goes where it takes the fewest slots of the usual size.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -287,7 +287,12 @@
         queue = ready.tracked.submission.queue
         if queue.advice is None:
             return choose_worker(
-                task, ready.step, queue.service, views, self.interference
+                task,
+                ready.step,
+                queue.service,
+                views,
+                self.interference,
+                self.submissions.usual_demand_millis,
             )
         allowed = [
             view for view in views if self.advice.ticket_of(task, view, now) is not None
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -45,7 +45,8 @@
 class CellHeadroom:
     """Spare capacity of a cell, in thousandths of a core.
 
-    ``fill_waiting`` is the processor demand of the fillers waiting in the cell.
+    ``fill_waiting`` is the processor demand of the fillers waiting in the cell,
+    ``free_by_worker`` the part of ``free`` on each worker.
     """
 
     cell_id: str
@@ -54,6 +55,19 @@
     filler_headrooms: tuple[FillerHeadroom, ...]
     fill_waiting: int
     capacity: int = 0
+    free_by_worker: tuple[int, ...] = ()
+
+    def free_for(self, cpu_millis: int) -> int:
+        """Return the part of ``free`` that tasks of this size can use.
+
+        What is left over on each worker holds none of them.
+        """
+        if not self.free_by_worker:
+            return self.free
+        usable = sum(
+            free // max(cpu_millis, 1) * cpu_millis for free in self.free_by_worker
+        )
+        return min(self.free, usable)
 
     def headroom_for_filler(self, image: str, interference: InterferenceModel) -> int:
         """Return the processor time left where ``image`` interferes only mildly.
@@ -141,9 +155,8 @@
 
     def _headroom_for(self, step: Step, headroom: CellHeadroom) -> float:
         if not step.fills:
-            return (
-                headroom.free * USABLE_HEADROOM_SHARE - self._reserved[headroom.cell_id]
-            )
+            free = headroom.free_for(step.allocation.cpu_millis)
+            return free * USABLE_HEADROOM_SHARE - self._reserved[headroom.cell_id]
         left = (
             headroom.headroom_for_filler(step.image, self._interference)
             * USABLE_HEADROOM_SHARE
--- a/libs/scheduling/src/berylcleat/scheduling/_placement.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_placement.py
@@ -1,8 +1,9 @@
 """Choice of the worker for a task.
 
 Ordinary tasks go to the worker with the most processor time left. Serving tasks go to
-workers with the least expected interference, then with the fewest other serving images,
-then with the least free capacity. Fillers go where they are known to be mild; an image
+workers with the least expected interference, then where they take the fewest slots for
+ordinary tasks, then with the fewest other serving images, then with the least free
+capacity. Fillers go where they are known to be mild; an image
 whose effect is unknown is tried with a few tasks on an undisturbed worker.
 """
 
@@ -25,8 +26,12 @@
     service: str,
     workers: Iterable[WorkerView],
     interference: InterferenceModel,
+    slot_millis: int = 0,
 ) -> WorkerView | None:
-    """Return the feasible worker with the lowest score for ``task``, or None."""
+    """Return the feasible worker with the lowest score for ``task``, or None.
+
+    ``slot_millis`` is the usual demand of an ordinary task, 0 if it isn't known.
+    """
     best: WorkerView | None = None
     best_score: Score | None = None
     for worker in workers:
@@ -34,7 +39,7 @@
             continue
         if step.fills and _explain_filler_rejection(step, worker, interference):
             continue
-        score = _score(task, step, worker, interference)
+        score = _score(task, step, worker, interference, slot_millis)
         if best_score is None or score < best_score:
             best, best_score = worker, score
     return best
@@ -152,7 +157,11 @@
 
 
 def _score(
-    task: TaskKey, step: Step, worker: WorkerView, interference: InterferenceModel
+    task: TaskKey,
+    step: Step,
+    worker: WorkerView,
+    interference: InterferenceModel,
+    slot_millis: int,
 ) -> Score:
     free_cpu = worker.free().cpu_millis
     if step.target_latency_ms:
@@ -160,6 +169,7 @@
         n_others = len(worker.serving_images() - {step.image})
         return (
             _expected_interference(step.image, worker, interference),
+            _slots_taken(step.allocation.cpu_millis, free_cpu, slot_millis),
             n_others,
             free_cpu,
         )
@@ -176,6 +186,13 @@
     return (-worker.cpu_left(),)
 
 
+def _slots_taken(cpu_millis: int, free_cpu: int, slot_millis: int) -> int:
+    """Return how many fewer ordinary tasks fit on a worker beside one more task."""
+    if slot_millis <= 0:
+        return 0
+    return free_cpu // slot_millis - (free_cpu - cpu_millis) // slot_millis
+
+
 def _expected_interference(
     image: str, worker: WorkerView, interference: InterferenceModel
 ) -> float:
--- a/libs/scheduling/src/berylcleat/scheduling/_submissions.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_submissions.py
@@ -17,6 +17,8 @@
 RUNS_PER_EPOCH = 1000
 # Share of the estimated remaining time taken as its lower bound: estimates are rough.
 MIN_REMAINING_SHARE = 0.6
+# Weight of one step in the moving average of demands.
+DEMAND_WEIGHT = 0.1
 
 
 @dataclass(slots=True)
@@ -287,6 +289,8 @@
     def __init__(self):
         self.by_id: dict[str, TrackedSubmission] = {}
         self.live_by_id: dict[str, TrackedSubmission] = {}
+        # Moving average over the ordinary steps added here, in thousandths of a core.
+        self.usual_demand_millis = 0
 
     def add(
         self,
@@ -301,11 +305,20 @@
         length_s = critical_path_s(submission.steps) * queue.stretch
         due_at = accepted_at + length_s + queue.objective_ms / 1000
         tracked = TrackedSubmission(submission, progress, due_at, is_home)
+        for step in submission.steps:
+            self._observe_demand(step)
         self.by_id[submission.submission_id] = tracked
         if not tracked.is_over or not is_home:
             self.live_by_id[submission.submission_id] = tracked
         return tracked
 
+    def _observe_demand(self, step: Step) -> None:
+        if step.fills or step.target_latency_ms:
+            return
+        demand = step.demand.cpu_millis
+        known = self.usual_demand_millis or demand
+        self.usual_demand_millis = int(known + (demand - known) * DEMAND_WEIGHT)
+
     def retire(self, tracked: TrackedSubmission) -> None:
         """Remove a submission from the live ones if it has ended and is recorded."""
         if tracked.is_over and not tracked.is_dirty and not tracked.unconfirmed_ends():
--- a/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
@@ -100,7 +100,22 @@
             )
         if first_step.target_latency_ms:
             return self._choose_for_image(first_step, suitable)
-        return min(suitable, key=lambda cell_id: self._load(cell_id, suitable[cell_id]))
+        return self._choose_by_slots(first_step, suitable)
+
+    def _choose_by_slots(self, step: Step, suitable: dict[str, CellSummary]) -> str:
+        """Return the cell where most tasks of a step start at once.
+
+        Among equals it is the least loaded one.
+        """
+        cpu = max(step.allocation.cpu_millis, 1)
+
+        def rank(cell_id: str) -> tuple[int, float]:
+            summary = suitable[cell_id]
+            n_assigned = self._recently_assigned_cpu(cell_id, fills=False) // cpu
+            n_slots = summary.count_slots(cpu) - n_assigned
+            return -min(n_slots, step.n_tasks), self._load(cell_id, summary)
+
+        return min(suitable, key=rank)
 
     def _choose_for_image(self, step: Step, suitable: dict[str, CellSummary]) -> str:
         """Return the first cell with headroom in the image's hash order."""
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -270,6 +270,7 @@
             filler_rooms=self.scheduler.filler_headrooms(),
             fill_waiting=fill_waiting,
             pending_by_queue=self.scheduler.submissions.n_pending_by_queue(),
+            free_by_worker=tuple(v.free().cpu_millis for v in views),
         )
 
     # Workers
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -96,6 +96,14 @@
     pending_by_queue: dict[str, int]
     # Part of cpu_waiting that fits on no worker, so it doesn't use up cpu_free.
     cpu_stuck: int = 0
+    # Free processor time of each worker: what is spread over many holds no large task.
+    free_by_worker: tuple[int, ...] = ()
+
+    def count_slots(self, cpu_millis: int) -> int:
+        """Return how many more tasks of this size fit beside those that wait here."""
+        cpu = max(cpu_millis, 1)
+        n_waiting = -(-max(0, self.cpu_waiting - self.cpu_stuck) // cpu)
+        return sum(free // cpu for free in self.free_by_worker) - n_waiting
 
 
 def headroom_from_summary(cell_id: str, summary: CellSummary) -> CellHeadroom:
@@ -107,6 +115,7 @@
         summary.filler_rooms,
         summary.fill_waiting,
         summary.cpu_capacity,
+        summary.free_by_worker,
     )
 
 
