Between data centres only digests are read, and news get older instead of more

Weighed: one aggregate of loads a centre (a cell is then chosen in two steps, with loads that are older by one more hop on the small sites, where each centre has one cell). Change: a table for each data centre holds heartbeats, loads and pairs of its own hosts; a table of digests holds loads of cells, live owners with a beat, and one sum of learnt pairs a centre. Loads are published at most 6 times a second in a centre and 12 times in the digests, pairs 3 times, so a row comes more rarely the more there are. All of a host's rows go in one transaction a second (sources behind one Protocol: loads, live owners, pairs). Conclusion: kept; heartbeats within a large data centre are what still grows.

--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -141,7 +141,7 @@
 def step_takeover_notice(context):
     async def acquire():
         store = context.store
-        cells = CellDirectory()
+        cells = CellDirectory("dc-1")
         workers = WorkerList()
         page = await store.read(CELL_TABLE, CELL)
         cells.on_owner_rows(page.rows)
@@ -242,7 +242,7 @@
 def step_host_capacities(context, strong, n, weak):
     capacities = {"strong": strong, **{f"weak-{number}": weak for number in range(n)}}
     context.hosts = {
-        host_id: HostRow("aa", "dc", "a:1", capacity)
+        host_id: HostRow("aa", "a:1", capacity)
         for host_id, capacity in capacities.items()
     }
 
@@ -271,13 +271,13 @@
 async def make_live_manager(store, data_centre):
     """Return the ownership manager and the cells of the only live host."""
     membership = Membership()
-    cells = CellDirectory()
+    cells = CellDirectory(data_centre)
     cells.on_owner_rows((await store.read(CELL_TABLE, CELL)).rows)
     # The owner acquired the cell long ago.
     observed = cells.owner_by_cell[CELL]
     cells.owner_by_cell[CELL] = replace(observed, observed_at=now_s() - 10.0)
-    host = encode(HostRow("bb", data_centre, "127.0.0.1:9", 1.0))
-    membership.on_host_rows((StoreRow("hosts", "", "host-1", host, 1),))
+    host = encode(HostRow("bb", "127.0.0.1:9", 1.0))
+    membership.on_host_rows((StoreRow("centre-dc", "dc", "host/host-1", host, 1),))
     workers = WorkerList()
     workers.data_centre_by_cell()[CELL] = "dc-1"
     follower = make_cell_follower(store, cells)
--- a/programs/beryl-host/features/steps/size_simulation.py
+++ b/programs/beryl-host/features/steps/size_simulation.py
@@ -2,35 +2,43 @@
 
 import asyncio
 import random
+import time
 from bisect import bisect_right
 from collections import defaultdict
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from functools import cache
 
 from berylcleat.host._cell_directory import CellDirectory
+from berylcleat.host._cell_loads import CellLoads
 from berylcleat.host._follower import TableFollower
 from berylcleat.host._identity import HostIdentity
+from berylcleat.host._live_owners import LiveOwners
 from berylcleat.host._membership import Coverage, Membership
 from berylcleat.host._pair_exchange import PairExchange
-from berylcleat.host._publisher import CellLoads, HostPublisher
+from berylcleat.host._publisher import HostPublisher
 from berylcleat.host._records import (
     CELL_TABLE,
-    LOAD_TABLE,
-    PAIR_TABLE,
+    DIGEST_TABLE,
+    OWNER_KEY,
     AcceptedRow,
     CellSummary,
     OwnerRow,
     cell_submission_table,
-    host_table,
+    data_centre_table,
+    encode,
 )
 from berylcleat.host._submission_directory import SubmissionDirectory
 from berylcleat.host._submission_store import SubmissionStore
 from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand
-from berylcleat.ports import CommitOutcome, RowPage, StoreRow
+from berylcleat.ports import Commit, CommitOutcome, RowPage, RowWrite, StoreRow
 from berylcleat.scheduling import FillerHeadroom, InterferenceModel
 
 N_DATA_CENTRES = 5
 HOSTS_PER_CELL = 4
+START_S = 1000.0
+# The first rows of every table are read before anything is counted.
+N_WARM_UP_SECONDS = 3
 N_SECONDS = 10
 ACCEPTED_PER_HOST_AND_SECOND = 1 / 7
 SPEC = "s" * 1500
@@ -140,29 +148,47 @@
     def __init__(self, rows, number, random_state):
         self.store = CountedStore(rows)
         data_centre = f"lakeshore-{number % N_DATA_CENTRES}"
-        self.identity = HostIdentity(f"edge-{number}", data_centre, "9bc10b55", "a:1")
+        self.identity = HostIdentity(
+            f"edge-{number}", data_centre, f"{number:08x}", "a:1"
+        )
         self.random_state = random_state
         self.controller_by_cell = {}
         self.interference = InterferenceModel()
-        self.pairs = PairExchange(self.store, self.identity, self.interference)
         self.submissions = SubmissionStore(self.store)
-        membership, cells = Membership(), CellDirectory()
-        self.publisher = HostPublisher(
-            self.store, self.identity, 1.0, CellLoads(self), membership, cells
+        self._membership, self._cells = Membership(), CellDirectory(data_centre)
+        live_owners = LiveOwners(
+            self.identity, self._membership, self._cells, lambda: Coverage(0.0, 0.0)
         )
+        self._pairs = PairExchange(self.identity, self.interference, live_owners.rank)
+        loads = CellLoads(data_centre, self._cells, self)
+        sources = (loads, live_owners, self._pairs)
+        self.publisher = HostPublisher(self.store, self.identity, 1.0, sources)
         self.followers = [
-            self._follow(host_table(data_centre), membership.on_host_rows),
-            self._follow(LOAD_TABLE, cells.on_load_rows),
-            self._follow(CELL_TABLE, cells.on_owner_rows),
-            self._follow(PAIR_TABLE, self.pairs.on_rows),
+            self._follow(data_centre_table(data_centre), self._on_data_centre_rows),
+            self._follow(DIGEST_TABLE, self._on_digest_rows),
+            self._follow(CELL_TABLE, self._cells.on_owner_rows),
         ]
 
     def _follow(self, table, on_rows):
         return TableFollower(self.store, table, on_rows, wait_s=0, min_period_s=1)
 
-    def own(self, cell_id):
+    def _on_data_centre_rows(self, rows):
+        self._membership.on_host_rows(rows)
+        self._cells.on_data_centre_rows(rows)
+        self._pairs.on_data_centre_rows(rows)
+
+    def _on_digest_rows(self, rows):
+        self._cells.on_digest_rows(rows)
+        self._pairs.on_digest_rows(rows)
+
+    async def own(self, cell_id):
         """Own a cell and follow its submissions."""
-        row = OwnerRow(1, self.identity.host_id, "9bc10b55", 0.0, "dc", "a:1")
+        identity = self.identity
+        row = OwnerRow(
+            1, identity.host_id, identity.incarnation, 0.0, identity.data_centre, "a:1"
+        )
+        write = RowWrite(CELL_TABLE, cell_id, OWNER_KEY, encode(row))
+        await self.store.commit(Commit((), (write,)))
         self.controller_by_cell[cell_id] = OwnedCell(row, self.random_state)
         directory = SubmissionDirectory()
         table = cell_submission_table(cell_id)
@@ -170,11 +196,9 @@
 
     async def live_second(self, n_cells):
         """Publish, accept and read what a host does in one second."""
-        digest = self.publisher.make_digest(Coverage(0.0, 0.0))
-        await self.publisher.publish(digest)
         if self.controller_by_cell:
             self._learn()
-            await self.pairs.publish()
+        await self.publisher.publish()
         if self.random_state.random() < ACCEPTED_PER_HOST_AND_SECOND:
             await self._accept(f"r{self.random_state.randrange(n_cells)}")
         for follower in self.followers:
@@ -195,6 +219,25 @@
         await self.submissions.accept(AcceptedRow(cell_id, 0, submission))
 
 
+@dataclass(slots=True)
+class SimulatedClock:
+    """Clock of all hosts, in seconds."""
+
+    now: float = START_S
+
+
+@contextmanager
+def simulated_clock():
+    """Replace the clock that the hosts read."""
+    clock = SimulatedClock()
+    read_clock = time.clock_gettime
+    time.clock_gettime = lambda clock_id: clock.now
+    try:
+        yield clock
+    finally:
+        time.clock_gettime = read_clock
+
+
 @cache
 def simulate(n_hosts):
     """Return the hosts after the simulated seconds."""
@@ -207,8 +250,13 @@
     hosts = [SimulatedHost(rows, n, random_state) for n in range(n_hosts)]
     n_cells = n_hosts // HOSTS_PER_CELL
     for number in range(n_cells):
-        hosts[number * HOSTS_PER_CELL].own(f"r{number}")
-    for _ in range(N_SECONDS):
-        for host in hosts:
-            await host.live_second(n_cells)
+        await hosts[number * HOSTS_PER_CELL].own(f"r{number}")
+    with simulated_clock() as clock:
+        for _ in range(N_WARM_UP_SECONDS + N_SECONDS):
+            if clock.now == START_S + N_WARM_UP_SECONDS:
+                for host in hosts:
+                    host.store.traffic = Traffic()
+            clock.now += 1.0
+            for host in hosts:
+                await host.live_second(n_cells)
     return hosts
--- a/programs/beryl-host/src/berylcleat/host/_cell_directory.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_directory.py
@@ -9,7 +9,6 @@
 
 from ._clock import now_s
 from ._records import (
-    LIVE_OWNERS_PREFIX,
     LOAD_PREFIX,
     OWNER_KEY,
     CellSummary,
@@ -39,7 +38,8 @@
 class CellDirectory:
     """Owners and last published loads by cell, and the liveness of remote owners."""
 
-    def __init__(self):
+    def __init__(self, data_centre: str):
+        self._data_centre = data_centre
         self.owner_by_cell: dict[str, ObservedOwner] = {}
         self.remote_liveness = RemoteLiveness()
         self._load_by_cell: dict[str, LoadRow] = {}
@@ -67,13 +67,18 @@
             owner.epoch,
         )
 
-    def on_load_rows(self, rows: tuple[StoreRow, ...]) -> None:
-        """Apply rows of the load table: loads of cells and digests of live owners."""
+    def on_data_centre_rows(self, rows: tuple[StoreRow, ...]) -> None:
+        """Apply the loads in the table of this data centre; ignore other rows."""
         for row in rows:
             if row.key.startswith(LOAD_PREFIX):
                 self._on_load_row(row)
-            elif row.key.startswith(LIVE_OWNERS_PREFIX):
-                self.remote_liveness.on_row(row)
+
+    def on_digest_rows(self, rows: tuple[StoreRow, ...]) -> None:
+        """Apply loads and live owners of the other data centres."""
+        for row in rows:
+            self.remote_liveness.on_row(row)
+            if row.key.startswith(LOAD_PREFIX) and row.part != self._data_centre:
+                self._on_load_row(row)
 
     def _on_load_row(self, row: StoreRow) -> None:
         cell_id = row.key.removeprefix(LOAD_PREFIX)
@@ -87,6 +92,11 @@
         if known is None or load.epoch >= known.epoch:
             self._load_by_cell[cell_id] = load
 
+    def count_cells_of(self, data_centre: str) -> int:
+        """Return how many cells have an owner in a data centre."""
+        owners = self.owner_by_cell.values()
+        return sum(owner.row.data_centre == data_centre for owner in owners)
+
     def summaries(self) -> dict[str, CellSummary]:
         """Return the loads that current owners published last, by cell."""
         return {
--- /dev/null
+++ b/programs/beryl-host/src/berylcleat/host/_cell_loads.py
@@ -0,0 +1,110 @@
+"""Loads of this host's cells, published within its data centre and to the others.
+
+A load is published less often the more cells there are, so that what a host reads a
+second doesn't grow with them.
+"""
+
+from dataclasses import dataclass
+
+from berylcleat.ports import RowWrite
+
+from ._cell_directory import CellDirectory
+from ._cell_ownership import CellOwnershipManager
+from ._records import DIGEST_TABLE, LOAD_PREFIX, LoadRow, data_centre_table, encode
+
+# Loads that all hosts together publish a second at most: to the hosts of one data
+# centre, and to those of all.
+MAX_LOADS_IN_DATA_CENTRE = 6
+MAX_LOADS_IN_DIGESTS = 12
+MIN_LOAD_PERIOD_S = 1.0
+# An unchanged load is written again after this time: a delayed write of an earlier
+# owner may have replaced it.
+MAX_LOAD_AGE_S = 5.0
+# Readers see a new load up to this much earlier than it is due: publishing is checked
+# in steps.
+DUE_MARGIN_S = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class _WrittenLoad:
+    value: bytes
+    written_at: float
+
+
+class _LoadTable:
+    """Loads as one table holds them."""
+
+    def __init__(self, table: str):
+        self.table = table
+        self._written_by_cell: dict[str, _WrittenLoad] = {}
+        self._pending_by_cell: dict[str, _WrittenLoad] = {}
+
+    def due(self, value_by_cell: dict[str, bytes], period_s: float, now: float):
+        """Return the loads, by cell, that have changed and are due."""
+        self._pending_by_cell = {
+            cell_id: _WrittenLoad(value, now)
+            for cell_id, value in value_by_cell.items()
+            if self._is_due(cell_id, value, period_s, now)
+        }
+        return {cell_id: item.value for cell_id, item in self._pending_by_cell.items()}
+
+    def on_written(self) -> None:
+        """Remember that the loads returned last are stored."""
+        self._written_by_cell.update(self._pending_by_cell)
+
+    def _is_due(self, cell_id: str, value: bytes, period_s: float, now: float) -> bool:
+        written = self._written_by_cell.get(cell_id)
+        if written is None:
+            return True
+        age_s = now - written.written_at + DUE_MARGIN_S
+        if written.value == value:
+            return age_s >= max(MAX_LOAD_AGE_S, period_s)
+        return age_s >= period_s
+
+
+class CellLoads:
+    """Source of the load rows of this host's cells."""
+
+    def __init__(
+        self, data_centre: str, cells: CellDirectory, ownership: CellOwnershipManager
+    ):
+        self._data_centre = data_centre
+        self._cells = cells
+        self._ownership = ownership
+        self._local = _LoadTable(data_centre_table(data_centre))
+        self._digest = _LoadTable(DIGEST_TABLE)
+
+    def due_writes(self, now: float) -> list[RowWrite]:
+        """Return the loads that have changed and are due."""
+        value_by_cell = {
+            cell_id: encode(LoadRow(controller.owner.epoch, summary))
+            for cell_id, controller in self._ownership.controller_by_cell.items()
+            if (summary := controller.summary()) is not None
+        }
+        n_local = self._cells.count_cells_of(self._data_centre)
+        n_all = len(self._cells.owner_by_cell)
+        return [
+            *self._writes(self._local, value_by_cell, n_local, now),
+            *self._writes(self._digest, value_by_cell, n_all, now),
+        ]
+
+    def is_urgent(self) -> bool:
+        """Return False: a load waits for the next heartbeat."""
+        return False
+
+    def on_written(self) -> None:
+        """Remember that the loads returned last are stored."""
+        self._local.on_written()
+        self._digest.on_written()
+
+    def _writes(
+        self, table: _LoadTable, value_by_cell: dict[str, bytes], n_cells: int, now
+    ) -> list[RowWrite]:
+        limit = (
+            MAX_LOADS_IN_DIGESTS if table is self._digest else MAX_LOADS_IN_DATA_CENTRE
+        )
+        period_s = max(MIN_LOAD_PERIOD_S, n_cells / limit)
+        return [
+            RowWrite(table.table, self._data_centre, LOAD_PREFIX + cell_id, value)
+            for cell_id, value in table.due(value_by_cell, period_s, now).items()
+        ]
--- a/programs/beryl-host/src/berylcleat/host/_membership.py
+++ b/programs/beryl-host/src/berylcleat/host/_membership.py
@@ -8,7 +8,7 @@
 from berylcleat.ports import StoreRow
 
 from ._clock import now_s
-from ._records import HostRow
+from ._records import HOST_PREFIX, HostRow
 
 # A host whose heartbeat has not changed for this long is considered dead.
 HEARTBEAT_TIMEOUT_S = 3.0
@@ -47,17 +47,22 @@
         self.heartbeat_by_host: dict[str, HostHeartbeat] = {}
 
     def on_host_rows(self, rows: tuple[StoreRow, ...]) -> None:
-        """Apply rows of the data centre's host table."""
+        """Apply the heartbeats in the table of the data centre; ignore other rows."""
         for row in rows:
-            try:
-                host = _host_decoder.decode(row.value)
-            except msgspec.MsgspecError as error:
-                logger.error("host row %s can't be decoded: %s", row.key, error)
-                continue
-            known = self.heartbeat_by_host.get(row.key)
-            if known is None or known.row.incarnation != host.incarnation:
-                logger.info("host %s: new incarnation %s", row.key, host.incarnation)
-            self.heartbeat_by_host[row.key] = HostHeartbeat(host, now_s())
+            if row.key.startswith(HOST_PREFIX):
+                self._on_host_row(row)
+
+    def _on_host_row(self, row: StoreRow) -> None:
+        host_id = row.key.removeprefix(HOST_PREFIX)
+        try:
+            host = _host_decoder.decode(row.value)
+        except msgspec.MsgspecError as error:
+            logger.error("heartbeat of host %s can't be decoded: %s", host_id, error)
+            return
+        known = self.heartbeat_by_host.get(host_id)
+        if known is None or known.row.incarnation != host.incarnation:
+            logger.info("host %s: new incarnation %s", host_id, host.incarnation)
+        self.heartbeat_by_host[host_id] = HostHeartbeat(host, now_s())
 
     def is_live(self, host_id: str, incarnation: str, coverage: Coverage) -> bool:
         """Return whether an incarnation of a host is considered alive."""
--- a/programs/beryl-host/src/berylcleat/host/_pair_exchange.py
+++ b/programs/beryl-host/src/berylcleat/host/_pair_exchange.py
@@ -1,25 +1,42 @@
-"""Exchange between hosts of what each has learnt of pairs of images.
+"""Exchange of what hosts have learnt of pairs of images.
 
-Each host writes two rows: all its pairs, rarely, and often those that have changed
-since. A reader that misses versions of either still ends with the newest values.
+Within a data centre each host writes two rows: all its pairs, rarely, and often those
+that have changed since. A reader that misses versions of either still ends with the
+newest values. To the other data centres one host writes the sum over its own.
 """
 
 import logging
+import zlib
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
 
-from berylcleat.ports import Commit, RowWrite, Store, StoreRow
+from berylcleat.ports import RowWrite, StoreRow
 from berylcleat.scheduling import InterferenceModel
 
-from ._clock import now_s
 from ._identity import HostIdentity
-from ._records import PAIR_PART, PAIR_TABLE, PairRow, PairsRow, encode
-
-RECENT_SUFFIX = ".recent"
+from ._records import (
+    DIGEST_TABLE,
+    PAIRS_PREFIX,
+    PairRow,
+    PairsRow,
+    data_centre_table,
+    encode,
+)
+
+RECENT_SUFFIX = "/recent"
 FULL_PERIOD_S = 10.0
+SUM_PERIOD_S = 3.0
+# Hosts of a data centre that publish pairs a second at most, so that what a host reads
+# doesn't grow with them.
+MAX_HOSTS_A_SECOND = 3
+# Publishing is checked in steps, so a row is due this much earlier.
+DUE_MARGIN_S = 0.1
 # Log odds are published in steps of this size: they change with every reading.
 LOG_ODDS_STEP = 0.5
+# Bound on the sum that a data centre publishes: receivers bound all peers anyway.
+MAX_SUM = 8.0
 logger = logging.getLogger(__name__)
 _pairs_decoder = msgspec.json.Decoder(PairsRow)
 LogOddsByPair = dict[tuple[str, str], float]
@@ -32,75 +49,152 @@
     all: LogOddsByPair = field(default_factory=dict)
     recent: LogOddsByPair = field(default_factory=dict)
 
+    def known(self) -> LogOddsByPair:
+        """Return the newest values."""
+        return {**self.all, **self.recent}
+
 
 class PairExchange:
-    """Writer of the pairs that this host has learnt, and reader of all others'."""
+    """Source of the pairs that this host has learnt, and reader of all others'."""
 
     def __init__(
-        self, store: Store, identity: HostIdentity, interference: InterferenceModel
+        self,
+        identity: HostIdentity,
+        interference: InterferenceModel,
+        rank: Callable[[], int | None],
     ):
-        self._store = store
         self._identity = identity
         self._interference = interference
-        self._written_all: LogOddsByPair = {}
-        self._written_recent: LogOddsByPair = {}
-        self._written_all_at = float("-inf")
+        self._rank = rank
+        self._table = data_centre_table(identity.data_centre)
+        self._own_key = PAIRS_PREFIX + identity.host_id
+        self._written = _PeerPairs()
+        self._pending = _PeerPairs()
+        self._due_at = float("-inf")
+        self._full_due_at = float("-inf")
+        self._sum_due_at = float("-inf")
+        self._written_sum: LogOddsByPair = {}
+        self._pending_sum: LogOddsByPair = {}
         self._pairs_by_host: dict[str, _PeerPairs] = {}
 
-    async def publish(self) -> None:
-        """Write the pairs that have changed, or all if that was long ago."""
-        learnt = {
-            pair: round(log_odds / LOG_ODDS_STEP) * LOG_ODDS_STEP
-            for pair, log_odds in self._interference.learned_log_odds().items()
-        }
+    def due_writes(self, now: float) -> list[RowWrite]:
+        """Return this host's pairs, and the sum over the data centre, if due."""
+        return [*self._own_writes(now), *self._sum_writes(now)]
+
+    def is_urgent(self) -> bool:
+        """Return False: what is learnt waits for the next heartbeat."""
+        return False
+
+    def on_written(self) -> None:
+        """Remember which pairs, and which sum, are stored."""
+        self._written = self._pending
+        self._written_sum = self._pending_sum
+
+    def _own_writes(self, now: float) -> list[RowWrite]:
+        learnt = _quantize(self._interference.learned_log_odds())
         recent = {
             pair: log_odds
             for pair, log_odds in learnt.items()
-            if log_odds != self._written_all.get(pair, 0.0)
+            if log_odds != self._written.all.get(pair, 0.0)
         }
-        if recent == self._written_recent:
-            return
-        if now_s() - self._written_all_at < FULL_PERIOD_S:
-            await self._store.commit(Commit((), (self._recent_write(recent),)))
-            self._written_recent = recent
-            return
-        full_write = self._write(self._identity.host_id, learnt)
-        await self._store.commit(Commit((), (full_write, self._recent_write({}))))
-        self._written_all, self._written_recent = learnt, {}
-        self._written_all_at = now_s()
-
-    def _recent_write(self, log_odds_by_pair: LogOddsByPair) -> RowWrite:
-        return self._write(self._identity.host_id + RECENT_SUFFIX, log_odds_by_pair)
+        self._pending = _PeerPairs(self._written.all, recent)
+        if recent == self._written.recent or now < self._due_at:
+            self._pending = self._written
+            return []
+        n_hosts = len(self._pairs_by_host) + 1
+        self._due_at = now + n_hosts / MAX_HOSTS_A_SECOND - DUE_MARGIN_S
+        if now < self._full_due_at:
+            return [self._write(self._own_key + RECENT_SUFFIX, recent)]
+        self._pending = _PeerPairs(learnt)
+        self._full_due_at = now + FULL_PERIOD_S
+        return [
+            self._write(self._own_key, learnt),
+            self._write(self._own_key + RECENT_SUFFIX, {}),
+        ]
 
     def _write(self, key: str, log_odds_by_pair: LogOddsByPair) -> RowWrite:
+        value = encode(self._make_row(log_odds_by_pair))
+        return RowWrite(self._table, self._identity.data_centre, key, value)
+
+    def _sum_writes(self, now: float) -> list[RowWrite]:
+        if now < self._sum_due_at or self._rank() != 0:
+            return []
+        total = dict(self._interference.learned_log_odds())
+        for pairs in self._pairs_by_host.values():
+            for pair, log_odds in pairs.known().items():
+                total[pair] = total.get(pair, 0.0) + log_odds
+        total = _quantize(total)
+        if total == self._written_sum:
+            return []
+        self._sum_due_at = now + SUM_PERIOD_S
+        self._pending_sum = total
+        data_centre = self._identity.data_centre
+        value = zlib.compress(encode(self._make_row(total)))
+        return [RowWrite(DIGEST_TABLE, data_centre, PAIRS_PREFIX, value)]
+
+    def _make_row(self, log_odds_by_pair: LogOddsByPair) -> PairsRow:
         pairs = tuple(PairRow(*pair, value) for pair, value in log_odds_by_pair.items())
-        row = PairsRow(self._identity.incarnation, pairs)
-        return RowWrite(PAIR_TABLE, PAIR_PART, key, encode(row))
+        return PairsRow(self._identity.incarnation, pairs)
 
-    def on_rows(self, rows: tuple[StoreRow, ...]) -> None:
-        """Apply what other hosts, or this one before its restart, have learnt."""
+    def on_data_centre_rows(self, rows: tuple[StoreRow, ...]) -> None:
+        """Apply what hosts of this data centre have learnt; ignore other rows."""
         for row in rows:
-            try:
-                published = _pairs_decoder.decode(row.value)
-            except msgspec.MsgspecError as error:
-                logger.error("pairs of host %s can't be decoded: %s", row.key, error)
+            if not row.key.startswith(PAIRS_PREFIX):
                 continue
-            if published.incarnation != self._identity.incarnation:
-                log_odds_by_pair = {
-                    (pair.filler, pair.serving): pair.log_odds
-                    for pair in published.pairs
-                }
-                self._apply(row.key, log_odds_by_pair)
+            published = _decode(row, row.value)
+            if published and published.incarnation != self._identity.incarnation:
+                self._apply(row.key, _log_odds_by_pair(published))
 
     def _apply(self, key: str, log_odds_by_pair: LogOddsByPair) -> None:
-        host_id = key.removesuffix(RECENT_SUFFIX)
-        pairs = self._pairs_by_host.setdefault(host_id, _PeerPairs())
-        if key == host_id:
+        host_key = key.removesuffix(RECENT_SUFFIX)
+        if host_key == self._own_key:
+            # This host learnt them before its restart.
+            self._interference.restore(log_odds_by_pair)
+            return
+        pairs = self._pairs_by_host.setdefault(host_key, _PeerPairs())
+        if key == host_key:
             pairs.all, pairs.recent = log_odds_by_pair, {}
         else:
             pairs.recent = log_odds_by_pair
-        known = {**pairs.all, **pairs.recent}
-        if host_id == self._identity.host_id:
-            self._interference.restore(known)
-        else:
-            self._interference.set_peer_log_odds(host_id, known)
+        self._interference.set_peer_log_odds(host_key, pairs.known())
+
+    def on_digest_rows(self, rows: tuple[StoreRow, ...]) -> None:
+        """Apply the sums of the other data centres; ignore other rows."""
+        for row in rows:
+            is_own = row.part == self._identity.data_centre
+            if row.key != PAIRS_PREFIX or is_own:
+                continue
+            try:
+                value = zlib.decompress(row.value)
+            except zlib.error as error:
+                logger.error("pairs of %s can't be read: %s", row.part, error)
+                continue
+            published = _decode(row, value)
+            if published:
+                sums = _log_odds_by_pair(published)
+                self._interference.set_peer_log_odds(f"centre {row.part}", sums)
+
+
+def _quantize(log_odds_by_pair: LogOddsByPair) -> LogOddsByPair:
+    """Return the log odds in steps and within the published bound; drop zeros."""
+    bounded = {
+        pair: max(-MAX_SUM, min(MAX_SUM, log_odds))
+        for pair, log_odds in log_odds_by_pair.items()
+    }
+    steps = {
+        pair: round(log_odds / LOG_ODDS_STEP) * LOG_ODDS_STEP
+        for pair, log_odds in bounded.items()
+    }
+    return {pair: log_odds for pair, log_odds in steps.items() if log_odds}
+
+
+def _decode(row: StoreRow, value: bytes) -> PairsRow | None:
+    try:
+        return _pairs_decoder.decode(value)
+    except msgspec.MsgspecError as error:
+        logger.error("pairs in row %s can't be decoded: %s", row.key, error)
+        return None
+
+
+def _log_odds_by_pair(row: PairsRow) -> LogOddsByPair:
+    return {(pair.filler, pair.serving): pair.log_odds for pair in row.pairs}
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -21,30 +21,25 @@
 
 from ._cell_chooser import CellChooser
 from ._cell_directory import CellDirectory
+from ._cell_loads import CellLoads
 from ._cell_ownership import CellOwnershipManager
 from ._client_api import ClientApi
 from ._clock import now_s
 from ._follower import Follower, RowFollower, TableFollower
 from ._identity import HostIdentity
+from ._live_owners import LiveOwners
 from ._membership import Coverage, Membership
 from ._pair_exchange import PairExchange
 from ._peer_api import PeerApi
 from ._peers import PeerClient
-from ._publisher import CellLoads, HostPublisher, publish_periodically
-from ._records import (
-    CELL_TABLE,
-    LOAD_TABLE,
-    PAIR_PART,
-    PAIR_TABLE,
-    host_table,
-)
+from ._publisher import HostPublisher
+from ._records import CELL_TABLE, DIGEST_TABLE, data_centre_table
 from ._settings import HostSettings
 from ._submission_directory import SubmissionDirectory
 from ._submission_feeds import SubmissionFeeds
 from ._submission_store import SubmissionStore
 from ._worker_list import WorkerList
 
-PAIR_PERIOD_S = 1.0
 RECONCILE_PERIOD_S = 0.25
 PUBLISH_CHECK_PERIOD_S = 0.25
 TRAFFIC_LOG_PERIOD_S = 10.0
@@ -53,10 +48,9 @@
 FOLLOW_TIMEOUT_S = 1.8
 CONFIG_POLL_PERIOD_S = 0.1
 WORKER_POLL_PERIOD_S = 0.7
-HOST_POLL_PERIOD_S = 1.0
-LOAD_POLL_PERIOD_S = 1.0
+DATA_CENTRE_POLL_PERIOD_S = 1.0
+DIGEST_POLL_PERIOD_S = 1.0
 CELL_POLL_PERIOD_S = 0.05
-PAIR_POLL_PERIOD_S = 1.5
 # Time for clients to be routed to other hosts before the listening socket closes.
 CLIENT_REDIRECT_S = 2.2
 logger = logging.getLogger(__name__)
@@ -82,10 +76,15 @@
         self.directory = SubmissionDirectory()
         self.feeds = SubmissionFeeds(self.store, self.directory, FOLLOW_TIMEOUT_S)
         self.membership = Membership()
-        self.cells = CellDirectory()
+        self.cells = CellDirectory(settings.data_centre)
         self.workers = WorkerList()
         self.interference = InterferenceModel()
-        self.pairs = PairExchange(self.store, self.identity, self.interference)
+        self.live_owners = LiveOwners(
+            self.identity, self.membership, self.cells, self._local_coverage
+        )
+        self.pairs = PairExchange(
+            self.identity, self.interference, self.live_owners.rank
+        )
         self._create_followers()
         peers = PeerClient()
         self.ownership = CellOwnershipManager(
@@ -106,9 +105,11 @@
             self.store,
             self.identity,
             settings.cpu_power,
-            CellLoads(self.ownership),
-            self.membership,
-            self.cells,
+            (
+                CellLoads(settings.data_centre, self.cells, self.ownership),
+                self.live_owners,
+                self.pairs,
+            ),
         )
         self.peer_api = PeerApi(self.identity, self.directory, self.ownership)
         self.client_api = ClientApi(
@@ -152,30 +153,21 @@
             wait_s=FOLLOW_TIMEOUT_S,
             min_period_s=CELL_POLL_PERIOD_S,
         )
-        self.load_follower = TableFollower(
+        self.data_centre_follower = TableFollower(
             self.store,
-            LOAD_TABLE,
-            self.cells.on_load_rows,
+            data_centre_table(data_centre),
+            self._on_data_centre_rows,
             wait_s=FOLLOW_TIMEOUT_S,
-            min_period_s=LOAD_POLL_PERIOD_S,
-            rereads_on_failure=True,
-        )
-        self.host_follower = TableFollower(
-            self.store,
-            host_table(data_centre),
-            self.membership.on_host_rows,
-            wait_s=FOLLOW_TIMEOUT_S,
-            min_period_s=HOST_POLL_PERIOD_S,
+            min_period_s=DATA_CENTRE_POLL_PERIOD_S,
             parts=(data_centre,),
             rereads_on_failure=True,
         )
-        self.pair_follower = TableFollower(
+        self.digest_follower = TableFollower(
             self.store,
-            PAIR_TABLE,
-            self.pairs.on_rows,
+            DIGEST_TABLE,
+            self._on_digest_rows,
             wait_s=FOLLOW_TIMEOUT_S,
-            min_period_s=PAIR_POLL_PERIOD_S,
-            parts=(PAIR_PART,),
+            min_period_s=DIGEST_POLL_PERIOD_S,
             rereads_on_failure=True,
         )
 
@@ -186,9 +178,8 @@
             self.config_follower,
             self.worker_follower,
             self.cell_follower,
-            self.load_follower,
-            self.host_follower,
-            self.pair_follower,
+            self.data_centre_follower,
+            self.digest_follower,
         )
 
     def is_ready(self) -> bool:
@@ -201,18 +192,24 @@
         """Start the tasks that read and publish rows and own cells."""
         coroutines = [follower.run() for follower in self.followers]
         coroutines += [
-            publish_periodically(
-                self._publish_host, "heartbeat", PUBLISH_CHECK_PERIOD_S
-            ),
-            publish_periodically(self.pairs.publish, "pairs", PAIR_PERIOD_S),
+            self.publisher.run(PUBLISH_CHECK_PERIOD_S),
             self.reconcile_cells(),
             self._log_store_traffic(),
         ]
         loop = asyncio.get_running_loop()
         return [loop.create_task(coroutine) for coroutine in coroutines]
 
-    async def _publish_host(self) -> None:
-        await self.publisher.publish_if_due(_coverage(self.host_follower))
+    def _on_data_centre_rows(self, rows: tuple[StoreRow, ...]) -> None:
+        self.membership.on_host_rows(rows)
+        self.cells.on_data_centre_rows(rows)
+        self.pairs.on_data_centre_rows(rows)
+
+    def _on_digest_rows(self, rows: tuple[StoreRow, ...]) -> None:
+        self.cells.on_digest_rows(rows)
+        self.pairs.on_digest_rows(rows)
+
+    def _local_coverage(self) -> Coverage:
+        return _coverage(self.data_centre_follower)
 
     async def _log_store_traffic(self) -> None:
         while True:
@@ -228,9 +225,9 @@
     async def reconcile_cells(self) -> None:
         """Acquire and drop cells periodically, as membership changes."""
         while True:
-            if self.host_follower.has_synced and self.load_follower.has_synced:
+            if self.data_centre_follower.has_synced and self.digest_follower.has_synced:
                 await self.ownership.reconcile(
-                    _coverage(self.host_follower), _coverage(self.load_follower)
+                    self._local_coverage(), _coverage(self.digest_follower)
                 )
             await asyncio.sleep(RECONCILE_PERIOD_S)
 
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -13,18 +13,18 @@
 CELL_TABLE = "cells"
 # Workers on which the owner of each cell may have started tasks.
 RECORDED_WORKER_TABLE = "cell-workers"
-# Loads of cells, and live owners of data centres, in the part of the data centre of the
-# host that writes them; every host follows it.
-LOAD_TABLE = "loads"
-PAIR_TABLE = "pairs"
+# What the hosts of a data centre tell those of the others, in its own part; every host
+# follows it.
+DIGEST_TABLE = "digests"
 PROGRESS_TABLE = "progress"
 OWNER_KEY = "owner"
 WORKERS_KEY = "workers"
-# Keys of the load table: this and a cell id, or this, a data centre and the host that
-# wrote its live owners.
-LOAD_PREFIX = "cell/"
-LIVE_OWNERS_PREFIX = "live/"
-PAIR_PART = "pairs"
+# Beginnings of keys in the tables of data centres and in the digests.
+HOST_PREFIX = "host/"
+LOAD_PREFIX = "load/"
+PAIRS_PREFIX = "pairs/"
+BEAT_PREFIX = "beat/"
+OWNERS_PREFIX = "owners/"
 CANCEL_SUFFIX = ".cancel"
 MOVES_SUFFIX = ".moves"
 # Parts of the submission tables: the store limits the transactions per part.
@@ -129,7 +129,6 @@
 class LiveOwnersRow(msgspec.Struct, frozen=True, array_like=True):
     """Hosts of one data centre that own cells and are alive, with their incarnation."""
 
-    data_centre: str
     incarnation_by_host: dict[str, str]
 
 
@@ -144,8 +143,8 @@
     log_odds: float
 
 
-class PairsRow(msgspec.Struct, frozen=True):
-    """What one host has learnt of pairs of images."""
+class PairsRow(msgspec.Struct, frozen=True, array_like=True):
+    """What one incarnation of a host, or a whole data centre, has learnt of pairs."""
 
     incarnation: str
     pairs: tuple[PairRow, ...]
@@ -155,15 +154,14 @@
     """Heartbeat row of one host, read by the hosts of its data centre."""
 
     incarnation: str
-    data_centre: str
     peer_address: str
     cpu_power: float
     is_leaving: bool = False
 
 
-def host_table(data_centre: str) -> str:
-    """Return the table that holds the heartbeat rows of a data centre's hosts."""
-    return f"hosts-{data_centre}"
+def data_centre_table(data_centre: str) -> str:
+    """Return the table that the hosts of a data centre write for each other."""
+    return f"centre-{data_centre}"
 
 
 def cell_submission_table(cell_id: str) -> str:
--- a/programs/beryl-host/src/berylcleat/host/_remote_liveness.py
+++ b/programs/beryl-host/src/berylcleat/host/_remote_liveness.py
@@ -14,50 +14,59 @@
 
 from ._clock import now_s
 from ._membership import Coverage
-from ._records import LiveOwnersRow
+from ._records import BEAT_PREFIX, OWNERS_PREFIX, LiveOwnersRow
 
 logger = logging.getLogger(__name__)
 _live_owners_decoder = msgspec.json.Decoder(LiveOwnersRow)
 
 
-@dataclass(frozen=True, slots=True)
-class _ObservedDigest:
-    row: LiveOwnersRow
-    observed_at: float
+@dataclass(slots=True)
+class _Writer:
+    """A host that writes the digest of its data centre."""
+
+    data_centre: str
+    beat_at: float = float("-inf")
+    owners: LiveOwnersRow = LiveOwnersRow({})
 
 
 class RemoteLiveness:
-    """Digests of live owners, by row key: several hosts of a data centre write one."""
+    """Live owners of each data centre, as several of its hosts publish them."""
 
     def __init__(self):
-        self._digest_by_key: dict[str, _ObservedDigest] = {}
+        self._writer_by_host: dict[str, _Writer] = {}
 
     def on_row(self, row: StoreRow) -> None:
-        """Apply the digest that one host wrote for its data centre."""
-        try:
-            digest = _live_owners_decoder.decode(row.value)
-        except msgspec.MsgspecError as error:
-            logger.error("row %s of live owners can't be decoded: %s", row.key, error)
-            return
-        self._digest_by_key[row.key] = _ObservedDigest(digest, now_s())
+        """Apply a beat or a list of live owners; other rows are ignored."""
+        if row.key.startswith(BEAT_PREFIX):
+            self._writer(row, BEAT_PREFIX).beat_at = now_s()
+        elif row.key.startswith(OWNERS_PREFIX):
+            try:
+                owners = _live_owners_decoder.decode(row.value)
+            except msgspec.MsgspecError as error:
+                logger.error("row %s can't be decoded: %s", row.key, error)
+                return
+            self._writer(row, OWNERS_PREFIX).owners = owners
+
+    def _writer(self, row: StoreRow, prefix: str) -> _Writer:
+        host_id = row.key.removeprefix(prefix)
+        return self._writer_by_host.setdefault(host_id, _Writer(row.part))
 
     def is_live(
         self, data_centre: str, host_id: str, incarnation: str, coverage: Coverage
     ) -> bool:
-        """Return whether a recent digest of the data centre lists the owner."""
+        """Return whether a live writer of the data centre lists the owner."""
         return any(
-            digest.row.incarnation_by_host.get(host_id) == incarnation
-            for digest in self._digest_by_key.values()
-            if digest.row.data_centre == data_centre
-            and coverage.is_recent(digest.observed_at)
+            writer.owners.incarnation_by_host.get(host_id) == incarnation
+            for writer in self._writer_by_host.values()
+            if writer.data_centre == data_centre and coverage.is_recent(writer.beat_at)
         )
 
     def live_data_centres(self, coverage: Coverage) -> set[str]:
-        """Return the data centres that at least one live host has a digest of."""
+        """Return the data centres with a live writer."""
         return {
-            digest.row.data_centre
-            for digest in self._digest_by_key.values()
-            if coverage.is_recent(digest.observed_at)
+            writer.data_centre
+            for writer in self._writer_by_host.values()
+            if coverage.is_recent(writer.beat_at)
         }
 
 
