Features run several at a time

Change: run_features.py runs each feature file in a behave process of its own, half the processors at a time, and prints its output when it has ended; no check is dropped. Scenario names are compared without the space that behave leaves behind an empty example.

--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -1,13 +1,16 @@
-"""Run all behave folders; failures that KNOWN-RED.txt lists don't count.
+"""Run all features, several at a time; failures that KNOWN-RED.txt lists don't count.
 
-The last line of the output is the number of passed and failed scenarios.
+Each feature file runs in a behave process of its own. Its output is printed when it has
+ended. The last line of the output is the number of passed and failed scenarios.
 """
 
 import argparse
 import json
+import os
 import subprocess
 import sys
 import tempfile
+from concurrent.futures import ThreadPoolExecutor, as_completed
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -41,26 +44,39 @@
     )
 
 
-def run_folder(folder: Path, behave_arguments: list[str]) -> tuple[list[Case], bool]:
-    """Run behave in ``folder``; return its cases and whether behave itself ran.
+@dataclass(frozen=True, slots=True)
+class FeatureResult:
+    """Cases and output of one feature file; whether behave itself ran."""
+
+    path: Path
+    cases: list[Case]
+    output: str
+    behave_ran: bool
+
+
+def run_feature(path: Path, behave_arguments: list[str]) -> FeatureResult:
+    """Run behave on one feature file.
 
     No report is an error of behave, unless ``behave_arguments`` select nothing there.
     """
     with tempfile.NamedTemporaryFile(suffix=".json") as report_file:
         command = [sys.executable, "-m", "behave", "-f", "json", "-o", report_file.name]
-        command += [
-            "-f",
-            "progress3",
-            "--no-color",
-            "--no-skipped",
-            *behave_arguments,
-            ".",
-        ]
-        completed = subprocess.run(command, cwd=folder, check=False)
+        command += ["-f", "progress3", "--no-color", "--no-skipped", *behave_arguments]
+        completed = subprocess.run(
+            [*command, path.name],
+            cwd=path.parent,
+            check=False,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            errors="replace",
+        )
         text = Path(report_file.name).read_text(encoding="utf-8")
     if not text.strip():
-        return [], completed.returncode == 0 and bool(behave_arguments)
-    return _make_cases(json.loads(text), folder), True
+        behave_ran = completed.returncode == 0 and bool(behave_arguments)
+        return FeatureResult(path, [], completed.stdout, behave_ran)
+    cases = _make_cases(json.loads(text), path.parent)
+    return FeatureResult(path, cases, completed.stdout, True)
 
 
 def _make_cases(features: list[dict], folder: Path) -> list[Case]:
@@ -72,31 +88,46 @@
             if element["type"] == "background":
                 continue
             status = str(element.get("status", "untested"))
-            cases.append(Case(f"{relative_path}: {element['name']}", status))
+            cases.append(Case(f"{relative_path}: {element['name'].strip()}", status))
     return cases
 
 
 def main() -> int:
     """Run the selected folders; print ``N passed, N failed`` as the last line."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--only", help="run only folders whose path contains this text")
+    parser.add_argument(
+        "--only", help="run only features whose path contains this text"
+    )
+    parser.add_argument(
+        "--jobs",
+        type=int,
+        default=max(1, (os.cpu_count() or 1) // 2),
+        help="feature files to run at a time",
+    )
     parser.add_argument("behave", nargs="*", help="further arguments for behave")
     arguments = parser.parse_args()
-    folders = sorted({f for pattern in FOLDERS for f in ROOT.glob(pattern)})
+    paths = find_features(arguments.only or "")
     cases: list[Case] = []
-    folders_not_run = []
-    for folder in folders:
-        if arguments.only and arguments.only not in str(folder.relative_to(ROOT)):
-            continue
-        print(f"== {folder.relative_to(ROOT)}", flush=True)
-        folder_cases, behave_ran = run_folder(folder, arguments.behave)
-        cases += folder_cases
-        if not behave_ran:
-            folders_not_run.append(folder)
-    return print_report(cases, folders_not_run)
-
-
-def print_report(cases: list[Case], folders_not_run: list[Path]) -> int:
+    features_not_run = []
+    with ThreadPoolExecutor(arguments.jobs) as pool:
+        futures = [pool.submit(run_feature, p, arguments.behave) for p in paths]
+        for future in as_completed(futures):
+            result = future.result()
+            print(f"== {result.path.relative_to(ROOT)}\n{result.output}", flush=True)
+            cases += result.cases
+            if not result.behave_ran:
+                features_not_run.append(result.path)
+    return print_report(cases, features_not_run)
+
+
+def find_features(text: str) -> list[Path]:
+    """Return the feature files whose path contains ``text``."""
+    folders = sorted({f for pattern in FOLDERS for f in ROOT.glob(pattern)})
+    paths = [path for folder in folders for path in sorted(folder.glob("*.feature"))]
+    return [path for path in paths if text in str(path.relative_to(ROOT))]
+
+
+def print_report(cases: list[Case], features_not_run: list[Path]) -> int:
     """Print failures, known ones separately, and the totals; return the exit code."""
     known_red_names = read_known_red_names()
     ran = [case for case in cases if case.status != "skipped"]
@@ -107,9 +138,9 @@
     failed = [case for case in counted if case.status != "passed"]
     for case in failed:
         print(f"FAILED: {case.name}")
-    for folder in folders_not_run:
-        print(f"FAILED: behave did not run in {folder}")
-    n_failed = len(failed) + len(folders_not_run)
+    for path in features_not_run:
+        print(f"FAILED: behave did not run {path}")
+    n_failed = len(failed) + len(features_not_run)
     print(f"{len(counted) - len(failed)} passed, {n_failed} failed")
     return 1 if n_failed or not counted else 0
 
