Only owners follow the workers; moves are told shorter; fewer arguments

Change: OnDemandFollower. A host without cells reads the table of workers at its start, then after 0.5, 1, 2 s and so on up to 10 s while no worker is added, and before it starts a cell; owners follow it as before. TaskMove is stored as an array. MemoryStore's feed told a version later than the rows that it returned (found by the new scenario). Tests: ownership.feature (rows received while idle, first workers noticed); moves.feature, five scenarios on moves and cancellations that cross (new, not seen failing).

--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -18,11 +18,10 @@
 USABLE_HEADROOM_SHARE = 0.7
 
 
-@dataclass(frozen=True, slots=True)
-class TaskMove:
+class TaskMove(msgspec.Struct, frozen=True, array_like=True):
     """Cell that a task moves to, with the state that the cell needs to resume it.
 
-    Runs there get numbers above ``run_floor``. The field names are stored.
+    Runs there get numbers above ``run_floor``. It is stored once for each cell.
     """
 
     cell_id: str
--- /dev/null
+++ b/programs/beryl-host/features/moves.feature
@@ -0,0 +1,33 @@
+Feature: Moves of tasks between cells, and cancellations, in the store
+  Each cell has its own copy of a submission's rows; all copies are written together.
+
+  Scenario: A cancellation reaches the cells that tasks were moved to
+    Given a submission with a task moved from cell "r1" to "r2"
+    When it is cancelled
+    Then it is cancelled in the cells "r1 r2"
+
+  Scenario: A cancellation that has missed a move is sent again
+    Given a submission of cell "r1"
+    And a host that has read it
+    When a task of it moves to "r2"
+    And the host cancels it
+    Then the cancellation conflicts
+    And it is not cancelled in the cells "r1 r2"
+
+  Scenario: No task of a cancelled submission moves
+    Given a submission of cell "r1"
+    And a host that has read it
+    When it is cancelled
+    And the host moves a task to "r2"
+    Then the move conflicts
+    And cell "r2" knows nothing of it
+
+  Scenario: The cell that a task leaves learns where it goes
+    Given a submission with a task moved from cell "r1" to "r2"
+    When the task moves on to "r3"
+    Then the cells "r1 r2 r3" know that it is in "r3"
+
+  Scenario: A submission is accepted once, whichever cell is chosen
+    Given a submission of cell "r1"
+    When it is accepted again for cell "r2"
+    Then its home is "r1" and cell "r2" knows nothing of it
--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -47,3 +47,16 @@
     Given a cell with recorded workers "w1 w2" that was released
     When a host acquires it and the answer to its commit is lost
     Then it has taken the cell
+
+  Scenario: A host without cells reads the list of workers rarely
+    Given a table of 20 rows that are all written again every 0.1 s
+    When a host that needs no changes follows it for 2.0 s, reading it every 10.0 s
+    Then it has received at most 60 rows
+    When it needs the changes from now on
+    Then it has the newest rows within 0.3 s
+
+  Scenario: A host without cells notices soon that the first workers are listed
+    Given a table of 0 rows that are all written again every 0.1 s
+    When a host that needs no changes follows it for 0.2 s, reading it every 10.0 s
+    And 20 rows are added
+    Then it has the newest rows within 1.5 s
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -8,7 +8,8 @@
 from berylcleat.host._cell_directory import CellDirectory
 from berylcleat.host._cell_ownership import CellOwnershipManager
 from berylcleat.host._clock import now_s
-from berylcleat.host._follower import TableFollower
+from berylcleat.host._components import Connections, Knowledge, OwnerFeeds
+from berylcleat.host._follower import OnDemandFollower, TableFollower
 from berylcleat.host._identity import HostIdentity
 from berylcleat.host._membership import Coverage, Membership, assign_cells
 from berylcleat.host._peers import PeerClient
@@ -84,12 +85,11 @@
         "dc-1",
         OwnerRow(2, "host-1", "aa", 18.0),
         owner_row.version,
-        context.store,
-        SubmissionDirectory(),
+        Connections(context.store, PeerClient()),
+        make_knowledge(Membership(), CellDirectory("dc-1"), WorkerList()),
         LeaseTimes(),
         loop.time() + unsettled_s,
         lambda: True,
-        InterferenceModel(),
         None,
     )
 
@@ -114,20 +114,33 @@
     context.run(leave())
 
 
-def make_manager(data_centre, store, membership, cells, workers, follower):
+def make_knowledge(membership, cells, workers):
     directory = SubmissionDirectory()
+    return Knowledge(membership, cells, workers, directory, InterferenceModel())
+
+
+def make_manager(data_centre, store, membership, cells, workers, follower):
+    knowledge = make_knowledge(membership, cells, workers)
+    submissions = SubmissionFeeds(store, knowledge.directory, 0.1)
     return CellOwnershipManager(
         HostIdentity("host-1", data_centre, "bb", "127.0.0.1:9"),
-        store,
-        directory,
-        SubmissionFeeds(store, directory, 0.1),
-        membership,
-        cells,
-        workers,
-        follower,
+        Connections(store, PeerClient()),
+        knowledge,
+        OwnerFeeds(follower, make_worker_follower(store), submissions),
         LeaseTimes(),
-        InterferenceModel(),
-        PeerClient(),
+    )
+
+
+def make_worker_follower(store):
+    return OnDemandFollower(
+        store,
+        "servers",
+        lambda rows: None,
+        lambda: True,
+        wait_s=0.1,
+        min_period_s=0.1,
+        idle_period_s=10.0,
+        parts=("",),
     )
 
 
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -8,20 +8,17 @@
 from berylcleat.platform import WorkerClient
 from berylcleat.ports import (
     AdviceRequest,
-    Advisor,
     HoldOrder,
     OrderResult,
     PaceOrder,
     RowWrite,
     StartOrder,
     StopOrder,
-    Store,
     WorkerEntry,
 )
 from berylcleat.runtime import cancel_all
 from berylcleat.scheduling import (
     CellScheduler,
-    InterferenceModel,
     LeaseTimes,
     MovedTaskEnd,
     Progress,
@@ -31,6 +28,7 @@
 )
 
 from ._clock import now_s, wall_ms
+from ._components import Connections, Knowledge
 from ._recorder import ProgressRecorder
 from ._records import (
     CELL_TABLE,
@@ -39,7 +37,7 @@
     OwnerRow,
     encode,
 )
-from ._submission_directory import SubmissionDirectory, SubmissionEntry
+from ._submission_directory import SubmissionEntry
 from ._task_mover import TaskMover
 
 # Long-poll timeout of a hold request: a worker answers it when a task ends or after
@@ -74,14 +72,12 @@
         data_centre: str,
         owner: OwnerRow,
         owner_version: int,
-        store: Store,
-        directory: SubmissionDirectory,
+        connections: Connections,
+        knowledge: Knowledge,
         times: LeaseTimes,
         settled_at: float,
         is_ownership_confirmed: Callable[[], bool],
-        interference: InterferenceModel,
         mover: TaskMover,
-        advisor: Advisor | None = None,
     ):
         self.cell_id = cell_id
         self.data_centre = data_centre
@@ -89,15 +85,15 @@
         self.owner_version = owner_version
         self.scheduler: CellScheduler | None = None
         self._is_stopped = False
-        self._recorder = ProgressRecorder(store, cell_id, owner_version)
-        self._directory = directory
+        self._recorder = ProgressRecorder(connections.store, cell_id, owner_version)
+        self._directory = knowledge.directory
         self._times = times
         self._created_at = now_s()
         self._settled_at = settled_at
         self._is_ownership_confirmed = is_ownership_confirmed
-        self._interference = interference
+        self._interference = knowledge.interference
         self._mover = mover
-        self._advisor = advisor
+        self._advisor = connections.advisor
         # Recorded progress of submissions that this host doesn't know yet.
         self._unmatched_progress_by_id: dict[str, Progress] = {}
         self._client_by_worker: dict[str, WorkerClient] = {}
--- a/programs/beryl-host/src/berylcleat/host/_cell_loads.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_loads.py
@@ -20,8 +20,7 @@
 # An unchanged load is written again after this time: a delayed write of an earlier
 # owner may have replaced it.
 MAX_LOAD_AGE_S = 5.0
-# Readers see a new load up to this much earlier than it is due: publishing is checked
-# in steps.
+# Publishing is checked in steps, so a load is due this much earlier.
 DUE_MARGIN_S = 0.1
 
 
@@ -39,7 +38,9 @@
         self._written_by_cell: dict[str, _WrittenLoad] = {}
         self._pending_by_cell: dict[str, _WrittenLoad] = {}
 
-    def due(self, value_by_cell: dict[str, bytes], period_s: float, now: float):
+    def due(
+        self, value_by_cell: dict[str, bytes], period_s: float, now: float
+    ) -> dict[str, bytes]:
         """Return the loads, by cell, that have changed and are due."""
         self._pending_by_cell = {
             cell_id: _WrittenLoad(value, now)
@@ -76,16 +77,18 @@
 
     def due_writes(self, now: float) -> list[RowWrite]:
         """Return the loads that have changed and are due."""
-        value_by_cell = {
-            cell_id: encode(LoadRow(controller.owner.epoch, summary))
-            for cell_id, controller in self._ownership.controller_by_cell.items()
-            if (summary := controller.summary()) is not None
-        }
         n_local = self._cells.count_cells_of(self._data_centre)
         n_all = len(self._cells.owner_by_cell)
+        value_by_cell = self._encode_loads()
+        local = self._local.due(
+            value_by_cell, _period_s(n_local, MAX_LOADS_IN_DATA_CENTRE), now
+        )
+        digest = self._digest.due(
+            value_by_cell, _period_s(n_all, MAX_LOADS_IN_DIGESTS), now
+        )
         return [
-            *self._writes(self._local, value_by_cell, n_local, now),
-            *self._writes(self._digest, value_by_cell, n_all, now),
+            *(self._write(self._local, *load) for load in local.items()),
+            *(self._write(self._digest, *load) for load in digest.items()),
         ]
 
     def is_urgent(self) -> bool:
@@ -97,14 +100,16 @@
         self._local.on_written()
         self._digest.on_written()
 
-    def _writes(
-        self, table: _LoadTable, value_by_cell: dict[str, bytes], n_cells: int, now
-    ) -> list[RowWrite]:
-        limit = (
-            MAX_LOADS_IN_DIGESTS if table is self._digest else MAX_LOADS_IN_DATA_CENTRE
-        )
-        period_s = max(MIN_LOAD_PERIOD_S, n_cells / limit)
-        return [
-            RowWrite(table.table, self._data_centre, LOAD_PREFIX + cell_id, value)
-            for cell_id, value in table.due(value_by_cell, period_s, now).items()
-        ]
+    def _encode_loads(self) -> dict[str, bytes]:
+        return {
+            cell_id: encode(LoadRow(controller.owner.epoch, summary))
+            for cell_id, controller in self._ownership.controller_by_cell.items()
+            if (summary := controller.summary()) is not None
+        }
+
+    def _write(self, table: _LoadTable, cell_id: str, value: bytes) -> RowWrite:
+        return RowWrite(table.table, self._data_centre, LOAD_PREFIX + cell_id, value)
+
+
+def _period_s(n_cells: int, max_loads_a_second: int) -> float:
+    return max(MIN_LOAD_PERIOD_S, n_cells / max_loads_a_second)
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -6,30 +6,26 @@
 
 from berylcleat.model import BerylError
 from berylcleat.ports import (
-    Advisor,
     Commit,
     Condition,
     RowWrite,
-    Store,
     StoreRow,
     WorkerEntry,
 )
-from berylcleat.scheduling import InterferenceModel, LeaseTimes
+from berylcleat.scheduling import LeaseTimes
 
 from ._cell_controller import CellController
-from ._cell_directory import CellDirectory, ObservedOwner
+from ._cell_directory import ObservedOwner
 from ._clock import now_s
-from ._follower import TableFollower
+from ._components import Connections, Knowledge, OwnerFeeds
 from ._identity import HostIdentity
-from ._membership import Coverage, Membership, assign_cells
-from ._peers import PeerClient, TakeoverNotice
+from ._membership import Coverage, assign_cells
+from ._peers import TakeoverNotice
 from ._records import CELL_TABLE, OWNER_KEY, CellSummary, OwnerRow, encode
 from ._remote_liveness import choose_adopting_data_centre
-from ._submission_directory import SubmissionDirectory, SubmissionEntry
-from ._submission_feeds import SubmissionFeeds
+from ._submission_directory import SubmissionEntry
 from ._submission_store import SubmissionStore
 from ._task_mover import TaskMover
-from ._worker_list import WorkerList
 
 # Time for a live host of the cell's own data centre to appear before a host of another
 # data centre acquires the cell.
@@ -48,17 +44,10 @@
     def __init__(
         self,
         identity: HostIdentity,
-        store: Store,
-        directory: SubmissionDirectory,
-        feeds: SubmissionFeeds,
-        membership: Membership,
-        cells: CellDirectory,
-        workers: WorkerList,
-        cell_follower: TableFollower,
+        connections: Connections,
+        knowledge: Knowledge,
+        feeds: OwnerFeeds,
         times: LeaseTimes,
-        interference: InterferenceModel,
-        peers: PeerClient,
-        advisor: Advisor | None = None,
     ):
         self.controller_by_cell: dict[str, CellController] = {}
         self.is_leaving = False
@@ -67,20 +56,23 @@
         self._eligible_since_by_cell: dict[str, float] = {}
         # Highest epoch under which this host must no longer run a cell, by cell id.
         self._relinquished_epoch_by_cell: dict[str, int] = {}
-        self._store = store
-        self._directory = directory
+        self._connections = connections
+        self._store = connections.store
+        self._knowledge = knowledge
+        self._membership = knowledge.membership
+        self._cells = knowledge.cells
+        self._workers = knowledge.workers
         self._feeds = feeds
-        self._membership = membership
-        self._cells = cells
-        self._workers = workers
-        self._cell_follower = cell_follower
         self._times = times
-        self._interference = interference
-        self._peers = peers
-        self._advisor = advisor
-        self._mover = TaskMover(SubmissionStore(store), directory, cells, peers, self)
-        directory.listeners.append(self._on_submission)
-        workers.listeners.append(self._on_workers)
+        self._mover = TaskMover(
+            SubmissionStore(connections.store),
+            knowledge.directory,
+            knowledge.cells,
+            connections.peers,
+            self,
+        )
+        knowledge.directory.listeners.append(self._on_submission)
+        knowledge.workers.listeners.append(self._on_workers)
 
     async def reconcile(self, local: Coverage, remote: Coverage) -> None:
         """Drop lost cells and acquire the cells assigned to this host.
@@ -89,10 +81,10 @@
         of the other ones.
         """
         await self._drop_lost()
-        self._feeds.close_unused(set(self.controller_by_cell))
-        if self.is_leaving or not self._cell_follower.has_synced:
+        self._feeds.submissions.close_unused(set(self.controller_by_cell))
+        if self.is_leaving or not self._feeds.cells.has_synced:
             return
-        if self._cell_follower.failing_since is not None:
+        if self._feeds.cells.failing_since is not None:
             return
         await self._start_unacknowledged()
         now = now_s()
@@ -151,7 +143,7 @@
         controllers = list(self.controller_by_cell.values())
         self.controller_by_cell.clear()
         await asyncio.gather(*(controller.release() for controller in controllers))
-        self._feeds.close_unused(set())
+        self._feeds.submissions.close_unused(set())
 
     def summaries(self) -> dict[str, CellSummary]:
         """Return load summaries of the cells that this host owns, by cell id."""
@@ -263,14 +255,12 @@
             self._workers.data_centre_by_cell().get(cell_id, ""),
             row,
             version,
-            self._store,
-            self._directory,
+            self._connections,
+            self._knowledge,
             self._times,
             now_s() + max(wait_s, remaining_s),
             self._is_ownership_confirmed,
-            self._interference,
             self._mover,
-            self._advisor,
         )
         # A shutdown or a takeover notice may have come during the commit or the request
         # to the previous owner.
@@ -282,7 +272,8 @@
             return
         self.controller_by_cell[cell_id] = controller
         try:
-            await self._feeds.open(cell_id, version)
+            await self._feeds.workers.catch_up()
+            await self._feeds.submissions.open(cell_id, version)
             await controller.start(self._workers.in_cell(cell_id))
         except BerylError as error:
             logger.warning("cell %s: could not start: %s", cell_id, error)
@@ -305,7 +296,7 @@
             return True
         if not row.peer_address:
             return False
-        return await self._peers.send_takeover(
+        return await self._connections.peers.send_takeover(
             row.peer_address, TakeoverNotice(cell_id, row.epoch, row.host_id)
         )
 
@@ -320,7 +311,7 @@
 
     def _is_ownership_confirmed(self) -> bool:
         """Return whether the cell table was read recently enough to trust ownership."""
-        age_s = now_s() - self._cell_follower.confirmed_at
+        age_s = now_s() - self._feeds.cells.confirmed_at
         return age_s < self._times.owner_limit_s
 
     async def _drop_lost(self) -> None:
--- /dev/null
+++ b/programs/beryl-host/src/berylcleat/host/_components.py
@@ -0,0 +1,43 @@
+"""Groups of a host's components that are handed on together."""
+
+from dataclasses import dataclass
+
+from berylcleat.ports import Advisor, Store
+from berylcleat.scheduling import InterferenceModel
+
+from ._cell_directory import CellDirectory
+from ._follower import OnDemandFollower, TableFollower
+from ._membership import Membership
+from ._peers import PeerClient
+from ._submission_directory import SubmissionDirectory
+from ._submission_feeds import SubmissionFeeds
+from ._worker_list import WorkerList
+
+
+@dataclass(frozen=True, slots=True)
+class Connections:
+    """Clients of what lies outside the process; there may be no advisor."""
+
+    store: Store
+    peers: PeerClient
+    advisor: Advisor | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Knowledge:
+    """What this host knows of hosts, cells, workers, submissions and images."""
+
+    membership: Membership
+    cells: CellDirectory
+    workers: WorkerList
+    directory: SubmissionDirectory
+    interference: InterferenceModel
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerFeeds:
+    """Followers that an owner of cells depends on."""
+
+    cells: TableFollower
+    workers: OnDemandFollower
+    submissions: SubmissionFeeds
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -25,7 +25,8 @@
 from ._cell_ownership import CellOwnershipManager
 from ._client_api import ClientApi
 from ._clock import now_s
-from ._follower import Follower, RowFollower, TableFollower
+from ._components import Connections, Knowledge, OwnerFeeds
+from ._follower import Follower, OnDemandFollower, RowFollower, TableFollower
 from ._identity import HostIdentity
 from ._live_owners import LiveOwners
 from ._membership import Coverage, Membership
@@ -48,6 +49,8 @@
 FOLLOW_TIMEOUT_S = 1.8
 CONFIG_POLL_PERIOD_S = 0.1
 WORKER_POLL_PERIOD_S = 0.7
+# A host without cells needs the list of cells only, which rarely changes.
+WORKER_IDLE_PERIOD_S = 10.0
 DATA_CENTRE_POLL_PERIOD_S = 1.0
 DIGEST_POLL_PERIOD_S = 1.0
 CELL_POLL_PERIOD_S = 0.05
@@ -89,17 +92,16 @@
         peers = PeerClient()
         self.ownership = CellOwnershipManager(
             self.identity,
-            self.store,
-            self.directory,
-            self.feeds,
-            self.membership,
-            self.cells,
-            self.workers,
-            self.cell_follower,
+            Connections(self.store, peers, self._make_advisor()),
+            Knowledge(
+                self.membership,
+                self.cells,
+                self.workers,
+                self.directory,
+                self.interference,
+            ),
+            OwnerFeeds(self.cell_follower, self.worker_follower, self.feeds),
             LeaseTimes(worker_lease_s=settings.worker_lease_s),
-            self.interference,
-            peers,
-            self._make_advisor(),
         )
         self.publisher = HostPublisher(
             self.store,
@@ -137,14 +139,15 @@
             wait_s=FOLLOW_TIMEOUT_S,
             min_period_s=CONFIG_POLL_PERIOD_S,
         )
-        self.worker_follower = TableFollower(
+        self.worker_follower = OnDemandFollower(
             self.store,
             WORKER_TABLE,
             self.workers.on_rows,
+            lambda: bool(self.ownership.controller_by_cell),
             wait_s=FOLLOW_TIMEOUT_S,
             min_period_s=WORKER_POLL_PERIOD_S,
+            idle_period_s=WORKER_IDLE_PERIOD_S,
             parts=("",),
-            rereads_on_failure=True,
         )
         self.cell_follower = TableFollower(
             self.store,
--- a/standins/src/berylcleat/standins/_memory_store.py
+++ b/standins/src/berylcleat/standins/_memory_store.py
@@ -76,8 +76,9 @@
         if self.is_unreachable:
             raise OutcomeUnknownError("store: no answer", REMEDY)
         rows = tuple(map(_to_row, self._rows.changes_after(table, after)))
+        version = self._rows.version
         await asyncio.sleep(FOLLOW_POLL_INTERVAL_S)
-        return RowPage(rows, self._rows.version)
+        return RowPage(rows, version)
 
     async def list_parts(self, table: str) -> tuple[str, ...]:
         """Return the parts of ``table`` that hold rows."""
