One follower a module

Cause: read as a newcomer would, _follower.py held four classes in 309 lines. Change: _row_follower.py and _on_demand_follower.py; nothing but imports differs.

--- a/programs/beryl-host/features/steps/config_storm_steps.py
+++ b/programs/beryl-host/features/steps/config_storm_steps.py
@@ -3,7 +3,7 @@
 
 from behave import given, then, when
 
-from berylcleat.host._follower import RowFollower
+from berylcleat.host._row_follower import RowFollower
 from berylcleat.standins import MemoryStore
 
 ROW_KEY = ("op", "", "config")
--- a/programs/beryl-host/features/steps/on_demand_steps.py
+++ b/programs/beryl-host/features/steps/on_demand_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from berylcleat.host._follower import OnDemandFollower
+from berylcleat.host._on_demand_follower import OnDemandFollower
 from berylcleat.standins import MemoryStore
 
 TABLE = "servers"
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -9,9 +9,10 @@
 from berylcleat.host._cell_ownership import CellOwnershipManager
 from berylcleat.host._clock import now_s
 from berylcleat.host._components import Connections, Knowledge, OwnerFeeds
-from berylcleat.host._follower import OnDemandFollower, TableFollower
+from berylcleat.host._follower import TableFollower
 from berylcleat.host._identity import HostIdentity
 from berylcleat.host._membership import Coverage, Membership, assign_cells
+from berylcleat.host._on_demand_follower import OnDemandFollower
 from berylcleat.host._peers import PeerClient
 from berylcleat.host._recorder import ProgressRecorder
 from berylcleat.host._records import (
--- a/programs/beryl-host/src/berylcleat/host/_components.py
+++ b/programs/beryl-host/src/berylcleat/host/_components.py
@@ -6,8 +6,9 @@
 from berylcleat.scheduling import InterferenceModel
 
 from ._cell_directory import CellDirectory
-from ._follower import OnDemandFollower, TableFollower
+from ._follower import TableFollower
 from ._membership import Membership
+from ._on_demand_follower import OnDemandFollower
 from ._peers import PeerClient
 from ._submission_directory import SubmissionDirectory
 from ._submission_feeds import SubmissionFeeds
--- a/programs/beryl-host/src/berylcleat/host/_follower.py
+++ b/programs/beryl-host/src/berylcleat/host/_follower.py
@@ -1,17 +1,15 @@
-"""Follow tables and single rows of the store: a full read, then the change feed."""
+"""Follow a table of the store: a full read, then its change feed."""
 
 import asyncio
 import logging
 from collections.abc import Callable
 
 from berylcleat.model import BerylError
-from berylcleat.ports import Commit, Condition, HistoryLostError, Store, StoreRow
+from berylcleat.ports import HistoryLostError, Store, StoreRow
 
 from ._clock import now_s
 
 RETRY_DELAY_S = 0.2
-# Time to the next read of a table that is not followed, while rows are being added.
-FIRST_IDLE_PERIOD_S = 0.5
 RowsListener = Callable[[tuple[StoreRow, ...]], None]
 logger = logging.getLogger(__name__)
 
@@ -180,130 +178,3 @@
                 newer.append(row)
         if newer:
             self._on_rows(tuple(newer))
-
-
-class OnDemandFollower(TableFollower):
-    """Table follower that follows changes only while they are needed.
-
-    Otherwise it reads the whole table now and then: a table whose rows are all written
-    again every second costs less to read rarely than to follow. The time between two
-    reads doubles up to ``idle_period_s`` while no row is added.
-    """
-
-    def __init__(
-        self,
-        store: Store,
-        table: str,
-        on_rows: RowsListener,
-        is_needed: Callable[[], bool],
-        *,
-        wait_s: float,
-        min_period_s: float,
-        idle_period_s: float,
-        parts: tuple[str, ...],
-    ):
-        super().__init__(
-            store,
-            table,
-            on_rows,
-            wait_s=wait_s,
-            min_period_s=min_period_s,
-            parts=parts,
-            rereads_on_failure=True,
-        )
-        self._is_needed = is_needed
-        self._max_idle_period_s = idle_period_s
-        self._idle_period_s = FIRST_IDLE_PERIOD_S
-        self._is_following = False
-        self._read_at = float("-inf")
-
-    async def catch_up(self) -> None:
-        """Read the table unless its changes are being followed."""
-        if not self._is_following:
-            await self._read_all()
-
-    async def _read_all(self) -> None:
-        self._is_following = False
-        n_rows = len(self._version_by_row)
-        await super()._read_all()
-        has_grown = len(self._version_by_row) > n_rows
-        longer_s = min(2 * self._idle_period_s, self._max_idle_period_s)
-        self._idle_period_s = FIRST_IDLE_PERIOD_S if has_grown else longer_s
-        self._read_at = now_s()
-        self._is_following = self._is_needed()
-
-    async def _follow(self, wait_s: float) -> None:
-        if not self._is_needed():
-            self._is_following = False
-            is_due = now_s() - self._read_at >= self._idle_period_s
-        else:
-            is_due = not self._is_following
-        if is_due:
-            await self._read_all()
-        elif self._is_following:
-            await super()._follow(wait_s)
-
-
-class RowFollower(Follower):
-    """Subscription that passes the newest version of one row to ``on_row``.
-
-    The change feed delivers every version of a row in full, so a host behind a slow
-    link would fall ever further behind a row that changes quickly. After a change the
-    row is therefore read until it stays the same, by a transaction that only checks its
-    version: a conflict returns the newest version alone.
-    """
-
-    def __init__(
-        self,
-        store: Store,
-        table: str,
-        key: str,
-        on_row: Callable[[StoreRow], None],
-        *,
-        wait_s: float,
-        min_period_s: float,
-    ):
-        super().__init__(
-            store,
-            table,
-            wait_s=wait_s,
-            min_period_s=min_period_s,
-            rereads_on_failure=True,
-        )
-        self._key = key
-        self._on_row = on_row
-        self._row_version = 0
-        self._may_have_changed = False
-
-    async def _read_all(self) -> None:
-        page = await self._store.read(self._table, "", self._key, self._key + "\x00")
-        self._deliver_newest(page.rows)
-        self._may_have_changed = False
-        self.version = max(self.version, page.version)
-
-    async def _follow(self, wait_s: float) -> None:
-        if self._may_have_changed:
-            await self._read_if_changed()
-            return
-        page = await self._store.follow(self._table, self.version, wait_s)
-        self._may_have_changed = self._deliver_newest(page.rows)
-        self.version = max(self.version, page.version)
-
-    async def _read_if_changed(self) -> None:
-        condition = Condition(self._table, "", self._key, self._row_version)
-        outcome = await self._store.commit(Commit((condition,)))
-        if outcome.applied:
-            self._may_have_changed = False
-            self.version = max(self.version, outcome.version)
-        else:
-            self._may_have_changed = self._deliver_newest(outcome.current)
-
-    def _deliver_newest(self, rows: tuple[StoreRow, ...]) -> bool:
-        """Pass on the newest version if it is new; return whether it is."""
-        versions = [row for row in rows if row.key == self._key and not row.is_removed]
-        newest = max(versions, key=lambda row: row.version, default=None)
-        if newest is None or newest.version <= self._row_version:
-            return False
-        self._row_version = newest.version
-        self._on_row(newest)
-        return True
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -26,15 +26,17 @@
 from ._client_api import ClientApi
 from ._clock import now_s
 from ._components import Connections, Knowledge, OwnerFeeds
-from ._follower import Follower, OnDemandFollower, RowFollower, TableFollower
+from ._follower import Follower, TableFollower
 from ._identity import HostIdentity
 from ._live_owners import LiveOwners
 from ._membership import Coverage, Membership
+from ._on_demand_follower import OnDemandFollower
 from ._pair_exchange import PairExchange
 from ._peer_api import PeerApi
 from ._peers import PeerClient
 from ._publisher import HostPublisher
 from ._records import CELL_TABLE, DIGEST_TABLE, data_centre_table
+from ._row_follower import RowFollower
 from ._settings import HostSettings
 from ._submission_directory import SubmissionDirectory
 from ._submission_feeds import SubmissionFeeds
