Tests that run beside each other never share ports

Ruled out: load (the workers served the strangers at once). Change: a process locks blocks of 100 ports in the temporary folder and hands out those only; the system releases them when it ends. Test: standins/features/ports.feature, four processes with 250 ports each; before, a port was handed out three times.

--- a/standins/src/berylcleat/standins/__init__.py
+++ b/standins/src/berylcleat/standins/__init__.py
@@ -5,7 +5,6 @@
     Fleet,
     FleetPlan,
     Host,
-    find_free_ports,
     make_fleet_plan,
     send_request,
 )
@@ -13,6 +12,7 @@
 from ._history_checks import find_overlapping_tasks, find_repeated_requests
 from ._memory_store import MemoryStore
 from ._platform import Faults, PlatformSettings
+from ._ports import find_free_ports
 from ._rack import RackSettings, WorkerFault
 from ._row_store import RowStore
 from ._task_client import (
--- a/standins/src/berylcleat/standins/_fleet.py
+++ b/standins/src/berylcleat/standins/_fleet.py
@@ -1,11 +1,9 @@
 """Start and stop a complete installation on loopback, for the demo and the tests."""
 
 import asyncio
-import itertools
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -19,13 +17,10 @@
 from berylcleat.http import ExchangeError, HttpClient, HttpRequest, HttpResponse
 
 from ._history import History
+from ._ports import LOOPBACK, find_free_ports
 
-LOOPBACK = "127.0.0.1"
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 25.0
-FIRST_PORT = 12_000
-N_PORTS = 18_000
-_PORT_COUNTER = itertools.count(os.getpid() * 97)
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,30 +51,6 @@
     return msgspec.convert({**value, **changes}, FleetPlan)
 
 
-def find_free_ports(n_ports: int) -> list[int]:
-    """Return ports that are currently free on loopback.
-
-    They lie below the system's ephemeral range, so that no outgoing connection takes
-    one before its process binds it.
-    """
-    free_ports: list[int] = []
-    while len(free_ports) < n_ports:
-        port = FIRST_PORT + next(_PORT_COUNTER) % N_PORTS
-        if _is_free(port):
-            free_ports.append(port)
-    return free_ports
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe_socket:
-        probe_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe_socket.bind((LOOPBACK, port))
-        except OSError:
-            return False
-    return True
-
-
 @dataclass
 class Host:
     """Addresses of the entry and planner processes of one host."""
