What a data centre has learnt reaches the others each second while cells are few

Change: the sum is due every second up to 8 cells, then more rarely by their number. Test: pairs.feature; with 3 s for all the first example counts 4 sums, not 12.

--- a/programs/beryl-host/features/steps/size_simulation.py
+++ b/programs/beryl-host/features/steps/size_simulation.py
@@ -159,7 +159,12 @@
         live_owners = LiveOwners(
             self.identity, self._membership, self._cells, lambda: Coverage(0.0, 0.0)
         )
-        self._pairs = PairExchange(self.identity, self.interference, live_owners.rank)
+        self._pairs = PairExchange(
+            self.identity,
+            self.interference,
+            live_owners.rank,
+            lambda: len(self._cells.owner_by_cell),
+        )
         loads = CellLoads(data_centre, self._cells, self)
         sources = (loads, live_owners, self._pairs)
         self.publisher = HostPublisher(self.store, self.identity, 1.0, sources)
--- a/programs/beryl-host/src/berylcleat/host/_pair_exchange.py
+++ b/programs/beryl-host/src/berylcleat/host/_pair_exchange.py
@@ -27,7 +27,10 @@
 
 RECENT_SUFFIX = "/recent"
 FULL_PERIOD_S = 10.0
-SUM_PERIOD_S = 3.0
+# The sum of a data centre is due every second with few cells, and more rarely the more
+# there are.
+MIN_SUM_PERIOD_S = 1.0
+CELLS_PER_SECOND_OF_SUM_PERIOD = 8
 # Hosts of a data centre that publish pairs a second at most, so that what a host reads
 # doesn't grow with them.
 MAX_HOSTS_A_SECOND = 3
@@ -62,10 +65,12 @@
         identity: HostIdentity,
         interference: InterferenceModel,
         rank: Callable[[], int | None],
+        count_cells: Callable[[], int],
     ):
         self._identity = identity
         self._interference = interference
         self._rank = rank
+        self._count_cells = count_cells
         self._table = data_centre_table(identity.data_centre)
         self._own_key = PAIRS_PREFIX + identity.host_id
         self._written = _PeerPairs()
@@ -126,7 +131,8 @@
         total = _quantize(total)
         if total == self._written_sum:
             return []
-        self._sum_due_at = now + SUM_PERIOD_S
+        period_s = self._count_cells() / CELLS_PER_SECOND_OF_SUM_PERIOD
+        self._sum_due_at = now + max(MIN_SUM_PERIOD_S, period_s) - DUE_MARGIN_S
         self._pending_sum = total
         data_centre = self._identity.data_centre
         value = zlib.compress(encode(self._make_row(total)))
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -88,7 +88,10 @@
             self.identity, self.membership, self.cells, self._local_coverage
         )
         self.pairs = PairExchange(
-            self.identity, self.interference, self.live_owners.rank
+            self.identity,
+            self.interference,
+            self.live_owners.rank,
+            lambda: len(self.cells.owner_by_cell),
         )
         self._create_followers()
         peers = PeerClient()
