--- a/programs/beryl-host/features/size.feature
+++ b/programs/beryl-host/features/size.feature
@@ -8,9 +8,10 @@
     Then the calls a host and second at <n> hosts are at most 2 times those at 30
 
     Examples:
-      | n   |
-      | 100 |
-      | 300 |
+      | n    |
+      | 100  |
+      | 300  |
+      | 1000 |
 
   Scenario Outline: At <n> hosts submissions cost an owner at most twice what they cost at 30
     When the store serves 30 and <n> hosts
@@ -18,9 +19,10 @@
     And a host without cells reads no submission
 
     Examples:
-      | n   |
-      | 100 |
-      | 300 |
+      | n    |
+      | 100  |
+      | 300  |
+      | 1000 |
 
   Scenario Outline: At <n> hosts a host moves at most twice the bytes that it moves at 30
     When the store serves 30 and <n> hosts
