Published pairs: a lost sum and a pair that is neutral again are published

Cause: found by reading _pair_exchange.py. A sum whose write failed counted as stored with the next successful write of other rows, and then stayed unpublished until it changed; a pair whose log odds went back to 0 was left out of the changes, so other hosts kept the old value. Change: a pending sum is dropped with each new collection; changes include pairs that are neutral now. Also by reading: constants that name a period (SUM_PERIOD_PER_CELL_S), heartbeat in place of "beat", find_free_ports raises whenever it can't return all ports asked for.

--- a/programs/beryl-host/src/berylcleat/host/_live_owners.py
+++ b/programs/beryl-host/src/berylcleat/host/_live_owners.py
@@ -8,7 +8,7 @@
 from ._identity import HostIdentity
 from ._membership import Coverage, Membership, rank_by_power
 from ._records import (
-    BEAT_PREFIX,
+    DIGEST_HEARTBEAT_PREFIX,
     DIGEST_TABLE,
     OWNERS_PREFIX,
     LiveOwnersRow,
@@ -22,7 +22,7 @@
 class LiveOwners:
     """Source of the rows from which other data centres tell that owners live.
 
-    The list is written when it changes, the beat with every heartbeat.
+    The list is written when it changes, a heartbeat every second.
     """
 
     def __init__(
@@ -46,11 +46,11 @@
         return ranking.index(host_id) if host_id in ranking else None
 
     def due_writes(self, now: float) -> list[RowWrite]:
-        """Return the beat, and the list if it has changed, if this host is a writer."""
+        """Return the heartbeat and a changed list, if this host is a writer."""
         self._pending = self._make_list()
         if self._pending is None:
             return []
-        writes = [self._write(BEAT_PREFIX, b"")]
+        writes = [self._write(DIGEST_HEARTBEAT_PREFIX, b"")]
         if self._pending != self._written:
             writes.append(self._write(OWNERS_PREFIX, encode(self._pending)))
         return writes
--- a/programs/beryl-host/src/berylcleat/host/_pair_exchange.py
+++ b/programs/beryl-host/src/berylcleat/host/_pair_exchange.py
@@ -1,8 +1,9 @@
-"""Exchange of what hosts have learnt of pairs of images.
+"""Exchange of the interference that hosts have learnt of pairs of images.
 
-Within a data centre each host writes two rows: all its pairs, rarely, and often those
-that have changed since. A reader that misses versions of either still ends with the
-newest values. To the other data centres one host writes the sum over its own.
+Within a data centre each host writes two rows: one with all its pairs, every ten
+seconds, and one with the pairs that have changed since, every second or so. A reader
+that misses versions of either row still ends with the newest values. For the other data
+centres one host writes the sum over all hosts of its own.
 """
 
 import logging
@@ -27,13 +28,12 @@
 
 RECENT_SUFFIX = "/recent"
 FULL_PERIOD_S = 10.0
-# The sum of a data centre is due every second with few cells, and more rarely the more
-# there are.
+# The period of a data centre's sum grows with the cells of the system, so that the sums
+# that a host reads a second don't grow with them.
 MIN_SUM_PERIOD_S = 1.0
-CELLS_PER_SECOND_OF_SUM_PERIOD = 8
-# Hosts of a data centre that publish pairs a second at most, so that what a host reads
-# doesn't grow with them.
-MAX_HOSTS_A_SECOND = 3
+SUM_PERIOD_PER_CELL_S = 0.125
+# The same for the pairs of a host and the hosts of its data centre that publish some.
+OWN_PERIOD_PER_HOST_S = 1 / 3
 # Publishing is checked in steps, so a row is due this much earlier.
 DUE_MARGIN_S = 0.1
 # Log odds are published in steps of this size: they change with every reading.
@@ -98,16 +98,16 @@
     def _own_writes(self, now: float) -> list[RowWrite]:
         learnt = _quantize(self._interference.learned_log_odds())
         recent = {
-            pair: log_odds
-            for pair, log_odds in learnt.items()
-            if log_odds != self._written.all.get(pair, 0.0)
+            pair: learnt.get(pair, 0.0)
+            for pair in learnt.keys() | self._written.all.keys()
+            if learnt.get(pair, 0.0) != self._written.all.get(pair, 0.0)
         }
         self._pending = _PeerPairs(self._written.all, recent)
         if recent == self._written.recent or now < self._due_at:
             self._pending = self._written
             return []
         n_hosts = len(self._pairs_by_host) + 1
-        self._due_at = now + n_hosts / MAX_HOSTS_A_SECOND - DUE_MARGIN_S
+        self._due_at = now + n_hosts * OWN_PERIOD_PER_HOST_S - DUE_MARGIN_S
         if now < self._full_due_at:
             return [self._write(self._own_key + RECENT_SUFFIX, recent)]
         self._pending = _PeerPairs(learnt)
@@ -122,6 +122,7 @@
         return RowWrite(self._table, self._identity.data_centre, key, value)
 
     def _sum_writes(self, now: float) -> list[RowWrite]:
+        self._pending_sum = self._written_sum
         if now < self._sum_due_at or self._rank() != 0:
             return []
         total = dict(self._interference.learned_log_odds())
@@ -131,7 +132,7 @@
         total = _quantize(total)
         if total == self._written_sum:
             return []
-        period_s = self._count_cells() / CELLS_PER_SECOND_OF_SUM_PERIOD
+        period_s = self._count_cells() * SUM_PERIOD_PER_CELL_S
         self._sum_due_at = now + max(MIN_SUM_PERIOD_S, period_s) - DUE_MARGIN_S
         self._pending_sum = total
         data_centre = self._identity.data_centre
--- a/programs/beryl-host/src/berylcleat/host/_remote_liveness.py
+++ b/programs/beryl-host/src/berylcleat/host/_remote_liveness.py
@@ -14,7 +14,7 @@
 
 from ._clock import now_s
 from ._membership import Coverage
-from ._records import BEAT_PREFIX, OWNERS_PREFIX, LiveOwnersRow
+from ._records import DIGEST_HEARTBEAT_PREFIX, OWNERS_PREFIX, LiveOwnersRow
 
 logger = logging.getLogger(__name__)
 _live_owners_decoder = msgspec.json.Decoder(LiveOwnersRow)
@@ -25,7 +25,7 @@
     """A host that writes the digest of its data centre."""
 
     data_centre: str
-    beat_at: float = float("-inf")
+    heartbeat_at: float = float("-inf")
     owners: LiveOwnersRow = LiveOwnersRow({})
 
 
@@ -36,9 +36,9 @@
         self._writer_by_host: dict[str, _Writer] = {}
 
     def on_row(self, row: StoreRow) -> None:
-        """Apply a beat or a list of live owners; other rows are ignored."""
-        if row.key.startswith(BEAT_PREFIX):
-            self._writer(row, BEAT_PREFIX).beat_at = now_s()
+        """Apply a heartbeat or a list of live owners; other rows are ignored."""
+        if row.key.startswith(DIGEST_HEARTBEAT_PREFIX):
+            self._writer(row, DIGEST_HEARTBEAT_PREFIX).heartbeat_at = now_s()
         elif row.key.startswith(OWNERS_PREFIX):
             try:
                 owners = _live_owners_decoder.decode(row.value)
@@ -58,7 +58,8 @@
         return any(
             writer.owners.incarnation_by_host.get(host_id) == incarnation
             for writer in self._writer_by_host.values()
-            if writer.data_centre == data_centre and coverage.is_recent(writer.beat_at)
+            if writer.data_centre == data_centre
+            and coverage.is_recent(writer.heartbeat_at)
         )
 
     def live_data_centres(self, coverage: Coverage) -> set[str]:
@@ -66,7 +67,7 @@
         return {
             writer.data_centre
             for writer in self._writer_by_host.values()
-            if coverage.is_recent(writer.beat_at)
+            if coverage.is_recent(writer.heartbeat_at)
         }
 
 
--- a/standins/src/berylcleat/standins/_ports.py
+++ b/standins/src/berylcleat/standins/_ports.py
@@ -28,11 +28,14 @@
     Raises ``OSError`` if all blocks are locked by other processes.
     """
     free_ports = (port for port in _owned_ports if _is_free(port))
-    return list(itertools.islice(free_ports, n_ports))
+    found = list(itertools.islice(free_ports, n_ports))
+    if len(found) < n_ports:
+        raise OSError("all blocks of ports are locked: run fewer tests at a time")
+    return found
 
 
 def _generate_owned_ports() -> Iterator[int]:
-    """Yield the ports of one block after the other, each locked before its first."""
+    """Lock one block after the other and yield its ports."""
     first_block = os.getpid() % N_BLOCKS
     for number in itertools.count(first_block):
         block = number % N_BLOCKS
@@ -40,7 +43,7 @@
             first_port = FIRST_PORT + block * PORTS_PER_BLOCK
             yield from range(first_port, first_port + PORTS_PER_BLOCK)
         elif number >= first_block + N_BLOCKS:
-            raise OSError("all blocks of ports are locked: run fewer tests at a time")
+            return
 
 
 _owned_ports = _generate_owned_ports()
