--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -156,7 +156,9 @@
                 move_by_task = self._propose_task_moves(ready, reservations, now)
                 if move_by_task:
                     submission_id = ready.tracked.submission.submission_id
-                    proposals.append(MoveProposal(submission_id, move_by_task))
+                    proposal = MoveProposal(submission_id, move_by_task)
+                    logger.info("move proposed: %s", proposal.describe())
+                    proposals.append(proposal)
         return proposals
 
     def _propose_task_moves(
@@ -509,11 +511,12 @@
             )
             return
         logger.info(
-            "run ended: task %s run %d on %s: %s",
+            "run ended: task %s run %d on %s: %s%s",
             end.task,
             end.run,
             view.entry.worker_id,
             end.end.value,
+            "" if is_current_run else self._explain_late_end(tracked, end.task),
         )
         step = tracked.submission.steps[end.task.step]
         tracked.raise_run_floor(end.task, end.run)
@@ -531,6 +534,17 @@
             if step.is_gang and end.end is not RunEnd.DONE:
                 self._stop_gang_run(end.task, end.run, now)
 
+    def _explain_late_end(self, tracked: TrackedSubmission, task: TaskKey) -> str:
+        """Return what the owner believed of a task whose run it didn't expect."""
+        run = self.run_by_task.get(task)
+        if run is not None:
+            return f", while run {run.number} is {run.phase.value} on {run.worker_id}"
+        if task in self._tasks_with_pending_move:
+            return ", while a move of the task is pending"
+        if not tracked.runs_here(task):
+            return ", while the task is assigned to another cell"
+        return ", while no run was known"
+
     def _count_end(
         self, tracked: TrackedSubmission, view: WorkerView, end: EndedTask, now: float
     ) -> None:
@@ -613,6 +627,12 @@
             and self._task_exists(tracked, task)
         )
         if not wanted:
+            logger.info(
+                "run not wanted: task %s run %d on %s, it is stopped",
+                task,
+                running.run,
+                view.entry.worker_id,
+            )
             self._enqueue_order(
                 view.entry.worker_id, StopOrder(task, running.run, self.epoch)
             )
@@ -630,6 +650,13 @@
             pace=None if step.fills else 100,
             was_reported=True,
         )
+        logger.info(
+            "run adopted: task %s run %d on %s, move pending: %s",
+            task,
+            running.run,
+            view.entry.worker_id,
+            task in self._tasks_with_pending_move,
+        )
         tracked.has_started = True
         self._add_run(tracked, run)
         return run
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -130,11 +130,14 @@
     def _mark_lost(self, run: Run, reason: str, now: float) -> None:
         """Remove a run that has certainly ended and enqueue its task again."""
         logger.info(
-            "run lost: task %s run %d on %s: %s",
+            "run lost: task %s run %d on %s: %s (%s for %.1f s, reported: %s)",
             run.task,
             run.number,
             run.worker_id,
             reason,
+            run.phase.value,
+            now - run.phase_since,
+            run.was_reported,
         )
         self._remove_run(run, now)
         tracked = self.submissions.by_id.get(run.task.submission_id)
@@ -175,7 +178,14 @@
     def _expire_leases(self, now: float) -> None:
         for view in self.worker_by_id.values():
             if view.run_by_task and now > view.clock.all_leases_expire_at():
-                logger.info("worker %s: lease expired", view.entry.worker_id)
+                logger.info(
+                    "worker %s: lease expired, answered %.1f s ago with clock %d, "
+                    "lease until %d",
+                    view.entry.worker_id,
+                    now - view.clock.answered_at,
+                    view.clock.clock_ms,
+                    view.clock.lease_until_ms,
+                )
                 for run in tuple(view.run_by_task.values()):
                     self._mark_lost(run, "lease expired", now)
 
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -92,6 +92,13 @@
     submission_id: str
     move_by_task: dict[TaskKey, TaskMove]
 
+    def describe(self) -> str:
+        """Return each task with its target cell and the highest run known of it."""
+        return ", ".join(
+            f"task {task} to {move.cell_id} above run {move.run_floor}"
+            for task, move in self.move_by_task.items()
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class MovedTaskEnd:
