--- a/libs/scheduling/features/steps/cell_simulation.py
+++ b/libs/scheduling/features/steps/cell_simulation.py
@@ -5,7 +5,7 @@
 
 import heapq
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from berylcleat.model import (
     QueuePolicy,
@@ -38,6 +38,9 @@
 
 TICK_S = 0.05
 HOLD_PERIOD_S = 0.4
+MOVE_RETRY_S = 0.3
+# Seconds after which every host in touch has learned that a submission is done.
+MAX_LATE_START_S = 1.0
 QUEUE = QueuePolicy("q", "svc", max_attempts=3, stretch=2.0, objective_ms=1000)
 TIMES = LeaseTimes(worker_lease_s=5.0, max_lease_s=6.0, owner_limit_s=12.0)
 
@@ -54,6 +57,7 @@
     recorded: dict[tuple[str, str], Progress] = field(default_factory=dict)
     violations: list[str] = field(default_factory=list)
     n_starts: int = 0
+    done_at_by_id: dict[str, float] = field(default_factory=dict)
 
     def on_start(self, task: TaskKey, run: int, worker_id: str, now: float) -> None:
         """Record a started run and check the invariants of a start."""
@@ -78,15 +82,25 @@
         if self.n_failed.get(task, 0) >= QUEUE.max_attempts:
             self.violations.append(f"{now:.2f}: {task} starts after its attempts")
 
+    def on_start_order(self, task: TaskKey, now: float) -> None:
+        """Check that a start isn't ordered for a submission that is done."""
+        done_at = self.done_at_by_id.get(task.submission_id, now)
+        if now - done_at > MAX_LATE_START_S:
+            self.violations.append(f"{now:.2f}: {task} is ordered after it was done")
+
     def on_end(self, task: TaskKey, worker_id: str, end: RunEnd | None) -> None:
         """Remove an ended run; ``end`` is None after a crash."""
         self.running[task].remove(worker_id)
         if end is RunEnd.DONE:
             self.done.add(task)
 
-    def store_recorded(self, cell_id: str, write, progress: Progress) -> None:
+    def store_recorded(
+        self, cell_id: str, write, progress: Progress, now: float
+    ) -> None:
         """Store the progress that a cell's owner has recorded."""
         self.recorded[(cell_id, write.submission_id)] = progress
+        if progress.final_state is SubmissionState.DONE:
+            self.done_at_by_id.setdefault(write.submission_id, now)
 
     def _is_recorded(self, task: TaskKey) -> bool:
         return any(
@@ -156,7 +170,11 @@
                 self.is_dead = True
                 return
             self._record()
-            self._process_moves()
+            if self.sim.rng.random() <= 0.2:
+                self._propose_moves()
+                self._report_moved_task_ends()
+        elif self.sim.fault_rng.random() <= 0.2:
+            self._propose_moves()
         if now - self.confirmed_at >= TIMES.owner_limit_s:
             return
         for worker_id in self.cell.worker_by_id:
@@ -164,6 +182,8 @@
                 self.next_hold_at[worker_id] = now + HOLD_PERIOD_S
                 self._hold(worker_id)
         for item in self.cell.plan(now, 0.0):
+            if isinstance(item.order, StartOrder) and not self.is_partitioned:
+                self.sim.checker.on_start_order(item.order.task, now)
             self.sim.send(self, item.worker_id, item.order)
 
     def _hold(self, worker_id: str) -> None:
@@ -188,7 +208,9 @@
         for write in batch.writes:
             self.sim_cell.rows[write.submission_id] = write.value
             progress = decode_progress(write.submission_id, write.value)
-            self.sim.checker.store_recorded(self.sim_cell.cell_id, write, progress)
+            self.sim.checker.store_recorded(
+                self.sim_cell.cell_id, write, progress, self.sim.now
+            )
         self.cell.on_recorded(batch)
         if self.cell.must_record_workers():
             self.sim_cell.recorded_workers = tuple(
@@ -196,13 +218,14 @@
             )
             self.cell.on_workers_recorded(frozenset(self.cell.worker_by_id))
 
-    def _process_moves(self) -> None:
-        """Propose moves of stuck tasks, and report ends of moved ones."""
-        if self.sim.rng.random() > 0.2:
-            return
+    def _propose_moves(self) -> None:
+        """Propose moves of stuck tasks; a partition delays their commit."""
         other_headrooms = self.sim.other_headrooms(self.sim_cell)
         for proposal in self.cell.propose_moves(other_headrooms, self.sim.now):
             self.sim.commit_move(self, proposal)
+
+    def _report_moved_task_ends(self) -> None:
+        """Report ends of moved tasks to their home cells."""
         for submission_id, ends in self.cell.unconfirmed_moved_task_ends().items():
             home = self.sim.cell_by_id[self.sim.home_by_id[submission_id]].owner
             if home.is_dead or home.is_partitioned:
@@ -249,6 +272,8 @@
         self, random_state: int, disabled_mechanism: str = "", n_cells: int = 1
     ):
         self.rng = random.Random(random_state)
+        # Separate, so that the draws of ``rng`` stay as they are for a seed.
+        self.fault_rng = random.Random(f"faults {random_state}")
         self.disabled_mechanism = disabled_mechanism
         self.now = 0.0
         self.checker = InvariantChecker()
@@ -366,6 +391,9 @@
         delay_s = self.rng.choice((0.01, 0.02, 0.05, 3.0))
 
         def commit() -> None:
+            if owner.is_partitioned and not owner.is_dead:
+                self._schedule_event(self.now + MOVE_RETRY_S, commit)
+                return
             current = self.moves_by_id.get(proposal.submission_id, {})
             is_owner = owner.sim_cell.epoch == owner.epoch or (
                 self.disabled_mechanism == "condition on the owner"
@@ -509,12 +537,31 @@
         elif draw < 0.023:
             self._fail_owner(sim_cell)
         elif draw < 0.026:
-            self.workers[self.rng.choice(sim_cell.worker_ids)].crash(self.now)
+            self._restart_worker(sim_cell, self.rng.choice(sim_cell.worker_ids))
         elif draw < 0.030:
             owner.unreachable ^= {self.rng.choice(sim_cell.worker_ids)}
         elif draw < 0.032:
             owner.is_partitioned = not owner.is_partitioned
 
+    def _restart_worker(self, sim_cell: SimCell, worker_id: str) -> None:
+        """Crash a worker, and list its next incarnation after a delay.
+
+        An owner may send it orders before it learns of the restart, from the list or
+        from a report.
+        """
+        worker = self.workers[worker_id]
+        worker.crash(self.now)
+        entry = replace(worker.entry, started_at_ms=worker.started_at_ms)
+        self._schedule_event(
+            self.now + self.fault_rng.uniform(0.0, 1.0),
+            lambda: self._list_worker(sim_cell, entry),
+        )
+
+    def _list_worker(self, sim_cell: SimCell, entry: WorkerEntry) -> None:
+        owner = sim_cell.owner
+        if not owner.is_dead and not owner.is_partitioned:
+            owner.cell.list_worker(entry, self.now)
+
     def _fail_owner(self, sim_cell: SimCell) -> None:
         is_dead = self.rng.random() < 0.5
         if is_dead:
