--- /dev/null
+++ b/libs/scheduling/features/runs_once.feature
@@ -0,0 +1,22 @@
+Feature: A task runs once although news of its run come late
+  An owner learns of a run or of an end after it has decided something else on the task.
+
+  # Guards against TWICE: a start that a restarted worker had accepted was repeated.
+  Scenario: A start on a worker that has just restarted isn't repeated elsewhere
+    Given a cell with 2 workers of 8 cores
+    And a task that a worker has accepted right after its restart
+    When the list names the restart before the worker reports
+    Then the task isn't started a second time
+    When the worker reports the run
+    Then no run is stopped
+    And the task isn't started a second time
+
+  # Guards against LOST: the start above must not wait for ever.
+  Scenario: A start on a restarted worker that stays silent is repeated after every lease
+    Given a cell with 2 workers of 8 cores
+    And a task that a worker has accepted right after its restart
+    When the list names the restart before the worker reports
+    And the worker stays silent for 6 seconds
+    Then the task isn't started a second time
+    When the worker stays silent for 1 seconds
+    Then the task is started on the other worker
--- a/libs/scheduling/features/steps/gang_steps.py
+++ b/libs/scheduling/features/steps/gang_steps.py
@@ -33,6 +33,7 @@
         self.now = 1.0
         self.running = {f"w{n}": {} for n in range(n_workers)}
         self.ended = {worker_id: [] for worker_id in self.running}
+        self.started_at_ms = dict.fromkeys(self.running, 1)
         self.silent = set()
         self.starts = []
         self.stops = []
@@ -67,7 +68,7 @@
             )
             ended = tuple(self.ended[worker_id])
             clock_ms = int(self.now * 1000)
-            report = WorkerReport(clock_ms, 1, rows, ended)
+            report = WorkerReport(clock_ms, self.started_at_ms[worker_id], rows, ended)
             self.cell.on_report(worker_id, report, self.now, self.now)
         for item in self.cell.plan(self.now, 0.0):
             if isinstance(item.order, StartOrder):
--- /dev/null
+++ b/libs/scheduling/features/steps/runs_once_steps.py
@@ -0,0 +1,77 @@
+from dataclasses import replace
+
+from behave import given, then, when
+from gang_steps import SUBMISSION_ID
+
+from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
+from berylcleat.ports import OrderAnswer, OrderResult
+from berylcleat.scheduling import Progress
+
+TASK = TaskKey(SUBMISSION_ID, 0, 0, 0)
+SUBMISSION = Submission(
+    SUBMISSION_ID, QueuePolicy("q", "svc"), "s", (Step(1, TaskDemand(5000, 100)),)
+)
+
+
+def add_submission(scripted_cell):
+    now = scripted_cell.now
+    scripted_cell.cell.add_submission(SUBMISSION, Progress(), now, now, inherited=False)
+
+
+def start_task(scripted_cell):
+    """Let the scheduler start the task; return the order, which isn't answered."""
+    add_submission(scripted_cell)
+    scripted_cell.step()
+    return scripted_cell.starts.pop()
+
+
+def advance(scripted_cell, seconds):
+    end = scripted_cell.now + seconds - 0.1
+    while scripted_cell.now < end:
+        scripted_cell.step()
+
+
+# Starts on a restarted worker
+
+
+@given("a task that a worker has accepted right after its restart")
+def step_accepted_by_next_incarnation(context):
+    scripted_cell = context.scripted_cell
+    context.item = start_task(scripted_cell)
+    answer = OrderAnswer(OrderResult.ACCEPTED)
+    scripted_cell.cell.on_start_answer(
+        context.item.worker_id, context.item.order, answer, scripted_cell.now
+    )
+    scripted_cell.silent.add(context.item.worker_id)
+
+
+@when("the list names the restart before the worker reports")
+def step_listed(context):
+    scripted_cell = context.scripted_cell
+    worker_id = context.item.worker_id
+    entry = scripted_cell.cell.worker_by_id[worker_id].entry
+    listed = replace(entry, started_at_ms=entry.started_at_ms + 1)
+    scripted_cell.started_at_ms[worker_id] = listed.started_at_ms
+    scripted_cell.cell.list_worker(listed, scripted_cell.now)
+    scripted_cell.step()
+
+
+@when("the worker reports the run")
+def step_run_reported(context):
+    scripted_cell = context.scripted_cell
+    worker_id = context.item.worker_id
+    scripted_cell.running[worker_id][TASK] = context.item.order.run
+    scripted_cell.silent.discard(worker_id)
+    scripted_cell.step()
+
+
+@when("the worker stays silent for {seconds:d} seconds")
+def step_silent(context, seconds):
+    advance(context.scripted_cell, seconds)
+
+
+@then("the task is started on the other worker")
+def step_started_on_other(context):
+    started = [item.worker_id for item in context.scripted_cell.starts]
+    assert len(started) == 1, started
+    assert started[0] != context.item.worker_id
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -46,6 +46,8 @@
 MIN_LEARN_PERIOD_S = 0.45
 # Maximum run ends in one worker report; a full report may lack later ends.
 MAX_ENDS_IN_REPORT = 500
+# Answers to a start after which the worker may run the task.
+MAY_RUN_RESULTS = (OrderResult.ACCEPTED, OrderResult.NO_ANSWER)
 logger = logging.getLogger(__name__)
 
 
@@ -382,6 +384,9 @@
         if run is None or run.number != order.run:
             return
         result = answer.result
+        view = self.worker_by_id[worker_id]
+        if result in MAY_RUN_RESULTS and not view.incarnation_ms:
+            view.clock.assume_longest_lease(now, self.times.max_lease_s)
         if result is OrderResult.ACCEPTED:
             if run.phase in (RunPhase.STARTING, RunPhase.UNCONFIRMED):
                 run.phase = RunPhase.RUNNING
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -14,7 +14,7 @@
 from ._advice import TicketCache
 from ._filler_stops import choose_fillers_to_stop, must_stop_all_fillers
 from ._interference import InterferenceModel
-from ._leases import LeaseTimes, WorkerClock
+from ._leases import LeaseTimes
 from ._moves import CellHeadroom
 from ._orders import WorkerOrder
 from ._pacing import LoadEstimator, plan_paces
@@ -167,7 +167,7 @@
             elif run.phase is not RunPhase.STARTING:
                 run.phase = RunPhase.UNCONFIRMED
                 run.phase_since = now
-        view.clock = WorkerClock()
+        view.clock.assume_longest_lease(now, self.times.max_lease_s)
         view.incarnation_ms = 0
         view.has_seen_epoch = False
         view.handled_number = 0
--- a/libs/scheduling/src/berylcleat/scheduling/_leases.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_leases.py
@@ -44,6 +44,12 @@
             self.clock_ms = clock_ms
             self.answered_at = now
 
+    def assume_longest_lease(self, now: float, max_lease_s: float) -> None:
+        """Count the longest lease as granted at ``now`` by a clock not yet seen."""
+        self.clock_ms = 0
+        self.answered_at = now
+        self.lease_until_ms = int(max_lease_s * 1000)
+
     def earliest_ms(self, now: float) -> int:
         """Return a lower bound of the worker's clock at ``now``."""
         elapsed_ms = (now - self.answered_at) * 1000 / (1 + CLOCK_DRIFT)
