--- a/libs/scheduling/features/runs_once.feature
+++ b/libs/scheduling/features/runs_once.feature
@@ -20,3 +20,11 @@
     Then the task isn't started a second time
     When the worker stays silent for 1 seconds
     Then the task is started on the other worker
+
+  # Guards against TWICE: the run below was stopped and its task started again at once.
+  Scenario: A run of a moved task that is reported before its submission is adopted
+    Given a cell with 2 workers of 8 cores
+    When a worker reports a run of a task whose submission is unknown
+    And the submission of another cell is added with the task moved here
+    Then no run is stopped
+    And the task isn't started a second time
--- a/libs/scheduling/features/steps/cell_simulation.py
+++ b/libs/scheduling/features/steps/cell_simulation.py
@@ -354,6 +354,7 @@
             self.now,
             inherited=inherited,
             is_home=is_home,
+            move_by_task=moves,
         )
         cell.update_moves(submission_id, moves, self.now)
 
--- a/libs/scheduling/features/steps/runs_once_steps.py
+++ b/libs/scheduling/features/steps/runs_once_steps.py
@@ -5,7 +5,7 @@
 
 from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
 from berylcleat.ports import OrderAnswer, OrderResult
-from berylcleat.scheduling import Progress
+from berylcleat.scheduling import Progress, TaskMove
 
 TASK = TaskKey(SUBMISSION_ID, 0, 0, 0)
 SUBMISSION = Submission(
@@ -75,3 +75,21 @@
     started = [item.worker_id for item in context.scripted_cell.starts]
     assert len(started) == 1, started
     assert started[0] != context.item.worker_id
+
+
+# Runs reported early
+
+
+@when("the submission of another cell is added with the task moved here")
+def step_add_moved(context):
+    scripted_cell = context.scripted_cell
+    scripted_cell.cell.add_submission(
+        SUBMISSION,
+        Progress(),
+        scripted_cell.now,
+        scripted_cell.now,
+        inherited=True,
+        is_home=False,
+        move_by_task={TASK: TaskMove("r1", 0)},
+    )
+    scripted_cell.step()
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -67,11 +67,12 @@
         *,
         inherited: bool,
         is_home: bool = True,
+        move_by_task: Mapping[TaskKey, TaskMove] | None = None,
     ) -> None:
-        """Track a submission; an ``inherited`` one may have unknown runs.
+        """Track a submission and its recorded moves.
 
-        So may one that is added before the earlier owner has certainly learned of the
-        takeover.
+        An ``inherited`` one may have unknown runs. So may one that is added before the
+        earlier owner has certainly learned of the takeover.
         """
         if submission.submission_id in self.submissions.by_id:
             return
@@ -83,6 +84,8 @@
             self._inherited_submissions.add(submission.submission_id)
         if inherited:
             tracked.has_started = bool(progress.done_by_step)
+        # The moves tell which of the reported runs belong here.
+        self.update_moves(submission.submission_id, move_by_task or {}, now)
         self._process_early_reports(submission.submission_id, now)
 
     def _process_early_reports(self, submission_id: str, now: float) -> None:
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -139,8 +139,8 @@
                 now,
                 inherited=True,
                 is_home=entry.accepted.cell_id == self.cell_id,
+                move_by_task=entry.move_by_task,
             )
-            scheduler.update_moves(submission.submission_id, entry.move_by_task, now)
             if entry.is_cancelled:
                 scheduler.cancel(submission.submission_id, now)
         self._unmatched_progress_by_id = progress_by_id
@@ -214,6 +214,7 @@
             now,
             inherited=age_ms > LATE_SUBMISSION_MS,
             is_home=entry.accepted.cell_id == self.cell_id,
+            move_by_task=entry.move_by_task,
         )
         self.scheduler.update_moves(submission_id, entry.move_by_task, now)
         if entry.is_cancelled:
