--- a/libs/scheduling/features/runs_once.feature
+++ b/libs/scheduling/features/runs_once.feature
@@ -28,3 +28,26 @@
     And the submission of another cell is added with the task moved here
     Then no run is stopped
     And the task isn't started a second time
+
+  # Guards against TWICE (fb0e138771b5a18f.0.1.14): a task was started in another cell
+  # after its end here had been acknowledged.
+  Scenario: An end that comes in during a move is acknowledged only once the move failed
+    Given a task whose worker fell silent and that is being moved to another cell
+    When the worker reports that the task is done
+    Then no end may be acknowledged
+    When the move fails
+    Then the end may be acknowledged
+    And the task is done and isn't started here
+
+  Scenario: An end that comes in during a move doesn't end a task that has moved
+    Given a task whose worker fell silent and that is being moved to another cell
+    When the worker reports that the task is done
+    And the move is applied
+    Then the task isn't done here
+
+  Scenario: A run that is found during a move is stopped
+    Given a task whose worker fell silent and that is being moved to another cell
+    When the worker reports that the task runs
+    Then the run is stopped
+    When the run has ended and the move fails
+    Then the task is started here
--- a/libs/scheduling/features/steps/cell_simulation.py
+++ b/libs/scheduling/features/steps/cell_simulation.py
@@ -419,7 +419,7 @@
             )
             return
         owner.receive_submission(proposal.submission_id)
-        owner.cell.on_move_settled(proposal)
+        owner.cell.on_move_settled(proposal, self.now)
 
     def _notify_owners(self, submission_id: str) -> None:
         """Deliver a submission to every live owner, each after a random delay."""
--- a/libs/scheduling/features/steps/runs_once_steps.py
+++ b/libs/scheduling/features/steps/runs_once_steps.py
@@ -1,11 +1,11 @@
 from dataclasses import replace
 
 from behave import given, then, when
-from gang_steps import SUBMISSION_ID
+from gang_steps import SUBMISSION_ID, ScriptedCell
 
 from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
-from berylcleat.ports import OrderAnswer, OrderResult
-from berylcleat.scheduling import Progress, TaskMove
+from berylcleat.ports import OrderAnswer, OrderResult, RunEnd
+from berylcleat.scheduling import CellHeadroom, Progress, TaskMove
 
 TASK = TaskKey(SUBMISSION_ID, 0, 0, 0)
 SUBMISSION = Submission(
@@ -93,3 +93,84 @@
         move_by_task={TASK: TaskMove("r1", 0)},
     )
     scripted_cell.step()
+
+
+# Moves
+
+
+@given("a task whose worker fell silent and that is being moved to another cell")
+def step_pending_move(context):
+    scripted_cell = context.scripted_cell = ScriptedCell(1, 8000)
+    scripted_cell.step()
+    item = start_task(scripted_cell)
+    scripted_cell.accept(item)
+    scripted_cell.silent.add(item.worker_id)
+    context.item = item
+    advance(scripted_cell, 7)
+    headroom = CellHeadroom("r2", "svc", 64000, (), 0)
+    (context.proposal,) = scripted_cell.cell.propose_moves(
+        (headroom,), scripted_cell.now
+    )
+
+
+@when("the worker reports that the task is done")
+def step_late_end(context):
+    scripted_cell = context.scripted_cell
+    scripted_cell.silent.clear()
+    scripted_cell.end(context.item, RunEnd.DONE)
+    scripted_cell.step()
+
+
+@when("the worker reports that the task runs")
+def step_late_run(context):
+    scripted_cell = context.scripted_cell
+    scripted_cell.silent.clear()
+    scripted_cell.step()
+
+
+@when("the move fails")
+def step_move_fails(context):
+    scripted_cell = context.scripted_cell
+    scripted_cell.cell.on_move_settled(context.proposal, scripted_cell.now)
+    scripted_cell.step()
+
+
+@when("the move is applied")
+def step_move_applied(context):
+    scripted_cell = context.scripted_cell
+    scripted_cell.cell.update_moves(
+        SUBMISSION_ID, context.proposal.move_by_task, scripted_cell.now
+    )
+    scripted_cell.cell.on_move_settled(context.proposal, scripted_cell.now)
+    scripted_cell.step()
+
+
+@when("the run has ended and the move fails")
+def step_stopped_and_failed(context):
+    scripted_cell = context.scripted_cell
+    assert not scripted_cell.starts, scripted_cell.starts
+    scripted_cell.end(context.item, RunEnd.STOPPED)
+    scripted_cell.step()
+    step_move_fails(context)
+
+
+def is_done(context):
+    tracked = context.scripted_cell.cell.submissions.by_id[SUBMISSION_ID]
+    return tracked.progress.is_done(TASK)
+
+
+@then("the task is done and isn't started here")
+def step_done(context):
+    assert is_done(context)
+    assert not context.scripted_cell.starts, context.scripted_cell.starts
+
+
+@then("the task isn't done here")
+def step_not_done(context):
+    assert not is_done(context)
+
+
+@then("the task is started here")
+def step_started_here(context):
+    started = [item.order.task for item in context.scripted_cell.starts]
+    assert started == [TASK], started
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -89,11 +89,14 @@
         self._process_early_reports(submission.submission_id, now)
 
     def _process_early_reports(self, submission_id: str, now: float) -> None:
-        """Process ends and runs reported before this submission was added."""
+        """Process ends and runs reported before they could be.
+
+        Their submission was unknown, or their task had a pending move.
+        """
         for view in self.worker_by_id.values():
-            for number, end in sorted(view.unknown_end_by_number.items()):
+            for number, end in sorted(view.deferred_end_by_number.items()):
                 if end.task.submission_id == submission_id:
-                    del view.unknown_end_by_number[number]
+                    del view.deferred_end_by_number[number]
                     self._on_end(view, end, now)
             for task, running in tuple(view.unknown_run_by_task.items()):
                 if task.submission_id == submission_id:
@@ -229,12 +232,14 @@
             FillerHeadroom(images, left) for images, left in left_by_images.items()
         )
 
-    def on_move_settled(self, proposal: MoveProposal) -> None:
+    def on_move_settled(self, proposal: MoveProposal, now: float) -> None:
         """Clear the pending moves of a proposal that was applied or rejected.
 
-        Tasks still assigned to this cell, or moved back to it, may start here again.
+        Call it after ``update_moves``. Tasks still assigned to this cell, or moved back
+        to it, may start here again.
         """
         self._tasks_with_pending_move.difference_update(proposal.move_by_task)
+        self._process_early_reports(proposal.submission_id, now)
 
     def unconfirmed_moved_task_ends(self) -> dict[str, list[MovedTaskEnd]]:
         """Return recorded ends of moved tasks that their home has not confirmed.
@@ -510,7 +515,7 @@
             self._remove_run(run, now)
         tracked = self.submissions.by_id.get(end.task.submission_id)
         if tracked is None:
-            view.unknown_end_by_number[end.number] = end
+            view.deferred_end_by_number[end.number] = end
             logger.info(
                 "end reported for an unknown submission: task %s run %d on %s",
                 end.task,
@@ -518,6 +523,19 @@
                 view.entry.worker_id,
             )
             return
+        if end.task in self._tasks_with_pending_move:
+            # The store decides which cell counts the task; until then it isn't
+            # acknowledged either.
+            logger.info(
+                "end reported during a move: task %s run %d on %s: %s",
+                end.task,
+                end.run,
+                view.entry.worker_id,
+                end.end.value,
+            )
+            view.deferred_end_by_number[end.number] = end
+            tracked.requeue(end.task)
+            return
         logger.info(
             "run ended: task %s run %d on %s: %s%s",
             end.task,
@@ -547,8 +565,6 @@
         run = self.run_by_task.get(task)
         if run is not None:
             return f", while run {run.number} is {run.phase.value} on {run.worker_id}"
-        if task in self._tasks_with_pending_move:
-            return ", while a move of the task is pending"
         if not tracked.runs_here(task):
             return ", while the task is assigned to another cell"
         return ", while no run was known"
@@ -556,8 +572,14 @@
     def _count_end(
         self, tracked: TrackedSubmission, view: WorkerView, end: EndedTask, now: float
     ) -> None:
-        """Count a done or failed run in the progress of its submission."""
+        """Count a done or failed run in the progress of its submission.
+
+        A task that is assigned to another cell is done when that cell says so: it may
+        be running there.
+        """
         if end.end is RunEnd.DONE:
+            if not tracked.runs_here(end.task):
+                return
             tracked.has_started = True
             tracked.add_done(end.task)
             tracked.activate_due_steps(self._wall_ms)
@@ -667,6 +689,9 @@
         )
         tracked.has_started = True
         self._add_run(tracked, run)
+        if task in self._tasks_with_pending_move:
+            # The cell that it moves to may start it at any time.
+            self._stop(run, now)
         return run
 
     def _task_exists(self, tracked: TrackedSubmission, task: TaskKey) -> bool:
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -172,7 +172,7 @@
         view.has_seen_epoch = False
         view.handled_number = 0
         view.acked_number = 0
-        view.unknown_end_by_number.clear()
+        view.deferred_end_by_number.clear()
         view.unknown_run_by_task.clear()
 
     def _expire_leases(self, now: float) -> None:
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -93,8 +93,9 @@
     used: TaskDemand = field(default_factory=TaskDemand)
     handled_number: int = 0
     acked_number: int = 0
-    # Ends and runs of submissions that the owner has not received yet.
-    unknown_end_by_number: dict[int, EndedTask] = field(default_factory=dict)
+    # Ends that wait for their submission or for a move's outcome, and runs of
+    # submissions that the owner has not received yet.
+    deferred_end_by_number: dict[int, EndedTask] = field(default_factory=dict)
     unknown_run_by_task: dict[TaskKey, RunningTask] = field(default_factory=dict)
     unknown_since: float | None = None
     n_consecutive_failures: int = 0
@@ -110,9 +111,9 @@
 
     def recordable_number(self) -> int:
         """Return the highest number up to which every run end has been processed."""
-        if not self.unknown_end_by_number:
+        if not self.deferred_end_by_number:
             return self.handled_number
-        return min(self.unknown_end_by_number) - 1
+        return min(self.deferred_end_by_number) - 1
 
     def can_start(self, now: float) -> bool:
         """Return whether new runs may start on this worker now."""
--- a/programs/beryl-host/src/berylcleat/host/_task_mover.py
+++ b/programs/beryl-host/src/berylcleat/host/_task_mover.py
@@ -9,6 +9,7 @@
 from berylcleat.scheduling import CellHeadroom, MovedTaskEnd, MoveProposal
 
 from ._cell_directory import CellDirectory
+from ._clock import now_s
 from ._peers import MovedTaskEnds, PeerClient, SubmissionUpdate
 from ._records import CELL_TABLE, headroom_from_summary
 from ._submission_directory import SubmissionDirectory, SubmissionEntry
@@ -73,7 +74,7 @@
                     self._on_move_committed(proposal, entry, move.row(outcome.version))
                 else:
                     self._on_move_conflict(proposal, outcome.current)
-                controller.scheduler.on_move_settled(proposal)
+                controller.scheduler.on_move_settled(proposal, now_s())
                 return
 
     def _on_move_committed(
