--- a/libs/scheduling/features/histories.feature
+++ b/libs/scheduling/features/histories.feature
@@ -16,6 +16,14 @@
     And no end was acknowledged before it was recorded
     And every submission has ended in every history
 
+  # Guards against BUDGET (seed 29): runs of two cells that had the same number.
+  Scenario: All invariants hold for tasks that move on between several cells
+    When 12 histories of 40 seconds with 4 cells are simulated from seed 20
+    Then tasks were moved between cells
+    And no task ran twice, before its dependencies, or beyond its attempts
+    And no end was acknowledged before it was recorded
+    And every submission has ended in every history
+
   Scenario Outline: An invariant is violated without <mechanism>
     When histories are simulated without "<mechanism>" until an invariant is violated
     Then a violation was found
--- a/libs/scheduling/features/runs_once.feature
+++ b/libs/scheduling/features/runs_once.feature
@@ -51,3 +51,8 @@
     Then the run is stopped
     When the run has ended and the move fails
     Then the task is started here
+
+  # Guards against BUDGET: failed runs of two cells had one number and counted once.
+  Scenario: A task that moves after a takeover gets numbers above all its earlier runs
+    Given a cell taken over under epoch 3 with a task that is being moved
+    Then the other cell numbers its runs above 2000
--- a/libs/scheduling/features/steps/gang_steps.py
+++ b/libs/scheduling/features/steps/gang_steps.py
@@ -29,7 +29,7 @@
     With ``settled_at`` the cell was taken over from an owner of all these workers.
     """
 
-    def __init__(self, n_workers, cpu_millis, *, settled_at=0.0):
+    def __init__(self, n_workers, cpu_millis, *, settled_at=0.0, epoch=None):
         self.now = 1.0
         self.running = {f"w{n}": {} for n in range(n_workers)}
         self.ended = {worker_id: [] for worker_id in self.running}
@@ -46,7 +46,7 @@
         )
         self.cell = CellScheduler(
             "r1",
-            2 if settled_at else 1,
+            epoch or (2 if settled_at else 1),
             LeaseTimes(),
             0.0,
             settled_at,
--- a/libs/scheduling/features/steps/runs_once_steps.py
+++ b/libs/scheduling/features/steps/runs_once_steps.py
@@ -174,3 +174,27 @@
 def step_started_here(context):
     started = [item.order.task for item in context.scripted_cell.starts]
     assert started == [TASK], started
+
+
+@given("a cell taken over under epoch {epoch:d} with a task that is being moved")
+def step_moved_after_takeover(context, epoch):
+    scripted_cell = context.scripted_cell = ScriptedCell(1, 2000, epoch=epoch)
+    scripted_cell.step()
+    add_submission(scripted_cell)
+    advance(scripted_cell, 2)
+    headroom = CellHeadroom("r2", "svc", 64000, (), 0)
+    (context.proposal,) = scripted_cell.cell.propose_moves(
+        (headroom,), scripted_cell.now
+    )
+
+
+@then("the other cell numbers its runs above {number:d}")
+def step_numbers(context, number):
+    other = ScriptedCell(1, 8000)
+    other.step()
+    add_submission(other)
+    move = context.proposal.move_by_task[TASK]
+    other.cell.update_moves(SUBMISSION_ID, {TASK: TaskMove("r1", move.run_floor)}, 0.0)
+    other.step()
+    (item,) = other.starts
+    assert item.order.run > number, item.order.run
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -180,7 +180,7 @@
             cell_id = reservations.reserve(ready.step, service)
             if cell_id is None:
                 break
-            move_by_task[task] = make_move(ready.tracked, task, cell_id)
+            move_by_task[task] = make_move(ready.tracked, task, cell_id, self.epoch)
         self._tasks_with_pending_move.update(move_by_task)
         return move_by_task
 
@@ -198,7 +198,9 @@
             return {}
         tasks = self._startable_tasks(ready, now)
         self._tasks_with_pending_move.update(tasks)
-        return {task: make_move(ready.tracked, task, cell_id) for task in tasks}
+        return {
+            task: make_move(ready.tracked, task, cell_id, self.epoch) for task in tasks
+        }
 
     def waiting_cpu(self) -> int:
         """Return the processor time that waiting tasks would reserve.
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -178,11 +178,16 @@
     return now - ready.stuck_since > limit_s
 
 
-def make_move(tracked: TrackedSubmission, task: TaskKey, cell_id: str) -> TaskMove:
-    """Return the move of ``task`` to ``cell_id`` with its runs and checkpoint."""
+def make_move(
+    tracked: TrackedSubmission, task: TaskKey, cell_id: str, epoch: int
+) -> TaskMove:
+    """Return the move of ``task`` to ``cell_id`` with its runs and checkpoint.
+
+    Runs of owners before ``epoch`` may be unknown; the floor is above them too.
+    """
     return TaskMove(
         cell_id,
-        tracked.run_floor_by_task.get(task, 0),
+        tracked.next_run(task, epoch) - 1,
         tuple(sorted(tracked.progress.failed_runs_by_task.get(task, ()))),
         tracked.checkpoint_of(task),
     )
