--- a/libs/scheduling/features/runs_once.feature
+++ b/libs/scheduling/features/runs_once.feature
@@ -56,3 +56,11 @@
   Scenario: A task that moves after a takeover gets numbers above all its earlier runs
     Given a cell taken over under epoch 3 with a task that is being moved
     Then the other cell numbers its runs above 2000
+
+  # Guards against TWICE: the next owner must ask a worker whose ends aren't recorded yet.
+  Scenario: A worker that is gone from the list stays known until its ends are recorded
+    Given a cell with 1 workers of 8 cores
+    And a task that has ended on a worker that is no longer listed
+    Then the worker must stay known
+    When the end is recorded
+    Then the worker may be forgotten
--- a/libs/scheduling/features/steps/runs_once_steps.py
+++ b/libs/scheduling/features/steps/runs_once_steps.py
@@ -198,3 +198,34 @@
     other.step()
     (item,) = other.starts
     assert item.order.run > number, item.order.run
+
+
+# Workers that left
+
+
+@given("a task that has ended on a worker that is no longer listed")
+def step_ended_unlisted(context):
+    scripted_cell = context.scripted_cell
+    item = start_task(scripted_cell)
+    scripted_cell.accept(item)
+    scripted_cell.step()
+    scripted_cell.end(item, RunEnd.DONE)
+    scripted_cell.step()
+    scripted_cell.cell.unlist_worker(item.worker_id)
+    context.item = item
+
+
+@when("the end is recorded")
+def step_end_recorded(context):
+    cell = context.scripted_cell.cell
+    cell.on_recorded(cell.take_batch())
+
+
+@then("the worker must stay known")
+def step_stay_known(context):
+    assert not context.scripted_cell.cell.can_forget(context.item.worker_id)
+
+
+@then("the worker may be forgotten")
+def step_may_forget(context):
+    assert context.scripted_cell.cell.can_forget(context.item.worker_id)
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -319,6 +319,18 @@
         """Return whether all runs of earlier owners on a worker are known."""
         return worker_id not in self._unsettled_workers
 
+    def can_forget(self, worker_id: str) -> bool:
+        """Return whether a worker that left needs no further answer.
+
+        The next owner doesn't ask it: all its ends must be recorded.
+        """
+        view = self.worker_by_id[worker_id]
+        if view.is_listed or view.run_by_task:
+            return False
+        if view.acked_number < view.handled_number:
+            return False
+        return self.is_settled(worker_id)
+
     def unlist_worker(self, worker_id: str) -> None:
         """Prevent further starts on a worker that is no longer listed."""
         view = self.worker_by_id.get(worker_id)
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -311,7 +311,7 @@
                 if answer.result is OrderResult.OTHER_INCARNATION:
                     self.scheduler.on_other_incarnation(worker_id, now_s())
                     self._wake_loops()
-                if self._can_disconnect(view):
+                if self.scheduler.can_forget(worker_id):
                     break
                 await asyncio.sleep(HOLD_RETRY_S)
         # After ownership has ended the scheduler keeps its workers: the recorded worker
@@ -336,10 +336,6 @@
                 return
             await asyncio.sleep(ACK_WAIT_S / 2)
 
-    def _can_disconnect(self, view: WorkerView) -> bool:
-        is_settled = self.scheduler.is_settled(view.entry.worker_id)
-        return not view.is_listed and not view.run_by_task and is_settled
-
     def _disconnect_worker(self, worker_id: str) -> None:
         self._client_by_worker.pop(worker_id).close()
         del self._hold_loop_by_worker[worker_id]
