--- a/libs/http/src/berylcleat/http/_client.py
+++ b/libs/http/src/berylcleat/http/_client.py
@@ -200,13 +200,9 @@
             self.n_open -= 1
             if not isinstance(error, (OSError, TimeoutError)):
                 raise
-            was_refused = isinstance(error, ConnectionRefusedError)
-            failure = (
-                ExchangeFailure.CONNECTION_REFUSED
-                if was_refused
-                else ExchangeFailure.CONNECT_FAILED
-            )
-            raise ExchangeError(failure, self.address, request_sent=False) from error
+            raise ExchangeError(
+                ExchangeFailure.CONNECT_FAILED, self.address, request_sent=False
+            ) from error
 
     def release(self, connection: _ClientConnection) -> None:
         """Return a connection to the pool after a complete response."""
--- a/libs/http/src/berylcleat/http/_messages.py
+++ b/libs/http/src/berylcleat/http/_messages.py
@@ -57,8 +57,6 @@
     """Kind of failure of an exchange (a request and its response)."""
 
     CONNECT_FAILED = "connect-failed"
-    # Nothing listens at the address.
-    CONNECTION_REFUSED = "connection-refused"
     CONNECTION_LOST = "connection-lost"
     TIMED_OUT = "timed-out"
     CUT_SHORT = "cut-short"
--- a/libs/ports/src/berylcleat/ports/_task_workers.py
+++ b/libs/ports/src/berylcleat/ports/_task_workers.py
@@ -81,7 +81,6 @@
     Without an answer:
     NO_ANSWER: the order was sent, so it may have been executed.
     NOT_SENT: the order was not sent, so it has no effect.
-    CONNECTION_REFUSED: the same, because nothing listens at the worker's address.
     NOT_CONNECTED: a lease renewal was not sent because no connection was open.
     """
 
@@ -96,7 +95,6 @@
     OTHER_INCARNATION = "other-life"
     NO_ANSWER = "no-answer"
     NOT_SENT = "not-sent"
-    CONNECTION_REFUSED = "connection-refused"
     NOT_CONNECTED = "not-connected"
 
 
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -306,7 +306,7 @@
             else:
                 if answer.result is OrderResult.NOT_CONNECTED:
                     continue
-                if answer.result is OrderResult.CONNECTION_REFUSED:
+                if answer.result is OrderResult.NOT_SENT:
                     self.scheduler.on_connection_refused(worker_id, now_s())
                 if answer.result is OrderResult.OTHER_INCARNATION:
                     self.scheduler.on_other_incarnation(worker_id, now_s())
