--- a/programs/beryl-host/src/berylcleat/host/_submission_directory.py
+++ b/programs/beryl-host/src/berylcleat/host/_submission_directory.py
@@ -10,7 +10,13 @@
 from berylcleat.ports import StoreRow
 from berylcleat.scheduling import TaskMove
 
-from ._records import CANCEL_SUFFIX, MOVES_SUFFIX, AcceptedRow, MovesRow
+from ._records import (
+    CANCEL_SUFFIX,
+    MOVES_SUFFIX,
+    AcceptedRow,
+    MovesRow,
+    cell_submission_table,
+)
 
 logger = logging.getLogger(__name__)
 _accepted_decoder = msgspec.json.Decoder(AcceptedRow)
@@ -91,12 +97,12 @@
         """Return the submissions with tasks in a cell."""
         return [entry for entry in self.by_id.values() if cell_id in entry.cells()]
 
-    def keep_only(self, cell_ids: set[str]) -> None:
-        """Forget the submissions without tasks in any of the cells."""
+    def keep_only(self, tables: set[str]) -> None:
+        """Forget the submissions without tasks in a cell of any of the tables."""
         self.by_id = {
             submission_id: entry
             for submission_id, entry in self.by_id.items()
-            if entry.cells() & cell_ids
+            if {cell_submission_table(cell_id) for cell_id in entry.cells()} & tables
         }
 
     def _add_row(self, row: StoreRow) -> None:
--- a/programs/beryl-host/src/berylcleat/host/_submission_feeds.py
+++ b/programs/beryl-host/src/berylcleat/host/_submission_feeds.py
@@ -45,11 +45,15 @@
         self._task_by_table[table] = loop.create_task(follower.run())
 
     def close_unused(self, owned_cell_ids: set[str]) -> None:
-        """Stop following tables without an owned cell, and forget their submissions."""
+        """Stop following tables without an owned cell, and forget their submissions.
+
+        Those of a followed table stay: the follower doesn't deliver them again if
+        another cell of the table is acquired.
+        """
         used = {cell_submission_table(cell_id) for cell_id in owned_cell_ids}
         unused = self._follower_by_table.keys() - used
         for table in unused:
             del self._follower_by_table[table]
             self._task_by_table.pop(table).cancel()
         if unused:
-            self._directory.keep_only(owned_cell_ids)
+            self._directory.keep_only(used)
