--- a/libs/scheduling/features/runs_once.feature
+++ b/libs/scheduling/features/runs_once.feature
@@ -39,11 +39,25 @@
     Then the end may be acknowledged
     And the task is done and isn't started here
 
-  Scenario: An end that comes in during a move doesn't end a task that has moved
+  # Guards against TWICE (fb0e138771b5a18f.0.1.14), if the move is applied all the same.
+  Scenario: An end of a task that has moved is acknowledged once its cell has recorded it
     Given a task whose worker fell silent and that is being moved to another cell
     When the worker reports that the task is done
     And the move is applied
-    Then the task isn't done here
+    Then no end may be acknowledged
+    And the task isn't done here
+    When the end is reported to the other cell
+    Then the other cell has recorded it before it counts as reported
+    And the other cell doesn't start the task
+    And the end may be acknowledged
+
+  Scenario: An end of a submission that stays unknown is looked for after 3 seconds
+    Given a cell with 1 workers of 8 cores
+    When a worker reports the end of a task whose submission is unknown
+    And 2 seconds pass
+    Then no cell is looked for
+    When 2 seconds pass
+    Then the cell that counts the end is looked for
 
   Scenario: A run that is found during a move is stopped
     Given a task whose worker fell silent and that is being moved to another cell
--- a/libs/scheduling/features/steps/cell_simulation.py
+++ b/libs/scheduling/features/steps/cell_simulation.py
@@ -29,6 +29,7 @@
     CellScheduler,
     InterferenceModel,
     LeaseTimes,
+    MovedTaskEnd,
     MoveProposal,
     Progress,
     TaskMove,
@@ -173,6 +174,7 @@
             if self.sim.rng.random() <= 0.2:
                 self._propose_moves()
                 self._report_moved_task_ends()
+                self._settle_stray_ends()
         elif self.sim.fault_rng.random() <= 0.2:
             self._propose_moves()
         if now - self.confirmed_at >= TIMES.owner_limit_s:
@@ -235,6 +237,18 @@
                     submission_id, ends, self.sim.now
                 )
 
+    def _settle_stray_ends(self) -> None:
+        """Report ends that other cells count to these."""
+        for submission_id, ends in self.cell.stray_ends(self.sim.now).items():
+            for end in ends:
+                cell_id = self.sim.cell_of(end.task)
+                owner = self.sim.cell_by_id[cell_id].owner
+                if owner is self or owner.is_dead or owner.is_partitioned:
+                    continue
+                report = [MovedTaskEnd(end.task, has_failed=False)]
+                if owner.cell.on_moved_task_ends(submission_id, report, self.sim.now):
+                    self.cell.on_stray_ends_settled([end])
+
     def receive_submission(self, submission_id: str) -> None:
         """Add a submission and its moves, or delay both during a partition."""
         if self.is_dead or self.cell.is_fenced_out:
@@ -358,6 +372,11 @@
         )
         cell.update_moves(submission_id, moves, self.now)
 
+    def cell_of(self, task: TaskKey) -> str:
+        """Return the cell that a task is assigned to."""
+        move = self.moves_by_id.get(task.submission_id, {}).get(task)
+        return self.home_by_id[task.submission_id] if move is None else move.cell_id
+
     def take_over(self, sim_cell: SimCell, *, is_dead: bool) -> None:
         """Create a new owner of a cell under the next epoch."""
         sim_cell.epoch += 1
--- a/libs/scheduling/features/steps/runs_once_steps.py
+++ b/libs/scheduling/features/steps/runs_once_steps.py
@@ -5,7 +5,7 @@
 
 from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
 from berylcleat.ports import OrderAnswer, OrderResult, RunEnd
-from berylcleat.scheduling import CellHeadroom, Progress, TaskMove
+from berylcleat.scheduling import CellHeadroom, MovedTaskEnd, Progress, TaskMove
 
 TASK = TaskKey(SUBMISSION_ID, 0, 0, 0)
 SUBMISSION = Submission(
@@ -170,6 +170,56 @@
     assert not is_done(context)
 
 
+@when("the end is reported to the other cell")
+def step_report_to_other(context):
+    """Report until the other cell has recorded the end, as the owner does."""
+    cell = context.scripted_cell.cell
+    other = context.other = ScriptedCell(1, 8000)
+    other.step()
+    move = context.proposal.move_by_task[TASK]
+    other.cell.add_submission(
+        SUBMISSION,
+        Progress(),
+        other.now,
+        other.now,
+        inherited=False,
+        is_home=False,
+        move_by_task={TASK: TaskMove("r1", move.run_floor)},
+    )
+    (ends,) = cell.stray_ends(context.scripted_cell.now).values()
+    report = [MovedTaskEnd(TASK, has_failed=False)]
+    context.confirmations = []
+    for _ in range(2):
+        is_recorded = other.cell.on_moved_task_ends(SUBMISSION_ID, report, other.now)
+        context.confirmations.append(is_recorded)
+        other.cell.on_recorded(other.cell.take_batch())
+    cell.on_stray_ends_settled(ends)
+
+
+@then("the other cell has recorded it before it counts as reported")
+def step_recorded_first(context):
+    assert context.confirmations == [False, True], context.confirmations
+
+
+@then("the other cell doesn't start the task")
+def step_other_idle(context):
+    context.other.step()
+    assert not context.other.starts, context.other.starts
+
+
+@then("no cell is looked for")
+def step_no_stray(context):
+    scripted_cell = context.scripted_cell
+    assert not scripted_cell.cell.stray_ends(scripted_cell.now)
+
+
+@then("the cell that counts the end is looked for")
+def step_stray(context):
+    scripted_cell = context.scripted_cell
+    (ends,) = scripted_cell.cell.stray_ends(scripted_cell.now).values()
+    assert [end.task for end in ends] == [TASK], ends
+
+
 @then("the task is started here")
 def step_started_here(context):
     started = [item.order.task for item in context.scripted_cell.starts]
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -21,6 +21,7 @@
 )
 
 from ._cell_runs import CellRuns
+from ._deferred_ends import DeferralReason, DeferredEnd
 from ._moves import (
     CellHeadroom,
     FillerHeadroom,
@@ -94,10 +95,10 @@
         Their submission was unknown, or their task had a pending move.
         """
         for view in self.worker_by_id.values():
-            for number, end in sorted(view.deferred_end_by_number.items()):
-                if end.task.submission_id == submission_id:
+            for number, deferred in sorted(view.deferred_end_by_number.items()):
+                if deferred.end.task.submission_id == submission_id:
                     del view.deferred_end_by_number[number]
-                    self._on_end(view, end, now)
+                    self._on_end(view, deferred.end, now)
             for task, running in tuple(view.unknown_run_by_task.items()):
                 if task.submission_id == submission_id:
                     del view.unknown_run_by_task[task]
@@ -243,6 +244,29 @@
         self._tasks_with_pending_move.difference_update(proposal.move_by_task)
         self._process_early_reports(proposal.submission_id, now)
 
+    def stray_ends(self, now: float) -> dict[str, list[EndedTask]]:
+        """Return ends that another cell must count before they are acknowledged.
+
+        Keys are submission ids; the submission may be unknown here.
+        """
+        ends: dict[str, list[EndedTask]] = {}
+        for view in self.worker_by_id.values():
+            for number, deferred in sorted(view.deferred_end_by_number.items()):
+                end = deferred.end
+                if self._deferral_reason(end) is not deferred.reason:
+                    del view.deferred_end_by_number[number]
+                    self._on_end(view, end, now)
+                elif deferred.is_stray(now):
+                    ends.setdefault(end.task.submission_id, []).append(end)
+        return ends
+
+    def on_stray_ends_settled(self, ends: list[EndedTask]) -> None:
+        """Let ends be acknowledged that are recorded elsewhere, or that none counts."""
+        for view in self.worker_by_id.values():
+            for number, deferred in tuple(view.deferred_end_by_number.items()):
+                if deferred.end in ends:
+                    del view.deferred_end_by_number[number]
+
     def unconfirmed_moved_task_ends(self) -> dict[str, list[MovedTaskEnd]]:
         """Return recorded ends of moved tasks that their home has not confirmed.
 
@@ -271,10 +295,18 @@
     def on_moved_task_ends(
         self, submission_id: str, ends: list[MovedTaskEnd], now: float
     ) -> bool:
-        """Apply ends reported by another cell; return whether they are recorded."""
+        """Apply ends reported by another cell; return whether they are recorded.
+
+        The home counts the ends of all tasks, another cell only of its own.
+        """
         tracked = self.submissions.by_id.get(submission_id)
         if tracked is None:
             return False
+        tasks = {end.task for end in ends}
+        if tasks & self._tasks_with_pending_move:
+            return False
+        if not all(tracked.is_home or tracked.runs_here(task) for task in tasks):
+            return False
         for end in ends:
             if end.has_failed and not tracked.is_over:
                 tracked.fail()
@@ -282,6 +314,7 @@
             elif not tracked.is_over and not tracked.progress.is_done(end.task):
                 tracked.add_done(end.task)
                 tracked.activate_due_steps(self._wall_ms)
+                self._stop_duplicate_run(end.task, now)
         return not tracked.is_dirty
 
     def state_of(self, submission_id: str) -> SubmissionState | None:
@@ -527,29 +560,11 @@
         )
         if is_current_run:
             self._remove_run(run, now)
-        tracked = self.submissions.by_id.get(end.task.submission_id)
-        if tracked is None:
-            view.deferred_end_by_number[end.number] = end
-            logger.info(
-                "end reported for an unknown submission: task %s run %d on %s",
-                end.task,
-                end.run,
-                view.entry.worker_id,
-            )
-            return
-        if end.task in self._tasks_with_pending_move:
-            # The store decides which cell counts the task; until then it isn't
-            # acknowledged either.
-            logger.info(
-                "end reported during a move: task %s run %d on %s: %s",
-                end.task,
-                end.run,
-                view.entry.worker_id,
-                end.end.value,
-            )
-            view.deferred_end_by_number[end.number] = end
-            tracked.requeue(end.task)
+        reason = self._deferral_reason(end)
+        if reason is not None:
+            self._defer_end(view, end, reason, now)
             return
+        tracked = self.submissions.by_id[end.task.submission_id]
         logger.info(
             "run ended: task %s run %d on %s: %s%s",
             end.task,
@@ -574,6 +589,38 @@
             if step.is_gang and end.end is not RunEnd.DONE:
                 self._stop_gang_run(end.task, end.run, now)
 
+    def _deferral_reason(self, end: EndedTask) -> DeferralReason | None:
+        """Return why an end can't be counted yet, or None if it can."""
+        tracked = self.submissions.by_id.get(end.task.submission_id)
+        if tracked is None:
+            return DeferralReason.UNKNOWN_SUBMISSION
+        if end.task in self._tasks_with_pending_move:
+            # The store decides which cell counts the task.
+            return DeferralReason.PENDING_MOVE
+        if end.end is not RunEnd.DONE or tracked.runs_here(end.task):
+            return None
+        is_counted = tracked.is_over or tracked.progress.is_done(end.task)
+        is_long_running = tracked.submission.steps[end.task.step].is_long_running
+        if is_counted or is_long_running:
+            return None
+        return DeferralReason.OTHER_CELL
+
+    def _defer_end(
+        self, view: WorkerView, end: EndedTask, reason: DeferralReason, now: float
+    ) -> None:
+        logger.info(
+            "end deferred: task %s run %d on %s: %s, %s",
+            end.task,
+            end.run,
+            view.entry.worker_id,
+            end.end.value,
+            reason.value,
+        )
+        view.deferred_end_by_number[end.number] = DeferredEnd(end, reason, now)
+        tracked = self.submissions.by_id.get(end.task.submission_id)
+        if tracked is not None:
+            tracked.requeue(end.task)
+
     def _explain_late_end(self, tracked: TrackedSubmission, task: TaskKey) -> str:
         """Return what the owner believed of a task whose run it didn't expect."""
         run = self.run_by_task.get(task)
@@ -586,14 +633,8 @@
     def _count_end(
         self, tracked: TrackedSubmission, view: WorkerView, end: EndedTask, now: float
     ) -> None:
-        """Count a done or failed run in the progress of its submission.
-
-        A task that is assigned to another cell is done when that cell says so: it may
-        be running there.
-        """
+        """Count a done or failed run in the progress of its submission."""
         if end.end is RunEnd.DONE:
-            if not tracked.runs_here(end.task):
-                return
             tracked.has_started = True
             tracked.add_done(end.task)
             tracked.activate_due_steps(self._wall_ms)
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -4,8 +4,9 @@
 from enum import Enum
 
 from berylcleat.model import Step, TaskDemand, TaskKey
-from berylcleat.ports import EndedTask, RunningTask, WorkerEntry
+from berylcleat.ports import RunningTask, WorkerEntry
 
+from ._deferred_ends import DeferredEnd
 from ._interference import ImageUse, ServingReading
 from ._leases import WorkerClock
 
@@ -93,9 +94,9 @@
     used: TaskDemand = field(default_factory=TaskDemand)
     handled_number: int = 0
     acked_number: int = 0
-    # Ends that wait for their submission or for a move's outcome, and runs of
-    # submissions that the owner has not received yet.
-    deferred_end_by_number: dict[int, EndedTask] = field(default_factory=dict)
+    # Ends that can't be counted yet, and runs of submissions that the owner has not
+    # received yet.
+    deferred_end_by_number: dict[int, DeferredEnd] = field(default_factory=dict)
     unknown_run_by_task: dict[TaskKey, RunningTask] = field(default_factory=dict)
     unknown_since: float | None = None
     n_consecutive_failures: int = 0
--- a/programs/beryl-host/features/moves.feature
+++ b/programs/beryl-host/features/moves.feature
@@ -31,3 +31,26 @@
     Given a submission of cell "r1"
     When it is accepted again for cell "r2"
     Then its home is "r1" and cell "r2" knows nothing of it
+
+  # Guards against TWICE: an end that came in where its task no longer runs.
+  Scenario: An end that comes in late is reported to the cell that has the task
+    Given a submission with a task moved from cell "r1" to "r2"
+    When the owner of "r1" settles the task's end while "r2" records it
+    Then cell "r2" was told that the task is done
+    And the end is settled
+
+  Scenario: An end waits while the cell that has the task doesn't record it
+    Given a submission with a task moved from cell "r1" to "r2"
+    When the owner of "r1" settles the task's end while "r2" doesn't record it
+    Then the end isn't settled
+
+  Scenario: An end of a submission that the owner doesn't know is counted in its own cell
+    Given a submission with a task moved from cell "r1" to "r2"
+    When the owner of "r2" settles the task's end while "r2" records it
+    Then the owner of "r2" knows the submission
+    And the end isn't settled
+
+  Scenario: An end of a submission that nobody submitted is settled
+    Given a submission of cell "r1"
+    When the owner of "r1" settles an end of another submission
+    Then the end is settled
--- a/programs/beryl-host/features/steps/moves_steps.py
+++ b/programs/beryl-host/features/steps/moves_steps.py
@@ -12,7 +12,9 @@
     SubmissionStore,
     make_owner_condition,
 )
+from berylcleat.host._task_mover import TaskMover
 from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
+from berylcleat.ports import EndedTask, RunEnd
 from berylcleat.scheduling import TaskMove
 from berylcleat.standins import MemoryStore
 
@@ -121,3 +123,79 @@
 def step_home(context, home, cell_id):
     assert context.run(context.submissions.find_home(SUBMISSION_ID)) == home
     step_unknown(context, cell_id)
+
+
+# Ends that come in late
+
+
+class RecordingOwner:
+    """Owner of a cell that records what the mover tells it."""
+
+    def __init__(self, cell_id, *, records):
+        self.cell_id = cell_id
+        self.records = records
+        self.scheduler = self
+        self.told = []
+        self.settled = []
+        self.known = []
+
+    def on_moved_task_ends(self, submission_id, ends):
+        self.told += [end.task for end in ends]
+        return self.records
+
+    def on_stray_ends_settled(self, ends):
+        self.settled += ends
+
+    def on_submission(self, submission_id, entry):
+        self.known.append(submission_id)
+
+
+class Ownership:
+    def __init__(self, owners):
+        self.controller_by_cell = {owner.cell_id: owner for owner in owners}
+
+
+def settle(context, cell_id, submission_id, *, records):
+    context.owner_by_cell = {
+        cell: RecordingOwner(cell, records=records) for cell in ("r1", "r2")
+    }
+    context.owner = context.owner_by_cell[cell_id]
+    context.end = EndedTask(1, TASK, 1, RunEnd.DONE, "")
+    ownership = Ownership(context.owner_by_cell.values())
+    mover = TaskMover(context.submissions, None, None, None, ownership)
+    context.run(mover.settle_stray_ends(context.owner, submission_id, [context.end]))
+
+
+@when('the owner of "{cell_id}" settles the task\'s end while "r2" records it')
+def step_settle(context, cell_id):
+    settle(context, cell_id, SUBMISSION_ID, records=True)
+
+
+@when('the owner of "{cell_id}" settles the task\'s end while "r2" doesn\'t record it')
+def step_settle_unrecorded(context, cell_id):
+    settle(context, cell_id, SUBMISSION_ID, records=False)
+
+
+@when('the owner of "{cell_id}" settles an end of another submission')
+def step_settle_unknown(context, cell_id):
+    settle(context, cell_id, "f" * 16, records=True)
+
+
+@then('cell "{cell_id}" was told that the task is done')
+def step_told(context, cell_id):
+    assert context.owner_by_cell[cell_id].told == [TASK]
+
+
+@then('the owner of "{cell_id}" knows the submission')
+def step_owner_knows(context, cell_id):
+    assert context.owner_by_cell[cell_id].known == [SUBMISSION_ID]
+
+
+@then("the end is settled")
+def step_settled(context):
+    assert context.owner.settled == [context.end]
+
+
+@then("the end isn't settled")
+def step_not_settled(context):
+    assert not context.owner.settled
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -55,6 +55,7 @@
 # earlier owner, so it is treated as inherited.
 LATE_SUBMISSION_MS = 1500
 MOVE_PERIOD_S = 0.25
+STRAY_END_PERIOD_S = 0.5
 logger = logging.getLogger(__name__)
 
 
@@ -152,6 +153,7 @@
         self._spawn(self._record_loop())
         self._spawn(self._log_load_loop())
         self._spawn(self._move_loop())
+        self._spawn(self._stray_end_loop())
         logger.info(
             "cell %s: epoch %d begins with %d submissions and %d workers",
             self.cell_id,
@@ -479,6 +481,21 @@
                         submission_id, ends, now_s()
                     )
 
+    async def _stray_end_loop(self) -> None:
+        """Report ends that other cells count to these, before they are acknowledged."""
+        while True:
+            await asyncio.sleep(STRAY_END_PERIOD_S)
+            if not self._is_ownership_confirmed() or self.is_inactive:
+                continue
+            for submission_id, ends in self.scheduler.stray_ends(now_s()).items():
+                try:
+                    await self._mover.settle_stray_ends(self, submission_id, ends)
+                except BerylError as error:
+                    logger.info(
+                        "submission %s: stray ends wait: %s", submission_id, error
+                    )
+            self._record_needed.set()
+
     def on_moved_task_ends(self, submission_id: str, ends: list[MovedTaskEnd]) -> bool:
         """Apply ends that another cell reported; return whether they are durable."""
         if self.scheduler is None:
--- a/programs/beryl-host/src/berylcleat/host/_peer_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_peer_api.py
@@ -81,10 +81,8 @@
 
     def _on_moved_task_ends(self, body: bytes) -> HttpResponse:
         report = msgspec.json.decode(body, type=MovedTaskEnds)
-        entry = self._directory.by_id.get(report.submission_id)
-        if entry is None or entry.accepted is None:
-            return HttpResponse(409)
-        controller = self._ownership.controller_by_cell.get(entry.accepted.cell_id)
+        cell_id = report.cell_id or self._home_cell(report.submission_id)
+        controller = self._ownership.controller_by_cell.get(cell_id)
         if controller is None:
             return HttpResponse(409)
         is_durable = controller.on_moved_task_ends(
@@ -92,6 +90,13 @@
         )
         return HttpResponse(200 if is_durable else 409)
 
+    def _home_cell(self, submission_id: str) -> str:
+        """Return the home cell of a submission, or an empty string if unknown."""
+        entry = self._directory.by_id.get(submission_id)
+        if entry is None or entry.accepted is None:
+            return ""
+        return entry.accepted.cell_id
+
     async def _on_takeover(self, body: bytes) -> HttpResponse:
         notice = msgspec.json.decode(body, type=TakeoverNotice)
         if notice.host_id != self._identity.host_id:
--- a/programs/beryl-host/src/berylcleat/host/_peers.py
+++ b/programs/beryl-host/src/berylcleat/host/_peers.py
@@ -33,10 +33,11 @@
 
 
 class MovedTaskEnds(msgspec.Struct, frozen=True):
-    """Ends of moved tasks, reported to their submission's home cell."""
+    """Ends of moved tasks, reported to a cell, by default their submission's home."""
 
     submission_id: str
     ends: tuple[MovedTaskEnd, ...]
+    cell_id: str = ""
 
 
 class StateReply(msgspec.Struct, frozen=True):
--- a/programs/beryl-host/src/berylcleat/host/_submission_directory.py
+++ b/programs/beryl-host/src/berylcleat/host/_submission_directory.py
@@ -39,6 +39,11 @@
         moved = {move.cell_id for move in self.move_by_task.values()}
         return moved | {self.accepted.cell_id}
 
+    def cell_of(self, task: TaskKey) -> str:
+        """Return the cell that a task of an accepted submission is assigned to."""
+        move = self.move_by_task.get(task)
+        return self.accepted.cell_id if move is None else move.cell_id
+
 
 EntryListener = Callable[[str, SubmissionEntry], None]
 
--- a/programs/beryl-host/src/berylcleat/host/_submission_store.py
+++ b/programs/beryl-host/src/berylcleat/host/_submission_store.py
@@ -97,6 +97,13 @@
         directory.on_rows(page.rows)
         return directory.by_id.get(submission_id, SubmissionEntry())
 
+    async def find_entry(self, submission_id: str) -> SubmissionEntry | None:
+        """Return what is stored of a submission, or None if there is no such one."""
+        home = await self.find_home(submission_id)
+        if home is None:
+            return None
+        return await self.read_entry(submission_id, home)
+
     async def cancel(self, entry: SubmissionEntry) -> CommitOutcome:
         """Store the cancellation in every cell that has tasks of the submission.
 
--- a/programs/beryl-host/src/berylcleat/host/_task_mover.py
+++ b/programs/beryl-host/src/berylcleat/host/_task_mover.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from berylcleat.model import BerylError, PlatformUnavailableError
-from berylcleat.ports import StoreRow
+from berylcleat.ports import EndedTask, RunEnd, StoreRow
 from berylcleat.scheduling import CellHeadroom, MovedTaskEnd, MoveProposal
 
 from ._cell_directory import CellDirectory
@@ -117,13 +117,49 @@
     ) -> bool:
         """Report ends to the home cell; return whether it has recorded them."""
         entry = self._directory.by_id[submission_id]
-        home_cell_id = entry.accepted.cell_id
-        controller = self._ownership.controller_by_cell.get(home_cell_id)
+        return await self._report_ends(submission_id, ends, entry.accepted.cell_id)
+
+    async def _report_ends(
+        self, submission_id: str, ends: list[MovedTaskEnd], cell_id: str
+    ) -> bool:
+        """Report ends to a cell; return whether it has recorded them."""
+        controller = self._ownership.controller_by_cell.get(cell_id)
         if controller is not None:
             return controller.on_moved_task_ends(submission_id, ends)
-        address = self._cells.owner_address(home_cell_id)
+        address = self._cells.owner_address(cell_id)
         if address is None:
             return False
         return await self._peers.send_moved_task_ends(
-            address, MovedTaskEnds(submission_id, tuple(ends))
+            address, MovedTaskEnds(submission_id, tuple(ends), cell_id)
         )
+
+    async def settle_stray_ends(
+        self, controller: "CellController", submission_id: str, ends: list[EndedTask]
+    ) -> None:
+        """Report ends to the cells that count them; acknowledge them after that.
+
+        Raises ``BerylError`` if the store can't be read.
+        """
+        entry = await self._store.find_entry(submission_id)
+        if entry is None or entry.accepted is None or entry.is_cancelled:
+            controller.scheduler.on_stray_ends_settled(ends)
+            return
+        ends_by_cell: dict[str, list[EndedTask]] = {}
+        for end in ends:
+            ends_by_cell.setdefault(entry.cell_of(end.task), []).append(end)
+        if ends_by_cell.pop(controller.cell_id, None):
+            controller.on_submission(submission_id, entry)
+        for cell_id, cell_ends in ends_by_cell.items():
+            done = [
+                MovedTaskEnd(end.task, has_failed=False)
+                for end in cell_ends
+                if end.end is RunEnd.DONE
+            ]
+            if not done or await self._report_ends(submission_id, done, cell_id):
+                logger.info(
+                    "submission %s: %d ends reported to cell %s",
+                    submission_id,
+                    len(cell_ends),
+                    cell_id,
+                )
+                controller.scheduler.on_stray_ends_settled(cell_ends)
