--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -341,12 +341,21 @@
         view.is_listed = True
 
     def must_record_workers(self) -> bool:
-        """Return whether the recorded workers differ from those of this cell."""
-        return self._recorded_workers != self.worker_by_id.keys()
+        """Return whether the workers that are certainly recorded aren't the cell's."""
+        return (
+            self._is_worker_record_in_doubt
+            or self._recorded_workers != self.worker_by_id.keys()
+        )
+
+    def on_recording_workers(self, worker_ids: frozenset[str]) -> None:
+        """Prevent starts on workers that a write lacks; call it before the write."""
+        self._recorded_workers &= worker_ids
+        self._is_worker_record_in_doubt = True
 
     def on_workers_recorded(self, worker_ids: frozenset[str]) -> None:
         """Allow starts on recorded workers, which the next owner will know."""
         self._recorded_workers = set(worker_ids)
+        self._is_worker_record_in_doubt = False
 
     def is_settled(self, worker_id: str) -> bool:
         """Return whether all runs of earlier owners on a worker are known."""
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -68,6 +68,7 @@
         self._settled_at = settled_at
         self._unsettled_workers = {entry.worker_id for entry in earlier_workers}
         self._recorded_workers = set(self._unsettled_workers)
+        self._is_worker_record_in_doubt = False
         self._inherited_submissions: set[str] = set()
         self._tasks_with_known_run: set[TaskKey] = set()
         self._orders: list[WorkerOrder] = []
--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -12,6 +12,22 @@
     When a host acquires it with runs unaccounted for 6 s and leaves after reading it
     Then the cell's recorded workers are still "w1 w2"
 
+  # Guards against TWICE: the next owner doesn't ask a worker that the row lacks.
+  Scenario: A worker that returns after a lost answer is recorded before a start on it
+    Given a cell with recorded workers "w1 w2"
+    When "w1" leaves it and the answer to the write without it is lost
+    And "w1" returns and a task waits for it
+    Then a task is not started on "w1"
+    When the workers are recorded until nothing is left to record
+    Then the cell's recorded workers are still "w2 w1"
+    And a task is started on "w1"
+
+  # Guards against TWICE: which row the next owner reads isn't known before an answer.
+  Scenario: Workers are written again after a lost answer even if none has changed
+    Given a cell with recorded workers "w1 w2"
+    When the answer to a write of the same workers is lost
+    Then the workers must be written again
+
   Scenario: A host that gets a takeover notice before it starts a cell doesn't start it
     Given a cell with recorded workers "w1 w2"
     When a host gets a takeover notice while it acquires the cell
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -29,11 +29,13 @@
 from berylcleat.host._submission_directory import SubmissionDirectory
 from berylcleat.host._submission_feeds import SubmissionFeeds
 from berylcleat.host._worker_list import WorkerList
-from berylcleat.model import TaskDemand
-from berylcleat.ports import StoreRow, WorkerEntry
+from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand
+from berylcleat.ports import StartOrder, StoreRow, WorkerEntry, WorkerReport
 from berylcleat.scheduling import (
+    CellScheduler,
     InterferenceModel,
     LeaseTimes,
+    Progress,
     ProgressWrite,
     RecordBatch,
 )
@@ -337,3 +339,70 @@
         await manager.release_all()
 
     context.run(acquire())
+
+
+def make_scheduler(workers):
+    return CellScheduler(CELL, 2, LeaseTimes(), 0.0, 0.0, workers, InterferenceModel())
+
+
+def make_recorder(context):
+    owner = context.store.rows_by_key(CELL_TABLE, CELL)[OWNER_KEY]
+    return ProgressRecorder(context.store, CELL, owner.version)
+
+
+async def record_without_answer(context):
+    await context.recorder.read_workers()
+    context.store.n_lost_answers = 1
+    assert not await context.recorder.record_workers(context.scheduler)
+
+
+@when('"{name}" leaves it and the answer to the write without it is lost')
+def step_worker_leaves(context, name):
+    workers = read_row(context, WORKERS_KEY, WorkersRow).workers
+    context.scheduler = make_scheduler(workers)
+    del context.scheduler.worker_by_id[name]
+    context.recorder = make_recorder(context)
+    context.run(record_without_answer(context))
+    row = read_row(context, WORKERS_KEY, WorkersRow)
+    assert name not in [worker.worker_id for worker in row.workers], row
+
+
+@when('"{name}" returns and a task waits for it')
+def step_worker_returns(context, name):
+    scheduler = context.scheduler
+    scheduler.list_worker(make_worker_entry(name), 1.0)
+    scheduler.on_report(name, WorkerReport(1000, 1, (), ()), 1.0, 1.0)
+    step = Step(1, TaskDemand(1000, 1000))
+    submission = Submission("a" * 16, QueuePolicy("q", "cardhouse"), "s", (step,))
+    scheduler.add_submission(submission, Progress(), 1.0, 1.0, inherited=False)
+
+
+@when("the workers are recorded until nothing is left to record")
+def step_record_workers(context):
+    async def record():
+        for _ in range(3):
+            if context.scheduler.must_record_workers():
+                await context.recorder.record_workers(context.scheduler)
+
+    context.run(record())
+    assert not context.scheduler.must_record_workers()
+
+
+@then('a task is {started} on "{name}"')
+def step_started(context, started, name):
+    orders = context.scheduler.plan(1.0, 1000.0)
+    workers = [o.worker_id for o in orders if isinstance(o.order, StartOrder)]
+    assert workers == ([name] if started == "started" else []), workers
+
+
+@when("the answer to a write of the same workers is lost")
+def step_same_workers(context):
+    workers = read_row(context, WORKERS_KEY, WorkersRow).workers
+    context.scheduler = make_scheduler(workers)
+    context.recorder = make_recorder(context)
+    context.run(record_without_answer(context))
+
+
+@then("the workers must be written again")
+def step_must_record(context):
+    assert context.scheduler.must_record_workers()
--- a/programs/beryl-host/src/berylcleat/host/_recorder.py
+++ b/programs/beryl-host/src/berylcleat/host/_recorder.py
@@ -69,6 +69,7 @@
     async def record_workers(self, scheduler: CellScheduler) -> bool:
         """Record the cell's workers; return whether they are durable."""
         views = dict(scheduler.worker_by_id)
+        scheduler.on_recording_workers(frozenset(views))
         row = WorkersRow(tuple(view.entry for view in views.values()))
         row_key = (RECORDED_WORKER_TABLE, self._cell_id, WORKERS_KEY)
         conditions = (self._owner_condition, Condition(*row_key, self._workers_version))
