--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -59,6 +59,17 @@
       | lost     | 0.6     | not taken |
       | lost     | 2.0     | taken     |
 
+  # Guards against TWICE: runs of a live owner aren't waited for if it's taken for stopped.
+  Scenario Outline: A heartbeat <order> the owner row shows that its owner <state>
+    Given a cell with recorded workers "w1 w2"
+    When another incarnation of the owner's host wrote a heartbeat <order> the owner row
+    Then the previous owner <state>
+
+    Examples:
+      | order  | state         |
+      | before | may still run |
+      | after  | has stopped   |
+
   Scenario: A cell acquired by a commit whose answer was lost is started
     Given a cell with recorded workers "w1 w2" that was released
     When a host acquires it and the answer to its commit is lost
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -1,5 +1,6 @@
 import asyncio
 from dataclasses import replace
+from functools import partial
 
 import msgspec
 from behave import given, then, when
@@ -406,3 +407,28 @@
 @then("the workers must be written again")
 def step_must_record(context):
     assert context.scheduler.must_record_workers()
+
+
+@when("another incarnation of the owner's host wrote a heartbeat {order} the owner row")
+def step_other_heartbeat(context, order):
+    put_owner = partial(
+        put_cell_row, context, OWNER_KEY, encode(OwnerRow(3, "host-2", "aa"))
+    )
+    heartbeat = encode(HostRow("cc", "127.0.0.1:9", 1.0))
+    put_heartbeat = partial(
+        context.store.put, "centre-dc", "dc", "host/host-2", heartbeat
+    )
+    is_before = order == "before"
+    for put in (put_heartbeat, put_owner) if is_before else (put_owner, put_heartbeat):
+        put()
+
+
+@then("the previous owner {state}")
+def step_previous_owner(context, state):
+    async def has_stopped():
+        manager, cells = await make_live_manager(context.store, "dc-1")
+        page = await context.store.read("centre-dc", "dc")
+        manager._membership.on_host_rows(page.rows)
+        return await manager._has_stopped(CELL, cells.owner_by_cell[CELL])
+
+    assert context.run(has_stopped()) == (state == "has stopped")
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -291,8 +291,7 @@
         row = previous.row
         if row.host_id == self._identity.host_id:
             return row.incarnation != self._identity.incarnation
-        heartbeat = self._membership.heartbeat_by_host.get(row.host_id)
-        if heartbeat is not None and heartbeat.row.incarnation != row.incarnation:
+        if self._membership.is_replaced(row.host_id, row.incarnation, previous.version):
             return True
         if not row.peer_address:
             return False
--- a/programs/beryl-host/src/berylcleat/host/_membership.py
+++ b/programs/beryl-host/src/berylcleat/host/_membership.py
@@ -18,9 +18,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HostHeartbeat:
-    """Last heartbeat row of a host and when it was observed."""
+    """Last heartbeat row of a host, its version, and when it was observed."""
 
     row: HostRow
+    version: int
     observed_at: float
 
 
@@ -62,7 +63,7 @@
         known = self.heartbeat_by_host.get(host_id)
         if known is None or known.row.incarnation != host.incarnation:
             logger.info("host %s: new incarnation %s", host_id, host.incarnation)
-        self.heartbeat_by_host[host_id] = HostHeartbeat(host, now_s())
+        self.heartbeat_by_host[host_id] = HostHeartbeat(host, row.version, now_s())
 
     def is_live(self, host_id: str, incarnation: str, coverage: Coverage) -> bool:
         """Return whether an incarnation of a host is considered alive."""
@@ -71,6 +72,16 @@
             return False
         return coverage.is_recent(heartbeat.observed_at)
 
+    def is_replaced(self, host_id: str, incarnation: str, version: int) -> bool:
+        """Return whether an incarnation that wrote a row at ``version`` was replaced.
+
+        An older heartbeat of another incarnation is that of an earlier one.
+        """
+        heartbeat = self.heartbeat_by_host.get(host_id)
+        if heartbeat is None or heartbeat.row.incarnation == incarnation:
+            return False
+        return heartbeat.version > version
+
     def live_hosts(self, coverage: Coverage) -> dict[str, HostRow]:
         """Return the hosts that may own cells: alive and not leaving."""
         return {
