--- a/libs/scheduling/features/steps/takeover_steps.py
+++ b/libs/scheduling/features/steps/takeover_steps.py
@@ -18,6 +18,54 @@
     context.scripted_cell.silent.add(SILENT_WORKER)
 
 
+@given(
+    "a cell of {n:d} workers taken over with runs unknown for {seconds:d} s, "
+    "none of them silent"
+)
+def step_cell_that_answers(context, n, seconds):
+    context.scripted_cell = ScriptedCell(n, 8000, settled_at=float(seconds))
+
+
+@given("a worker that lists 500 ends, and the end of a waiting task after these")
+def step_many_ends(context):
+    scripted_cell = context.scripted_cell
+    other = TaskKey("b" * 16, 0, 0, 0)
+    scripted_cell.ended["w0"] = [
+        EndedTask(number, other._replace(index=number), 1, RunEnd.DONE, "")
+        for number in range(1, 501)
+    ]
+    for submission_id, n_tasks in (("b" * 16, 501), (SUBMISSION_ID, 2)):
+        step = Step(n_tasks, TaskDemand(1000, 100))
+        scripted_cell.cell.add_submission(
+            Submission(submission_id, QueuePolicy("q", "svc"), "s", (step,)),
+            Progress(),
+            scripted_cell.now,
+            scripted_cell.now,
+            inherited=True,
+        )
+    scripted_cell.step()
+
+
+@when("the 500 ends are acknowledged")
+def step_last_end(context):
+    scripted_cell = context.scripted_cell
+    scripted_cell.ended["w0"] = [EndedTask(501, TASK, 1, RunEnd.DONE, "")]
+    scripted_cell.step()
+
+
+@then("the task isn't started")
+def step_not_started(context):
+    started = [item.order.task for item in context.scripted_cell.starts]
+    assert TASK not in started, started
+
+
+@then("the task counts as done and isn't started here")
+def step_counted(context):
+    tracked = context.scripted_cell.cell.submissions.by_id[SUBMISSION_ID]
+    assert tracked.progress.is_done(TASK)
+    step_not_started(context)
+
+
 @given("a standing task that runs on {place}")
 def step_standing_task(context, place):
     scripted_cell = context.scripted_cell
--- a/libs/scheduling/features/takeover.feature
+++ b/libs/scheduling/features/takeover.feature
@@ -13,3 +13,11 @@
     And a standing task that runs on the silent worker
     Then it isn't started before 18 s
     And it is started after 18 s
+
+  # Guards against TWICE: an end beyond the first 500 of a report was not waited for.
+  Scenario: A worker with more ends than one report holds isn't known until all are listed
+    Given a cell of 1 workers taken over with runs unknown for 18 s, none of them silent
+    And a worker that lists 500 ends, and the end of a waiting task after these
+    Then the task isn't started
+    When the 500 ends are acknowledged
+    Then the task counts as done and isn't started here
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -398,6 +398,7 @@
             lease_ms = int(self.times.max_lease_s * 1000)
             view.clock.extend_lease(report.clock_ms + lease_ms)
             view.has_seen_epoch = True
+        if len(report.ended) < MAX_ENDS_IN_REPORT:
             self._unsettled_workers.discard(worker_id)
         for end in report.ended:
             if end.number > view.handled_number:
