--- a/libs/scheduling/features/runs_once.feature
+++ b/libs/scheduling/features/runs_once.feature
@@ -60,6 +60,14 @@
     And the other cell doesn't start the task
     And the end may be acknowledged
 
+  # Guards against TWICE: the task started here again before its late end was counted.
+  Scenario: A late end is counted at once when its task moves back
+    Given a task whose worker fell silent and that is being moved to another cell
+    When the worker reports that the task is done
+    And the move is applied
+    And the task is moved back here
+    Then the task is done and isn't started here
+
   Scenario: An end of a submission that stays unknown is looked for after 3 seconds
     Given a cell with 1 workers of 8 cores
     When a worker reports the end of a task whose submission is unknown
--- a/libs/scheduling/features/steps/runs_once_steps.py
+++ b/libs/scheduling/features/steps/runs_once_steps.py
@@ -163,6 +163,16 @@
     scripted_cell.step()
 
 
+@when("the task is moved back here")
+def step_moved_back(context):
+    scripted_cell = context.scripted_cell
+    scripted_cell.cell.update_moves(
+        SUBMISSION_ID, {TASK: TaskMove("r1", 5)}, scripted_cell.now
+    )
+    for item in scripted_cell.cell.plan(scripted_cell.now, 0.0):
+        scripted_cell.starts.append(item)
+
+
 @when("the run has ended and the move fails")
 def step_stopped_and_failed(context):
     scripted_cell = context.scripted_cell
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -87,13 +87,9 @@
             tracked.has_started = bool(progress.done_by_step)
         # The moves tell which of the reported runs belong here.
         self.update_moves(submission.submission_id, move_by_task or {}, now)
-        self._process_early_reports(submission.submission_id, now)
 
-    def _process_early_reports(self, submission_id: str, now: float) -> None:
-        """Process ends and runs reported before they could be.
-
-        Their submission was unknown, or their task had a pending move.
-        """
+    def _process_deferred_reports(self, submission_id: str, now: float) -> None:
+        """Process ends and runs that were reported before they could be counted."""
         for view in self.worker_by_id.values():
             for number, deferred in sorted(view.deferred_end_by_number.items()):
                 if deferred.end.task.submission_id == submission_id:
@@ -127,6 +123,7 @@
                 self._accept_moved_task(tracked, task, move)
             else:
                 self._release_moved_task(tracked, task, now)
+        self._process_deferred_reports(submission_id, now)
 
     def _accept_moved_task(
         self, tracked: TrackedSubmission, task: TaskKey, move: TaskMove
@@ -242,7 +239,7 @@
         to it, may start here again.
         """
         self._tasks_with_pending_move.difference_update(proposal.move_by_task)
-        self._process_early_reports(proposal.submission_id, now)
+        self._process_deferred_reports(proposal.submission_id, now)
 
     def stray_ends(self, now: float) -> dict[str, list[EndedTask]]:
         """Return ends that another cell must count before they are acknowledged.
--- a/programs/beryl-host/features/moves.feature
+++ b/programs/beryl-host/features/moves.feature
@@ -54,3 +54,17 @@
     Given a submission of cell "r1"
     When the owner of "r1" settles an end of another submission
     Then the end is settled
+
+  # Guards against TWICE: an old read must not give a moved task back to its cell.
+  Scenario: A slow read doesn't undo a move that is known
+    Given a submission with a task moved from cell "r1" to "r2"
+    And a host that knows of a later move than a slow read
+    When the read arrives
+    Then the host still knows that the task is in "r2"
+
+  # Guards against LOST: a standing task is never done.
+  Scenario: An end of a standing task is settled without a report
+    Given a standing submission with a task moved from cell "r1" to "r2"
+    When the owner of "r1" settles the task's end while "r2" records it
+    Then cell "r2" was told nothing
+    And the end is settled
--- a/programs/beryl-host/features/steps/moves_steps.py
+++ b/programs/beryl-host/features/steps/moves_steps.py
@@ -7,6 +7,7 @@
     OwnerRow,
     encode,
 )
+from berylcleat.host._submission_directory import SubmissionDirectory, SubmissionEntry
 from berylcleat.host._submission_store import (
     MoveCommit,
     SubmissionStore,
@@ -23,8 +24,8 @@
 HOME = "r1"
 
 
-def make_accepted(cell_id):
-    steps = (Step(2, TaskDemand(1000, 100)),)
+def make_accepted(cell_id, *, is_long_running=False):
+    steps = (Step(2, TaskDemand(1000, 100), is_long_running=is_long_running),)
     submission = Submission(SUBMISSION_ID, QueuePolicy("q", "svc"), "s", steps)
     return AcceptedRow(cell_id, 0, submission)
 
@@ -41,13 +42,25 @@
 
 
 @given('a submission of cell "{cell_id}"')
-def step_submission(context, cell_id):
+def step_submission(context, cell_id, accepted=None):
     context.memory = MemoryStore()
     for cell in ("r1", "r2", "r3"):
         owner = encode(OwnerRow(1, "host-1", "aa"))
         context.memory.put(CELL_TABLE, cell, OWNER_KEY, owner)
     context.submissions = SubmissionStore(context.memory)
-    assert context.run(context.submissions.accept(make_accepted(cell_id))).applied
+    accepted = accepted or make_accepted(cell_id)
+    assert context.run(context.submissions.accept(accepted)).applied
+
+
+@given('a standing submission with a task moved from cell "{cell_id}" to "{target}"')
+def step_standing_moved(context, cell_id, target):
+    step_submission(context, cell_id, make_accepted(cell_id, is_long_running=True))
+    assert move(context, read(context, cell_id), cell_id, target).applied
+
+
+@then('cell "{cell_id}" was told nothing')
+def step_told_nothing(context, cell_id):
+    assert not context.owner_by_cell[cell_id].told
 
 
 @given('a submission with a task moved from cell "{cell_id}" to "{target}"')
@@ -137,7 +150,6 @@
         self.scheduler = self
         self.told = []
         self.settled = []
-        self.known = []
 
     def on_moved_task_ends(self, submission_id, ends):
         self.told += [end.task for end in ends]
@@ -146,9 +158,6 @@
     def on_stray_ends_settled(self, ends):
         self.settled += ends
 
-    def on_submission(self, submission_id, entry):
-        self.known.append(submission_id)
-
 
 class Ownership:
     def __init__(self, owners):
@@ -162,7 +171,8 @@
     context.owner = context.owner_by_cell[cell_id]
     context.end = EndedTask(1, TASK, 1, RunEnd.DONE, "")
     ownership = Ownership(context.owner_by_cell.values())
-    mover = TaskMover(context.submissions, None, None, None, ownership)
+    context.directory = SubmissionDirectory()
+    mover = TaskMover(context.submissions, context.directory, None, None, ownership)
     context.run(mover.settle_stray_ends(context.owner, submission_id, [context.end]))
 
 
@@ -188,7 +198,8 @@
 
 @then('the owner of "{cell_id}" knows the submission')
 def step_owner_knows(context, cell_id):
-    assert context.owner_by_cell[cell_id].known == [SUBMISSION_ID]
+    (entry,) = context.directory.in_cell(cell_id)
+    assert entry.accepted.submission.submission_id == SUBMISSION_ID
 
 
 @then("the end is settled")
@@ -199,3 +210,21 @@
 @then("the end isn't settled")
 def step_not_settled(context):
     assert not context.owner.settled
+
+
+@given("a host that knows of a later move than a slow read")
+def step_slow_read(context):
+    context.directory = SubmissionDirectory()
+    entry = read(context, HOME)
+    context.old_entry = SubmissionEntry(entry.accepted, False, {}, 0)
+    context.directory.add_entry(SUBMISSION_ID, entry)
+
+
+@when("the read arrives")
+def step_read_arrives(context):
+    context.directory.add_entry(SUBMISSION_ID, context.old_entry)
+
+
+@then('the host still knows that the task is in "{cell_id}"')
+def step_still_known(context, cell_id):
+    assert context.directory.by_id[SUBMISSION_ID].cell_of(TASK) == cell_id
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -495,7 +495,7 @@
                     logger.info(
                         "submission %s: stray ends wait: %s", submission_id, error
                     )
-            self._record_needed.set()
+                self._record_needed.set()
 
     def on_moved_task_ends(self, submission_id: str, ends: list[MovedTaskEnd]) -> bool:
         """Apply ends that another cell reported; return whether they are durable."""
--- a/programs/beryl-host/src/berylcleat/host/_submission_directory.py
+++ b/programs/beryl-host/src/berylcleat/host/_submission_directory.py
@@ -98,6 +98,16 @@
             entry.is_cancelled = True
             self._notify(submission_id, entry)
 
+    def add_entry(self, submission_id: str, entry: SubmissionEntry) -> None:
+        """Add what was read of a submission; newer moves that are known stay."""
+        known = self.by_id.setdefault(submission_id, SubmissionEntry())
+        known.accepted = known.accepted or entry.accepted
+        known.is_cancelled = known.is_cancelled or entry.is_cancelled
+        if entry.moves_version > known.moves_version:
+            known.move_by_task = entry.move_by_task
+            known.moves_version = entry.moves_version
+        self._notify(submission_id, known)
+
     def in_cell(self, cell_id: str) -> list[SubmissionEntry]:
         """Return the submissions with tasks in a cell."""
         return [entry for entry in self.by_id.values() if cell_id in entry.cells()]
--- a/programs/beryl-host/src/berylcleat/host/_task_mover.py
+++ b/programs/beryl-host/src/berylcleat/host/_task_mover.py
@@ -148,12 +148,13 @@
         for end in ends:
             ends_by_cell.setdefault(entry.cell_of(end.task), []).append(end)
         if ends_by_cell.pop(controller.cell_id, None):
-            controller.on_submission(submission_id, entry)
+            self._directory.add_entry(submission_id, entry)
+        steps = entry.accepted.submission.steps
         for cell_id, cell_ends in ends_by_cell.items():
             done = [
                 MovedTaskEnd(end.task, has_failed=False)
                 for end in cell_ends
-                if end.end is RunEnd.DONE
+                if end.end is RunEnd.DONE and not steps[end.task.step].is_long_running
             ]
             if not done or await self._report_ends(submission_id, done, cell_id):
                 logger.info(
