--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -166,6 +166,15 @@
             if run.was_reported:
                 self._mark_lost(run, reason, now)
             elif run.phase is not RunPhase.STARTING:
+                logger.info(
+                    "run unconfirmed: task %s run %d on %s: %s, it was %s for %.1f s",
+                    run.task,
+                    run.number,
+                    run.worker_id,
+                    reason,
+                    run.phase.value,
+                    now - run.phase_since,
+                )
                 run.phase = RunPhase.UNCONFIRMED
                 run.phase_since = now
         view.clock.assume_longest_lease(now, self.times.max_lease_s)
--- a/programs/beryl-host/src/berylcleat/host/_worker_list.py
+++ b/programs/beryl-host/src/berylcleat/host/_worker_list.py
@@ -63,6 +63,13 @@
     def _log_change(self, previous: WorkerEntry | None, entry: WorkerEntry) -> None:
         if previous and entry.is_draining and not previous.is_draining:
             logger.info("worker %s: draining", entry.worker_id)
+        if previous and entry.capacity != previous.capacity:
+            logger.info(
+                "worker %s: capacity changed from %s to %s",
+                entry.worker_id,
+                previous.capacity,
+                entry.capacity,
+            )
 
     def _by_cell(self) -> dict[str, dict[str, WorkerEntry]]:
         by_cell: dict[str, dict[str, WorkerEntry]] = {}
