--- /dev/null
+++ b/libs/scheduling/features/capacity.feature
@@ -0,0 +1,54 @@
+Feature: No start brings a worker over its capacity
+  Workers need not check whether a task fits. Their capacity may shrink and grow.
+
+  # Guards against LIMIT: the owner kept no capacity for a run that it had told to stop.
+  Scenario: A run of an earlier owner that is stopped uses capacity until its end is listed
+    Given a cell with 1 workers of 8 cores
+    And the worker reports a run of 6 cores of a submission that was cancelled
+    When a task of 5 cores is added
+    Then no task is started
+    When the end of the run is listed
+    Then the task of 5 cores is started
+
+  # Guards against LIMIT: the owner can't tell what such a run uses.
+  Scenario: Nothing starts beside a run whose submission is unknown
+    Given a cell with 1 workers of 8 cores
+    And the worker reports a run of a submission that is unknown
+    When a task of 5 cores is added
+    Then no task is started
+    When the submission with a step of 2 cores becomes known
+    Then the task of 5 cores is started
+
+  Scenario: A worker whose capacity has shrunk gets no task until it has grown again
+    Given a cell with 1 workers of 8 cores
+    When the capacity of the worker changes to 4 cores
+    And a task of 5 cores is added
+    Then no task is started
+    When the capacity of the worker changes to 8 cores
+    Then the task of 5 cores is started
+
+  # Guards against LIMIT: a stopped run counts also on a worker that has shrunk.
+  Scenario: Tasks that run on a worker whose capacity has shrunk below them count
+    Given a cell with 1 workers of 8 cores
+    When a task of 5 cores is added
+    Then the task of 5 cores is started
+    When the capacity of the worker changes to 6 cores
+    And another task of 2 cores is added
+    Then no task is started
+
+  # Guards against a cell that stops planning: a division by the capacity.
+  Scenario: A worker whose capacity has shrunk to nothing doesn't stop the cell
+    Given a cell with 2 workers of 8 cores
+    And a serving task and a filler run on each worker
+    When the capacity of the worker changes to 0 cores
+    And a task of 5 cores is added
+    Then the task of 5 cores is started
+
+  # Guards against LIMIT: the next incarnation may have another capacity.
+  Scenario: Nothing starts on a restarted worker before the list names its capacity
+    Given a cell with 1 workers of 8 cores
+    When the worker restarts and reports before the list names the restart
+    And a task of 5 cores is added
+    Then no task is started
+    When the list names the restart with 8 cores
+    Then the task of 5 cores is started
--- /dev/null
+++ b/libs/scheduling/features/crashes.feature
@@ -0,0 +1,74 @@
+Feature: Tasks that crash the workers that start them
+  A task that crashes each worker that starts it is given up after two crashes that it alone
+  explains, or after three. The count survives takeovers, moves, restarts and lost answers.
+
+  # Guards against LOST: the start was never taken for lost, as each refused hold counted
+  # the longest lease anew.
+  Scenario: A start accepted right before a crash is repeated once another worker answers
+    Given 2 workers, of which the first crashes once when the task starts there
+    When 6 seconds are played
+    Then the task has been started twice
+    And the submission of the task is done
+
+  # Guards against BUDGET: a task crashed worker after worker.
+  Scenario Outline: A task that crashes its workers, which are <return>, is given up
+    Given 4 workers and a task that crashes them
+    And crashed workers are <return>
+    And starts before a crash are <answer>
+    When 90 seconds are played
+    Then the task has been started 2 to 5 times
+    And the submission of the task has failed
+
+    Examples:
+      | return                  | answer     |
+      | back under a new id     | answered   |
+      | back under a new id     | unanswered |
+      | back under their old id | answered   |
+      | back under their old id | unanswered |
+      | silent for 9 seconds    | answered   |
+      | silent for 9 seconds    | unanswered |
+
+  # Guards against BUDGET: the next owner counted from zero.
+  Scenario Outline: A takeover after each crash doesn't reset the count, workers <return>
+    Given 4 workers and a task that crashes them
+    And crashed workers are <return>
+    And starts before a crash are <answer>
+    And another host takes over 0.5 seconds after each crash
+    When 150 seconds are played
+    Then the task has been started 2 to 5 times
+    And the submission of the task has failed
+
+    Examples:
+      | return                  | answer     |
+      | back under a new id     | answered   |
+      | back under a new id     | unanswered |
+      | back under their old id | answered   |
+      | back under their old id | unanswered |
+      | silent for 9 seconds    | answered   |
+
+  # Guards against BUDGET: the cell that a task moves to counted from zero.
+  Scenario: A move carries the crashes of its task
+    Given 4 workers and a task that crashes them
+    And the task moves to another cell after each crash
+    When 90 seconds are played
+    Then the task has been started 2 to 5 times
+    And the submission of the task has failed
+
+  # Guards against LOST: tasks that only ran beside the one that crashes workers.
+  Scenario: Tasks that run beside one that crashes workers aren't given up
+    Given 4 workers, a task that crashes them and 30 other submissions
+    When 90 seconds are played
+    Then the submission of the task has failed
+    And the other submissions are done
+
+  # Guards against LOST: a worker that is only silent hasn't crashed.
+  Scenario: A task whose workers fall silent again and again isn't given up
+    Given 4 workers, of which each falls silent for 8 seconds when the task starts there
+    When 90 seconds are played
+    Then the submission of the task is running
+
+  # Guards against LOST: a task that has run for seconds doesn't crash its workers.
+  Scenario: A long-running task whose workers crash after 20 seconds isn't given up
+    Given 4 workers and a long-running task, and each crashes 20 seconds after its start
+    When 150 seconds are played
+    Then the submission of the task is running
--- /dev/null
+++ b/libs/scheduling/features/steps/capacity_steps.py
@@ -0,0 +1,126 @@
+from dataclasses import replace
+
+from behave import given, then, when
+
+from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
+from berylcleat.ports import EndedTask, RunEnd
+from berylcleat.scheduling import Progress
+
+EARLIER_ID = "e" * 16
+EARLIER_TASK = TaskKey(EARLIER_ID, 0, 0, 0)
+QUEUE = QueuePolicy("q", "svc")
+
+
+def make_submission(submission_id, *steps):
+    return Submission(submission_id, QUEUE, "s", steps)
+
+
+def add_submission(scripted_cell, submission, *, inherited=False):
+    now = scripted_cell.now
+    scripted_cell.cell.add_submission(
+        submission, Progress(), now, now, inherited=inherited
+    )
+
+
+def report_earlier_run(scripted_cell):
+    scripted_cell.running["w0"][EARLIER_TASK] = 1
+    scripted_cell.step()
+
+
+@given("the worker reports a run of {cores:d} cores of a submission that was cancelled")
+def step_cancelled_run(context, cores):
+    step = Step(1, TaskDemand(cores * 1000, 100))
+    add_submission(context.scripted_cell, make_submission(EARLIER_ID, step))
+    context.scripted_cell.cell.cancel(EARLIER_ID, context.scripted_cell.now)
+    report_earlier_run(context.scripted_cell)
+
+
+@given("the worker reports a run of a submission that is unknown")
+def step_unknown_run(context):
+    report_earlier_run(context.scripted_cell)
+
+
+@when("the submission with a step of {cores:d} cores becomes known")
+def step_becomes_known(context, cores):
+    step = Step(1, TaskDemand(cores * 1000, 100))
+    submission = make_submission(EARLIER_ID, step)
+    add_submission(context.scripted_cell, submission, inherited=True)
+    context.scripted_cell.step()
+
+
+@when("a task of {cores:d} cores is added")
+def step_add(context, cores):
+    step = Step(1, TaskDemand(cores * 1000, 100))
+    add_submission(context.scripted_cell, make_submission("b" * 16, step))
+    context.scripted_cell.step()
+
+
+@when("another task of {cores:d} cores is added")
+def step_add_another(context, cores):
+    context.scripted_cell.starts.clear()
+    step = Step(1, TaskDemand(cores * 1000, 100))
+    add_submission(context.scripted_cell, make_submission("c" * 16, step))
+    context.scripted_cell.step()
+
+
+@when("the end of the run is listed")
+def step_end_listed(context):
+    scripted_cell = context.scripted_cell
+    run = scripted_cell.running["w0"].pop(EARLIER_TASK)
+    end = EndedTask(1, EARLIER_TASK, run, RunEnd.STOPPED, "")
+    scripted_cell.ended["w0"].append(end)
+    scripted_cell.step()
+
+
+@when("the capacity of the worker changes to {cores:d} cores")
+def step_change_capacity(context, cores):
+    scripted_cell = context.scripted_cell
+    entry = scripted_cell.cell.worker_by_id["w0"].entry
+    changed = replace(entry, capacity=TaskDemand(cores * 1000, 64000))
+    scripted_cell.cell.list_worker(changed, scripted_cell.now)
+    scripted_cell.step()
+
+
+@given("a serving task and a filler run on each worker")
+def step_serving_and_filler(context):
+    scripted_cell = context.scripted_cell
+    serving = Step(
+        2, TaskDemand(1000, 100), is_long_running=True, image="s", target_latency_ms=50
+    )
+    filler = Step(2, TaskDemand(500, 100), fills=True, image="f")
+    add_submission(scripted_cell, make_submission("f" * 16, serving, filler))
+    for _ in range(20):
+        scripted_cell.step()
+        while scripted_cell.starts:
+            scripted_cell.accept(scripted_cell.starts.pop())
+    assert all(len(runs) >= 1 for runs in scripted_cell.running.values())
+
+
+@when("the worker restarts and reports before the list names the restart")
+def step_restart(context):
+    scripted_cell = context.scripted_cell
+    scripted_cell.started_at_ms["w0"] += 1000
+    scripted_cell.step()
+
+
+@when("the list names the restart with {cores:d} cores")
+def step_list_restart(context, cores):
+    scripted_cell = context.scripted_cell
+    entry = scripted_cell.cell.worker_by_id["w0"].entry
+    capacity = TaskDemand(cores * 1000, 64000)
+    started_at_ms = scripted_cell.started_at_ms["w0"]
+    listed = replace(entry, capacity=capacity, started_at_ms=started_at_ms)
+    scripted_cell.cell.list_worker(listed, scripted_cell.now)
+    scripted_cell.step()
+
+
+@then("no task is started")
+def step_no_start(context):
+    assert not context.scripted_cell.starts, context.scripted_cell.starts
+
+
+@then("the task of {cores:d} cores is started")
+def step_started(context, cores):
+    started = [item.order.task for item in context.scripted_cell.starts]
+    assert started == [TaskKey("b" * 16, 0, 0, 0)], started
+    context.scripted_cell.accept(context.scripted_cell.starts[0])
