A start on a worker that crashed is lost once another worker has its address

Cause: a run that no report has contained becomes unconfirmed when its incarnation ends, and stays so until every lease has expired; each hold that another incarnation answers (every 0.25 s) ended the incarnation anew and counted the longest lease anew. Ruled out: a start that wasn't answered (the log has no such line). Change: an incarnation ends once; a worker with another id at the address rejects all orders for the earlier one, so its runs are lost at once. The same cause, elsewhere: connections refused by a drained worker that has exited.

--- a/libs/scheduling/features/runs_once.feature
+++ b/libs/scheduling/features/runs_once.feature
@@ -95,3 +95,12 @@
     Then the worker must stay known
     When the end is recorded
     Then the worker may be forgotten
+
+  # Guards against LOST: each refused connection counted the longest lease anew.
+  Scenario: A start on a drained worker that has exited is repeated after every lease
+    Given a cell with 2 workers of 8 cores
+    And a task that a worker has accepted right before it drains and leaves
+    When its connections are refused for 6 seconds
+    Then the task isn't started a second time
+    When its connections are refused for 1 seconds
+    Then the task is started on the other worker
--- a/libs/scheduling/features/steps/runs_once_steps.py
+++ b/libs/scheduling/features/steps/runs_once_steps.py
@@ -307,3 +307,27 @@
 @then("the worker may be forgotten")
 def step_may_forget(context):
     assert context.scripted_cell.cell.can_forget(context.item.worker_id)
+
+
+# Drained workers
+
+
+@given("a task that a worker has accepted right before it drains and leaves")
+def step_accepted_before_drain(context):
+    step_accepted_by_next_incarnation(context)
+    scripted_cell = context.scripted_cell
+    worker_id = context.item.worker_id
+    entry = scripted_cell.cell.worker_by_id[worker_id].entry
+    scripted_cell.cell.list_worker(replace(entry, is_draining=True), scripted_cell.now)
+    scripted_cell.cell.unlist_worker(worker_id)
+
+
+@when("its connections are refused for {seconds:d} seconds")
+def step_refused(context, seconds):
+    scripted_cell = context.scripted_cell
+    end = scripted_cell.now + seconds - 0.1
+    while scripted_cell.now < end:
+        scripted_cell.cell.on_connection_refused(
+            context.item.worker_id, scripted_cell.now
+        )
+        scripted_cell.step()
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -419,12 +419,20 @@
             view.has_hold_failed = True
 
     def on_other_incarnation(self, worker_id: str, now: float) -> None:
-        """Handle an answer of another incarnation at the worker's address."""
+        """Handle an answer of a worker with another id at the worker's address.
+
+        The worker has ended, and the other one executes no order meant for it. Runs
+        whose start is still to be answered are handled at the next call.
+        """
         view = self.worker_by_id.get(worker_id)
-        if view is not None:
-            self._unsettled_workers.discard(worker_id)
-            self._end_incarnation(view, "another incarnation answered", now)
-            view.is_listed = False
+        if view is None:
+            return
+        self._unsettled_workers.discard(worker_id)
+        self._end_incarnation(view, "another incarnation answered", now)
+        view.is_listed = False
+        for run in tuple(view.run_by_task.values()):
+            if run.phase is not RunPhase.STARTING:
+                self._mark_lost(run, "another worker has its address", now)
 
     def on_connection_refused(self, worker_id: str, now: float) -> None:
         """Handle a refused connection to a worker.
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -159,8 +159,11 @@
         """Mark the runs of an ended incarnation as lost and reset the worker's state.
 
         A run that was never in a report may have started in the next incarnation
-        already, so it becomes unconfirmed instead.
+        already, so it becomes unconfirmed instead. Does nothing if the incarnation
+        has ended already: the leases that it granted must be able to expire.
         """
+        if not view.incarnation_ms:
+            return
         logger.info("worker %s: incarnation ended: %s", view.entry.worker_id, reason)
         for run in tuple(view.run_by_task.values()):
             if run.was_reported:
