A worker that was only silent counts less than one that has crashed

Change: silence is an evidence of its own, raised once the worker turns out to have restarted; five crashes with silences, or four without, give a task up. Ruled out: five for all (a takeover after each crash then makes six starts; crashes.feature failed).

--- a/libs/scheduling/src/berylcleat/scheduling/_crashes.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_crashes.py
@@ -24,8 +24,10 @@
 # Certain crashes that suffice to give up a task, of which one must be explained or
 # followed by another.
 MIN_CERTAIN_CRASHES = 2
-# Crashes, possible ones included, after which a task is given up in any case.
+# Crashes after which a task is given up, possible ones included, and with those of
+# workers that may only have been silent.
 MAX_CRASHES = 4
+MAX_CRASHES_WITH_SILENT = 5
 logger = logging.getLogger(__name__)
 
 
@@ -57,14 +59,15 @@
 
 def must_give_up(crashed_runs: CrashedRuns) -> bool:
     """Return whether a task with these crashed runs isn't started any more."""
-    n_crashes = len(crashed_runs)
-    if n_crashes >= MAX_CRASHES:
+    if len(crashed_runs) >= MAX_CRASHES_WITH_SILENT:
         return True
-    n_certain = sum(known >= CrashEvidence.CERTAIN for known in crashed_runs.values())
+    levels = [known for known in crashed_runs.values() if known > CrashEvidence.SILENT]
+    if len(levels) >= MAX_CRASHES:
+        return True
+    n_certain = sum(known >= CrashEvidence.CERTAIN for known in levels)
     if n_certain < MIN_CERTAIN_CRASHES:
         return False
-    is_explained = CrashEvidence.EXPLAINED in crashed_runs.values()
-    return is_explained or n_crashes > MIN_CERTAIN_CRASHES
+    return CrashEvidence.EXPLAINED in levels or len(levels) > MIN_CERTAIN_CRASHES
 
 
 class CrashTracker:
@@ -116,7 +119,7 @@
                 continue
             is_presumed = tracked.is_crash_presumed(run.task, run.number)
             if is_presumed or view.alive_at - run.started_at < LIKELY_CAUSE_AGE_S:
-                self._count(tracked, run, CrashEvidence.POSSIBLE)
+                self._count(tracked, run, CrashEvidence.SILENT)
 
     def on_survival(self, runs: Iterable[Run]) -> None:
         """Take back the possible crashes of a worker that was only silent."""
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -192,8 +192,5 @@
         tracked.next_run(task, epoch) - 1,
         tuple(sorted(tracked.progress.failed_runs_by_task.get(task, ()))),
         tracked.checkpoint_of(task),
-        tuple(
-            (run, max(evidence, CrashEvidence.POSSIBLE))
-            for run, evidence in sorted(tracked.crashes(task).items())
-        ),
+        tuple(sorted(tracked.crashes(task).items())),
     )
--- a/libs/scheduling/src/berylcleat/scheduling/_progress.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_progress.py
@@ -12,15 +12,17 @@
     """What is known of a run and the crash of its worker.
 
     PRESUMED: the run was to start; its owner hasn't recorded since what became of it.
-    POSSIBLE: it isn't certain that the run had started, or that the worker crashed.
+    SILENT: the worker was silent until the run's lease expired; it may have crashed.
+    POSSIBLE: the worker crashed; it isn't certain that the run was running then.
     CERTAIN: the worker crashed during the run.
     EXPLAINED: besides, no other run had just started there.
     """
 
     PRESUMED = 0
-    POSSIBLE = 1
-    CERTAIN = 2
-    EXPLAINED = 3
+    SILENT = 1
+    POSSIBLE = 2
+    CERTAIN = 3
+    EXPLAINED = 4
 
 
 CrashedRuns = dict[int, CrashEvidence]
