No start beside runs whose capacity isn't counted, nor on unknown capacity

Cause: capacity was reserved for adopted runs only. A run of an earlier owner that is told to stop, or whose submission isn't known yet, used capacity that the owner counted as free, so a worker that guards nothing could be brought over it (LIMIT); a worker that had restarted was used with the capacity of its last incarnation. A capacity of no processor time ended the planning of the cell (division by zero), and a fraction in it unlisted the worker. Change: runs to be stopped count until a report lacks them; nothing starts beside a run of an unknown submission, or before the list names the restart; a headroom below nothing is published as nothing; fractions are left out. The simulated list forgot restarts during a partition and for the next owner, which the platform's doesn't; without that, histories stalled.

--- a/libs/scheduling/features/steps/cell_simulation.py
+++ b/libs/scheduling/features/steps/cell_simulation.py
@@ -653,9 +653,17 @@
         )
 
     def _list_worker(self, sim_cell: SimCell, entry: WorkerEntry) -> None:
+        """List a worker's incarnation, to a partitioned owner after the partition."""
+        worker = self.workers[entry.worker_id]
+        if entry.started_at_ms > worker.entry.started_at_ms:
+            worker.entry = entry
         owner = sim_cell.owner
-        if not owner.is_dead and not owner.is_partitioned:
-            owner.cell.list_worker(entry, self.now)
+        if owner.is_dead or owner.is_partitioned:
+            self._schedule_event(
+                self.now + 0.5, lambda: self._list_worker(sim_cell, entry)
+            )
+            return
+        owner.cell.list_worker(worker.entry, self.now)
 
     def _fail_owner(self, sim_cell: SimCell) -> None:
         is_dead = self.rng.random() < 0.5
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -6,7 +6,7 @@
 import logging
 from collections.abc import Mapping
 
-from berylcleat.model import Submission, SubmissionState, TaskKey
+from berylcleat.model import Submission, SubmissionState, TaskDemand, TaskKey
 from berylcleat.ports import (
     EndedTask,
     OrderAnswer,
@@ -705,6 +705,7 @@
     ) -> None:
         reported = {}
         view.unknown_run_by_task.clear()
+        view.used_by_unwanted = TaskDemand()
         for running in report.running:
             reported[(running.task, running.run)] = running
             if running.task.submission_id in self.submissions.by_id:
@@ -768,6 +769,7 @@
                 running.run,
                 view.entry.worker_id,
             )
+            self._reserve_until_stopped(view, task)
             self._enqueue_order(
                 view.entry.worker_id, StopOrder(task, running.run, self.epoch)
             )
@@ -800,6 +802,13 @@
             self._stop(run, now)
         return run
 
+    def _reserve_until_stopped(self, view: WorkerView, task: TaskKey) -> None:
+        """Count the capacity of a run that isn't wanted until a report lacks it."""
+        tracked = self.submissions.by_id.get(task.submission_id)
+        if tracked is not None and self._task_exists(tracked, task):
+            allocation = tracked.submission.steps[task.step].allocation
+            view.used_by_unwanted = view.used_by_unwanted + allocation
+
     def _task_exists(self, tracked: TrackedSubmission, task: TaskKey) -> bool:
         """Return whether the task exists, even if its step isn't active here.
 
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from berylcleat.model import TaskKey
+from berylcleat.model import TaskDemand, TaskKey
 from berylcleat.ports import (
     OrderResult,
     PaceOrder,
@@ -198,6 +198,7 @@
         view.acked_number = 0
         view.deferred_end_by_number.clear()
         view.unknown_run_by_task.clear()
+        view.used_by_unwanted = TaskDemand()
         view.expired_runs.clear()
 
     def _count_crash(self, view: WorkerView, now: float) -> None:
@@ -465,7 +466,7 @@
         ]
         capacity = sum(view.entry.capacity.cpu_millis for view in views)
         capacity += sum(headroom.capacity for headroom in others)
-        free = sum(view.free().cpu_millis for view in views)
+        free = sum(max(0, view.free().cpu_millis) for view in views)
         free += sum(max(0, headroom.free) for headroom in others)
         return 1 - free / capacity if capacity else 1.0
 
--- a/libs/scheduling/src/berylcleat/scheduling/_pacing.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_pacing.py
@@ -102,7 +102,7 @@
     image: str, cpu_millis: int, view: WorkerView, interference: InterferenceModel
 ) -> int:
     """Return the pace of the disturbing fillers if one more filler were started."""
-    share = cpu_millis / view.entry.capacity.cpu_millis
+    share = view.cpu_share(cpu_millis)
     return _common_pace(
         view, _disturbing_fillers(view, interference), interference, {image: share}
     )
@@ -178,11 +178,10 @@
     extra_share_by_image: dict[str, float],
 ) -> int:
     """Return the highest pace, in steps of 10 percent, that keeps the load budget."""
-    capacity = view.entry.capacity.cpu_millis
     share_by_image: dict[str, float] = dict(extra_share_by_image)
     for run in disturbing:
         image = run.step.image
-        share = run.step.demand.cpu_millis / capacity
+        share = view.cpu_share(run.step.demand.cpu_millis)
         share_by_image[image] = share_by_image.get(image, 0.0) + share
     lowest_pace = 1.0
     load_by_image: dict[str, float] = {}
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -97,6 +97,8 @@
     is_listed: bool = True
     run_by_task: dict[TaskKey, Run] = field(default_factory=dict)
     used: TaskDemand = field(default_factory=TaskDemand)
+    # Capacity that runs use which are to be stopped without having been adopted.
+    used_by_unwanted: TaskDemand = field(default_factory=TaskDemand)
     handled_number: int = 0
     acked_number: int = 0
     # Ends that can't be counted yet, and runs of submissions that the owner has not
@@ -142,6 +144,10 @@
             return "not listed"
         if self.entry.is_draining:
             return "draining"
+        if self.unknown_run_by_task:
+            return "runs of unknown submissions"
+        if 0 < self.entry.started_at_ms < self.incarnation_ms:
+            return "capacity since its restart unknown"
         if now < self.avoid_until:
             return "avoided"
         if now < self.trial_until:
@@ -163,8 +169,12 @@
         )
 
     def free(self) -> TaskDemand:
-        """Return the capacity not reserved by runs."""
-        return self.entry.capacity - self.used
+        """Return the capacity not used by runs; it's negative where it has shrunk."""
+        return self.entry.capacity - self.used - self.used_by_unwanted
+
+    def cpu_share(self, cpu_millis: float) -> float:
+        """Return a processor time as a share of the worker's, which may be nothing."""
+        return cpu_millis / max(self.entry.capacity.cpu_millis, 1)
 
     def add_run(self, run: Run) -> None:
         """Add ``run`` and reserve its capacity."""
@@ -265,6 +275,6 @@
         if run.step.target_latency_ms:
             # The reading of a serving run is a latency.
             cpu = run.step.demand.cpu_millis * SERVING_CPU_SHARE
-        share = cpu / self.entry.capacity.cpu_millis
+        share = self.cpu_share(cpu)
         covers_reading = now - run.started_at > READING_SPAN_S
         return ImageUse(run.step.image, share, covers_reading)
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -259,17 +259,18 @@
             for ready in tracked.ready_by_step.values()
             if ready.step.fills
         )
+        free_by_worker = tuple(max(0, v.free().cpu_millis) for v in views)
         return CellSummary(
             service=views[0].entry.service if views else "",
             data_centre=self.data_centre,
             cpu_capacity=sum(v.entry.capacity.cpu_millis for v in views),
-            cpu_free=sum(v.free().cpu_millis for v in views),
+            cpu_free=sum(free_by_worker),
             cpu_waiting=self.scheduler.waiting_cpu(),
             cpu_stuck=self.scheduler.stuck_cpu(now_s()),
             filler_rooms=self.scheduler.filler_headrooms(),
             fill_waiting=fill_waiting,
             pending_by_queue=self.scheduler.submissions.n_pending_by_queue(),
-            free_by_worker=tuple(v.free().cpu_millis for v in views),
+            free_by_worker=free_by_worker,
         )
 
     # Workers
