Nothing starts on unguarded workers while the list of workers is out of date

Cause, read from the code: a host that the store turns away doesn't learn that a capacity has shrunk, and went on to order starts for up to 12 s; a worker that doesn't check its capacity then goes over it (LIMIT allows contactMs and one beat, 4.5 s). Change: workers of services without admission check get no start once the list is more than 3 s old; others do. The new scenario failed before (the attributes were missing).

--- a/libs/scheduling/features/capacity.feature
+++ b/libs/scheduling/features/capacity.feature
@@ -52,3 +52,19 @@
     Then no task is started
     When the list names the restart with 8 cores
     Then the task of 5 cores is started
+
+  # Guards against LIMIT: the list may lack that a capacity has shrunk.
+  Scenario: Nothing starts on workers that check nothing while the list is out of date
+    Given a cell with 1 workers of 8 cores
+    And its workers don't check whether a task fits
+    When the list of workers is 4 seconds old
+    And a task of 5 cores is added
+    Then no task is started
+    When the list of workers is 1 seconds old
+    Then the task of 5 cores is started
+
+  Scenario: Tasks start on workers that check their capacity though the list is out of date
+    Given a cell with 1 workers of 8 cores
+    When the list of workers is 4 seconds old
+    And a task of 5 cores is added
+    Then the task of 5 cores is started
--- a/libs/scheduling/features/steps/capacity_steps.py
+++ b/libs/scheduling/features/steps/capacity_steps.py
@@ -81,6 +81,18 @@
     scripted_cell.step()
 
 
+@given("its workers don't check whether a task fits")
+def step_unguarded(context):
+    context.scripted_cell.cell.unguarded_services = frozenset({"svc"})
+
+
+@when("the list of workers is {seconds:d} seconds old")
+def step_list_age(context, seconds):
+    scripted_cell = context.scripted_cell
+    scripted_cell.cell.workers_listed_at = scripted_cell.now - seconds
+    scripted_cell.step()
+
+
 @given("a serving task and a filler run on each worker")
 def step_serving_and_filler(context):
     scripted_cell = context.scripted_cell
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -35,6 +35,8 @@
 # run within 3 s while less than half is.
 STARVATION_S = 1.5
 MAX_RESERVED_SHARE_TO_FORCE = 0.6
+# Seconds after which the list of workers may lack that a capacity has shrunk.
+MAX_LIST_AGE_S = 3.0
 # Maximum tasks of one step that one planning round forces.
 MAX_FORCED_PER_STEP = 6
 # Maximum long-running tasks that are relocated from draining workers at a time.
@@ -66,6 +68,10 @@
         self.worker_by_id: dict[str, WorkerView] = {}
         self.run_by_task: dict[TaskKey, Run] = {}
         self.is_fenced_out = False
+        # When the list of workers was known to be complete, and the services whose
+        # workers start what exceeds their capacity.
+        self.workers_listed_at = float("inf")
+        self.unguarded_services: frozenset[str] = frozenset()
         self._began_at = began_at
         self._settled_at = settled_at
         self._unsettled_workers = {entry.worker_id for entry in earlier_workers}
@@ -500,10 +506,14 @@
         return True
 
     def _startable_workers(self, now: float) -> list[WorkerView]:
+        is_list_outdated = now - self.workers_listed_at > MAX_LIST_AGE_S
+        unsafe_services = self.unguarded_services if is_list_outdated else ()
         return [
             view
             for worker_id, view in self.worker_by_id.items()
-            if worker_id in self._recorded_workers and view.can_start(now)
+            if worker_id in self._recorded_workers
+            and view.can_start(now)
+            and view.entry.service not in unsafe_services
         ]
 
     def _start(
--- a/libs/scheduling/src/berylcleat/scheduling/_submissions.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_submissions.py
@@ -310,7 +310,7 @@
         runs = self.progress.crashed_runs_by_task.setdefault(task, {})
         runs[run] = CrashEvidence.PRESUMED
         self.presumed_run_by_task[task] = run
-        self.presumed_at_by_task.setdefault(task, now)
+        self.presumed_at_by_task[task] = now
         self.is_dirty = True
 
     def is_crash_presumed(self, task: TaskKey, run: int) -> bool:
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -88,6 +88,7 @@
         self._is_stopped = False
         self._recorder = ProgressRecorder(connections.store, cell_id, owner_version)
         self._directory = knowledge.directory
+        self._worker_list = knowledge.workers
         self._times = times
         self._created_at = now_s()
         self._settled_at = settled_at
@@ -393,6 +394,8 @@
                 pass
             self._plan_needed.clear()
             if self._is_ownership_confirmed() and not self.is_inactive:
+                self.scheduler.workers_listed_at = self._worker_list.read_confirmed_at()
+                self.scheduler.unguarded_services = self._worker_list.unguarded_services
                 for worker_order in self.scheduler.plan(now_s(), wall_ms()):
                     self._spawn(self._send_order(worker_order))
                 for request in self.scheduler.advice.take_requests():
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -154,6 +154,7 @@
             idle_period_s=WORKER_IDLE_PERIOD_S,
             parts=("",),
         )
+        self.workers.read_confirmed_at = lambda: self.worker_follower.confirmed_at
         self.cell_follower = TableFollower(
             self.store,
             CELL_TABLE,
@@ -263,6 +264,11 @@
             )
         elif current is None or config.version > current.version:
             self.client_api.config = config
+            self.workers.unguarded_services = frozenset(
+                service.name
+                for service in config.service_by_name.values()
+                if not service.checks_admission
+            )
             logger.info("configuration version %d applied", config.version)
 
 
--- a/programs/beryl-host/src/berylcleat/host/_worker_list.py
+++ b/programs/beryl-host/src/berylcleat/host/_worker_list.py
@@ -9,16 +9,24 @@
 from berylcleat.platform import decode_worker
 from berylcleat.ports import StoreRow, WorkerEntry
 
+from ._clock import now_s
+
 WorkersListener = Callable[[dict[str, dict[str, WorkerEntry]]], None]
 logger = logging.getLogger(__name__)
 
 
 class WorkerList:
-    """Listed workers by id."""
+    """Listed workers by id.
+
+    ``read_confirmed_at`` returns when the list was known to be complete.
+    ``unguarded_services`` are those whose workers start what exceeds their capacity.
+    """
 
     def __init__(self):
         self.by_id: dict[str, WorkerEntry] = {}
         self.listeners: list[WorkersListener] = []
+        self.read_confirmed_at: Callable[[], float] = now_s
+        self.unguarded_services: frozenset[str] = frozenset()
         self._data_centre_by_cell: dict[str, str] = {}
         self._undecodable_ids: set[str] = set()
 
