A crash found late doesn't count for a task that is done

Cause, found by reading the diff: runs whose leases had expired count again once their worker turns out to have restarted, also if the task had been done elsewhere by then; a submission with other crashes could fail by it (LOST). The new scenario of crashes.feature failed before.

--- a/libs/scheduling/features/crashes.feature
+++ b/libs/scheduling/features/crashes.feature
@@ -80,3 +80,9 @@
     Then the record counts the suspect's run as crashed
     When the gang has failed
     Then only the crash that happened is counted
+
+  # Guards against LOST: a task that is done was counted, and its submission could fail.
+  Scenario: A crash that is found late doesn't count for a task that has ended elsewhere
+    Given two tasks on workers of which one falls silent until its lease expires
+    When its task is done elsewhere and the list names its restart
+    Then no crash is counted
--- a/libs/scheduling/features/steps/crash_steps.py
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 from behave import given, then, when
 from crashing_workers import DEADLY_ID, CrashingCells
 from gang_steps import SUBMISSION_ID, ScriptedCell
@@ -163,3 +165,47 @@
     crashes = tracked.crashes(TaskKey(SUBMISSION_ID, 0, 0, 0))
     assert crashes == {4: CrashEvidence.CERTAIN}, crashes
     assert not tracked.crashes(TaskKey(SUBMISSION_ID, 0, 0, 1))
+
+
+@given("two tasks on workers of which one falls silent until its lease expires")
+def step_silent_until_expiry(context):
+    scripted_cell = context.scripted_cell = ScriptedCell(2, 8000)
+    scripted_cell.step()
+    step = Step(2, TaskDemand(5000, 100))
+    scripted_cell.cell.add_submission(
+        Submission(
+            SUBMISSION_ID, QueuePolicy("q", "svc", max_attempts=3), "s", (step,)
+        ),
+        Progress(),
+        scripted_cell.now,
+        scripted_cell.now,
+        inherited=False,
+    )
+    scripted_cell.step()
+    context.item, other = scripted_cell.starts
+    scripted_cell.starts.clear()
+    scripted_cell.accept(context.item)
+    scripted_cell.accept(other)
+    scripted_cell.silent.add(context.item.worker_id)
+    scripted_cell.step()
+    scripted_cell.end(other, RunEnd.FAILED)
+    for _ in range(40):
+        scripted_cell.step()
+
+
+@when("its task is done elsewhere and the list names its restart")
+def step_done_elsewhere(context):
+    scripted_cell = context.scripted_cell
+    task = context.item.order.task
+    tracked = scripted_cell.cell.submissions.by_id[SUBMISSION_ID]
+    tracked.add_done(task)
+    worker_id = context.item.worker_id
+    entry = scripted_cell.cell.worker_by_id[worker_id].entry
+    listed = replace(entry, started_at_ms=entry.started_at_ms + 1)
+    scripted_cell.cell.list_worker(listed, scripted_cell.now)
+
+
+@then("no crash is counted")
+def step_no_crash(context):
+    tracked = context.scripted_cell.cell.submissions.by_id[SUBMISSION_ID]
+    assert not tracked.progress.crashed_runs_by_task
--- a/libs/scheduling/src/berylcleat/scheduling/_crashes.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_crashes.py
@@ -150,9 +150,9 @@
     def _tracked(self, run: Run) -> TrackedSubmission | None:
         """Return the submission of a run if its crash counts here."""
         tracked = self._submissions.by_id.get(run.task.submission_id)
-        if tracked is None or tracked.is_over or not tracked.runs_here(run.task):
+        if tracked is None or tracked.is_over or tracked.progress.is_done(run.task):
             return None
-        return tracked
+        return tracked if tracked.runs_here(run.task) else None
 
     def _count(
         self, tracked: TrackedSubmission, run: Run, evidence: CrashEvidence
