Split the cell scheduler into modules by task

Change: starts, effects of reports, and moves are modules of their own, each a layer of the scheduler.

--- /dev/null
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -0,0 +1,236 @@
+"""Moves of a cell's tasks to other cells, and their ends."""
+
+import logging
+from collections.abc import Mapping
+
+from berylcleat.model import TaskKey
+from berylcleat.ports import (
+    EndedTask,
+)
+
+from ._cell_reports import CellReports
+from ._moves import (
+    CellHeadroom,
+    FillerHeadroom,
+    HeadroomReservations,
+    MovedTaskEnd,
+    MoveProposal,
+    TaskMove,
+    is_stuck,
+    make_move,
+)
+from ._submissions import ReadyStep, TrackedSubmission
+
+logger = logging.getLogger(__name__)
+
+
+class CellMoves(CellReports):
+    """Tasks that move between cells; each is assigned to one cell at a time."""
+
+    def update_moves(
+        self, submission_id: str, move_by_task: Mapping[TaskKey, TaskMove], now: float
+    ) -> None:
+        """Apply the recorded moves of a submission's tasks."""
+        tracked = self.submissions.by_id.get(submission_id)
+        if tracked is None:
+            return
+        for task, move in move_by_task.items():
+            if move.cell_id == self.cell_id:
+                self._accept_moved_task(tracked, task, move)
+            else:
+                self._release_moved_task(tracked, task, now)
+        self._process_deferred_reports(submission_id, now)
+
+    def _accept_moved_task(
+        self, tracked: TrackedSubmission, task: TaskKey, move: TaskMove
+    ) -> None:
+        tracked.apply_move(
+            task, move.run_floor, move.failed_runs, move.crashed_runs, move.checkpoint
+        )
+        was_assigned_here = tracked.runs_here(task)
+        tracked.moved_away.discard(task)
+        tracked.moved_here.add(task)
+        if not was_assigned_here and task not in self.run_by_task:
+            tracked.requeue(task)
+
+    def _release_moved_task(
+        self, tracked: TrackedSubmission, task: TaskKey, now: float
+    ) -> None:
+        tracked.moved_here.discard(task)
+        if tracked.is_home:
+            tracked.moved_away.add(task)
+        tracked.remove_waiting(task)
+        tracked.drop_presumption(task)
+        run = self.run_by_task.get(task)
+        if run is not None:
+            logger.error("task %s was moved to another cell during a run", task)
+            self._stop(run, now)
+
+    def propose_moves(
+        self, headrooms: tuple[CellHeadroom, ...], now: float
+    ) -> list[MoveProposal]:
+        """Return moves of stuck tasks to cells with headroom.
+
+        The tasks aren't started here until ``on_move_settled`` is called.
+        """
+        self._other_headrooms = headrooms
+        reservations = HeadroomReservations(headrooms, self.interference)
+        proposals = []
+        for ready in self.submissions.ready_steps(now):
+            if is_stuck(ready, now):
+                move_by_task = self._propose_task_moves(ready, reservations, now)
+                if move_by_task:
+                    submission_id = ready.tracked.submission.submission_id
+                    proposal = MoveProposal(submission_id, move_by_task)
+                    logger.info("move proposed: %s", proposal.describe())
+                    proposals.append(proposal)
+        return proposals
+
+    def _propose_task_moves(
+        self, ready: ReadyStep, reservations: HeadroomReservations, now: float
+    ) -> dict[TaskKey, TaskMove]:
+        move_by_task: dict[TaskKey, TaskMove] = {}
+        service = ready.tracked.submission.queue.service
+        if ready.step.is_gang:
+            return self._propose_gang_move(ready, reservations, service, now)
+        for task in self._startable_tasks(ready, now):
+            if self._give_up_crashing(ready.tracked, task, now):
+                return {}
+            cell_id = reservations.reserve(ready.step, service)
+            if cell_id is None:
+                break
+            move_by_task[task] = make_move(ready.tracked, task, cell_id, self.epoch)
+        self._tasks_with_pending_move.update(move_by_task)
+        return move_by_task
+
+    def _propose_gang_move(
+        self,
+        ready: ReadyStep,
+        reservations: HeadroomReservations,
+        service: str,
+        now: float,
+    ) -> dict[TaskKey, TaskMove]:
+        if not self._is_whole_gang_startable(ready, now):
+            return {}
+        cell_id = reservations.reserve_gang(ready.step, service)
+        if cell_id is None:
+            return {}
+        tasks = self._startable_tasks(ready, now)
+        self._tasks_with_pending_move.update(tasks)
+        return {
+            task: make_move(ready.tracked, task, cell_id, self.epoch) for task in tasks
+        }
+
+    def waiting_cpu(self) -> int:
+        """Return the processor time that waiting tasks would reserve.
+
+        The unit is a thousandth of a core; fillers reserve none.
+        """
+        return sum(
+            len(ready.waiting) * ready.step.allocation.cpu_millis
+            for ready in self.submissions.ready_steps(0.0)
+        )
+
+    def stuck_cpu(self, now: float) -> int:
+        """Return the part of ``waiting_cpu`` that belongs to stuck steps.
+
+        It can't start on this cell's workers, so it doesn't use up their capacity.
+        """
+        return sum(
+            len(ready.waiting) * ready.step.allocation.cpu_millis
+            for ready in self.submissions.ready_steps(now)
+            if is_stuck(ready, now)
+        )
+
+    def filler_headrooms(self) -> tuple[FillerHeadroom, ...]:
+        """Return the processor time left on the workers, by set of serving images."""
+        left_by_images: dict[tuple[str, ...], int] = {}
+        for view in self.worker_by_id.values():
+            images = tuple(sorted(view.serving_images()))
+            left = left_by_images.get(images, 0)
+            left_by_images[images] = left + max(0, view.cpu_left())
+        return tuple(
+            FillerHeadroom(images, left) for images, left in left_by_images.items()
+        )
+
+    def on_move_settled(self, proposal: MoveProposal, now: float) -> None:
+        """Clear the pending moves of a proposal that was applied or rejected.
+
+        Call it after ``update_moves``. Tasks still assigned to this cell, or moved back
+        to it, may start here again.
+        """
+        self._tasks_with_pending_move.difference_update(proposal.move_by_task)
+        self._process_deferred_reports(proposal.submission_id, now)
+
+    def stray_ends(self, now: float) -> dict[str, list[EndedTask]]:
+        """Return ends that another cell must count before they are acknowledged.
+
+        Keys are submission ids; the submission may be unknown here.
+        """
+        ends: dict[str, list[EndedTask]] = {}
+        for view in self.worker_by_id.values():
+            for number, deferred in sorted(view.deferred_end_by_number.items()):
+                end = deferred.end
+                if self._deferral_reason(end) is not deferred.reason:
+                    del view.deferred_end_by_number[number]
+                    self._on_end(view, end, now)
+                elif deferred.is_stray(now):
+                    ends.setdefault(end.task.submission_id, []).append(end)
+        return ends
+
+    def on_stray_ends_settled(self, ends: list[EndedTask]) -> None:
+        """Let ends be acknowledged that are recorded elsewhere, or that none counts."""
+        for view in self.worker_by_id.values():
+            for number, deferred in tuple(view.deferred_end_by_number.items()):
+                if deferred.end in ends:
+                    del view.deferred_end_by_number[number]
+
+    def unconfirmed_moved_task_ends(self) -> dict[str, list[MovedTaskEnd]]:
+        """Return recorded ends of moved tasks that their home has not confirmed.
+
+        Keys are submission ids.
+        """
+        ends = {}
+        for tracked in self.submissions.live_by_id.values():
+            if tracked.is_home or tracked.is_dirty:
+                continue
+            unconfirmed_ends = tracked.unconfirmed_ends()
+            if unconfirmed_ends:
+                ends[tracked.submission.submission_id] = [
+                    MovedTaskEnd(task, not tracked.progress.is_done(task))
+                    for task in unconfirmed_ends
+                ]
+        return ends
+
+    def on_moved_task_ends_confirmed(
+        self, submission_id: str, ends: list[MovedTaskEnd], now: float
+    ) -> None:
+        """Mark ends of moved tasks as recorded by their home cell."""
+        tracked = self.submissions.by_id[submission_id]
+        tracked.confirmed_ends.update(end.task for end in ends)
+        self.submissions.retire(tracked)
+
+    def on_moved_task_ends(
+        self, submission_id: str, ends: list[MovedTaskEnd], now: float
+    ) -> bool:
+        """Apply ends reported by another cell; return whether they are recorded.
+
+        The home counts the ends of all tasks, another cell only of its own.
+        """
+        tracked = self.submissions.by_id.get(submission_id)
+        if tracked is None:
+            return False
+        tasks = {end.task for end in ends}
+        if tasks & self._tasks_with_pending_move:
+            return False
+        if not all(tracked.is_home or tracked.runs_here(task) for task in tasks):
+            return False
+        for end in ends:
+            if end.has_failed and not tracked.is_over:
+                tracked.fail()
+                self._stop_runs_of(submission_id, now)
+            elif not tracked.is_over and not tracked.progress.is_done(end.task):
+                tracked.add_done(end.task)
+                tracked.activate_due_steps(self._wall_ms)
+                self._stop_duplicate_run(end.task, now)
+        return not tracked.is_dirty
--- /dev/null
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -0,0 +1,345 @@
+"""Starts of a cell's waiting tasks and relocations of its running ones."""
+
+import logging
+
+from berylcleat.model import TaskKey
+from berylcleat.ports import (
+    StartOrder,
+)
+
+from ._cell_runs import CellRuns
+from ._crashes import LIKELY_CAUSE_AGE_S, MAX_QUIET_WAIT_S
+from ._placement import choose_forced_worker, choose_worker
+from ._submissions import ReadyStep, TrackedSubmission
+from ._workers import FORCED_START_WINDOW_S, Run, RunPhase, WorkerView
+
+# Seconds that a filler fits nowhere before it is forced onto the worker where it should
+# interfere least. It runs there for less time than the platform allows a task to exceed
+# its target, and the worker then recovers. Fillers are forced only while less than this
+# share of the service's processors is reserved: the platform requires waiting work to
+# run within 3 s while less than half is.
+STARVATION_S = 1.5
+MAX_RESERVED_SHARE_TO_FORCE = 0.6
+# Seconds after which the list of workers may lack that a capacity has shrunk: longer
+# than two waits for its changes, shorter than the platform allows.
+MAX_LIST_AGE_S = 4.0
+# Maximum tasks of one step that one planning round forces.
+MAX_FORCED_PER_STEP = 6
+# Maximum long-running tasks that are relocated from draining workers at a time.
+MAX_RELOCATING = 3
+logger = logging.getLogger(__name__)
+
+
+class CellStarts(CellRuns):
+    """Choice of the tasks to start and of the workers that run them."""
+
+    def _startable_tasks(self, ready: ReadyStep, now: float) -> list[TaskKey]:
+        """Return the waiting tasks of a step that certainly run nowhere, in order."""
+        tasks = (ready.task(index) for index in sorted(ready.waiting))
+        return [
+            task
+            for task in tasks
+            if task not in self.run_by_task
+            and task not in self._tasks_with_pending_move
+            and not self._may_have_unknown_run(task, now)
+        ]
+
+    def _is_whole_gang_startable(self, ready: ReadyStep, now: float) -> bool:
+        return len(self._startable_tasks(ready, now)) == ready.step.n_tasks
+
+    def _relocate_from_draining(self, now: float) -> None:
+        """Stop long-running tasks of draining workers if another worker fits them."""
+        n_relocating = sum(
+            run.step.is_long_running and run.phase is RunPhase.STOPPING
+            for run in self.run_by_task.values()
+        )
+        for view in self.worker_by_id.values():
+            if not view.entry.is_draining or not view.is_listed:
+                continue
+            for run in tuple(view.run_by_task.values()):
+                if n_relocating >= MAX_RELOCATING:
+                    return
+                if self._can_relocate(run, now):
+                    n_relocating += 1
+                    self._stop(run, now)
+
+    def _can_relocate(self, run: Run, now: float) -> bool:
+        if not run.step.is_long_running or run.phase is not RunPhase.RUNNING:
+            return False
+        tracked = self.submissions.by_id[run.task.submission_id]
+        service = tracked.submission.queue.service
+        workers = self._startable_workers(now)
+        target = choose_worker(run.task, run.step, service, workers, self.interference)
+        return target is not None
+
+    def _start_gang(self, ready: ReadyStep, now: float) -> None:
+        """Start all members of a gang under one run number, or none."""
+        if not self._is_whole_gang_startable(ready, now):
+            return
+        tracked = ready.tracked
+        tasks = self._startable_tasks(ready, now)
+        if any(self._give_up_crashing(tracked, task, now) for task in tasks):
+            return
+        number = max(tracked.next_run(task, self.epoch) for task in tasks)
+        are_recorded = [
+            self._ensure_start_recorded(tracked, task, number, now) for task in tasks
+        ]
+        if not all(are_recorded):
+            return
+        runs: list[Run] = []
+        for task in tasks:
+            view = self._choose_worker(ready, task, now)
+            if view is None:
+                break
+            runs.append(self._reserve_run(tracked, task, view, number, now))
+        if len(runs) == len(tasks):
+            ready.stuck_since = None
+            for run in runs:
+                self._send_start(tracked, run, now)
+            return
+        for run in runs:
+            self._remove_run(run, now)
+            tracked.requeue(run.task)
+        # The requeue may have created a new ReadyStep for the step.
+        requeued = tracked.ready_by_step[(ready.occurrence, ready.number)]
+        requeued.stuck_since = (
+            ready.stuck_since if ready.stuck_since is not None else now
+        )
+
+    def _start_waiting(self, ready: ReadyStep, now: float) -> None:
+        if ready.step.is_gang:
+            self._start_gang(ready, now)
+            return
+        for task in self._startable_tasks(ready, now):
+            if self._give_up_crashing(ready.tracked, task, now):
+                return
+            view = self._choose_worker(ready, task, now)
+            if view is None:
+                ready.tracked.drop_presumption(task)
+                if ready.stuck_since is None:
+                    ready.stuck_since = now
+                return
+            ready.stuck_since = None
+            number = ready.tracked.next_run(task, self.epoch)
+            if not self._ensure_start_recorded(ready.tracked, task, number, now):
+                continue
+            if self._may_start_beside_others(ready.tracked, task, view, now):
+                self._start(ready.tracked, task, view, now)
+
+    def _give_up_crashing(
+        self, tracked: TrackedSubmission, task: TaskKey, now: float
+    ) -> bool:
+        """Fail a submission whose task has crashed too many workers; return whether.
+
+        Runs that an earlier owner presumed count only if a worker may have crashed.
+        """
+        if not tracked.n_crashes(task):
+            return False
+        tracked.settle_inherited_presumptions(
+            task, may_have_crashed=self._may_have_lost_worker()
+        )
+        if not self.crashes.give_up_crashing(tracked, task):
+            return False
+        self._stop_runs_of(task.submission_id, now)
+        return True
+
+    def _ensure_start_recorded(
+        self, tracked: TrackedSubmission, task: TaskKey, number: int, now: float
+    ) -> bool:
+        """Have the next run of a suspect recorded first; return whether it may start.
+
+        The next run of a task that may have crashed a worker, also under an earlier
+        owner, is recorded as crashed before it starts.
+        """
+        if not tracked.n_crashes(task) and not self._may_have_crashed_before(task):
+            return True
+        return self.crashes.ensure_start_recorded(tracked, task, number, now)
+
+    def _may_have_crashed_before(self, task: TaskKey) -> bool:
+        """Return whether a task may have crashed a worker of an earlier owner."""
+        if task.submission_id not in self._inherited_submissions:
+            return False
+        if task in self._tasks_with_known_run:
+            return False
+        return self._may_have_lost_worker()
+
+    def _may_have_lost_worker(self) -> bool:
+        """Return whether a worker of an earlier owner may have crashed."""
+        return self.crashes.has_lost_worker or bool(self._unsettled_workers)
+
+    def _may_start_beside_others(
+        self, tracked: TrackedSubmission, task: TaskKey, view: WorkerView, now: float
+    ) -> bool:
+        """Return whether a crash of ``view`` would show whether ``task`` causes it."""
+        if not tracked.n_crashes(task):
+            return True
+        if now - view.last_start_at >= LIKELY_CAUSE_AGE_S:
+            return True
+        return now - tracked.presumed_at_by_task[task] > MAX_QUIET_WAIT_S
+
+    def _choose_worker(
+        self, ready: ReadyStep, task: TaskKey, now: float
+    ) -> WorkerView | None:
+        views = self._startable_workers(now)
+        if ready.tracked.n_crashes(task):
+            quiet = [v for v in views if now - v.last_start_at >= LIKELY_CAUSE_AGE_S]
+            views = quiet or views
+        queue = ready.tracked.submission.queue
+        if queue.advice is None:
+            return choose_worker(
+                task,
+                ready.step,
+                queue.service,
+                views,
+                self.interference,
+                self.submissions.usual_demand_millis,
+            )
+        allowed = [
+            view for view in views if self.advice.ticket_of(task, view, now) is not None
+        ]
+        chosen = choose_worker(
+            task, ready.step, queue.service, allowed, self.interference
+        )
+        if chosen is None:
+            views = [view for view in views if view.entry.service == queue.service]
+            self.advice.request_tickets(ready, views, now)
+        return chosen
+
+    def _force_starving_fillers(self, now: float) -> None:
+        """Start starving fillers despite interference.
+
+        The least recently forced submission comes first.
+        """
+        starving = [
+            ready
+            for ready in self.submissions.ready_steps(now)
+            if ready.step.fills
+            and not ready.step.is_gang
+            and ready.tracked.submission.queue.advice is None
+            and ready.stuck_since is not None
+            and now - ready.stuck_since > STARVATION_S
+            and self._reserved_share(ready.tracked.submission.queue.service, now)
+            < MAX_RESERVED_SHARE_TO_FORCE
+        ]
+        starving.sort(key=lambda ready: ready.tracked.last_forced_at)
+        for ready in starving:
+            for task in self._startable_tasks(ready, now)[:MAX_FORCED_PER_STEP]:
+                number = ready.tracked.next_run(task, self.epoch)
+                if not self._ensure_start_recorded(ready.tracked, task, number, now):
+                    continue
+                if not self._force_start(ready, task, now):
+                    break
+
+    def _reserved_share(self, service: str, now: float) -> float:
+        """Return the reserved share of a service's processors in all known cells."""
+        views = [
+            view
+            for view in self.worker_by_id.values()
+            if view.entry.service == service and view.can_start(now)
+        ]
+        others = [
+            headroom
+            for headroom in self._other_headrooms
+            if headroom.service == service
+        ]
+        capacity = sum(view.entry.capacity.cpu_millis for view in views)
+        capacity += sum(headroom.capacity for headroom in others)
+        free = sum(max(0, view.free().cpu_millis) for view in views)
+        free += sum(max(0, headroom.free) for headroom in others)
+        return 1 - free / capacity if capacity else 1.0
+
+    def _force_start(self, ready: ReadyStep, task: TaskKey, now: float) -> bool:
+        """Start a filler where it should interfere least; return whether it fits."""
+        service = ready.tracked.submission.queue.service
+        view = choose_forced_worker(
+            task,
+            ready.step,
+            service,
+            self._startable_workers(now),
+            self.interference,
+            now,
+        )
+        if view is None:
+            return False
+        if (
+            view.can_force_filler(now)
+            and now - view.last_forced_at > FORCED_START_WINDOW_S
+        ):
+            view.last_forced_at = now
+        logger.info(
+            "filler started despite interference: task %s image %s on %s",
+            task,
+            ready.step.image,
+            view.entry.worker_id,
+        )
+        self._start(ready.tracked, task, view, now)
+        ready.tracked.last_forced_at = now
+        self.run_by_task[task].is_forced = True
+        return True
+
+    def _startable_workers(self, now: float) -> list[WorkerView]:
+        is_list_outdated = now - self.workers_listed_at > MAX_LIST_AGE_S
+        unsafe_services = self.unguarded_services if is_list_outdated else ()
+        return [
+            view
+            for worker_id, view in self.worker_by_id.items()
+            if worker_id in self._recorded_workers
+            and view.can_start(now)
+            and view.entry.service not in unsafe_services
+        ]
+
+    def _start(
+        self, tracked: TrackedSubmission, task: TaskKey, view: WorkerView, now: float
+    ) -> None:
+        number = tracked.next_run(task, self.epoch)
+        self._send_start(
+            tracked, self._reserve_run(tracked, task, view, number, now), now
+        )
+
+    def _reserve_run(
+        self,
+        tracked: TrackedSubmission,
+        task: TaskKey,
+        view: WorkerView,
+        number: int,
+        now: float,
+    ) -> Run:
+        """Create a run and reserve its capacity on a worker."""
+        run = Run(
+            task,
+            number,
+            view.entry.worker_id,
+            tracked.submission.steps[task.step],
+            RunPhase.STARTING,
+            now,
+            now,
+            checkpoint=tracked.checkpoint_of(task),
+        )
+        self._add_run(tracked, run)
+        view.last_start_at = now
+        if tracked.n_crashes(task):
+            view.trial_until = now + LIKELY_CAUSE_AGE_S
+        return run
+
+    def _send_start(self, tracked: TrackedSubmission, run: Run, now: float) -> None:
+        tracked.has_started = True
+        view = self.worker_by_id[run.worker_id]
+        logger.info(
+            "run started: task %s run %d on %s, %d of %d left, %.1f s before due",
+            run.task,
+            run.number,
+            run.worker_id,
+            view.cpu_left(),
+            view.entry.capacity.cpu_millis,
+            tracked.due_at - now,
+        )
+        order = StartOrder(
+            run.task,
+            run.number,
+            tracked.submission.spec,
+            self.lease_until_ms(view, now),
+            self.epoch,
+            run.checkpoint,
+            self.advice.ticket_of(run.task, view, now) or "",
+        )
+        self._enqueue_order(run.worker_id, order)
