Ask a previous owner that was cut off again until it confirms its stop

A host of another zone had taken the cell over.

Cause, read from the code: the previous owner was asked once whether it had stopped, while it was cut off. Without its answer the new owner waits 18.7 s for its runs if a single recorded worker doesn't answer, also one that was gone before the cut.

Change: the question is repeated each 0.5 s. The reply tells how long the leases on each worker may last, so a worker that was silent for longer than a lease holds nothing back. An owner that finds by itself that a cell is lost keeps these times for the question.

Ruled out: counting a worker that is no longer listed as ended; one that is cut off runs on. Shorter limits for owners without the store; outages of 9 s must be survived.

--- a/libs/scheduling/features/steps/takeover_steps.py
+++ b/libs/scheduling/features/steps/takeover_steps.py
@@ -112,3 +112,26 @@
     while scripted_cell.now < seconds + 0.3:
         scripted_cell.step()
     assert [item.order.task for item in scripted_cell.starts] == [TASK]
+
+
+@when("the previous owner tells after 5 s that {worker} leases last {seconds:d} s more")
+def step_stop_confirmed(context, worker, seconds):
+    scripted_cell = context.scripted_cell
+    while scripted_cell.now < 5:
+        scripted_cell.step()
+    worker_id = "w1" if "another" in worker else SILENT_WORKER
+    leases = {worker_id: float(seconds)}
+    scripted_cell.cell.on_earlier_owner_stopped(leases, scripted_cell.now)
+
+
+@when("the cell is abandoned after 5 s")
+def step_abandon(context):
+    while context.scripted_cell.now < 5:
+        context.scripted_cell.step()
+
+
+@then("it tells that the silent worker's leases last {seconds:d} s more")
+def step_leases(context, seconds):
+    scripted_cell = context.scripted_cell
+    leases = scripted_cell.cell.lease_left_s_by_worker(scripted_cell.now)
+    assert abs(leases[SILENT_WORKER] - seconds) < 0.3, leases
--- a/libs/scheduling/features/takeover.feature
+++ b/libs/scheduling/features/takeover.feature
@@ -14,6 +14,38 @@
     Then it isn't started before 18 s
     And it is started after 18 s
 
+  # Guards against LOST: a worker that was gone before the takeover held tasks back
+  # for as long as the previous owner could have gone on without the store.
+  Scenario: The previous owner confirms after the cut that a worker's leases have expired
+    Given a cell of 3 workers taken over with runs unknown for 18 s, one of them silent
+    And a standing task that runs on the silent worker
+    When the previous owner tells after 5 s that the silent worker's leases last 0 s more
+    Then it isn't started before 5 s
+    And it is started after 5 s
+
+  # Guards against TWICE: leases that the previous owner granted last run on.
+  Scenario: The previous owner confirms its stop while a worker's leases last
+    Given a cell of 3 workers taken over with runs unknown for 18 s, one of them silent
+    And a standing task that runs on the silent worker
+    When the previous owner tells after 5 s that the silent worker's leases last 4 s more
+    Then it isn't started before 9 s
+    And it is started after 9 s
+
+  # Guards against TWICE: the previous owner's word on one worker says nothing of others.
+  Scenario: The previous owner doesn't name a worker
+    Given a cell of 3 workers taken over with runs unknown for 18 s, one of them silent
+    And a standing task that runs on the silent worker
+    When the previous owner tells after 5 s that another worker's leases last 0 s more
+    Then it isn't started before 18 s
+    And it is started after 18 s
+
+  # Guards against TWICE: a previous owner that was itself waiting for runs of its
+  # predecessor tells so.
+  Scenario: The previous owner was still waiting for runs of its own predecessor
+    Given a cell of 3 workers taken over with runs unknown for 18 s, one of them silent
+    When the cell is abandoned after 5 s
+    Then it tells that the silent worker's leases last 13 s more
+
   # Guards against TWICE: an end beyond the first 500 of a report was not waited for.
   Scenario: A worker with more ends than one report holds isn't known until all are listed
     Given a cell of 1 workers taken over with runs unknown for 18 s, none of them silent
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -1,6 +1,7 @@
 """Starts, pace changes, stops and losses of a cell's runs."""
 
 import logging
+from collections.abc import Mapping
 
 from berylcleat.model import TaskDemand, TaskKey
 from berylcleat.ports import (
@@ -60,6 +61,8 @@
         self.unguarded_services: frozenset[str] = frozenset()
         self._began_at = began_at
         self._settled_at = settled_at
+        # Earlier times, by worker, than the one that holds for all.
+        self._settled_at_by_worker: dict[str, float] = {}
         self._unsettled_workers = {entry.worker_id for entry in earlier_workers}
         self._recorded_workers = set(self._unsettled_workers)
         self._is_worker_record_in_doubt = False
@@ -74,7 +77,46 @@
 
     def has_settled(self, now: float) -> bool:
         """Return whether every run of earlier owners is known or has expired."""
-        return not self._unsettled_workers or now >= self._settled_at
+        return all(
+            now >= self._settled_at_by_worker.get(worker_id, self._settled_at)
+            for worker_id in self._unsettled_workers
+        )
+
+    def on_earlier_owner_stopped(
+        self, lease_left_s_by_worker: Mapping[str, float], now: float
+    ) -> None:
+        """Shorten the wait for runs of the previous owner, which has stopped.
+
+        It told how long its leases on each worker may last; the longest wait stays for
+        a worker that it didn't name.
+        """
+        for worker_id, left_s in lease_left_s_by_worker.items():
+            settled_at = min(now + left_s, self._settled_at)
+            self._settled_at_by_worker[worker_id] = settled_at
+
+    def on_earlier_owner_replaced(self, earlier_unsettled_s: float, now: float) -> None:
+        """Shorten the wait for runs of the previous owner, whose process has ended.
+
+        Runs of owners before it may be unknown for ``earlier_unsettled_s``.
+        """
+        wait_s = max(
+            self.times.takeover_wait_s(owner_is_dead=True), earlier_unsettled_s
+        )
+        self._settled_at = min(self._settled_at, now + wait_s)
+
+    def lease_left_s_by_worker(self, now: float) -> dict[str, float]:
+        """Return for how long runs on each worker may last if no lease is renewed."""
+        return {
+            worker_id: self._lease_left_s(worker_id, view, now)
+            for worker_id, view in self.worker_by_id.items()
+        }
+
+    def _lease_left_s(self, worker_id: str, view: WorkerView, now: float) -> float:
+        left_s = view.clock.all_leases_expire_at() - now
+        if worker_id in self._unsettled_workers:
+            settled_at = self._settled_at_by_worker.get(worker_id, self._settled_at)
+            left_s = max(left_s, settled_at - now)
+        return max(0.0, left_s)
 
     def _may_have_unknown_run(self, task: TaskKey, now: float) -> bool:
         """Return whether an earlier owner may have a run of a task that is unknown.
--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -87,3 +87,15 @@
     When a host that needs no changes follows it for 0.2 s, reading it every 10.0 s
     And 20 rows are added
     Then it has the newest rows within 1.5 s
+
+  # Guards against LOST: the previous owner was asked once only, while it was cut off.
+  Scenario: A previous owner that was cut off is asked again until it confirms its stop
+    Given a cell with recorded workers "w1 w2"
+    When a host takes it over and the previous owner replies to the third request only
+    Then runs of the previous owner count as known within 3.0 s
+
+  # Guards against LOST: an owner that found its cell lost by itself forgot its leases.
+  Scenario: An owner that dropped a lost cell still tells how long its leases last
+    Given a cell with recorded workers "w1 w2"
+    When its owner finds that it was lost and then gets the takeover notice
+    Then the reply names the leases of "w1 w2"
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from berylcleat.host._cell_controller import CellController
-from berylcleat.host._cell_directory import CellDirectory
+from berylcleat.host._cell_directory import CellDirectory, ObservedOwner
 from berylcleat.host._cell_ownership import CellOwnershipManager
 from berylcleat.host._clock import now_s
 from berylcleat.host._components import Connections, Knowledge, OwnerFeeds
@@ -14,7 +14,7 @@
 from berylcleat.host._identity import HostIdentity
 from berylcleat.host._membership import Coverage, Membership, assign_cells
 from berylcleat.host._on_demand_follower import OnDemandFollower
-from berylcleat.host._peers import PeerClient
+from berylcleat.host._peers import PeerClient, TakeoverReply
 from berylcleat.host._recorder import ProgressRecorder
 from berylcleat.host._records import (
     CELL_TABLE,
@@ -435,3 +435,52 @@
         return await manager._has_stopped(CELL, cells.owner_by_cell[CELL])
 
     assert context.run(has_stopped()) == (state == "has stopped")
+
+
+@when("a host takes it over and the previous owner replies to the third request only")
+def step_late_reply(context):
+    replies = [None, None, TakeoverReply({"w1": 0.0, "w2": 0.0})]
+    previous = ObservedOwner(OwnerRow(1, "host-2", "aa"), 1, 0.0)
+
+    async def confirm_stop():
+        return replies.pop(0)
+
+    async def take_over():
+        controller = make_controller(context, 18.0)
+        await controller.start({})
+        controller.complete_handover(None, confirm_stop, previous)
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        while not controller.scheduler.has_settled(loop.time()):
+            await asyncio.sleep(0.05)
+        context.settled_after_s = loop.time() - began_at
+        await controller.abandon()
+
+    context.run(take_over())
+
+
+@then("runs of the previous owner count as known within {seconds:f} s")
+def step_settled(context, seconds):
+    assert context.settled_after_s <= seconds, context.settled_after_s
+
+
+@when("its owner finds that it was lost and then gets the takeover notice")
+def step_dropped(context):
+    async def drop():
+        manager, cells = await make_live_manager(context.store, "dc-1")
+        controller = make_controller(context, 18.0)
+        await controller.start({})
+        manager.controller_by_cell[CELL] = controller
+        put_cell_row(context, OWNER_KEY, encode(OwnerRow(3, "host-2", "aa")))
+        page = await context.store.read(CELL_TABLE, CELL)
+        cells.on_owner_rows(page.rows)
+        await manager._drop_lost()
+        context.leases = await manager.relinquish(CELL, controller.owner.epoch)
+
+    context.run(drop())
+
+
+@then('the reply names the leases of "{names}"')
+def step_leases(context, names):
+    assert context.leases is not None
+    assert sorted(context.leases) == names.split(), context.leases
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from berylcleat.model import BerylError, PlatformUnavailableError, SubmissionState
 from berylcleat.platform import WorkerClient
@@ -27,8 +27,10 @@
     WorkerView,
 )
 
+from ._cell_directory import ObservedOwner
 from ._clock import now_s, wall_ms
 from ._components import Connections, Knowledge
+from ._peers import TakeoverReply
 from ._recorder import ProgressRecorder
 from ._records import (
     CELL_TABLE,
@@ -56,6 +58,8 @@
 LATE_SUBMISSION_MS = 1500
 MOVE_PERIOD_S = 0.25
 STRAY_END_PERIOD_S = 0.5
+# Pause between two requests to a previous owner that hasn't confirmed its stop.
+HANDOVER_RETRY_S = 0.5
 logger = logging.getLogger(__name__)
 
 
@@ -163,6 +167,48 @@
             len(entry_by_worker),
         )
 
+    def complete_handover(
+        self,
+        reply: TakeoverReply | None,
+        confirm_stop: Callable[[], Awaitable[TakeoverReply | None]],
+        previous: ObservedOwner | None,
+    ) -> None:
+        """Apply the previous owner's reply; without one, repeat the question."""
+        if self.is_inactive or self.scheduler is None or previous is None:
+            return
+        if reply is None:
+            self._spawn(self._handover_loop(confirm_stop, previous))
+        elif reply.lease_left_s_by_worker is not None:
+            self.scheduler.on_earlier_owner_stopped(
+                reply.lease_left_s_by_worker, now_s()
+            )
+
+    async def _handover_loop(
+        self,
+        confirm_stop: Callable[[], Awaitable[TakeoverReply | None]],
+        previous: ObservedOwner,
+    ) -> None:
+        """Ask the previous owner, which may be cut off, until its runs are known."""
+        while not self.scheduler.has_settled(now_s()):
+            await asyncio.sleep(HANDOVER_RETRY_S)
+            reply = await confirm_stop()
+            if reply is None:
+                continue
+            logger.info(
+                "cell %s: previous owner %s has stopped",
+                self.cell_id,
+                previous.row.host_id,
+            )
+            now = now_s()
+            leases = reply.lease_left_s_by_worker
+            if leases is None:
+                earlier_s = previous.unsettled_s(now)
+                self.scheduler.on_earlier_owner_replaced(earlier_s, now)
+            else:
+                self.scheduler.on_earlier_owner_stopped(leases, now)
+            self._plan_needed.set()
+            return
+
     async def release(self) -> None:
         """Stop all loops and write an owner row without an owner.
 
@@ -181,6 +227,12 @@
                 "cell %s: could not record the release: %s", self.cell_id, error
             )
 
+    def lease_left_s_by_worker(self) -> dict[str, float] | None:
+        """Return for how long each worker's leases may last; None if unknown."""
+        if self.scheduler is None:
+            return None
+        return self.scheduler.lease_left_s_by_worker(now_s())
+
     def _unsettled_s(self) -> float:
         """Return the seconds for which earlier owners' runs may be unaccounted for."""
         if self.scheduler is not None and self.scheduler.has_settled(now_s()):
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Set
+from dataclasses import dataclass
 
 from berylcleat.model import BerylError
 from berylcleat.ports import (
@@ -20,7 +21,7 @@
 from ._components import Connections, Knowledge, OwnerFeeds
 from ._identity import HostIdentity
 from ._membership import Coverage, assign_cells
-from ._peers import TakeoverNotice
+from ._peers import TakeoverNotice, TakeoverReply
 from ._records import CELL_TABLE, OWNER_KEY, CellSummary, OwnerRow, encode
 from ._remote_liveness import choose_adopting_data_centre
 from ._submission_directory import SubmissionEntry
@@ -35,6 +36,21 @@
 logger = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class RemainingLeases:
+    """Leases of a cell when this host abandoned it, as times of expiry by worker."""
+
+    epoch: int
+    expiry_by_worker: dict[str, float]
+
+    def left_s_by_worker(self, now: float) -> dict[str, float]:
+        """Return the seconds until each lease has certainly expired."""
+        return {
+            worker_id: max(0.0, expiry - now)
+            for worker_id, expiry in self.expiry_by_worker.items()
+        }
+
+
 class CellOwnershipManager:
     """Manager of the cells of one host incarnation: acquires and releases them.
 
@@ -54,6 +70,8 @@
         self._identity = identity
         # When each cell was first assigned to this host; removed when it is acquired.
         self._eligible_since_by_cell: dict[str, float] = {}
+        # Leases that cells abandoned by this host may still have, by cell id.
+        self._remaining_leases_by_cell: dict[str, RemainingLeases] = {}
         # Highest epoch under which this host must no longer run a cell, by cell id.
         self._relinquished_epoch_by_cell: dict[str, int] = {}
         self._connections = connections
@@ -249,7 +267,8 @@
         previous: ObservedOwner | None,
     ) -> None:
         remaining_s = previous.unsettled_s(now_s()) if previous else 0.0
-        wait_s = self._times.takeover_wait_s(await self._has_stopped(cell_id, previous))
+        reply = await self._confirm_stop(cell_id, previous)
+        wait_s = self._times.takeover_wait_s(owner_is_dead=reply is not None)
         controller = CellController(
             cell_id,
             self._workers.data_centre_by_cell().get(cell_id, ""),
@@ -275,6 +294,9 @@
             await self._feeds.workers.catch_up()
             await self._feeds.submissions.open(cell_id, version)
             await controller.start(self._workers.in_cell(cell_id))
+            controller.complete_handover(
+                reply, lambda: self._confirm_stop(cell_id, previous), previous
+            )
         except BerylError as error:
             logger.warning("cell %s: could not start: %s", cell_id, error)
             # release_all may have removed and released the controller meanwhile.
@@ -282,31 +304,56 @@
                 await controller.release()
 
     async def _has_stopped(self, cell_id: str, previous: ObservedOwner | None) -> bool:
-        """Return whether the previous owner is known to have stopped.
+        """Return whether the previous owner is known to have stopped."""
+        return await self._confirm_stop(cell_id, previous) is not None
+
+    async def _confirm_stop(
+        self, cell_id: str, previous: ObservedOwner | None
+    ) -> TakeoverReply | None:
+        """Return what is known of a previous owner's leases; None if it may run.
 
         A stopped owner renews no lease and starts no task.
         """
         if previous is None or not previous.row.host_id:
-            return True
+            return TakeoverReply()
         row = previous.row
         if row.host_id == self._identity.host_id:
-            return row.incarnation != self._identity.incarnation
+            is_replaced = row.incarnation != self._identity.incarnation
+            return TakeoverReply() if is_replaced else None
         if self._membership.is_replaced(row.host_id, row.incarnation, previous.version):
-            return True
+            return TakeoverReply()
         if not row.peer_address:
-            return False
+            return None
         return await self._connections.peers.send_takeover(
             row.peer_address, TakeoverNotice(cell_id, row.epoch, row.host_id)
         )
 
-    async def relinquish(self, cell_id: str, epoch: int) -> None:
-        """Abandon a cell that another host acquired, or never start it."""
+    async def relinquish(self, cell_id: str, epoch: int) -> dict[str, float] | None:
+        """Abandon a cell that another host acquired, or never start it.
+
+        Return for how many seconds the leases on each worker may last; None if unknown.
+        """
         relinquished_epoch = self._relinquished_epoch_by_cell.get(cell_id, 0)
         self._relinquished_epoch_by_cell[cell_id] = max(relinquished_epoch, epoch)
         controller = self.controller_by_cell.get(cell_id)
         if controller is not None and controller.owner.epoch <= epoch:
             del self.controller_by_cell[cell_id]
-            await controller.abandon()
+            await self._abandon(cell_id, controller)
+        remaining = self._remaining_leases_by_cell.get(cell_id)
+        if remaining is None or remaining.epoch != epoch:
+            return None
+        return remaining.left_s_by_worker(now_s())
+
+    async def _abandon(self, cell_id: str, controller: CellController) -> None:
+        """Stop a cell's controller; keep its leases for the next owner's question."""
+        await controller.abandon()
+        left_s_by_worker = controller.lease_left_s_by_worker()
+        if left_s_by_worker is not None:
+            now = now_s()
+            self._remaining_leases_by_cell[cell_id] = RemainingLeases(
+                controller.owner.epoch,
+                {worker: now + left_s for worker, left_s in left_s_by_worker.items()},
+            )
 
     def _is_ownership_confirmed(self) -> bool:
         """Return whether the cell table was read recently enough to trust ownership."""
@@ -322,7 +369,7 @@
             )
             if not is_ours or is_fenced or controller.is_inactive:
                 del self.controller_by_cell[cell_id]
-                await controller.abandon()
+                await self._abandon(cell_id, controller)
 
     def _on_submission(self, submission_id: str, entry: SubmissionEntry) -> None:
         if entry.accepted is None:
--- a/programs/beryl-host/src/berylcleat/host/_peer_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_peer_api.py
@@ -18,6 +18,7 @@
     StateReply,
     SubmissionUpdate,
     TakeoverNotice,
+    TakeoverReply,
 )
 from ._records import MOVES_SUFFIX, cell_submission_table
 from ._submission_directory import SubmissionDirectory
@@ -102,5 +103,5 @@
         if notice.host_id != self._identity.host_id:
             logger.info("takeover notice for host %s came to this host", notice.host_id)
             return HttpResponse(409)
-        await self._ownership.relinquish(notice.cell_id, notice.epoch)
-        return HttpResponse(200)
+        leases = await self._ownership.relinquish(notice.cell_id, notice.epoch)
+        return HttpResponse(200, (), msgspec.json.encode(TakeoverReply(leases)))
--- a/programs/beryl-host/src/berylcleat/host/_peers.py
+++ b/programs/beryl-host/src/berylcleat/host/_peers.py
@@ -57,6 +57,15 @@
     host_id: str = ""
 
 
+class TakeoverReply(msgspec.Struct, frozen=True):
+    """Confirmation that the owner under the notice's epoch has stopped.
+
+    ``lease_left_s_by_worker`` tells how long its leases may last; None if unknown.
+    """
+
+    lease_left_s_by_worker: dict[str, float] | None = None
+
+
 class PeerClient:
     """Client for requests to other hosts."""
 
@@ -93,11 +102,19 @@
         response = await self._request(address, "POST", ENDS_PATH, body)
         return response is not None and response.status == 200
 
-    async def send_takeover(self, address: str, notice: TakeoverNotice) -> bool:
-        """Tell the previous owner to stop; return whether it has stopped."""
+    async def send_takeover(
+        self, address: str, notice: TakeoverNotice
+    ) -> TakeoverReply | None:
+        """Tell the previous owner to stop; return None unless it has stopped."""
         body = msgspec.json.encode(notice)
         response = await self._request(address, "POST", TAKEOVER_PATH, body)
-        return response is not None and response.status == 200
+        if response is None or response.status != 200:
+            return None
+        try:
+            return msgspec.json.decode(response.body, type=TakeoverReply)
+        except msgspec.MsgspecError as error:
+            logger.error("takeover reply of %s can't be decoded: %s", address, error)
+            return None
 
     async def _request(
         self, address: str, method: str, target: str, body: bytes = b""
