Let a cell's owner evacuate its data centre

The operator can ask for a data centre to be taken out of use, and the scheduler had no notion of it: it started tasks there as before.

CellEvacuation holds what an owner knows of the request and when it was read. With it, CellScheduler starts nothing unless the newest read allows it, withdraws starts that are decided but not sent (may_send_start), moves all waiting steps at once and relocates long-running tasks within max_unavailable. Without it (None) everything is as before.

An owner that was suspended for more than 2 s needs a read sent since: by the age of the read alone it could start tasks 10 s after the request.

--- /dev/null
+++ b/libs/scheduling/features/steps/relocation_steps.py
@@ -0,0 +1,137 @@
+from behave import given, then, when
+
+from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
+from berylcleat.ports import EndedTask, RunEnd, RunningTask, WorkerReport
+from berylcleat.scheduling import CellHeadroom, Progress, TaskMove
+
+SUBMISSION_ID = "a" * 16
+
+
+def add_tasks(context, n, allowed, *, is_home):
+    """Let the workers report running tasks of a submission that becomes known."""
+    scripted_cell = context.scripted_cell
+    step = Step(
+        n,
+        TaskDemand(1000, 100),
+        is_long_running=True,
+        max_unavailable=None if allowed == "no task" else int(allowed),
+    )
+    tasks = [TaskKey(SUBMISSION_ID, 0, 0, index) for index in range(n)]
+    moves = {} if is_home else {task: TaskMove("r1", 0) for task in tasks}
+    for task in tasks:
+        scripted_cell.running[f"w{task.index % 2}"][task] = 1
+    now = scripted_cell.now
+    scripted_cell.cell.add_submission(
+        Submission(SUBMISSION_ID, QueuePolicy("q", "svc"), "s", (step,)),
+        Progress(),
+        now,
+        now,
+        inherited=True,
+        is_home=is_home,
+        move_by_task=moves,
+    )
+    scripted_cell.step()
+    assert scripted_cell.cell.n_runs() == n
+
+
+@given("{n:d} long-running tasks run of which {allowed} may be unavailable")
+def step_tasks(context, n, allowed):
+    add_tasks(context, n, allowed, is_home=True)
+
+
+@given("{n:d} tasks that were moved here run of which {allowed} may be unavailable")
+def step_moved_tasks(context, n, allowed):
+    add_tasks(context, n, allowed, is_home=False)
+
+
+@given("a task is reported with {percent:d} percent")
+def step_percent(context, percent):
+    """Report the task so after each report of the worker that has it at 100."""
+    scripted_cell = context.scripted_cell
+    context.slow_task = TaskKey(SUBMISSION_ID, 0, 0, 0)
+    observe = scripted_cell.cell.on_report
+
+    def on_report(worker_id, report, requested_at, now):
+        rows = tuple(
+            RunningTask(row.task, row.run, "", percent, 0.0)
+            if row.task == context.slow_task
+            else row
+            for row in report.running
+        )
+        changed = WorkerReport(
+            report.clock_ms, report.started_at_ms, rows, report.ended
+        )
+        observe(worker_id, changed, requested_at, now)
+
+    scripted_cell.cell.on_report = on_report
+
+
+@when("a task fails")
+def step_fail(context):
+    scripted_cell = context.scripted_cell
+    task = TaskKey(SUBMISSION_ID, 0, 0, 0)
+    scripted_cell.ended["w0"].append(
+        EndedTask(1, task, scripted_cell.running["w0"].pop(task), RunEnd.FAILED, "")
+    )
+    scripted_cell.step()
+    for item in scripted_cell.starts:
+        scripted_cell.accept(item)
+
+
+@when("a worker doesn't answer for {seconds:d} s")
+def step_silent(context, seconds):
+    context.scripted_cell.silent.add("w1")
+    for _ in range(seconds * 5):
+        context.scripted_cell.step()
+
+
+@when("the other cell has {cores:d} free cores")
+def step_headroom(context, cores):
+    scripted_cell = context.scripted_cell
+    scripted_cell.stops.clear()
+    headroom = CellHeadroom("r2", "svc", cores * 1000, (), 0, cores * 1000)
+    context.proposals = scripted_cell.cell.propose_moves((headroom,), scripted_cell.now)
+    # The stops must not depend on a planning round between two proposals.
+    context.proposals += scripted_cell.cell.propose_moves(
+        (headroom,), scripted_cell.now
+    )
+    scripted_cell.step()
+
+
+@when("the stopped runs end")
+def step_end(context):
+    scripted_cell = context.scripted_cell
+    context.stopped = list(scripted_cell.stops)
+    for item in context.stopped:
+        scripted_cell.end(item, RunEnd.STOPPED)
+    scripted_cell.step()
+
+
+@when("the move is recorded")
+def step_record(context):
+    scripted_cell = context.scripted_cell
+    for proposal in context.proposals:
+        scripted_cell.cell.update_moves(
+            proposal.submission_id, proposal.move_by_task, scripted_cell.now
+        )
+        scripted_cell.cell.on_move_settled(proposal, scripted_cell.now)
+
+
+@then("{n:d} runs are stopped")
+def step_stopped(context, n):
+    stops = context.scripted_cell.stops
+    assert len(stops) == n, stops
+
+
+@then("a move of {n_moves:d} tasks is proposed and {n:d} runs are stopped")
+def step_moved(context, n_moves, n):
+    moves = [task for p in context.proposals for task in p.move_by_task]
+    stopped = [item.order.task for item in context.stopped]
+    assert sorted(moves) == sorted(stopped) and len(moves) == n_moves, moves
+    step_stopped(context, n)
+
+
+@then("no other run than that is stopped")
+def step_only_slow(context):
+    stopped = {item.order.task for item in context.scripted_cell.stops}
+    assert stopped <= {context.slow_task}, stopped
--- a/libs/scheduling/src/berylcleat/scheduling/__init__.py
+++ b/libs/scheduling/src/berylcleat/scheduling/__init__.py
@@ -1,6 +1,12 @@
 """Scheduling decisions of a cell's owner, without input or output."""
 
 from ._cell import CellScheduler
+from ._evacuation import (
+    AvailabilityTracker,
+    CellEvacuation,
+    EvacuationRules,
+    choose_relocations,
+)
 from ._filler_stops import choose_fillers_to_stop
 from ._interference import (
     ImageUse,
@@ -19,9 +25,12 @@
 
 __all__ = [
     "CLOCK_DRIFT",
+    "AvailabilityTracker",
+    "CellEvacuation",
     "CellHeadroom",
     "CellScheduler",
     "CrashEvidence",
+    "EvacuationRules",
     "FillerHeadroom",
     "ImageUse",
     "InterferenceLevel",
@@ -44,6 +53,7 @@
     "WorkerOrder",
     "WorkerView",
     "choose_fillers_to_stop",
+    "choose_relocations",
     "choose_worker",
     "decode_progress",
     "encode_progress",
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -244,15 +244,17 @@
 
     def plan(self, now: float, wall_ms: float) -> list[WorkerOrder]:
         """Run one planning round and return the orders to send."""
+        self._observe_time(now)
         self._expire_leases(now)
         self._retry_stops(now)
         self._limit_interference(now)
         self._relocate_from_draining(now)
         self._wall_ms = wall_ms
         self.submissions.activate_scheduled(wall_ms)
-        for ready in self.submissions.ready_steps(now):
-            self._start_waiting(ready, now)
-        self._force_starving_fillers(now)
+        if self._may_start(now):
+            for ready in self.submissions.ready_steps(now):
+                self._start_waiting(ready, now)
+            self._force_starving_fillers(now)
         orders, self._orders = self._orders, []
         return orders
 
@@ -261,6 +263,8 @@
 
         Maps each reason to the number of workers that it applies to.
         """
+        if not self._may_start(now):
+            return {self.evacuation.explain(now): len(self.worker_by_id)}
         task = ready.task(min(ready.waiting))
         counts: dict[str, int] = {}
         if self._may_have_unknown_run(task, now):
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -1,7 +1,7 @@
 """Moves of a cell's tasks to other cells, and their ends."""
 
 import logging
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from berylcleat.model import TaskKey
 from berylcleat.ports import (
@@ -9,6 +9,8 @@
 )
 
 from ._cell_reports import CellReports
+from ._cell_starts import MAX_RELOCATING
+from ._evacuation import UNAVAILABLE_MEMORY_S, choose_relocations, is_relocatable
 from ._moves import (
     CellHeadroom,
     FillerHeadroom,
@@ -20,7 +22,11 @@
     make_move,
 )
 from ._submissions import ReadyStep, TrackedSubmission
+from ._workers import Run, RunPhase
 
+# Age in seconds of the headroom that other cells report: until then it may lack a task
+# that has moved there.
+HEADROOM_AGE_S = 2.0
 logger = logging.getLogger(__name__)
 
 
@@ -49,6 +55,7 @@
         )
         was_assigned_here = tracked.runs_here(task)
         tracked.moved_away.discard(task)
+        self._availability.on_moved_here(task)
         tracked.moved_here.add(task)
         if not was_assigned_here and task not in self.run_by_task:
             tracked.requeue(task)
@@ -58,6 +65,9 @@
     ) -> None:
         tracked.moved_here.discard(task)
         if tracked.is_home:
+            step = tracked.submission.steps[task.step]
+            if step.is_long_running and task not in tracked.moved_away:
+                self._availability.on_moved_away(task, now)
             tracked.moved_away.add(task)
         tracked.remove_waiting(task)
         tracked.drop_presumption(task)
@@ -77,15 +87,98 @@
         reservations = HeadroomReservations(headrooms, self.interference)
         proposals = []
         for ready in self.submissions.ready_steps(now):
-            if is_stuck(ready, now):
+            if self._is_stuck(ready, now):
                 move_by_task = self._propose_task_moves(ready, reservations, now)
                 if move_by_task:
                     submission_id = ready.tracked.submission.submission_id
                     proposal = MoveProposal(submission_id, move_by_task)
                     logger.info("move proposed: %s", proposal.describe())
                     proposals.append(proposal)
+        if self.evacuation is not None and self.evacuation.may_relocate(now):
+            self._relocate_from_evacuated(reservations, now)
         return proposals
 
+    def _is_stuck(self, ready: ReadyStep, now: float) -> bool:
+        """Return whether a step should move: in an evacuated cell, each should."""
+        return self._is_evacuated() or is_stuck(ready, now)
+
+    def _relocate_from_evacuated(
+        self, reservations: HeadroomReservations, now: float
+    ) -> None:
+        """Stop long-running tasks that another cell can hold.
+
+        They move once they have ended. Only the home cell knows the step's other tasks.
+        """
+        for task in self._tasks_in_relocation():
+            run = self.run_by_task.get(task)
+            if run is not None:
+                self._reserve_for_run(run, reservations)
+        n_moving = self._availability.n_moved_since(now - HEADROOM_AGE_S)
+        n_allowed = MAX_RELOCATING - len(self._tasks_in_relocation()) - n_moving
+        runs = [run for run in self.run_by_task.values() if self._is_home_of(run)]
+        for run in choose_relocations(
+            runs,
+            self._unavailable_tasks(filter(is_relocatable, runs), now),
+            n_allowed,
+            lambda run: self._reserve_for_run(run, reservations),
+        ):
+            logger.info(
+                "run stopped for the evacuation: task %s run %d on %s",
+                run.task,
+                run.number,
+                run.worker_id,
+            )
+            self._relocating_tasks.add(run.task)
+            self._stop(run, now)
+
+    def _is_home_of(self, run: Run) -> bool:
+        tracked = self.submissions.by_id.get(run.task.submission_id)
+        return tracked is not None and tracked.is_home and not tracked.is_over
+
+    def _reserve_for_run(self, run: Run, reservations: HeadroomReservations) -> bool:
+        tracked = self.submissions.by_id[run.task.submission_id]
+        service = tracked.submission.queue.service
+        return reservations.reserve(run.step, service) is not None
+
+    def _tasks_in_relocation(self) -> set[TaskKey]:
+        """Return the long-running tasks that stop, or wait here after such a stop."""
+        stopping = {
+            run.task
+            for run in self.run_by_task.values()
+            if run.step.is_long_running and run.phase is RunPhase.STOPPING
+        }
+        self._relocating_tasks = {
+            task
+            for task in self._relocating_tasks
+            if task in stopping or self._is_waiting(task)
+        }
+        return stopping | self._relocating_tasks
+
+    def _is_waiting(self, task: TaskKey) -> bool:
+        tracked = self.submissions.live_by_id.get(task.submission_id)
+        if tracked is None:
+            return False
+        ready = tracked.ready_by_step.get((task.occurrence, task.step))
+        return ready is not None and task.index in ready.waiting
+
+    def _unavailable_tasks(self, runs: Iterable[Run], now: float) -> set[TaskKey]:
+        """Return the tasks of the runs' steps that were unavailable recently."""
+        unavailable: set[TaskKey] = set()
+        for task in {run.task._replace(index=0): run.task for run in runs}.values():
+            tracked = self.submissions.by_id[task.submission_id]
+            for member in tracked.step_tasks(task):
+                if self._counts_as_unavailable(tracked, member, now):
+                    unavailable.add(member)
+        return unavailable
+
+    def _counts_as_unavailable(
+        self, tracked: TrackedSubmission, task: TaskKey, now: float
+    ) -> bool:
+        if not tracked.runs_here(task):
+            since = now - UNAVAILABLE_MEMORY_S
+            return self._availability.has_moved_since(task, since)
+        return self._availability.is_unavailable(task, self.run_by_task.get(task), now)
+
     def _propose_task_moves(
         self, ready: ReadyStep, reservations: HeadroomReservations, now: float
     ) -> dict[TaskKey, TaskMove]:
@@ -96,13 +189,21 @@
         for task in self._startable_tasks(ready, now):
             if self._give_up_crashing(ready.tracked, task, now):
                 return {}
-            cell_id = reservations.reserve(ready.step, service)
+            cell_id = self._reserve_headroom(ready, reservations, service)
             if cell_id is None:
                 break
             move_by_task[task] = make_move(ready.tracked, task, cell_id, self.epoch)
         self._tasks_with_pending_move.update(move_by_task)
         return move_by_task
 
+    def _reserve_headroom(
+        self, ready: ReadyStep, reservations: HeadroomReservations, service: str
+    ) -> str | None:
+        cell_id = reservations.reserve(ready.step, service)
+        if cell_id is None and ready.step.fills and self._is_evacuated():
+            cell_id = reservations.reserve_beside_any(ready.step, service)
+        return cell_id
+
     def _propose_gang_move(
         self,
         ready: ReadyStep,
@@ -139,7 +240,7 @@
         return sum(
             len(ready.waiting) * ready.step.allocation.cpu_millis
             for ready in self.submissions.ready_steps(now)
-            if is_stuck(ready, now)
+            if self._is_stuck(ready, now)
         )
 
     def filler_headrooms(self) -> tuple[FillerHeadroom, ...]:
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -13,6 +13,7 @@
 
 from ._advice import TicketCache
 from ._crashes import CrashTracker
+from ._evacuation import MAX_PAUSE_S, AvailabilityTracker, CellEvacuation
 from ._filler_stops import choose_fillers_to_stop, must_stop_all_fillers
 from ._interference import InterferenceModel
 from ._leases import LeaseTimes
@@ -58,6 +59,11 @@
         # workers start what exceeds their capacity.
         self.workers_listed_at = float("inf")
         self.unguarded_services: frozenset[str] = frozenset()
+        # None: the deployment has no evacuations.
+        self.evacuation: CellEvacuation | None = None
+        self._availability = AvailabilityTracker()
+        self._relocating_tasks: set[TaskKey] = set()
+        self._planned_at = float("inf")
         self._began_at = began_at
         self._settled_at = settled_at
         self._unsettled_workers = {entry.worker_id for entry in earlier_workers}
@@ -72,6 +78,41 @@
         for entry in earlier_workers:
             self.worker_by_id[entry.worker_id] = WorkerView(entry, is_listed=False)
 
+    def n_runs(self) -> int:
+        """Return the number of runs that the workers have, or may have, as known here.
+
+        After a takeover it lacks those of workers that have not answered yet.
+        """
+        views = self.worker_by_id.values()
+        n_unknown = sum(len(view.unknown_run_by_task) for view in views)
+        return len(self.run_by_task) + n_unknown
+
+    def _may_start(self, now: float) -> bool:
+        """Return whether the evacuation of the data centre lets tasks start."""
+        return self.evacuation is None or self.evacuation.may_start(now)
+
+    def _is_evacuated(self) -> bool:
+        return self.evacuation is not None and self.evacuation.is_evacuated
+
+    def _is_paused(self, now: float) -> bool:
+        """Return whether the owner was suspended since its last planning round."""
+        return now - self._planned_at > MAX_PAUSE_S
+
+    def _observe_time(self, now: float) -> None:
+        """Take note of a pause of the owner, and of the tasks that are available."""
+        if self.evacuation is None:
+            return
+        if self._is_paused(now):
+            logger.info(
+                "cell %s: no planning for %.1f s, evacuation requests must be read",
+                self.cell_id,
+                now - self._planned_at,
+            )
+            self.evacuation.resume(now)
+            self._availability.forget_runs()
+        self._planned_at = now
+        self._availability.observe(self.worker_by_id.values(), now)
+
     def has_settled(self, now: float) -> bool:
         """Return whether every run of earlier owners is known or has expired."""
         return not self._unsettled_workers or now >= self._settled_at
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -25,7 +25,8 @@
 MAX_LIST_AGE_S = 4.0
 # Maximum tasks of one step that one planning round forces.
 MAX_FORCED_PER_STEP = 6
-# Maximum long-running tasks that are relocated from draining workers at a time.
+# Maximum long-running tasks that are relocated at a time, from draining workers
+# or from an evacuated cell.
 MAX_RELOCATING = 3
 logger = logging.getLogger(__name__)
 
@@ -72,6 +73,35 @@
         target = choose_worker(run.task, run.step, service, workers, self.interference)
         return target is not None
 
+    def may_send_start(self, order: StartOrder, now: float) -> bool:
+        """Return whether a start may still be sent; call it right before sending.
+
+        If not, the run is withdrawn, or unconfirmed if an earlier try may have arrived.
+        """
+        if self.evacuation is None or not self.evacuation.is_enabled:
+            return True
+        run = self.run_by_task.get(order.task)
+        if run is None or run.number != order.run:
+            return False
+        is_wanted = run.may_be_sent or run.phase is not RunPhase.STOPPING
+        if is_wanted and not self._is_paused(now) and self._may_start(now):
+            run.may_be_sent = True
+            return True
+        if not run.may_be_sent:
+            self.crashes.on_survival((run,))
+            self._mark_lost(run, "its start was not sent", now)
+        elif run.phase is RunPhase.STARTING:
+            self._mark_unconfirmed(run, now)
+        return False
+
+    def _mark_unconfirmed(self, run: Run, now: float) -> None:
+        """Take note that a worker may or may not run an order that it got."""
+        view = self.worker_by_id[run.worker_id]
+        if not view.incarnation_ms:
+            view.clock.assume_longest_lease(now, self.times.max_lease_s)
+        run.phase = RunPhase.UNCONFIRMED
+        run.phase_since = now
+
     def _start_gang(self, ready: ReadyStep, now: float) -> None:
         """Start all members of a gang under one run number, or none."""
         if not self._is_whole_gang_startable(ready, now):
@@ -278,6 +308,8 @@
         return True
 
     def _startable_workers(self, now: float) -> list[WorkerView]:
+        if not self._may_start(now):
+            return []
         is_list_outdated = now - self.workers_listed_at > MAX_LIST_AGE_S
         unsafe_services = self.unguarded_services if is_list_outdated else ()
         return [
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -141,6 +141,26 @@
         self._add_reserved(step, chosen, 1)
         return chosen
 
+    def reserve_beside_any(self, step: Step, service: str) -> str | None:
+        """Reserve processor time for a filler beside images that it may disturb.
+
+        For fillers that can't stay: the cell with the most left holds them until they
+        fit or are forced.
+        """
+        left_by_id = {
+            cell_id: sum(fillers.cpu_left for fillers in headroom.filler_headrooms)
+            - headroom.fill_waiting
+            - self._reserved_for_fillers[cell_id]
+            for cell_id, headroom in self._headroom_by_id.items()
+            if headroom.service == service
+            and self._n_moved[cell_id] < MAX_MOVES_PER_CELL
+        }
+        chosen = max(left_by_id, key=left_by_id.__getitem__, default=None)
+        if chosen is None or left_by_id[chosen] < step.demand.cpu_millis:
+            return None
+        self._add_reserved(step, chosen, 1)
+        return chosen
+
     def reserve_gang(self, step: Step, service: str) -> str | None:
         """Reserve headroom for all tasks of ``step`` in one cell; return it or None."""
         available_by_id = {
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -63,6 +63,8 @@
     # Whether an earlier owner started it; then ``started_at`` is when it was found.
     is_adopted: bool = False
     was_accepted: bool = False
+    # Whether its start was cleared for sending, so that a worker may run it.
+    may_be_sent: bool = False
     was_reported: bool = False
     stop_answered_at: float | None = None
     stop_sent_at: float | None = None
