--- a/libs/ports/src/berylcleat/ports/_task_workers.py
+++ b/libs/ports/src/berylcleat/ports/_task_workers.py
@@ -1,5 +1,6 @@
 """Orders to the workers that run tasks, and the workers' reports."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -189,8 +190,13 @@
 class WorkerPort(Protocol):
     """Client that sends orders to one incarnation of a worker."""
 
-    async def start(self, order: StartOrder) -> OrderAnswer:
-        """Order the start of a run."""
+    async def start(
+        self, order: StartOrder, may_send: Callable[[], bool] | None = None
+    ) -> OrderAnswer:
+        """Order the start of a run, unless ``may_send`` returns False by then.
+
+        The result is then ``NOT_SENT``.
+        """
 
     async def stop(self, order: StopOrder) -> OrderAnswer:
         """Order the stop of a run."""
