Follow the operator's evacuation requests

Cause: hosts read the row config alone and know nothing of evacuations.

Change: OperatorFollower replaces RowFollower. OperatorState holds what is known. The scenarios of config_storm create the new follower; their checks are unchanged. MemoryStore gains removals and a dropped history.

--- a/programs/beryl-host/features/steps/config_storm_steps.py
+++ b/programs/beryl-host/features/steps/config_storm_steps.py
@@ -3,7 +3,7 @@
 
 from behave import given, then, when
 
-from berylcleat.host._row_follower import RowFollower
+from berylcleat.host._operator_follower import OperatorFollower
 from berylcleat.standins import MemoryStore
 
 ROW_KEY = ("op", "", "config")
@@ -56,11 +56,11 @@
     context.arrivals = []
 
     async def run():
-        follower = RowFollower(
+        follower = OperatorFollower(
             context.link,
-            "op",
-            "config",
             lambda row: context.arrivals.append((row.value, time.monotonic())),
+            lambda *_: None,
+            lambda: ("dc-1", "dc-2"),
             wait_s=1.0,
             min_period_s=0.02,
         )
--- /dev/null
+++ b/programs/beryl-host/src/berylcleat/host/_operator_state.py
@@ -0,0 +1,90 @@
+"""Configuration and evacuation requests of the operator, as this host knows them."""
+
+import logging
+from collections.abc import Callable
+
+from berylcleat.platform import decode_config
+from berylcleat.ports import OperatorConfig, StoreRow
+from berylcleat.scheduling import CellEvacuation, EvacuationRules
+
+ConfigListener = Callable[[OperatorConfig], None]
+NO_EVACUATIONS = EvacuationRules(0.0, 0.0)
+logger = logging.getLogger(__name__)
+
+
+class OperatorState:
+    """Newest known configuration and evacuated data centres; nothing of it is stored.
+
+    ``version`` is the store's version up to which ``evacuated`` includes every request
+    and ``confirmed_at`` is when the newest read of them was sent, by this host or by
+    the one that relayed it. ``config_value`` is the configuration as it was stored.
+    """
+
+    def __init__(self, rules: EvacuationRules = NO_EVACUATIONS):
+        self.rules = rules
+        self.config: OperatorConfig | None = None
+        self.config_value = b""
+        self.config_listeners: list[ConfigListener] = []
+        self.evacuated: frozenset[str] = frozenset()
+        self.version = 0
+        self.confirmed_at = float("-inf")
+
+    @property
+    def has_evacuations(self) -> bool:
+        """Return whether data centres of this deployment can be evacuated."""
+        return self.rules.start_deadline_s > 0
+
+    @property
+    def config_version(self) -> int:
+        """Return the version of the configuration, 0 before the first one."""
+        return self.config.version if self.config else 0
+
+    def on_config(self, row: StoreRow) -> None:
+        """Apply the configuration in ``row`` unless a newer one is known."""
+        config = decode_config(row)
+        if config is None:
+            logger.error(
+                "configuration at version %d can't be decoded; keeping the current one",
+                row.version,
+            )
+        elif self.config is None or config.version > self.config.version:
+            self.config = config
+            self.config_value = row.value
+            for listener in self.config_listeners:
+                listener(config)
+            logger.info("configuration version %d applied", config.version)
+
+    def on_requests(
+        self,
+        evacuated: frozenset[str],
+        version: int,
+        confirmed_at: float,
+        source: str = "the store",
+    ) -> None:
+        """Apply a read of the evacuation requests, or a relayed one.
+
+        Reads arrive out of order: a long poll that was sent early may tell of newer
+        requests than one that was sent later. The higher version has the newer content,
+        and the later read confirms it, since it told of nothing newer.
+        """
+        is_newer = (version, confirmed_at) >= (self.version, self.confirmed_at)
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+        if not is_newer:
+            return
+        self.version = version
+        for name in sorted(evacuated - self.evacuated):
+            logger.info("evacuation requested: data centre %s, from %s", name, source)
+        for name in sorted(self.evacuated - evacuated):
+            logger.info("evacuation withdrawn: data centre %s, from %s", name, source)
+        self.evacuated = evacuated
+
+    def make_cell_evacuation(self, data_centre: str) -> CellEvacuation | None:
+        """Return the evacuation state of a cell there; None if there can be none."""
+        if not self.has_evacuations:
+            return None
+        return CellEvacuation(data_centre, self.rules)
+
+    def update(self, evacuation: CellEvacuation | None, now: float) -> None:
+        """Pass the known requests to a cell, once they have been read."""
+        if evacuation is not None and self.confirmed_at > float("-inf"):
+            evacuation.update(self.evacuated, self.confirmed_at, now)
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -7,14 +7,12 @@
 from berylcleat.http import HttpLimits, HttpRequest, HttpResponse, HttpServer
 from berylcleat.model import BerylError
 from berylcleat.platform import (
-    CONFIG_ROW,
     WORKER_TABLE,
     AdviceClient,
     StoreClient,
-    decode_config,
     read_store_traffic,
 )
-from berylcleat.ports import StoreRow
+from berylcleat.ports import OperatorConfig, StoreRow
 from berylcleat.runtime import AdminRouter, StopSignal, cancel_all
 from berylcleat.scheduling import InterferenceModel, LeaseTimes
 from berylcleat.telemetry import Tracer
@@ -31,12 +29,13 @@
 from ._live_owners import LiveOwners
 from ._membership import Coverage, Membership
 from ._on_demand_follower import OnDemandFollower
+from ._operator_follower import OperatorFollower
+from ._operator_state import OperatorState
 from ._pair_exchange import PairExchange
 from ._peer_api import PeerApi
 from ._peers import PeerClient
 from ._publisher import HostPublisher
 from ._records import CELL_TABLE, DIGEST_TABLE, data_centre_table
-from ._row_follower import RowFollower
 from ._settings import HostSettings
 from ._submission_directory import SubmissionDirectory
 from ._submission_feeds import SubmissionFeeds
@@ -78,6 +77,8 @@
         )
         self.is_leaving = False
         self.store = StoreClient(settings.store_address)
+        self.operator = OperatorState(settings.evacuation_rules)
+        self.operator.config_listeners.append(self._on_config)
         self.directory = SubmissionDirectory()
         self.feeds = SubmissionFeeds(self.store, self.directory, FOLLOW_TIMEOUT_S)
         self.membership = Membership()
@@ -137,10 +138,11 @@
 
     def _create_followers(self) -> None:
         data_centre = self.identity.data_centre
-        self.config_follower = RowFollower(
+        self.operator_follower = OperatorFollower(
             self.store,
-            *CONFIG_ROW,
-            self._on_config,
+            self.operator.on_config,
+            self.operator.on_requests,
+            self._data_centres if self.operator.has_evacuations else None,
             wait_s=FOLLOW_TIMEOUT_S,
             min_period_s=CONFIG_POLL_PERIOD_S,
         )
@@ -184,7 +186,7 @@
     def followers(self) -> tuple[Follower, ...]:
         """Return the followers of all tables that this host reads from its start."""
         return (
-            self.config_follower,
+            self.operator_follower,
             self.worker_follower,
             self.cell_follower,
             self.data_centre_follower,
@@ -254,22 +256,16 @@
         """Answer the platform's readiness probe."""
         return HttpResponse(200 if self.is_ready() else 503)
 
-    def _on_config(self, row: StoreRow) -> None:
-        config = decode_config(row)
-        current = self.client_api.config
-        if config is None:
-            logger.error(
-                "configuration at version %d can't be decoded; keeping the current one",
-                row.version,
-            )
-        elif current is None or config.version > current.version:
-            self.client_api.config = config
-            self.workers.unguarded_services = frozenset(
-                service.name
-                for service in config.service_by_name.values()
-                if not service.checks_admission
-            )
-            logger.info("configuration version %d applied", config.version)
+    def _on_config(self, config: OperatorConfig) -> None:
+        self.client_api.config = config
+        self.workers.unguarded_services = frozenset(
+            service.name
+            for service in config.service_by_name.values()
+            if not service.checks_admission
+        )
+
+    def _data_centres(self) -> set[str]:
+        return {self.identity.data_centre, *self.workers.data_centres()}
 
 
 async def serve_host(settings: HostSettings, stop: StopSignal) -> None:
--- a/programs/beryl-host/src/berylcleat/host/_settings.py
+++ b/programs/beryl-host/src/berylcleat/host/_settings.py
@@ -3,6 +3,11 @@
 from dataclasses import dataclass
 
 from berylcleat.model import SettingsError
+from berylcleat.scheduling import EvacuationRules
+
+# Time that start orders need to arrive: a host whose news of the evacuations is older
+# than the deadline and the allowance together, less this time, starts nothing.
+ORDER_FLIGHT_MS = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -12,6 +17,11 @@
     ``drain_grace_s`` limits a graceful shutdown, ``core_speed`` is the speed of the
     host's cores relative to a reference core, and ``cpu_share`` is how many of these
     cores, or what fraction of one, the host may use.
+
+    No task is started in an evacuated data centre later than ``evacuation_deadline_ms``
+    after the request, and by a host without news of the requests no later than
+    ``evacuation_outage_allowance_ms`` after that. A deadline of 0 means that the
+    deployment has no evacuations.
     """
 
     host_id: str
@@ -27,12 +37,22 @@
     worker_lease_s: float = 5.0
     drain_grace_s: float = 6.0
     orders_mode: str = "push"
+    evacuation_deadline_ms: float = 0
+    evacuation_outage_allowance_ms: float = 0
 
     @property
     def cpu_power(self) -> float:
         """Return the host's processing capacity in reference cores."""
         return self.cpu_share * self.core_speed
 
+    @property
+    def evacuation_rules(self) -> EvacuationRules:
+        """Return the limits of evacuations, in seconds."""
+        return EvacuationRules(
+            self.evacuation_deadline_ms / 1000,
+            self.evacuation_outage_allowance_ms / 1000,
+        )
+
 
 def check_host_settings(settings: HostSettings) -> None:
     """Raise ``SettingsError`` if the settings are invalid."""
@@ -46,8 +66,27 @@
             raise SettingsError(
                 f"{name} must be greater than 0", "Set a number greater than 0"
             )
+    _check_evacuation_settings(settings)
     if settings.orders_mode != "push":
         raise SettingsError(
             f"orders_mode {settings.orders_mode!r} is not supported",
             "Set orders_mode to push and use workers that accept pushed orders",
         )
+
+
+def _check_evacuation_settings(settings: HostSettings) -> None:
+    for name in ("evacuation_deadline_ms", "evacuation_outage_allowance_ms"):
+        value = getattr(settings, name)
+        if not 0 <= value < float("inf"):
+            raise SettingsError(
+                f"{name} is {value}, it must be a number of milliseconds, 0 or more",
+                "Set 0 if the deployment has no evacuations, else the time it allows",
+            )
+    limit_ms = settings.evacuation_deadline_ms + settings.evacuation_outage_allowance_ms
+    if settings.evacuation_deadline_ms and limit_ms <= ORDER_FLIGHT_MS:
+        raise SettingsError(
+            f"evacuation_deadline_ms is {settings.evacuation_deadline_ms} and leaves "
+            "no time in which a task could start",
+            f"Set more than {ORDER_FLIGHT_MS} together with "
+            "evacuation_outage_allowance_ms, or 0 for no evacuations",
+        )
--- a/programs/beryl-host/src/berylcleat/host/_worker_list.py
+++ b/programs/beryl-host/src/berylcleat/host/_worker_list.py
@@ -49,6 +49,10 @@
         """Return the data centre of every cell that ever had a listed worker."""
         return self._data_centre_by_cell
 
+    def data_centres(self) -> set[str]:
+        """Return every data centre that ever had a listed worker."""
+        return set(self._data_centre_by_cell.values())
+
     def _apply(self, row: StoreRow) -> None:
         previous = self.by_id.get(row.key)
         entry = None if row.is_removed else decode_worker(row)
--- a/standins/src/berylcleat/standins/_memory_store.py
+++ b/standins/src/berylcleat/standins/_memory_store.py
@@ -10,6 +10,7 @@
     Commit,
     CommitOutcome,
     Condition,
+    HistoryLostError,
     RowPage,
     RowWrite,
     StoreRow,
@@ -41,6 +42,14 @@
         """Write a row without conditions."""
         self._execute_transaction((), (RowWrite(table, part, key, value),))
 
+    def remove(self, table: str, part: str, key: str) -> None:
+        """Remove a row without conditions."""
+        self._rows.transact({"remove": [{"table": table, "part": part, "key": key}]})
+
+    def forget_history(self) -> None:
+        """Drop the change history and keep the rows."""
+        self._rows.forget_history()
+
     def rows_by_key(self, table: str, part: str) -> dict[str, StoreRow]:
         """Return the rows of a part by key."""
         rows = map(_to_row, self._rows.read(table, part, "", "")["rows"])
@@ -72,10 +81,16 @@
         return RowPage(tuple(map(_to_row, body["rows"])), body["ver"])
 
     async def follow(self, table: str, after: int, wait_s: float) -> RowPage:
-        """Return the rows that changed after version ``after``."""
+        """Return the rows that changed after version ``after``.
+
+        Raises ``HistoryLostError`` if their history was dropped.
+        """
         if self.is_unreachable:
             raise OutcomeUnknownError("store: no answer", REMEDY)
-        rows = tuple(map(_to_row, self._rows.changes_after(table, after)))
+        changes = self._rows.changes_after(table, after)
+        if changes is None:
+            raise HistoryLostError("store: changes are no longer kept", REMEDY)
+        rows = tuple(map(_to_row, changes))
         version = self._rows.version
         await asyncio.sleep(FOLLOW_POLL_INTERVAL_S)
         return RowPage(rows, version)
@@ -104,5 +119,8 @@
 
 
 def _to_row(row: dict[str, Any]) -> StoreRow:
-    value = base64.b64decode(row["value"])
-    return StoreRow(row["table"], row["part"], row["key"], value, row["ver"])
+    value = base64.b64decode(row.get("value", ""))
+    is_removed = row.get("tombstone", False)
+    return StoreRow(
+        row["table"], row["part"], row["key"], value, row["ver"], is_removed
+    )
