Relay the operator's requests between hosts; heed evacuations

Cause: a host that the store refuses learns of no request and follows no configuration; homes and moves were chosen in evacuated data centres, and starts there were sent.

Change: GET /operator-state among the hosts' own requests; a host whose follower fails asks one other host a second. Whether a start may still be sent is asked right before it is. Metrics and log lines.

--- a/programs/beryl-host/features/steps/moves_steps.py
+++ b/programs/beryl-host/features/steps/moves_steps.py
@@ -1,5 +1,6 @@
 from behave import given, then, when
 
+from berylcleat.host._operator_state import OperatorState
 from berylcleat.host._records import (
     CELL_TABLE,
     OWNER_KEY,
@@ -172,7 +173,9 @@
     context.end = EndedTask(1, TASK, 1, RunEnd.DONE, "")
     ownership = Ownership(context.owner_by_cell.values())
     context.directory = SubmissionDirectory()
-    mover = TaskMover(context.submissions, context.directory, None, None, ownership)
+    mover = TaskMover(
+        context.submissions, context.directory, None, None, ownership, OperatorState()
+    )
     context.run(mover.settle_stray_ends(context.owner, submission_id, [context.end]))
 
 
--- a/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
@@ -10,6 +10,7 @@
 from ._cell_directory import CellDirectory
 from ._cell_ownership import CellOwnershipManager
 from ._clock import now_s
+from ._operator_state import OperatorState
 from ._records import CellSummary, headroom_from_summary
 
 # Relative load by which a local cell may exceed a remote one and still be chosen.
@@ -46,7 +47,9 @@
         cells: CellDirectory,
         ownership: CellOwnershipManager,
         interference: InterferenceModel,
+        operator: OperatorState,
     ):
+        self._operator = operator
         self._data_centre = data_centre
         self._cells = cells
         self._ownership = ownership
@@ -54,12 +57,17 @@
         self._recent_assignments: list[_RecentAssignment] = []
 
     def choose(self, submission: Submission) -> str | None:
-        """Return the home cell for ``submission``, or None if no cell suits it."""
+        """Return the home cell for ``submission``, or None if no cell suits it.
+
+        Cells of evacuated data centres suit none.
+        """
         service = submission.queue.service
         suitable = {
             cell_id: summary
             for cell_id, summary in self._summaries().items()
-            if summary.service == service and summary.cpu_capacity > 0
+            if summary.service == service
+            and summary.cpu_capacity > 0
+            and summary.data_centre not in self._operator.evacuated
         }
         if not suitable:
             return None
@@ -73,6 +81,13 @@
         self._recent_assignments.append(_RecentAssignment(now_s(), chosen, cpu, fills))
         return chosen
 
+    def explain_refusal(self) -> str:
+        """Return why ``choose`` has found no cell."""
+        if not self._operator.evacuated:
+            return "no suitable cell is known"
+        names = " ".join(sorted(self._operator.evacuated))
+        return f"no suitable cell is known outside the evacuated data centres {names}"
+
     def n_pending(self, queue: str) -> int:
         """Return how many submissions of ``queue`` have not started.
 
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -4,16 +4,12 @@
 import logging
 from collections.abc import Callable
 
-from berylcleat.model import BerylError, PlatformUnavailableError, SubmissionState
+from berylcleat.model import BerylError, SubmissionState
 from berylcleat.platform import WorkerClient
 from berylcleat.ports import (
-    AdviceRequest,
     HoldOrder,
     OrderResult,
-    PaceOrder,
     RowWrite,
-    StartOrder,
-    StopOrder,
     WorkerEntry,
 )
 from berylcleat.runtime import cancel_all
@@ -23,12 +19,13 @@
     MovedTaskEnd,
     Progress,
     RecordBatch,
-    WorkerOrder,
     WorkerView,
 )
 
+from ._cell_summary import log_load, make_summary
 from ._clock import now_s, wall_ms
 from ._components import Connections, Knowledge
+from ._order_sender import OrderSender
 from ._recorder import ProgressRecorder
 from ._records import (
     CELL_TABLE,
@@ -94,10 +91,13 @@
         self._settled_at = settled_at
         self._is_ownership_confirmed = is_ownership_confirmed
         self._interference = knowledge.interference
+        self._operator = knowledge.operator
         self._mover = mover
         self._advisor = connections.advisor
         # Recorded progress of submissions that this host doesn't know yet.
         self._unmatched_progress_by_id: dict[str, Progress] = {}
+        # Set by ``start``.
+        self._sender: OrderSender | None = None
         self._client_by_worker: dict[str, WorkerClient] = {}
         self._hold_loop_by_worker: dict[str, asyncio.Task] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -130,6 +130,8 @@
             self._interference,
         )
         now = now_s()
+        scheduler.evacuation = self._operator.make_cell_evacuation(self.data_centre)
+        self._operator.update(scheduler.evacuation, now)
         for entry in self._directory.in_cell(self.cell_id):
             submission = entry.accepted.submission
             progress = progress_by_id.pop(submission.submission_id, Progress())
@@ -147,6 +149,9 @@
                 scheduler.cancel(submission.submission_id, now)
         self._unmatched_progress_by_id = progress_by_id
         self.scheduler = scheduler
+        self._sender = OrderSender(
+            scheduler, self._client_by_worker, self._advisor, self._plan_needed.set
+        )
         for worker in earlier_workers:
             self._connect_worker(worker)
         self.update_workers(entry_by_worker)
@@ -251,28 +256,9 @@
         """Return the load summary that is published to other hosts."""
         if self.scheduler is None:
             return None
-        views = [
-            v for v in self.scheduler.worker_by_id.values() if v.can_start(now_s())
-        ]
-        fill_waiting = sum(
-            len(ready.waiting) * ready.step.demand.cpu_millis
-            for tracked in self.scheduler.submissions.live_by_id.values()
-            for ready in tracked.ready_by_step.values()
-            if ready.step.fills
-        )
-        free_by_worker = tuple(max(0, v.free().cpu_millis) for v in views)
-        return CellSummary(
-            service=views[0].entry.service if views else "",
-            data_centre=self.data_centre,
-            cpu_capacity=sum(v.entry.capacity.cpu_millis for v in views),
-            cpu_free=sum(free_by_worker),
-            cpu_waiting=self.scheduler.waiting_cpu(),
-            cpu_stuck=self.scheduler.stuck_cpu(now_s()),
-            filler_rooms=self.scheduler.filler_headrooms(),
-            fill_waiting=fill_waiting,
-            pending_by_queue=self.scheduler.submissions.n_pending_by_queue(),
-            free_by_worker=free_by_worker,
-        )
+        now = now_s()
+        self._operator.update(self.scheduler.evacuation, now)
+        return make_summary(self.scheduler, self.data_centre, now)
 
     # Workers
 
@@ -356,31 +342,7 @@
         """Log the load of the cell periodically."""
         while True:
             await asyncio.sleep(LOAD_LOG_PERIOD_S)
-            for view in self.scheduler.worker_by_id.values():
-                logger.info(
-                    "load: worker %s free %d of %d left %d, serving %d, filling %d, "
-                    "latency ratios %s",
-                    view.entry.worker_id,
-                    view.free().cpu_millis,
-                    view.entry.capacity.cpu_millis,
-                    view.cpu_left(),
-                    len(view.serving_runs()),
-                    len(view.filler_runs()),
-                    " ".join(f"{r.image}={r.ratio:.2f}" for r in view.readings()),
-                )
-            self._log_waiting()
-
-    def _log_waiting(self) -> None:
-        for ready in self.scheduler.submissions.ready_steps(now_s()):
-            task = ready.task(min(ready.waiting))
-            logger.info(
-                "waiting: %d tasks, the first is %s (filler %s, long-running %s): %s",
-                len(ready.waiting),
-                task,
-                ready.step.fills,
-                ready.step.is_long_running,
-                self.scheduler.explain_waiting(ready, now_s()),
-            )
+            log_load(self.scheduler, now_s())
 
     # Orders
 
@@ -394,80 +356,16 @@
                 pass
             self._plan_needed.clear()
             if self._is_ownership_confirmed() and not self.is_inactive:
+                self._operator.update(self.scheduler.evacuation, now_s())
                 self.scheduler.workers_listed_at = self._worker_list.read_confirmed_at()
                 self.scheduler.unguarded_services = self._worker_list.unguarded_services
                 for worker_order in self.scheduler.plan(now_s(), wall_ms()):
-                    self._spawn(self._send_order(worker_order))
+                    self._spawn(self._sender.send(worker_order))
                 for request in self.scheduler.advice.take_requests():
-                    self._spawn(self._request_advice(request))
+                    self._spawn(self._sender.request_advice(request))
                 if self.scheduler.crashes.awaits_record:
                     self._record_needed.set()
 
-    async def _request_advice(self, request: AdviceRequest) -> None:
-        """Ask the advice service which workers may run a step, and apply the answer."""
-        tracked = self.scheduler.submissions.by_id.get(request.step.submission_id)
-        if self._advisor is None or tracked is None:
-            logger.error(
-                "step %s: advice required but no advice service is configured",
-                request.step,
-            )
-            return
-        policy = tracked.submission.queue.advice
-        expected_s = policy.decide_s + policy.per_worker_s * len(request.worker_ids)
-        requested_at = now_s()
-        try:
-            tickets = await self._advisor.advise(request, expected_s)
-        except PlatformUnavailableError as error:
-            logger.warning("step %s: advice request failed: %s", request.step, error)
-            self.scheduler.advice.on_no_answer(request)
-            return
-        logger.info(
-            "advice: step %s may run on %d of %d workers, answered in %.2f s",
-            request.step,
-            len(tickets),
-            len(request.worker_ids),
-            now_s() - requested_at,
-        )
-        self.scheduler.advice.on_answer(request, tickets, requested_at + policy.valid_s)
-        self._plan_needed.set()
-
-    async def _send_order(self, worker_order: WorkerOrder) -> None:
-        client = self._client_by_worker.get(worker_order.worker_id)
-        order = worker_order.order
-        if client is None:
-            logger.warning(
-                "order dropped: no client for worker %s", worker_order.worker_id
-            )
-            return
-        if isinstance(order, StartOrder):
-            answer = await client.start(order)
-            if answer.result is not OrderResult.ACCEPTED:
-                self._log_refused_start(worker_order, answer.result)
-            self.scheduler.on_start_answer(
-                worker_order.worker_id, order, answer, now_s()
-            )
-        elif isinstance(order, StopOrder):
-            answer = await client.stop(order)
-            self.scheduler.on_stop_answer(
-                worker_order.worker_id, order, answer, now_s()
-            )
-        elif isinstance(order, PaceOrder):
-            answer = await client.pace(order)
-            self.scheduler.on_pace_answer(order, answer)
-        if answer.result is not OrderResult.ACCEPTED:
-            self._plan_needed.set()
-
-    def _log_refused_start(
-        self, worker_order: WorkerOrder, result: OrderResult
-    ) -> None:
-        logger.info(
-            "start refused: task %s run %d on %s: %s",
-            worker_order.order.task,
-            worker_order.order.run,
-            worker_order.worker_id,
-            result.value,
-        )
-
     # Moves and records
 
     async def _move_loop(self) -> None:
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -70,6 +70,7 @@
             knowledge.cells,
             connections.peers,
             self,
+            knowledge.operator,
         )
         knowledge.directory.listeners.append(self._on_submission)
         knowledge.workers.listeners.append(self._on_workers)
--- a/programs/beryl-host/src/berylcleat/host/_client_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_client_api.py
@@ -107,7 +107,9 @@
         cell_id = self._chooser.choose(submission)
         if cell_id is None:
             logger.info(
-                "submission %s: refused, no suitable cell is known", submission_id
+                "submission %s: refused, %s",
+                submission_id,
+                self._chooser.explain_refusal(),
             )
             return make_response(503)
         accepted = AcceptedRow(cell_id, int(wall_ms()), submission)
--- a/programs/beryl-host/src/berylcleat/host/_components.py
+++ b/programs/beryl-host/src/berylcleat/host/_components.py
@@ -1,6 +1,6 @@
 """Groups of a host's components that are handed on together."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from berylcleat.ports import Advisor, Store
 from berylcleat.scheduling import InterferenceModel
@@ -9,6 +9,7 @@
 from ._follower import TableFollower
 from ._membership import Membership
 from ._on_demand_follower import OnDemandFollower
+from ._operator_state import OperatorState
 from ._peers import PeerClient
 from ._submission_directory import SubmissionDirectory
 from ._submission_feeds import SubmissionFeeds
@@ -26,13 +27,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Knowledge:
-    """What this host knows of hosts, cells, workers, submissions and images."""
+    """What this host knows of hosts, cells, workers, submissions and images.
+
+    ``operator`` holds what the operator asks for.
+    """
 
     membership: Membership
     cells: CellDirectory
     workers: WorkerList
     directory: SubmissionDirectory
     interference: InterferenceModel
+    operator: OperatorState = field(default_factory=OperatorState)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/programs/beryl-host/src/berylcleat/host/_order_sender.py
@@ -0,0 +1,102 @@
+"""Send a cell's orders to its workers, and its questions to the advice service."""
+
+import logging
+from collections.abc import Callable, Mapping
+
+from berylcleat.model import PlatformUnavailableError
+from berylcleat.ports import (
+    AdviceRequest,
+    Advisor,
+    OrderResult,
+    PaceOrder,
+    StartOrder,
+    StopOrder,
+    WorkerPort,
+)
+from berylcleat.scheduling import CellScheduler, WorkerOrder
+
+from ._clock import now_s
+
+logger = logging.getLogger(__name__)
+
+
+class OrderSender:
+    """Sender of orders that passes the answers to the scheduler.
+
+    ``on_change`` is called when a new planning round is needed.
+    """
+
+    def __init__(
+        self,
+        scheduler: CellScheduler,
+        client_by_worker: Mapping[str, WorkerPort],
+        advisor: Advisor | None,
+        on_change: Callable[[], None],
+    ):
+        self._scheduler = scheduler
+        self._client_by_worker = client_by_worker
+        self._advisor = advisor
+        self._on_change = on_change
+
+    async def send(self, worker_order: WorkerOrder) -> None:
+        """Send one order and apply its answer."""
+        worker_id, order = worker_order.worker_id, worker_order.order
+        client = self._client_by_worker.get(worker_id)
+        if client is None:
+            logger.warning("order dropped: no client for worker %s", worker_id)
+            return
+        if isinstance(order, StartOrder):
+            answer = await client.start(
+                order, lambda: self._scheduler.may_send_start(order, now_s())
+            )
+            if answer.result is not OrderResult.ACCEPTED:
+                _log_refused_start(worker_order, answer.result)
+            self._scheduler.on_start_answer(worker_id, order, answer, now_s())
+        elif isinstance(order, StopOrder):
+            answer = await client.stop(order)
+            self._scheduler.on_stop_answer(worker_id, order, answer, now_s())
+        elif isinstance(order, PaceOrder):
+            answer = await client.pace(order)
+            self._scheduler.on_pace_answer(order, answer)
+        if answer.result is not OrderResult.ACCEPTED:
+            self._on_change()
+
+    async def request_advice(self, request: AdviceRequest) -> None:
+        """Ask the advice service which workers may run a step, and apply the answer."""
+        tracked = self._scheduler.submissions.by_id.get(request.step.submission_id)
+        if self._advisor is None or tracked is None:
+            logger.error(
+                "step %s: advice required but no advice service is configured",
+                request.step,
+            )
+            return
+        policy = tracked.submission.queue.advice
+        expected_s = policy.decide_s + policy.per_worker_s * len(request.worker_ids)
+        requested_at = now_s()
+        try:
+            tickets = await self._advisor.advise(request, expected_s)
+        except PlatformUnavailableError as error:
+            logger.warning("step %s: advice request failed: %s", request.step, error)
+            self._scheduler.advice.on_no_answer(request)
+            return
+        logger.info(
+            "advice: step %s may run on %d of %d workers, answered in %.2f s",
+            request.step,
+            len(tickets),
+            len(request.worker_ids),
+            now_s() - requested_at,
+        )
+        self._scheduler.advice.on_answer(
+            request, tickets, requested_at + policy.valid_s
+        )
+        self._on_change()
+
+
+def _log_refused_start(worker_order: WorkerOrder, result: OrderResult) -> None:
+    logger.info(
+        "start refused: task %s run %d on %s: %s",
+        worker_order.order.task,
+        worker_order.order.run,
+        worker_order.worker_id,
+        result.value,
+    )
--- a/programs/beryl-host/src/berylcleat/host/_peer_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_peer_api.py
@@ -8,9 +8,14 @@
 from berylcleat.ports import StoreRow
 
 from ._cell_ownership import CellOwnershipManager
+from ._clock import now_s
 from ._identity import HostIdentity
+from ._operator_relay import make_operator_reply
+from ._operator_state import OperatorState
 from ._peers import (
     ENDS_PATH,
+    OPERATOR_PATH,
+    OPERATOR_QUERY,
     STATE_PREFIX,
     TAKEOVER_PATH,
     UPDATE_PATH,
@@ -33,7 +38,9 @@
         identity: HostIdentity,
         directory: SubmissionDirectory,
         ownership: CellOwnershipManager,
+        operator: OperatorState,
     ):
+        self._operator = operator
         self._identity = identity
         self._directory = directory
         self._ownership = ownership
@@ -55,8 +62,19 @@
             return self._on_moved_task_ends(request.body)
         if request.target == TAKEOVER_PATH:
             return await self._on_takeover(request.body)
+        if request.target.startswith(OPERATOR_PATH + OPERATOR_QUERY):
+            version = request.target.removeprefix(OPERATOR_PATH + OPERATOR_QUERY)
+            return self._reply_operator_state(version)
         return HttpResponse(404)
 
+    def _reply_operator_state(self, config_version: str) -> HttpResponse:
+        if not (config_version.isascii() and config_version.isdigit()):
+            return HttpResponse(400)
+        reply = make_operator_reply(self._operator, int(config_version), now_s())
+        if reply is None:
+            return HttpResponse(404)
+        return HttpResponse(200, (), msgspec.json.encode(reply))
+
     def _reply_state(self, submission_id: str) -> HttpResponse:
         entry = self._directory.by_id.get(submission_id)
         state = None
--- a/programs/beryl-host/src/berylcleat/host/_peers.py
+++ b/programs/beryl-host/src/berylcleat/host/_peers.py
@@ -1,10 +1,12 @@
 """Messages between hosts.
 
-State queries, submission updates, ends of moved tasks and takeover notices.
+State queries, submission updates, ends of moved tasks, takeover notices and what the
+operator asks for.
 """
 
 import asyncio
 import logging
+from typing import Annotated
 
 import msgspec
 
@@ -19,6 +21,9 @@
 UPDATE_PATH = "/news"
 TAKEOVER_PATH = "/handover"
 ENDS_PATH = "/ends"
+OPERATOR_PATH = "/operator-state"
+# Names the version of the configuration that the requester has.
+OPERATOR_QUERY = "?config="
 logger = logging.getLogger(__name__)
 
 
@@ -57,12 +62,26 @@
     host_id: str = ""
 
 
+class OperatorReply(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What a host knows of the operator's requests, and a newer configuration.
+
+    ``age_ms`` is the age of its newest read, ``version`` the store's version there.
+    ``config`` is empty unless it is newer than the requester's.
+    """
+
+    age_ms: Annotated[float, msgspec.Meta(ge=0)]
+    version: Annotated[int, msgspec.Meta(ge=0)]
+    evacuated: tuple[str, ...] = ()
+    config: bytes = b""
+
+
 class PeerClient:
     """Client for requests to other hosts."""
 
     def __init__(self):
         self._client_by_address: dict[str, HttpClient] = {}
         self._decoder = msgspec.json.Decoder(StateReply)
+        self._operator_decoder = msgspec.json.Decoder(OperatorReply)
         self._background_tasks: set[asyncio.Task] = set()
 
     async def fetch_state(
@@ -99,6 +118,20 @@
         response = await self._request(address, "POST", TAKEOVER_PATH, body)
         return response is not None and response.status == 200
 
+    async def fetch_operator_state(
+        self, address: str, config_version: int
+    ) -> OperatorReply | None:
+        """Return what the host at ``address`` knows, or None without a valid answer."""
+        target = f"{OPERATOR_PATH}{OPERATOR_QUERY}{config_version}"
+        response = await self._request(address, "GET", target)
+        if response is None or response.status != 200:
+            return None
+        try:
+            return self._operator_decoder.decode(response.body)
+        except msgspec.MsgspecError as error:
+            logger.error("operator state of peer %s is malformed: %s", address, error)
+            return None
+
     async def _request(
         self, address: str, method: str, target: str, body: bytes = b""
     ) -> HttpResponse | None:
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -24,12 +24,14 @@
 from ._client_api import ClientApi
 from ._clock import now_s
 from ._components import Connections, Knowledge, OwnerFeeds
+from ._evacuation_metrics import EvacuationMetrics
 from ._follower import Follower, TableFollower
 from ._identity import HostIdentity
 from ._live_owners import LiveOwners
 from ._membership import Coverage, Membership
 from ._on_demand_follower import OnDemandFollower
 from ._operator_follower import OperatorFollower
+from ._operator_relay import OperatorRelay
 from ._operator_state import OperatorState
 from ._pair_exchange import PairExchange
 from ._peer_api import PeerApi
@@ -105,6 +107,7 @@
                 self.workers,
                 self.directory,
                 self.interference,
+                self.operator,
             ),
             OwnerFeeds(self.cell_follower, self.worker_follower, self.feeds),
             LeaseTimes(worker_lease_s=settings.worker_lease_s),
@@ -119,7 +122,20 @@
                 self.pairs,
             ),
         )
-        self.peer_api = PeerApi(self.identity, self.directory, self.ownership)
+        self.peer_api = PeerApi(
+            self.identity, self.directory, self.ownership, self.operator
+        )
+        self.relay = OperatorRelay(
+            self.identity,
+            self.operator,
+            self.operator_follower,
+            lambda: self.membership.live_hosts(self._local_coverage()),
+            self.cells,
+            peers,
+        )
+        self.evacuation_metrics = EvacuationMetrics(
+            self.operator, self.workers, self.ownership.controller_by_cell
+        )
         self.client_api = ClientApi(
             self.store,
             SubmissionStore(self.store),
@@ -127,7 +143,11 @@
             self.cells,
             self.ownership,
             CellChooser(
-                settings.data_centre, self.cells, self.ownership, self.interference
+                settings.data_centre,
+                self.cells,
+                self.ownership,
+                self.interference,
+                self.operator,
             ),
             peers,
         )
@@ -207,6 +227,8 @@
             self.reconcile_cells(),
             self._log_store_traffic(),
         ]
+        if self.operator.has_evacuations:
+            coroutines += [self.relay.run(), self.evacuation_metrics.run()]
         loop = asyncio.get_running_loop()
         return [loop.create_task(coroutine) for coroutine in coroutines]
 
--- a/programs/beryl-host/src/berylcleat/host/_task_mover.py
+++ b/programs/beryl-host/src/berylcleat/host/_task_mover.py
@@ -10,6 +10,8 @@
 
 from ._cell_directory import CellDirectory
 from ._clock import now_s
+from ._evacuation_metrics import count_moved_tasks
+from ._operator_state import OperatorState
 from ._peers import MovedTaskEnds, PeerClient, SubmissionUpdate
 from ._records import CELL_TABLE, headroom_from_summary
 from ._submission_directory import SubmissionDirectory, SubmissionEntry
@@ -33,7 +35,9 @@
         cells: CellDirectory,
         peers: PeerClient,
         ownership: "CellOwnershipManager",
+        operator: OperatorState,
     ):
+        self._operator = operator
         self._store = store
         self._directory = directory
         self._cells = cells
@@ -41,12 +45,17 @@
         self._ownership = ownership
 
     def headrooms(self, own_cell_id: str) -> tuple[CellHeadroom, ...]:
-        """Return the headroom that owners of other cells published last."""
+        """Return the headroom that owners of other cells published last.
+
+        Cells of evacuated data centres have none.
+        """
         summaries = self._cells.summaries()
         summaries.update(self._ownership.summaries())
         summaries.pop(own_cell_id, None)
         return tuple(
-            headroom_from_summary(cell_id, item) for cell_id, item in summaries.items()
+            headroom_from_summary(cell_id, item)
+            for cell_id, item in summaries.items()
+            if item.data_centre not in self._operator.evacuated
         )
 
     async def move(self, controller: "CellController", proposal: MoveProposal) -> None:
@@ -71,12 +80,17 @@
                 await asyncio.sleep(MOVE_RETRY_S)
             else:
                 if outcome.applied:
+                    self._count_evacuated(controller.data_centre, proposal)
                     self._on_move_committed(proposal, entry, move.row(outcome.version))
                 else:
                     self._on_move_conflict(proposal, outcome.current)
                 controller.scheduler.on_move_settled(proposal, now_s())
                 return
 
+    def _count_evacuated(self, data_centre: str, proposal: MoveProposal) -> None:
+        if data_centre in self._operator.evacuated:
+            count_moved_tasks(data_centre, len(proposal.move_by_task))
+
     def _on_move_committed(
         self, proposal: MoveProposal, entry: SubmissionEntry, row: StoreRow
     ) -> None:
