Test an evacuation with real host processes

Cause: the features in memory don't show that a request reaches the starts.

HostGroup gains data centres and further settings, the stand-in platform removals of rows and the starts by worker; what the other scenarios start and read is unchanged.

--- a/programs/beryl-host/features/steps/host_group.py
+++ b/programs/beryl-host/features/steps/host_group.py
@@ -18,6 +18,9 @@
 class HostGroup:
     """Processes of one scenario."""
 
+    # Settings of the hosts besides their id, data centre and addresses.
+    host_settings: dict = {}
+
     def __init__(self, n_hosts: int, n_workers: int, *, n_racks: int = 1):
         self.folder = Path(tempfile.mkdtemp(prefix="beryl-host-"))
         ports = find_free_ports(2 + n_workers + 4 * n_hosts)
@@ -37,6 +40,10 @@
     def _prepare(self) -> None:
         """Hook for subclasses to change addresses before any process starts."""
 
+    def _data_centre(self, number: int) -> str:
+        """Return the data centre of the host, and of the worker, with this number."""
+        return "dc-1"
+
     def _start_platform(self) -> subprocess.Popen:
         settings = {
             "store_address": self.store,
@@ -46,7 +53,7 @@
                 {
                     "worker_id": f"w{n}",
                     "address": address,
-                    "data_centre": "dc-1",
+                    "data_centre": self._data_centre(n),
                     "rack": f"r{1 + n % self.n_racks}",
                     "listed_address": self.listed_by_worker[n],
                 }
@@ -61,12 +68,13 @@
         front, ready, peer, metrics = self.hosts[number]
         settings = {
             "host_id": f"host-{number}",
-            "data_centre": "dc-1",
+            "data_centre": self._data_centre(number),
             "front_address": front,
             "ready_address": ready,
             "peer_address": peer,
             "metrics_address": metrics,
             "store_address": self.store_by_host[number],
+            **self.host_settings,
         }
         return self._spawn(f"host-{number}", ["-m", "berylcleat.host"], settings)
 
--- a/standins/src/berylcleat/standins/_row_store.py
+++ b/standins/src/berylcleat/standins/_row_store.py
@@ -52,6 +52,10 @@
         put = {"table": table, "part": "", "key": key, "value": text}
         self.transact({"puts": [put]})
 
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row of the unnamed part without conditions."""
+        self.transact({"remove": [{"table": table, "part": "", "key": key}]})
+
     def read(
         self, table: str, part: str, first: str, end: str, limit: int = 500
     ) -> dict[str, Any]:
--- a/standins/src/berylcleat/standins/_task_platform.py
+++ b/standins/src/berylcleat/standins/_task_platform.py
@@ -81,6 +81,7 @@
     """
 
     n_starts: int = 0
+    n_starts_by_worker: dict[str, int] = field(default_factory=dict)
     workers_by_task: dict[TaskKey, list[str]] = field(default_factory=dict)
     started_ids: set[str] = field(default_factory=set)
     n_done_by_task: dict[TaskKey, int] = field(default_factory=dict)
@@ -93,6 +94,8 @@
     def on_start(self, task: TaskKey, run: int, worker_id: str, now: float) -> None:
         """Record the start of a run and report an overlap with an earlier run."""
         self.n_starts += 1
+        n_starts = self.n_starts_by_worker.get(worker_id, 0)
+        self.n_starts_by_worker[worker_id] = n_starts + 1
         self.started_ids.add(task.submission_id)
         running_on = self.workers_by_task.setdefault(task, [])
         if running_on:
@@ -300,13 +303,14 @@
     async def handle_control_request(self, request: HttpRequest) -> HttpResponse:
         """Execute a test's control request.
 
-        It reads the run record, sets the outage mode, drains a worker, writes a row, or
-        drops the store's change history.
+        It reads the run record, sets the outage mode, drains a worker, writes a row,
+        removes one, or drops the store's change history.
         """
         if request.target == "/ledger":
             return _json_response(
                 {
                     "n_starts": self.run_recorder.n_starts,
+                    "n_starts_by_worker": self.run_recorder.n_starts_by_worker,
                     "n_done": sum(self.run_recorder.n_done_by_task.values()),
                     "overlaps": self.run_recorder.overlaps,
                     "started_ids": sorted(self.run_recorder.started_ids),
@@ -322,6 +326,8 @@
             self.publish_worker(self.settings_by_worker[body["worker"]], "draining")
         elif request.target == "/write":
             self.store.write(body["table"], body["key"], body["value"].encode())
+        elif request.target == "/remove":
+            self.store.remove(body["table"], body["key"])
         elif request.target == "/forget":
             self.store.forget_history()
         return _json_response({})
