Check in histories that no task starts after the deadline

Cause: nothing showed that owners which learn late, are paused, have just taken over or send late start nothing in an evacuated data centre.

--- a/libs/scheduling/features/evacuation.feature
+++ b/libs/scheduling/features/evacuation.feature
@@ -8,7 +8,7 @@
 
   Scenario Outline: Nothing starts in an evacuated cell: <kind>
     When the requests are read: evacuated
-    And <kind> is submitted
+    And a client submits <kind>
     And 3 seconds pass with reads: evacuated
     Then nothing has started
     And the wait is explained by "data centre dc is evacuated"
@@ -25,14 +25,14 @@
 
   Scenario: A deployment without evacuations needs no reads
     Given evacuations with a deadline of 0 s and an outage allowance of 6 s
-    When an ordinary task is submitted
+    When a client submits an ordinary task
     And a planning round is run
     Then it has started
     And the capacity share is 1.00
 
   # Guards against a start by a new owner that doesn't know of the evacuation yet.
   Scenario: Takeover during an evacuation
-    When an ordinary task is submitted
+    When a client submits an ordinary task
     And a planning round is run
     Then nothing has started
     And the wait is explained by "evacuation requests not read yet"
@@ -45,7 +45,7 @@
   Scenario: Withdrawal during a takeover
     When the requests are read: not evacuated
     And a read sent 0.5 s ago arrives: evacuated
-    And an ordinary task is submitted
+    And a client submits an ordinary task
     And a planning round is run
     Then it has started
 
@@ -53,11 +53,11 @@
   Scenario: An owner that can't read starts tasks until the allowance is used up
     When the requests are read: not evacuated
     And 9.8 seconds pass without reads
-    And an ordinary task is submitted
+    And a client submits an ordinary task
     And a planning round is run
     Then it has started
     When 0.4 seconds pass without reads
-    And another ordinary task is submitted
+    And a client submits another ordinary task
     And a planning round is run
     Then only the first has started
     And the wait is explained by "evacuation requests not read for too long"
@@ -68,7 +68,7 @@
     When the requests are read: not evacuated
     And a planning round is run
     And the owner is suspended for 4 s
-    And an ordinary task is submitted
+    And a client submits an ordinary task
     And a planning round is run
     Then nothing has started
     And the wait is explained by "evacuation requests not read since a pause"
@@ -82,7 +82,7 @@
   # Guards against a start that was decided before a pause and is sent right after it.
   Scenario: Owner paused between the decision and the sending of a start
     When the requests are read: not evacuated
-    And an ordinary task is submitted
+    And a client submits an ordinary task
     And a planning round is run
     And the owner is suspended for 4 s
     Then the start may not be sent
@@ -95,17 +95,44 @@
   # against the loss of its task.
   Scenario: Evacuation between the decision and the sending of a start
     When the requests are read: not evacuated
-    And an ordinary task is submitted
+    And a client submits an ordinary task
     And a planning round is run
     And the requests are read: evacuated
     Then the start may not be sent
     And no run is left
     And a move of 1 tasks to the other cell is proposed at once
 
+  # Guards against TWICE: a restarted worker has forgotten the epoch of a new owner, which
+  # may have started the task elsewhere, and accepts a late order of an earlier one.
+  Scenario Outline: <event> between the decision and the sending of a start
+    When the requests are read: not evacuated
+    And a client submits an ordinary task
+    And a planning round is run
+    And <event>
+    Then the start may not be sent
+    And no run is left
+
+    Examples:
+      | event                                       |
+      | the worker restarts and reports             |
+      | the hold on the worker fails                |
+      | another worker has seen a higher epoch      |
+
+  # Guards against a crash counted for a run that never started: the next owner counts
+  # each recorded one.
+  Scenario: A suspect of a crash that may not start isn't recorded as crashed
+    When the requests are read: not evacuated
+    And a suspect of a crash waits
+    And a planning round is run
+    Then 2 crashes of it are recorded
+    When the requests are read: evacuated
+    And a planning round is run
+    Then 1 crashes of it are recorded
+
   # Guards against a member that waits for ever for one whose start was withheld.
   Scenario: Evacuation between the decision and the sending of a gang's starts
     When the requests are read: not evacuated
-    And a gang is submitted
+    And a client submits a gang
     And a planning round is run
     And the requests are read: evacuated
     Then no start may be sent
@@ -115,7 +142,7 @@
   # Guards against TWICE: the first try of a repeated start may have arrived.
   Scenario: Evacuation before a start is repeated
     When the requests are read: not evacuated
-    And an ordinary task is submitted
+    And a client submits an ordinary task
     And a planning round is run
     Then the start may be sent
     When the requests are read: evacuated
@@ -126,7 +153,7 @@
   # Guards against a stop of a task that may continue, and against a second run of it.
   Scenario: Evacuation acknowledged while a start is on its way
     When the requests are read: not evacuated
-    And an ordinary task is submitted
+    And a client submits an ordinary task
     And a planning round is run
     Then the start may be sent
     When the requests are read: evacuated
--- a/libs/scheduling/features/histories.feature
+++ b/libs/scheduling/features/histories.feature
@@ -49,6 +49,25 @@
       | 1       |
       | 2       |
 
+  # Guards against a start after the deadline: by an owner that learns late, was paused or
+  # has just taken over, or that sends late what it decided before the request.
+  Scenario: No task starts in an evacuated data centre after the deadline
+    When 5 histories of 40 seconds with 3 cells and evacuations are simulated from seed 1
+    Then no start was sent after the deadline, and no task relocated beyond its bound
+    And no task ran twice, before its dependencies, or beyond its attempts
+    And no end was acknowledged before it was recorded
+    And every submission has ended in every history
+
+  # Guards against a check that finds nothing.
+  Scenario Outline: Histories with evacuations show a late start without <mechanism>
+    When histories with evacuations are simulated without the <mechanism> until one is late
+    Then a violation was found
+
+    Examples:
+      | mechanism            |
+      | evacuation           |
+      | check before sending |
+
   Scenario Outline: An invariant is violated without <mechanism>
     When histories are simulated without "<mechanism>" until an invariant is violated
     Then a violation was found
--- a/libs/scheduling/features/steps/cell_simulation.py
+++ b/libs/scheduling/features/steps/cell_simulation.py
@@ -33,6 +33,7 @@
     MoveProposal,
     Progress,
     TaskMove,
+    WorkerOrder,
     decode_progress,
 )
 from berylcleat.standins import TaskWorker
@@ -191,6 +192,7 @@
         self.confirmed_at = sim.now
         self.is_dead = False
         self.is_partitioned = False
+        self.paused_until = 0.0
         self.unreachable: set[str] = set()
         self.cell = sim.make_cell(sim_cell, settled_at, workers)
         self.next_hold_at: dict[str, float] = {}
@@ -198,10 +200,20 @@
         self.answered_incarnation: dict[str, int] = {}
         self.delayed_submissions: set[str] = set()
 
+    @property
+    def is_paused(self) -> bool:
+        """Return whether the host is suspended."""
+        return self.sim.now < self.paused_until
+
+    @property
+    def is_out_of_touch(self) -> bool:
+        """Return whether the host neither reads the store nor answers other hosts."""
+        return self.is_dead or self.is_partitioned or self.is_paused
+
     def step(self) -> None:
         """Record progress, renew leases and send orders unless dead or fenced."""
         now = self.sim.now
-        if self.is_dead or self.cell.is_fenced_out:
+        if self.is_dead or self.is_paused or self.cell.is_fenced_out:
             return
         if not self.is_partitioned:
             self.confirmed_at = now
@@ -224,9 +236,7 @@
                 self.next_hold_at[worker_id] = now + HOLD_PERIOD_S
                 self._hold(worker_id)
         for item in self.cell.plan(now, 0.0):
-            if isinstance(item.order, StartOrder) and not self.is_partitioned:
-                self.sim.checker.on_start_order(item.order.task, now)
-            self.sim.send(self, item.worker_id, item.order)
+            self.sim.dispatch(self, item)
 
     def _hold(self, worker_id: str) -> None:
         view = self.cell.worker_by_id[worker_id]
@@ -262,7 +272,7 @@
 
     def _propose_moves(self) -> None:
         """Propose moves of stuck tasks; a partition delays their commit."""
-        other_headrooms = self.sim.other_headrooms(self.sim_cell)
+        other_headrooms = self.sim.other_headrooms(self)
         for proposal in self.cell.propose_moves(other_headrooms, self.sim.now):
             self.sim.commit_move(self, proposal)
 
@@ -270,7 +280,7 @@
         """Report ends of moved tasks to their home cells."""
         for submission_id, ends in self.cell.unconfirmed_moved_task_ends().items():
             home = self.sim.cell_by_id[self.sim.home_by_id[submission_id]].owner
-            if home.is_dead or home.is_partitioned:
+            if home.is_out_of_touch:
                 continue
             if home.cell.on_moved_task_ends(submission_id, ends, self.sim.now):
                 self.cell.on_moved_task_ends_confirmed(
@@ -283,7 +293,7 @@
             for end in ends:
                 cell_id = self.sim.cell_of(end.task)
                 owner = self.sim.cell_by_id[cell_id].owner
-                if owner is self or owner.is_dead or owner.is_partitioned:
+                if owner is self or owner.is_out_of_touch:
                     continue
                 if end.end is not RunEnd.DONE:
                     self.cell.on_stray_ends_settled([end])
@@ -296,7 +306,7 @@
         """Add a submission and its moves, or delay both during a partition."""
         if self.is_dead or self.cell.is_fenced_out:
             return
-        if self.is_partitioned:
+        if self.is_partitioned or self.is_paused:
             self.delayed_submissions.add(submission_id)
             return
         self.sim.add_submission_to(
@@ -310,6 +320,12 @@
         now = self.sim.now
         if self.is_dead or worker_id not in self.cell.worker_by_id:
             return
+        if self.is_paused:
+            self.sim.schedule_event(
+                self.paused_until,
+                lambda: self.receive_answer(worker_id, order, answer, sent_at),
+            )
+            return
         if isinstance(order, StartOrder):
             self.cell.on_start_answer(worker_id, order, answer, now)
         elif isinstance(order, StopOrder):
@@ -439,12 +455,12 @@
             wait_s = 0.0
         sim_cell.owners.append(SimOwner(self, sim_cell, self.now + wait_s, workers))
 
-    def other_headrooms(self, own: SimCell) -> tuple[CellHeadroom, ...]:
-        """Return the headroom of all cells but ``own``."""
+    def other_headrooms(self, owner: SimOwner) -> tuple[CellHeadroom, ...]:
+        """Return the headroom of all cells but that of ``owner``."""
         return tuple(
             CellHeadroom(sim_cell.cell_id, "svc", self._free_cpu(sim_cell), (), 0)
             for sim_cell in self.cell_by_id.values()
-            if sim_cell is not own
+            if sim_cell is not owner.sim_cell
         )
 
     def _free_cpu(self, sim_cell: SimCell) -> int:
@@ -460,8 +476,8 @@
         delay_s = self.rng.choice((0.01, 0.02, 0.05, 3.0))
 
         def commit() -> None:
-            if owner.is_partitioned and not owner.is_dead:
-                self._schedule_event(self.now + MOVE_RETRY_S, commit)
+            if owner.is_out_of_touch and not owner.is_dead:
+                self.schedule_event(self.now + MOVE_RETRY_S, commit)
                 return
             current = self.moves_by_id.get(proposal.submission_id, {})
             is_owner = owner.sim_cell.epoch == owner.epoch or (
@@ -477,12 +493,12 @@
             self._notify_move_settled(owner, proposal)
             self._notify_owners(proposal.submission_id)
 
-        self._schedule_event(self.now + delay_s, commit)
+        self.schedule_event(self.now + delay_s, commit)
 
     def _notify_move_settled(self, owner: SimOwner, proposal: MoveProposal) -> None:
         """Report a move's outcome to its owner, after a partition if there is one."""
-        if owner.is_partitioned:
-            self._schedule_event(
+        if owner.is_partitioned or owner.is_paused:
+            self.schedule_event(
                 self.now + 0.5, lambda: self._notify_move_settled(owner, proposal)
             )
             return
@@ -495,7 +511,7 @@
             for owner in sim_cell.owners:
                 if not owner.is_dead:
                     delay_s = self.rng.uniform(0.0, 0.5)
-                    self._schedule_event(
+                    self.schedule_event(
                         self.now + delay_s,
                         lambda owner=owner: owner.receive_submission(submission_id),
                     )
@@ -514,6 +530,12 @@
             self.checker.crashing_tasks.add(TaskKey(submission_id, 0, 0, 0))
         self._notify_owners(submission_id)
 
+    def dispatch(self, owner: SimOwner, item: WorkerOrder) -> None:
+        """Send an order of a planning round."""
+        if isinstance(item.order, StartOrder) and not owner.is_partitioned:
+            self.checker.on_start_order(item.order.task, self.now)
+        self.send(owner, item.worker_id, item.order)
+
     def send(self, owner: SimOwner, worker_id: str, order) -> None:
         """Send an order that may be delayed or lost, or whose answer may be lost."""
         fault_draw = self.rng.random()
@@ -529,7 +551,7 @@
             return
         sent_at = self.now
         incarnation_ms = self.workers[worker_id].started_at_ms
-        self._schedule_event(
+        self.schedule_event(
             self.now + delay_s,
             lambda: self._exchange(owner, worker_id, order, sent_at, incarnation_ms),
         )
@@ -545,7 +567,7 @@
                 if isinstance(order, StartOrder):
                     self._crash_after(worker_id, order)
 
-        self._schedule_event(self.now + delay_s, execute_order)
+        self.schedule_event(self.now + delay_s, execute_order)
 
     def _exchange(self, owner, worker_id: str, order, sent_at, incarnation_ms) -> None:
         return_delay_s = self.rng.uniform(0.001, 0.06)
@@ -575,7 +597,7 @@
         self, delay_s, owner, worker_id, order, answer, sent_at=0.0
     ) -> None:
         answer = answer or OrderAnswer(OrderResult.NO_ANSWER)
-        self._schedule_event(
+        self.schedule_event(
             self.now + delay_s,
             lambda: owner.receive_answer(worker_id, order, answer, sent_at),
         )
@@ -593,7 +615,8 @@
         fails = self.rng.random() < (0.6 if fails_often else 0.1)
         return self.rng.uniform(0.2, 4.0), RunEnd.FAILED if fails else RunEnd.DONE
 
-    def _schedule_event(self, at: float, action) -> None:
+    def schedule_event(self, at: float, action) -> None:
+        """Call ``action`` at a time."""
         self.n_events += 1
         heapq.heappush(self.queue, (at, self.n_events, action))
 
@@ -642,12 +665,12 @@
         worker.crash(self.now)
         for owner in sim_cell.owners:
             if worker_id not in owner.unreachable:
-                self._schedule_event(
+                self.schedule_event(
                     self.now + self.fault_rng.uniform(0.0, 0.06),
                     lambda owner=owner: owner.cell.on_hold_failed(worker_id, self.now),
                 )
         entry = replace(worker.entry, started_at_ms=worker.started_at_ms)
-        self._schedule_event(
+        self.schedule_event(
             self.now + self.fault_rng.uniform(0.0, 1.0),
             lambda: self._list_worker(sim_cell, entry),
         )
@@ -658,8 +681,8 @@
         if entry.started_at_ms > worker.entry.started_at_ms:
             worker.entry = entry
         owner = sim_cell.owner
-        if owner.is_dead or owner.is_partitioned:
-            self._schedule_event(
+        if owner.is_out_of_touch:
+            self.schedule_event(
                 self.now + 0.5, lambda: self._list_worker(sim_cell, entry)
             )
             return
--- a/libs/scheduling/features/steps/evacuation_steps.py
+++ b/libs/scheduling/features/steps/evacuation_steps.py
@@ -7,11 +7,13 @@
 from berylcleat.scheduling import (
     CellEvacuation,
     CellHeadroom,
+    CrashEvidence,
     EvacuationRules,
     FillerHeadroom,
     Progress,
     RunPhase,
     TaskMove,
+    decode_progress,
 )
 
 SUBMISSION_ID = "a" * 16
@@ -133,7 +135,7 @@
         view.clock.answered_at = context.scripted_cell.now
 
 
-@when("{kind} is submitted")
+@when("a client submits {kind}")
 def step_submit(context, kind):
     if kind == "a forced filler":
         add_serving_tasks(context)
@@ -164,6 +166,43 @@
     )
 
 
+@when("a suspect of a crash waits")
+def step_suspect(context):
+    add_submission(context.scripted_cell, SUBMISSION_ID, ORDINARY)
+    tracked = context.scripted_cell.cell.submissions.by_id[SUBMISSION_ID]
+    task = TaskKey(SUBMISSION_ID, 0, 0, 0)
+    tracked.add_crash(task, 1, CrashEvidence.POSSIBLE)
+    tracked.raise_run_floor(task, 1)
+
+
+@then("{n:d} crashes of it are recorded")
+def step_crashes(context, n):
+    (write,) = context.scripted_cell.cell.take_batch().writes
+    progress = decode_progress(write.submission_id, write.value)
+    found = progress.crashed_runs_by_task[TaskKey(SUBMISSION_ID, 0, 0, 0)]
+    assert len(found) == n, found
+
+
+@when("the worker restarts and reports")
+def step_restart(context):
+    scripted_cell = context.scripted_cell
+    (item,) = scripted_cell.starts
+    scripted_cell.started_at_ms[item.worker_id] += 1000
+    scripted_cell.step()
+
+
+@when("the hold on the worker fails")
+def step_hold_fails(context):
+    scripted_cell = context.scripted_cell
+    (item,) = scripted_cell.starts
+    scripted_cell.cell.on_hold_failed(item.worker_id, scripted_cell.now)
+
+
+@when("another worker has seen a higher epoch")
+def step_fenced(context):
+    context.scripted_cell.cell.on_fenced("w1")
+
+
 @when("the worker accepts the start")
 def step_accept(context):
     scripted_cell = context.scripted_cell
--- a/libs/scheduling/features/steps/history_steps.py
+++ b/libs/scheduling/features/steps/history_steps.py
@@ -1,7 +1,11 @@
 from behave import then, when
 from cell_simulation import Simulation
+from evacuation_simulation import EvacuationSimulation
 
 SEED_LIMIT = 120
+# Seconds without faults at the end of a history with evacuations, of which the tasks
+# that wait for the withdrawal use up some.
+CALM_AFTER_EVACUATIONS_S = 80.0
 
 
 def simulate(
@@ -45,6 +49,49 @@
     assert any(sim.checker.crashing_tasks for sim in context.sims.values())
 
 
+@when(
+    "{n:d} histories of {length:d} seconds with {n_cells:d} cells and evacuations are "
+    "simulated from seed {seed:d}"
+)
+def step_simulate_evacuations(context, n, length, n_cells, seed):
+    context.sims = {}
+    for random_state in range(seed, seed + n):
+        sim = EvacuationSimulation(random_state, n_cells=n_cells)
+        sim.simulate(length, CALM_AFTER_EVACUATIONS_S)
+        context.sims[random_state] = sim
+    for name in ("n_evacuations", "n_starts_in_evacuated", "n_withheld", "n_relocated"):
+        assert sum(getattr(sim, name) for sim in context.sims.values()) > 0, name
+
+
+@then("no start was sent after the deadline, and no task relocated beyond its bound")
+def step_no_late_start(context):
+    found = [
+        (seed, text)
+        for seed, sim in context.sims.items()
+        for text in sim.checker.violations
+        if is_evacuation_violation(text)
+    ]
+    assert not found, found[:3]
+
+
+def is_evacuation_violation(text):
+    return "after the request" in text or "is relocated" in text
+
+
+@when(
+    "histories with evacuations are simulated without the {mechanism} until one is late"
+)
+def step_simulate_late(context, mechanism):
+    context.violation = None
+    for seed in range(1, SEED_LIMIT):
+        sim = EvacuationSimulation(seed, mechanism, n_cells=3)
+        sim.simulate(40, 0.0)
+        late = [text for text in sim.checker.violations if "after the request" in text]
+        if late:
+            context.violation = late[0]
+            return
+
+
 @then("no task ran twice, before its dependencies, or beyond its attempts")
 def step_no_violation(context):
     violations = {
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -255,6 +255,8 @@
             for ready in self.submissions.ready_steps(now):
                 self._start_waiting(ready, now)
             self._force_starving_fillers(now)
+        else:
+            self._drop_presumptions(now)
         orders, self._orders = self._orders, []
         return orders
 
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -83,8 +83,7 @@
         run = self.run_by_task.get(order.task)
         if run is None or run.number != order.run:
             return False
-        is_wanted = run.may_be_sent or run.phase is not RunPhase.STOPPING
-        if is_wanted and not self._is_paused(now) and self._may_start(now):
+        if self._may_still_start(run, now):
             run.may_be_sent = True
             return True
         if not run.may_be_sent:
@@ -94,10 +93,25 @@
             self._mark_unconfirmed(run, now)
         return False
 
+    def _may_still_start(self, run: Run, now: float) -> bool:
+        """Return whether the reasons for a start's decision hold when it is sent.
+
+        A worker that has restarted accepts orders of earlier owners, so a late one
+        could start a task that a new owner has started elsewhere.
+        """
+        if self._is_paused(now) or not self._may_start(now) or self.is_fenced_out:
+            return False
+        view = self.worker_by_id.get(run.worker_id)
+        if view is None or view.hold_failed_at is not None:
+            return False
+        if view.incarnation_ms != run.incarnation_ms:
+            return False
+        return run.may_be_sent or run.phase is not RunPhase.STOPPING
+
     def _mark_unconfirmed(self, run: Run, now: float) -> None:
         """Take note that a worker may or may not run an order that it got."""
-        view = self.worker_by_id[run.worker_id]
-        if not view.incarnation_ms:
+        view = self.worker_by_id.get(run.worker_id)
+        if view is not None and not view.incarnation_ms:
             view.clock.assume_longest_lease(now, self.times.max_lease_s)
         run.phase = RunPhase.UNCONFIRMED
         run.phase_since = now
@@ -185,6 +199,16 @@
             return True
         return self.crashes.ensure_start_recorded(tracked, task, number, now)
 
+    def _drop_presumptions(self, now: float) -> None:
+        """Take back the presumed runs of waiting tasks while nothing may start.
+
+        The next owner would count a run that never started as a possible crash.
+        """
+        for ready in self.submissions.ready_steps(now):
+            if ready.tracked.presumed_run_by_task:
+                for index in ready.waiting:
+                    ready.tracked.drop_presumption(ready.task(index))
+
     def _may_have_crashed_before(self, task: TaskKey) -> bool:
         """Return whether a task may have crashed a worker of an earlier owner."""
         if task.submission_id not in self._inherited_submissions:
@@ -346,6 +370,7 @@
             now,
             now,
             checkpoint=tracked.checkpoint_of(task),
+            incarnation_ms=view.incarnation_ms,
         )
         self._add_run(tracked, run)
         view.last_start_at = now
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -63,6 +63,8 @@
     # Whether an earlier owner started it; then ``started_at`` is when it was found.
     is_adopted: bool = False
     was_accepted: bool = False
+    # Incarnation of its worker when its start was decided, 0 if unknown.
+    incarnation_ms: int = 0
     # Whether its start was cleared for sending, so that a worker may run it.
     may_be_sent: bool = False
     was_reported: bool = False
