Prefer workers that run tasks fast and well, behind a switch

Cause: only the free capacity of a worker was known. A worker was avoided for 4 s after three failures in a row and then got any number of tasks at once; a slow worker wasn't recognized at all.

Change: with the setting uneven_workers, which the contract health switches on, an owner compares runs with their siblings on other workers and chooses slow workers last; it puts workers that fail tasks which run well elsewhere, or that keep going down, on probation with exponential backoff; a task that has failed is first tried elsewhere. The published load counts the effective capacity. Without the setting, choices are as before.

--- a/libs/scheduling/src/berylcleat/scheduling/__init__.py
+++ b/libs/scheduling/src/berylcleat/scheduling/__init__.py
@@ -15,7 +15,10 @@
 from ._placement import choose_worker
 from ._progress import CrashEvidence, Progress, decode_progress, encode_progress
 from ._submissions import SubmissionRegistry, TrackedSubmission
-from ._workers import Run, RunPhase, WorkerView
+from ._uneven_workers import UnevenWorkers
+from ._worker_health import WorkerHealth
+from ._worker_speed import WorkerSpeeds
+from ._workers import Run, RunPhase, WorkerCondition, WorkerView
 
 __all__ = [
     "CLOCK_DRIFT",
@@ -40,8 +43,12 @@
     "SubmissionRegistry",
     "TaskMove",
     "TrackedSubmission",
+    "UnevenWorkers",
     "WorkerClock",
+    "WorkerCondition",
+    "WorkerHealth",
     "WorkerOrder",
+    "WorkerSpeeds",
     "WorkerView",
     "choose_fillers_to_stop",
     "choose_worker",
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -150,6 +150,8 @@
         view = self.worker_by_id.get(worker_id)
         if view is not None and view.hold_failed_at is None:
             view.hold_failed_at = now
+            if self.uneven_workers is not None:
+                self.uneven_workers.on_outage(view, now)
 
     def on_other_incarnation(self, worker_id: str, now: float) -> None:
         """Handle an answer of a worker with another id at the worker's address.
@@ -247,6 +249,7 @@
         self._expire_leases(now)
         self._retry_stops(now)
         self._limit_interference(now)
+        self._refresh_conditions(now)
         self._relocate_from_draining(now)
         self._wall_ms = wall_ms
         self.submissions.activate_scheduled(wall_ms)
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -148,7 +148,8 @@
         for view in self.worker_by_id.values():
             images = tuple(sorted(view.serving_images()))
             left = left_by_images.get(images, 0)
-            left_by_images[images] = left + max(0, view.cpu_left())
+            own_left = int(max(0, view.cpu_left()) * view.effective_share())
+            left_by_images[images] = left + own_left
         return tuple(
             FillerHeadroom(images, left) for images, left in left_by_images.items()
         )
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_reports.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_reports.py
@@ -47,6 +47,8 @@
         elif view.expired_runs:
             self.crashes.on_survival(view.expired_runs)
             view.expired_runs.clear()
+        if self.uneven_workers is not None:
+            self.uneven_workers.on_answer(view, len(self.worker_by_id), now)
         view.alive_at = now
         view.clock.observe(report.clock_ms, now)
         view.hold_failed_at = None
@@ -67,6 +69,8 @@
         if now - view.interference_learned_at > MIN_LEARN_PERIOD_S:
             view.interference_learned_at = now
             self.interference.observe(view.image_uses(now), view.readings())
+            if self.uneven_workers is not None:
+                self.uneven_workers.on_readings(view, now)
 
     def _process_deferred_reports(self, submission_id: str, now: float) -> None:
         """Process ends and runs that were reported before they could be counted."""
@@ -106,7 +110,10 @@
         tracked.raise_run_floor(end.task, end.run)
         tracked.clear_crash(end.task, end.run)
         tracked.set_checkpoint(end.task, end.checkpoint)
-        if end.end is RunEnd.FAILED:
+        if self.uneven_workers is not None:
+            known_run = run if is_current_run else None
+            self.uneven_workers.on_end(view, tracked, end, known_run, now)
+        elif end.end is RunEnd.FAILED:
             view.count_failure(now)
         elif end.end is RunEnd.DONE:
             view.reset_failures()
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -20,6 +20,7 @@
 from ._orders import WorkerOrder
 from ._pacing import LoadEstimator, plan_paces
 from ._submissions import SubmissionRegistry, TrackedSubmission
+from ._uneven_workers import UnevenWorkers
 from ._workers import Run, RunPhase, WorkerView
 
 # Seconds for which a worker gets no new run after it rejected a start: for lack of
@@ -54,6 +55,8 @@
         self.worker_by_id: dict[str, WorkerView] = {}
         self.run_by_task: dict[TaskKey, Run] = {}
         self.is_fenced_out = False
+        # None where speeds and failures of workers aren't to be learned.
+        self.uneven_workers: UnevenWorkers | None = None
         # When the list of workers was known to be complete, and the services whose
         # workers start what exceeds their capacity.
         self.workers_listed_at = float("inf")
@@ -154,6 +157,8 @@
             return
         logger.info("worker %s: incarnation ended: %s", view.entry.worker_id, reason)
         self._count_crash(view, now)
+        if self.uneven_workers is not None:
+            self.uneven_workers.on_outage(view, now)
         for run in tuple(view.run_by_task.values()):
             if run.was_reported:
                 self._mark_lost(run, reason, now, may_have_crashed=True)
@@ -216,6 +221,13 @@
                     self._mark_lost(run, "lease expired", now, may_have_crashed=True)
                 self._stop_runs_of_failed(runs, now)
 
+    def _refresh_conditions(self, now: float) -> None:
+        """Update what is known of uneven workers, if it is to be learned."""
+        if self.uneven_workers is not None:
+            self.uneven_workers.refresh(
+                self.worker_by_id, self.submissions.queue_name_of, now
+            )
+
     def _limit_interference(self, now: float) -> None:
         """Pace or stop fillers that disturb serving tasks."""
         for view in self.worker_by_id.values():
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -118,6 +118,9 @@
                 ready.tracked.drop_presumption(task)
                 if ready.stuck_since is None:
                     ready.stuck_since = now
+                if self._has_failed_here(task):
+                    # Another task of the step may fit where this one has failed.
+                    continue
                 return
             ready.stuck_since = None
             number = ready.tracked.next_run(task, self.epoch)
@@ -184,6 +187,28 @@
         if ready.tracked.n_crashes(task):
             quiet = [v for v in views if now - v.last_start_at >= LIKELY_CAUSE_AGE_S]
             views = quiet or views
+        for group in self._candidate_groups(ready, task, views, now):
+            chosen = self._choose_among(ready, task, group, now)
+            if chosen is not None:
+                return chosen
+        return None
+
+    def _candidate_groups(
+        self, ready: ReadyStep, task: TaskKey, views: list[WorkerView], now: float
+    ) -> list[list[WorkerView]]:
+        """Return the workers that may run a task, the preferred group first."""
+        if self.uneven_workers is None:
+            return [views]
+        return self.uneven_workers.candidate_groups(ready, task, views, now)
+
+    def _has_failed_here(self, task: TaskKey) -> bool:
+        """Return whether a task is kept from workers where it has failed."""
+        uneven_workers = self.uneven_workers
+        return uneven_workers is not None and uneven_workers.health.has_failed(task)
+
+    def _choose_among(
+        self, ready: ReadyStep, task: TaskKey, views: list[WorkerView], now: float
+    ) -> WorkerView | None:
         queue = ready.tracked.submission.queue
         if queue.advice is None:
             return choose_worker(
@@ -251,14 +276,12 @@
     def _force_start(self, ready: ReadyStep, task: TaskKey, now: float) -> bool:
         """Start a filler where it should interfere least; return whether it fits."""
         service = ready.tracked.submission.queue.service
-        view = choose_forced_worker(
-            task,
-            ready.step,
-            service,
-            self._startable_workers(now),
-            self.interference,
-            now,
-        )
+        workers = self._startable_workers(now)
+        view = None
+        for group in self._candidate_groups(ready, task, workers, now):
+            view = view or choose_forced_worker(
+                task, ready.step, service, group, self.interference, now
+            )
         if view is None:
             return False
         if (
@@ -314,6 +337,7 @@
             now,
             now,
             checkpoint=tracked.checkpoint_of(task),
+            is_resumed=bool(tracked.checkpoint_of(task)),
         )
         self._add_run(tracked, run)
         view.last_start_at = now
--- a/libs/scheduling/src/berylcleat/scheduling/_placement.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_placement.py
@@ -3,8 +3,9 @@
 Ordinary tasks go to the worker with the most processor time left. Serving tasks go to
 workers with the least expected interference, then where they take the fewest slots for
 ordinary tasks, then with the fewest other serving images, then with the least free
-capacity. Fillers go where they are known to be mild; an image
-whose effect is unknown is tried with a few tasks on an undisturbed worker.
+capacity. Fillers go where they are known to be mild; an image whose effect is unknown
+is tried with a few tasks on an undisturbed worker. Workers where runs are expected to
+take longer than elsewhere come last for all of them.
 """
 
 from collections.abc import Iterable
@@ -34,14 +35,18 @@
     """
     best: WorkerView | None = None
     best_score: Score | None = None
+    best_penalty = 0.0
     for worker in workers:
         if not _is_feasible(task, step, service, worker):
             continue
         if step.fills and _explain_filler_rejection(step, worker, interference):
             continue
+        penalty = worker.start_penalty()
+        if best_score is not None and penalty > best_penalty:
+            continue
         score = _score(task, step, worker, interference, slot_millis)
-        if best_score is None or score < best_score:
-            best, best_score = worker, score
+        if best_score is None or penalty < best_penalty or score < best_score:
+            best, best_score, best_penalty = worker, score, penalty
     return best
 
 
@@ -59,7 +64,7 @@
     recover before the next ones.
     """
     best: WorkerView | None = None
-    best_score = 0.0
+    best_score = (0.0, 0.0)
     for worker in workers:
         if not _is_feasible(task, step, service, worker):
             continue
@@ -72,7 +77,7 @@
             interference.probability(step.image, run.step.image)
             for run in worker.serving_runs()
         )
-        score = expected_interference / left
+        score = (worker.start_penalty(), expected_interference / left)
         if best is None or score < best_score:
             best, best_score = worker, score
     return best
--- a/libs/scheduling/src/berylcleat/scheduling/_submissions.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_submissions.py
@@ -420,6 +420,10 @@
         known = self.usual_demand_millis or demand
         self.usual_demand_millis = int(known + (demand - known) * DEMAND_WEIGHT)
 
+    def queue_name_of(self, submission_id: str) -> str:
+        """Return the name of the queue of a submission."""
+        return self.by_id[submission_id].submission.queue.name
+
     def retire(self, tracked: TrackedSubmission) -> None:
         """Remove a submission from the live ones if it has ended and is recorded."""
         if tracked.is_over and not tracked.is_dirty and not tracked.unconfirmed_ends():
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -23,6 +23,8 @@
 FORCED_START_WINDOW_S = 0.5
 FORCED_RUN_S = 2.5
 FORCED_RECOVERY_S = 1.5
+# Penalty, in usual durations, of a worker that should get no further run for now.
+MIN_PENALTY = 0.5
 # Share of their reserved processor time that serving tasks are assumed to use.
 SERVING_CPU_SHARE = 0.48
 
@@ -62,6 +64,8 @@
     over_target_since: float | None = None
     # Whether an earlier owner started it; then ``started_at`` is when it was found.
     is_adopted: bool = False
+    # Whether it began from a checkpoint.
+    is_resumed: bool = False
     was_accepted: bool = False
     was_reported: bool = False
     stop_answered_at: float | None = None
@@ -77,6 +81,23 @@
             self.over_target_since = now
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerCondition:
+    """Deviation of a worker from the others that matters for the choice of workers.
+
+    ``n_slots`` bounds the concurrent runs that were started from ``since`` on, None
+    sets no bound. On probation no run starts beyond it, nor before ``may_start_at``;
+    otherwise such runs only start where no other worker fits.
+    """
+
+    slowdown: float = 1.0
+    is_suspect: bool = False
+    is_on_probation: bool = False
+    n_slots: int | None = None
+    since: float = 0.0
+    may_start_at: float = 0.0
+
+
 @dataclass(slots=True)
 class WorkerView:
     """Entry, clock, runs and run ends of one worker.
@@ -115,6 +136,8 @@
     expired_runs: list[Run] = field(default_factory=list)
     n_consecutive_failures: int = 0
     avoid_until: float = 0.0
+    # None for a worker like the others, and where uneven workers aren't observed.
+    condition: WorkerCondition | None = None
     fillers_stopped_at: float = 0.0
     interference_learned_at: float = 0.0
     last_forced_at: float = 0.0
@@ -150,12 +173,55 @@
             return "capacity since its restart unknown"
         if now < self.avoid_until:
             return "avoided"
+        if self.condition is not None and self._is_probation_full(now):
+            return "on probation"
         if now < self.trial_until:
             return "a suspect of a crash has just started"
         if now - self.clock.answered_at >= MAX_SILENCE_S:
             return "silent"
         return ""
 
+    def _is_probation_full(self, now: float) -> bool:
+        condition = self.condition
+        if not condition.is_on_probation:
+            return False
+        return now < condition.may_start_at or not self._has_slot()
+
+    def _has_slot(self) -> bool:
+        """Return whether fewer runs than allowed have started in the condition."""
+        condition = self.condition
+        if condition.n_slots is None:
+            return True
+        n_started = sum(
+            run.started_at >= condition.since for run in self.run_by_task.values()
+        )
+        return n_started < condition.n_slots
+
+    def start_penalty(self) -> float:
+        """Return how much longer a run is expected to take than on other workers.
+
+        0 for a worker like the others; the unit is the usual duration.
+        """
+        condition = self.condition
+        if condition is None:
+            return 0.0
+        penalty = condition.slowdown - 1.0
+        if condition.is_suspect or not self._has_slot():
+            penalty = max(penalty, MIN_PENALTY)
+        return penalty
+
+    def effective_share(self) -> float:
+        """Return the part of the worker's capacity that its speed leaves."""
+        return 1.0 if self.condition is None else 1.0 / self.condition.slowdown
+
+    def effective_cpu_millis(self) -> int:
+        """Return the processor time that the worker has at its present speed."""
+        return int(self.entry.capacity.cpu_millis * self.effective_share())
+
+    def effective_free_millis(self) -> int:
+        """Return the unreserved part of ``effective_cpu_millis``."""
+        return int(max(0, self.free().cpu_millis) * self.effective_share())
+
     def can_force_filler(self, now: float) -> bool:
         """Return whether a forced filler may start now.
 
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -23,6 +23,7 @@
     MovedTaskEnd,
     Progress,
     RecordBatch,
+    UnevenWorkers,
     WorkerOrder,
     WorkerView,
 )
@@ -39,6 +40,7 @@
 )
 from ._submission_directory import SubmissionEntry
 from ._task_mover import TaskMover
+from ._uneven_metrics import ignore_uneven_workers, observe_uneven_workers
 
 # Long-poll timeout of a hold request: a worker answers it when a task ends or after
 # this time, so this also bounds the time between two lease renewals.
@@ -94,6 +96,7 @@
         self._settled_at = settled_at
         self._is_ownership_confirmed = is_ownership_confirmed
         self._interference = knowledge.interference
+        self._learns_uneven_workers = knowledge.learns_uneven_workers
         self._mover = mover
         self._advisor = connections.advisor
         # Recorded progress of submissions that this host doesn't know yet.
@@ -129,6 +132,9 @@
             earlier_workers,
             self._interference,
         )
+        if self._learns_uneven_workers:
+            scheduler.uneven_workers = UnevenWorkers()
+            observe_uneven_workers(scheduler)
         now = now_s()
         for entry in self._directory.in_cell(self.cell_id):
             submission = entry.accepted.submission
@@ -198,6 +204,8 @@
         )
 
     async def _stop_tasks(self) -> None:
+        if self.scheduler is not None and self._learns_uneven_workers:
+            ignore_uneven_workers(self.scheduler)
         await cancel_all([*self._tasks, *self._hold_loop_by_worker.values()])
         for client in self._client_by_worker.values():
             client.close()
@@ -260,11 +268,11 @@
             for ready in tracked.ready_by_step.values()
             if ready.step.fills
         )
-        free_by_worker = tuple(max(0, v.free().cpu_millis) for v in views)
+        free_by_worker = tuple(v.effective_free_millis() for v in views)
         return CellSummary(
             service=views[0].entry.service if views else "",
             data_centre=self.data_centre,
-            cpu_capacity=sum(v.entry.capacity.cpu_millis for v in views),
+            cpu_capacity=sum(v.effective_cpu_millis() for v in views),
             cpu_free=sum(free_by_worker),
             cpu_waiting=self.scheduler.waiting_cpu(),
             cpu_stuck=self.scheduler.stuck_cpu(now_s()),
--- a/programs/beryl-host/src/berylcleat/host/_commands.py
+++ b/programs/beryl-host/src/berylcleat/host/_commands.py
@@ -11,7 +11,7 @@
 from berylcleat.runtime import VERSION, run_process
 
 from ._process import serve_host
-from ._settings import HostSettings, check_host_settings
+from ._settings import HostSettings, apply_contracts, check_host_settings
 
 logger = logging.getLogger(__name__)
 
@@ -44,7 +44,7 @@
 
 
 def _read_settings(path: Path) -> HostSettings:
-    settings = load_settings(path, HostSettings)
+    settings = apply_contracts(load_settings(path, HostSettings))
     check_host_settings(settings)
     return settings
 
--- a/programs/beryl-host/src/berylcleat/host/_components.py
+++ b/programs/beryl-host/src/berylcleat/host/_components.py
@@ -26,13 +26,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Knowledge:
-    """What this host knows of hosts, cells, workers, submissions and images."""
+    """What this host knows of hosts, cells, workers, submissions and images.
+
+    ``learns_uneven_workers`` tells whether owners learn speeds and failures of workers.
+    """
 
     membership: Membership
     cells: CellDirectory
     workers: WorkerList
     directory: SubmissionDirectory
     interference: InterferenceModel
+    learns_uneven_workers: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -104,6 +104,7 @@
                 self.workers,
                 self.directory,
                 self.interference,
+                settings.uneven_workers,
             ),
             OwnerFeeds(self.cell_follower, self.worker_follower, self.feeds),
             LeaseTimes(worker_lease_s=settings.worker_lease_s),
--- a/programs/beryl-host/src/berylcleat/host/_settings.py
+++ b/programs/beryl-host/src/berylcleat/host/_settings.py
@@ -1,8 +1,9 @@
 """Settings of the host process."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from berylcleat.model import SettingsError
+from berylcleat.platform import decode_contracts
 
 
 @dataclass(frozen=True, slots=True)
@@ -11,7 +12,9 @@
 
     ``drain_grace_s`` limits a graceful shutdown, ``core_speed`` is the speed of the
     host's cores relative to a reference core, and ``cpu_share`` is how many of these
-    cores, or what fraction of one, the host may use.
+    cores, or what fraction of one, the host may use. ``uneven_workers`` switches on the
+    avoidance of slow and failing workers, ``expected_finish`` order and moves by
+    expected finish; a deployment's ``contracts`` may switch them on too.
     """
 
     host_id: str
@@ -27,6 +30,9 @@
     worker_lease_s: float = 5.0
     drain_grace_s: float = 6.0
     orders_mode: str = "push"
+    uneven_workers: bool = False
+    expected_finish: bool = False
+    contracts: tuple[str, ...] | None = None
 
     @property
     def cpu_power(self) -> float:
@@ -34,6 +40,16 @@
         return self.cpu_share * self.core_speed
 
 
+def apply_contracts(settings: HostSettings) -> HostSettings:
+    """Return the settings with the switches on that its contracts ask for."""
+    switches = decode_contracts(settings.contracts or ())
+    return replace(
+        settings,
+        uneven_workers=settings.uneven_workers or switches.uneven_workers,
+        expected_finish=settings.expected_finish or switches.expected_finish,
+    )
+
+
 def check_host_settings(settings: HostSettings) -> None:
     """Raise ``SettingsError`` if the settings are invalid."""
     if not settings.host_id or not settings.data_centre:
