Return workers from outages by degrees

Cause: a worker that goes down and up by turns got many tasks at once each time it came up, and lost them all at the next outage.

Change: a worker that comes up gets one task, then more as these succeed; from its second outage within 20 s on after a backoff. Outages of a third of the workers at once, and ones below half a second without a restart, don't count.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -158,7 +158,7 @@
         logger.info("worker %s: incarnation ended: %s", view.entry.worker_id, reason)
         self._count_crash(view, now)
         if self.uneven_workers is not None:
-            self.uneven_workers.on_outage(view, now)
+            self.uneven_workers.on_outage(view, now, has_restarted=True)
         for run in tuple(view.run_by_task.values()):
             if run.was_reported:
                 self._mark_lost(run, reason, now, may_have_crashed=True)
--- a/libs/scheduling/src/berylcleat/scheduling/_placement.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_placement.py
@@ -41,7 +41,7 @@
             continue
         if step.fills and _explain_filler_rejection(step, worker, interference):
             continue
-        penalty = worker.start_penalty()
+        penalty = 0.0 if worker.condition is None else worker.start_penalty()
         if best_score is not None and penalty > best_penalty:
             continue
         score = _score(task, step, worker, interference, slot_millis)
--- a/libs/scheduling/src/berylcleat/scheduling/_uneven_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_uneven_workers.py
@@ -64,10 +64,13 @@
         """Learn from the readings of a worker's serving tasks."""
         self.speeds.on_readings(view, now)
 
-    def on_outage(self, view: WorkerView, now: float) -> None:
+    def on_outage(
+        self, view: WorkerView, now: float, *, has_restarted: bool = False
+    ) -> None:
         """Handle a worker that has restarted or doesn't answer."""
         if not view.entry.is_draining:
-            self.health.on_outage(view.entry.worker_id, now)
+            worker_id = view.entry.worker_id
+            self.health.on_outage(worker_id, now, has_restarted=has_restarted)
 
     def on_answer(self, view: WorkerView, n_workers: int, now: float) -> None:
         """Handle a report of a worker, which may have been down before it."""
--- a/libs/scheduling/src/berylcleat/scheduling/_worker_health.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_worker_health.py
@@ -3,8 +3,8 @@
 A worker that fails several tasks in a row, each of which runs well elsewhere, is put on
 probation, as by a circuit breaker (Nygard, Release It!, 2007): it gets one task at a
 time after an exponential backoff, and more again as these succeed. So is a worker that
-keeps going down and coming up. Tasks that fail wherever they run are no fault of their
-workers.
+comes up again, without a backoff the first time. Tasks that fail wherever they run are
+no fault of their workers.
 """
 
 import logging
@@ -27,9 +27,11 @@
 # image ended.
 FAILURE_MEMORY_S = 30.0
 ENDS_MEMORY_S = 8.0
-# A worker is on probation at its second outage within this many seconds.
+# A worker returns from an outage by degrees, after a backoff if it is not the first one
+# within this many seconds.
 OUTAGE_MEMORY_S = 20.0
-PROBATION_AFTER_OUTAGES = 2
+# Seconds without an answer that count as an outage of a worker that hasn't restarted.
+MIN_OUTAGE_S = 0.5
 # Outages of more than this share of the workers within this many seconds have a common
 # cause, for example the network of this host.
 MAX_OUTAGE_SHARE = 0.34
@@ -81,6 +83,7 @@
     last_backoff_s: float = 0.0
     returned_at: float = float("-inf")
     is_down: bool = False
+    has_restarted: bool = False
     outages: list[float] = field(default_factory=list)
 
 
@@ -165,9 +168,10 @@
         else:
             self._on_success(record, outcome, now)
 
-    def on_outage(self, worker_id: str, now: float) -> None:
+    def on_outage(self, worker_id: str, now: float, *, has_restarted: bool) -> None:
         """Count that a worker went down; ignored while it is down already."""
         record = self._record_by_worker.setdefault(worker_id, _WorkerRecord())
+        record.has_restarted |= has_restarted
         if record.is_down:
             return
         record.is_down = True
@@ -175,21 +179,24 @@
         record.outages.append(now)
 
     def on_answer(self, worker_id: str, n_workers: int, now: float) -> bool:
-        """Put a worker that came up on probation if it keeps going down.
+        """Put a worker that came up on probation, unless many were down together.
 
         Return whether its probation began.
         """
         record = self._record_by_worker.get(worker_id)
         if record is None or not record.is_down:
             return False
-        record.is_down = False
-        if self._is_common_outage(record.outages[-1], n_workers):
+        began_at = record.outages[-1]
+        is_short = now - began_at < MIN_OUTAGE_S and not record.has_restarted
+        record.is_down = record.has_restarted = False
+        if is_short or self._is_common_outage(began_at, n_workers):
             record.outages.pop()
-        elif len(record.outages) >= PROBATION_AFTER_OUTAGES:
-            reason = f"{len(record.outages)} outages in {OUTAGE_MEMORY_S:.0f} s"
-            self._begin_probation(worker_id, record, reason, now)
-            return True
-        return False
+            return False
+        reason = f"{len(record.outages)} outages in {OUTAGE_MEMORY_S:.0f} s"
+        is_first = len(record.outages) == 1 and record.probation is None
+        backoff_s = 0.0 if is_first else self._next_backoff_s(record, now)
+        self._begin_probation(worker_id, record, reason, backoff_s, now)
+        return True
 
     def forget(self, worker_ids: Set[str], now: float) -> None:
         """Drop what is too old, and all of workers that aren't among ``worker_ids``."""
@@ -218,7 +225,8 @@
         record.streak.append(outcome)
         if self._n_blamed(outcome.worker_id, record) >= PROBATION_AFTER_FAILURES:
             reason = f"{len(record.streak)} failures in a row"
-            self._begin_probation(outcome.worker_id, record, reason, now)
+            backoff_s = self._next_backoff_s(record, now)
+            self._begin_probation(outcome.worker_id, record, reason, backoff_s, now)
 
     def _on_success(
         self, record: _WorkerRecord, outcome: RunOutcome, now: float
@@ -242,15 +250,23 @@
             record.returned_at = now
             logger.info("worker %s: probation ended", outcome.worker_id)
 
-    def _begin_probation(
-        self, worker_id: str, record: _WorkerRecord, reason: str, now: float
-    ) -> None:
-        backoff_s = MIN_BACKOFF_S
+    def _next_backoff_s(self, record: _WorkerRecord, now: float) -> float:
+        """Return the backoff of a probation, twice that of a recent one."""
+        last_backoff_s = 0.0
         if record.probation is not None:
-            backoff_s = record.probation.backoff_s * 2
+            last_backoff_s = record.probation.backoff_s
         elif now - record.returned_at < BACKOFF_MEMORY_S:
-            backoff_s = record.last_backoff_s * 2
-        backoff_s = min(backoff_s, MAX_BACKOFF_S)
+            last_backoff_s = record.last_backoff_s
+        return min(max(MIN_BACKOFF_S, last_backoff_s * 2), MAX_BACKOFF_S)
+
+    def _begin_probation(
+        self,
+        worker_id: str,
+        record: _WorkerRecord,
+        reason: str,
+        backoff_s: float,
+        now: float,
+    ) -> None:
         record.probation = Probation(now, backoff_s, now + backoff_s)
         record.streak.clear()
         logger.info(
@@ -263,7 +279,8 @@
     def _extend_probation(
         self, worker_id: str, probation: Probation, now: float
     ) -> None:
-        probation.backoff_s = min(probation.backoff_s * 2, MAX_BACKOFF_S)
+        doubled_s = max(MIN_BACKOFF_S, probation.backoff_s * 2)
+        probation.backoff_s = min(doubled_s, MAX_BACKOFF_S)
         probation.next_at = now + probation.backoff_s
         probation.since = now
         probation.n_slots = 1
--- a/libs/scheduling/src/berylcleat/scheduling/_worker_speed.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_worker_speed.py
@@ -38,8 +38,6 @@
 MIN_QUEUE_RUNS = 5
 # Siblings' durations are forgotten this many seconds after the last one has ended.
 SIBLINGS_MEMORY_S = 30.0
-# Overdue by this ratio, while nothing else ends there, a run counts twice.
-STALLED_RATIO = 3.0
 # Evidence of one reading in which all serving images are over their targets, and the
 # slowdown that it is taken for.
 SERVING_EVIDENCE = 1.0
@@ -165,9 +163,8 @@
         ``queue_of`` returns the name of a submission's queue.
         """
         overdue = []
-        runs = [run for run in view.run_by_task.values() if _is_comparable(run)]
-        for run in runs:
-            if run.phase is not RunPhase.RUNNING:
+        for run in view.run_by_task.values():
+            if run.phase is not RunPhase.RUNNING or not _is_comparable(run):
                 continue
             queue = queue_of(run.task.submission_id)
             expected = self._expect(run.task, run.step, queue, run.worker_id)
@@ -177,12 +174,7 @@
             value = expected.comparison.evidence(ratio)
             if value <= 0:
                 continue
-            is_stalled = (
-                ratio >= STALLED_RATIO
-                and len(runs) > 1
-                and not self._has_end_since(run.worker_id, run.started_at)
-            )
-            overdue.append(_Evidence(now, 2 * value if is_stalled else value, ratio))
+            overdue.append(_Evidence(now, value, ratio))
         speed = self._speed_by_worker.get(view.entry.worker_id)
         if speed is None and overdue:
             speed = self._speed_by_worker[view.entry.worker_id] = _WorkerSpeed()
@@ -250,10 +242,6 @@
             if speed.n_slots > MAX_RETURN_SLOTS:
                 speed.n_slots = None
 
-    def _has_end_since(self, worker_id: str, since: float) -> bool:
-        speed = self._speed_by_worker.get(worker_id)
-        return speed is not None and any(e.at > since for e in speed.ended)
-
     def _expect(
         self, task: TaskKey, step: Step, queue: str, worker_id: str
     ) -> _Expectation | None:
