--- a/libs/scheduling/src/berylcleat/scheduling/__init__.py
+++ b/libs/scheduling/src/berylcleat/scheduling/__init__.py
@@ -16,7 +16,7 @@
 from ._progress import CrashEvidence, Progress, decode_progress, encode_progress
 from ._submissions import SubmissionRegistry, TrackedSubmission
 from ._uneven_workers import UnevenWorkers
-from ._worker_health import WorkerHealth
+from ._worker_health import RunOutcome, WorkerHealth
 from ._worker_speed import WorkerSpeeds
 from ._workers import Run, RunPhase, WorkerCondition, WorkerView
 
@@ -38,6 +38,7 @@
     "ProgressWrite",
     "RecordBatch",
     "Run",
+    "RunOutcome",
     "RunPhase",
     "ServingReading",
     "SubmissionRegistry",
--- a/libs/scheduling/src/berylcleat/scheduling/_worker_health.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_worker_health.py
@@ -8,6 +8,7 @@
 """
 
 import logging
+from collections import deque
 from collections.abc import Set
 from dataclasses import dataclass, field
 
@@ -123,6 +124,8 @@
         self._record_by_worker: dict[str, _WorkerRecord] = {}
         self._record_by_kind: dict[Kind, _KindRecord] = {}
         self._failures_by_task: dict[TaskKey, list[tuple[str, float]]] = {}
+        # Workers that went down, also for a cause that they had in common.
+        self._recent_outages: deque[tuple[str, float]] = deque()
 
     def probation(self, worker_id: str) -> Probation | None:
         """Return the probation of a worker, or None."""
@@ -177,6 +180,7 @@
         record.is_down = True
         record.outages = [at for at in record.outages if now - at < OUTAGE_MEMORY_S]
         record.outages.append(now)
+        self._recent_outages.append((worker_id, now))
 
     def on_answer(self, worker_id: str, n_workers: int, now: float) -> bool:
         """Put a worker that came up on probation, unless many were down together.
@@ -202,6 +206,10 @@
         """Drop what is too old, and all of workers that aren't among ``worker_ids``."""
         for worker_id in self._record_by_worker.keys() - worker_ids:
             del self._record_by_worker[worker_id]
+        while self._recent_outages and (
+            now - self._recent_outages[0][1] > OUTAGE_MEMORY_S
+        ):
+            self._recent_outages.popleft()
         for kind, kind_record in tuple(self._record_by_kind.items()):
             if now - kind_record.period_at > 2 * ENDS_MEMORY_S:
                 del self._record_by_kind[kind]
@@ -340,8 +348,9 @@
         }
 
     def _is_common_outage(self, at: float, n_workers: int) -> bool:
-        n_down = sum(
-            any(abs(other - at) < COMMON_OUTAGE_S for other in record.outages)
-            for record in self._record_by_worker.values()
-        )
-        return n_down > max(1.0, MAX_OUTAGE_SHARE * n_workers)
+        down = {
+            worker_id
+            for worker_id, other_at in self._recent_outages
+            if abs(other_at - at) < COMMON_OUTAGE_S
+        }
+        return len(down) > max(1.0, MAX_OUTAGE_SHARE * n_workers)
--- a/libs/scheduling/src/berylcleat/scheduling/_worker_speed.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_worker_speed.py
@@ -188,13 +188,13 @@
         for key, siblings in tuple(self._siblings_by_step.items()):
             if now - siblings.updated_at > SIBLINGS_MEMORY_S:
                 del self._siblings_by_step[key]
-        raw = []
+        # Nothing is known to be wrong with workers without evidence.
+        raw = [1.0] * len(worker_ids - self._speed_by_worker.keys())
         for speed in self._speed_by_worker.values():
             while speed.ended and now - speed.ended[0].at >= EVIDENCE_SPAN_S:
                 speed.ended.popleft()
             self._update(speed, now)
-            if speed.ended or speed.overdue:
-                raw.append(self._raw_slowdown(speed, now))
+            raw.append(self._raw_slowdown(speed, now))
         self._median_slowdown = median_low(raw) if raw else 1.0
 
     def _update(self, speed: _WorkerSpeed, now: float) -> None:
