--- a/libs/scheduling/src/berylcleat/scheduling/_worker_speed.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_worker_speed.py
@@ -98,6 +98,8 @@
     slowdown: float = 1.0
     n_slots: int | None = None
     returns_since: float = 0.0
+    # When the last ended run was evidence for a slow worker.
+    positive_at: float = float("-inf")
 
 
 @dataclass(slots=True)
@@ -106,6 +108,7 @@
 
     durations: deque[tuple[str, float]]
     updated_at: float
+    shortest_s: float = float("inf")
 
 
 class WorkerSpeeds:
@@ -121,7 +124,7 @@
     def slowdown(self, worker_id: str, now: float) -> float:
         """Return how many times as long runs take on a worker, 1.0 if unknown."""
         speed = self._speed_by_worker.get(worker_id)
-        if speed is None:
+        if speed is None or speed.slowdown == 1.0:
             return 1.0
         return self._relative(self._raw_slowdown(speed, now))
 
@@ -166,6 +169,8 @@
         for run in view.run_by_task.values():
             if run.phase is not RunPhase.RUNNING or not _is_comparable(run):
                 continue
+            if now - run.started_at <= self._usual_s(run):
+                continue
             queue = queue_of(run.task.submission_id)
             expected = self._expect(run.task, run.step, queue, run.worker_id)
             if expected is None:
@@ -198,6 +203,13 @@
         self._median_slowdown = median_low(raw) if raw else 1.0
 
     def _update(self, speed: _WorkerSpeed, now: float) -> None:
+        is_normal = speed.slowdown == 1.0 and speed.n_slots is None
+        if (
+            is_normal
+            and not speed.overdue
+            and now - speed.positive_at > EVIDENCE_SPAN_S
+        ):
+            return
         total = sum(e.value * e.weight(now) for e in speed.ended)
         total += sum(e.value for e in speed.overdue)
         is_slow = speed.slowdown > 1.0
@@ -237,11 +249,23 @@
     def _add_evidence(self, worker_id: str, evidence: _Evidence) -> None:
         speed = self._speed_by_worker.setdefault(worker_id, _WorkerSpeed())
         speed.ended.append(evidence)
+        if evidence.value > 0:
+            speed.positive_at = evidence.at
         if evidence.value < 0 and speed.n_slots is not None:
             speed.n_slots *= 2
             if speed.n_slots > MAX_RETURN_SLOTS:
                 speed.n_slots = None
 
+    def _usual_s(self, run: Run) -> float:
+        """Return a duration within which a run is certainly no evidence.
+
+        It saves the medians for the many runs that don't take long.
+        """
+        siblings = self._siblings_by_step.get((run.task.submission_id, run.task.step))
+        if siblings is None:
+            return MIN_COMPARED_S
+        return max(MIN_COMPARED_S, siblings.shortest_s)
+
     def _expect(
         self, task: TaskKey, step: Step, queue: str, worker_id: str
     ) -> _Expectation | None:
@@ -269,6 +293,7 @@
             self._siblings_by_step[key] = siblings
         siblings.durations.append((run.worker_id, duration_s))
         siblings.updated_at = now
+        siblings.shortest_s = min(siblings.shortest_s, duration_s)
         if run.step.estimate_s > 0:
             ratios = self._ratios_by_queue.setdefault(
                 queue, deque(maxlen=N_QUEUE_RUNS_KEPT)
