--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -19,6 +19,7 @@
     MovedTaskEnd,
     Progress,
     RecordBatch,
+    UnevenWorkers,
     WorkerView,
 )
 
@@ -38,6 +39,7 @@
 )
 from ._submission_directory import SubmissionEntry
 from ._task_mover import TaskMover
+from ._uneven_metrics import ignore_uneven_workers, observe_uneven_workers
 
 # Long-poll timeout of a hold request: a worker answers it when a task ends or after
 # this time, so this also bounds the time between two lease renewals.
@@ -96,6 +98,7 @@
         self._is_ownership_confirmed = is_ownership_confirmed
         self._interference = knowledge.interference
         self._operator = knowledge.operator
+        self._learns_uneven_workers = knowledge.learns_uneven_workers
         self._mover = mover
         self._advisor = connections.advisor
         # Recorded progress of submissions that this host doesn't know yet.
@@ -133,6 +136,9 @@
             earlier_workers,
             self._interference,
         )
+        if self._learns_uneven_workers:
+            scheduler.uneven_workers = UnevenWorkers()
+            observe_uneven_workers(scheduler)
         now = now_s()
         scheduler.evacuation = self._operator.make_cell_evacuation(self.data_centre)
         self._operator.update(scheduler.evacuation, now)
@@ -255,6 +261,8 @@
         )
 
     async def _stop_tasks(self) -> None:
+        if self.scheduler is not None and self._learns_uneven_workers:
+            ignore_uneven_workers(self.scheduler)
         await cancel_all([*self._tasks, *self._hold_loop_by_worker.values()])
         for client in self._client_by_worker.values():
             client.close()
--- a/programs/beryl-host/src/berylcleat/host/_cell_summary.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_summary.py
@@ -25,11 +25,11 @@
     )
     evacuation = scheduler.evacuation
     share = 1.0 if evacuation is None else evacuation.capacity_share(now)
-    free_by_worker = tuple(int(max(0, v.free().cpu_millis) * share) for v in views)
+    free_by_worker = tuple(int(v.effective_free_millis() * share) for v in views)
     return CellSummary(
         service=views[0].entry.service if views else "",
         data_centre=data_centre,
-        cpu_capacity=sum(v.entry.capacity.cpu_millis for v in views),
+        cpu_capacity=sum(v.effective_cpu_millis() for v in views),
         cpu_free=sum(free_by_worker),
         cpu_waiting=scheduler.waiting_cpu(),
         cpu_stuck=scheduler.stuck_cpu(now),
--- a/programs/beryl-host/src/berylcleat/host/_components.py
+++ b/programs/beryl-host/src/berylcleat/host/_components.py
@@ -30,6 +30,7 @@
     """What this host knows of hosts, cells, workers, submissions and images.
 
     ``operator`` holds what the operator asks for.
+    ``learns_uneven_workers`` tells whether owners learn speeds and failures of workers.
     """
 
     membership: Membership
@@ -38,6 +39,7 @@
     directory: SubmissionDirectory
     interference: InterferenceModel
     operator: OperatorState = field(default_factory=OperatorState)
+    learns_uneven_workers: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -108,6 +108,7 @@
                 self.directory,
                 self.interference,
                 self.operator,
+                settings.uneven_workers,
             ),
             OwnerFeeds(self.cell_follower, self.worker_follower, self.feeds),
             LeaseTimes(worker_lease_s=settings.worker_lease_s),
--- a/programs/beryl-host/src/berylcleat/host/_settings.py
+++ b/programs/beryl-host/src/berylcleat/host/_settings.py
@@ -1,8 +1,9 @@
 """Settings of the host process."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from berylcleat.model import SettingsError
+from berylcleat.platform import decode_contracts
 from berylcleat.scheduling import EvacuationRules
 
 # Time that start orders need to arrive: a host whose news of the evacuations is older
@@ -16,7 +17,9 @@
 
     ``drain_grace_s`` limits a graceful shutdown, ``core_speed`` is the speed of the
     host's cores relative to a reference core, and ``cpu_share`` is how many of these
-    cores, or what fraction of one, the host may use.
+    cores, or what fraction of one, the host may use. ``uneven_workers`` switches on the
+    avoidance of slow and failing workers, ``expected_finish`` order and moves by
+    expected finish; a deployment's ``contracts`` may switch them on too.
 
     No task is started in an evacuated data centre later than ``evacuation_deadline_ms``
     after the request, and by a host without news of the requests no later than
@@ -39,6 +42,9 @@
     orders_mode: str = "push"
     evacuation_deadline_ms: float = 0
     evacuation_outage_allowance_ms: float = 0
+    uneven_workers: bool = False
+    expected_finish: bool = False
+    contracts: tuple[str, ...] | None = None
 
     @property
     def cpu_power(self) -> float:
@@ -54,6 +60,16 @@
         )
 
 
+def apply_contracts(settings: HostSettings) -> HostSettings:
+    """Return the settings with the switches on that its contracts ask for."""
+    switches = decode_contracts(settings.contracts or ())
+    return replace(
+        settings,
+        uneven_workers=settings.uneven_workers or switches.uneven_workers,
+        expected_finish=settings.expected_finish or switches.expected_finish,
+    )
+
+
 def check_host_settings(settings: HostSettings) -> None:
     """Raise ``SettingsError`` if the settings are invalid."""
     if not settings.host_id or not settings.data_centre:
