Adjust the tests of settings and summaries to the merged code

The settings test renders the whole template, which the list of contracts has joined; the summary is made by a function of its own now. Checks and bounds are unchanged.

--- a/programs/beryl-host/features/steps/evacuation_settings_steps.py
+++ b/programs/beryl-host/features/steps/evacuation_settings_steps.py
@@ -18,6 +18,7 @@
     "bounds.evacuateMs": "5000",
     "bounds.maxStretchMs": "6000",
     "orders": "push",
+    "contracts|json": '["base", "health"]',
 }
 
 
@@ -47,7 +48,7 @@
     section = r"\{\{#bounds\.evacuateMs\}\}(.*?)\{\{/bounds\.evacuateMs\}\}"
     text = re.sub(section, r"\1" if case == "with" else "", text)
     text = re.sub(
-        r"\{\{([\w.]+)\}\}", lambda match: VALUE_BY_NAME.get(match[1], "x"), text
+        r"\{\{([\w.|]+)\}\}", lambda match: VALUE_BY_NAME.get(match[1], "x"), text
     )
     with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
         file.write(text)
--- a/programs/beryl-host/features/steps/uneven_host_steps.py
+++ b/programs/beryl-host/features/steps/uneven_host_steps.py
@@ -1,9 +1,8 @@
-from types import SimpleNamespace
-
 from behave import given, then, when
 from prometheus_client import REGISTRY
 
-from berylcleat.host._cell_controller import CellController
+from berylcleat.host._cell_summary import make_summary
+from berylcleat.host._clock import now_s
 from berylcleat.host._settings import HostSettings, apply_contracts
 from berylcleat.host._uneven_metrics import (
     ignore_uneven_workers,
@@ -68,8 +67,7 @@
 
 @then("its summary has {total:d} millicores, {first:d} and {second:d} of them free")
 def step_summary(context, total, first, second):
-    controller = SimpleNamespace(scheduler=context.cell, data_centre="dc")
-    summary = CellController.summary(controller)
+    summary = make_summary(context.cell, "dc", now_s())
     assert summary.cpu_capacity == total, summary
     assert summary.free_by_worker == (first, second), summary
 
