Order waiting tasks by expected finish (setting expected_finish)

Change: with the switch, an owner learns the time of whole steps (by queue, fillers and ordinary tasks apart) and the declared core-seconds that each kind gets done a second. Every 0.2 s it goes through the waiting submissions by priority, those begun first, then by deadline; one that can't finish in time behind those before it is left out, comes after those that can, by the time of three times its objective, and last if it can't meet that either. Demotions last 2 s. Other cells count deadlines from the acceptance as well.

--- a/libs/scheduling/features/histories.feature
+++ b/libs/scheduling/features/histories.feature
@@ -49,6 +49,19 @@
       | 1       |
       | 2       |
 
+  # Guards against an order or a move by expected finish that breaks an invariant.
+  Scenario Outline: All invariants hold in <n_cells> cells with tasks ordered by expected finish
+    When 8 histories of 40 seconds with <n_cells> cells and tasks ordered by expected finish are simulated from seed 1
+    Then no task ran twice, before its dependencies, or beyond its attempts
+    And no end was acknowledged before it was recorded
+    And every submission has ended in every history
+
+    Examples:
+      | n_cells |
+      | 1       |
+      | 2       |
+      | 4       |
+
   Scenario Outline: An invariant is violated without <mechanism>
     When histories are simulated without "<mechanism>" until an invariant is violated
     Then a violation was found
--- a/libs/scheduling/features/steps/cell_simulation.py
+++ b/libs/scheduling/features/steps/cell_simulation.py
@@ -332,12 +332,14 @@
         n_cells: int = 1,
         *,
         has_crashing_tasks: bool = False,
+        expected_finish: bool = False,
     ):
         self.rng = random.Random(random_state)
         # Separate, so that the draws of ``rng`` stay as they are for a seed.
         self.fault_rng = random.Random(f"faults {random_state}")
         self.disabled_mechanism = disabled_mechanism
         self.has_crashing_tasks = has_crashing_tasks
+        self.expected_finish = expected_finish
         self.now = 0.0
         self.checker = InvariantChecker()
         self.home_by_id: dict[str, str] = {}
@@ -385,6 +387,7 @@
             settled_at,
             workers,
             InterferenceModel(),
+            expected_finish=self.expected_finish,
         )
         for submission_id in self.submission_by_id:
             self.add_submission_to(cell, sim_cell, submission_id, inherited=epoch > 1)
--- a/libs/scheduling/features/steps/history_steps.py
+++ b/libs/scheduling/features/steps/history_steps.py
@@ -11,12 +11,14 @@
     n_cells=1,
     *,
     has_crashing_tasks=False,
+    expected_finish=False,
 ):
     sim = Simulation(
         random_state,
         disabled_mechanism,
         n_cells,
         has_crashing_tasks=has_crashing_tasks,
+        expected_finish=expected_finish,
     )
     sim.simulate(length_s)
     return sim
@@ -45,6 +47,18 @@
     assert any(sim.checker.crashing_tasks for sim in context.sims.values())
 
 
+@when(
+    "{n:d} histories of {length:d} seconds with {n_cells:d} cells and tasks ordered by "
+    "expected finish are simulated from seed {seed:d}"
+)
+def step_simulate_expected_finish(context, n, length, n_cells, seed):
+    context.sims = {
+        s: simulate(s, length, n_cells=n_cells, expected_finish=True)
+        for s in range(seed, seed + n)
+    }
+    assert sum(sim.checker.n_starts for sim in context.sims.values()) > 10 * n
+
+
 @then("no task ran twice, before its dependencies, or beyond its attempts")
 def step_no_violation(context):
     violations = {
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -250,6 +250,7 @@
         self._relocate_from_draining(now)
         self._wall_ms = wall_ms
         self.submissions.activate_scheduled(wall_ms)
+        self._observe_rates(now)
         for ready in self.submissions.ready_steps(now):
             self._start_waiting(ready, now)
         self._force_starving_fillers(now)
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -128,7 +128,7 @@
         """
         return sum(
             len(ready.waiting) * ready.step.allocation.cpu_millis
-            for ready in self.submissions.ready_steps(0.0)
+            for ready in self.submissions.iter_ready()
         )
 
     def stuck_cpu(self, now: float) -> int:
@@ -138,7 +138,7 @@
         """
         return sum(
             len(ready.waiting) * ready.step.allocation.cpu_millis
-            for ready in self.submissions.ready_steps(now)
+            for ready in self.submissions.iter_ready()
             if is_stuck(ready, now)
         )
 
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_reports.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_reports.py
@@ -166,6 +166,7 @@
         """Count a done or failed run in the progress of its submission."""
         if end.end is RunEnd.DONE:
             tracked.has_started = True
+            self._learn_done(tracked, end.task, now)
             tracked.add_done(end.task)
             tracked.activate_due_steps(self._wall_ms)
             if not tracked.submission.steps[end.task.step].is_gang:
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -14,12 +14,14 @@
 from ._advice import TicketCache
 from ._crashes import CrashTracker
 from ._filler_stops import choose_fillers_to_stop, must_stop_all_fillers
+from ._finish_estimate import FinishEstimator
 from ._interference import InterferenceModel
 from ._leases import LeaseTimes
 from ._moves import CellHeadroom
 from ._orders import WorkerOrder
 from ._pacing import LoadEstimator, plan_paces
 from ._submissions import SubmissionRegistry, TrackedSubmission
+from ._urgency import ExpectedFinishOrder
 from ._workers import Run, RunPhase, WorkerView
 
 # Seconds for which a worker gets no new run after it rejected a start: for lack of
@@ -42,11 +44,18 @@
         settled_at: float,
         earlier_workers: tuple[WorkerEntry, ...],
         interference: InterferenceModel,
+        *,
+        expected_finish: bool = False,
     ):
         self.cell_id = cell_id
         self.epoch = epoch
         self.times = times
-        self.submissions = SubmissionRegistry()
+        # None unless waiting tasks are ordered by their expected finish.
+        self.estimator = FinishEstimator() if expected_finish else None
+        self.finish_order: ExpectedFinishOrder | None = None
+        if self.estimator is not None:
+            self.finish_order = ExpectedFinishOrder(self.estimator)
+        self.submissions = SubmissionRegistry(self.finish_order)
         self.interference = interference
         self.load_estimator = LoadEstimator()
         self.advice = TicketCache()
@@ -86,6 +95,24 @@
             return False
         return task not in self._tasks_with_known_run and not self.has_settled(now)
 
+    def _observe_rates(self, now: float) -> None:
+        """Measure the processors that fillers and ordinary tasks get."""
+        if self.estimator is None:
+            return
+        views = [view for view in self.worker_by_id.values() if view.can_start(now)]
+        waiting = list(self.submissions.iter_ready())
+        self.estimator.observe(views, waiting, now)
+        self.estimator.keep_only(self.submissions.live_by_id)
+
+    def _learn_done(
+        self, tracked: TrackedSubmission, task: TaskKey, now: float
+    ) -> None:
+        """Learn from a task that is done here for the first time."""
+        if self.estimator is None or tracked.progress.is_done(task):
+            return
+        is_late = self.finish_order.is_late(task.submission_id)
+        self.estimator.on_done(tracked, task, is_late, now)
+
     def lease_until_ms(self, view: WorkerView, now: float) -> int:
         """Return the lease end to request, and count the lease as possibly granted."""
         until_ms = view.clock.earliest_ms(now) + int(self.times.worker_lease_s * 1000)
@@ -258,10 +285,14 @@
             self._tasks_with_known_run.add(run.task)
         self.run_by_task[run.task] = run
         self.worker_by_id[run.worker_id].add_run(run)
+        if self.estimator is not None:
+            self.estimator.on_run_added(run)
 
     def _remove_run(self, run: Run, now: float) -> None:
         if self.run_by_task.get(run.task) is run:
             del self.run_by_task[run.task]
+            if self.estimator is not None:
+                self.estimator.on_run_removed(run, now)
         view = self.worker_by_id.get(run.worker_id)
         if view is not None:
             view.remove_run(run, now)
--- a/libs/scheduling/src/berylcleat/scheduling/_submissions.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_submissions.py
@@ -1,5 +1,6 @@
 """Submissions tracked by a cell: their runnable steps, progress and end."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from berylcleat.model import (
@@ -12,11 +13,10 @@
 )
 
 from ._progress import CrashedRuns, CrashEvidence, Progress
+from ._urgency import DeadlineOrder, UrgencyOrder
 
 # Run numbers reserved per epoch, so that those of a later epoch are always higher.
 RUNS_PER_EPOCH = 1000
-# Share of the estimated remaining time taken as its lower bound: estimates are rough.
-MIN_REMAINING_SHARE = 0.6
 # Weight of one step in the moving average of demands.
 DEMAND_WEIGHT = 0.1
 
@@ -41,24 +41,6 @@
         submission_id = self.tracked.submission.submission_id
         return TaskKey(submission_id, self.occurrence, self.number, index)
 
-    def urgency_key(self, now: float) -> tuple[int, bool, float, str, int, int]:
-        """Return the sort key of ready steps, most urgent first.
-
-        Steps that can no longer meet their deadline come after those that can. A
-        long-running step never counts as late: it is useful for as long as it runs.
-        """
-        tracked = self.tracked
-        remaining_s = tracked.remaining_s_by_step[self.number] * MIN_REMAINING_SHARE
-        is_late = now + remaining_s > tracked.due_at
-        return (
-            tracked.submission.queue.priority,
-            is_late and not self.step.is_long_running,
-            tracked.due_at,
-            tracked.submission.submission_id,
-            self.occurrence,
-            self.number,
-        )
-
 
 @dataclass(slots=True)
 class TrackedSubmission:
@@ -387,7 +369,8 @@
     ``live_by_id`` holds those that have not ended or have unrecorded progress.
     """
 
-    def __init__(self):
+    def __init__(self, order: UrgencyOrder | None = None):
+        self._order: UrgencyOrder = order or DeadlineOrder()
         self.by_id: dict[str, TrackedSubmission] = {}
         self.live_by_id: dict[str, TrackedSubmission] = {}
         # Moving average over the ordinary steps added here, in thousandths of a core.
@@ -431,14 +414,14 @@
             if tracked.submission.is_scheduled:
                 tracked.activate_due_steps(wall_ms)
 
+    def iter_ready(self) -> Iterator[ReadyStep]:
+        """Yield the steps with waiting tasks in any order."""
+        for tracked in self.live_by_id.values():
+            yield from tracked.ready_by_step.values()
+
     def ready_steps(self, now: float) -> list[ReadyStep]:
         """Return the steps with waiting tasks, most urgent first."""
-        ready = (
-            step
-            for tracked in self.live_by_id.values()
-            for step in tracked.ready_by_step.values()
-        )
-        return sorted(ready, key=lambda step: step.urgency_key(now))
+        return self._order.sort(self.iter_ready(), now)
 
     def dirty_submissions(self) -> list[TrackedSubmission]:
         """Return the submissions with unrecorded progress."""
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -29,6 +29,7 @@
 
 from ._clock import now_s, wall_ms
 from ._components import Connections, Knowledge
+from ._order_metrics import OrderMetrics
 from ._recorder import ProgressRecorder
 from ._records import (
     CELL_TABLE,
@@ -79,6 +80,8 @@
         settled_at: float,
         is_ownership_confirmed: Callable[[], bool],
         mover: TaskMover,
+        *,
+        expected_finish: bool = False,
     ):
         self.cell_id = cell_id
         self.data_centre = data_centre
@@ -95,6 +98,7 @@
         self._is_ownership_confirmed = is_ownership_confirmed
         self._interference = knowledge.interference
         self._mover = mover
+        self._expected_finish = expected_finish
         self._advisor = connections.advisor
         # Recorded progress of submissions that this host doesn't know yet.
         self._unmatched_progress_by_id: dict[str, Progress] = {}
@@ -103,6 +107,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._plan_needed = asyncio.Event()
         self._record_needed = asyncio.Event()
+        self._order_metrics = OrderMetrics(cell_id)
 
     @property
     def is_inactive(self) -> bool:
@@ -128,6 +133,7 @@
             self._settled_at,
             earlier_workers,
             self._interference,
+            expected_finish=self._expected_finish,
         )
         now = now_s()
         for entry in self._directory.in_cell(self.cell_id):
@@ -199,6 +205,7 @@
 
     async def _stop_tasks(self) -> None:
         await cancel_all([*self._tasks, *self._hold_loop_by_worker.values()])
+        self._order_metrics.clear()
         for client in self._client_by_worker.values():
             client.close()
 
@@ -210,10 +217,12 @@
             return
         now = now_s()
         age_ms = wall_ms() - entry.accepted.accepted_at_ms
+        # Deadlines count from the acceptance in every cell that orders by them alike.
+        age_s = max(0.0, age_ms) / 1000 if self._expected_finish else 0.0
         self.scheduler.add_submission(
             entry.accepted.submission,
             self._unmatched_progress_by_id.pop(submission_id, Progress()),
-            now,
+            now - age_s,
             now,
             inherited=age_ms > LATE_SUBMISSION_MS,
             is_home=entry.accepted.cell_id == self.cell_id,
@@ -474,6 +483,7 @@
         """Move stuck tasks to other cells and report ends of tasks moved here."""
         while True:
             await asyncio.sleep(MOVE_PERIOD_S)
+            self._order_metrics.update(self.scheduler)
             if not self._is_ownership_confirmed() or self.is_inactive:
                 continue
             headrooms = self._mover.headrooms(self.cell_id)
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -48,6 +48,8 @@
         knowledge: Knowledge,
         feeds: OwnerFeeds,
         times: LeaseTimes,
+        *,
+        expected_finish: bool = False,
     ):
         self.controller_by_cell: dict[str, CellController] = {}
         self.is_leaving = False
@@ -64,6 +66,7 @@
         self._workers = knowledge.workers
         self._feeds = feeds
         self._times = times
+        self._expected_finish = expected_finish
         self._mover = TaskMover(
             SubmissionStore(connections.store),
             knowledge.directory,
@@ -261,6 +264,7 @@
             now_s() + max(wait_s, remaining_s),
             self._is_ownership_confirmed,
             self._mover,
+            expected_finish=self._expected_finish,
         )
         # A shutdown or a takeover notice may have come during the commit or the request
         # to the previous owner.
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -107,6 +107,7 @@
             ),
             OwnerFeeds(self.cell_follower, self.worker_follower, self.feeds),
             LeaseTimes(worker_lease_s=settings.worker_lease_s),
+            expected_finish=settings.expected_finish,
         )
         self.publisher = HostPublisher(
             self.store,
--- a/programs/beryl-host/src/berylcleat/host/_settings.py
+++ b/programs/beryl-host/src/berylcleat/host/_settings.py
@@ -11,7 +11,8 @@
 
     ``drain_grace_s`` limits a graceful shutdown, ``core_speed`` is the speed of the
     host's cores relative to a reference core, and ``cpu_share`` is how many of these
-    cores, or what fraction of one, the host may use.
+    cores, or what fraction of one, the host may use. With ``expected_finish``, waiting
+    tasks are ordered and moved by when they are expected to finish.
     """
 
     host_id: str
@@ -27,6 +28,7 @@
     worker_lease_s: float = 5.0
     drain_grace_s: float = 6.0
     orders_mode: str = "push"
+    expected_finish: bool = False
 
     @property
     def cpu_power(self) -> float:
