Don't watch for pauses in deployments without evacuations

Cause: with a deadline of 0, an owner that was suspended logged that the evacuation requests must be read, though there are none.

Change: pauses and availability are noted only where there are evacuations.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -100,7 +100,7 @@
 
     def _observe_time(self, now: float) -> None:
         """Take note of a pause of the owner, and of the tasks that are available."""
-        if self.evacuation is None:
+        if self.evacuation is None or not self.evacuation.is_enabled:
             return
         if self._is_paused(now):
             logger.info(
