Test that a failed task is first tried elsewhere

Cause: with the rule for retries taken out, the load patterns still passed, because suspect workers are chosen last by all tasks.

Change: a scenario for the rule itself.

--- a/libs/scheduling/features/steps/uneven_steps.py
+++ b/libs/scheduling/features/steps/uneven_steps.py
@@ -2,19 +2,23 @@
 
 from behave import given, then, when
 from filler_steps import SERVING, add_run, make_view
-from uneven_load import DISTURBED_UNTIL_S, NEVER_S, Disturbance, UnevenLoad
+from uneven_load import DISTURBED_UNTIL_S, NEVER_S, QUEUE, Disturbance, UnevenLoad
 
-from berylcleat.model import Step, TaskDemand, TaskKey
+from berylcleat.model import Step, Submission, TaskDemand, TaskKey
 from berylcleat.scheduling import (
     InterferenceModel,
+    Progress,
     Run,
     RunOutcome,
     RunPhase,
+    SubmissionRegistry,
+    UnevenWorkers,
     WorkerCondition,
     WorkerHealth,
     WorkerSpeeds,
     choose_worker,
 )
+from berylcleat.scheduling._submissions import ReadyStep
 
 SEEDS = (1, 2, 3)
 STEP = Step(2, TaskDemand(4000), estimate_s=1.0)
@@ -296,3 +300,24 @@
 def step_only_one(context):
     on_probation = [n for n in range(10) if context.health.probation(f"w{n}")]
     assert on_probation == [0], on_probation
+
+
+@given('a task has failed on worker "w0", "w1" is on probation and "w2" is sound')
+def step_failed_task(context):
+    context.uneven = UnevenWorkers()
+    context.views = [make_view(f"w{number}") for number in range(3)]
+    context.views[1].condition = WorkerCondition(is_on_probation=True, n_slots=1)
+    task = TaskKey("a" * 16, 0, 0, 0)
+    outcome = RunOutcome("w0", task, "", 0.0, has_failed=True)
+    context.uneven.health.on_outcome(outcome, 0.0)
+
+
+@then('{which} task may go to "{names}" after {seconds:d} s')
+def step_may_go(context, which, names, seconds):
+    task = TaskKey("a" * 16, 0, 0, 0 if which == "the" else 1)
+    submission = Submission(task.submission_id, QUEUE, "s", (STEP,))
+    tracked = SubmissionRegistry().add(submission, Progress(), 0.0)
+    ready = ReadyStep(tracked, 0, 0, {0, 1})
+    groups = context.uneven.candidate_groups(ready, task, context.views, seconds)
+    found = {view.entry.worker_id for group in groups for view in group}
+    assert found == set(names.split()), found
--- a/libs/scheduling/features/uneven_workers.feature
+++ b/libs/scheduling/features/uneven_workers.feature
@@ -47,7 +47,7 @@
     Then only these submissions fail
     And no worker was on probation
 
-  # Guards against decisions of a new owner that evidence of the earlier one must allow.
+  # Guards against lasting harm from a takeover: the evidence is not stored.
   Scenario Outline: A new owner learns which workers <fault> within seconds
     Given one in twenty workers <fault> from 5 s on
     And another host takes over after 8 s
@@ -81,7 +81,7 @@
     When a run has taken 7 s on a worker
     Then it counts as slow
 
-  # Guards against tests of a failing worker by many tasks, and against none at all.
+  # Guards against many tasks that fail on trial, and against a worker that never returns.
   Scenario: The backoff of a failing worker doubles from 1 s to 8 s
     Given a worker that has failed 3 tasks that run well elsewhere
     Then its probation lasts 1, 2, 4, 8 and 8 s as further tasks fail
@@ -94,3 +94,10 @@
     Then none of them is on probation
     When one of them is down for 2 s twice
     Then only that one is on probation
+
+  # Guards against failed submissions: a retry went where its task had failed already.
+  Scenario: A task that has failed waits for another worker for 2 s
+    Given a task has failed on worker "w0", "w1" is on probation and "w2" is sound
+    Then the task may go to "w2" after 1 s
+    And the task may go to "w0 w1 w2" after 3 s
+    And another task may go to "w0 w1 w2" after 1 s
