Move at once what can't start in its cell (setting expected_finish)

Cause: a task counts as stuck only after 0.5 s, a filler after 1 s, and every cell may take 0.7 of the headroom that all of them see, so interactive steps wait and moves conflict.

Change: with the switch, tasks that no worker takes now, and that none is expected to take within 0.2 s, move at once, in one proposal per step, on loads of at most 3 s. The headroom of a cell is shared: in each period of 2 s up to as many cells as there are parts of 4 cores are drawn, alike in all cells, and each takes its part; what was taken counts for 2 s. At most two moves of a task, 1 s apart; a last resort after 5 s, as workers may be gone. A rejected proposal is made again after 0.3 s. Moves carry their number as a new last element of their rows (0 when off). Gangs and long-running tasks move as before. Loads are published at least every 2 s with the switch.

Checks are unchanged.

--- /dev/null
+++ b/libs/scheduling/features/spill.feature
@@ -0,0 +1,52 @@
+Feature: Moves at once of tasks that can't start in their cell
+  The load patterns: steps wider than the free capacity of their cell beside cells with
+  capacity, and several cells that spill into one at once.
+
+  Scenario: Interactive steps wider than the free capacity of their cell
+    Given interactive steps of 24 tasks for cells of 16, 32 and 32 cores, of 4 seeds
+    Then by expected finish more submissions are in time, and what counts is worth as much
+    And no task has moved more than twice
+    And every submission ends
+
+  # Guards against the herd effect: two cells that both take the same headroom.
+  Scenario: Two cells spill into a third at once
+    Given two full cells whose tasks wait and a third cell with capacity
+    When both propose moves on the same load of the third cell
+    Then tasks of both are moved, in all no more than the third cell has capacity for
+    When both propose moves on that load again
+    Then no further task is moved
+
+  # Guards against moves to cells whose state is unknown.
+  Scenario Outline: No task moves on a load that is <state>
+    Given two full cells whose tasks wait and a third cell with capacity
+    When a full cell proposes moves on a load that is <state>
+    Then <n> of its tasks are moved
+
+    Examples:
+      | state     | n    |
+      | missing   | none |
+      | 3.5 s old | none |
+      | 2.5 s old | some |
+
+  # Guards against proposals in quick succession that the store rejects.
+  Scenario: A proposal that conflicts is made again after 0.3 s
+    Given two full cells whose tasks wait and a third cell with capacity
+    When a proposal of a full cell is rejected by the store
+    Then its step is proposed again 0.3 s later and not before
+
+  # Guard against tasks that go to and fro between full cells.
+  Scenario: A task doesn't move within 1 s of its last move
+    Given two full cells whose tasks wait and a third cell with capacity
+    When a task that has moved once arrives in a full cell
+    Then it may move on after 1 s and not before
+
+  Scenario: A task that has moved twice stays
+    Given two full cells whose tasks wait and a third cell with capacity
+    When a task that has moved twice arrives in a full cell
+    Then it stays for the next 2 s
+
+  # Guards against a move that takes longer than the run that it waits for.
+  Scenario: What can start here within 0.2 s stays
+    Given two full cells whose tasks wait and a third cell with capacity
+    When the runs of a full cell are expected to end within 0.1 s
+    Then none of its tasks are moved
--- a/libs/scheduling/features/steps/cell_simulation.py
+++ b/libs/scheduling/features/steps/cell_simulation.py
@@ -223,7 +223,7 @@
             if now >= self.next_hold_at.get(worker_id, 0.0):
                 self.next_hold_at[worker_id] = now + HOLD_PERIOD_S
                 self._hold(worker_id)
-        for item in self.cell.plan(now, 0.0):
+        for item in self.cell.plan(now, now * 1000):
             if isinstance(item.order, StartOrder) and not self.is_partitioned:
                 self.sim.checker.on_start_order(item.order.task, now)
             self.sim.send(self, item.worker_id, item.order)
--- a/libs/scheduling/features/steps/expected_finish_steps.py
+++ b/libs/scheduling/features/steps/expected_finish_steps.py
@@ -63,24 +63,26 @@
     ]
 
 
-def play(arrivals, cell_sizes, random_state, *, expected_finish):
+def play(arrivals, cell_sizes, random_state, *, expected_finish, serves=True):
     loop = LoadLoop(random_state, cell_sizes, expected_finish=expected_finish)
-    loop.serve()
+    if serves:
+        loop.serve()
     for _ in range(SETTLE_TICKS):
         loop.tick()
-    return loop.run(arrivals, MAX_LENGTH_S)
+    return loop, loop.run(arrivals, MAX_LENGTH_S)
 
 
-def compare(context, n_seeds, cell_sizes, make_arrivals):
-    context.pairs = []
+def compare(context, n_seeds, cell_sizes, make_arrivals, *, serves=True):
+    """Play the same loads without and with the switch; keep the loops with it."""
+    context.pairs, context.loops = [], []
     for seed in range(1, n_seeds + 1):
         arrivals = make_arrivals(seed)
-        context.pairs.append(
-            [
-                play(arrivals, cell_sizes, seed, expected_finish=switch)
-                for switch in (False, True)
-            ]
+        (_, before), (loop, after) = (
+            play(arrivals, cell_sizes, seed, expected_finish=switch, serves=serves)
+            for switch in (False, True)
         )
+        context.pairs.append((before, after))
+        context.loops.append(loop)
 
 
 def total(context, number):
@@ -146,11 +148,11 @@
     return loop
 
 
-def add(loop, number, step, *, queue=BATCH, age_s=0.0):
+def add(loop, number, step, *, queue=BATCH, age_s=0.0, home=0):
     submission_id = f"{number:016x}"
     loop.steps_by_id[submission_id] = (step,)
-    loop.home_by_id[submission_id] = 0
-    loop.cells[0].add_submission(
+    loop.home_by_id[submission_id] = home
+    loop.cells[home].add_submission(
         Submission(submission_id, queue, "s", (step,)),
         Progress(),
         loop.now - age_s,
--- a/libs/scheduling/features/steps/load_loop.py
+++ b/libs/scheduling/features/steps/load_loop.py
@@ -140,7 +140,7 @@
         self.n_moved_to: dict[str, int] = {}
         self.events: list[tuple[float, int, object]] = []
         self.headrooms: dict[str, CellHeadroom] = {}
-        self.rejects_moves = False
+        self.moves_tasks = True
         self.started: list[tuple[float, TaskKey]] = []
         for number, size in enumerate(cell_sizes):
             self._make_cell(f"r{number}", size)
@@ -249,11 +249,13 @@
         for cell in self.cells:
             self._hold(cell)
             cell.on_recorded(cell.take_batch())
-            for item in cell.plan(self.now, 0.0):
+            for item in cell.plan(self.now, self.now * 1000):
                 self._execute(cell, item)
         if n_ticks % LOAD_PERIOD_TICKS == 0:
-            self.headrooms = {cell.cell_id: self._headroom(cell) for cell in self.cells}
-        if n_ticks % MOVE_PERIOD_TICKS == 0:
+            self.headrooms = {
+                cell.cell_id: self.make_headroom(cell) for cell in self.cells
+            }
+        if self.moves_tasks and n_ticks % MOVE_PERIOD_TICKS == 0:
             for number in range(len(self.cells)):
                 self._move(number)
 
@@ -275,7 +277,8 @@
             answer = worker.stop(item.order, self.now)
             cell.on_stop_answer(item.worker_id, item.order, answer, self.now)
 
-    def _headroom(self, cell: CellScheduler) -> CellHeadroom:
+    def make_headroom(self, cell: CellScheduler) -> CellHeadroom:
+        """Return the headroom that a cell publishes."""
         views = cell.worker_by_id.values()
         free = tuple(max(0, view.free().cpu_millis) for view in views)
         waits = cell.waiting_cpu() - cell.stuck_cpu(self.now)
@@ -309,7 +312,7 @@
 
     def _commit(self, cell: CellScheduler, proposal, known) -> None:
         current = self.moves_by_id.get(proposal.submission_id, {})
-        if current == known and not self.rejects_moves:
+        if current == known:
             self.n_moved += len(proposal.move_by_task)
             for move in proposal.move_by_task.values():
                 n = self.n_moved_to.get(move.cell_id, 0) + 1
@@ -325,21 +328,26 @@
     def _deliver(self, proposal, targets: set[str]) -> None:
         submission_id = proposal.submission_id
         moves = self.moves_by_id[submission_id]
+        for number, cell in enumerate(self.cells):
+            if cell.cell_id in targets or submission_id in cell.submissions.by_id:
+                self.add_moved(number, submission_id, moves)
+
+    def add_moved(self, number: int, submission_id: str, moves) -> None:
+        """Make the recorded moves of a submission known to a cell."""
         home = self.cells[self.home_by_id[submission_id]]
+        cell = self.cells[number]
         tracked = home.submissions.by_id[submission_id]
         accepted_at = tracked.due_at - objective_of(tracked.submission)
-        for cell in self.cells:
-            if cell.cell_id in targets or submission_id in cell.submissions.by_id:
-                cell.add_submission(
-                    tracked.submission,
-                    Progress(),
-                    accepted_at if self.expected_finish else self.now,
-                    self.now,
-                    inherited=False,
-                    is_home=cell is home,
-                    move_by_task=moves,
-                )
-                cell.update_moves(submission_id, moves, self.now)
+        cell.add_submission(
+            tracked.submission,
+            Progress(),
+            accepted_at if self.expected_finish else self.now,
+            self.now,
+            inherited=False,
+            is_home=cell is home,
+            move_by_task=moves,
+        )
+        cell.update_moves(submission_id, moves, self.now)
 
     def _schedule(self, delay_s: float, action) -> None:
         self.events.append((self.now + delay_s, len(self.events), action))
--- /dev/null
+++ b/libs/scheduling/features/steps/spill_steps.py
@@ -0,0 +1,179 @@
+import random
+from dataclasses import replace
+
+from behave import given, then, when
+from expected_finish_steps import add, compare
+from load_loop import Arrival, LoadLoop
+
+from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
+from berylcleat.scheduling import TaskMove
+
+INTERACTIVE = QueuePolicy(
+    "interactive", "svc", priority=1, max_attempts=3, stretch=1.5, objective_ms=500
+)
+DEMAND = TaskDemand(1000, 100)
+CORES_PER_CELL = 32
+ESTIMATE_S = 3.0
+
+
+@given(
+    "interactive steps of {n_tasks:d} tasks for cells of 16, 32 and 32 cores, "
+    "of {n:d} seeds"
+)
+def step_interactive(context, n_tasks, n):
+    def make_arrivals(seed):
+        rng = random.Random(seed)
+        arrivals = []
+        for number in range(15):
+            step = Step(n_tasks, DEMAND, estimate_s=rng.uniform(0.4, 0.8))
+            submission = Submission(f"{number:016x}", INTERACTIVE, "s", (step,))
+            at = 5.0 + number * 2.0 + rng.random()
+            arrivals.append(Arrival(at, 0, submission))
+        return arrivals
+
+    compare(context, n, (2, 4, 4), make_arrivals, serves=False)
+
+
+@then("no task has moved more than twice")
+def step_at_most_two_moves(context):
+    counts = [
+        move.n_moves
+        for loop in context.loops
+        for moves in loop.moves_by_id.values()
+        for move in moves.values()
+    ]
+    assert counts and max(counts) <= 2, max(counts, default=0)
+
+
+@given("two full cells whose tasks wait and a third cell with capacity")
+def step_full_cells(context):
+    context.loop = loop = LoadLoop(1, (4, 4, 4), expected_finish=True)
+    for _ in range(5):
+        loop.tick()
+    loop.headrooms.clear()
+    # The moves are proposed by the scenario.
+    loop.moves_tasks = False
+    step = Step(CORES_PER_CELL, DEMAND, estimate_s=ESTIMATE_S)
+    for number in (0, 1):
+        for order in range(2):
+            add(loop, 10 * number + order + 1, step, home=number)
+    for _ in range(3):
+        loop.tick()
+    cell = loop.cells[2]
+    context.headroom = loop.make_headroom(cell)
+    assert context.headroom.free == CORES_PER_CELL * 1000
+    context.proposals = []
+
+
+def propose(context, number, headrooms, now=None):
+    now = context.loop.now if now is None else now
+    proposals = context.loop.cells[number].propose_moves(headrooms, now)
+    return [move for p in proposals for move in p.move_by_task.values()]
+
+
+def both_headrooms(context, number):
+    """Return the loads of the other full cell and of the third one."""
+    other = context.loop.make_headroom(context.loop.cells[1 - number])
+    return (other, context.headroom)
+
+
+@when("both propose moves on the same load of the third cell")
+@when("both propose moves on that load again")
+def step_both_propose(context):
+    context.moves = [propose(context, n, both_headrooms(context, n)) for n in (0, 1)]
+
+
+@then("tasks of both are moved, in all no more than the third cell has capacity for")
+def step_no_more_than_capacity(context):
+    n_by_cell = [len(moves) for moves in context.moves]
+    assert sum(n_by_cell) <= CORES_PER_CELL, n_by_cell
+    assert all(move.cell_id == "r2" for moves in context.moves for move in moves)
+    assert all(n_by_cell), n_by_cell
+
+
+@then("no further task is moved")
+def step_no_further(context):
+    assert context.moves == [[], []], context.moves
+
+
+@when("a full cell proposes moves on a load that is {state}")
+def step_propose_on(context, state):
+    headrooms = ()
+    if state != "missing":
+        age_s = float(state.split()[0])
+        headrooms = (replace(context.headroom, age_s=age_s),)
+    context.moves = propose(context, 0, headrooms)
+
+
+@then("{n} of its tasks are moved")
+def step_n_moved(context, n):
+    assert bool(context.moves) == (n == "some"), context.moves
+
+
+@when("a proposal of a full cell is rejected by the store")
+def step_conflict(context):
+    cell, now = context.loop.cells[0], context.loop.now
+    (proposal,) = cell.propose_moves((context.headroom,), now)
+    cell.on_move_settled(proposal, now)
+
+
+@then("its step is proposed again 0.3 s later and not before")
+def step_again(context):
+    loop = context.loop
+    rejected_at = loop.now
+    while loop.now < rejected_at + 0.25:
+        assert not propose(context, 0, (context.headroom,)), loop.now
+        loop.tick()
+    while loop.now < rejected_at + 2.5:
+        loop.tick()
+    assert propose(context, 0, (context.headroom,))
+
+
+@when("a task that has moved {times} arrives in a full cell")
+def step_arrives(context, times):
+    loop = context.loop
+    n_moves = {"once": 1, "twice": 2}[times]
+    # The task is the only one that waits.
+    for ready in list(loop.cells[0].submissions.iter_ready()):
+        loop.cells[0].cancel(ready.tracked.submission.submission_id, loop.now)
+    submission_id = add(loop, 90 + n_moves, Step(1, DEMAND, estimate_s=9.0), home=2)
+    loop.cells[2].cancel(submission_id, loop.now)
+    task = TaskKey(submission_id, 0, 0, 0)
+    move = TaskMove("r0", 0, n_moves=n_moves)
+    loop.add_moved(0, submission_id, {task: move})
+    context.task = task
+    context.arrived_at = loop.now
+
+
+def may_move_on(context):
+    cell, now = context.loop.cells[0], context.loop.now
+    proposals = cell.propose_moves((context.headroom,), now)
+    return any(context.task in proposal.move_by_task for proposal in proposals)
+
+
+@then("it may move on after 1 s and not before")
+def step_not_before(context):
+    loop = context.loop
+    while loop.now < context.arrived_at + 0.9:
+        loop.tick()
+        assert not may_move_on(context), loop.now
+    for _ in range(3):
+        loop.tick()
+    assert may_move_on(context)
+
+
+@then("it stays for the next 2 s")
+def step_stays(context):
+    while context.loop.now < context.arrived_at + 2.0:
+        context.loop.tick()
+        assert not may_move_on(context), context.loop.now
+    assert context.task not in context.loop.cells[0].run_by_task
+
+
+@when("the runs of a full cell are expected to end within 0.1 s")
+def step_about_to_end(context):
+    cell = context.loop.cells[0]
+    began_at = min(run.started_at for run in cell.run_by_task.values())
+    context.moves = propose(
+        context, 0, (context.headroom,), began_at + ESTIMATE_S - 0.1
+    )
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -19,6 +19,7 @@
     is_stuck,
     make_move,
 )
+from ._spill import MOVE_S
 from ._submissions import ReadyStep, TrackedSubmission
 
 logger = logging.getLogger(__name__)
@@ -36,18 +37,21 @@
             return
         for task, move in move_by_task.items():
             if move.cell_id == self.cell_id:
-                self._accept_moved_task(tracked, task, move)
+                self._accept_moved_task(tracked, task, move, now)
             else:
                 self._release_moved_task(tracked, task, now)
         self._process_deferred_reports(submission_id, now)
 
     def _accept_moved_task(
-        self, tracked: TrackedSubmission, task: TaskKey, move: TaskMove
+        self, tracked: TrackedSubmission, task: TaskKey, move: TaskMove, now: float
     ) -> None:
         tracked.apply_move(
             task, move.run_floor, move.failed_runs, move.crashed_runs, move.checkpoint
         )
         was_assigned_here = tracked.runs_here(task)
+        if not was_assigned_here:
+            tracked.moved_at_by_task[task] = now
+        tracked.n_moves_by_task[task] = move.n_moves
         tracked.moved_away.discard(task)
         tracked.moved_here.add(task)
         if not was_assigned_here and task not in self.run_by_task:
@@ -76,7 +80,11 @@
         self._other_headrooms = headrooms
         reservations = HeadroomReservations(headrooms, self.interference)
         proposals = []
+        if self.spill is not None:
+            proposals = self._propose_spills(headrooms, now)
         for ready in self.submissions.ready_steps(now):
+            if self._is_spilled(ready):
+                continue
             if is_stuck(ready, now):
                 move_by_task = self._propose_task_moves(ready, reservations, now)
                 if move_by_task:
@@ -86,6 +94,78 @@
                     proposals.append(proposal)
         return proposals
 
+    def _is_spilled(self, ready: ReadyStep) -> bool:
+        """Return whether the tasks of a step move as soon as none here can start.
+
+        Gangs and tasks that last move after a wait, as they do without the switch.
+        """
+        if self.spill is None or ready.stuck_since is None:
+            return False
+        return not ready.step.is_gang and not ready.step.is_long_running
+
+    def _propose_spills(
+        self, headrooms: tuple[CellHeadroom, ...], now: float
+    ) -> list[MoveProposal]:
+        """Return moves at once of tasks that can't start here, one for each step."""
+        proposals = []
+        ending_by_kind = self._ending_cpu(MOVE_S, now)
+        for ready in self.submissions.ready_steps(now):
+            if not self._is_spilled(ready):
+                continue
+            tasks = self._startable_tasks(ready, now)
+            cpu_millis = max(1, ready.step.demand.cpu_millis)
+            n_staying = min(len(tasks), ending_by_kind[ready.step.fills] // cpu_millis)
+            ending_by_kind[ready.step.fills] -= n_staying * cpu_millis
+            tasks = self.spill.choose_tasks(ready, tasks, n_staying, now)
+            if any(self._give_up_crashing(ready.tracked, task, now) for task in tasks):
+                continue
+            move_by_task = self._reserve_spills(ready, tasks, headrooms, now)
+            if move_by_task:
+                submission_id = ready.tracked.submission.submission_id
+                proposal = MoveProposal(submission_id, move_by_task, "no-worker")
+                logger.info("move proposed: %s", proposal.describe())
+                proposals.append(proposal)
+        return proposals
+
+    def _reserve_spills(
+        self,
+        ready: ReadyStep,
+        tasks: list[TaskKey],
+        headrooms: tuple[CellHeadroom, ...],
+        now: float,
+    ) -> dict[TaskKey, TaskMove]:
+        tracked = ready.tracked
+        service = tracked.submission.queue.service
+        cell_ids = self.spill.reserve(
+            ready.step,
+            service,
+            len(tasks),
+            headrooms,
+            self.interference,
+            self._wall_ms,
+            now,
+        )
+        move_by_task = {
+            task: make_move(
+                tracked,
+                task,
+                cell_id,
+                self.epoch,
+                tracked.n_moves_by_task.get(task, 0) + 1,
+            )
+            for task, cell_id in zip(tasks, cell_ids, strict=False)
+        }
+        self._tasks_with_pending_move.update(move_by_task)
+        return move_by_task
+
+    def _ending_cpu(self, within_s: float, now: float) -> dict[bool, int]:
+        """Return the processor time that ending fillers and ordinary tasks free."""
+        ending_by_kind = {False: 0, True: 0}
+        for run in self.run_by_task.values():
+            if self.estimator.is_ending(run, within_s, now):
+                ending_by_kind[run.step.fills] += run.step.demand.cpu_millis
+        return ending_by_kind
+
     def _propose_task_moves(
         self, ready: ReadyStep, reservations: HeadroomReservations, now: float
     ) -> dict[TaskKey, TaskMove]:
@@ -160,6 +240,10 @@
         to it, may start here again.
         """
         self._tasks_with_pending_move.difference_update(proposal.move_by_task)
+        tracked = self.submissions.by_id.get(proposal.submission_id)
+        if self.spill is not None and tracked is not None:
+            tasks = proposal.move_by_task
+            self.spill.on_settled([t for t in tasks if tracked.runs_here(t)], now)
         self._process_deferred_reports(proposal.submission_id, now)
 
     def stray_ends(self, now: float) -> dict[str, list[EndedTask]]:
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -20,6 +20,7 @@
 from ._moves import CellHeadroom
 from ._orders import WorkerOrder
 from ._pacing import LoadEstimator, plan_paces
+from ._spill import SpillPlanner
 from ._submissions import SubmissionRegistry, TrackedSubmission
 from ._urgency import ExpectedFinishOrder
 from ._workers import Run, RunPhase, WorkerView
@@ -55,6 +56,7 @@
         self.finish_order: ExpectedFinishOrder | None = None
         if self.estimator is not None:
             self.finish_order = ExpectedFinishOrder(self.estimator)
+        self.spill = SpillPlanner(cell_id) if expected_finish else None
         self.submissions = SubmissionRegistry(self.finish_order)
         self.interference = interference
         self.load_estimator = LoadEstimator()
--- a/libs/scheduling/src/berylcleat/scheduling/_finish_estimate.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_finish_estimate.py
@@ -54,6 +54,8 @@
         return min(MAX_RATIO, max(MIN_RATIO, above / below))
 
     def _fade(self, now: float) -> None:
+        if now == self.updated_at:
+            return
         factor = math.exp(-max(0.0, now - self.updated_at) / MEMORY_S)
         self.updated_at = max(self.updated_at, now)
         self.numerator *= factor
@@ -104,6 +106,9 @@
     overdue_used_core_s: float = 0.0
     overdue_core_s: float = 0.0
     observed_at: float | None = None
+    # The rate and when it was computed: an assessment asks for it many times at once.
+    rate: float = 0.0
+    rate_at: float | None = None
 
     def observe_cores(self, cores: float, now: float) -> None:
         """Update the average of the processors that can be got."""
@@ -116,8 +121,11 @@
 
     def core_s_per_s(self, now: float) -> float:
         """Return the declared core-seconds that get done a second."""
-        cost = self.cost.value(now, self.overdue_used_core_s, self.overdue_core_s)
-        return max(MIN_CORES, self.cores) / cost
+        if now != self.rate_at:
+            cost = self.cost.value(now, self.overdue_used_core_s, self.overdue_core_s)
+            self.rate = max(MIN_CORES, self.cores) / cost
+            self.rate_at = now
+        return self.rate
 
 
 @dataclass(slots=True)
@@ -188,29 +196,39 @@
         for fills, rate in self._rates.items():
             rate.running_core_s = rate.overdue_used_core_s = rate.overdue_core_s = 0.0
             cores = 0.0
+            cost = rate.cost.value(now)
             for view in views:
                 for run in view.run_by_task.values():
                     if run.step.fills == fills and not run.step.is_long_running:
                         cores += run.step.demand.cpu_millis / 1000
-                        self._observe_run(rate, run, now)
+                        self._observe_run(rate, cost, run, now)
             if not any(
                 r.stuck_since is not None for r in waiting if r.step.fills == fills
             ):
                 cores += sum(_free_cores(view, fills) for view in views)
             rate.observe_cores(cores, now)
 
-    def _observe_run(self, rate: WorkRate, run: Run, now: float) -> None:
+    def _observe_run(self, rate: WorkRate, cost: float, run: Run, now: float) -> None:
         work_core_s = task_core_s(run.step)
         if work_core_s <= 0:
             return
         cores = run.step.demand.cpu_millis / 1000
         used_core_s = max(0.0, now - run.started_at) * cores
-        cost = rate.cost.value(now)
         rate.running_core_s += max(0.0, work_core_s - used_core_s / cost)
         if used_core_s > work_core_s:
             rate.overdue_used_core_s += used_core_s
             rate.overdue_core_s += work_core_s
 
+    def is_ending(self, run: Run, within_s: float, now: float) -> bool:
+        """Return whether a run is expected to end within some seconds.
+
+        Nothing is expected of a run that has lasted longer than others do.
+        """
+        if run.step.is_long_running or run.step.estimate_s <= 0:
+            return False
+        usual_s = run.step.estimate_s * self._rates[run.step.fills].cost.value(now)
+        return 0.0 <= run.started_at + usual_s - now <= within_s
+
     def running_core_s(self, fills: bool) -> float:
         """Return the work that the present runs still have to do."""
         return self._rates[fills].running_core_s
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -30,6 +30,8 @@
     failed_runs: tuple[int, ...] = ()
     checkpoint: str = ""
     crashed_runs: tuple[tuple[int, CrashEvidence], ...] = ()
+    # Moves of the task so far, counted where ``expected_finish`` is set.
+    n_moves: int = 0
 
 
 class FillerHeadroom(msgspec.Struct, frozen=True, array_like=True):
@@ -47,7 +49,8 @@
     """Spare capacity of a cell, in thousandths of a core.
 
     ``fill_waiting`` is the processor demand of the fillers waiting in the cell,
-    ``free_by_worker`` the part of ``free`` on each worker.
+    ``free_by_worker`` the part of ``free`` on each worker. ``age_s`` is the age of the
+    load that reports it, ``is_near`` whether the cell is in the same data centre.
     """
 
     cell_id: str
@@ -57,6 +60,8 @@
     fill_waiting: int
     capacity: int = 0
     free_by_worker: tuple[int, ...] = ()
+    age_s: float = 0.0
+    is_near: bool = True
 
     def free_for(self, cpu_millis: int) -> int:
         """Return the part of ``free`` that tasks of this size can use.
@@ -89,10 +94,14 @@
 
 @dataclass(frozen=True, slots=True)
 class MoveProposal:
-    """Proposed moves of tasks of one submission to other cells."""
+    """Proposed moves of tasks of one submission to other cells.
+
+    ``reason`` is "stuck" for a step that has waited, "no-worker" for a move at once.
+    """
 
     submission_id: str
     move_by_task: dict[TaskKey, TaskMove]
+    reason: str = "stuck"
 
     def describe(self) -> str:
         """Return each task with its target cell and the highest run known of it."""
@@ -181,7 +190,11 @@
 
 
 def make_move(
-    tracked: TrackedSubmission, task: TaskKey, cell_id: str, epoch: int
+    tracked: TrackedSubmission,
+    task: TaskKey,
+    cell_id: str,
+    epoch: int,
+    n_moves: int = 0,
 ) -> TaskMove:
     """Return the move of ``task`` to ``cell_id`` with its runs and checkpoint.
 
@@ -193,4 +206,5 @@
         tuple(sorted(tracked.progress.failed_runs_by_task.get(task, ()))),
         tracked.checkpoint_of(task),
         tuple(sorted(tracked.crashes(task).items())),
+        n_moves,
     )
--- /dev/null
+++ b/libs/scheduling/src/berylcleat/scheduling/_spill.py
@@ -0,0 +1,170 @@
+"""Moves at once of tasks that can't start in their cell.
+
+Several cells see the same headroom of a cell before its next load tells them of each
+other. So each takes only its part of it: all parts together are no more than there is.
+"""
+
+import zlib
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from berylcleat.model import Step, TaskKey
+
+from ._interference import InterferenceModel
+from ._moves import USABLE_HEADROOM_SHARE, CellHeadroom
+from ._submissions import ReadyStep, TrackedSubmission
+
+# Seconds from the decision to move a task to its start in the other cell.
+MOVE_S = 0.2
+# Moves of a task, and seconds between two of them. A task that is then stuck for the
+# last time may move again, since the workers of its cell may be gone.
+MAX_MOVES = 2
+MIN_MOVE_INTERVAL_S = 1.0
+LAST_RESORT_STUCK_S = 5.0
+# Maximum age of a load that a move relies on, in seconds.
+MAX_LOAD_AGE_S = 3.0
+# Seconds after which the loads show the tasks that were moved there.
+LOAD_DELAY_S = 2.0
+# Seconds after a rejected proposal until the step is proposed again.
+CONFLICT_RETRY_S = 0.3
+# Milliseconds for which the same cells share a cell's headroom, in parts of at least
+# this many thousandths of a core. Every fourth time one cell gets all, for large tasks.
+SHARE_PERIOD_MS = 2000
+MIN_PART_MILLIS = 4000
+WHOLE_PERIOD = 4
+
+
+@dataclass(frozen=True, slots=True)
+class _Taken:
+    """Processor time taken from the headroom of a cell, in thousandths of a core."""
+
+    taken_at: float
+    cell_id: str
+    fills: bool
+    cpu_millis: int
+
+
+class SpillPlanner:
+    """Planner of one cell's moves, and its part of the other cells' headroom."""
+
+    def __init__(self, cell_id: str):
+        self._cell_id = cell_id
+        self._taken: list[_Taken] = []
+        self._retry_at_by_step: dict[tuple[str, int, int], float] = {}
+
+    def choose_tasks(
+        self, ready: ReadyStep, tasks: list[TaskKey], n_staying: int, now: float
+    ) -> list[TaskKey]:
+        """Return the tasks of a step that may move now.
+
+        The first ``n_staying`` of them are expected to start here before a move ends.
+        """
+        if ready.stuck_since is None or not tasks:
+            return []
+        if now < self._retry_at_by_step.get(tasks[0][:3], now):
+            return []
+        stuck_s = now - ready.stuck_since
+        return [
+            task
+            for task in tasks[n_staying:]
+            if may_move(ready.tracked, task, stuck_s, now)
+        ]
+
+    def reserve(
+        self,
+        step: Step,
+        service: str,
+        n_tasks: int,
+        headrooms: Iterable[CellHeadroom],
+        interference: InterferenceModel,
+        wall_ms: float,
+        now: float,
+    ) -> list[str]:
+        """Take headroom for up to ``n_tasks``; return the cell of each that fits."""
+        self._taken = [t for t in self._taken if now - t.taken_at < LOAD_DELAY_S]
+        suitable = {h.cell_id: h for h in headrooms if h.service == service}
+        turn = int(wall_ms // SHARE_PERIOD_MS)
+        slots: list[tuple[bool, bool, int, str]] = []
+        for cell_id, headroom in suitable.items():
+            if headroom.age_s > MAX_LOAD_AGE_S:
+                continue
+            n_sharing = self._count_sharing(step.fills, headroom, suitable, turn)
+            n_slots = self._count_slots(step, headroom, n_sharing, interference)
+            # Cells that hold all tasks are equal; the near ones of them come first.
+            is_small = n_slots < n_tasks
+            slots.append((is_small, not headroom.is_near, -n_slots, cell_id))
+        chosen: list[str] = []
+        for _, _, n_negative, cell_id in sorted(slots):
+            n = min(-n_negative, n_tasks - len(chosen))
+            if n > 0:
+                chosen += [cell_id] * n
+                cpu_millis = n * step.demand.cpu_millis
+                self._taken.append(_Taken(now, cell_id, step.fills, cpu_millis))
+        return chosen
+
+    def _count_sharing(
+        self,
+        fills: bool,
+        headroom: CellHeadroom,
+        suitable: Mapping[str, CellHeadroom],
+        turn: int,
+    ) -> int:
+        """Return how many cells share a cell's headroom now; 0 if this one doesn't.
+
+        Every cell but the target itself may. All compute the same from one load.
+        """
+        names = {self._cell_id, *suitable} - {headroom.cell_id}
+        total = headroom.free
+        if fills:
+            total = sum(item.cpu_left for item in headroom.filler_headrooms)
+        n_parts = int(total * USABLE_HEADROOM_SHARE) // MIN_PART_MILLIS
+        if (turn + _draw(headroom.cell_id)) % WHOLE_PERIOD == 0:
+            n_parts = 1
+        n_sharing = min(len(names), max(1, n_parts))
+        drawn = sorted(names, key=lambda n: _draw(f"{n}/{headroom.cell_id}/{turn}"))
+        return n_sharing if self._cell_id in drawn[:n_sharing] else 0
+
+    def _count_slots(
+        self,
+        step: Step,
+        headroom: CellHeadroom,
+        n_sharing: int,
+        interference: InterferenceModel,
+    ) -> int:
+        """Return how many more tasks of ``step`` this cell's part of another holds."""
+        if not n_sharing:
+            return 0
+        if step.fills:
+            left = headroom.headroom_for_filler(step.image, interference)
+        else:
+            left = headroom.free_for(step.allocation.cpu_millis)
+        taken = sum(
+            item.cpu_millis
+            for item in self._taken
+            if item.cell_id == headroom.cell_id and item.fills == step.fills
+        )
+        part = int(left * USABLE_HEADROOM_SHARE) // n_sharing - taken
+        return max(0, part) // max(1, step.demand.cpu_millis)
+
+    def on_settled(self, still_here: Iterable[TaskKey], now: float) -> None:
+        """Delay the next proposal of a step whose tasks weren't moved."""
+        retries = self._retry_at_by_step.items()
+        self._retry_at_by_step = {step: at for step, at in retries if at > now}
+        for task in still_here:
+            self._retry_at_by_step[task[:3]] = now + CONFLICT_RETRY_S
+
+
+def may_move(
+    tracked: TrackedSubmission, task: TaskKey, stuck_s: float, now: float
+) -> bool:
+    """Return whether a task has not moved too often or too recently."""
+    moved_at = tracked.moved_at_by_task.get(task)
+    if moved_at is not None and now - moved_at < MIN_MOVE_INTERVAL_S:
+        return False
+    if tracked.n_moves_by_task.get(task, 0) < MAX_MOVES:
+        return True
+    return stuck_s > LAST_RESORT_STUCK_S
+
+
+def _draw(name: str) -> int:
+    return zlib.crc32(name.encode())
--- a/libs/scheduling/src/berylcleat/scheduling/_submissions.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_submissions.py
@@ -74,6 +74,8 @@
     recorded_crashes_by_task: dict[TaskKey, frozenset[int]] = field(
         default_factory=dict
     )
+    n_moves_by_task: dict[TaskKey, int] = field(default_factory=dict)
+    moved_at_by_task: dict[TaskKey, float] = field(default_factory=dict)
     remaining_s_by_step: tuple[float, ...] = ()
 
     def __post_init__(self):
--- a/libs/scheduling/src/berylcleat/scheduling/_urgency.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_urgency.py
@@ -152,18 +152,17 @@
         One that can't finish in time is left out, so that it makes no other late.
         """
         steps.sort(key=lambda s: (_begun_rank(s), s.tracked.due_at, *_identity(s)))
-        late: list[ReadyStep] = []
+        late: list[tuple[ReadyStep, float]] = []
         for ready in steps:
             work_core_s = waiting_core_s(ready.tracked)
             finish_at = self._finish_at(ready, ahead_core_s + work_core_s, now)
             if self._stays_in_time(ready, work_core_s, finish_at, now):
                 ahead_core_s += work_core_s
             else:
-                late.append(ready)
-        late.sort(key=lambda s: (late_at(s.tracked), *_identity(s)))
+                late.append((ready, work_core_s))
+        late.sort(key=lambda item: (late_at(item[0].tracked), *_identity(item[0])))
         left_core_s = 0.0
-        for ready in late:
-            work_core_s = waiting_core_s(ready.tracked)
+        for ready, work_core_s in late:
             finish_at = self._finish_at(ready, ahead_core_s + work_core_s, now)
             prospect = self._prospect_by_id[ready.tracked.submission.submission_id]
             if finish_at <= late_at(ready.tracked):
@@ -224,12 +223,12 @@
 
 
 def _begun_rank(ready: "ReadyStep") -> int:
-    """Return 0 for an ordinary step and a filler that has begun, else 1.
+    """Return 0 for an ordinary step and a filler whose submission has begun, else 1.
 
-    Tasks that were moved here belong to a step that has begun elsewhere.
+    A cell knows only of what has begun there. Moved tasks must not count as begun: long
+    ones would then pass short submissions in every cell that they are moved to.
     """
-    tracked = ready.tracked
-    return int(ready.step.fills and tracked.is_home and not tracked.has_started)
+    return int(ready.step.fills and not ready.tracked.has_started)
 
 
 def _identity(ready: "ReadyStep") -> tuple[str, int, int]:
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -56,6 +56,8 @@
 # earlier owner, so it is treated as inherited.
 LATE_SUBMISSION_MS = 1500
 MOVE_PERIOD_S = 0.25
+# With ``expected_finish`` tasks that can't start move at once.
+SPILL_PERIOD_S = 0.1
 STRAY_END_PERIOD_S = 0.5
 logger = logging.getLogger(__name__)
 
@@ -481,12 +483,13 @@
 
     async def _move_loop(self) -> None:
         """Move stuck tasks to other cells and report ends of tasks moved here."""
+        period_s = SPILL_PERIOD_S if self._expected_finish else MOVE_PERIOD_S
         while True:
-            await asyncio.sleep(MOVE_PERIOD_S)
+            await asyncio.sleep(period_s)
             self._order_metrics.update(self.scheduler)
             if not self._is_ownership_confirmed() or self.is_inactive:
                 continue
-            headrooms = self._mover.headrooms(self.cell_id)
+            headrooms = self._mover.headrooms(self.cell_id, self.data_centre)
             for proposal in self.scheduler.propose_moves(headrooms, now_s()):
                 self._spawn(self._mover.move(self, proposal))
             for (
--- a/programs/beryl-host/src/berylcleat/host/_cell_directory.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_directory.py
@@ -43,6 +43,7 @@
         self.owner_by_cell: dict[str, ObservedOwner] = {}
         self.remote_liveness = RemoteLiveness()
         self._load_by_cell: dict[str, LoadRow] = {}
+        self._load_received_at: dict[str, float] = {}
 
     def on_owner_rows(self, rows: tuple[StoreRow, ...]) -> None:
         """Apply owner rows of the cell table; other rows are ignored."""
@@ -91,6 +92,11 @@
         # A delayed write of an earlier owner may arrive last.
         if known is None or load.epoch >= known.epoch:
             self._load_by_cell[cell_id] = load
+            self._load_received_at[cell_id] = now_s()
+
+    def load_age_s(self, cell_id: str, now: float) -> float:
+        """Return the seconds since the last load of a cell was read."""
+        return now - self._load_received_at.get(cell_id, float("-inf"))
 
     def count_cells_of(self, data_centre: str) -> int:
         """Return how many cells have an owner in a data centre."""
--- a/programs/beryl-host/src/berylcleat/host/_cell_loads.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_loads.py
@@ -20,6 +20,8 @@
 # An unchanged load is written again after this time: a delayed write of an earlier
 # owner may have replaced it.
 MAX_LOAD_AGE_S = 5.0
+# The same with ``expected_finish``, where no move relies on a load older than 3 s.
+MAX_SPILL_LOAD_AGE_S = 2.0
 # Publishing is checked in steps, so a load is due this much earlier.
 DUE_MARGIN_S = 0.1
 
@@ -39,13 +41,17 @@
         self._pending_by_cell: dict[str, _WrittenLoad] = {}
 
     def due(
-        self, value_by_cell: dict[str, bytes], period_s: float, now: float
+        self,
+        value_by_cell: dict[str, bytes],
+        period_s: float,
+        max_age_s: float,
+        now: float,
     ) -> dict[str, bytes]:
         """Return the loads, by cell, that have changed and are due."""
         self._pending_by_cell = {
             cell_id: _WrittenLoad(value, now)
             for cell_id, value in value_by_cell.items()
-            if self._is_due(cell_id, value, period_s, now)
+            if self._is_due(cell_id, value, period_s, max_age_s, now)
         }
         return {cell_id: item.value for cell_id, item in self._pending_by_cell.items()}
 
@@ -53,13 +59,20 @@
         """Remember that the loads returned last are stored."""
         self._written_by_cell.update(self._pending_by_cell)
 
-    def _is_due(self, cell_id: str, value: bytes, period_s: float, now: float) -> bool:
+    def _is_due(
+        self,
+        cell_id: str,
+        value: bytes,
+        period_s: float,
+        max_age_s: float,
+        now: float,
+    ) -> bool:
         written = self._written_by_cell.get(cell_id)
         if written is None:
             return True
         age_s = now - written.written_at + DUE_MARGIN_S
         if written.value == value:
-            return age_s >= max(MAX_LOAD_AGE_S, period_s)
+            return age_s >= max(max_age_s, period_s)
         return age_s >= period_s
 
 
@@ -67,8 +80,13 @@
     """Source of the load rows of this host's cells."""
 
     def __init__(
-        self, data_centre: str, cells: CellDirectory, ownership: CellOwnershipManager
+        self,
+        data_centre: str,
+        cells: CellDirectory,
+        ownership: CellOwnershipManager,
+        max_age_s: float = MAX_LOAD_AGE_S,
     ):
+        self._max_age_s = max_age_s
         self._data_centre = data_centre
         self._cells = cells
         self._ownership = ownership
@@ -81,10 +99,16 @@
         n_all = len(self._cells.owner_by_cell)
         value_by_cell = self._encode_loads()
         local = self._local.due(
-            value_by_cell, _period_s(n_local, MAX_LOADS_IN_DATA_CENTRE), now
+            value_by_cell,
+            _period_s(n_local, MAX_LOADS_IN_DATA_CENTRE),
+            self._max_age_s,
+            now,
         )
         digest = self._digest.due(
-            value_by_cell, _period_s(n_all, MAX_LOADS_IN_DIGESTS), now
+            value_by_cell,
+            _period_s(n_all, MAX_LOADS_IN_DIGESTS),
+            self._max_age_s,
+            now,
         )
         return [
             *(self._write(self._local, *load) for load in local.items()),
--- a/programs/beryl-host/src/berylcleat/host/_order_metrics.py
+++ b/programs/beryl-host/src/berylcleat/host/_order_metrics.py
@@ -1,6 +1,6 @@
 """Prometheus metrics of the order by expected finish."""
 
-from prometheus_client import Gauge
+from prometheus_client import Counter, Gauge
 
 from berylcleat.scheduling import CellScheduler
 
@@ -18,6 +18,14 @@
     "Learnt ratio of the time of a step to its estimate",
     ("cell", "queue", "kind"),
 )
+_moved_counter = Counter(
+    "beryl_host_tasks_moved", "Tasks moved to other cells, by reason", ("reason",)
+)
+
+
+def count_moved(reason: str, n_tasks: int) -> None:
+    """Count tasks whose move is recorded."""
+    _moved_counter.labels(reason).inc(n_tasks)
 
 
 class OrderMetrics:
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -21,7 +21,7 @@
 
 from ._cell_chooser import CellChooser
 from ._cell_directory import CellDirectory
-from ._cell_loads import CellLoads
+from ._cell_loads import MAX_LOAD_AGE_S, MAX_SPILL_LOAD_AGE_S, CellLoads
 from ._cell_ownership import CellOwnershipManager
 from ._client_api import ClientApi
 from ._clock import now_s
@@ -114,7 +114,14 @@
             self.identity,
             settings.cpu_power,
             (
-                CellLoads(settings.data_centre, self.cells, self.ownership),
+                CellLoads(
+                    settings.data_centre,
+                    self.cells,
+                    self.ownership,
+                    MAX_SPILL_LOAD_AGE_S
+                    if settings.expected_finish
+                    else MAX_LOAD_AGE_S,
+                ),
                 self.live_owners,
                 self.pairs,
             ),
--- a/programs/beryl-host/src/berylcleat/host/_task_mover.py
+++ b/programs/beryl-host/src/berylcleat/host/_task_mover.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from berylcleat.model import BerylError, PlatformUnavailableError
@@ -10,6 +11,7 @@
 
 from ._cell_directory import CellDirectory
 from ._clock import now_s
+from ._order_metrics import count_moved
 from ._peers import MovedTaskEnds, PeerClient, SubmissionUpdate
 from ._records import CELL_TABLE, headroom_from_summary
 from ._submission_directory import SubmissionDirectory, SubmissionEntry
@@ -40,15 +42,28 @@
         self._peers = peers
         self._ownership = ownership
 
-    def headrooms(self, own_cell_id: str) -> tuple[CellHeadroom, ...]:
+    def headrooms(
+        self, own_cell_id: str, own_data_centre: str
+    ) -> tuple[CellHeadroom, ...]:
         """Return the headroom that owners of other cells published last."""
         summaries = self._cells.summaries()
         summaries.update(self._ownership.summaries())
         summaries.pop(own_cell_id, None)
         return tuple(
-            headroom_from_summary(cell_id, item) for cell_id, item in summaries.items()
+            replace(
+                headroom_from_summary(cell_id, item),
+                age_s=self._load_age_s(cell_id),
+                is_near=item.data_centre == own_data_centre,
+            )
+            for cell_id, item in summaries.items()
         )
 
+    def _load_age_s(self, cell_id: str) -> float:
+        """Return the age of a cell's load, which is 0 for a cell of this host."""
+        if cell_id in self._ownership.controller_by_cell:
+            return 0.0
+        return self._cells.load_age_s(cell_id, now_s())
+
     async def move(self, controller: "CellController", proposal: MoveProposal) -> None:
         """Record a proposed move; retry until the outcome is known or ownership ends.
 
@@ -81,6 +96,7 @@
         self, proposal: MoveProposal, entry: SubmissionEntry, row: StoreRow
     ) -> None:
         self._directory.on_rows((row,))
+        count_moved(proposal.reason, len(proposal.move_by_task))
         target_cells = {move.cell_id for move in proposal.move_by_task.values()}
         logger.info(
             "tasks moved: submission %s, %d to %s",
