--- a/libs/scheduling/features/steps/cell_simulation.py
+++ b/libs/scheduling/features/steps/cell_simulation.py
@@ -235,7 +235,7 @@
             if now >= self.next_hold_at.get(worker_id, 0.0):
                 self.next_hold_at[worker_id] = now + HOLD_PERIOD_S
                 self._hold(worker_id)
-        for item in self.cell.plan(now, 0.0):
+        for item in self.cell.plan(now, now * 1000):
             self.sim.dispatch(self, item)
 
     def _hold(self, worker_id: str) -> None:
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -22,6 +22,7 @@
 from ._moves import CellHeadroom
 from ._orders import WorkerOrder
 from ._pacing import LoadEstimator, plan_paces
+from ._spill import SpillPlanner
 from ._submissions import SubmissionRegistry, TrackedSubmission
 from ._uneven_workers import UnevenWorkers
 from ._urgency import ExpectedFinishOrder
@@ -58,6 +59,7 @@
         self.finish_order: ExpectedFinishOrder | None = None
         if self.estimator is not None:
             self.finish_order = ExpectedFinishOrder(self.estimator)
+        self.spill = SpillPlanner(cell_id) if expected_finish else None
         self.submissions = SubmissionRegistry(self.finish_order)
         self.interference = interference
         self.load_estimator = LoadEstimator()
--- a/programs/beryl-host/features/steps/evacuation_steps.py
+++ b/programs/beryl-host/features/steps/evacuation_steps.py
@@ -143,7 +143,7 @@
 @then('the mover of "{cell_id}" is offered the cells "{names}"')
 def step_offered(context, cell_id, names):
     mover = TaskMover(None, None, context.cells, None, NoCells(), context.operator)
-    offered = [headroom.cell_id for headroom in mover.headrooms(cell_id)]
+    offered = [headroom.cell_id for headroom in mover.headrooms(cell_id, "dc-1")]
     assert offered == names.split(), offered
 
 
