--- a/programs/beryl-host/features/steps/evacuation_steps.py
+++ b/programs/beryl-host/features/steps/evacuation_steps.py
@@ -73,6 +73,9 @@
     def owner_address(self, cell_id):
         return None
 
+    def load_age_s(self, cell_id, now):
+        return 0.0
+
 
 class NoCells(Cells):
     def __init__(self):
