Count the backlog of cells and refuse what can't be done in time

Cause: a submission was refused only if no cell of its service was known, so under overload all results became late together. The accepted row names the data centre of arrival. A refusal is preceded by a look-up, so that no stored submission is refused.

--- a/libs/scheduling/src/berylcleat/scheduling/__init__.py
+++ b/libs/scheduling/src/berylcleat/scheduling/__init__.py
@@ -1,5 +1,14 @@
 """Scheduling decisions of a cell's owner, without input or output."""
 
+from ._admission import (
+    Account,
+    AdmissionController,
+    Admit,
+    CellLoad,
+    Refuse,
+    ServiceLoads,
+)
+from ._backlog import BacklogMeter, CellBacklog, CompletedWork
 from ._cell import CellScheduler
 from ._filler_stops import choose_fillers_to_stop
 from ._interference import (
@@ -19,8 +28,15 @@
 
 __all__ = [
     "CLOCK_DRIFT",
+    "Account",
+    "AdmissionController",
+    "Admit",
+    "BacklogMeter",
+    "CellBacklog",
     "CellHeadroom",
+    "CellLoad",
     "CellScheduler",
+    "CompletedWork",
     "CrashEvidence",
     "FillerHeadroom",
     "ImageUse",
@@ -34,8 +50,10 @@
     "Progress",
     "ProgressWrite",
     "RecordBatch",
+    "Refuse",
     "Run",
     "RunPhase",
+    "ServiceLoads",
     "ServingReading",
     "SubmissionRegistry",
     "TaskMove",
--- /dev/null
+++ b/libs/scheduling/src/berylcleat/scheduling/_backlog.py
@@ -0,0 +1,522 @@
+"""Work promised in a cell, how fast it drains, and when a new submission would end.
+
+Work is counted as declared, in thousandths of a core-second. Ends are counted in the
+same unit, so an error that all estimates share cancels out in the time to drain.
+"""
+
+from bisect import bisect_left
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import msgspec
+
+from berylcleat.model import QueuePolicy, Step, Submission, critical_path_s
+
+from ._submissions import MIN_REMAINING_SHARE, TrackedSubmission
+from ._workers import Run, WorkerView
+
+# Seconds over which ends and admissions are counted.
+RATE_WINDOW_S = 5.0
+# The numbers of a cell are counted again after this time: the cell's load is asked for
+# with every submission that its host receives.
+MIN_COUNT_PERIOD_S = 0.2
+# Most accounts that a cell reports; the rest are summed.
+MAX_ACCOUNTS = 16
+# Upper bounds in seconds of the ranges of time left to the deadline. Within a range the
+# work is taken as spread evenly.
+SLACK_BOUNDS_S = tuple(0.25 * 1.5**n for n in range(18))
+# A kind of work is saturated while this share of its processors is waited for: less is
+# what arrives between two planning rounds.
+MIN_WAITING_SHARE = 0.1
+# More free capacity than this share beside waiting tasks means that they don't fit, not
+# that the processors are used up.
+MAX_FREE_SHARE = 0.25
+# Seconds of saturation after which the counted ends tell the rate of the kind.
+MIN_SATURATED_S = 2.0
+# A declared estimate may be this many times the true duration, or this part of it.
+ESTIMATE_ERROR = 2.0
+# Standard deviations that the true rate may lie above the counted one.
+RATE_DEVIATIONS = 2.0
+
+
+class AccountWork(msgspec.Struct, frozen=True, array_like=True):
+    """Work of one account of one kind: a queue, and where its callers arrive.
+
+    Both names are empty for the sum of the accounts that are not reported.
+    """
+
+    queue: str
+    data_centre: str
+    priority: int
+    fills: bool
+    waiting: int
+    running: int
+
+
+class WaitingWork(msgspec.Struct, frozen=True, array_like=True):
+    """Waiting work of one priority and kind.
+
+    ``by_slack`` follows ``SLACK_BOUNDS_S``, with the rest last; ``late`` can no longer
+    meet its deadline.
+    """
+
+    priority: int
+    fills: bool
+    late: int
+    by_slack: tuple[int, ...]
+
+    def ahead(self, priority: int, due_in_s: float, age_s: float) -> float:
+        """Return the work that precedes a submission while it can be in time."""
+        if self.priority > priority:
+            return 0.0
+        if self.priority < priority:
+            return sum(self.by_slack)
+        return sum(
+            work * _share_below(number, due_in_s + age_s)
+            for number, work in enumerate(self.by_slack)
+        )
+
+    def ahead_when_late(self, priority: int) -> float:
+        """Return the work that precedes a submission only once it is late."""
+        return self.late if self.priority <= priority else 0.0
+
+
+class DrainRate(msgspec.Struct, frozen=True, array_like=True):
+    """Drain of one kind of work, a second.
+
+    ``processors`` is what it could use, in thousandths of a core. ``done`` is work done
+    a second, counted on ``n_submissions``; both are 0 until the kind has been saturated
+    for ``MIN_SATURATED_S``.
+    """
+
+    processors: int = 0
+    done: int = 0
+    n_submissions: int = 0
+
+    def upper_bound(self) -> float:
+        """Return the highest rate that the numbers allow.
+
+        The tasks of a submission share the error of its estimates, so the count of
+        submissions, not of tasks, tells how sure the rate is.
+        """
+        if self.n_submissions == 0:
+            return self.processors * ESTIMATE_ERROR
+        return self.done * (1 + RATE_DEVIATIONS / self.n_submissions**0.5)
+
+
+class CellBacklog(msgspec.Struct, frozen=True, array_like=True):
+    """Backlog of a cell as its owner publishes it.
+
+    ``admitted`` is the work accepted for the cell within ``RATE_WINDOW_S``.
+    """
+
+    accounts: tuple[AccountWork, ...]
+    waiting: tuple[WaitingWork, ...]
+    ordinary: DrainRate
+    fillers: DrainRate
+    admitted: int
+
+    def rate(self, *, fills: bool) -> DrainRate:
+        """Return the drain of ordinary work or of fillers."""
+        return self.fillers if fills else self.ordinary
+
+
+def total_rate(rates: Iterable[DrainRate]) -> float:
+    """Return the highest rate at which several cells together may drain a kind."""
+    rates = list(rates)
+    counted = [rate for rate in rates if rate.n_submissions]
+    total = DrainRate(
+        0,
+        sum(rate.done for rate in counted),
+        sum(rate.n_submissions for rate in counted),
+    )
+    others = sum(rate.upper_bound() for rate in rates if not rate.n_submissions)
+    return total.upper_bound() + others
+
+
+def _share_below(number: int, slack_s: float) -> float:
+    """Return which share of a range of slack lies below ``slack_s``."""
+    if number >= len(SLACK_BOUNDS_S):
+        return float(slack_s > SLACK_BOUNDS_S[-1])
+    low = SLACK_BOUNDS_S[number - 1] if number else 0.0
+    share = (slack_s - low) / (SLACK_BOUNDS_S[number] - low)
+    return min(1.0, max(0.0, share))
+
+
+def step_work(step: Step, n_tasks: int) -> int:
+    """Return the declared work of tasks of a step; long-running ones have none."""
+    if step.is_long_running:
+        return 0
+    return int(n_tasks * step.demand.cpu_millis * step.estimate_s)
+
+
+def submission_work(submission: Submission, *, fills: bool) -> int:
+    """Return the declared work of a submission's fillers or of its other tasks."""
+    return sum(
+        step_work(step, step.n_tasks)
+        for step in submission.steps
+        if step.fills == fills
+    )
+
+
+def objective_s(submission: Submission) -> float:
+    """Return the time from acceptance to the deadline in seconds."""
+    queue = submission.queue
+    return critical_path_s(submission.steps) * queue.stretch + queue.objective_ms / 1000
+
+
+# What the owner counts
+
+
+class CompletedWork:
+    """Declared work of the tasks that ended well within ``RATE_WINDOW_S``."""
+
+    def __init__(self):
+        self._ends: deque[tuple[float, bool, int, str]] = deque()
+
+    def add(self, submission_id: str, step: Step, now: float) -> None:
+        """Count the end of a task, or of a gang."""
+        work = step_work(step, step.n_tasks if step.is_gang else 1)
+        if work:
+            self._ends.append((now, step.fills, work, submission_id))
+        while self._ends and self._ends[0][0] < now - RATE_WINDOW_S:
+            self._ends.popleft()
+
+    def since(self, earliest: float, *, fills: bool) -> tuple[int, int]:
+        """Return the work ended from ``earliest`` on, and of how many submissions."""
+        ends = [
+            (work, submission_id)
+            for ended_at, ended_fills, work, submission_id in self._ends
+            if ended_at >= earliest and ended_fills == fills
+        ]
+        return sum(work for work, _ in ends), len({name for _, name in ends})
+
+
+@dataclass(frozen=True, slots=True)
+class _Promise:
+    """What doesn't change of a submission: its account and its work."""
+
+    queue: QueuePolicy
+    data_centre: str
+    objective_s: float
+    work: int
+
+
+class BacklogMeter:
+    """Counter of a cell's backlog for the load that its owner publishes.
+
+    ``arrival_of`` returns the data centre where a submission arrived, or "". Nothing
+    is kept that the next owner couldn't count again.
+    """
+
+    def __init__(
+        self,
+        completed: CompletedWork,
+        arrival_of: Callable[[str], str],
+        late_limit: float,
+    ):
+        self._completed = completed
+        self._arrival_of = arrival_of
+        self._late_limit = late_limit
+        self._promise_by_id: dict[str, _Promise] = {}
+        self._saturated_since: dict[bool, float] = {}
+        # Work done by the runs in progress, by kind, at each count of the window.
+        self._progress: deque[tuple[float, dict[bool, float]]] = deque()
+        self._counted_at = float("-inf")
+        self._last: CellBacklog | None = None
+
+    def count(
+        self,
+        live: Iterable[TrackedSubmission],
+        runs: Iterable[Run],
+        workers: Iterable[WorkerView],
+        now: float,
+    ) -> CellBacklog:
+        """Return the backlog; count it anew after ``MIN_COUNT_PERIOD_S``."""
+        if self._last is None or now - self._counted_at >= MIN_COUNT_PERIOD_S:
+            self._counted_at = now
+            self._last = self._count(list(live), list(runs), list(workers), now)
+        return self._last
+
+    def _count(
+        self,
+        live: list[TrackedSubmission],
+        runs: list[Run],
+        workers: list[WorkerView],
+        now: float,
+    ) -> CellBacklog:
+        tally = _Tally()
+        promise_by_id: dict[str, _Promise] = {}
+        admitted = 0
+        for tracked in live:
+            submission = tracked.submission
+            if tracked.is_over or submission.is_scheduled:
+                continue
+            submission_id = submission.submission_id
+            promise = self._promise_by_id.get(submission_id) or self._make(submission)
+            promise_by_id[submission_id] = promise
+            self._count_waiting(tally, tracked, promise, now)
+            accepted_at = tracked.due_at - promise.objective_s
+            if tracked.is_home and now - accepted_at <= RATE_WINDOW_S:
+                admitted += promise.work
+        self._promise_by_id = promise_by_id
+        self._count_running(tally, runs, now)
+        return CellBacklog(
+            tally.largest_accounts(),
+            tally.waiting_work(),
+            self._ordinary_rate(tally, runs, workers, now),
+            self._filler_rate(tally, runs, workers, now),
+            admitted,
+        )
+
+    def _count_running(self, tally: "_Tally", runs: list[Run], now: float) -> None:
+        """Add what is left of the runs, and note what they have done."""
+        done = {False: 0.0, True: 0.0}
+        for run in runs:
+            step = run.step
+            promise = self._promise_by_id.get(run.task.submission_id)
+            if promise is None or step.is_long_running:
+                continue
+            done_s = min(step.estimate_s, max(0.0, now - run.started_at))
+            done[step.fills] += done_s * step.demand.cpu_millis
+            left = int((step.estimate_s - done_s) * step.demand.cpu_millis)
+            tally.add_running(promise.queue, promise.data_centre, step.fills, left)
+        self._progress.append((now, done))
+        while self._progress[0][0] < now - RATE_WINDOW_S:
+            self._progress.popleft()
+
+    def _make(self, submission: Submission) -> _Promise:
+        work = sum(step_work(step, step.n_tasks) for step in submission.steps)
+        arrival = self._arrival_of(submission.submission_id)
+        return _Promise(submission.queue, arrival, objective_s(submission), work)
+
+    def _count_waiting(
+        self,
+        tally: "_Tally",
+        tracked: TrackedSubmission,
+        promise: _Promise,
+        now: float,
+    ) -> None:
+        """Add the waiting tasks of a submission, and the steps that follow at home."""
+        if not promise.work:
+            return
+        slack_s = tracked.due_at - now
+        extra_s = (self._late_limit - 1) * promise.objective_s
+        is_given_up = slack_s < -extra_s
+        needed_s = max(
+            (tracked.remaining_s_by_step[n] for _, n in tracked.ready_by_step),
+            default=0.0,
+        )
+        is_late = slack_s < needed_s * MIN_REMAINING_SHARE
+        for number, step in enumerate(tracked.submission.steps):
+            ready = tracked.ready_by_step.get((0, number))
+            if ready is not None:
+                n_tasks = len(ready.waiting)
+                tally.add_cpu(step, n_tasks)
+            elif tracked.is_home and (0, number) not in tracked.activated_steps:
+                n_tasks = step.n_tasks
+            else:
+                continue
+            work = step_work(step, n_tasks)
+            tally.add_account(promise.queue, promise.data_centre, step.fills, work)
+            # Work past its last use may be served after all other work.
+            if not is_given_up:
+                priority = promise.queue.priority
+                tally.add_waiting(priority, step.fills, work, slack_s, is_late)
+
+    def _ordinary_rate(
+        self, tally: "_Tally", runs: list[Run], workers: list[WorkerView], now: float
+    ) -> DrainRate:
+        capacity = sum(view.entry.capacity.cpu_millis for view in workers)
+        standing = sum(
+            run.step.allocation.cpu_millis for run in runs if run.step.is_long_running
+        )
+        processors = max(0, capacity - standing)
+        free = sum(max(0, view.free().cpu_millis) for view in workers)
+        can_be_full = free <= MAX_FREE_SHARE * processors
+        return self._rate(processors, tally.cpu[False] * can_be_full, now, fills=False)
+
+    def _filler_rate(
+        self, tally: "_Tally", runs: list[Run], workers: list[WorkerView], now: float
+    ) -> DrainRate:
+        left = sum(max(0, view.cpu_left()) for view in workers)
+        used = sum(run.step.demand.cpu_millis for run in runs if run.step.fills)
+        return self._rate(left + used, tally.cpu[True], now, fills=True)
+
+    def _rate(
+        self, processors: int, waiting_cpu: int, now: float, *, fills: bool
+    ) -> DrainRate:
+        if waiting_cpu <= MIN_WAITING_SHARE * processors:
+            self._saturated_since.pop(fills, None)
+            return DrainRate(processors)
+        since = self._saturated_since.setdefault(fills, now)
+        span_s = min(RATE_WINDOW_S, now - since)
+        if span_s < MIN_SATURATED_S:
+            return DrainRate(processors)
+        work, n_submissions = self._completed.since(now - span_s, fills=fills)
+        # Ends alone would miss what long runs do between them.
+        earlier = next(done for at, done in self._progress if at >= now - span_s)
+        work += max(0.0, self._progress[-1][1][fills] - earlier[fills])
+        return DrainRate(processors, int(work / span_s), n_submissions)
+
+
+class _Tally:
+    """Sums of one count, by account and by priority and kind."""
+
+    def __init__(self):
+        self.cpu = {False: 0, True: 0}
+        self._by_account: dict[tuple[str, str, int, bool], list[int]] = {}
+        self._by_class: dict[tuple[int, bool], list[int]] = {}
+
+    def add_cpu(self, step: Step, n_tasks: int) -> None:
+        if not step.is_long_running:
+            self.cpu[step.fills] += n_tasks * step.demand.cpu_millis
+
+    def add_account(self, queue, data_centre: str, fills: bool, work: int) -> None:
+        self._account(queue, data_centre, fills)[0] += work
+
+    def add_running(self, queue, data_centre: str, fills: bool, work: int) -> None:
+        if work:
+            self._account(queue, data_centre, fills)[1] += work
+
+    def _account(self, queue, data_centre: str, fills: bool) -> list[int]:
+        key = (queue.name, data_centre, queue.priority, fills)
+        return self._by_account.setdefault(key, [0, 0])
+
+    def add_waiting(
+        self, priority: int, fills: bool, work: int, slack_s: float, is_late: bool
+    ) -> None:
+        sums = self._by_class.setdefault(
+            (priority, fills), [0] * (len(SLACK_BOUNDS_S) + 2)
+        )
+        sums[0 if is_late else 1 + bisect_left(SLACK_BOUNDS_S, slack_s)] += work
+
+    def largest_accounts(self) -> tuple[AccountWork, ...]:
+        rows = [
+            AccountWork(*key, *sums)
+            for key, sums in self._by_account.items()
+            if any(sums)
+        ]
+        rows.sort(key=lambda row: -(row.waiting + row.running))
+        if len(rows) <= MAX_ACCOUNTS:
+            return tuple(rows)
+        rest = rows[MAX_ACCOUNTS:]
+        waiting = sum(row.waiting for row in rest)
+        running = sum(row.running for row in rest)
+        # The rest may mix priorities and kinds; it stands under those of its largest.
+        first = rest[0]
+        summed = AccountWork("", "", first.priority, first.fills, waiting, running)
+        return (*rows[:MAX_ACCOUNTS], summed)
+
+    def waiting_work(self) -> tuple[WaitingWork, ...]:
+        rows = []
+        for (priority, fills), (late, *by_slack) in sorted(self._by_class.items()):
+            while by_slack and not by_slack[-1]:
+                by_slack.pop()
+            if late or by_slack:
+                rows.append(WaitingWork(priority, fills, late, tuple(by_slack)))
+        return tuple(rows)
+
+
+# What a new submission may expect
+
+
+@dataclass(frozen=True, slots=True)
+class NewWork:
+    """What the estimate needs of a new submission.
+
+    ``work`` holds its declared work by whether it fills. The times are in seconds, from
+    its acceptance.
+    """
+
+    priority: int
+    work: dict[bool, int]
+    starts_filling: bool
+    path_s: float
+    due_in_s: float
+
+    @property
+    def kinds(self) -> set[bool]:
+        """Kinds of its tasks that have work, and that of its first step."""
+        return {
+            self.starts_filling,
+            *(kind for kind, work in self.work.items() if work),
+        }
+
+    @property
+    def main_kind(self) -> bool:
+        """Kind of most of its work."""
+        return max(self.kinds, key=self.work.__getitem__)
+
+
+def make_new_work(submission: Submission) -> NewWork:
+    """Return the work of ``submission``."""
+    return NewWork(
+        submission.queue.priority,
+        {fills: submission_work(submission, fills=fills) for fills in (False, True)},
+        submission.steps[0].fills,
+        critical_path_s(submission.steps),
+        objective_s(submission),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Queued:
+    """Work of one kind ahead of a new submission, and the rate at which it drains.
+
+    ``late`` precedes it only if it can't be in time itself. ``since`` is work admitted
+    after the report, ``drained`` what has ended since then.
+    """
+
+    in_time: float
+    late: float
+    rate: float
+    since: float = 0.0
+    drained: float = 0.0
+
+    def ahead(self, *, is_late: bool) -> float:
+        """Return the work that is still ahead."""
+        work = self.in_time + (self.late if is_late else 0.0) + self.since
+        return max(0.0, work - self.drained)
+
+
+def queued_work(
+    backlog: CellBacklog, new: NewWork, age_s: float, *, fills: bool
+) -> tuple[float, float]:
+    """Return the work of one kind ahead of ``new`` in time, and once it is late."""
+    rows = [row for row in backlog.waiting if row.fills == fills]
+    return (
+        sum(row.ahead(new.priority, new.due_in_s, age_s) for row in rows),
+        sum(row.ahead_when_late(new.priority) for row in rows),
+    )
+
+
+def expected_finish_s(new: NewWork, queued: dict[bool, Queued]) -> float:
+    """Return the earliest time, in seconds from now, at which ``new`` can be done.
+
+    Work that runs now delays it only through the rate: under saturation each start
+    needs an end. A submission that would be late is preceded by late work too.
+    """
+    finish_s = _finish_s(new, queued, is_late=False)
+    if finish_s <= new.due_in_s:
+        return finish_s
+    return _finish_s(new, queued, is_late=True)
+
+
+def _finish_s(new: NewWork, queued: dict[bool, Queued], *, is_late: bool) -> float:
+    first = queued[new.starts_filling]
+    finish_s = _drain_s(first.ahead(is_late=is_late), first.rate)
+    finish_s += new.path_s / ESTIMATE_ERROR
+    for fills, work in new.work.items():
+        if work:
+            kind = queued[fills]
+            total = kind.ahead(is_late=is_late) + work / ESTIMATE_ERROR
+            finish_s = max(finish_s, _drain_s(total, kind.rate))
+    return finish_s
+
+
+def _drain_s(work: float, rate: float) -> float:
+    if work <= 0:
+        return 0.0
+    return work / rate if rate > 0 else float("inf")
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_reports.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_reports.py
@@ -166,6 +166,9 @@
         """Count a done or failed run in the progress of its submission."""
         if end.end is RunEnd.DONE:
             tracked.has_started = True
+            if not tracked.progress.is_done(end.task):
+                step = tracked.submission.steps[end.task.step]
+                self.completed_work.add(end.task.submission_id, step, now)
             tracked.add_done(end.task)
             tracked.activate_due_steps(self._wall_ms)
             if not tracked.submission.steps[end.task.step].is_gang:
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -12,6 +12,7 @@
 )
 
 from ._advice import TicketCache
+from ._backlog import CompletedWork
 from ._crashes import CrashTracker
 from ._filler_stops import choose_fillers_to_stop, must_stop_all_fillers
 from ._interference import InterferenceModel
@@ -50,6 +51,7 @@
         self.interference = interference
         self.load_estimator = LoadEstimator()
         self.advice = TicketCache()
+        self.completed_work = CompletedWork()
         self.crashes = CrashTracker(self.submissions, earlier_workers)
         self.worker_by_id: dict[str, WorkerView] = {}
         self.run_by_task: dict[TaskKey, Run] = {}
--- a/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
@@ -1,11 +1,19 @@
 """Choose the home cell of a new submission from the loads that owners publish."""
 
+from collections.abc import Set
 from dataclasses import dataclass
 
 import xxhash
 
 from berylcleat.model import Step, Submission
-from berylcleat.scheduling import InterferenceModel
+from berylcleat.scheduling import (
+    AdmissionController,
+    Admit,
+    CellLoad,
+    InterferenceModel,
+    Refuse,
+    ServiceLoads,
+)
 
 from ._cell_directory import CellDirectory
 from ._cell_ownership import CellOwnershipManager
@@ -20,6 +28,11 @@
 # Serving tasks of one image are packed into one cell up to this load, so that fillers
 # find workers without the images they interfere with.
 MAX_SERVING_LOAD = 0.9
+# Mean seconds between the count of a remote cell's load and its receipt.
+LOAD_DELAY_S = 0.5
+# A cell that has lost its owner may have a new one by this time after its last load. One
+# without an owner for longer can't take any work.
+MISSING_LOAD_S = 10.0
 
 
 def image_rank(image: str, cell_id: str) -> int:
@@ -46,19 +59,29 @@
         cells: CellDirectory,
         ownership: CellOwnershipManager,
         interference: InterferenceModel,
+        admission_late_limit: float = 0.0,
     ):
+        self._admission = (
+            AdmissionController(admission_late_limit) if admission_late_limit else None
+        )
         self._data_centre = data_centre
         self._cells = cells
         self._ownership = ownership
         self._interference = interference
         self._recent_assignments: list[_RecentAssignment] = []
 
-    def choose(self, submission: Submission) -> str | None:
-        """Return the home cell for ``submission``, or None if no cell suits it."""
+    def decide(
+        self, submission: Submission, *, may_refuse: bool = True
+    ) -> Admit | Refuse | None:
+        """Choose the home cell of ``submission``, or refuse it for load.
+
+        Returns None if no cell suits it.
+        """
         service = submission.queue.service
+        summaries = self._summaries()
         suitable = {
             cell_id: summary
-            for cell_id, summary in self._summaries().items()
+            for cell_id, summary in summaries.items()
             if summary.service == service and summary.cpu_capacity > 0
         }
         if not suitable:
@@ -67,11 +90,69 @@
         self._recent_assignments = [
             item for item in self._recent_assignments if item.assigned_at >= oldest
         ]
-        chosen = self._choose_among(submission, suitable)
+        decision = Admit(self._choose_among(submission, suitable))
+        if self._admission is not None and may_refuse:
+            loads = self._service_loads(
+                submission, suitable, summaries.keys(), decision.cell_id
+            )
+            decision = self._admission.decide(submission, loads, now_s())
+        if isinstance(decision, Refuse):
+            return decision
         cpu = sum(step.n_tasks * step.demand.cpu_millis for step in submission.steps)
         fills = all(step.fills for step in submission.steps)
-        self._recent_assignments.append(_RecentAssignment(now_s(), chosen, cpu, fills))
-        return chosen
+        self._recent_assignments.append(
+            _RecentAssignment(now_s(), decision.cell_id, cpu, fills)
+        )
+        return decision
+
+    def withdraw(self, submission_id: str) -> None:
+        """Forget the admission of a submission that was not stored."""
+        if self._admission is not None:
+            self._admission.withdraw(submission_id)
+
+    def _service_loads(
+        self,
+        submission: Submission,
+        suitable: dict[str, CellSummary],
+        known_cell_ids: Set[str],
+        chosen: str,
+    ) -> ServiceLoads:
+        now = now_s()
+        step = submission.steps[0]
+        cells = [
+            self._cell_load(cell_id, summary, step, now)
+            for cell_id, summary in suitable.items()
+        ]
+        service = submission.queue.service
+        cells += self._missing_loads(service, known_cell_ids, now)
+        n_hosts = self._cells.count_owning_hosts()
+        return ServiceLoads(tuple(cells), chosen, self._data_centre, n_hosts)
+
+    def _cell_load(
+        self, cell_id: str, summary: CellSummary, step: Step, now: float
+    ) -> CellLoad:
+        age_s = 0.0
+        if cell_id not in self._ownership.controller_by_cell:
+            age_s = self._cells.load_age_s(cell_id, now) + LOAD_DELAY_S
+        if step.fills:
+            headroom = headroom_from_summary(cell_id, summary)
+            room = headroom.headroom_for_filler(step.image, self._interference)
+        else:
+            cpu = step.demand.cpu_millis
+            room = summary.count_slots(cpu) * cpu
+        return CellLoad(cell_id, summary.backlog, age_s, max(0, room))
+
+    def _missing_loads(
+        self, service: str, known_cell_ids: Set[str], now: float
+    ) -> list[CellLoad]:
+        """Return the cells that have lately lost the owner that reported their load."""
+        return [
+            CellLoad(cell_id, None, self._cells.load_age_s(cell_id, now), 0)
+            for cell_id, summary in self._cells.last_summaries().items()
+            if summary.service == service
+            and cell_id not in known_cell_ids
+            and self._cells.load_age_s(cell_id, now) <= MISSING_LOAD_S
+        ]
 
     def n_pending(self, queue: str) -> int:
         """Return how many submissions of ``queue`` have not started.
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -18,6 +18,7 @@
 )
 from berylcleat.runtime import cancel_all
 from berylcleat.scheduling import (
+    BacklogMeter,
     CellScheduler,
     LeaseTimes,
     MovedTaskEnd,
@@ -27,6 +28,7 @@
     WorkerView,
 )
 
+from ._cell_summary import make_summary
 from ._clock import now_s, wall_ms
 from ._components import Connections, Knowledge
 from ._recorder import ProgressRecorder
@@ -94,6 +96,8 @@
         self._settled_at = settled_at
         self._is_ownership_confirmed = is_ownership_confirmed
         self._interference = knowledge.interference
+        self._late_limit = knowledge.admission_late_limit
+        self._backlog_meter: BacklogMeter | None = None
         self._mover = mover
         self._advisor = connections.advisor
         # Recorded progress of submissions that this host doesn't know yet.
@@ -147,6 +151,10 @@
                 scheduler.cancel(submission.submission_id, now)
         self._unmatched_progress_by_id = progress_by_id
         self.scheduler = scheduler
+        if self._late_limit:
+            self._backlog_meter = BacklogMeter(
+                scheduler.completed_work, self._arrival_of, self._late_limit
+            )
         for worker in earlier_workers:
             self._connect_worker(worker)
         self.update_workers(entry_by_worker)
@@ -251,29 +259,17 @@
         """Return the load summary that is published to other hosts."""
         if self.scheduler is None:
             return None
-        views = [
-            v for v in self.scheduler.worker_by_id.values() if v.can_start(now_s())
-        ]
-        fill_waiting = sum(
-            len(ready.waiting) * ready.step.demand.cpu_millis
-            for tracked in self.scheduler.submissions.live_by_id.values()
-            for ready in tracked.ready_by_step.values()
-            if ready.step.fills
-        )
-        free_by_worker = tuple(max(0, v.free().cpu_millis) for v in views)
-        return CellSummary(
-            service=views[0].entry.service if views else "",
-            data_centre=self.data_centre,
-            cpu_capacity=sum(v.entry.capacity.cpu_millis for v in views),
-            cpu_free=sum(free_by_worker),
-            cpu_waiting=self.scheduler.waiting_cpu(),
-            cpu_stuck=self.scheduler.stuck_cpu(now_s()),
-            filler_rooms=self.scheduler.filler_headrooms(),
-            fill_waiting=fill_waiting,
-            pending_by_queue=self.scheduler.submissions.n_pending_by_queue(),
-            free_by_worker=free_by_worker,
+        return make_summary(
+            self.scheduler, self.data_centre, self._backlog_meter, now_s()
         )
 
+    def _arrival_of(self, submission_id: str) -> str:
+        """Return the data centre where a submission arrived, or ""."""
+        entry = self._directory.by_id.get(submission_id)
+        if entry is None or entry.accepted is None:
+            return ""
+        return entry.accepted.arrival_data_centre
+
     # Workers
 
     def _connect_worker(self, entry: WorkerEntry) -> None:
--- a/programs/beryl-host/src/berylcleat/host/_cell_directory.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_directory.py
@@ -43,6 +43,8 @@
         self.owner_by_cell: dict[str, ObservedOwner] = {}
         self.remote_liveness = RemoteLiveness()
         self._load_by_cell: dict[str, LoadRow] = {}
+        # Version of each load row, and when it was first received.
+        self._receipt_by_cell: dict[str, tuple[int, float]] = {}
 
     def on_owner_rows(self, rows: tuple[StoreRow, ...]) -> None:
         """Apply owner rows of the cell table; other rows are ignored."""
@@ -91,6 +93,18 @@
         # A delayed write of an earlier owner may arrive last.
         if known is None or load.epoch >= known.epoch:
             self._load_by_cell[cell_id] = load
+            if self._receipt_by_cell.get(cell_id, (-1, 0.0))[0] != row.version:
+                self._receipt_by_cell[cell_id] = (row.version, now_s())
+
+    def load_age_s(self, cell_id: str, now: float) -> float:
+        """Return the seconds since a cell's load was received; infinity if none was."""
+        receipt = self._receipt_by_cell.get(cell_id)
+        return float("inf") if receipt is None else now - receipt[1]
+
+    def count_owning_hosts(self) -> int:
+        """Return how many hosts own cells."""
+        owners = self.owner_by_cell.values()
+        return len({owner.row.host_id for owner in owners if owner.row.host_id})
 
     def count_cells_of(self, data_centre: str) -> int:
         """Return how many cells have an owner in a data centre."""
--- a/programs/beryl-host/src/berylcleat/host/_client_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_client_api.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import OrderedDict
 
 import msgspec
 
@@ -11,6 +12,7 @@
     BerylError,
     OutcomeUnknownError,
     PlatformUnavailableError,
+    Submission,
     SubmissionState,
 )
 from berylcleat.platform import (
@@ -22,12 +24,13 @@
     parse_ingress,
 )
 from berylcleat.ports import OperatorConfig, Store
-from berylcleat.scheduling import Progress, decode_progress
+from berylcleat.scheduling import Admit, Progress, Refuse, decode_progress
 
 from ._cell_chooser import CellChooser
 from ._cell_directory import CellDirectory
 from ._cell_ownership import CellOwnershipManager
 from ._clock import now_s, wall_ms
+from ._metrics import ADMISSION_ESTIMATES, REFUSALS
 from ._peers import PeerClient, SubmissionUpdate
 from ._records import PROGRESS_TABLE, AcceptedRow
 from ._submission_directory import SubmissionDirectory, SubmissionEntry
@@ -39,17 +42,44 @@
 # Part of the client's deadline that is reserved for sending the response.
 RESPONSE_MARGIN_S = 0.15
 COMMIT_RETRY_S = 0.1
+# Maximum time for the look-up before a refusal: no refusal is held back by the store.
+REFUSAL_CHECK_S = 0.5
+# Submissions with an unknown outcome that a host remembers so as not to refuse them.
+MAX_UNCERTAIN_IDS = 10_000
 logger = logging.getLogger(__name__)
 
 
-def make_response(status: int, body: bytes = b"") -> HttpResponse:
+def make_response(
+    status: int, body: bytes = b"", retry_after_s: int = RETRY_AFTER_S
+) -> HttpResponse:
     """Return a response with a JSON body, and with Retry-After for 429 and 503."""
     headers = (JSON_TYPE,) if body else ()
     if status in (429, 503):
-        headers += (("retry-after", str(RETRY_AFTER_S)),)
+        headers += (("retry-after", str(retry_after_s)),)
     return HttpResponse(status, headers, body)
 
 
+def _refuse_for_load(submission: Submission, refusal: Refuse) -> HttpResponse:
+    logger.info(
+        "submission %s: refused for load, %s: account %s, estimate %.1f s, "
+        "limit %.1f s, Retry-After %d",
+        submission.submission_id,
+        refusal.reason.value,
+        refusal.account,
+        refusal.estimate_s,
+        refusal.limit_s,
+        refusal.retry_after_s,
+    )
+    REFUSALS.labels(submission.queue.name, refusal.reason.value).inc()
+    return make_response(503, retry_after_s=refusal.retry_after_s)
+
+
+def _observe_estimate(submission: Submission, decision: Admit | Refuse) -> None:
+    if decision.estimate_s is not None:
+        estimates = ADMISSION_ESTIMATES.labels(submission.queue.name)
+        estimates.observe(decision.estimate_s)
+
+
 class ClientApi:
     """Handler of client requests."""
 
@@ -62,6 +92,7 @@
         ownership: CellOwnershipManager,
         chooser: CellChooser,
         peers: PeerClient,
+        data_centre: str = "",
     ):
         self.config: OperatorConfig | None = None
         self._store = store
@@ -71,6 +102,9 @@
         self._ownership = ownership
         self._chooser = chooser
         self._peers = peers
+        self._data_centre = data_centre
+        # Submissions of which a commit may still take effect, oldest first.
+        self._uncertain_ids: OrderedDict[str, None] = OrderedDict()
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one client request."""
@@ -104,14 +138,26 @@
                 "submission %s: rejected as malformed: %s", submission_id, error
             )
             return make_response(400, msgspec.json.encode({"error": str(error)}))
-        cell_id = self._chooser.choose(submission)
-        if cell_id is None:
+        decision = await self._decide(submission, deadline)
+        if decision is None:
             logger.info(
                 "submission %s: refused, no suitable cell is known", submission_id
             )
+            REFUSALS.labels(submission.queue.name, "no-cell").inc()
             return make_response(503)
-        accepted = AcceptedRow(cell_id, int(wall_ms()), submission)
+        _observe_estimate(submission, decision)
+        if isinstance(decision, Refuse):
+            if self._known_home(submission_id) is not None:
+                return make_response(200)
+            return _refuse_for_load(submission, decision)
+        cell_id = decision.cell_id
+        accepted = AcceptedRow(cell_id, int(wall_ms()), submission, self._data_centre)
         status = await self._store_accepted(accepted, deadline)
+        if status == 504:
+            self._remember_uncertain(submission_id)
+        if status == 503:
+            self._chooser.withdraw(submission_id)
+            REFUSALS.labels(submission.queue.name, "store").inc()
         logger.info(
             "submission %s: answered %d, queue %s, cell %s, %d steps, %d tasks",
             submission_id,
@@ -123,6 +169,36 @@
         )
         return make_response(status)
 
+    async def _decide(
+        self, submission: Submission, deadline: float
+    ) -> Admit | Refuse | None:
+        """Choose the home cell, or refuse what is certainly not stored.
+
+        An earlier attempt may have stored the submission through another host. If the
+        store can't tell, the submission is admitted and its commit decides.
+        """
+        submission_id = submission.submission_id
+        may_refuse = submission_id not in self._uncertain_ids
+        decision = self._chooser.decide(submission, may_refuse=may_refuse)
+        if not isinstance(decision, Refuse):
+            return decision
+        try:
+            async with asyncio.timeout(min(REFUSAL_CHECK_S, deadline - now_s())):
+                await self._submissions.find_home(submission_id)
+        except (BerylError, TimeoutError) as error:
+            logger.info(
+                "submission %s: not refused for load, store lookup failed: %s",
+                submission_id,
+                error,
+            )
+            return self._chooser.decide(submission, may_refuse=False)
+        return decision
+
+    def _remember_uncertain(self, submission_id: str) -> None:
+        self._uncertain_ids[submission_id] = None
+        while len(self._uncertain_ids) > MAX_UNCERTAIN_IDS:
+            self._uncertain_ids.popitem(last=False)
+
     async def _store_accepted(self, accepted: AcceptedRow, deadline: float) -> int:
         """Store an accepted submission; return the status for the client.
 
--- a/programs/beryl-host/src/berylcleat/host/_components.py
+++ b/programs/beryl-host/src/berylcleat/host/_components.py
@@ -26,13 +26,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Knowledge:
-    """What this host knows of hosts, cells, workers, submissions and images."""
+    """What this host knows of hosts, cells, workers, submissions and images.
+
+    Without an ``admission_late_limit`` its cells report no backlog.
+    """
 
     membership: Membership
     cells: CellDirectory
     workers: WorkerList
     directory: SubmissionDirectory
     interference: InterferenceModel
+    admission_late_limit: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/programs/beryl-host/src/berylcleat/host/_metrics.py
@@ -0,0 +1,15 @@
+"""Prometheus metrics of the client API."""
+
+from prometheus_client import Counter, Histogram
+
+REFUSALS = Counter(
+    "beryl_host_refusals",
+    "Refused submissions by queue and reason",
+    ("queue", "reason"),
+)
+ADMISSION_ESTIMATES = Histogram(
+    "beryl_host_admission_estimate_seconds",
+    "Estimated time to the end of submissions that found no free capacity",
+    ("queue",),
+    buckets=(1, 2, 4, 8, 16, 32, 64, 128),
+)
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -104,6 +104,7 @@
                 self.workers,
                 self.directory,
                 self.interference,
+                settings.admission_late_limit,
             ),
             OwnerFeeds(self.cell_follower, self.worker_follower, self.feeds),
             LeaseTimes(worker_lease_s=settings.worker_lease_s),
@@ -126,9 +127,14 @@
             self.cells,
             self.ownership,
             CellChooser(
-                settings.data_centre, self.cells, self.ownership, self.interference
+                settings.data_centre,
+                self.cells,
+                self.ownership,
+                self.interference,
+                settings.admission_late_limit,
             ),
             peers,
+            settings.data_centre,
         )
 
     def _make_advisor(self) -> AdviceClient | None:
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -5,7 +5,12 @@
 
 from berylcleat.model import Submission, TaskKey
 from berylcleat.ports import WorkerEntry
-from berylcleat.scheduling import CellHeadroom, FillerHeadroom, TaskMove
+from berylcleat.scheduling import (
+    CellBacklog,
+    CellHeadroom,
+    FillerHeadroom,
+    TaskMove,
+)
 
 # Home cell of each submission, by submission id. No host follows this table.
 SUBMISSION_TABLE = "submissions"
@@ -42,11 +47,12 @@
 
 
 class AcceptedRow(msgspec.Struct, frozen=True):
-    """Accepted submission and its home cell."""
+    """Accepted submission, its home cell and the data centre where it arrived."""
 
     cell_id: str
     accepted_at_ms: int
     submission: Submission
+    arrival_data_centre: str = ""
 
 
 class OwnerRow(msgspec.Struct, frozen=True):
@@ -98,6 +104,8 @@
     cpu_stuck: int = 0
     # Free processor time of each worker: what is spread over many holds no large task.
     free_by_worker: tuple[int, ...] = ()
+    # None without admission control, and in loads of hosts that don't know of it.
+    backlog: CellBacklog | None = None
 
     def count_slots(self, cpu_millis: int) -> int:
         """Return how many more tasks of this size fit beside those that wait here."""
--- a/programs/beryl-host/src/berylcleat/host/_settings.py
+++ b/programs/beryl-host/src/berylcleat/host/_settings.py
@@ -1,5 +1,6 @@
 """Settings of the host process."""
 
+import math
 from dataclasses import dataclass
 
 from berylcleat.model import SettingsError
@@ -11,7 +12,8 @@
 
     ``drain_grace_s`` limits a graceful shutdown, ``core_speed`` is the speed of the
     host's cores relative to a reference core, and ``cpu_share`` is how many of these
-    cores, or what fraction of one, the host may use.
+    cores, or what fraction of one, the host may use. ``admission_late_limit`` is the
+    multiple of a submission's objective beyond which it is refused; 0 refuses none.
     """
 
     host_id: str
@@ -27,6 +29,7 @@
     worker_lease_s: float = 5.0
     drain_grace_s: float = 6.0
     orders_mode: str = "push"
+    admission_late_limit: float = 0.0
 
     @property
     def cpu_power(self) -> float:
@@ -46,6 +49,13 @@
             raise SettingsError(
                 f"{name} must be greater than 0", "Set a number greater than 0"
             )
+    limit = settings.admission_late_limit
+    if limit != 0 and not 1 <= limit < math.inf:
+        raise SettingsError(
+            f"admission_late_limit must be 0 or at least 1, not {limit}",
+            "Set 0 to refuse nothing for load, or a multiple of the objective, such "
+            "as 3",
+        )
     if settings.orders_mode != "push":
         raise SettingsError(
             f"orders_mode {settings.orders_mode!r} is not supported",
