--- a/libs/scheduling/src/berylcleat/scheduling/_admission.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_admission.py
@@ -6,6 +6,7 @@
 
 import math
 from collections import defaultdict
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
 
@@ -19,16 +20,13 @@
     Queued,
     expected_finish_s,
     make_new_work,
-    queued_work,
+    reported_ahead,
     total_rate,
 )
 from ._fair_shares import is_below_share
 
 # Age in seconds from which a report counts as unknown.
 MAX_REPORT_AGE_S = 5.0
-# The other hosts are assumed to admit at most this many times what they admitted
-# lately: the strongest burst that a service is laid out for.
-MAX_BURST = 2.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +40,10 @@
         return f"{self.queue}@{self.data_centre}"
 
 
+# Accounts that are not named one by one.
+REST = Account("", "")
+
+
 @dataclass(frozen=True, slots=True)
 class CellLoad:
     """Load of a cell as this host knows it.
@@ -65,13 +67,15 @@
 class ServiceLoads:
     """Loads of all cells of a service, and the cell chosen for a submission.
 
-    ``n_hosts`` is how many hosts accept submissions.
+    ``n_hosts`` is how many hosts accept submissions, ``n_local_hosts`` how many of them
+    are in ``data_centre``, where the submission arrived.
     """
 
     cells: tuple[CellLoad, ...]
     preferred_cell_id: str
     data_centre: str
     n_hosts: int = 1
+    n_local_hosts: int = 1
 
 
 class RefusalReason(Enum):
@@ -108,11 +112,19 @@
     cell_id: str
     account: Account
     admitted_at: float
+    due_at: float
+    late_at: float
     priority: int
     work: dict[bool, int]
     fills: bool
     cpu: int
 
+    def precedes(self, new: NewWork, now: float) -> bool:
+        """Return whether it is still to be served before a new submission."""
+        if self.priority != new.priority:
+            return self.priority < new.priority
+        return self.late_at > now and self.due_at <= now + new.due_in_s
+
 
 class AdmissionController:
     """Decisions of one host about the submissions that it receives.
@@ -169,11 +181,12 @@
         return self._refuse(account, new, views, best.estimate_s, limit_s, now)
 
     def _view_cells(self, loads: ServiceLoads, now: float) -> list["_CellView"]:
-        admissions_by_cell = defaultdict(list)
+        by_cell = defaultdict(list)
         for item in self._admissions:
-            admissions_by_cell[item.cell_id].append(item)
+            by_cell[item.cell_id].append(item)
+        share = _own_share(loads, by_cell, now)
         return [
-            _CellView(cell, loads.n_hosts, admissions_by_cell[cell.cell_id], now)
+            _CellView(cell, loads, share, by_cell[cell.cell_id], now)
             for cell in loads.cells
         ]
 
@@ -209,6 +222,8 @@
                 cell_id,
                 account,
                 now,
+                now + new.due_in_s,
+                now + new.late_in_s,
                 new.priority,
                 new.work,
                 first.fills,
@@ -232,35 +247,61 @@
                 preceding += row.waiting + row.running
         for item in view.since:
             if item.priority == new.priority:
-                used[item.account] += item.work[kind]
+                work = item.work[kind]
+                used[item.account] += work / view.account_share
+                # The hosts of other data centres have admitted other accounts.
+                used[REST] += work / view.share - work / view.account_share
     rate = total_rate(view.rate(kind) for view in views)
     capacity = rate * limit_s - preceding
     return is_below_share(account, used, new.work[kind], capacity)
 
 
+def _own_share(
+    loads: ServiceLoads, by_cell: Mapping[str, list[_Admission]], now: float
+) -> float:
+    """Return which part of the capacity that the reports leave is this host's.
+
+    It is the mean of an equal part and of the host's share of the recent admissions:
+    that share is of few submissions, and clients may have just come from other hosts.
+    The parts of all hosts add up to 1.
+    """
+    equal = 1 / max(loads.n_hosts, 1)
+    own = 0
+    for cell in loads.cells:
+        reported_at = now - cell.age_s
+        own += sum(
+            sum(item.work.values())
+            for item in by_cell[cell.cell_id]
+            if reported_at - RATE_WINDOW_S < item.admitted_at <= reported_at
+        )
+    if not own:
+        return equal
+    total = sum(cell.backlog.admitted for cell in loads.cells)
+    return (equal + own / max(own, total)) / 2
+
+
 class _CellView:
     """What a host expects of a cell now, from its report and its own admissions."""
 
     def __init__(
-        self, load: CellLoad, n_hosts: int, here: list[_Admission], now: float
+        self,
+        load: CellLoad,
+        loads: ServiceLoads,
+        share: float,
+        here: list[_Admission],
+        now: float,
     ):
         self.cell_id = load.cell_id
         self.room = load.room
         self.backlog = load.backlog
+        self.share = share
+        # An account's clients come to the hosts of one data centre only.
+        n_hosts_a_local = loads.n_hosts / max(loads.n_local_hosts, 1)
+        self.account_share = min(1.0, share * n_hosts_a_local)
         self._age_s = load.age_s
-        reported_at = now - load.age_s
-        # Admitted after the report was made, and in the time that the report covers.
-        self.since = [item for item in here if item.admitted_at > reported_at]
-        recent = sum(
-            sum(item.work.values())
-            for item in here
-            if reported_at - RATE_WINDOW_S < item.admitted_at <= reported_at
-        )
-        total = max(load.backlog.admitted, recent)
-        # An equal part is the least: the clients of other hosts may have come here.
-        own_share = recent / total if recent else 0.0
-        self.share = min(1.0, max(own_share, 1 / max(n_hosts, 1)))
-        self._others_rate = (total - recent) / RATE_WINDOW_S
+        self._now = now
+        # Admitted after the report was made.
+        self.since = [item for item in here if item.admitted_at > now - load.age_s]
 
     def rate(self, fills: bool) -> DrainRate:
         """Return the drain of a kind of work."""
@@ -273,15 +314,13 @@
 
     def queued(self, new: NewWork, fills: bool, rate: float) -> Queued:
         """Return the work ahead of a new submission if it drains at ``rate``."""
-        in_time, late = queued_work(self.backlog, new, self._age_s, fills=fills)
+        reported = reported_ahead(self.backlog, new, self._age_s, fills=fills)
         own = sum(
-            item.work[fills] for item in self.since if item.priority <= new.priority
+            item.work[fills] for item in self.since if item.precedes(new, self._now)
         )
-        # The others admit in proportion, as far as they have lately had anything.
-        others = min(
-            own * (1 / self.share - 1), MAX_BURST * self._others_rate * self._age_s
-        )
-        return Queued(in_time, late, rate, own + others, rate * self._age_s)
+        # The host uses its part of the capacity only, so its own count for the others'.
+        drained = rate * self._age_s
+        return Queued(max(0.0, reported + own / self.share - drained), rate)
 
 
 class _RetryTurns:
@@ -346,7 +385,7 @@
         kind: _sum_queued([q[kind] for q in queued_by_cell.values()], rates[kind])
         for kind in new.kinds
     }
-    if not any(queued.ahead(is_late=True) for queued in together.values()):
+    if not any(queued.ahead for queued in together.values()):
         return None
     estimate_by_cell = {
         cell_id: expected_finish_s(new, queued)
@@ -372,10 +411,4 @@
 
 
 def _sum_queued(parts: list[Queued], rate: float) -> Queued:
-    return Queued(
-        sum(part.in_time for part in parts),
-        sum(part.late for part in parts),
-        rate,
-        sum(part.since for part in parts),
-        sum(part.drained for part in parts),
-    )
+    return Queued(sum(part.ahead for part in parts), rate)
--- a/libs/scheduling/src/berylcleat/scheduling/_backlog.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_backlog.py
@@ -66,21 +66,23 @@
     late: int
     by_slack: tuple[int, ...]
 
-    def ahead(self, priority: int, due_in_s: float, age_s: float) -> float:
-        """Return the work that precedes a submission while it can be in time."""
-        if self.priority > priority:
+    def ahead(self, new: "NewWork", age_s: float) -> float:
+        """Return the work that precedes a new submission.
+
+        Late work of a higher priority precedes it. Late work of its own doesn't, nor
+        what has become late since the report, ``age_s`` ago.
+        """
+        if self.priority > new.priority:
             return 0.0
-        if self.priority < priority:
-            return sum(self.by_slack)
+        if self.priority < new.priority:
+            return self.late + sum(self.by_slack)
+        latest = age_s + new.due_in_s
+        earliest = age_s + new.due_in_s - new.late_in_s
         return sum(
-            work * _share_below(number, due_in_s + age_s)
+            work * (_share_below(number, latest) - _share_below(number, earliest))
             for number, work in enumerate(self.by_slack)
         )
 
-    def ahead_when_late(self, priority: int) -> float:
-        """Return the work that precedes a submission only once it is late."""
-        return self.late if self.priority <= priority else 0.0
-
 
 class DrainRate(msgspec.Struct, frozen=True, array_like=True):
     """Drain of one kind of work, a second.
@@ -223,6 +225,8 @@
         self._saturated_since: dict[bool, float] = {}
         # Work done by the runs in progress, by kind, at each count of the window.
         self._progress: deque[tuple[float, dict[bool, float]]] = deque()
+        # Work of the submissions accepted within the window, with the time.
+        self._admitted: list[tuple[float, int]] = []
         self._counted_at = float("-inf")
         self._last: CellBacklog | None = None
 
@@ -248,18 +252,22 @@
     ) -> CellBacklog:
         tally = _Tally()
         promise_by_id: dict[str, _Promise] = {}
-        admitted = 0
         for tracked in live:
             submission = tracked.submission
             if tracked.is_over or submission.is_scheduled:
                 continue
             submission_id = submission.submission_id
-            promise = self._promise_by_id.get(submission_id) or self._make(submission)
+            promise = self._promise_by_id.get(submission_id)
+            if promise is None:
+                promise = self._make(submission)
+                if tracked.is_home:
+                    accepted_at = tracked.due_at - promise.objective_s
+                    self._admitted.append((accepted_at, promise.work))
             promise_by_id[submission_id] = promise
             self._count_waiting(tally, tracked, promise, now)
-            accepted_at = tracked.due_at - promise.objective_s
-            if tracked.is_home and now - accepted_at <= RATE_WINDOW_S:
-                admitted += promise.work
+        self._admitted = [
+            item for item in self._admitted if item[0] >= now - RATE_WINDOW_S
+        ]
         self._promise_by_id = promise_by_id
         self._count_running(tally, runs, now)
         return CellBacklog(
@@ -267,7 +275,7 @@
             tally.waiting_work(),
             self._ordinary_rate(tally, runs, workers, now),
             self._filler_rate(tally, runs, workers, now),
-            admitted,
+            sum(work for _, work in self._admitted),
         )
 
     def _count_running(self, tally: "_Tally", runs: list[Run], now: float) -> None:
@@ -436,6 +444,11 @@
     path_s: float
     due_in_s: float
 
+    @property
+    def late_in_s(self) -> float:
+        """Time after which it counts as late if it hasn't started."""
+        return self.due_in_s - self.path_s * MIN_REMAINING_SHARE
+
     @property
     def kinds(self) -> set[bool]:
         """Kinds of its tasks that have work, and that of its first step."""
@@ -463,55 +476,31 @@
 
 @dataclass(frozen=True, slots=True)
 class Queued:
-    """Work of one kind ahead of a new submission, and the rate at which it drains.
+    """Work of one kind ahead of a new submission, and the rate at which it drains."""
 
-    ``late`` precedes it only if it can't be in time itself. ``since`` is work admitted
-    after the report, ``drained`` what has ended since then.
-    """
-
-    in_time: float
-    late: float
+    ahead: float
     rate: float
-    since: float = 0.0
-    drained: float = 0.0
-
-    def ahead(self, *, is_late: bool) -> float:
-        """Return the work that is still ahead."""
-        work = self.in_time + (self.late if is_late else 0.0) + self.since
-        return max(0.0, work - self.drained)
 
 
-def queued_work(
+def reported_ahead(
     backlog: CellBacklog, new: NewWork, age_s: float, *, fills: bool
-) -> tuple[float, float]:
-    """Return the work of one kind ahead of ``new`` in time, and once it is late."""
-    rows = [row for row in backlog.waiting if row.fills == fills]
-    return (
-        sum(row.ahead(new.priority, new.due_in_s, age_s) for row in rows),
-        sum(row.ahead_when_late(new.priority) for row in rows),
-    )
+) -> float:
+    """Return the work of one kind ahead of ``new`` when the report was made."""
+    return sum(row.ahead(new, age_s) for row in backlog.waiting if row.fills == fills)
 
 
 def expected_finish_s(new: NewWork, queued: dict[bool, Queued]) -> float:
     """Return the earliest time, in seconds from now, at which ``new`` can be done.
 
     Work that runs now delays it only through the rate: under saturation each start
-    needs an end. A submission that would be late is preceded by late work too.
+    needs an end.
     """
-    finish_s = _finish_s(new, queued, is_late=False)
-    if finish_s <= new.due_in_s:
-        return finish_s
-    return _finish_s(new, queued, is_late=True)
-
-
-def _finish_s(new: NewWork, queued: dict[bool, Queued], *, is_late: bool) -> float:
     first = queued[new.starts_filling]
-    finish_s = _drain_s(first.ahead(is_late=is_late), first.rate)
-    finish_s += new.path_s / ESTIMATE_ERROR
+    finish_s = _drain_s(first.ahead, first.rate) + new.path_s / ESTIMATE_ERROR
     for fills, work in new.work.items():
         if work:
             kind = queued[fills]
-            total = kind.ahead(is_late=is_late) + work / ESTIMATE_ERROR
+            total = kind.ahead + work / ESTIMATE_ERROR
             finish_s = max(finish_s, _drain_s(total, kind.rate))
     return finish_s
 
--- a/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
@@ -30,8 +30,8 @@
 MAX_SERVING_LOAD = 0.9
 # Mean seconds between the count of a remote cell's load and its receipt.
 LOAD_DELAY_S = 0.5
-# A cell that has lost its owner may have a new one by this time after its last load. One
-# without an owner for longer can't take any work.
+# A cell that has lost its owner may have a new one by this time after its last load.
+# One without an owner for longer can't take any work.
 MISSING_LOAD_S = 10.0
 
 
@@ -126,7 +126,7 @@
         service = submission.queue.service
         cells += self._missing_loads(service, known_cell_ids, now)
         n_hosts = self._cells.count_owning_hosts()
-        return ServiceLoads(tuple(cells), chosen, self._data_centre, n_hosts)
+        return ServiceLoads(tuple(cells), chosen, self._data_centre, *n_hosts)
 
     def _cell_load(
         self, cell_id: str, summary: CellSummary, step: Step, now: float
--- a/programs/beryl-host/src/berylcleat/host/_cell_directory.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_directory.py
@@ -101,10 +101,18 @@
         receipt = self._receipt_by_cell.get(cell_id)
         return float("inf") if receipt is None else now - receipt[1]
 
-    def count_owning_hosts(self) -> int:
-        """Return how many hosts own cells."""
-        owners = self.owner_by_cell.values()
-        return len({owner.row.host_id for owner in owners if owner.row.host_id})
+    def count_owning_hosts(self) -> tuple[int, int]:
+        """Return how many hosts own cells, in all and in this data centre."""
+        data_centre_by_host = {
+            owner.row.host_id: owner.row.data_centre
+            for owner in self.owner_by_cell.values()
+            if owner.row.host_id
+        }
+        n_local = sum(
+            data_centre == self._data_centre
+            for data_centre in data_centre_by_host.values()
+        )
+        return len(data_centre_by_host), n_local
 
     def count_cells_of(self, data_centre: str) -> int:
         """Return how many cells have an owner in a data centre."""
