Test the host's part of admission

Cause: the shell around the decision had no tests of its own. Change: 13 scenarios with an in-memory store: refusal and Retry-After, old and missing loads, a lost owner, a store without answer, rows without the new fields, the check of the setting.

--- /dev/null
+++ b/programs/beryl-host/features/admission.feature
@@ -0,0 +1,59 @@
+Feature: Admission of submissions by a host
+  A host knows one overloaded cell from its published load and refuses what can't be done
+  within three times its objective. Nothing of a refused submission is stored.
+
+  Scenario: A refusal names the time to return and stores nothing
+    Given a host that knows an overloaded cell
+    When a submission arrives
+    Then it is answered 503 with a Retry-After of whole seconds
+    And the store holds nothing of it
+
+  Scenario: With the limit 0 nothing is refused for load
+    Given a host without a limit that knows an overloaded cell
+    When a submission arrives
+    Then it is answered 200 and stored with its data centre of arrival
+
+  Scenario Outline: A load that is <what> is no reason to refuse
+    Given a host that knows an overloaded cell
+    When its load becomes <what>
+    And a submission arrives
+    Then it is answered 200 and stored with its data centre of arrival
+
+    Examples:
+      | what                        |
+      | older than 5 s              |
+      | that of a lost owner        |
+      | one without backlog numbers |
+
+  Scenario: A submission that another host has stored is not refused
+    Given a host that knows an overloaded cell
+    And a submission that another host has stored
+    When it arrives again
+    Then it is answered 200
+
+  Scenario: While the store is unavailable a submission is answered as without admission
+    Given a host that knows an overloaded cell
+    When a submission arrives while the store is unavailable
+    Then it is answered 503 with a Retry-After of 1 s
+
+  Scenario: A commit without an outcome keeps a submission from being refused
+    Given a host that knows a cell with capacity
+    When a submission arrives while commits have no outcome
+    Then it is answered 504
+    When the cell becomes overloaded and the submission arrives again
+    Then it is answered 200
+
+  Scenario: Rows of hosts that don't know of admission are read
+    When a load and an accepted submission of such a host are read
+    Then the load has no backlog and the submission no data centre of arrival
+
+  Scenario Outline: The limit <limit> is rejected at startup
+    When a host is set up with the limit <limit>
+    Then the error names admission_late_limit, the value and the remedy
+
+    Examples:
+      | limit |
+      | -1    |
+      | 0.5   |
+      | nan   |
+      | inf   |
