Publish accounts and waiting work only under overload

Change: loads carry accounts and waiting work only while a kind of work is saturated, grouped by queue and in core-seconds. Work past the limit no longer counts for its account.

--- a/libs/scheduling/src/berylcleat/scheduling/_admission.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_admission.py
@@ -13,6 +13,7 @@
 from berylcleat.model import Submission
 
 from ._backlog import (
+    CORE_SECOND,
     RATE_WINDOW_S,
     CellBacklog,
     DrainRate,
@@ -240,11 +241,15 @@
     used: defaultdict[Account, float] = defaultdict(float)
     preceding = 0.0
     for view in views:
-        for row in view.backlog.accounts:
-            if row.fills == kind and row.priority == new.priority:
-                used[Account(row.queue, row.data_centre)] += row.waiting + row.running
-            elif row.fills == kind and row.priority < new.priority:
-                preceding += row.waiting + row.running
+        for row in view.backlog.queues:
+            if row.fills != kind or row.priority > new.priority:
+                continue
+            for data_centre, work in row.by_data_centre.items():
+                outstanding = CORE_SECOND * sum(work)
+                if row.priority < new.priority:
+                    preceding += outstanding
+                else:
+                    used[Account(row.queue, data_centre)] += outstanding
         for item in view.since:
             if item.priority == new.priority:
                 work = item.work[kind]
--- a/libs/scheduling/src/berylcleat/scheduling/_backlog.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_backlog.py
@@ -1,7 +1,8 @@
 """Work promised in a cell, how fast it drains, and when a new submission would end.
 
-Work is counted as declared, in thousandths of a core-second. Ends are counted in the
-same unit, so an error that all estimates share cancels out in the time to drain.
+Work is counted as declared, in thousandths of a core-second, and published in whole
+core-seconds. Ends are counted in the same unit, so an error that all estimates share
+cancels out in the time to drain.
 """
 
 from bisect import bisect_left
@@ -25,7 +26,7 @@
 MAX_ACCOUNTS = 16
 # Upper bounds in seconds of the ranges of time left to the deadline. Within a range the
 # work is taken as spread evenly.
-SLACK_BOUNDS_S = tuple(0.25 * 1.5**n for n in range(18))
+SLACK_BOUNDS_S = tuple(0.5 * 1.5**n for n in range(14))
 # A kind of work is saturated while this share of its processors is waited for: less is
 # what arrives between two planning rounds.
 MIN_WAITING_SHARE = 0.1
@@ -40,22 +41,25 @@
 RATE_DEVIATIONS = 2.0
 
 
-class AccountWork(msgspec.Struct, frozen=True, array_like=True):
-    """Work of one account of one kind: a queue, and where its callers arrive.
+# Units of work in a published core-second.
+CORE_SECOND = 1000
 
-    Both names are empty for the sum of the accounts that are not reported.
+
+class QueueWork(msgspec.Struct, frozen=True, array_like=True):
+    """Work of one queue and kind in core-seconds, waiting and running.
+
+    An account is a queue and the data centre where its callers arrive. Both names are
+    empty for the sum of the accounts that are not reported.
     """
 
     queue: str
-    data_centre: str
     priority: int
     fills: bool
-    waiting: int
-    running: int
+    by_data_centre: dict[str, tuple[int, int]]
 
 
 class WaitingWork(msgspec.Struct, frozen=True, array_like=True):
-    """Waiting work of one priority and kind.
+    """Waiting work of one priority and kind, in core-seconds.
 
     ``by_slack`` follows ``SLACK_BOUNDS_S``, with the rest last; ``late`` can no longer
     meet its deadline.
@@ -75,11 +79,13 @@
         if self.priority > new.priority:
             return 0.0
         if self.priority < new.priority:
-            return self.late + sum(self.by_slack)
+            return CORE_SECOND * (self.late + sum(self.by_slack))
         latest = age_s + new.due_in_s
         earliest = age_s + new.due_in_s - new.late_in_s
         return sum(
-            work * (_share_below(number, latest) - _share_below(number, earliest))
+            CORE_SECOND
+            * work
+            * (_share_below(number, latest) - _share_below(number, earliest))
             for number, work in enumerate(self.by_slack)
         )
 
@@ -110,10 +116,12 @@
 class CellBacklog(msgspec.Struct, frozen=True, array_like=True):
     """Backlog of a cell as its owner publishes it.
 
-    ``admitted`` is the work accepted for the cell within ``RATE_WINDOW_S``.
+    ``admitted`` is the work accepted for the cell within ``RATE_WINDOW_S``. Accounts
+    and waiting work are left out while no kind of work is saturated: every host reads
+    the loads of all cells, and there is nothing to refuse.
     """
 
-    accounts: tuple[AccountWork, ...]
+    queues: tuple[QueueWork, ...]
     waiting: tuple[WaitingWork, ...]
     ordinary: DrainRate
     fillers: DrainRate
@@ -270,11 +278,13 @@
         ]
         self._promise_by_id = promise_by_id
         self._count_running(tally, runs, now)
+        ordinary = self._ordinary_rate(tally, runs, workers, now)
+        fillers = self._filler_rate(tally, runs, workers, now)
         return CellBacklog(
-            tally.largest_accounts(),
-            tally.waiting_work(),
-            self._ordinary_rate(tally, runs, workers, now),
-            self._filler_rate(tally, runs, workers, now),
+            tally.largest_accounts() if self._saturated_since else (),
+            tally.waiting_work() if self._saturated_since else (),
+            ordinary,
+            fillers,
             sum(work for _, work in self._admitted),
         )
 
@@ -326,12 +336,14 @@
                 n_tasks = step.n_tasks
             else:
                 continue
+            # Work past its last use may be served after all other work, and an account
+            # isn't charged for what the system has failed to do.
+            if is_given_up:
+                continue
             work = step_work(step, n_tasks)
             tally.add_account(promise.queue, promise.data_centre, step.fills, work)
-            # Work past its last use may be served after all other work.
-            if not is_given_up:
-                priority = promise.queue.priority
-                tally.add_waiting(priority, step.fills, work, slack_s, is_late)
+            priority = promise.queue.priority
+            tally.add_waiting(priority, step.fills, work, slack_s, is_late)
 
     def _ordinary_rate(
         self, tally: "_Tally", runs: list[Run], workers: list[WorkerView], now: float
@@ -400,26 +412,29 @@
         )
         sums[0 if is_late else 1 + bisect_left(SLACK_BOUNDS_S, slack_s)] += work
 
-    def largest_accounts(self) -> tuple[AccountWork, ...]:
-        rows = [
-            AccountWork(*key, *sums)
-            for key, sums in self._by_account.items()
-            if any(sums)
-        ]
-        rows.sort(key=lambda row: -(row.waiting + row.running))
-        if len(rows) <= MAX_ACCOUNTS:
-            return tuple(rows)
+    def largest_accounts(self) -> tuple[QueueWork, ...]:
+        rows = sorted(self._by_account.items(), key=lambda row: -sum(row[1]))
+        queues: dict[tuple[str, int, bool], dict[str, tuple[int, int]]] = {}
+        for (name, data_centre, priority, fills), sums in rows[:MAX_ACCOUNTS]:
+            if any(sums):
+                by_data_centre = queues.setdefault((name, priority, fills), {})
+                by_data_centre[data_centre] = _to_core_seconds(sums)
+        published = [QueueWork(*key, work) for key, work in queues.items()]
         rest = rows[MAX_ACCOUNTS:]
-        waiting = sum(row.waiting for row in rest)
-        running = sum(row.running for row in rest)
-        # The rest may mix priorities and kinds; it stands under those of its largest.
-        first = rest[0]
-        summed = AccountWork("", "", first.priority, first.fills, waiting, running)
-        return (*rows[:MAX_ACCOUNTS], summed)
+        if rest:
+            # It may mix priorities and kinds; it stands under those of its largest.
+            _, _, priority, fills = rest[0][0]
+            sums = [
+                sum(column) for column in zip(*(row[1] for row in rest), strict=True)
+            ]
+            work = {"": _to_core_seconds(sums)}
+            published.append(QueueWork("", priority, fills, work))
+        return tuple(published)
 
     def waiting_work(self) -> tuple[WaitingWork, ...]:
         rows = []
         for (priority, fills), (late, *by_slack) in sorted(self._by_class.items()):
+            late, *by_slack = _to_core_seconds((late, *by_slack))
             while by_slack and not by_slack[-1]:
                 by_slack.pop()
             if late or by_slack:
@@ -427,6 +442,10 @@
         return tuple(rows)
 
 
+def _to_core_seconds(work: Iterable[int]) -> tuple[int, ...]:
+    return tuple(item // CORE_SECOND for item in work)
+
+
 # What a new submission may expect
 
 
--- a/programs/beryl-host/features/steps/admission_steps.py
+++ b/programs/beryl-host/features/steps/admission_steps.py
@@ -36,9 +36,9 @@
 from berylcleat.ports import StoreRow
 from berylcleat.scheduling import InterferenceModel
 from berylcleat.scheduling._backlog import (
-    AccountWork,
     CellBacklog,
     DrainRate,
+    QueueWork,
     WaitingWork,
 )
 from berylcleat.standins import MemoryStore
@@ -72,19 +72,19 @@
 
 
 def make_summary(*, is_overloaded, has_backlog=True):
-    waiting = 900_000 if is_overloaded else 0
-    # Work due within the next 1.9 s, so all of it precedes a submission due in 2 s.
-    slack = (0, 0, 0, 0, 0, waiting)
+    waiting = 900 if is_overloaded else 0
+    # Due in 1.1 to 1.7 s, so it precedes a submission due in 2 s if it isn't late.
+    slack = (0, 0, 0, waiting)
     backlog = CellBacklog(
-        (AccountWork("batch", DATA_CENTRE, 5, False, waiting, 16_000),),
+        (QueueWork("batch", 5, False, {DATA_CENTRE: (waiting, 16)}),),
         (WaitingWork(5, False, 0, slack),),
         DrainRate(16_000, 16_000, 25),
         DrainRate(0),
-        waiting,
+        waiting * 1000,
     )
     free = 0 if is_overloaded else 16_000
     return CellSummary(
-        "svc", DATA_CENTRE, 16_000, free, waiting, (), 0, {}, 0, (free,),
+        "svc", DATA_CENTRE, 16_000, free, waiting * 1000, (), 0, {}, 0, (free,),
         backlog if has_backlog else None,
     )  # fmt: skip
 
