--- a/libs/scheduling/features/steps/admission_steps.py
+++ b/libs/scheduling/features/steps/admission_steps.py
@@ -25,7 +25,8 @@
     Refuse,
     ServiceLoads,
 )
-from berylcleat.scheduling._backlog import MIN_COUNT_PERIOD_S, RATE_WINDOW_S
+from berylcleat.scheduling._backlog import RATE_WINDOW_S
+from berylcleat.scheduling._backlog_meter import MIN_COUNT_PERIOD_S
 from berylcleat.scheduling._fair_shares import fair_shares
 
 BURST_AT_S = 4.0
--- a/libs/scheduling/src/berylcleat/scheduling/__init__.py
+++ b/libs/scheduling/src/berylcleat/scheduling/__init__.py
@@ -8,7 +8,8 @@
     Refuse,
     ServiceLoads,
 )
-from ._backlog import BacklogMeter, CellBacklog, CompletedWork
+from ._backlog import CellBacklog
+from ._backlog_meter import BacklogMeter, CompletedWork
 from ._cell import CellScheduler
 from ._filler_stops import choose_fillers_to_stop
 from ._interference import (
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -12,7 +12,7 @@
 )
 
 from ._advice import TicketCache
-from ._backlog import CompletedWork
+from ._backlog_meter import CompletedWork
 from ._crashes import CrashTracker
 from ._filler_stops import choose_fillers_to_stop, must_stop_all_fillers
 from ._interference import InterferenceModel
