--- a/libs/scheduling/src/berylcleat/scheduling/__init__.py
+++ b/libs/scheduling/src/berylcleat/scheduling/__init__.py
@@ -1,5 +1,15 @@
 """Scheduling decisions of a cell's owner, without input or output."""
 
+from ._admission import (
+    Account,
+    AdmissionController,
+    Admit,
+    CellLoad,
+    Refuse,
+    ServiceLoads,
+)
+from ._backlog import CellBacklog
+from ._backlog_meter import BacklogMeter, CompletedWork
 from ._cell import CellScheduler
 from ._evacuation import (
     AvailabilityTracker,
@@ -30,8 +40,15 @@
     "CLOCK_DRIFT",
     "AvailabilityTracker",
     "CellEvacuation",
+    "Account",
+    "AdmissionController",
+    "Admit",
+    "BacklogMeter",
+    "CellBacklog",
     "CellHeadroom",
+    "CellLoad",
     "CellScheduler",
+    "CompletedWork",
     "CrashEvidence",
     "EvacuationRules",
     "FillerHeadroom",
@@ -46,9 +63,11 @@
     "Progress",
     "ProgressWrite",
     "RecordBatch",
+    "Refuse",
     "Run",
     "RunOutcome",
     "RunPhase",
+    "ServiceLoads",
     "ServingReading",
     "SubmissionRegistry",
     "TaskMove",
--- a/programs/beryl-host/features/steps/evacuation_steps.py
+++ b/programs/beryl-host/features/steps/evacuation_steps.py
@@ -135,7 +135,8 @@
         'batch with its data in "r1"': Step(2, DEMAND, data_rack="r1"),
     }[kind]
     queue = QueuePolicy("proofs", SERVICE)
-    context.home = context.chooser.choose(Submission("a" * 16, queue, "s", (step,)))
+    decision = context.chooser.decide(Submission("a" * 16, queue, "s", (step,)))
+    context.home = decision.cell_id if decision else None
 
 
 @then('its home cell is "{cell_id}"')
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -14,6 +14,7 @@
 )
 from berylcleat.runtime import cancel_all
 from berylcleat.scheduling import (
+    BacklogMeter,
     CellScheduler,
     LeaseTimes,
     MovedTaskEnd,
@@ -104,6 +105,8 @@
         self._interference = knowledge.interference
         self._operator = knowledge.operator
         self._learns_uneven_workers = knowledge.learns_uneven_workers
+        self._late_limit = knowledge.admission_late_limit
+        self._backlog_meter: BacklogMeter | None = None
         self._mover = mover
         self._expected_finish = expected_finish
         self._advisor = connections.advisor
@@ -170,6 +173,10 @@
         self._sender = OrderSender(
             scheduler, self._client_by_worker, self._advisor, self._plan_needed.set
         )
+        if self._late_limit:
+            self._backlog_meter = BacklogMeter(
+                scheduler.completed_work, self._arrival_of, self._late_limit
+            )
         for worker in earlier_workers:
             self._connect_worker(worker)
         self.update_workers(entry_by_worker)
@@ -329,7 +336,14 @@
             return None
         now = now_s()
         self._operator.update(self.scheduler.evacuation, now)
-        return make_summary(self.scheduler, self.data_centre, now)
+        return make_summary(self.scheduler, self.data_centre, now, self._backlog_meter)
+
+    def _arrival_of(self, submission_id: str) -> str:
+        """Return the data centre where a submission arrived, or ""."""
+        entry = self._directory.by_id.get(submission_id)
+        if entry is None or entry.accepted is None:
+            return ""
+        return entry.accepted.arrival_data_centre
 
     # Workers
 
--- a/programs/beryl-host/src/berylcleat/host/_cell_directory.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_directory.py
@@ -43,7 +43,8 @@
         self.owner_by_cell: dict[str, ObservedOwner] = {}
         self.remote_liveness = RemoteLiveness()
         self._load_by_cell: dict[str, LoadRow] = {}
-        self._load_received_at: dict[str, float] = {}
+        # Version of each load row, and when it was first received.
+        self._receipt_by_cell: dict[str, tuple[int, float]] = {}
 
     def on_owner_rows(self, rows: tuple[StoreRow, ...]) -> None:
         """Apply owner rows of the cell table; other rows are ignored."""
@@ -92,11 +93,26 @@
         # A delayed write of an earlier owner may arrive last.
         if known is None or load.epoch >= known.epoch:
             self._load_by_cell[cell_id] = load
-            self._load_received_at[cell_id] = now_s()
+            if self._receipt_by_cell.get(cell_id, (-1, 0.0))[0] != row.version:
+                self._receipt_by_cell[cell_id] = (row.version, now_s())
 
     def load_age_s(self, cell_id: str, now: float) -> float:
-        """Return the seconds since the last load of a cell was read."""
-        return now - self._load_received_at.get(cell_id, float("-inf"))
+        """Return the seconds since a cell's load was received; infinity if none was."""
+        receipt = self._receipt_by_cell.get(cell_id)
+        return float("inf") if receipt is None else now - receipt[1]
+
+    def count_owning_hosts(self) -> tuple[int, int]:
+        """Return how many hosts own cells, in all and in this data centre."""
+        data_centre_by_host = {
+            owner.row.host_id: owner.row.data_centre
+            for owner in self.owner_by_cell.values()
+            if owner.row.host_id
+        }
+        n_local = sum(
+            data_centre == self._data_centre
+            for data_centre in data_centre_by_host.values()
+        )
+        return len(data_centre_by_host), n_local
 
     def count_cells_of(self, data_centre: str) -> int:
         """Return how many cells have an owner in a data centre."""
--- a/programs/beryl-host/src/berylcleat/host/_cell_summary.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_summary.py
@@ -2,30 +2,39 @@
 
 import logging
 
-from berylcleat.scheduling import CellScheduler, FillerHeadroom
+from berylcleat.scheduling import BacklogMeter, CellScheduler, FillerHeadroom
 
 from ._records import CellSummary
 
 logger = logging.getLogger(__name__)
 
 
-def make_summary(scheduler: CellScheduler, data_centre: str, now: float) -> CellSummary:
-    """Return the load summary that is published to other hosts.
+def make_summary(
+    scheduler: CellScheduler,
+    data_centre: str,
+    now: float,
+    meter: BacklogMeter | None = None,
+) -> CellSummary:
+    """Return the load summary of a cell, with its backlog if there is a meter.
 
     After an evacuation only a growing share of the free capacity is published: other
     hosts base decisions on loads of up to 2 s ago, and would all send their work to an
     empty data centre at once.
     """
     views = [v for v in scheduler.worker_by_id.values() if v.can_start(now)]
+    live = scheduler.submissions.live_by_id.values()
     fill_waiting = sum(
         len(ready.waiting) * ready.step.demand.cpu_millis
-        for tracked in scheduler.submissions.live_by_id.values()
+        for tracked in live
         for ready in tracked.ready_by_step.values()
         if ready.step.fills
     )
     evacuation = scheduler.evacuation
     share = 1.0 if evacuation is None else evacuation.capacity_share(now)
     free_by_worker = tuple(int(v.effective_free_millis() * share) for v in views)
+    backlog = None
+    if meter is not None:
+        backlog = meter.count(live, scheduler.run_by_task.values(), views, now)
     return CellSummary(
         service=views[0].entry.service if views else "",
         data_centre=data_centre,
@@ -37,6 +46,7 @@
         fill_waiting=fill_waiting,
         pending_by_queue=scheduler.submissions.n_pending_by_queue(),
         free_by_worker=free_by_worker,
+        backlog=backlog,
     )
 
 
--- a/programs/beryl-host/src/berylcleat/host/_components.py
+++ b/programs/beryl-host/src/berylcleat/host/_components.py
@@ -31,6 +31,7 @@
 
     ``operator`` holds what the operator asks for.
     ``learns_uneven_workers`` tells whether owners learn speeds and failures of workers.
+    Without an ``admission_late_limit`` its cells report no backlog.
     """
 
     membership: Membership
@@ -40,6 +41,7 @@
     interference: InterferenceModel
     operator: OperatorState = field(default_factory=OperatorState)
     learns_uneven_workers: bool = False
+    admission_late_limit: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -109,6 +109,7 @@
                 self.interference,
                 self.operator,
                 settings.uneven_workers,
+                settings.admission_late_limit,
             ),
             OwnerFeeds(self.cell_follower, self.worker_follower, self.feeds),
             LeaseTimes(worker_lease_s=settings.worker_lease_s),
@@ -157,8 +158,10 @@
                 self.ownership,
                 self.interference,
                 self.operator,
+                settings.admission_late_limit,
             ),
             peers,
+            settings.data_centre,
         )
 
     def _make_advisor(self) -> AdviceClient | None:
--- a/programs/beryl-host/src/berylcleat/host/_settings.py
+++ b/programs/beryl-host/src/berylcleat/host/_settings.py
@@ -1,5 +1,6 @@
 """Settings of the host process."""
 
+import math
 from dataclasses import dataclass, replace
 
 from berylcleat.model import SettingsError
@@ -20,6 +21,8 @@
     cores, or what fraction of one, the host may use. ``uneven_workers`` switches on the
     avoidance of slow and failing workers, ``expected_finish`` order and moves by
     expected finish; a deployment's ``contracts`` may switch them on too.
+    ``admission_late_limit`` is the multiple of a submission's objective beyond which it
+    is refused; 0 refuses none.
 
     No task is started in an evacuated data centre later than ``evacuation_deadline_ms``
     after the request, and by a host without news of the requests no later than
@@ -45,6 +48,7 @@
     uneven_workers: bool = False
     expected_finish: bool = False
     contracts: tuple[str, ...] | None = None
+    admission_late_limit: float = 0.0
 
     @property
     def cpu_power(self) -> float:
@@ -83,6 +87,13 @@
                 f"{name} must be greater than 0", "Set a number greater than 0"
             )
     _check_evacuation_settings(settings)
+    limit = settings.admission_late_limit
+    if limit != 0 and not 1 <= limit < math.inf:
+        raise SettingsError(
+            f"admission_late_limit must be 0 or at least 1, not {limit}",
+            "Set 0 to refuse nothing for load, or a multiple of the objective, such "
+            "as 3",
+        )
     if settings.orders_mode != "push":
         raise SettingsError(
             f"orders_mode {settings.orders_mode!r} is not supported",
