--- a/libs/scheduling/src/berylcleat/scheduling/_backlog.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_backlog.py
@@ -12,7 +12,7 @@
 
 from berylcleat.model import Step, Submission, critical_path_s
 
-from ._submissions import MIN_REMAINING_SHARE
+from ._urgency import MIN_REMAINING_SHARE
 
 # Seconds over which ends and admissions are counted.
 RATE_WINDOW_S = 5.0
--- a/libs/scheduling/src/berylcleat/scheduling/_backlog_meter.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_backlog_meter.py
@@ -18,7 +18,8 @@
     objective_s,
     step_work,
 )
-from ._submissions import MIN_REMAINING_SHARE, TrackedSubmission
+from ._submissions import TrackedSubmission
+from ._urgency import MIN_REMAINING_SHARE
 from ._workers import Run, WorkerView
 
 # The numbers of a cell are counted again after this time: the cell's load is asked for
