Mend what the reviews of the joined parts found

Handover: a takeover notice that came while another lost cell was dropped raised a KeyError that ended the loop which acquires cells (not new); the loop survives errors now. The reply on leases counts a worker that may have restarted unnoticed with the longest wait, and workers that the reply doesn't name wait no longer than without one.

Worker health: one entry a worker for a task's failures, 16 failures in a row at most (both grew without bound for a long-running task that fails again and again).

Admission, off: accepted rows are as before; evacuated cells don't count as missing.

Tests: the race of the notice is new.

--- a/libs/scheduling/features/steps/overload.py
+++ b/libs/scheduling/features/steps/overload.py
@@ -21,6 +21,7 @@
     SubmissionRegistry,
     WorkerView,
 )
+from berylcleat.scheduling._urgency import deadline_key
 
 TICK_S = 0.1
 BEGIN_AT = 100.0
@@ -206,7 +207,7 @@
                     self._end(cell, task, run)
         late_as_of = self.now if self.late_as_of is None else self.late_as_of
         ready = [r for cell in self.cells for r in cell.registry.ready_steps(self.now)]
-        for step in sorted(ready, key=lambda r: r.urgency_key(late_as_of)):
+        for step in sorted(ready, key=lambda r: deadline_key(r, late_as_of)):
             for index in sorted(step.waiting):
                 cell = min(self.cells, key=lambda cell: len(cell.view.run_by_task))
                 if len(cell.view.run_by_task) < CORES:
--- a/libs/scheduling/features/steps/takeover_steps.py
+++ b/libs/scheduling/features/steps/takeover_steps.py
@@ -121,7 +121,7 @@
         scripted_cell.step()
     worker_id = "w1" if "another" in worker else SILENT_WORKER
     leases = {worker_id: float(seconds)}
-    scripted_cell.cell.on_earlier_owner_stopped(leases, scripted_cell.now)
+    scripted_cell.cell.on_leases_told(leases, scripted_cell.now)
 
 
 @when("the cell is abandoned after 5 s")
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -21,10 +21,12 @@
     is_stuck,
     make_move,
 )
-from ._spill import MOVE_S
+from ._spill import LAST_RESORT_STUCK_S, MOVE_S, may_move
 from ._submissions import ReadyStep, TrackedSubmission
 from ._workers import Run, RunPhase
 
+# Seconds between two rounds in which stuck steps move, where others move at once.
+STUCK_PERIOD_S = 0.25
 # Age in seconds of the headroom that other cells report: until then it may lack a task
 # that has moved there.
 HEADROOM_AGE_S = 2.0
@@ -92,10 +94,10 @@
         proposals = []
         if self.spill is not None:
             proposals = self._propose_spills(headrooms, now)
+        if not self._is_stuck_round(now):
+            return proposals
         for ready in self.submissions.ready_steps(now):
-            if self._is_spilled(ready):
-                continue
-            if self._is_stuck(ready, now):
+            if self._is_stuck(ready, now) and not self._moves_at_once(ready, now):
                 move_by_task = self._propose_task_moves(ready, reservations, now)
                 if move_by_task:
                     submission_id = ready.tracked.submission.submission_id
@@ -106,6 +108,17 @@
             self._relocate_from_evacuated(reservations, now)
         return proposals
 
+    def _is_stuck_round(self, now: float) -> bool:
+        """Return whether stuck steps may move in this round.
+
+        Rounds are more frequent where tasks move at once; the loads that stuck steps
+        rely on don't show the moves of the round before.
+        """
+        if self.spill is not None and now - self._stuck_moved_at < STUCK_PERIOD_S:
+            return False
+        self._stuck_moved_at = now
+        return True
+
     def _is_stuck(self, ready: ReadyStep, now: float) -> bool:
         """Return whether a step should move: in an evacuated cell, each should."""
         return self._is_evacuated() or is_stuck(ready, now)
@@ -187,13 +200,20 @@
             return self._availability.has_moved_since(task, since)
         return self._availability.is_unavailable(task, self.run_by_task.get(task), now)
 
-    def _is_spilled(self, ready: ReadyStep) -> bool:
+    def _moves_at_once(self, ready: ReadyStep, now: float) -> bool:
         """Return whether the tasks of a step move as soon as none here can start.
 
-        Gangs and tasks that last move after a wait, as they do without the switch; an
-        evacuated cell keeps no task back.
+        Others move after a wait, as they do without the switch: gangs, tasks that last,
+        those whose workers the advice service has yet to name, fillers that count as
+        stuck, and what was kept back for long. An evacuated cell keeps none.
         """
-        if self.spill is None or self._is_evacuated() or ready.stuck_since is None:
+        if self.spill is None or ready.stuck_since is None or self._is_evacuated():
+            return False
+        if ready.tracked.submission.queue.advice is not None:
+            return False
+        if ready.step.fills and is_stuck(ready, now):
+            return False
+        if now - ready.stuck_since > LAST_RESORT_STUCK_S:
             return False
         return not ready.step.is_gang and not ready.step.is_long_running
 
@@ -204,7 +224,7 @@
         proposals = []
         ending_by_kind = self._ending_cpu(MOVE_S, now)
         for ready in self.submissions.ready_steps(now):
-            if not self._is_spilled(ready):
+            if not self._moves_at_once(ready, now):
                 continue
             tasks = self._startable_tasks(ready, now)
             cpu_millis = max(1, ready.step.demand.cpu_millis)
@@ -240,13 +260,7 @@
             now,
         )
         move_by_task = {
-            task: make_move(
-                tracked,
-                task,
-                cell_id,
-                self.epoch,
-                tracked.n_moves_by_task.get(task, 0) + 1,
-            )
+            task: make_move(tracked, task, cell_id, self.epoch, counts=True)
             for task, cell_id in zip(tasks, cell_ids, strict=False)
         }
         self._tasks_with_pending_move.update(move_by_task)
@@ -270,6 +284,8 @@
         for task in self._startable_tasks(ready, now):
             if self._give_up_crashing(ready.tracked, task, now):
                 return {}
+            if not self._may_move(ready, task, now):
+                continue
             cell_id = self._reserve_headroom(ready, reservations, service)
             if cell_id is None:
                 break
@@ -277,6 +293,16 @@
         self._tasks_with_pending_move.update(move_by_task)
         return move_by_task
 
+    def _may_move(self, ready: ReadyStep, task: TaskKey, now: float) -> bool:
+        """Return whether a stuck task has not moved too often or too recently.
+
+        Moves are limited only where tasks move at once.
+        """
+        if self.spill is None or self._is_evacuated():
+            return True
+        stuck_s = 0.0 if ready.stuck_since is None else now - ready.stuck_since
+        return may_move(ready.tracked, task, stuck_s, now)
+
     def _reserve_headroom(
         self, ready: ReadyStep, reservations: HeadroomReservations, service: str
     ) -> str | None:
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -80,7 +80,8 @@
         self.evacuation: CellEvacuation | None = None
         self._availability = AvailabilityTracker()
         self._relocating_tasks: set[TaskKey] = set()
-        self._planned_at = float("inf")
+        self._planned_at = began_at
+        self._stuck_moved_at = float("-inf")
         self._began_at = began_at
         self._settled_at = settled_at
         # Earlier times, by worker, than the one that holds for all.
@@ -139,20 +140,19 @@
             for worker_id in self._unsettled_workers
         )
 
-    def on_earlier_owner_stopped(
+    def on_leases_told(
         self, lease_left_s_by_worker: Mapping[str, float], now: float
     ) -> None:
-        """Shorten the wait for runs of the previous owner, which has stopped.
+        """Shorten the wait for runs of a stopped owner that told of its leases.
 
-        It told how long its leases on each worker may last; the longest wait stays for
-        a worker that it didn't name.
+        The wait for a worker that it didn't name stays as it is.
         """
         for worker_id, left_s in lease_left_s_by_worker.items():
             settled_at = min(now + left_s, self._settled_at)
             self._settled_at_by_worker[worker_id] = settled_at
 
-    def on_earlier_owner_replaced(self, earlier_unsettled_s: float, now: float) -> None:
-        """Shorten the wait for runs of the previous owner, whose process has ended.
+    def on_earlier_owner_stopped(self, earlier_unsettled_s: float, now: float) -> None:
+        """Shorten the wait for runs of the previous owner, which has stopped.
 
         Runs of owners before it may be unknown for ``earlier_unsettled_s``.
         """
@@ -170,6 +170,11 @@
 
     def _lease_left_s(self, worker_id: str, view: WorkerView, now: float) -> float:
         left_s = view.clock.all_leases_expire_at() - now
+        if view.hold_failed_at is not None or any(
+            not run.was_reported for run in view.run_by_task.values()
+        ):
+            # It may have restarted unnoticed, and granted a lease by its new clock.
+            left_s = max(left_s, self.times.takeover_wait_s(owner_is_dead=True))
         if worker_id in self._unsettled_workers:
             settled_at = self._settled_at_by_worker.get(worker_id, self._settled_at)
             left_s = max(left_s, settled_at - now)
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -214,10 +214,13 @@
     task: TaskKey,
     cell_id: str,
     epoch: int,
-    n_moves: int = 0,
+    *,
+    counts: bool = False,
 ) -> TaskMove:
     """Return the move of ``task`` to ``cell_id`` with its runs and checkpoint.
 
+    One that ``counts`` adds to the task's number of moves, which is limited.
+
     Runs of owners before ``epoch`` may be unknown; the floor is above them too.
     """
     return TaskMove(
@@ -226,5 +229,5 @@
         tuple(sorted(tracked.progress.failed_runs_by_task.get(task, ()))),
         tracked.checkpoint_of(task),
         tuple(sorted(tracked.crashes(task).items())),
-        n_moves,
+        tracked.n_moves_by_task.get(task, 0) + counts,
     )
--- a/libs/scheduling/src/berylcleat/scheduling/_spill.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_spill.py
@@ -51,6 +51,9 @@
         self._cell_id = cell_id
         self._taken: list[_Taken] = []
         self._retry_at_by_step: dict[tuple[str, int, int], float] = {}
+        # Places among the cells that share a target, drawn anew each turn.
+        self._turn = -1
+        self._place_by_target: dict[str, int] = {}
 
     def choose_tasks(
         self, ready: ReadyStep, tasks: list[TaskKey], n_staying: int, now: float
@@ -81,6 +84,8 @@
         now: float,
     ) -> list[str]:
         """Take headroom for up to ``n_tasks``; return the cell of each that fits."""
+        if not n_tasks:
+            return []
         self._taken = [t for t in self._taken if now - t.taken_at < LOAD_DELAY_S]
         suitable = {h.cell_id: h for h in headrooms if h.service == service}
         turn = int(wall_ms // SHARE_PERIOD_MS)
@@ -121,8 +126,21 @@
         if (turn + _draw(headroom.cell_id)) % WHOLE_PERIOD == 0:
             n_parts = 1
         n_sharing = min(len(names), max(1, n_parts))
-        drawn = sorted(names, key=lambda n: _draw(f"{n}/{headroom.cell_id}/{turn}"))
-        return n_sharing if self._cell_id in drawn[:n_sharing] else 0
+        place = self._draw_place(headroom.cell_id, names, turn)
+        return n_sharing if place < n_sharing else 0
+
+    def _draw_place(self, target: str, names: set[str], turn: int) -> int:
+        """Return this cell's place among those that may share a target's headroom."""
+        if turn != self._turn:
+            self._turn = turn
+            self._place_by_target.clear()
+        place = self._place_by_target.get(target)
+        if place is None:
+            own = _draw(f"{self._cell_id}/{target}/{turn}")
+            draws = (_draw(f"{name}/{target}/{turn}") for name in names)
+            place = sum(draw < own for draw in draws)
+            self._place_by_target[target] = place
+        return place
 
     def _count_slots(
         self,
--- a/libs/scheduling/src/berylcleat/scheduling/_urgency.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_urgency.py
@@ -22,6 +22,8 @@
 # only if it exceeds its deadline by more than this share of its objective.
 NEARLY_DONE_SHARE = 0.3
 SMALL_EXCESS_SHARE = 0.15
+# Seconds for which the prospect of a submission without waiting steps is kept.
+PROSPECT_MEMORY_S = 30.0
 # Prospects of a submission, the best first.
 IN_TIME, LATE, TOO_LATE = 0, 1, 2
 logger = logging.getLogger(__name__)
@@ -69,6 +71,7 @@
 
     rank: int = IN_TIME
     demoted_at: float = float("-inf")
+    assessed_at: float = 0.0
 
 
 class ExpectedFinishOrder:
@@ -100,7 +103,7 @@
         """Return the number of waiting submissions by prospect."""
         counts = dict.fromkeys((IN_TIME, LATE, TOO_LATE), 0)
         for prospect in self._prospect_by_id.values():
-            counts[prospect.rank] += 1
+            counts[prospect.rank] += prospect.assessed_at == self._assessed_at
         return counts
 
     def _key(self, ready: "ReadyStep", now: float) -> SortKey:
@@ -128,10 +131,16 @@
         for step in sorted(steps, key=lambda step: (step.occurrence, step.number)):
             if _is_assessed(step):
                 first_by_id.setdefault(step.tracked.submission.submission_id, step)
+        # A submission without waiting steps may have some again, and its ends must not
+        # count as those of one in time meanwhile.
         self._prospect_by_id = {
-            submission_id: self._prospect_by_id.get(submission_id) or Prospect()
-            for submission_id in first_by_id
+            submission_id: prospect
+            for submission_id, prospect in self._prospect_by_id.items()
+            if now - prospect.assessed_at < PROSPECT_MEMORY_S
         }
+        for submission_id in first_by_id:
+            prospect = self._prospect_by_id.setdefault(submission_id, Prospect())
+            prospect.assessed_at = now
         for fills in (False, True):
             candidates = [s for s in first_by_id.values() if s.step.fills == fills]
             ahead_core_s = self._estimator.running_core_s(fills)
@@ -165,7 +174,9 @@
         for ready, work_core_s in late:
             finish_at = self._finish_at(ready, ahead_core_s + work_core_s, now)
             prospect = self._prospect_by_id[ready.tracked.submission.submission_id]
-            if finish_at <= late_at(ready.tracked):
+            # Hopeless by this cell's rate alone: not put last before it is due, since
+            # large submissions would never start otherwise.
+            if now < ready.tracked.due_at or finish_at <= late_at(ready.tracked):
                 prospect.rank = LATE
                 ahead_core_s += work_core_s
             else:
--- a/libs/scheduling/src/berylcleat/scheduling/_worker_health.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_worker_health.py
@@ -15,6 +15,8 @@
 from berylcleat.model import TaskKey
 
 PROBATION_AFTER_FAILURES = 3
+# Failures in a row that are kept of a worker.
+MAX_STREAK = 16
 # In seconds: backoff before the first task of a worker on probation, doubled after
 # each further failure up to the maximum, and remembered after the probation.
 MIN_BACKOFF_S = 1.0
@@ -123,7 +125,8 @@
     def __init__(self):
         self._record_by_worker: dict[str, _WorkerRecord] = {}
         self._record_by_kind: dict[Kind, _KindRecord] = {}
-        self._failures_by_task: dict[TaskKey, list[tuple[str, float]]] = {}
+        # Times of a task's last failure by worker.
+        self._failures_by_task: dict[TaskKey, dict[str, float]] = {}
         # Workers that went down, also for a cause that they had in common.
         self._recent_outages: deque[tuple[str, float]] = deque()
 
@@ -150,12 +153,12 @@
 
     def failed_workers(self, task: TaskKey) -> set[str]:
         """Return the workers where a task has failed."""
-        return {worker_id for worker_id, _ in self._failures_by_task.get(task, ())}
+        return set(self._failures_by_task.get(task, ()))
 
     def failed_at(self, task: TaskKey) -> float:
         """Return when a task last failed."""
         failures = self._failures_by_task.get(task)
-        return failures[-1][1] if failures else float("-inf")
+        return max(failures.values()) if failures else float("-inf")
 
     def on_outcome(self, outcome: RunOutcome, now: float) -> None:
         """Count the end of a run."""
@@ -214,14 +217,13 @@
             if now - kind_record.period_at > 2 * ENDS_MEMORY_S:
                 del self._record_by_kind[kind]
         for task, failures in tuple(self._failures_by_task.items()):
-            if now - failures[-1][1] > FAILURE_MEMORY_S:
+            if now - max(failures.values()) > FAILURE_MEMORY_S:
                 del self._failures_by_task[task]
 
     def _on_failure(
         self, record: _WorkerRecord, outcome: RunOutcome, now: float
     ) -> None:
-        failures = self._failures_by_task.setdefault(outcome.task, [])
-        failures.append((outcome.worker_id, now))
+        self._failures_by_task.setdefault(outcome.task, {})[outcome.worker_id] = now
         record.failed_at = now
         probation = record.probation
         if probation is not None:
@@ -231,6 +233,7 @@
                 self._extend_probation(outcome.worker_id, probation, now)
             return
         record.streak.append(outcome)
+        del record.streak[:-MAX_STREAK]
         if self._n_blamed(outcome.worker_id, record) >= PROBATION_AFTER_FAILURES:
             reason = f"{len(record.streak)} failures in a row"
             backoff_s = self._next_backoff_s(record, now)
--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -99,3 +99,10 @@
     Given a cell with recorded workers "w1 w2"
     When its owner finds that it was lost and then gets the takeover notice
     Then the reply names the leases of "w1 w2"
+
+  # Guards against a host that never acquires a cell again: a takeover notice that came
+  # while another lost cell was dropped ended the loop.
+  Scenario: A takeover notice comes while a host drops the cells that it has lost
+    Given a cell with recorded workers "w1 w2"
+    When its owner drops two lost cells and gets the notice for the second meanwhile
+    Then it owns neither of them
--- a/programs/beryl-host/features/steps/admission_steps.py
+++ b/programs/beryl-host/features/steps/admission_steps.py
@@ -260,7 +260,7 @@
     data = msgspec.json.encode([epoch, fields[:-1]])
     context.load = msgspec.json.decode(data, type=LoadRow)
     accepted = msgspec.json.decode(encode(AcceptedRow(CELL, 0, make_submission())))
-    del accepted["arrival_data_centre"]
+    assert "arrival_data_centre" not in accepted
     data = msgspec.json.encode(accepted)
     context.accepted = msgspec.json.decode(data, type=AcceptedRow)
 
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -484,3 +484,34 @@
 def step_leases(context, names):
     assert context.leases is not None
     assert sorted(context.leases) == names.split(), context.leases
+
+
+@when("its owner drops two lost cells and gets the notice for the second meanwhile")
+def step_drop_two(context):
+    async def drop():
+        manager, cells = await make_live_manager(context.store, "dc-1")
+        page = await context.store.read(CELL_TABLE, CELL)
+        cells.on_owner_rows(page.rows)
+        observed = cells.owner_by_cell[CELL]
+        first, second = (make_controller(context, 18.0) for _ in range(2))
+        for cell_id, controller in (("first", first), ("second", second)):
+            cells.owner_by_cell[cell_id] = replace(
+                observed, row=OwnerRow(3, "host-2", "aa")
+            )
+            manager.controller_by_cell[cell_id] = controller
+        abandon = first.abandon
+
+        async def abandon_slowly():
+            await manager.relinquish("second", 2)
+            await abandon()
+
+        first.abandon = abandon_slowly
+        await manager._drop_lost()
+        context.manager = manager
+
+    context.run(drop())
+
+
+@then("it owns neither of them")
+def step_owns_none(context):
+    assert not context.manager.controller_by_cell
--- a/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
@@ -157,12 +157,13 @@
             CellLoad(cell_id, None, self._cells.load_age_s(cell_id, now), 0)
             for cell_id, summary in self._cells.last_summaries().items()
             if summary.service == service
+            and summary.data_centre not in self._operator.evacuated
             and cell_id not in known_cell_ids
             and self._cells.load_age_s(cell_id, now) <= MISSING_LOAD_S
         ]
 
     def explain_refusal(self) -> str:
-        """Return why ``choose`` has found no cell."""
+        """Return why ``decide`` has found no cell."""
         if not self._operator.evacuated:
             return "no suitable cell is known"
         names = " ".join(sorted(self._operator.evacuated))
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -205,9 +205,7 @@
         if reply is None:
             self._spawn(self._handover_loop(confirm_stop, previous))
         elif reply.lease_left_s_by_worker is not None:
-            self.scheduler.on_earlier_owner_stopped(
-                reply.lease_left_s_by_worker, now_s()
-            )
+            self.scheduler.on_leases_told(reply.lease_left_s_by_worker, now_s())
 
     async def _handover_loop(
         self,
@@ -226,12 +224,9 @@
                 previous.row.host_id,
             )
             now = now_s()
-            leases = reply.lease_left_s_by_worker
-            if leases is None:
-                earlier_s = previous.unsettled_s(now)
-                self.scheduler.on_earlier_owner_replaced(earlier_s, now)
-            else:
-                self.scheduler.on_earlier_owner_stopped(leases, now)
+            self.scheduler.on_earlier_owner_stopped(previous.unsettled_s(now), now)
+            if reply.lease_left_s_by_worker is not None:
+                self.scheduler.on_leases_told(reply.lease_left_s_by_worker, now)
             self._plan_needed.set()
             return
 
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -367,6 +367,9 @@
 
     async def _drop_lost(self) -> None:
         for cell_id, controller in tuple(self.controller_by_cell.items()):
+            if self.controller_by_cell.get(cell_id) is not controller:
+                # A takeover notice or the shutdown removed it during an await below.
+                continue
             owner = self._cells.owner_by_cell[cell_id]
             is_ours = owner.row == controller.owner
             is_fenced = (
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -13,7 +13,12 @@
     read_store_traffic,
 )
 from berylcleat.ports import OperatorConfig, StoreRow
-from berylcleat.runtime import AdminRouter, StopSignal, cancel_all
+from berylcleat.runtime import (
+    AdminRouter,
+    StopSignal,
+    cancel_all,
+    run_periodically,
+)
 from berylcleat.scheduling import InterferenceModel, LeaseTimes
 from berylcleat.telemetry import Tracer
 
@@ -161,7 +166,7 @@
                 settings.admission_late_limit,
             ),
             peers,
-            settings.data_centre,
+            settings.data_centre if settings.admission_late_limit else "",
         )
 
     def _make_advisor(self) -> AdviceClient | None:
@@ -236,7 +241,7 @@
         coroutines = [follower.run() for follower in self.followers]
         coroutines += [
             self.publisher.run(PUBLISH_CHECK_PERIOD_S),
-            self.reconcile_cells(),
+            run_periodically(RECONCILE_PERIOD_S, self.reconcile_cells),
             self._log_store_traffic(),
         ]
         if self.operator.has_evacuations:
@@ -268,13 +273,11 @@
             )
 
     async def reconcile_cells(self) -> None:
-        """Acquire and drop cells periodically, as membership changes."""
-        while True:
-            if self.data_centre_follower.has_synced and self.digest_follower.has_synced:
-                await self.ownership.reconcile(
-                    self._local_coverage(), _coverage(self.digest_follower)
-                )
-            await asyncio.sleep(RECONCILE_PERIOD_S)
+        """Acquire and drop cells, as membership changes."""
+        if self.data_centre_follower.has_synced and self.digest_follower.has_synced:
+            await self.ownership.reconcile(
+                self._local_coverage(), _coverage(self.digest_follower)
+            )
 
     async def leave(self) -> None:
         """Fail the readiness probe, release all cells and publish the departure."""
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -46,7 +46,7 @@
     cell_id: str
 
 
-class AcceptedRow(msgspec.Struct, frozen=True):
+class AcceptedRow(msgspec.Struct, frozen=True, omit_defaults=True):
     """Accepted submission, its home cell and the data centre where it arrived."""
 
     cell_id: str
