--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -25,6 +25,7 @@
 )
 
 from ._cell_directory import ObservedOwner
+from ._cell_move_loops import MOVE_PERIOD_S, SPILL_PERIOD_S, CellMoveLoops
 from ._cell_summary import log_load, make_summary
 from ._clock import now_s, wall_ms
 from ._components import Connections, Knowledge
@@ -57,10 +58,6 @@
 # A submission that is received this long after its acceptance may already run under an
 # earlier owner, so it is treated as inherited.
 LATE_SUBMISSION_MS = 1500
-MOVE_PERIOD_S = 0.25
-# With ``expected_finish`` tasks that can't start move at once.
-SPILL_PERIOD_S = 0.1
-STRAY_END_PERIOD_S = 0.5
 # Pause between two requests to a previous owner that hasn't confirmed its stop.
 HANDOVER_RETRY_S = 0.5
 logger = logging.getLogger(__name__)
@@ -107,7 +104,13 @@
         self._learns_uneven_workers = knowledge.learns_uneven_workers
         self._late_limit = knowledge.admission_late_limit
         self._backlog_meter: BacklogMeter | None = None
-        self._mover = mover
+        self._move_loops = CellMoveLoops(
+            self,
+            mover,
+            self._may_move,
+            self._spawn,
+            SPILL_PERIOD_S if expected_finish else MOVE_PERIOD_S,
+        )
         self._expected_finish = expected_finish
         self._advisor = connections.advisor
         # Recorded progress of submissions that this host doesn't know yet.
@@ -183,8 +186,8 @@
         self._spawn(self._plan_loop())
         self._spawn(self._record_loop())
         self._spawn(self._log_load_loop())
-        self._spawn(self._move_loop())
-        self._spawn(self._stray_end_loop())
+        self._spawn(self._move_loops.run_moves(self._observe_order))
+        self._spawn(self._move_loops.run_stray_ends(self._record_needed.set))
         logger.info(
             "cell %s: epoch %d begins with %d submissions and %d workers",
             self.cell_id,
@@ -448,40 +451,11 @@
 
     # Moves and records
 
-    async def _move_loop(self) -> None:
-        """Move stuck tasks to other cells and report ends of tasks moved here."""
-        period_s = SPILL_PERIOD_S if self._expected_finish else MOVE_PERIOD_S
-        while True:
-            await asyncio.sleep(period_s)
-            self._order_metrics.update(self.scheduler)
-            if not self._is_ownership_confirmed() or self.is_inactive:
-                continue
-            headrooms = self._mover.headrooms(self.cell_id, self.data_centre)
-            for proposal in self.scheduler.propose_moves(headrooms, now_s()):
-                self._spawn(self._mover.move(self, proposal))
-            for (
-                submission_id,
-                ends,
-            ) in self.scheduler.unconfirmed_moved_task_ends().items():
-                if await self._mover.report_moved_task_ends(submission_id, ends):
-                    self.scheduler.on_moved_task_ends_confirmed(
-                        submission_id, ends, now_s()
-                    )
-
-    async def _stray_end_loop(self) -> None:
-        """Report ends that other cells count to these, before they are acknowledged."""
-        while True:
-            await asyncio.sleep(STRAY_END_PERIOD_S)
-            if not self._is_ownership_confirmed() or self.is_inactive:
-                continue
-            for submission_id, ends in self.scheduler.stray_ends(now_s()).items():
-                try:
-                    await self._mover.settle_stray_ends(self, submission_id, ends)
-                except BerylError as error:
-                    logger.info(
-                        "submission %s: stray ends wait: %s", submission_id, error
-                    )
-                self._record_needed.set()
+    def _may_move(self) -> bool:
+        return self._is_ownership_confirmed() and not self.is_inactive
+
+    def _observe_order(self) -> None:
+        self._order_metrics.update(self.scheduler)
 
     def on_moved_task_ends(self, submission_id: str, ends: list[MovedTaskEnd]) -> bool:
         """Apply ends that another cell reported; return whether they are durable."""
--- a/programs/beryl-host/src/berylcleat/host/_evacuation_metrics.py
+++ b/programs/beryl-host/src/berylcleat/host/_evacuation_metrics.py
@@ -4,17 +4,14 @@
 import logging
 from collections import Counter as TallyCounter
 from collections.abc import Iterable
-from typing import TYPE_CHECKING
 
 from prometheus_client import Counter, Gauge
 
 from ._clock import now_s
 from ._operator_state import OperatorState
+from ._owned_cells import OwnedCell
 from ._worker_list import WorkerList
 
-if TYPE_CHECKING:
-    from ._cell_controller import CellController
-
 CHECK_PERIOD_S = 0.5
 # Time for the list of workers to be read before a data centre counts as unknown.
 UNKNOWN_AFTER_S = 15.0
@@ -48,7 +45,7 @@
         self,
         state: OperatorState,
         workers: WorkerList,
-        controller_by_cell: dict[str, "CellController"],
+        controller_by_cell: dict[str, OwnedCell],
     ):
         self._state = state
         self._workers = workers
--- a/programs/beryl-host/src/berylcleat/host/_task_mover.py
+++ b/programs/beryl-host/src/berylcleat/host/_task_mover.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 from dataclasses import replace
-from typing import TYPE_CHECKING
 
 from berylcleat.model import BerylError, PlatformUnavailableError
 from berylcleat.ports import EndedTask, RunEnd, StoreRow
@@ -14,15 +13,12 @@
 from ._evacuation_metrics import count_moved_tasks
 from ._operator_state import OperatorState
 from ._order_metrics import count_moved
+from ._owned_cells import OwnedCell, OwnedCells
 from ._peers import MovedTaskEnds, PeerClient, SubmissionUpdate
 from ._records import CELL_TABLE, headroom_from_summary
 from ._submission_directory import SubmissionDirectory, SubmissionEntry
 from ._submission_store import MoveCommit, SubmissionStore, make_owner_condition
 
-if TYPE_CHECKING:
-    from ._cell_controller import CellController
-    from ._cell_ownership import CellOwnershipManager
-
 MOVE_RETRY_S = 0.3
 logger = logging.getLogger(__name__)
 
@@ -36,7 +32,7 @@
         directory: SubmissionDirectory,
         cells: CellDirectory,
         peers: PeerClient,
-        ownership: "CellOwnershipManager",
+        ownership: OwnedCells,
         operator: OperatorState,
     ):
         self._operator = operator
@@ -72,7 +68,7 @@
             return 0.0
         return self._cells.load_age_s(cell_id, now_s())
 
-    async def move(self, controller: "CellController", proposal: MoveProposal) -> None:
+    async def move(self, controller: OwnedCell, proposal: MoveProposal) -> None:
         """Record a proposed move; retry until the outcome is known or ownership ends.
 
         The scheduler doesn't start the proposed tasks before the outcome is known.
@@ -163,7 +159,7 @@
         )
 
     async def settle_stray_ends(
-        self, controller: "CellController", submission_id: str, ends: list[EndedTask]
+        self, controller: OwnedCell, submission_id: str, ends: list[EndedTask]
     ) -> None:
         """Report ends to the cells that count them; acknowledge them after that.
 
