--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -289,16 +289,28 @@
             cell_id = self._reserve_headroom(ready, reservations, service)
             if cell_id is None:
                 break
-            move_by_task[task] = make_move(ready.tracked, task, cell_id, self.epoch)
+            move_by_task[task] = make_move(
+                ready.tracked,
+                task,
+                cell_id,
+                self.epoch,
+                counts=self._counts_moves(ready),
+            )
         self._tasks_with_pending_move.update(move_by_task)
         return move_by_task
 
+    def _counts_moves(self, ready: ReadyStep) -> bool:
+        """Return whether the moves of a step's tasks are limited in number."""
+        if self.spill is None or self._is_evacuated():
+            return False
+        return not ready.step.is_gang and not ready.step.is_long_running
+
     def _may_move(self, ready: ReadyStep, task: TaskKey, now: float) -> bool:
         """Return whether a stuck task has not moved too often or too recently.
 
-        Moves are limited only where tasks move at once.
+        Moves are limited only where tasks move at once, and not for tasks that last.
         """
-        if self.spill is None or self._is_evacuated():
+        if not self._counts_moves(ready):
             return True
         stuck_s = 0.0 if ready.stuck_since is None else now - ready.stuck_since
         return may_move(ready.tracked, task, stuck_s, now)
--- a/libs/scheduling/src/berylcleat/scheduling/_worker_health.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_worker_health.py
@@ -232,8 +232,9 @@
             if not self._is_task_at_fault(outcome):
                 self._extend_probation(outcome.worker_id, probation, now)
             return
-        record.streak.append(outcome)
-        del record.streak[:-MAX_STREAK]
+        # The last failure of each task is kept, so that one task doesn't hide others.
+        others = [failure for failure in record.streak if failure.task != outcome.task]
+        record.streak = [*others[1 - MAX_STREAK :], outcome]
         if self._n_blamed(outcome.worker_id, record) >= PROBATION_AFTER_FAILURES:
             reason = f"{len(record.streak)} failures in a row"
             backoff_s = self._next_backoff_s(record, now)
--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -105,4 +105,11 @@
   Scenario: A takeover notice comes while a host drops the cells that it has lost
     Given a cell with recorded workers "w1 w2"
     When its owner drops two lost cells and gets the notice for the second meanwhile
-    Then it owns neither of them
+    Then the host owns no cell
+
+  # Guards against a cell that its owner holds and never runs: an error other than the
+  # platform's, while its state was loaded, left it so.
+  Scenario: A cell that can't be started because of an unexpected error is released
+    Given a cell with recorded workers "w1 w2" that was released
+    When a host acquires it and an unexpected error ends its start
+    Then the host owns no cell
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -512,6 +512,23 @@
     context.run(drop())
 
 
-@then("it owns neither of them")
+@then("the host owns no cell")
 def step_owns_none(context):
     assert not context.manager.controller_by_cell
+
+
+@when("a host acquires it and an unexpected error ends its start")
+def step_broken_start(context):
+    async def acquire():
+        manager, cells = await make_live_manager(context.store, "dc-1")
+        page = await context.store.read(CELL_TABLE, CELL)
+        cells.on_owner_rows(page.rows)
+
+        async def fail(cell_id, version):
+            raise KeyError(cell_id)
+
+        manager._feeds.submissions.open = fail
+        await manager._acquire(CELL)
+        context.manager = manager
+
+    context.run(acquire())
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -304,9 +304,17 @@
             )
         except BerylError as error:
             logger.warning("cell %s: could not start: %s", cell_id, error)
-            # release_all may have removed and released the controller meanwhile.
-            if self.controller_by_cell.pop(cell_id, None) is not None:
-                await controller.release()
+            await self._give_up(cell_id, controller)
+        except Exception:
+            # A cell that is owned but not run would stay so while this host lives.
+            logger.exception("cell %s: could not start", cell_id)
+            await self._give_up(cell_id, controller)
+
+    async def _give_up(self, cell_id: str, controller: CellController) -> None:
+        """Release a cell that could not be started."""
+        # release_all may have removed and released the controller meanwhile.
+        if self.controller_by_cell.pop(cell_id, None) is not None:
+            await controller.release()
 
     async def _has_stopped(self, cell_id: str, previous: ObservedOwner | None) -> bool:
         """Return whether the previous owner is known to have stopped."""
