--- a/libs/scheduling/features/histories.feature
+++ b/libs/scheduling/features/histories.feature
@@ -49,6 +49,47 @@
       | 1       |
       | 2       |
 
+  # Guards against a start after the deadline: by an owner that learns late, was paused or
+  # has just taken over, or that sends late what it decided before the request.
+  Scenario: No task starts in an evacuated data centre after the deadline
+    When 5 histories of 40 seconds with 3 cells and evacuations are simulated from seed 1
+    Then no start was sent after the deadline, and no task relocated beyond its bound
+    And no task ran twice, before its dependencies, or beyond its attempts
+    And no end was acknowledged before it was recorded
+    And every submission has ended in every history
+
+  # Guards against a check that finds nothing.
+  Scenario Outline: Histories with evacuations show a late start without <mechanism>
+    When histories with evacuations are simulated without the <mechanism> until one is late
+    Then a violation was found
+
+    Examples:
+      | mechanism            |
+      | evacuation           |
+      | check before sending |
+  # Guards against an order or a move by expected finish that breaks an invariant.
+  Scenario Outline: All invariants hold in <n_cells> cells with tasks ordered by expected finish
+    When 8 histories of 40 seconds with <n_cells> cells and tasks ordered by expected finish are simulated from seed 1
+    Then no task ran twice, before its dependencies, or beyond its attempts
+    And no end was acknowledged before it was recorded
+
+    Examples:
+      | n_cells |
+      | 1       |
+      | 2       |
+      | 4       |
+
+  # Guards against a submission that is held back for ever as late.
+  Scenario Outline: Every submission ends in <n_cells> cells with tasks ordered by expected finish
+    When 8 histories of 40 seconds with <n_cells> cells and tasks ordered by expected finish are simulated from seed 1
+    Then every submission has ended in every history
+
+    Examples:
+      | n_cells |
+      | 1       |
+      | 2       |
+      | 4       |
+
   Scenario Outline: An invariant is violated without <mechanism>
     When histories are simulated without "<mechanism>" until an invariant is violated
     Then a violation was found
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -1,6 +1,7 @@
 """Starts, pace changes, stops and losses of a cell's runs."""
 
 import logging
+from collections.abc import Mapping
 
 from berylcleat.model import TaskDemand, TaskKey
 from berylcleat.ports import (
@@ -12,36 +13,27 @@
 )
 
 from ._advice import TicketCache
-from ._crashes import LIKELY_CAUSE_AGE_S, MAX_QUIET_WAIT_S, CrashTracker
+from ._backlog_meter import CompletedWork
+from ._crashes import CrashTracker
+from ._evacuation import MAX_PAUSE_S, AvailabilityTracker, CellEvacuation
 from ._filler_stops import choose_fillers_to_stop, must_stop_all_fillers
+from ._finish_estimate import FinishEstimator
 from ._interference import InterferenceModel
 from ._leases import LeaseTimes
 from ._moves import CellHeadroom
 from ._orders import WorkerOrder
 from ._pacing import LoadEstimator, plan_paces
-from ._placement import choose_forced_worker, choose_worker
-from ._submissions import ReadyStep, SubmissionRegistry, TrackedSubmission
-from ._workers import FORCED_START_WINDOW_S, Run, RunPhase, WorkerView
+from ._spill import SpillPlanner
+from ._submissions import SubmissionRegistry, TrackedSubmission
+from ._uneven_workers import UnevenWorkers
+from ._urgency import ExpectedFinishOrder
+from ._workers import Run, RunPhase, WorkerView
 
 # Seconds for which a worker gets no new run after it rejected a start: for lack of
 # capacity that the owner counted as free, and for another reason.
 NO_CAPACITY_COOLDOWN_S = 0.3
 REJECTION_COOLDOWN_S = 1.0
 STOP_RETRY_S = 0.5
-# Seconds that a filler fits nowhere before it is forced onto the worker where it should
-# interfere least. It runs there for less time than the platform allows a task to exceed
-# its target, and the worker then recovers. Fillers are forced only while less than this
-# share of the service's processors is reserved: the platform requires waiting work to
-# run within 3 s while less than half is.
-STARVATION_S = 1.5
-MAX_RESERVED_SHARE_TO_FORCE = 0.6
-# Seconds after which the list of workers may lack that a capacity has shrunk: longer
-# than two waits for its changes, shorter than the platform allows.
-MAX_LIST_AGE_S = 4.0
-# Maximum tasks of one step that one planning round forces.
-MAX_FORCED_PER_STEP = 6
-# Maximum long-running tasks that are relocated from draining workers at a time.
-MAX_RELOCATING = 3
 logger = logging.getLogger(__name__)
 
 
@@ -57,24 +49,43 @@
         settled_at: float,
         earlier_workers: tuple[WorkerEntry, ...],
         interference: InterferenceModel,
+        *,
+        expected_finish: bool = False,
     ):
         self.cell_id = cell_id
         self.epoch = epoch
         self.times = times
-        self.submissions = SubmissionRegistry()
+        # None unless waiting tasks are ordered by their expected finish.
+        self.estimator = FinishEstimator() if expected_finish else None
+        self.finish_order: ExpectedFinishOrder | None = None
+        if self.estimator is not None:
+            self.finish_order = ExpectedFinishOrder(self.estimator)
+        self.spill = SpillPlanner(cell_id) if expected_finish else None
+        self.submissions = SubmissionRegistry(self.finish_order)
         self.interference = interference
         self.load_estimator = LoadEstimator()
         self.advice = TicketCache()
+        self.completed_work = CompletedWork()
         self.crashes = CrashTracker(self.submissions, earlier_workers)
         self.worker_by_id: dict[str, WorkerView] = {}
         self.run_by_task: dict[TaskKey, Run] = {}
         self.is_fenced_out = False
+        # None where speeds and failures of workers aren't to be learned.
+        self.uneven_workers: UnevenWorkers | None = None
         # When the list of workers was known to be complete, and the services whose
         # workers start what exceeds their capacity.
         self.workers_listed_at = float("inf")
         self.unguarded_services: frozenset[str] = frozenset()
+        # None: the deployment has no evacuations.
+        self.evacuation: CellEvacuation | None = None
+        self._availability = AvailabilityTracker()
+        self._relocating_tasks: set[TaskKey] = set()
+        self._planned_at = began_at
+        self._stuck_moved_at = float("-inf")
         self._began_at = began_at
         self._settled_at = settled_at
+        # Earlier times, by worker, than the one that holds for all.
+        self._settled_at_by_worker: dict[str, float] = {}
         self._unsettled_workers = {entry.worker_id for entry in earlier_workers}
         self._recorded_workers = set(self._unsettled_workers)
         self._is_worker_record_in_doubt = False
@@ -87,23 +98,87 @@
         for entry in earlier_workers:
             self.worker_by_id[entry.worker_id] = WorkerView(entry, is_listed=False)
 
-    def _startable_tasks(self, ready: ReadyStep, now: float) -> list[TaskKey]:
-        """Return the waiting tasks of a step that certainly run nowhere, in order."""
-        tasks = (ready.task(index) for index in sorted(ready.waiting))
-        return [
-            task
-            for task in tasks
-            if task not in self.run_by_task
-            and task not in self._tasks_with_pending_move
-            and not self._may_have_unknown_run(task, now)
-        ]
+    def n_runs(self) -> int:
+        """Return the number of runs that the workers have, or may have, as known here.
 
-    def _is_whole_gang_startable(self, ready: ReadyStep, now: float) -> bool:
-        return len(self._startable_tasks(ready, now)) == ready.step.n_tasks
+        After a takeover it lacks those of workers that have not answered yet.
+        """
+        views = self.worker_by_id.values()
+        n_unknown = sum(len(view.unknown_run_by_task) for view in views)
+        return len(self.run_by_task) + n_unknown
+
+    def _may_start(self, now: float) -> bool:
+        """Return whether the evacuation of the data centre lets tasks start."""
+        return self.evacuation is None or self.evacuation.may_start(now)
+
+    def _is_evacuated(self) -> bool:
+        return self.evacuation is not None and self.evacuation.is_evacuated
+
+    def _is_paused(self, now: float) -> bool:
+        """Return whether the owner was suspended since its last planning round."""
+        return now - self._planned_at > MAX_PAUSE_S
+
+    def _observe_time(self, now: float) -> None:
+        """Take note of a pause of the owner, and of the tasks that are available."""
+        if self.evacuation is None or not self.evacuation.is_enabled:
+            return
+        if self._is_paused(now):
+            logger.info(
+                "cell %s: no planning for %.1f s, evacuation requests must be read",
+                self.cell_id,
+                now - self._planned_at,
+            )
+            self.evacuation.resume(now)
+            self._availability.forget_runs()
+        self._planned_at = now
+        self._availability.observe(self.worker_by_id.values(), now)
 
     def has_settled(self, now: float) -> bool:
         """Return whether every run of earlier owners is known or has expired."""
-        return not self._unsettled_workers or now >= self._settled_at
+        return all(
+            now >= self._settled_at_by_worker.get(worker_id, self._settled_at)
+            for worker_id in self._unsettled_workers
+        )
+
+    def on_leases_told(
+        self, lease_left_s_by_worker: Mapping[str, float], now: float
+    ) -> None:
+        """Shorten the wait for runs of a stopped owner that told of its leases.
+
+        The wait for a worker that it didn't name stays as it is.
+        """
+        for worker_id, left_s in lease_left_s_by_worker.items():
+            settled_at = min(now + left_s, self._settled_at)
+            self._settled_at_by_worker[worker_id] = settled_at
+
+    def on_earlier_owner_stopped(self, earlier_unsettled_s: float, now: float) -> None:
+        """Shorten the wait for runs of the previous owner, which has stopped.
+
+        Runs of owners before it may be unknown for ``earlier_unsettled_s``.
+        """
+        wait_s = max(
+            self.times.takeover_wait_s(owner_is_dead=True), earlier_unsettled_s
+        )
+        self._settled_at = min(self._settled_at, now + wait_s)
+
+    def lease_left_s_by_worker(self, now: float) -> dict[str, float]:
+        """Return for how long runs on each worker may last if no lease is renewed."""
+        return {
+            worker_id: self._lease_left_s(worker_id, view, now)
+            for worker_id, view in self.worker_by_id.items()
+        }
+
+    def _lease_left_s(self, worker_id: str, view: WorkerView, now: float) -> float:
+        left_s = view.clock.all_leases_expire_at() - now
+        if view.hold_failed_at is not None or any(
+            not run.was_reported for run in view.run_by_task.values()
+        ):
+            # It may have restarted unnoticed, and granted a lease by its new clock.
+            left_s = max(left_s, self.times.takeover_wait_s(owner_is_dead=True))
+        if worker_id in self._unsettled_workers:
+            settled_at = self._settled_at_by_worker.get(worker_id, self._settled_at)
+            left_s = max(left_s, settled_at - now)
+        return max(0.0, left_s)
 
     def _may_have_unknown_run(self, task: TaskKey, now: float) -> bool:
         """Return whether an earlier owner may have a run of a task that is unknown.
@@ -115,6 +190,24 @@
             return False
         return task not in self._tasks_with_known_run and not self.has_settled(now)
 
+    def _observe_rates(self, now: float) -> None:
+        """Measure the processors that fillers and ordinary tasks get."""
+        if self.estimator is None:
+            return
+        views = [view for view in self.worker_by_id.values() if view.can_start(now)]
+        waiting = list(self.submissions.iter_ready())
+        self.estimator.observe(views, waiting, now)
+        self.estimator.keep_only(self.submissions.live_by_id)
+
+    def _learn_done(
+        self, tracked: TrackedSubmission, task: TaskKey, now: float
+    ) -> None:
+        """Learn from a task that is done here for the first time."""
+        if self.estimator is None or tracked.progress.is_done(task):
+            return
+        is_late = self.finish_order.is_late(task.submission_id)
+        self.estimator.on_done(tracked, task, is_late, now)
+
     def lease_until_ms(self, view: WorkerView, now: float) -> int:
         """Return the lease end to request, and count the lease as possibly granted."""
         until_ms = view.clock.earliest_ms(now) + int(self.times.worker_lease_s * 1000)
@@ -183,6 +276,8 @@
             return
         logger.info("worker %s: incarnation ended: %s", view.entry.worker_id, reason)
         self._count_crash(view, now)
+        if self.uneven_workers is not None:
+            self.uneven_workers.on_outage(view, now, has_restarted=True)
         for run in tuple(view.run_by_task.values()):
             if run.was_reported:
                 self._mark_lost(run, reason, now, may_have_crashed=True)
@@ -245,6 +340,13 @@
                     self._mark_lost(run, "lease expired", now, may_have_crashed=True)
                 self._stop_runs_of_failed(runs, now)
 
+    def _refresh_conditions(self, now: float) -> None:
+        """Update what is known of uneven workers, if it is to be learned."""
+        if self.uneven_workers is not None:
+            self.uneven_workers.refresh(
+                self.worker_by_id, self.submissions.queue_name_of, now
+            )
+
     def _limit_interference(self, now: float) -> None:
         """Pace or stop fillers that disturb serving tasks."""
         for view in self.worker_by_id.values():
@@ -280,303 +382,6 @@
             run.worker_id, PaceOrder(run.task, run.number, percent, self.epoch)
         )
 
-    def _relocate_from_draining(self, now: float) -> None:
-        """Stop long-running tasks of draining workers if another worker fits them."""
-        n_relocating = sum(
-            run.step.is_long_running and run.phase is RunPhase.STOPPING
-            for run in self.run_by_task.values()
-        )
-        for view in self.worker_by_id.values():
-            if not view.entry.is_draining or not view.is_listed:
-                continue
-            for run in tuple(view.run_by_task.values()):
-                if n_relocating >= MAX_RELOCATING:
-                    return
-                if self._can_relocate(run, now):
-                    n_relocating += 1
-                    self._stop(run, now)
-
-    def _can_relocate(self, run: Run, now: float) -> bool:
-        if not run.step.is_long_running or run.phase is not RunPhase.RUNNING:
-            return False
-        tracked = self.submissions.by_id[run.task.submission_id]
-        service = tracked.submission.queue.service
-        workers = self._startable_workers(now)
-        target = choose_worker(run.task, run.step, service, workers, self.interference)
-        return target is not None
-
-    def _start_gang(self, ready: ReadyStep, now: float) -> None:
-        """Start all members of a gang under one run number, or none."""
-        if not self._is_whole_gang_startable(ready, now):
-            return
-        tracked = ready.tracked
-        tasks = self._startable_tasks(ready, now)
-        if any(self._give_up_crashing(tracked, task, now) for task in tasks):
-            return
-        number = max(tracked.next_run(task, self.epoch) for task in tasks)
-        are_recorded = [
-            self._ensure_start_recorded(tracked, task, number, now) for task in tasks
-        ]
-        if not all(are_recorded):
-            return
-        runs: list[Run] = []
-        for task in tasks:
-            view = self._choose_worker(ready, task, now)
-            if view is None:
-                break
-            runs.append(self._reserve_run(tracked, task, view, number, now))
-        if len(runs) == len(tasks):
-            ready.stuck_since = None
-            for run in runs:
-                self._send_start(tracked, run, now)
-            return
-        for run in runs:
-            self._remove_run(run, now)
-            tracked.requeue(run.task)
-        # The requeue may have created a new ReadyStep for the step.
-        requeued = tracked.ready_by_step[(ready.occurrence, ready.number)]
-        requeued.stuck_since = (
-            ready.stuck_since if ready.stuck_since is not None else now
-        )
-
-    def _start_waiting(self, ready: ReadyStep, now: float) -> None:
-        if ready.step.is_gang:
-            self._start_gang(ready, now)
-            return
-        for task in self._startable_tasks(ready, now):
-            if self._give_up_crashing(ready.tracked, task, now):
-                return
-            view = self._choose_worker(ready, task, now)
-            if view is None:
-                ready.tracked.drop_presumption(task)
-                if ready.stuck_since is None:
-                    ready.stuck_since = now
-                return
-            ready.stuck_since = None
-            number = ready.tracked.next_run(task, self.epoch)
-            if not self._ensure_start_recorded(ready.tracked, task, number, now):
-                continue
-            if self._may_start_beside_others(ready.tracked, task, view, now):
-                self._start(ready.tracked, task, view, now)
-
-    def _give_up_crashing(
-        self, tracked: TrackedSubmission, task: TaskKey, now: float
-    ) -> bool:
-        """Fail a submission whose task has crashed too many workers; return whether.
-
-        Runs that an earlier owner presumed count only if a worker may have crashed.
-        """
-        if not tracked.n_crashes(task):
-            return False
-        tracked.settle_inherited_presumptions(
-            task, may_have_crashed=self._may_have_lost_worker()
-        )
-        if not self.crashes.give_up_crashing(tracked, task):
-            return False
-        self._stop_runs_of(task.submission_id, now)
-        return True
-
-    def _ensure_start_recorded(
-        self, tracked: TrackedSubmission, task: TaskKey, number: int, now: float
-    ) -> bool:
-        """Have the next run of a suspect recorded first; return whether it may start.
-
-        The next run of a task that may have crashed a worker, also under an earlier
-        owner, is recorded as crashed before it starts.
-        """
-        if not tracked.n_crashes(task) and not self._may_have_crashed_before(task):
-            return True
-        return self.crashes.ensure_start_recorded(tracked, task, number, now)
-
-    def _may_have_crashed_before(self, task: TaskKey) -> bool:
-        """Return whether a task may have crashed a worker of an earlier owner."""
-        if task.submission_id not in self._inherited_submissions:
-            return False
-        if task in self._tasks_with_known_run:
-            return False
-        return self._may_have_lost_worker()
-
-    def _may_have_lost_worker(self) -> bool:
-        """Return whether a worker of an earlier owner may have crashed."""
-        return self.crashes.has_lost_worker or bool(self._unsettled_workers)
-
-    def _may_start_beside_others(
-        self, tracked: TrackedSubmission, task: TaskKey, view: WorkerView, now: float
-    ) -> bool:
-        """Return whether a crash of ``view`` would show whether ``task`` causes it."""
-        if not tracked.n_crashes(task):
-            return True
-        if now - view.last_start_at >= LIKELY_CAUSE_AGE_S:
-            return True
-        return now - tracked.presumed_at_by_task[task] > MAX_QUIET_WAIT_S
-
-    def _choose_worker(
-        self, ready: ReadyStep, task: TaskKey, now: float
-    ) -> WorkerView | None:
-        views = self._startable_workers(now)
-        if ready.tracked.n_crashes(task):
-            quiet = [v for v in views if now - v.last_start_at >= LIKELY_CAUSE_AGE_S]
-            views = quiet or views
-        queue = ready.tracked.submission.queue
-        if queue.advice is None:
-            return choose_worker(
-                task,
-                ready.step,
-                queue.service,
-                views,
-                self.interference,
-                self.submissions.usual_demand_millis,
-            )
-        allowed = [
-            view for view in views if self.advice.ticket_of(task, view, now) is not None
-        ]
-        chosen = choose_worker(
-            task, ready.step, queue.service, allowed, self.interference
-        )
-        if chosen is None:
-            views = [view for view in views if view.entry.service == queue.service]
-            self.advice.request_tickets(ready, views, now)
-        return chosen
-
-    def _force_starving_fillers(self, now: float) -> None:
-        """Start starving fillers despite interference.
-
-        The least recently forced submission comes first.
-        """
-        starving = [
-            ready
-            for ready in self.submissions.ready_steps(now)
-            if ready.step.fills
-            and not ready.step.is_gang
-            and ready.tracked.submission.queue.advice is None
-            and ready.stuck_since is not None
-            and now - ready.stuck_since > STARVATION_S
-            and self._reserved_share(ready.tracked.submission.queue.service, now)
-            < MAX_RESERVED_SHARE_TO_FORCE
-        ]
-        starving.sort(key=lambda ready: ready.tracked.last_forced_at)
-        for ready in starving:
-            for task in self._startable_tasks(ready, now)[:MAX_FORCED_PER_STEP]:
-                number = ready.tracked.next_run(task, self.epoch)
-                if not self._ensure_start_recorded(ready.tracked, task, number, now):
-                    continue
-                if not self._force_start(ready, task, now):
-                    break
-
-    def _reserved_share(self, service: str, now: float) -> float:
-        """Return the reserved share of a service's processors in all known cells."""
-        views = [
-            view
-            for view in self.worker_by_id.values()
-            if view.entry.service == service and view.can_start(now)
-        ]
-        others = [
-            headroom
-            for headroom in self._other_headrooms
-            if headroom.service == service
-        ]
-        capacity = sum(view.entry.capacity.cpu_millis for view in views)
-        capacity += sum(headroom.capacity for headroom in others)
-        free = sum(max(0, view.free().cpu_millis) for view in views)
-        free += sum(max(0, headroom.free) for headroom in others)
-        return 1 - free / capacity if capacity else 1.0
-
-    def _force_start(self, ready: ReadyStep, task: TaskKey, now: float) -> bool:
-        """Start a filler where it should interfere least; return whether it fits."""
-        service = ready.tracked.submission.queue.service
-        view = choose_forced_worker(
-            task,
-            ready.step,
-            service,
-            self._startable_workers(now),
-            self.interference,
-            now,
-        )
-        if view is None:
-            return False
-        if (
-            view.can_force_filler(now)
-            and now - view.last_forced_at > FORCED_START_WINDOW_S
-        ):
-            view.last_forced_at = now
-        logger.info(
-            "filler started despite interference: task %s image %s on %s",
-            task,
-            ready.step.image,
-            view.entry.worker_id,
-        )
-        self._start(ready.tracked, task, view, now)
-        ready.tracked.last_forced_at = now
-        self.run_by_task[task].is_forced = True
-        return True
-
-    def _startable_workers(self, now: float) -> list[WorkerView]:
-        is_list_outdated = now - self.workers_listed_at > MAX_LIST_AGE_S
-        unsafe_services = self.unguarded_services if is_list_outdated else ()
-        return [
-            view
-            for worker_id, view in self.worker_by_id.items()
-            if worker_id in self._recorded_workers
-            and view.can_start(now)
-            and view.entry.service not in unsafe_services
-        ]
-
-    def _start(
-        self, tracked: TrackedSubmission, task: TaskKey, view: WorkerView, now: float
-    ) -> None:
-        number = tracked.next_run(task, self.epoch)
-        self._send_start(
-            tracked, self._reserve_run(tracked, task, view, number, now), now
-        )
-
-    def _reserve_run(
-        self,
-        tracked: TrackedSubmission,
-        task: TaskKey,
-        view: WorkerView,
-        number: int,
-        now: float,
-    ) -> Run:
-        """Create a run and reserve its capacity on a worker."""
-        run = Run(
-            task,
-            number,
-            view.entry.worker_id,
-            tracked.submission.steps[task.step],
-            RunPhase.STARTING,
-            now,
-            now,
-            checkpoint=tracked.checkpoint_of(task),
-        )
-        self._add_run(tracked, run)
-        view.last_start_at = now
-        if tracked.n_crashes(task):
-            view.trial_until = now + LIKELY_CAUSE_AGE_S
-        return run
-
-    def _send_start(self, tracked: TrackedSubmission, run: Run, now: float) -> None:
-        tracked.has_started = True
-        view = self.worker_by_id[run.worker_id]
-        logger.info(
-            "run started: task %s run %d on %s, %d of %d left, %.1f s before due",
-            run.task,
-            run.number,
-            run.worker_id,
-            view.cpu_left(),
-            view.entry.capacity.cpu_millis,
-            tracked.due_at - now,
-        )
-        order = StartOrder(
-            run.task,
-            run.number,
-            tracked.submission.spec,
-            self.lease_until_ms(view, now),
-            self.epoch,
-            run.checkpoint,
-            self.advice.ticket_of(run.task, view, now) or "",
-        )
-        self._enqueue_order(run.worker_id, order)
-
     def _add_run(self, tracked: TrackedSubmission, run: Run) -> None:
         tracked.raise_run_floor(run.task, run.number)
         tracked.remove_waiting(run.task)
@@ -584,10 +389,14 @@
             self._tasks_with_known_run.add(run.task)
         self.run_by_task[run.task] = run
         self.worker_by_id[run.worker_id].add_run(run)
+        if self.estimator is not None:
+            self.estimator.on_run_added(run)
 
     def _remove_run(self, run: Run, now: float) -> None:
         if self.run_by_task.get(run.task) is run:
             del self.run_by_task[run.task]
+            if self.estimator is not None:
+                self.estimator.on_run_removed(run, now)
         view = self.worker_by_id.get(run.worker_id)
         if view is not None:
             view.remove_run(run, now)
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -30,6 +30,8 @@
     failed_runs: tuple[int, ...] = ()
     checkpoint: str = ""
     crashed_runs: tuple[tuple[int, CrashEvidence], ...] = ()
+    # Moves of the task so far, counted where ``expected_finish`` is set.
+    n_moves: int = 0
 
 
 class FillerHeadroom(msgspec.Struct, frozen=True, array_like=True):
@@ -47,7 +49,8 @@
     """Spare capacity of a cell, in thousandths of a core.
 
     ``fill_waiting`` is the processor demand of the fillers waiting in the cell,
-    ``free_by_worker`` the part of ``free`` on each worker.
+    ``free_by_worker`` the part of ``free`` on each worker. ``age_s`` is the age of the
+    load that reports it, ``is_near`` whether the cell is in the same data centre.
     """
 
     cell_id: str
@@ -57,6 +60,8 @@
     fill_waiting: int
     capacity: int = 0
     free_by_worker: tuple[int, ...] = ()
+    age_s: float = 0.0
+    is_near: bool = True
 
     def free_for(self, cpu_millis: int) -> int:
         """Return the part of ``free`` that tasks of this size can use.
@@ -89,10 +94,14 @@
 
 @dataclass(frozen=True, slots=True)
 class MoveProposal:
-    """Proposed moves of tasks of one submission to other cells."""
+    """Proposed moves of tasks of one submission to other cells.
+
+    ``reason`` is "stuck" for a step that has waited, "no-worker" for a move at once.
+    """
 
     submission_id: str
     move_by_task: dict[TaskKey, TaskMove]
+    reason: str = "stuck"
 
     def describe(self) -> str:
         """Return each task with its target cell and the highest run known of it."""
@@ -141,6 +150,26 @@
         self._add_reserved(step, chosen, 1)
         return chosen
 
+    def reserve_beside_any(self, step: Step, service: str) -> str | None:
+        """Reserve processor time for a filler beside images that it may disturb.
+
+        For fillers that can't stay: the cell with the most left holds them until they
+        fit or are forced.
+        """
+        left_by_id = {
+            cell_id: sum(fillers.cpu_left for fillers in headroom.filler_headrooms)
+            - headroom.fill_waiting
+            - self._reserved_for_fillers[cell_id]
+            for cell_id, headroom in self._headroom_by_id.items()
+            if headroom.service == service
+            and self._n_moved[cell_id] < MAX_MOVES_PER_CELL
+        }
+        chosen = max(left_by_id, key=left_by_id.__getitem__, default=None)
+        if chosen is None or left_by_id[chosen] < step.demand.cpu_millis:
+            return None
+        self._add_reserved(step, chosen, 1)
+        return chosen
+
     def reserve_gang(self, step: Step, service: str) -> str | None:
         """Reserve headroom for all tasks of ``step`` in one cell; return it or None."""
         available_by_id = {
@@ -181,10 +210,17 @@
 
 
 def make_move(
-    tracked: TrackedSubmission, task: TaskKey, cell_id: str, epoch: int
+    tracked: TrackedSubmission,
+    task: TaskKey,
+    cell_id: str,
+    epoch: int,
+    *,
+    counts: bool = False,
 ) -> TaskMove:
     """Return the move of ``task`` to ``cell_id`` with its runs and checkpoint.
 
+    One that ``counts`` adds to the task's number of moves, which is limited.
+
     Runs of owners before ``epoch`` may be unknown; the floor is above them too.
     """
     return TaskMove(
@@ -193,4 +229,5 @@
         tuple(sorted(tracked.progress.failed_runs_by_task.get(task, ()))),
         tracked.checkpoint_of(task),
         tuple(sorted(tracked.crashes(task).items())),
+        tracked.n_moves_by_task.get(task, 0) + counts,
     )
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -2,33 +2,36 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
-from berylcleat.model import BerylError, PlatformUnavailableError, SubmissionState
+from berylcleat.model import BerylError, SubmissionState
 from berylcleat.platform import WorkerClient
 from berylcleat.ports import (
-    AdviceRequest,
     HoldOrder,
     OrderResult,
-    PaceOrder,
     RowWrite,
-    StartOrder,
-    StopOrder,
     WorkerEntry,
 )
 from berylcleat.runtime import cancel_all
 from berylcleat.scheduling import (
+    BacklogMeter,
     CellScheduler,
     LeaseTimes,
     MovedTaskEnd,
     Progress,
     RecordBatch,
-    WorkerOrder,
+    UnevenWorkers,
     WorkerView,
 )
 
+from ._cell_directory import ObservedOwner
+from ._cell_move_loops import MOVE_PERIOD_S, SPILL_PERIOD_S, CellMoveLoops
+from ._cell_summary import log_load, make_summary
 from ._clock import now_s, wall_ms
 from ._components import Connections, Knowledge
+from ._order_metrics import OrderMetrics
+from ._order_sender import OrderSender
+from ._peers import TakeoverReply
 from ._recorder import ProgressRecorder
 from ._records import (
     CELL_TABLE,
@@ -39,6 +42,7 @@
 )
 from ._submission_directory import SubmissionEntry
 from ._task_mover import TaskMover
+from ._uneven_metrics import ignore_uneven_workers, observe_uneven_workers
 
 # Long-poll timeout of a hold request: a worker answers it when a task ends or after
 # this time, so this also bounds the time between two lease renewals.
@@ -54,8 +58,8 @@
 # A submission that is received this long after its acceptance may already run under an
 # earlier owner, so it is treated as inherited.
 LATE_SUBMISSION_MS = 1500
-MOVE_PERIOD_S = 0.25
-STRAY_END_PERIOD_S = 0.5
+# Pause between two requests to a previous owner that hasn't confirmed its stop.
+HANDOVER_RETRY_S = 0.5
 logger = logging.getLogger(__name__)
 
 
@@ -79,6 +83,8 @@
         settled_at: float,
         is_ownership_confirmed: Callable[[], bool],
         mover: TaskMover,
+        *,
+        expected_finish: bool = False,
     ):
         self.cell_id = cell_id
         self.data_centre = data_centre
@@ -94,15 +100,29 @@
         self._settled_at = settled_at
         self._is_ownership_confirmed = is_ownership_confirmed
         self._interference = knowledge.interference
-        self._mover = mover
+        self._operator = knowledge.operator
+        self._learns_uneven_workers = knowledge.learns_uneven_workers
+        self._late_limit = knowledge.admission_late_limit
+        self._backlog_meter: BacklogMeter | None = None
+        self._move_loops = CellMoveLoops(
+            self,
+            mover,
+            self._may_move,
+            self._spawn,
+            SPILL_PERIOD_S if expected_finish else MOVE_PERIOD_S,
+        )
+        self._expected_finish = expected_finish
         self._advisor = connections.advisor
         # Recorded progress of submissions that this host doesn't know yet.
         self._unmatched_progress_by_id: dict[str, Progress] = {}
+        # Set by ``start``.
+        self._sender: OrderSender | None = None
         self._client_by_worker: dict[str, WorkerClient] = {}
         self._hold_loop_by_worker: dict[str, asyncio.Task] = {}
         self._tasks: set[asyncio.Task] = set()
         self._plan_needed = asyncio.Event()
         self._record_needed = asyncio.Event()
+        self._order_metrics = OrderMetrics(cell_id)
 
     @property
     def is_inactive(self) -> bool:
@@ -128,8 +148,14 @@
             self._settled_at,
             earlier_workers,
             self._interference,
+            expected_finish=self._expected_finish,
         )
+        if self._learns_uneven_workers:
+            scheduler.uneven_workers = UnevenWorkers()
+            observe_uneven_workers(scheduler)
         now = now_s()
+        scheduler.evacuation = self._operator.make_cell_evacuation(self.data_centre)
+        self._operator.update(scheduler.evacuation, now)
         for entry in self._directory.in_cell(self.cell_id):
             submission = entry.accepted.submission
             progress = progress_by_id.pop(submission.submission_id, Progress())
@@ -147,14 +173,21 @@
                 scheduler.cancel(submission.submission_id, now)
         self._unmatched_progress_by_id = progress_by_id
         self.scheduler = scheduler
+        self._sender = OrderSender(
+            scheduler, self._client_by_worker, self._advisor, self._plan_needed.set
+        )
+        if self._late_limit:
+            self._backlog_meter = BacklogMeter(
+                scheduler.completed_work, self._arrival_of, self._late_limit
+            )
         for worker in earlier_workers:
             self._connect_worker(worker)
         self.update_workers(entry_by_worker)
         self._spawn(self._plan_loop())
         self._spawn(self._record_loop())
         self._spawn(self._log_load_loop())
-        self._spawn(self._move_loop())
-        self._spawn(self._stray_end_loop())
+        self._spawn(self._move_loops.run_moves(self._observe_order))
+        self._spawn(self._move_loops.run_stray_ends(self._record_needed.set))
         logger.info(
             "cell %s: epoch %d begins with %d submissions and %d workers",
             self.cell_id,
@@ -163,6 +196,43 @@
             len(entry_by_worker),
         )
 
+    def complete_handover(
+        self,
+        reply: TakeoverReply | None,
+        confirm_stop: Callable[[], Awaitable[TakeoverReply | None]],
+        previous: ObservedOwner | None,
+    ) -> None:
+        """Apply the previous owner's reply; without one, repeat the question."""
+        if self.is_inactive or self.scheduler is None or previous is None:
+            return
+        if reply is None:
+            self._spawn(self._handover_loop(confirm_stop, previous))
+        elif reply.lease_left_s_by_worker is not None:
+            self.scheduler.on_leases_told(reply.lease_left_s_by_worker, now_s())
+
+    async def _handover_loop(
+        self,
+        confirm_stop: Callable[[], Awaitable[TakeoverReply | None]],
+        previous: ObservedOwner,
+    ) -> None:
+        """Ask the previous owner, which may be cut off, until its runs are known."""
+        while not self.scheduler.has_settled(now_s()):
+            await asyncio.sleep(HANDOVER_RETRY_S)
+            reply = await confirm_stop()
+            if reply is None:
+                continue
+            logger.info(
+                "cell %s: previous owner %s has stopped",
+                self.cell_id,
+                previous.row.host_id,
+            )
+            now = now_s()
+            self.scheduler.on_earlier_owner_stopped(previous.unsettled_s(now), now)
+            if reply.lease_left_s_by_worker is not None:
+                self.scheduler.on_leases_told(reply.lease_left_s_by_worker, now)
+            self._plan_needed.set()
+            return
+
     async def release(self) -> None:
         """Stop all loops and write an owner row without an owner.
 
@@ -181,6 +251,12 @@
                 "cell %s: could not record the release: %s", self.cell_id, error
             )
 
+    def lease_left_s_by_worker(self) -> dict[str, float] | None:
+        """Return for how long each worker's leases may last; None if unknown."""
+        if self.scheduler is None:
+            return None
+        return self.scheduler.lease_left_s_by_worker(now_s())
+
     def _unsettled_s(self) -> float:
         """Return the seconds for which earlier owners' runs may be unaccounted for."""
         if self.scheduler is not None and self.scheduler.has_settled(now_s()):
@@ -198,7 +274,10 @@
         )
 
     async def _stop_tasks(self) -> None:
+        if self.scheduler is not None and self._learns_uneven_workers:
+            ignore_uneven_workers(self.scheduler)
         await cancel_all([*self._tasks, *self._hold_loop_by_worker.values()])
+        self._order_metrics.clear()
         for client in self._client_by_worker.values():
             client.close()
 
@@ -210,10 +289,12 @@
             return
         now = now_s()
         age_ms = wall_ms() - entry.accepted.accepted_at_ms
+        # Deadlines count from the acceptance in every cell that orders by them alike.
+        age_s = max(0.0, age_ms) / 1000 if self._expected_finish else 0.0
         self.scheduler.add_submission(
             entry.accepted.submission,
             self._unmatched_progress_by_id.pop(submission_id, Progress()),
-            now,
+            now - age_s,
             now,
             inherited=age_ms > LATE_SUBMISSION_MS,
             is_home=entry.accepted.cell_id == self.cell_id,
@@ -251,28 +332,16 @@
         """Return the load summary that is published to other hosts."""
         if self.scheduler is None:
             return None
-        views = [
-            v for v in self.scheduler.worker_by_id.values() if v.can_start(now_s())
-        ]
-        fill_waiting = sum(
-            len(ready.waiting) * ready.step.demand.cpu_millis
-            for tracked in self.scheduler.submissions.live_by_id.values()
-            for ready in tracked.ready_by_step.values()
-            if ready.step.fills
-        )
-        free_by_worker = tuple(max(0, v.free().cpu_millis) for v in views)
-        return CellSummary(
-            service=views[0].entry.service if views else "",
-            data_centre=self.data_centre,
-            cpu_capacity=sum(v.entry.capacity.cpu_millis for v in views),
-            cpu_free=sum(free_by_worker),
-            cpu_waiting=self.scheduler.waiting_cpu(),
-            cpu_stuck=self.scheduler.stuck_cpu(now_s()),
-            filler_rooms=self.scheduler.filler_headrooms(),
-            fill_waiting=fill_waiting,
-            pending_by_queue=self.scheduler.submissions.n_pending_by_queue(),
-            free_by_worker=free_by_worker,
-        )
+        now = now_s()
+        self._operator.update(self.scheduler.evacuation, now)
+        return make_summary(self.scheduler, self.data_centre, now, self._backlog_meter)
+
+    def _arrival_of(self, submission_id: str) -> str:
+        """Return the data centre where a submission arrived, or ""."""
+        entry = self._directory.by_id.get(submission_id)
+        if entry is None or entry.accepted is None:
+            return ""
+        return entry.accepted.arrival_data_centre
 
     # Workers
 
@@ -356,31 +425,7 @@
         """Log the load of the cell periodically."""
         while True:
             await asyncio.sleep(LOAD_LOG_PERIOD_S)
-            for view in self.scheduler.worker_by_id.values():
-                logger.info(
-                    "load: worker %s free %d of %d left %d, serving %d, filling %d, "
-                    "latency ratios %s",
-                    view.entry.worker_id,
-                    view.free().cpu_millis,
-                    view.entry.capacity.cpu_millis,
-                    view.cpu_left(),
-                    len(view.serving_runs()),
-                    len(view.filler_runs()),
-                    " ".join(f"{r.image}={r.ratio:.2f}" for r in view.readings()),
-                )
-            self._log_waiting()
-
-    def _log_waiting(self) -> None:
-        for ready in self.scheduler.submissions.ready_steps(now_s()):
-            task = ready.task(min(ready.waiting))
-            logger.info(
-                "waiting: %d tasks, the first is %s (filler %s, long-running %s): %s",
-                len(ready.waiting),
-                task,
-                ready.step.fills,
-                ready.step.is_long_running,
-                self.scheduler.explain_waiting(ready, now_s()),
-            )
+            log_load(self.scheduler, now_s())
 
     # Orders
 
@@ -394,114 +439,23 @@
                 pass
             self._plan_needed.clear()
             if self._is_ownership_confirmed() and not self.is_inactive:
+                self._operator.update(self.scheduler.evacuation, now_s())
                 self.scheduler.workers_listed_at = self._worker_list.read_confirmed_at()
                 self.scheduler.unguarded_services = self._worker_list.unguarded_services
                 for worker_order in self.scheduler.plan(now_s(), wall_ms()):
-                    self._spawn(self._send_order(worker_order))
+                    self._spawn(self._sender.send(worker_order))
                 for request in self.scheduler.advice.take_requests():
-                    self._spawn(self._request_advice(request))
+                    self._spawn(self._sender.request_advice(request))
                 if self.scheduler.crashes.awaits_record:
                     self._record_needed.set()
 
-    async def _request_advice(self, request: AdviceRequest) -> None:
-        """Ask the advice service which workers may run a step, and apply the answer."""
-        tracked = self.scheduler.submissions.by_id.get(request.step.submission_id)
-        if self._advisor is None or tracked is None:
-            logger.error(
-                "step %s: advice required but no advice service is configured",
-                request.step,
-            )
-            return
-        policy = tracked.submission.queue.advice
-        expected_s = policy.decide_s + policy.per_worker_s * len(request.worker_ids)
-        requested_at = now_s()
-        try:
-            tickets = await self._advisor.advise(request, expected_s)
-        except PlatformUnavailableError as error:
-            logger.warning("step %s: advice request failed: %s", request.step, error)
-            self.scheduler.advice.on_no_answer(request)
-            return
-        logger.info(
-            "advice: step %s may run on %d of %d workers, answered in %.2f s",
-            request.step,
-            len(tickets),
-            len(request.worker_ids),
-            now_s() - requested_at,
-        )
-        self.scheduler.advice.on_answer(request, tickets, requested_at + policy.valid_s)
-        self._plan_needed.set()
-
-    async def _send_order(self, worker_order: WorkerOrder) -> None:
-        client = self._client_by_worker.get(worker_order.worker_id)
-        order = worker_order.order
-        if client is None:
-            logger.warning(
-                "order dropped: no client for worker %s", worker_order.worker_id
-            )
-            return
-        if isinstance(order, StartOrder):
-            answer = await client.start(order)
-            if answer.result is not OrderResult.ACCEPTED:
-                self._log_refused_start(worker_order, answer.result)
-            self.scheduler.on_start_answer(
-                worker_order.worker_id, order, answer, now_s()
-            )
-        elif isinstance(order, StopOrder):
-            answer = await client.stop(order)
-            self.scheduler.on_stop_answer(
-                worker_order.worker_id, order, answer, now_s()
-            )
-        elif isinstance(order, PaceOrder):
-            answer = await client.pace(order)
-            self.scheduler.on_pace_answer(order, answer)
-        if answer.result is not OrderResult.ACCEPTED:
-            self._plan_needed.set()
-
-    def _log_refused_start(
-        self, worker_order: WorkerOrder, result: OrderResult
-    ) -> None:
-        logger.info(
-            "start refused: task %s run %d on %s: %s",
-            worker_order.order.task,
-            worker_order.order.run,
-            worker_order.worker_id,
-            result.value,
-        )
-
     # Moves and records
 
-    async def _move_loop(self) -> None:
-        """Move stuck tasks to other cells and report ends of tasks moved here."""
-        while True:
-            await asyncio.sleep(MOVE_PERIOD_S)
-            if not self._is_ownership_confirmed() or self.is_inactive:
-                continue
-            headrooms = self._mover.headrooms(self.cell_id)
-            for proposal in self.scheduler.propose_moves(headrooms, now_s()):
-                self._spawn(self._mover.move(self, proposal))
-            for (
-                submission_id,
-                ends,
-            ) in self.scheduler.unconfirmed_moved_task_ends().items():
-                if await self._mover.report_moved_task_ends(submission_id, ends):
-                    self.scheduler.on_moved_task_ends_confirmed(
-                        submission_id, ends, now_s()
-                    )
-
-    async def _stray_end_loop(self) -> None:
-        """Report ends that other cells count to these, before they are acknowledged."""
-        while True:
-            await asyncio.sleep(STRAY_END_PERIOD_S)
-            if not self._is_ownership_confirmed() or self.is_inactive:
-                continue
-            for submission_id, ends in self.scheduler.stray_ends(now_s()).items():
-                try:
-                    await self._mover.settle_stray_ends(self, submission_id, ends)
-                except BerylError as error:
-                    logger.info(
-                        "submission %s: stray ends wait: %s", submission_id, error
-                    )
-                self._record_needed.set()
+    def _may_move(self) -> bool:
+        return self._is_ownership_confirmed() and not self.is_inactive
+
+    def _observe_order(self) -> None:
+        self._order_metrics.update(self.scheduler)
 
     def on_moved_task_ends(self, submission_id: str, ends: list[MovedTaskEnd]) -> bool:
         """Apply ends that another cell reported; return whether they are durable."""
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -7,36 +7,42 @@
 from berylcleat.http import HttpLimits, HttpRequest, HttpResponse, HttpServer
 from berylcleat.model import BerylError
 from berylcleat.platform import (
-    CONFIG_ROW,
     WORKER_TABLE,
     AdviceClient,
     StoreClient,
-    decode_config,
     read_store_traffic,
 )
-from berylcleat.ports import StoreRow
-from berylcleat.runtime import AdminRouter, StopSignal, cancel_all
+from berylcleat.ports import OperatorConfig, StoreRow
+from berylcleat.runtime import (
+    AdminRouter,
+    StopSignal,
+    cancel_all,
+    run_periodically,
+)
 from berylcleat.scheduling import InterferenceModel, LeaseTimes
 from berylcleat.telemetry import Tracer
 
 from ._cell_chooser import CellChooser
 from ._cell_directory import CellDirectory
-from ._cell_loads import CellLoads
+from ._cell_loads import MAX_LOAD_AGE_S, MAX_SPILL_LOAD_AGE_S, CellLoads
 from ._cell_ownership import CellOwnershipManager
 from ._client_api import ClientApi
 from ._clock import now_s
 from ._components import Connections, Knowledge, OwnerFeeds
+from ._evacuation_metrics import EvacuationMetrics
 from ._follower import Follower, TableFollower
 from ._identity import HostIdentity
 from ._live_owners import LiveOwners
 from ._membership import Coverage, Membership
 from ._on_demand_follower import OnDemandFollower
+from ._operator_follower import OperatorFollower
+from ._operator_relay import OperatorRelay
+from ._operator_state import OperatorState
 from ._pair_exchange import PairExchange
 from ._peer_api import PeerApi
 from ._peers import PeerClient
 from ._publisher import HostPublisher
 from ._records import CELL_TABLE, DIGEST_TABLE, data_centre_table
-from ._row_follower import RowFollower
 from ._settings import HostSettings
 from ._submission_directory import SubmissionDirectory
 from ._submission_feeds import SubmissionFeeds
@@ -78,6 +84,8 @@
         )
         self.is_leaving = False
         self.store = StoreClient(settings.store_address)
+        self.operator = OperatorState(settings.evacuation_rules)
+        self.operator.config_listeners.append(self._on_config)
         self.directory = SubmissionDirectory()
         self.feeds = SubmissionFeeds(self.store, self.directory, FOLLOW_TIMEOUT_S)
         self.membership = Membership()
@@ -104,21 +112,45 @@
                 self.workers,
                 self.directory,
                 self.interference,
+                self.operator,
+                settings.uneven_workers,
+                settings.admission_late_limit,
             ),
             OwnerFeeds(self.cell_follower, self.worker_follower, self.feeds),
             LeaseTimes(worker_lease_s=settings.worker_lease_s),
+            expected_finish=settings.expected_finish,
         )
         self.publisher = HostPublisher(
             self.store,
             self.identity,
             settings.cpu_power,
             (
-                CellLoads(settings.data_centre, self.cells, self.ownership),
+                CellLoads(
+                    settings.data_centre,
+                    self.cells,
+                    self.ownership,
+                    MAX_SPILL_LOAD_AGE_S
+                    if settings.expected_finish
+                    else MAX_LOAD_AGE_S,
+                ),
                 self.live_owners,
                 self.pairs,
             ),
         )
-        self.peer_api = PeerApi(self.identity, self.directory, self.ownership)
+        self.peer_api = PeerApi(
+            self.identity, self.directory, self.ownership, self.operator
+        )
+        self.relay = OperatorRelay(
+            self.identity,
+            self.operator,
+            self.operator_follower,
+            lambda: self.membership.live_hosts(self._local_coverage()),
+            self.cells,
+            peers,
+        )
+        self.evacuation_metrics = EvacuationMetrics(
+            self.operator, self.workers, self.ownership.controller_by_cell
+        )
         self.client_api = ClientApi(
             self.store,
             SubmissionStore(self.store),
@@ -126,9 +158,15 @@
             self.cells,
             self.ownership,
             CellChooser(
-                settings.data_centre, self.cells, self.ownership, self.interference
+                settings.data_centre,
+                self.cells,
+                self.ownership,
+                self.interference,
+                self.operator,
+                settings.admission_late_limit,
             ),
             peers,
+            settings.data_centre if settings.admission_late_limit else "",
         )
 
     def _make_advisor(self) -> AdviceClient | None:
@@ -137,10 +175,11 @@
 
     def _create_followers(self) -> None:
         data_centre = self.identity.data_centre
-        self.config_follower = RowFollower(
+        self.operator_follower = OperatorFollower(
             self.store,
-            *CONFIG_ROW,
-            self._on_config,
+            self.operator.on_config,
+            self.operator.on_requests,
+            self._data_centres if self.operator.has_evacuations else None,
             wait_s=FOLLOW_TIMEOUT_S,
             min_period_s=CONFIG_POLL_PERIOD_S,
         )
@@ -184,7 +223,7 @@
     def followers(self) -> tuple[Follower, ...]:
         """Return the followers of all tables that this host reads from its start."""
         return (
-            self.config_follower,
+            self.operator_follower,
             self.worker_follower,
             self.cell_follower,
             self.data_centre_follower,
@@ -202,9 +241,11 @@
         coroutines = [follower.run() for follower in self.followers]
         coroutines += [
             self.publisher.run(PUBLISH_CHECK_PERIOD_S),
-            self.reconcile_cells(),
+            run_periodically(RECONCILE_PERIOD_S, self.reconcile_cells),
             self._log_store_traffic(),
         ]
+        if self.operator.has_evacuations:
+            coroutines += [self.relay.run(), self.evacuation_metrics.run()]
         loop = asyncio.get_running_loop()
         return [loop.create_task(coroutine) for coroutine in coroutines]
 
@@ -232,13 +273,11 @@
             )
 
     async def reconcile_cells(self) -> None:
-        """Acquire and drop cells periodically, as membership changes."""
-        while True:
-            if self.data_centre_follower.has_synced and self.digest_follower.has_synced:
-                await self.ownership.reconcile(
-                    self._local_coverage(), _coverage(self.digest_follower)
-                )
-            await asyncio.sleep(RECONCILE_PERIOD_S)
+        """Acquire and drop cells, as membership changes."""
+        if self.data_centre_follower.has_synced and self.digest_follower.has_synced:
+            await self.ownership.reconcile(
+                self._local_coverage(), _coverage(self.digest_follower)
+            )
 
     async def leave(self) -> None:
         """Fail the readiness probe, release all cells and publish the departure."""
@@ -254,22 +293,16 @@
         """Answer the platform's readiness probe."""
         return HttpResponse(200 if self.is_ready() else 503)
 
-    def _on_config(self, row: StoreRow) -> None:
-        config = decode_config(row)
-        current = self.client_api.config
-        if config is None:
-            logger.error(
-                "configuration at version %d can't be decoded; keeping the current one",
-                row.version,
-            )
-        elif current is None or config.version > current.version:
-            self.client_api.config = config
-            self.workers.unguarded_services = frozenset(
-                service.name
-                for service in config.service_by_name.values()
-                if not service.checks_admission
-            )
-            logger.info("configuration version %d applied", config.version)
+    def _on_config(self, config: OperatorConfig) -> None:
+        self.client_api.config = config
+        self.workers.unguarded_services = frozenset(
+            service.name
+            for service in config.service_by_name.values()
+            if not service.checks_admission
+        )
+
+    def _data_centres(self) -> set[str]:
+        return {self.identity.data_centre, *self.workers.data_centres()}
 
 
 async def serve_host(settings: HostSettings, stop: StopSignal) -> None:
--- a/programs/beryl-host/src/berylcleat/host/_settings.py
+++ b/programs/beryl-host/src/berylcleat/host/_settings.py
@@ -1,8 +1,15 @@
 """Settings of the host process."""
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, replace
 
 from berylcleat.model import SettingsError
+from berylcleat.platform import decode_contracts
+from berylcleat.scheduling import EvacuationRules
+
+# Time that start orders need to arrive: a host whose news of the evacuations is older
+# than the deadline and the allowance together, less this time, starts nothing.
+ORDER_FLIGHT_MS = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -11,7 +18,16 @@
 
     ``drain_grace_s`` limits a graceful shutdown, ``core_speed`` is the speed of the
     host's cores relative to a reference core, and ``cpu_share`` is how many of these
-    cores, or what fraction of one, the host may use.
+    cores, or what fraction of one, the host may use. ``uneven_workers`` switches on the
+    avoidance of slow and failing workers, ``expected_finish`` order and moves by
+    expected finish; a deployment's ``contracts`` may switch them on too.
+    ``admission_late_limit`` is the multiple of a submission's objective beyond which it
+    is refused; 0 refuses none.
+
+    No task is started in an evacuated data centre later than ``evacuation_deadline_ms``
+    after the request, and by a host without news of the requests no later than
+    ``evacuation_outage_allowance_ms`` after that. A deadline of 0 means that the
+    deployment has no evacuations.
     """
 
     host_id: str
@@ -27,12 +43,36 @@
     worker_lease_s: float = 5.0
     drain_grace_s: float = 6.0
     orders_mode: str = "push"
+    evacuation_deadline_ms: float = 0
+    evacuation_outage_allowance_ms: float = 0
+    uneven_workers: bool = False
+    expected_finish: bool = False
+    contracts: tuple[str, ...] | None = None
+    admission_late_limit: float = 0.0
 
     @property
     def cpu_power(self) -> float:
         """Return the host's processing capacity in reference cores."""
         return self.cpu_share * self.core_speed
 
+    @property
+    def evacuation_rules(self) -> EvacuationRules:
+        """Return the limits of evacuations, in seconds."""
+        return EvacuationRules(
+            self.evacuation_deadline_ms / 1000,
+            self.evacuation_outage_allowance_ms / 1000,
+        )
+
+
+def apply_contracts(settings: HostSettings) -> HostSettings:
+    """Return the settings with the switches on that its contracts ask for."""
+    switches = decode_contracts(settings.contracts or ())
+    return replace(
+        settings,
+        uneven_workers=settings.uneven_workers or switches.uneven_workers,
+        expected_finish=settings.expected_finish or switches.expected_finish,
+    )
+
 
 def check_host_settings(settings: HostSettings) -> None:
     """Raise ``SettingsError`` if the settings are invalid."""
@@ -46,8 +86,34 @@
             raise SettingsError(
                 f"{name} must be greater than 0", "Set a number greater than 0"
             )
+    _check_evacuation_settings(settings)
+    limit = settings.admission_late_limit
+    if limit != 0 and not 1 <= limit < math.inf:
+        raise SettingsError(
+            f"admission_late_limit must be 0 or at least 1, not {limit}",
+            "Set 0 to refuse nothing for load, or a multiple of the objective, such "
+            "as 3",
+        )
     if settings.orders_mode != "push":
         raise SettingsError(
             f"orders_mode {settings.orders_mode!r} is not supported",
             "Set orders_mode to push and use workers that accept pushed orders",
         )
+
+
+def _check_evacuation_settings(settings: HostSettings) -> None:
+    for name in ("evacuation_deadline_ms", "evacuation_outage_allowance_ms"):
+        value = getattr(settings, name)
+        if not 0 <= value < float("inf"):
+            raise SettingsError(
+                f"{name} is {value}, it must be a number of milliseconds, 0 or more",
+                "Set 0 if the deployment has no evacuations, else the time it allows",
+            )
+    limit_ms = settings.evacuation_deadline_ms + settings.evacuation_outage_allowance_ms
+    if settings.evacuation_deadline_ms and limit_ms <= ORDER_FLIGHT_MS:
+        raise SettingsError(
+            f"evacuation_deadline_ms is {settings.evacuation_deadline_ms} and leaves "
+            "no time in which a task could start",
+            f"Set more than {ORDER_FLIGHT_MS} together with "
+            "evacuation_outage_allowance_ms, or 0 for no evacuations",
+        )
--- a/programs/beryl-host/src/berylcleat/host/_task_mover.py
+++ b/programs/beryl-host/src/berylcleat/host/_task_mover.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from typing import TYPE_CHECKING
+from dataclasses import replace
 
 from berylcleat.model import BerylError, PlatformUnavailableError
 from berylcleat.ports import EndedTask, RunEnd, StoreRow
@@ -10,15 +10,15 @@
 
 from ._cell_directory import CellDirectory
 from ._clock import now_s
+from ._evacuation_metrics import count_moved_tasks
+from ._operator_state import OperatorState
+from ._order_metrics import count_moved
+from ._owned_cells import OwnedCell, OwnedCells
 from ._peers import MovedTaskEnds, PeerClient, SubmissionUpdate
 from ._records import CELL_TABLE, headroom_from_summary
 from ._submission_directory import SubmissionDirectory, SubmissionEntry
 from ._submission_store import MoveCommit, SubmissionStore, make_owner_condition
 
-if TYPE_CHECKING:
-    from ._cell_controller import CellController
-    from ._cell_ownership import CellOwnershipManager
-
 MOVE_RETRY_S = 0.3
 logger = logging.getLogger(__name__)
 
@@ -32,24 +32,43 @@
         directory: SubmissionDirectory,
         cells: CellDirectory,
         peers: PeerClient,
-        ownership: "CellOwnershipManager",
+        ownership: OwnedCells,
+        operator: OperatorState,
     ):
+        self._operator = operator
         self._store = store
         self._directory = directory
         self._cells = cells
         self._peers = peers
         self._ownership = ownership
 
-    def headrooms(self, own_cell_id: str) -> tuple[CellHeadroom, ...]:
-        """Return the headroom that owners of other cells published last."""
+    def headrooms(
+        self, own_cell_id: str, own_data_centre: str
+    ) -> tuple[CellHeadroom, ...]:
+        """Return the headroom that owners of other cells published last.
+
+        Cells of evacuated data centres have none.
+        """
         summaries = self._cells.summaries()
         summaries.update(self._ownership.summaries())
         summaries.pop(own_cell_id, None)
         return tuple(
-            headroom_from_summary(cell_id, item) for cell_id, item in summaries.items()
+            replace(
+                headroom_from_summary(cell_id, item),
+                age_s=self._load_age_s(cell_id),
+                is_near=item.data_centre == own_data_centre,
+            )
+            for cell_id, item in summaries.items()
+            if item.data_centre not in self._operator.evacuated
         )
 
-    async def move(self, controller: "CellController", proposal: MoveProposal) -> None:
+    def _load_age_s(self, cell_id: str) -> float:
+        """Return the age of a cell's load, which is 0 for a cell of this host."""
+        if cell_id in self._ownership.controller_by_cell:
+            return 0.0
+        return self._cells.load_age_s(cell_id, now_s())
+
+    async def move(self, controller: OwnedCell, proposal: MoveProposal) -> None:
         """Record a proposed move; retry until the outcome is known or ownership ends.
 
         The scheduler doesn't start the proposed tasks before the outcome is known.
@@ -71,16 +90,22 @@
                 await asyncio.sleep(MOVE_RETRY_S)
             else:
                 if outcome.applied:
+                    self._count_evacuated(controller.data_centre, proposal)
                     self._on_move_committed(proposal, entry, move.row(outcome.version))
                 else:
                     self._on_move_conflict(proposal, outcome.current)
                 controller.scheduler.on_move_settled(proposal, now_s())
                 return
 
+    def _count_evacuated(self, data_centre: str, proposal: MoveProposal) -> None:
+        if data_centre in self._operator.evacuated:
+            count_moved_tasks(data_centre, len(proposal.move_by_task))
+
     def _on_move_committed(
         self, proposal: MoveProposal, entry: SubmissionEntry, row: StoreRow
     ) -> None:
         self._directory.on_rows((row,))
+        count_moved(proposal.reason, len(proposal.move_by_task))
         target_cells = {move.cell_id for move in proposal.move_by_task.values()}
         logger.info(
             "tasks moved: submission %s, %d to %s",
@@ -134,7 +159,7 @@
         )
 
     async def settle_stray_ends(
-        self, controller: "CellController", submission_id: str, ends: list[EndedTask]
+        self, controller: OwnedCell, submission_id: str, ends: list[EndedTask]
     ) -> None:
         """Report ends to the cells that count them; acknowledge them after that.
 
