Name data centres and sent orders for what they are; one question to a previous owner

Read with a newcomer's eyes: may_be_sent meant that a start may have been sent, the follower's names were those of data centres, and _has_stopped only wrapped _confirm_stop.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -84,9 +84,9 @@
         if run is None or run.number != order.run:
             return False
         if self._may_still_start(run, now):
-            run.may_be_sent = True
+            run.may_have_been_sent = True
             return True
-        if not run.may_be_sent:
+        if not run.may_have_been_sent:
             self.crashes.on_survival((run,))
             self._mark_lost(run, "its start was not sent", now)
         elif run.phase is RunPhase.STARTING:
@@ -106,7 +106,7 @@
             return False
         if view.incarnation_ms != run.incarnation_ms:
             return False
-        return run.may_be_sent or run.phase is not RunPhase.STOPPING
+        return run.may_have_been_sent or run.phase is not RunPhase.STOPPING
 
     def _mark_unconfirmed(self, run: Run, now: float) -> None:
         """Take note that a worker may or may not run an order that it got."""
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -70,7 +70,7 @@
     # Incarnation of its worker when its start was decided, 0 if unknown.
     incarnation_ms: int = 0
     # Whether its start was cleared for sending, so that a worker may run it.
-    may_be_sent: bool = False
+    may_have_been_sent: bool = False
     was_reported: bool = False
     stop_answered_at: float | None = None
     stop_sent_at: float | None = None
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -432,7 +432,8 @@
         manager, cells = await make_live_manager(context.store, "dc-1")
         page = await context.store.read("centre-dc", "dc")
         manager._membership.on_host_rows(page.rows)
-        return await manager._has_stopped(CELL, cells.owner_by_cell[CELL])
+        reply = await manager._confirm_stop(CELL, cells.owner_by_cell[CELL])
+        return reply is not None
 
     assert context.run(has_stopped()) == (state == "has stopped")
 
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -316,10 +316,6 @@
         if self.controller_by_cell.pop(cell_id, None) is not None:
             await controller.release()
 
-    async def _has_stopped(self, cell_id: str, previous: ObservedOwner | None) -> bool:
-        """Return whether the previous owner is known to have stopped."""
-        return await self._confirm_stop(cell_id, previous) is not None
-
     async def _confirm_stop(
         self, cell_id: str, previous: ObservedOwner | None
     ) -> TakeoverReply | None:
--- a/programs/beryl-host/src/berylcleat/host/_operator_follower.py
+++ b/programs/beryl-host/src/berylcleat/host/_operator_follower.py
@@ -64,12 +64,12 @@
         self._delivered_version = 0
         self._config_version = 0
         # Version of the request's row by evacuated data centre.
-        self._version_by_name: dict[str, int] = {}
+        self._version_by_data_centre: dict[str, int] = {}
         self._requests_version = 0
         self._may_have_changed = False
         # Data centres whose requests are known; None for all. Others may have been
         # passed over when the change feed was left out up to a checked version.
-        self._known_names: frozenset[str] | None = None
+        self._known_data_centres: frozenset[str] | None = None
 
     async def _read_all(self) -> None:
         first, end = OPERATOR_KEY_RANGE
@@ -78,16 +78,19 @@
         requested_at = now_s()
         page = await self._store.read(OPERATOR_TABLE, "", first, end)
         self._config_version = 0
-        self._version_by_name.clear()
+        self._version_by_data_centre.clear()
         self._apply(page.rows, page.version)
         self._may_have_changed = now_s() - requested_at > SLOW_READ_S
-        self._known_names = None
+        self._known_data_centres = None
         self.version = max(self.version, page.version)
 
     async def _follow(self, wait_s: float) -> None:
-        if self._may_have_changed and len(self._names()) < MAX_CONDITIONS:
+        if (
+            self._may_have_changed
+            and len(self._watched_data_centres()) < MAX_CONDITIONS
+        ):
             await self._check_versions()
-        elif self._may_have_changed or self._has_unknown_names():
+        elif self._may_have_changed or self._has_unknown_data_centres():
             await self._read_all()
         else:
             page = await self._store.follow(OPERATOR_TABLE, self.version, wait_s)
@@ -97,23 +100,30 @@
     def _on_success(self, requested_at: float) -> None:
         super()._on_success(requested_at)
         self._on_requests(
-            frozenset(self._version_by_name), self._requests_version, requested_at
+            frozenset(self._version_by_data_centre),
+            self._requests_version,
+            requested_at,
         )
 
-    def _names(self) -> frozenset[str]:
+    def _watched_data_centres(self) -> frozenset[str]:
         if self._data_centres is None:
             return frozenset()
-        return frozenset(self._data_centres()) | self._version_by_name.keys()
+        return frozenset(self._data_centres()) | self._version_by_data_centre.keys()
 
-    def _has_unknown_names(self) -> bool:
-        return self._known_names is not None and not self._names() <= self._known_names
+    def _has_unknown_data_centres(self) -> bool:
+        return (
+            self._known_data_centres is not None
+            and not self._watched_data_centres() <= self._known_data_centres
+        )
 
     async def _check_versions(self) -> None:
         """Check that nothing has changed; after a conflict the check is repeated."""
-        names = self._names()
+        names = self._watched_data_centres()
         version_by_key = {CONFIG_KEY: self._config_version}
         for name in names:
-            version_by_key[evacuation_key(name)] = self._version_by_name.get(name, 0)
+            version_by_key[evacuation_key(name)] = self._version_by_data_centre.get(
+                name, 0
+            )
         conditions = (
             Condition(OPERATOR_TABLE, "", key, version)
             for key, version in version_by_key.items()
@@ -121,7 +131,7 @@
         outcome = await self._store.commit(Commit(tuple(conditions)))
         if outcome.applied:
             self._may_have_changed = False
-            self._known_names = names
+            self._known_data_centres = names
             self._requests_version = max(self._requests_version, outcome.version)
             self.version = max(self.version, outcome.version)
             return
@@ -142,9 +152,9 @@
                 self._apply_config(row)
             elif name is not None and self._data_centres is not None:
                 if row.is_removed:
-                    self._version_by_name.pop(name, None)
+                    self._version_by_data_centre.pop(name, None)
                 else:
-                    self._version_by_name[name] = row.version
+                    self._version_by_data_centre[name] = row.version
         versions = (row.version for row in rows)
         self._requests_version = max(self._requests_version, version, *versions)
         return has_config
