Say what names hold: data centres, and a wait for another worker

Cause: three files read with a newcomer's eyes (_evacuation_metrics, _uneven_workers, _fair_shares): _since_by_name and n_runs_by_name were keyed by data centre, and waits didn't say for what. fair_shares is called by tests only; left.

--- a/libs/scheduling/src/berylcleat/scheduling/_uneven_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_uneven_workers.py
@@ -122,8 +122,8 @@
         ]
         groups = [sound, others] if len(sound) < len(others) else [others]
         service = ready.tracked.submission.queue.service
-        waits = now - self.health.failed_at(task) < RETRY_ELSEWHERE_S
-        if waits and _could_hold(ready.step, service, others):
+        avoids_failed = now - self.health.failed_at(task) < RETRY_ELSEWHERE_S
+        if avoids_failed and _could_hold(ready.step, service, others):
             return groups
         return [*groups, views] if len(others) < len(views) else groups
 
--- a/programs/beryl-host/src/berylcleat/host/_evacuation_metrics.py
+++ b/programs/beryl-host/src/berylcleat/host/_evacuation_metrics.py
@@ -52,7 +52,7 @@
         self._controller_by_cell = controller_by_cell
         self._published: set[str] = set()
         self._empty_cells: set[str] = set()
-        self._since_by_name: dict[str, float] = {}
+        self._unknown_since_by_data_centre: dict[str, float] = {}
         self._reported_unknown: set[str] = set()
 
     async def run(self) -> None:
@@ -69,14 +69,14 @@
 
     def _count_runs(self, evacuated: frozenset[str], now: float) -> TallyCounter[str]:
         """Return the runs by evacuated data centre; log which cells are empty now."""
-        n_runs_by_name: TallyCounter[str] = TallyCounter()
+        n_runs_by_data_centre: TallyCounter[str] = TallyCounter()
         empty_cells = set()
         for cell_id, controller in self._controller_by_cell.items():
             scheduler = controller.scheduler
             if scheduler is None or controller.data_centre not in evacuated:
                 continue
             n_runs = scheduler.n_runs()
-            n_runs_by_name[controller.data_centre] += n_runs
+            n_runs_by_data_centre[controller.data_centre] += n_runs
             # Runs of an earlier owner may be unknown until the takeover has settled.
             if n_runs == 0 and scheduler.has_settled(now):
                 empty_cells.add(cell_id)
@@ -87,14 +87,14 @@
                         controller.data_centre,
                     )
         self._empty_cells = empty_cells
-        return n_runs_by_name
+        return n_runs_by_data_centre
 
     def _publish(
-        self, evacuated: frozenset[str], n_runs_by_name: TallyCounter[str]
+        self, evacuated: frozenset[str], n_runs_by_data_centre: TallyCounter[str]
     ) -> None:
         for name in evacuated:
             _evacuated_gauge.labels(name).set(1)
-            _running_gauge.labels(name).set(n_runs_by_name[name])
+            _running_gauge.labels(name).set(n_runs_by_data_centre[name])
         self._remove_labels(self._published - evacuated)
         self._published = set(evacuated)
 
@@ -106,11 +106,11 @@
     def _report_unknown(self, evacuated: frozenset[str], now: float) -> None:
         """Log requests for data centres in which no worker was ever listed."""
         unknown = evacuated - self._workers.data_centres()
-        self._since_by_name = {
-            name: self._since_by_name.get(name, now) for name in unknown
+        self._unknown_since_by_data_centre = {
+            name: self._unknown_since_by_data_centre.get(name, now) for name in unknown
         }
         self._reported_unknown &= unknown
-        for name, since in self._since_by_name.items():
+        for name, since in self._unknown_since_by_data_centre.items():
             if now - since >= UNKNOWN_AFTER_S and name not in self._reported_unknown:
                 self._reported_unknown.add(name)
                 logger.warning(
