--- a/programs/beryl-host/features/environment.py
+++ b/programs/beryl-host/features/environment.py
@@ -1,8 +1,11 @@
-"""Stop the host processes of each scenario; keep their logs if it failed."""
+"""Stop the host processes of each scenario; show and keep their logs if it failed."""
 
 import asyncio
 import shutil
 
+# Characters of each process's log that a failed scenario shows.
+MAX_LOG_CHARS = 1500
+
 
 def before_all(context):
     context.loop = asyncio.new_event_loop()
@@ -21,6 +24,9 @@
         shutil.rmtree(context.group.folder, ignore_errors=True)
     else:
         print(f"logs of {scenario.name} are kept in {context.group.folder}")
+        for path in sorted(context.group.folder.glob("*.log")):
+            text = path.read_text(encoding="utf-8", errors="replace")
+            print(f"-- end of {path.name}\n{text[-MAX_LOG_CHARS:]}")
 
 
 def after_all(context):
--- a/programs/beryl-host/features/steps/evacuation_process_steps.py
+++ b/programs/beryl-host/features/steps/evacuation_process_steps.py
@@ -28,6 +28,8 @@
     def _prepare(self):
         ports = find_free_ports(len(self.hosts))
         self.links = [LoopbackProxy(f"127.0.0.1:{port}", self.store) for port in ports]
+        for link in self.links:
+            link.mode = LinkMode.REFUSED
         self.store_by_host = [link.address for link in self.links]
 
 
@@ -53,10 +55,17 @@
 
 
 async def start_group(context):
-    """Start the processes; return whether each host owns its data centre's cell."""
+    """Start the processes; return whether each host owns its data centre's cell.
+
+    The hosts reach the store once all of them are up: a host that starts a second later
+    than the other one finds its data centre's cell adopted.
+    """
     context.group = EvacuationGroup(2, 2, n_racks=2)
     for link in context.group.links:
         await link.start()
+    await context.group.wait_started()
+    for link in context.group.links:
+        link.mode = LinkMode.OPEN
     await context.group.wait_ready()
     return all(
         f"cell r{number + 1}: epoch" in context.group.read_log(number)
@@ -73,8 +82,7 @@
 
 @given('a host and a worker in each of the data centres "dc-1" and "dc-2"')
 def step_group(context):
-    # A host that starts late finds its data centre's cell adopted by the other one. A
-    # host knows the addresses of another data centre's hosts from the cells they own.
+    # A host knows the addresses of another data centre's hosts from the cells they own.
     for _ in range(N_START_ATTEMPTS):
         if context.run(start_group(context)):
             return
@@ -134,7 +142,8 @@
     'every host logs within {seconds:f} s that the evacuation of "{name}" was requested'
 )
 def step_logged(context, seconds, name):
-    text = f"evacuation requested: data centre {name}, from the store"
+    # A host whose read fails meanwhile may be told by the other one first.
+    text = f"evacuation requested: data centre {name}, from "
     for number in range(2):
         context.run(wait_for_line(context, number, text, seconds))
 
--- a/programs/beryl-host/features/steps/host_group.py
+++ b/programs/beryl-host/features/steps/host_group.py
@@ -105,6 +105,14 @@
             client.close()
         return response.status, response.body
 
+    async def wait_started(self) -> None:
+        """Wait until every host answers, ready or not."""
+        deadline = time.monotonic() + START_TIMEOUT_S
+        for _, ready, _, _ in self.hosts:
+            while (await self.call(ready, "GET", "/api/readiness", b"", 1.0))[0] == 0:
+                assert time.monotonic() < deadline, "host not started"
+                await asyncio.sleep(0.05)
+
     async def wait_ready(self) -> None:
         """Wait until every host is ready and a cell has an owner."""
         deadline = time.monotonic() + START_TIMEOUT_S
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -16,6 +16,9 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+LOG_STARTS = ("LOG_DEBUG:", "LOG_INFO:")
+# Characters of a failed feature's output that are printed again at the end.
+MAX_FAILURE_CHARS = 6000
 FOLDERS = (
     "libs/*/features",
     "platform/features",
@@ -76,7 +79,17 @@
         behave_ran = completed.returncode == 0 and bool(behave_arguments)
         return FeatureResult(path, [], completed.stdout, behave_ran)
     cases = _make_cases(json.loads(text), path.parent)
-    return FeatureResult(path, cases, completed.stdout, True)
+    return FeatureResult(path, cases, drop_captured_logs(completed.stdout), True)
+
+
+def drop_captured_logs(output: str) -> str:
+    """Remove the captured log lines of failed steps below level warning.
+
+    A failed simulation has captured millions of them, and only the end of CI's output
+    is kept. ``behave FILE`` in the feature's folder shows them.
+    """
+    lines = output.splitlines()
+    return "\n".join(line for line in lines if not line.lstrip().startswith(LOG_STARTS))
 
 
 def _make_cases(features: list[dict], folder: Path) -> list[Case]:
@@ -108,6 +121,7 @@
     arguments = parser.parse_args()
     paths = find_features(arguments.only or "")
     cases: list[Case] = []
+    failed_results = []
     features_not_run = []
     with ThreadPoolExecutor(arguments.jobs) as pool:
         futures = [pool.submit(run_feature, p, arguments.behave) for p in paths]
@@ -115,11 +129,26 @@
             result = future.result()
             print(f"== {result.path.relative_to(ROOT)}\n{result.output}", flush=True)
             cases += result.cases
+            if has_new_failure(result, read_known_red_names()):
+                failed_results.append(result)
             if not result.behave_ran:
                 features_not_run.append(result.path)
+    # Often only the end of the output is kept, so failures are shown there again.
+    for result in failed_results:
+        path = result.path.relative_to(ROOT)
+        print(f"== output of the failed {path}\n{result.output[-MAX_FAILURE_CHARS:]}")
     return print_report(cases, features_not_run)
 
 
+def has_new_failure(result: FeatureResult, known_red_names: frozenset[str]) -> bool:
+    """Return whether a scenario failed that KNOWN-RED.txt doesn't list."""
+    passed = ("passed", "skipped")
+    return not result.behave_ran or any(
+        case.status not in passed and case.name not in known_red_names
+        for case in result.cases
+    )
+
+
 def find_features(text: str) -> list[Path]:
     """Return the feature files whose path contains ``text``."""
     folders = sorted({f for pattern in FOLDERS for f in ROOT.glob(pattern)})
