Draw home cells among those with headroom instead of taking the first one

Cause: all hosts send a new submission to the cell that reports the most headroom, from loads that are 1 to 2 s old.

Ruled out: fresher loads (they cost bytes on every link) and a lock on headroom (a second kind of coordination).

Change: with expected_finish, the home cell of fillers and of ordinary tasks is drawn among the cells that can hold the first step, with a probability in proportion to their headroom. Serving tasks are still packed by image.

--- a/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
@@ -18,6 +18,7 @@
 from ._cell_directory import CellDirectory
 from ._cell_ownership import CellOwnershipManager
 from ._clock import now_s
+from ._home_choice import draw_cell, find_candidates
 from ._operator_state import OperatorState
 from ._records import CellSummary, headroom_from_summary
 
@@ -62,8 +63,11 @@
         interference: InterferenceModel,
         operator: OperatorState,
         admission_late_limit: float = 0.0,
+        *,
+        draws_home: bool = False,
     ):
         self._operator = operator
+        self._draws_home = draws_home
         self._admission = (
             AdmissionController(admission_late_limit) if admission_late_limit else None
         )
@@ -187,6 +191,8 @@
         if data_cell_id in suitable:
             return data_cell_id
         first_step = submission.steps[0]
+        if self._draws_home and not first_step.target_latency_ms:
+            return self._draw_among(submission, suitable)
         if first_step.fills:
             return max(
                 suitable,
@@ -198,6 +204,38 @@
             return self._choose_for_image(first_step, suitable)
         return self._choose_by_slots(first_step, suitable)
 
+    def _draw_among(
+        self, submission: Submission, suitable: dict[str, CellSummary]
+    ) -> str:
+        """Draw a cell among those that can hold the first step."""
+        step = submission.steps[0]
+        cpu = max(step.allocation.cpu_millis, 1)
+        if step.fills:
+            needed = float(step.n_tasks * step.demand.cpu_millis)
+            headroom_by_cell = {
+                cell_id: self._filler_headroom(cell_id, summary, step)
+                * summary.cpu_capacity
+                for cell_id, summary in suitable.items()
+            }
+        else:
+            needed = float(step.n_tasks)
+            headroom_by_cell = {
+                cell_id: float(self._n_slots_left(cell_id, summary, cpu))
+                for cell_id, summary in suitable.items()
+            }
+        candidates = find_candidates(headroom_by_cell, needed)
+        drawn = draw_cell(candidates, submission.submission_id)
+        if drawn is not None:
+            return drawn
+        if step.fills:
+            return max(headroom_by_cell, key=headroom_by_cell.__getitem__)
+        return self._choose_by_slots(step, suitable)
+
+    def _n_slots_left(self, cell_id: str, summary: CellSummary, cpu: int) -> int:
+        """Return how many more tasks fit beside those that this host assigned there."""
+        n_assigned = self._recently_assigned_cpu(cell_id, fills=False) // cpu
+        return summary.count_slots(cpu) - n_assigned
+
     def _choose_by_slots(self, step: Step, suitable: dict[str, CellSummary]) -> str:
         """Return the cell where most tasks of a step start at once.
 
@@ -207,8 +245,7 @@
 
         def rank(cell_id: str) -> tuple[int, float]:
             summary = suitable[cell_id]
-            n_assigned = self._recently_assigned_cpu(cell_id, fills=False) // cpu
-            n_slots = summary.count_slots(cpu) - n_assigned
+            n_slots = self._n_slots_left(cell_id, summary, cpu)
             return -min(n_slots, step.n_tasks), self._load(cell_id, summary)
 
         return min(suitable, key=rank)
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -164,6 +164,7 @@
                 self.interference,
                 self.operator,
                 settings.admission_late_limit,
+                draws_home=settings.expected_finish,
             ),
             peers,
             settings.data_centre if settings.admission_late_limit else "",
