--- a/libs/scheduling/src/berylcleat/scheduling/__init__.py
+++ b/libs/scheduling/src/berylcleat/scheduling/__init__.py
@@ -17,6 +17,7 @@
     EvacuationRules,
     choose_relocations,
 )
+from ._filler_pauses import PauseRules
 from ._filler_stops import choose_fillers_to_stop
 from ._interference import (
     ImageUse,
@@ -59,6 +60,7 @@
     "LoadEstimator",
     "MoveProposal",
     "MovedTaskEnd",
+    "PauseRules",
     "PacePlan",
     "Progress",
     "ProgressWrite",
