--- a/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
@@ -19,6 +19,7 @@
 from ._cell_ownership import CellOwnershipManager
 from ._clock import now_s
 from ._home_choice import draw_cell, find_candidates
+from ._metrics import HOME_CELLS
 from ._operator_state import OperatorState
 from ._records import CellSummary, headroom_from_summary
 
@@ -226,7 +227,10 @@
         candidates = find_candidates(headroom_by_cell, needed)
         drawn = draw_cell(candidates, submission.submission_id)
         if drawn is not None:
+            fits = headroom_by_cell[drawn] >= needed
+            HOME_CELLS.labels("fits" if fits else "partial").inc()
             return drawn
+        HOME_CELLS.labels("full").inc()
         if step.fills:
             return max(headroom_by_cell, key=headroom_by_cell.__getitem__)
         return self._choose_by_slots(step, suitable)
--- a/programs/beryl-host/src/berylcleat/host/_metrics.py
+++ b/programs/beryl-host/src/berylcleat/host/_metrics.py
@@ -13,3 +13,9 @@
     ("queue",),
     buckets=(1, 2, 4, 8, 16, 32, 64, 128),
 )
+HOME_CELLS = Counter(
+    "beryl_host_home_cells",
+    "Submissions by the choice of their home cell: drawn among cells that can hold the "
+    "first step (fits), or that have half of the most headroom (partial), or full cells",
+    ("choice",),
+)
