--- a/programs/beryl-host/src/berylcleat/host/_metrics.py
+++ b/programs/beryl-host/src/berylcleat/host/_metrics.py
@@ -16,6 +16,6 @@
 HOME_CELLS = Counter(
     "beryl_host_home_cells",
     "Submissions by the choice of their home cell: drawn among cells that can hold the "
-    "first step (fits), or that have half of the most headroom (partial), or full cells",
+    "first step (fits), those with half of the most headroom (partial), or full cells",
     ("choice",),
 )
