Revert the trial of pausing disturbing fillers before stopping them

The load budget of the serving tasks binds, not the stops: paused fillers hold their part of it.

Change: the trial's code is removed.

--- a/libs/scheduling/src/berylcleat/scheduling/__init__.py
+++ b/libs/scheduling/src/berylcleat/scheduling/__init__.py
@@ -17,7 +17,6 @@
     EvacuationRules,
     choose_relocations,
 )
-from ._filler_pauses import PauseRules
 from ._filler_stops import choose_fillers_to_stop
 from ._interference import (
     ImageUse,
@@ -60,7 +59,6 @@
     "LoadEstimator",
     "MoveProposal",
     "MovedTaskEnd",
-    "PauseRules",
     "PacePlan",
     "Progress",
     "ProgressWrite",
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -16,7 +16,6 @@
 from ._backlog_meter import CompletedWork
 from ._crashes import CrashTracker
 from ._evacuation import MAX_PAUSE_S, AvailabilityTracker, CellEvacuation
-from ._filler_pauses import PAUSED_PERCENT, PauseRules, allowed_changes, can_pause
 from ._filler_stops import choose_fillers_to_stop, must_stop_all_fillers
 from ._finish_estimate import FinishEstimator
 from ._interference import InterferenceModel
@@ -79,8 +78,6 @@
         self.unguarded_services: frozenset[str] = frozenset()
         # None: the deployment has no evacuations.
         self.evacuation: CellEvacuation | None = None
-        # None: disturbing fillers are stopped, never paused.
-        self.pause_rules: PauseRules | None = None
         self._availability = AvailabilityTracker()
         self._relocating_tasks: set[TaskKey] = set()
         self._planned_at = began_at
@@ -355,45 +352,22 @@
         for view in self.worker_by_id.values():
             view.is_recovering = must_stop_all_fillers(view, now)
             stops = choose_fillers_to_stop(view, self.interference, now)
-            if any(run.paused_since is None for run in stops):
+            if stops:
                 view.fillers_stopped_at = now
             if view.clock.answered_at > view.paced_at:
                 view.paced_at = now
                 plan = plan_paces(view, self.interference)
                 stops += [run for run in plan.stops if run not in stops]
-                for change in allowed_changes(plan.changes, view):
-                    if change.run not in stops:
-                        self._set_pace(change.run, change.percent)
+                for change in plan.changes:
+                    self._set_pace(change.run, change.percent)
             for run in stops:
-                self._pause_or_stop(run, now)
-            self._stop_long_paused(view, now)
-
-    def _pause_or_stop(self, run: Run, now: float) -> None:
-        """Stop a disturbing filler, or pause it for a while where stops cost more."""
-        rules = self.pause_rules
-        if rules is None or not rules.is_enabled or not can_pause(run):
-            self._stop_filler(run, now)
-        elif run.paused_since is None:
-            run.paused_since = now
-            self._set_pace(run, PAUSED_PERCENT)
-        elif run.pace is None:
-            self._set_pace(run, PAUSED_PERCENT)
-
-    def _stop_long_paused(self, view: WorkerView, now: float) -> None:
-        if self.pause_rules is None:
-            return
-        for run in view.filler_runs():
-            if self.pause_rules.has_paused_too_long(run, now):
-                self._stop_filler(run, now)
-
-    def _stop_filler(self, run: Run, now: float) -> None:
-        logger.info(
-            "filler stopped: task %s image %s on %s",
-            run.task,
-            run.step.image,
-            run.worker_id,
-        )
-        self._stop(run, now)
+                logger.info(
+                    "filler stopped: task %s image %s on %s",
+                    run.task,
+                    run.step.image,
+                    run.worker_id,
+                )
+                self._stop(run, now)
 
     def _set_pace(self, run: Run, percent: int) -> None:
         logger.info(
@@ -404,8 +378,6 @@
             percent,
         )
         run.pace = percent
-        if percent > PAUSED_PERCENT:
-            run.paused_since = None
         self._enqueue_order(
             run.worker_id, PaceOrder(run.task, run.number, percent, self.epoch)
         )
--- a/libs/scheduling/src/berylcleat/scheduling/_filler_stops.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_filler_stops.py
@@ -25,11 +25,7 @@
         return []
     if must_stop_all_fillers(view, now):
         return fillers
-    unforced = [
-        run
-        for run in fillers
-        if run.paused_since is None and not _is_in_forced_period(run, now)
-    ]
+    unforced = [run for run in fillers if not _is_in_forced_period(run, now)]
     if not unforced or now - view.fillers_stopped_at <= READING_SPAN_S:
         return []
     return _likely_disturbers(view, unforced, interference)
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -61,8 +61,6 @@
     # Whether that load was estimated from a sibling task on another worker.
     is_load_from_sibling: bool = False
     is_forced: bool = False
-    # Since when a filler has been paused, None while it is not.
-    paused_since: float | None = None
     over_target_since: float | None = None
     # Whether an earlier owner started it; then ``started_at`` is when it was found.
     is_adopted: bool = False
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -103,7 +103,6 @@
         self._operator = knowledge.operator
         self._learns_uneven_workers = knowledge.learns_uneven_workers
         self._late_limit = knowledge.admission_late_limit
-        self._pause_rules = knowledge.pause_rules
         self._backlog_meter: BacklogMeter | None = None
         self._move_loops = CellMoveLoops(
             self,
@@ -151,7 +150,6 @@
             self._interference,
             expected_finish=self._expected_finish,
         )
-        scheduler.pause_rules = self._pause_rules
         if self._learns_uneven_workers:
             scheduler.uneven_workers = UnevenWorkers()
             observe_uneven_workers(scheduler)
--- a/programs/beryl-host/src/berylcleat/host/_components.py
+++ b/programs/beryl-host/src/berylcleat/host/_components.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from berylcleat.ports import Advisor, Store
-from berylcleat.scheduling import InterferenceModel, PauseRules
+from berylcleat.scheduling import InterferenceModel
 
 from ._cell_directory import CellDirectory
 from ._follower import TableFollower
@@ -31,8 +31,7 @@
 
     ``operator`` holds what the operator asks for.
     ``learns_uneven_workers`` tells whether owners learn speeds and failures of workers.
-    Without an ``admission_late_limit`` its cells report no backlog, without
-    ``pause_rules`` they stop disturbing fillers and pause none.
+    Without an ``admission_late_limit`` its cells report no backlog.
     """
 
     membership: Membership
@@ -43,7 +42,6 @@
     operator: OperatorState = field(default_factory=OperatorState)
     learns_uneven_workers: bool = False
     admission_late_limit: float = 0.0
-    pause_rules: PauseRules | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -115,7 +115,6 @@
                 self.operator,
                 settings.uneven_workers,
                 settings.admission_late_limit,
-                settings.pause_rules,
             ),
             OwnerFeeds(self.cell_follower, self.worker_follower, self.feeds),
             LeaseTimes(worker_lease_s=settings.worker_lease_s),
--- a/programs/beryl-host/src/berylcleat/host/_settings.py
+++ b/programs/beryl-host/src/berylcleat/host/_settings.py
@@ -5,7 +5,7 @@
 
 from berylcleat.model import SettingsError
 from berylcleat.platform import decode_contracts
-from berylcleat.scheduling import EvacuationRules, PauseRules
+from berylcleat.scheduling import EvacuationRules
 
 # Time that start orders need to arrive: a host whose news of the evacuations is older
 # than the deadline and the allowance together, less this time, starts nothing.
@@ -21,7 +21,6 @@
     cores, or what fraction of one, the host may use. ``uneven_workers`` switches on the
     avoidance of slow and failing workers, ``expected_finish`` order and moves by
     expected finish; a deployment's ``contracts`` may switch them on too.
-    A stop of a task takes up to ``task_stop_ms``, its resumption ``task_restore_ms``.
     ``admission_late_limit`` is the multiple of a submission's objective beyond which it
     is refused; 0 refuses none.
 
@@ -50,8 +49,6 @@
     expected_finish: bool = False
     contracts: tuple[str, ...] | None = None
     admission_late_limit: float = 0.0
-    task_stop_ms: float = 0
-    task_restore_ms: float = 0
 
     @property
     def cpu_power(self) -> float:
@@ -66,13 +63,6 @@
             self.evacuation_outage_allowance_ms / 1000,
         )
 
-    @property
-    def pause_rules(self) -> PauseRules | None:
-        """Return when fillers are paused instead of stopped; None for never."""
-        if not self.expected_finish:
-            return None
-        return PauseRules(self.task_stop_ms / 1000, self.task_restore_ms / 1000)
-
 
 def apply_contracts(settings: HostSettings) -> HostSettings:
     """Return the settings with the switches on that its contracts ask for."""
@@ -97,13 +87,6 @@
                 f"{name} must be greater than 0", "Set a number greater than 0"
             )
     _check_evacuation_settings(settings)
-    for name in ("task_stop_ms", "task_restore_ms"):
-        value = getattr(settings, name)
-        if not 0 <= value < math.inf:
-            raise SettingsError(
-                f"{name} is {value}, it must be a number of milliseconds, 0 or more",
-                "Set the longest time that it takes on the workers, or 0",
-            )
     limit = settings.admission_late_limit
     if limit != 0 and not 1 <= limit < math.inf:
         raise SettingsError(
