Run a cell under one epoch with one scheduler only

Cause: a host that dropped a cell because a worker had fenced it, before it had read the next owner's row, took its own row for a commit whose answer was lost and started a second scheduler under the same epoch, which doesn't know the runs of the first.

Ruled out: the same after a takeover notice; that marks the epoch as relinquished.

Change: a dropped cell's epoch counts as relinquished.

--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -100,6 +100,12 @@
     When its owner finds that it was lost and then gets the takeover notice
     Then the reply names the leases of "w1 w2"
 
+  # Guards against TWICE: a second scheduler of one epoch doesn't know the first one's runs.
+  Scenario: A fenced owner doesn't run its cell again under the same epoch
+    Given a cell with recorded workers "w1 w2" that was released
+    When a host acquires it and is fenced before it reads the next owner's row
+    Then the host owns no cell
+
   # Guards against a host that never acquires a cell again: a takeover notice that came
   # while another lost cell was dropped ended the loop.
   Scenario: A takeover notice comes while a host drops the cells that it has lost
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -487,6 +487,19 @@
     assert sorted(context.leases) == names.split(), context.leases
 
 
+@when("a host acquires it and is fenced before it reads the next owner's row")
+def step_fenced(context):
+    async def fence():
+        manager, _ = await make_live_manager(context.store, "dc-1")
+        coverage = Coverage(now_s() - 10.0, now_s())
+        await manager.reconcile(coverage, coverage)
+        manager.controller_by_cell[CELL].scheduler.on_fenced("w1")
+        await manager.reconcile(coverage, coverage)
+        context.manager = manager
+
+    context.run(fence())
+
+
 @when("its owner drops two lost cells and gets the notice for the second meanwhile")
 def step_drop_two(context):
     async def drop():
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -381,6 +381,12 @@
             )
             if not is_ours or is_fenced or controller.is_inactive:
                 del self.controller_by_cell[cell_id]
+                # The epoch is over, also before this host reads the next owner's row:
+                # a second scheduler of the epoch wouldn't know the runs of this one.
+                self._relinquished_epoch_by_cell[cell_id] = max(
+                    self._relinquished_epoch_by_cell.get(cell_id, 0),
+                    controller.owner.epoch,
+                )
                 await self._abandon(cell_id, controller)
 
     def _on_submission(self, submission_id: str, entry: SubmissionEntry) -> None:
