Start a task at once that moved here after the cell was taken over

Ruled out: to compare the versions of the row of moves and of the takeover. An earlier owner that reads the move before its own row starts the task, and the row's version changes with moves of other tasks too.

Change: a move names the epoch of its target's owner that the moving owner has read. If it is this owner's, the task doesn't wait; a later one fences this owner; an earlier one or none leaves the wait as it was. Where a worker of an earlier owner is unaccounted for, the first run is still recorded as a possible crash.

The simulation gains owners that learn late of a takeover.

--- a/libs/scheduling/features/histories.feature
+++ b/libs/scheduling/features/histories.feature
@@ -36,6 +36,14 @@
     Then no task ran twice, before its dependencies, or beyond its attempts
     And every submission has ended in every history
 
+  # Guards against TWICE: an earlier owner that learns of the takeover after a move to its
+  # cell, while the new owner, which doesn't wait, can't reach one of the workers.
+  Scenario: All invariants hold though owners learn late that their cell was taken over
+    When 20 histories of 40 seconds with 2 cells and owners that learn late are simulated from seed 1
+    Then tasks were moved between cells
+    And no task ran twice, before its dependencies, or beyond its attempts
+    And no end was acknowledged before it was recorded
+
   # Guards against BUDGET: a task that crashes its workers was started for ever, and
   # against LOST: a task that only ran beside one isn't given up without its crashes.
   Scenario Outline: All invariants hold though tasks crash workers in <n_cells> cells
@@ -99,3 +107,4 @@
       | takeover wait             |
       | recorded workers          |
       | condition on the owner    |
+      | epoch in a move           |
--- a/libs/scheduling/features/steps/cell_simulation.py
+++ b/libs/scheduling/features/steps/cell_simulation.py
@@ -7,6 +7,8 @@
 import random
 from dataclasses import dataclass, field, replace
 
+import msgspec
+
 from berylcleat.model import (
     QueuePolicy,
     Step,
@@ -41,6 +43,9 @@
 TICK_S = 0.05
 HOLD_PERIOD_S = 0.4
 MOVE_RETRY_S = 0.3
+# Seconds for which an owner may read submissions before its own row; new ones are held
+# back for longer (HANDOVER_GRACE_S).
+MAX_UNAWARE_S = 4.0
 # Seconds after which every host in touch has learned that a submission is done.
 MAX_LATE_START_S = 1.0
 # Crashes of workers under a task after which it may be given up, and after which it may
@@ -192,6 +197,8 @@
         self.confirmed_at = sim.now
         self.is_dead = False
         self.is_partitioned = False
+        # Whether it reads submissions but hasn't read yet that its cell was taken over.
+        self.is_unaware = False
         self.paused_until = 0.0
         self.unreachable: set[str] = set()
         self.cell = sim.make_cell(sim_cell, settled_at, workers)
@@ -210,12 +217,20 @@
         """Return whether the host neither reads the store nor answers other hosts."""
         return self.is_dead or self.is_partitioned or self.is_paused
 
+    @property
+    def is_out_of_date(self) -> bool:
+        """Return whether the host may not know what the store holds."""
+        return self.is_partitioned or self.is_unaware
+
     def step(self) -> None:
         """Record progress, renew leases and send orders unless dead or fenced."""
         now = self.sim.now
         if self.is_dead or self.is_paused or self.cell.is_fenced_out:
             return
-        if not self.is_partitioned:
+        if self.is_unaware:
+            if self.sim.fault_rng.random() <= 0.2:
+                self._propose_moves()
+        elif not self.is_partitioned:
             self.confirmed_at = now
             while self.delayed_submissions:
                 self.receive_submission(self.delayed_submissions.pop())
@@ -349,6 +364,7 @@
         *,
         has_crashing_tasks: bool = False,
         expected_finish: bool = False,
+        has_unaware_owners: bool = False,
     ):
         self.rng = random.Random(random_state)
         # Separate, so that the draws of ``rng`` stay as they are for a seed.
@@ -356,6 +372,7 @@
         self.disabled_mechanism = disabled_mechanism
         self.has_crashing_tasks = has_crashing_tasks
         self.expected_finish = expected_finish
+        self.has_unaware_owners = has_unaware_owners
         self.now = 0.0
         self.checker = InvariantChecker()
         self.home_by_id: dict[str, str] = {}
@@ -421,6 +438,13 @@
     ) -> None:
         """Add a submission and its moves to its home or to a cell with moved tasks."""
         moves = self.moves_by_id.get(submission_id, {})
+        if self.disabled_mechanism == "epoch in a move":
+            moves = {
+                task: msgspec.structs.replace(
+                    move, target_epoch=min(move.target_epoch, cell.epoch)
+                )
+                for task, move in moves.items()
+            }
         is_home = self.home_by_id[submission_id] == sim_cell.cell_id
         has_moved_tasks = any(
             move.cell_id == sim_cell.cell_id for move in moves.values()
@@ -461,7 +485,14 @@
     def other_headrooms(self, owner: SimOwner) -> tuple[CellHeadroom, ...]:
         """Return the headroom of all cells but that of ``owner``."""
         return tuple(
-            CellHeadroom(sim_cell.cell_id, "svc", self._free_cpu(sim_cell), (), 0)
+            CellHeadroom(
+                sim_cell.cell_id,
+                "svc",
+                self._free_cpu(sim_cell),
+                (),
+                0,
+                epoch=sim_cell.epoch,
+            )
             for sim_cell in self.cell_by_id.values()
             if sim_cell is not owner.sim_cell
         )
@@ -535,7 +566,7 @@
 
     def dispatch(self, owner: SimOwner, item: WorkerOrder) -> None:
         """Send an order of a planning round."""
-        if isinstance(item.order, StartOrder) and not owner.is_partitioned:
+        if isinstance(item.order, StartOrder) and not owner.is_out_of_date:
             self.checker.on_start_order(item.order.task, self.now)
         self.send(owner, item.worker_id, item.order)
 
@@ -693,11 +724,20 @@
 
     def _fail_owner(self, sim_cell: SimCell) -> None:
         is_dead = self.rng.random() < 0.5
+        earlier = sim_cell.owner
         if is_dead:
-            sim_cell.owner.is_dead = True
+            earlier.is_dead = True
+        elif self.has_unaware_owners:
+            earlier.is_unaware = True
+            learns_at = self.now + self.fault_rng.uniform(0.0, MAX_UNAWARE_S)
+            self.schedule_event(
+                learns_at, lambda: setattr(earlier, "is_unaware", False)
+            )
         else:
-            sim_cell.owner.is_partitioned = True
+            earlier.is_partitioned = True
         self.take_over(sim_cell, is_dead=is_dead)
+        if self.has_unaware_owners:
+            sim_cell.owner.unreachable.add(self.fault_rng.choice(sim_cell.worker_ids))
 
     def unfinished_submissions(self) -> list[str]:
         """Return the submissions that have not ended according to their home cell."""
--- a/libs/scheduling/features/steps/history_steps.py
+++ b/libs/scheduling/features/steps/history_steps.py
@@ -16,6 +16,7 @@
     *,
     has_crashing_tasks=False,
     expected_finish=False,
+    has_unaware_owners=False,
 ):
     sim = Simulation(
         random_state,
@@ -23,6 +24,7 @@
         n_cells,
         has_crashing_tasks=has_crashing_tasks,
         expected_finish=expected_finish,
+        has_unaware_owners=has_unaware_owners,
     )
     sim.simulate(length_s)
     return sim
@@ -106,6 +108,17 @@
     assert sum(sim.checker.n_starts for sim in context.sims.values()) > 10 * n
 
 
+@when(
+    "{n:d} histories of {length:d} seconds with {n_cells:d} cells and owners that "
+    "learn late are simulated from seed {seed:d}"
+)
+def step_simulate_unaware(context, n, length, n_cells, seed):
+    context.sims = {
+        s: simulate(s, length, n_cells=n_cells, has_unaware_owners=True)
+        for s in range(seed, seed + n)
+    }
+
+
 @then("no task ran twice, before its dependencies, or beyond its attempts")
 def step_no_violation(context):
     violations = {
@@ -138,7 +151,9 @@
 def step_simulate_without(context, mechanism):
     context.violation = None
     for seed in range(1, SEED_LIMIT):
-        sim = simulate(seed, 40, mechanism, n_cells=2)
+        # Only an owner that learns late starts a task that moves here after a takeover.
+        is_late = mechanism == "epoch in a move"
+        sim = simulate(seed, 40, mechanism, n_cells=2, has_unaware_owners=is_late)
         if sim.checker.violations:
             context.violation = sim.checker.violations[0]
             return
--- a/libs/scheduling/features/steps/takeover_steps.py
+++ b/libs/scheduling/features/steps/takeover_steps.py
@@ -3,7 +3,7 @@
 
 from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
 from berylcleat.ports import EndedTask, RunEnd
-from berylcleat.scheduling import Progress
+from berylcleat.scheduling import Progress, TaskMove
 
 TASK = TaskKey(SUBMISSION_ID, 0, 0, 0)
 SILENT_WORKER = "w2"
@@ -83,6 +83,32 @@
     assert not scripted_cell.starts, scripted_cell.starts
 
 
+@when(
+    "a standing task is moved here under the epochs {epochs}, of which this owner has 2"
+)
+def step_moved_here(context, epochs):
+    """Move the task here under each epoch, and away in between."""
+    scripted_cell = context.scripted_cell
+    cell, now = scripted_cell.cell, scripted_cell.now
+    step = Step(1, TaskDemand(1000, 100), is_long_running=True)
+    submission = Submission(SUBMISSION_ID, QueuePolicy("q", "svc"), "s", (step,))
+    for number, epoch in enumerate(epochs.replace("unknown", "0").split(" and ")):
+        if number:
+            cell.update_moves(SUBMISSION_ID, {TASK: TaskMove("r2", 0)}, now)
+        moves = {TASK: TaskMove("r1", 0, target_epoch=int(epoch))}
+        cell.add_submission(
+            submission,
+            Progress(),
+            now,
+            now,
+            inherited=True,
+            is_home=False,
+            move_by_task=moves,
+        )
+        cell.update_moves(SUBMISSION_ID, moves, now)
+    scripted_cell.step()
+
+
 @when("its run is lost to a failure")
 def step_fail(context):
     scripted_cell = context.scripted_cell
--- a/libs/scheduling/features/takeover.feature
+++ b/libs/scheduling/features/takeover.feature
@@ -53,3 +53,19 @@
     Then the task isn't started
     When the 500 ends are acknowledged
     Then the task counts as done and isn't started here
+
+  # Guards against LOST: a task moved here after the takeover waited for runs that no
+  # earlier owner can have. Guards against TWICE: an earlier owner that has not learned of
+  # the takeover may start a task that moves here, unless the move names a later epoch.
+  Scenario Outline: A task is moved here under the epochs <epochs> of this cell
+    Given a cell of 3 workers taken over with runs unknown for 18 s, one of them silent
+    When a standing task is moved here under the epochs <epochs>, of which this owner has 2
+    Then <outcome>
+
+    Examples:
+      | epochs  | outcome                      |
+      | 2       | it is started after 1 s      |
+      | 1       | it isn't started before 18 s |
+      | unknown | it isn't started before 18 s |
+      | 2 and 1 | it isn't started before 18 s |
+      | 3       | it isn't started before 20 s |
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -56,6 +56,7 @@
         tracked.apply_move(
             task, move.run_floor, move.failed_runs, move.crashed_runs, move.checkpoint
         )
+        self._compare_epochs(task, move)
         was_assigned_here = tracked.runs_here(task)
         if not was_assigned_here:
             tracked.moved_at_by_task[task] = now
@@ -66,10 +67,29 @@
         if not was_assigned_here and task not in self.run_by_task:
             tracked.requeue(task)
 
+    def _compare_epochs(self, task: TaskKey, move: TaskMove) -> None:
+        """Note whether a move to this cell names this owner's epoch or a later one.
+
+        A later one proves a takeover that this owner may learn of from its own row only
+        after the new owner has started the task.
+        """
+        self._tasks_moved_to_owner.discard(task)
+        if move.target_epoch == self.epoch:
+            self._tasks_moved_to_owner.add(task)
+        elif move.target_epoch > self.epoch and not self.is_fenced_out:
+            logger.warning(
+                "cell %s: task %s was moved here under epoch %d, this owner is fenced",
+                self.cell_id,
+                task,
+                move.target_epoch,
+            )
+            self.is_fenced_out = True
+
     def _release_moved_task(
         self, tracked: TrackedSubmission, task: TaskKey, now: float
     ) -> None:
         tracked.moved_here.discard(task)
+        self._tasks_moved_to_owner.discard(task)
         if tracked.is_home:
             step = tracked.submission.steps[task.step]
             if step.is_long_running and task not in tracked.moved_away:
@@ -260,7 +280,7 @@
             now,
         )
         move_by_task = {
-            task: make_move(tracked, task, cell_id, self.epoch, counts=True)
+            task: self._make_move(tracked, task, cell_id, counts=True)
             for task, cell_id in zip(tasks, cell_ids, strict=False)
         }
         self._tasks_with_pending_move.update(move_by_task)
@@ -289,16 +309,30 @@
             cell_id = self._reserve_headroom(ready, reservations, service)
             if cell_id is None:
                 break
-            move_by_task[task] = make_move(
-                ready.tracked,
-                task,
-                cell_id,
-                self.epoch,
-                counts=self._counts_moves(ready),
+            move_by_task[task] = self._make_move(
+                ready.tracked, task, cell_id, counts=self._counts_moves(ready)
             )
         self._tasks_with_pending_move.update(move_by_task)
         return move_by_task
 
+    def _make_move(
+        self,
+        tracked: TrackedSubmission,
+        task: TaskKey,
+        cell_id: str,
+        *,
+        counts: bool = False,
+    ) -> TaskMove:
+        epochs = (h.epoch for h in self._other_headrooms if h.cell_id == cell_id)
+        return make_move(
+            tracked,
+            task,
+            cell_id,
+            self.epoch,
+            counts=counts,
+            target_epoch=next(epochs, 0),
+        )
+
     def _counts_moves(self, ready: ReadyStep) -> bool:
         """Return whether the moves of a step's tasks are limited in number."""
         if self.spill is None or self._is_evacuated():
@@ -337,9 +371,7 @@
             return {}
         tasks = self._startable_tasks(ready, now)
         self._tasks_with_pending_move.update(tasks)
-        return {
-            task: make_move(ready.tracked, task, cell_id, self.epoch) for task in tasks
-        }
+        return {task: self._make_move(ready.tracked, task, cell_id) for task in tasks}
 
     def waiting_cpu(self) -> int:
         """Return the processor time that waiting tasks would reserve.
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -91,6 +91,8 @@
         self._is_worker_record_in_doubt = False
         self._inherited_submissions: set[str] = set()
         self._tasks_with_known_run: set[TaskKey] = set()
+        # Tasks whose move to this cell names this owner's epoch.
+        self._tasks_moved_to_owner: set[TaskKey] = set()
         self._orders: list[WorkerOrder] = []
         self._tasks_with_pending_move: set[TaskKey] = set()
         self._wall_ms = 0.0
@@ -184,10 +186,14 @@
         """Return whether an earlier owner may have a run of a task that is unknown.
 
         A task that has run under this epoch has none: its earlier owner could start
-        another run only after this one had ended.
+        another run only after this one had ended. Nor has one whose move to this cell
+        names this epoch: its last owner knew of no run, and an earlier owner of this
+        cell that learns of the move learns of the takeover too.
         """
         if task.submission_id not in self._inherited_submissions:
             return False
+        if task in self._tasks_moved_to_owner:
+            return False
         return task not in self._tasks_with_known_run and not self.has_settled(now)
 
     def _observe_rates(self, now: float) -> None:
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -32,6 +32,8 @@
     crashed_runs: tuple[tuple[int, CrashEvidence], ...] = ()
     # Moves of the task so far, counted where ``expected_finish`` is set.
     n_moves: int = 0
+    # Epoch of the target cell's owner as the moving owner knew it; 0 if it didn't.
+    target_epoch: int = 0
 
 
 class FillerHeadroom(msgspec.Struct, frozen=True, array_like=True):
@@ -50,7 +52,8 @@
 
     ``fill_waiting`` is the processor demand of the fillers waiting in the cell,
     ``free_by_worker`` the part of ``free`` on each worker. ``age_s`` is the age of the
-    load that reports it, ``is_near`` whether the cell is in the same data centre.
+    load that reports it, ``is_near`` whether the cell is in the same data centre,
+    ``epoch`` that of the cell's owner, or 0 if it isn't known.
     """
 
     cell_id: str
@@ -62,6 +65,7 @@
     free_by_worker: tuple[int, ...] = ()
     age_s: float = 0.0
     is_near: bool = True
+    epoch: int = 0
 
     def free_for(self, cpu_millis: int) -> int:
         """Return the part of ``free`` that tasks of this size can use.
@@ -216,6 +220,7 @@
     epoch: int,
     *,
     counts: bool = False,
+    target_epoch: int = 0,
 ) -> TaskMove:
     """Return the move of ``task`` to ``cell_id`` with its runs and checkpoint.
 
@@ -230,4 +235,5 @@
         tracked.checkpoint_of(task),
         tuple(sorted(tracked.crashes(task).items())),
         tracked.n_moves_by_task.get(task, 0) + counts,
+        target_epoch,
     )
--- a/programs/beryl-host/features/steps/evacuation_steps.py
+++ b/programs/beryl-host/features/steps/evacuation_steps.py
@@ -73,6 +73,9 @@
     def owner_address(self, cell_id):
         return None
 
+    def epoch_of(self, cell_id):
+        return 5
+
     def load_age_s(self, cell_id, now):
         return 0.0
 
@@ -147,8 +150,10 @@
 @then('the mover of "{cell_id}" is offered the cells "{names}"')
 def step_offered(context, cell_id, names):
     mover = TaskMover(None, None, context.cells, None, NoCells(), context.operator)
-    offered = [headroom.cell_id for headroom in mover.headrooms(cell_id, "dc-1")]
+    headrooms = mover.headrooms(cell_id, "dc-1")
+    offered = [headroom.cell_id for headroom in headrooms]
     assert offered == names.split(), offered
+    assert all(headroom.epoch == 5 for headroom in headrooms), headrooms
 
 
 def submit(context):
--- a/programs/beryl-host/src/berylcleat/host/_cell_directory.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_directory.py
@@ -137,6 +137,11 @@
         """Return the load of each cell that any of its owners published last."""
         return {cell_id: load.summary for cell_id, load in self._load_by_cell.items()}
 
+    def epoch_of(self, cell_id: str) -> int:
+        """Return the latest epoch of a cell that was read from the store, or 0."""
+        owner = self.owner_by_cell.get(cell_id)
+        return 0 if owner is None else owner.row.epoch
+
     def owner_address(self, cell_id: str) -> str | None:
         """Return the peer address of a cell's owner."""
         owner = self.owner_by_cell.get(cell_id)
--- a/programs/beryl-host/src/berylcleat/host/_task_mover.py
+++ b/programs/beryl-host/src/berylcleat/host/_task_mover.py
@@ -57,6 +57,7 @@
                 headroom_from_summary(cell_id, item),
                 age_s=self._load_age_s(cell_id),
                 is_near=item.data_centre == own_data_centre,
+                epoch=self._cells.epoch_of(cell_id),
             )
             for cell_id, item in summaries.items()
             if item.data_centre not in self._operator.evacuated
