Spread stuck standing tasks over the cells that have room for them

Cause: stuck standing tasks of all cells went to the cell with the most headroom, on loads up to several seconds old that show no other move; each round of a cell took the same headroom again.

Ruled out: independent draws in proportion to the room; of 12 tasks 6 went to a cell with capacity for 5. Evacuated cells stay as they are: they move a few tasks at a time. So do gangs, which need one cell.

Change, only with expected_finish: the cells choose evenly spaced points of the room left, in proportion to it, and deduct what their own moves of the last 2 s take. Loads older than 3 s aren't used. Where 0.7 of no headroom holds the task, a headroom that holds it whole counts.

--- a/libs/scheduling/features/spill.feature
+++ b/libs/scheduling/features/spill.feature
@@ -50,3 +50,18 @@
     Given two full cells whose tasks wait and a third cell with capacity
     When the runs of a full cell are expected to end within 0.1 s
     Then none of its tasks are moved
+
+  # Guards against LOST: standing tasks of several cells, or of several rounds, that all go
+  # to the cell with the most room, on loads that don't show each other or are too old, and
+  # that don't go where one task fits.
+  Scenario Outline: <n_stuck> standing tasks are stuck in each of <n> cells, loads <age> s old
+    Given <n> cells in each of which <n_stuck> standing tasks of 4 cores are stuck
+    When each proposes moves twice to cells of "<cores>" cores on loads <age> s old
+    Then <n_moved> tasks are moved, to each cell some but no more than it has capacity for
+
+    Examples:
+      | n  | n_stuck | cores    | age | n_moved |
+      | 12 | 1       | 40 20 20 | 2.5 | 12      |
+      | 1  | 4       | 12       | 2.5 | 3       |
+      | 1  | 1       | 4        | 2.5 | 1       |
+      | 1  | 4       | 12       | 3.5 | 0       |
--- a/libs/scheduling/features/steps/spill_steps.py
+++ b/libs/scheduling/features/steps/spill_steps.py
@@ -1,4 +1,5 @@
 import random
+from collections import Counter
 from dataclasses import replace
 
 from behave import given, then, when
@@ -6,7 +7,7 @@
 from load_loop import Arrival, LoadLoop
 
 from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
-from berylcleat.scheduling import TaskMove
+from berylcleat.scheduling import CellHeadroom, TaskMove
 
 INTERACTIVE = QueuePolicy(
     "interactive", "svc", priority=1, max_attempts=3, stretch=1.5, objective_ms=500
@@ -177,3 +178,46 @@
     context.moves = propose(
         context, 0, (context.headroom,), began_at + ESTIMATE_S - 0.1
     )
+
+
+@given("{n:d} cells in each of which {n_stuck:d} standing tasks of 4 cores are stuck")
+def step_standing_stuck(context, n, n_stuck):
+    context.loop = loop = LoadLoop(1, (1,) * n, expected_finish=True)
+    loop.moves_tasks = False
+    for number in range(n):
+        # Those of the first submission run and fill the cell's worker.
+        for order, n_tasks in enumerate((2, n_stuck)):
+            step = Step(n_tasks, TaskDemand(4000, 100), is_long_running=True)
+            submission_id = f"{2 * number + order + 1:016x}"
+            submission = Submission(submission_id, INTERACTIVE, "s", (step,))
+            loop.accept(number, submission)
+    for _ in range(8):
+        loop.tick()
+
+
+@when('each proposes moves twice to cells of "{cores}" cores on loads {age_s:f} s old')
+def step_propose_standing(context, cores, age_s):
+    context.slots = {f"t{n}": int(c) // 4 for n, c in enumerate(cores.split())}
+    full = dict.fromkeys((cell.cell_id for cell in context.loop.cells), 0)
+    loads = [
+        CellHeadroom(c, "svc", 4000 * n, (), 0, free_by_worker=(4000 * n,), age_s=age_s)
+        for c, n in {**full, **context.slots}.items()
+    ]
+    now = context.loop.now
+    numbers = range(len(context.loop.cells))
+    context.moves = [
+        move
+        for at in (now, now + 0.3)
+        for number in numbers
+        for move in propose(
+            context, number, (*loads[:number], *loads[number + 1 :]), at
+        )
+    ]
+
+
+@then("{n:d} tasks are moved, to each cell some but no more than it has capacity for")
+def step_spread(context, n):
+    n_by_cell = Counter(move.cell_id for move in context.moves)
+    assert n_by_cell.total() == n, n_by_cell
+    assert not n or n_by_cell.keys() == context.slots.keys(), n_by_cell
+    assert all(n_by_cell[c] <= slots for c, slots in context.slots.items()), n_by_cell
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -67,24 +67,6 @@
         if not was_assigned_here and task not in self.run_by_task:
             tracked.requeue(task)
 
-    def _compare_epochs(self, task: TaskKey, move: TaskMove) -> None:
-        """Note whether a move to this cell names this owner's epoch or a later one.
-
-        A later one proves a takeover that this owner may learn of from its own row only
-        after the new owner has started the task.
-        """
-        self._tasks_moved_to_owner.discard(task)
-        if move.target_epoch == self.epoch:
-            self._tasks_moved_to_owner.add(task)
-        elif move.target_epoch > self.epoch and not self.is_fenced_out:
-            logger.warning(
-                "cell %s: task %s was moved here under epoch %d, this owner is fenced",
-                self.cell_id,
-                task,
-                move.target_epoch,
-            )
-            self.is_fenced_out = True
-
     def _release_moved_task(
         self, tracked: TrackedSubmission, task: TaskKey, now: float
     ) -> None:
@@ -110,10 +92,14 @@
         The tasks aren't started here until ``on_move_settled`` is called.
         """
         self._other_headrooms = headrooms
-        reservations = HeadroomReservations(headrooms, self.interference)
         proposals = []
+        taken_cpu_by_cell: dict[str, int] = {}
         if self.spill is not None:
             proposals = self._propose_spills(headrooms, now)
+            taken_cpu_by_cell = self.spill.taken_cpu_by_cell(now)
+        reservations = HeadroomReservations(
+            headrooms, self.interference, taken_cpu_by_cell
+        )
         if not self._is_stuck_round(now):
             return proposals
         for ready in self.submissions.ready_steps(now):
@@ -306,7 +292,7 @@
                 return {}
             if not self._may_move(ready, task, now):
                 continue
-            cell_id = self._reserve_headroom(ready, reservations, service)
+            cell_id = self._reserve_headroom(ready, reservations, service, now)
             if cell_id is None:
                 break
             move_by_task[task] = self._make_move(
@@ -350,8 +336,22 @@
         return may_move(ready.tracked, task, stuck_s, now)
 
     def _reserve_headroom(
-        self, ready: ReadyStep, reservations: HeadroomReservations, service: str
+        self,
+        ready: ReadyStep,
+        reservations: HeadroomReservations,
+        service: str,
+        now: float,
     ) -> str | None:
+        """Reserve headroom for a task of a stuck step; return its cell or None.
+
+        Standing tasks are spread, except in an evacuated cell, where only a few move at
+        a time.
+        """
+        is_standing = ready.step.is_long_running and not ready.step.fills
+        if self.spill is not None and is_standing and not self._is_evacuated():
+            return self.spill.reserve_standing(
+                ready.step, service, reservations, self._wall_ms, now
+            )
         cell_id = reservations.reserve(ready.step, service)
         if cell_id is None and ready.step.fills and self._is_evacuated():
             cell_id = reservations.reserve_beside_any(ready.step, service)
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -20,7 +20,7 @@
 from ._finish_estimate import FinishEstimator
 from ._interference import InterferenceModel
 from ._leases import LeaseTimes
-from ._moves import CellHeadroom
+from ._moves import CellHeadroom, TaskMove
 from ._orders import WorkerOrder
 from ._pacing import LoadEstimator, plan_paces
 from ._spill import SpillPlanner
@@ -196,6 +196,24 @@
             return False
         return task not in self._tasks_with_known_run and not self.has_settled(now)
 
+    def _compare_epochs(self, task: TaskKey, move: TaskMove) -> None:
+        """Note whether a move to this cell names this owner's epoch or a later one.
+
+        A later one proves a takeover that this owner may learn of from its own row only
+        after the new owner has started the task.
+        """
+        self._tasks_moved_to_owner.discard(task)
+        if move.target_epoch == self.epoch:
+            self._tasks_moved_to_owner.add(task)
+        elif move.target_epoch > self.epoch and not self.is_fenced_out:
+            logger.warning(
+                "cell %s: task %s was moved here under epoch %d, this owner is fenced",
+                self.cell_id,
+                task,
+                move.target_epoch,
+            )
+            self.is_fenced_out = True
+
     def _observe_rates(self, now: float) -> None:
         """Measure the processors that fillers and ordinary tasks get."""
         if self.estimator is None:
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -1,5 +1,6 @@
 """Moves of stuck tasks to cells with headroom."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 import msgspec
@@ -127,11 +128,20 @@
 
 
 class HeadroomReservations:
-    """Reservations of other cells' headroom for the tasks moved in one round."""
+    """Reservations of other cells' headroom for the tasks moved in one round.
+
+    ``taken_before`` is what earlier moves take, in thousandths of a core by cell, that
+    the loads may not show yet; only ``rooms`` deducts it.
+    """
 
     def __init__(
-        self, headrooms: tuple[CellHeadroom, ...], interference: InterferenceModel
+        self,
+        headrooms: tuple[CellHeadroom, ...],
+        interference: InterferenceModel,
+        taken_before: Mapping[str, int] | None = None,
     ):
+        self.cell_ids = frozenset(headroom.cell_id for headroom in headrooms)
+        self._taken_before = taken_before or {}
         self._headroom_by_id = {headroom.cell_id: headroom for headroom in headrooms}
         self._interference = interference
         self._reserved = dict.fromkeys(self._headroom_by_id, 0)
@@ -154,6 +164,32 @@
         self._add_reserved(step, chosen, 1)
         return chosen
 
+    def rooms(
+        self, step: Step, service: str, share: float, max_age_s: float
+    ) -> dict[str, int]:
+        """Return the processor time left, by cell, where a task of ``step`` fits.
+
+        It is the part of the headroom that ``share`` allows to use, in thousandths of a
+        core. Cells whose load is older than ``max_age_s`` are left out.
+        """
+        left_by_id = {
+            cell_id: int(
+                headroom.free_for(step.allocation.cpu_millis) * share
+                - self._reserved[cell_id]
+                - self._taken_before.get(cell_id, 0)
+            )
+            for cell_id, headroom in self._headroom_by_id.items()
+            if headroom.service == service
+            and headroom.age_s <= max_age_s
+            and self._n_moved[cell_id] < MAX_MOVES_PER_CELL
+        }
+        cpu_millis = step.demand.cpu_millis
+        return {c: left for c, left in left_by_id.items() if left >= cpu_millis}
+
+    def add_task(self, step: Step, cell_id: str) -> None:
+        """Reserve headroom of a cell for a task of ``step``."""
+        self._add_reserved(step, cell_id, 1)
+
     def reserve_beside_any(self, step: Step, service: str) -> str | None:
         """Reserve processor time for a filler beside images that it may disturb.
 
--- a/libs/scheduling/src/berylcleat/scheduling/_spill.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_spill.py
@@ -1,7 +1,8 @@
-"""Moves at once of tasks that can't start in their cell.
+"""Moves at once of tasks that can't start in their cell, and of stuck standing tasks.
 
 Several cells see the same headroom of a cell before its next load tells them of each
 other. So each takes only its part of it: all parts together are no more than there is.
+Standing tasks, which are few and large, are spread in proportion to the room instead.
 """
 
 import zlib
@@ -11,7 +12,7 @@
 from berylcleat.model import Step, TaskKey
 
 from ._interference import InterferenceModel
-from ._moves import USABLE_HEADROOM_SHARE, CellHeadroom
+from ._moves import USABLE_HEADROOM_SHARE, CellHeadroom, HeadroomReservations
 from ._submissions import ReadyStep, TrackedSubmission
 
 # Seconds from the decision to move a task to its start in the other cell.
@@ -32,6 +33,8 @@
 SHARE_PERIOD_MS = 2000
 MIN_PART_MILLIS = 4000
 WHOLE_PERIOD = 4
+# Multiples of it, modulo 1, are spaced evenly however many there are.
+GOLDEN_RATIO = 0.6180339887
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +57,7 @@
         # Places among the cells that share a target, drawn anew each turn.
         self._turn = -1
         self._place_by_target: dict[str, int] = {}
+        self._n_standing = 0
 
     def choose_tasks(
         self, ready: ReadyStep, tasks: list[TaskKey], n_staying: int, now: float
@@ -86,7 +90,7 @@
         """Take headroom for up to ``n_tasks``; return the cell of each that fits."""
         if not n_tasks:
             return []
-        self._taken = [t for t in self._taken if now - t.taken_at < LOAD_DELAY_S]
+        self._forget_taken(now)
         suitable = {h.cell_id: h for h in headrooms if h.service == service}
         turn = int(wall_ms // SHARE_PERIOD_MS)
         slots: list[tuple[bool, bool, int, str]] = []
@@ -107,6 +111,51 @@
                 self._taken.append(_Taken(now, cell_id, step.fills, cpu_millis))
         return chosen
 
+    def _forget_taken(self, now: float) -> None:
+        self._taken = [t for t in self._taken if now - t.taken_at < LOAD_DELAY_S]
+
+    def taken_cpu_by_cell(self, now: float) -> dict[str, int]:
+        """Return what ordinary tasks take of cells whose loads may not show it yet."""
+        self._forget_taken(now)
+        taken: dict[str, int] = {}
+        for item in self._taken:
+            if not item.fills:
+                taken[item.cell_id] = taken.get(item.cell_id, 0) + item.cpu_millis
+        return taken
+
+    def reserve_standing(
+        self,
+        step: Step,
+        service: str,
+        reservations: HeadroomReservations,
+        wall_ms: float,
+        now: float,
+    ) -> str | None:
+        """Take headroom for a stuck standing task; return its cell, or None.
+
+        Cells are chosen in proportion to the room left: the cells whose tasks are stuck
+        choose evenly spaced points of all the room, and so do the tasks of each. Where
+        the usual share of no headroom holds the task, the whole headroom counts.
+        """
+        for share in (USABLE_HEADROOM_SHARE, 1.0):
+            rooms = reservations.rooms(step, service, share, MAX_LOAD_AGE_S)
+            if rooms:
+                break
+        else:
+            return None
+        names = {self._cell_id, *reservations.cell_ids}
+        place = self._draw_place("", names, int(wall_ms // SHARE_PERIOD_MS))
+        self._n_standing += 1
+        point = (place / len(names) + self._n_standing * GOLDEN_RATIO) % 1.0
+        point *= sum(rooms.values())
+        for cell_id in sorted(rooms):
+            point -= rooms[cell_id]
+            if point < 0:
+                break
+        reservations.add_task(step, cell_id)
+        self._taken.append(_Taken(now, cell_id, step.fills, step.demand.cpu_millis))
+        return cell_id
+
     def _count_sharing(
         self,
         fills: bool,
@@ -130,7 +179,10 @@
         return n_sharing if place < n_sharing else 0
 
     def _draw_place(self, target: str, names: set[str], turn: int) -> int:
-        """Return this cell's place among those that may share a target's headroom."""
+        """Return this cell's place among those that may share a target's headroom.
+
+        An empty target stands for the headroom of all cells.
+        """
         if turn != self._turn:
             self._turn = turn
             self._place_by_target.clear()
