--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -56,6 +56,7 @@
         tracked.apply_move(
             task, move.run_floor, move.failed_runs, move.crashed_runs, move.checkpoint
         )
+        self._compare_epochs(task, move)
         was_assigned_here = tracked.runs_here(task)
         if not was_assigned_here:
             tracked.moved_at_by_task[task] = now
@@ -70,6 +71,7 @@
         self, tracked: TrackedSubmission, task: TaskKey, now: float
     ) -> None:
         tracked.moved_here.discard(task)
+        self._tasks_moved_to_owner.discard(task)
         if tracked.is_home:
             step = tracked.submission.steps[task.step]
             if step.is_long_running and task not in tracked.moved_away:
@@ -90,10 +92,14 @@
         The tasks aren't started here until ``on_move_settled`` is called.
         """
         self._other_headrooms = headrooms
-        reservations = HeadroomReservations(headrooms, self.interference)
         proposals = []
+        taken_cpu_by_cell: dict[str, int] = {}
         if self.spill is not None:
             proposals = self._propose_spills(headrooms, now)
+            taken_cpu_by_cell = self.spill.taken_cpu_by_cell(now)
+        reservations = HeadroomReservations(
+            headrooms, self.interference, taken_cpu_by_cell
+        )
         if not self._is_stuck_round(now):
             return proposals
         for ready in self.submissions.ready_steps(now):
@@ -260,7 +266,7 @@
             now,
         )
         move_by_task = {
-            task: make_move(tracked, task, cell_id, self.epoch, counts=True)
+            task: self._make_move(tracked, task, cell_id, counts=True)
             for task, cell_id in zip(tasks, cell_ids, strict=False)
         }
         self._tasks_with_pending_move.update(move_by_task)
@@ -286,19 +292,33 @@
                 return {}
             if not self._may_move(ready, task, now):
                 continue
-            cell_id = self._reserve_headroom(ready, reservations, service)
+            cell_id = self._reserve_headroom(ready, reservations, service, now)
             if cell_id is None:
                 break
-            move_by_task[task] = make_move(
-                ready.tracked,
-                task,
-                cell_id,
-                self.epoch,
-                counts=self._counts_moves(ready),
+            move_by_task[task] = self._make_move(
+                ready.tracked, task, cell_id, counts=self._counts_moves(ready)
             )
         self._tasks_with_pending_move.update(move_by_task)
         return move_by_task
 
+    def _make_move(
+        self,
+        tracked: TrackedSubmission,
+        task: TaskKey,
+        cell_id: str,
+        *,
+        counts: bool = False,
+    ) -> TaskMove:
+        epochs = (h.epoch for h in self._other_headrooms if h.cell_id == cell_id)
+        return make_move(
+            tracked,
+            task,
+            cell_id,
+            self.epoch,
+            counts=counts,
+            target_epoch=next(epochs, 0),
+        )
+
     def _counts_moves(self, ready: ReadyStep) -> bool:
         """Return whether the moves of a step's tasks are limited in number."""
         if self.spill is None or self._is_evacuated():
@@ -316,8 +336,22 @@
         return may_move(ready.tracked, task, stuck_s, now)
 
     def _reserve_headroom(
-        self, ready: ReadyStep, reservations: HeadroomReservations, service: str
+        self,
+        ready: ReadyStep,
+        reservations: HeadroomReservations,
+        service: str,
+        now: float,
     ) -> str | None:
+        """Reserve headroom for a task of a stuck step; return its cell or None.
+
+        Standing tasks are spread, except in an evacuated cell, where only a few move at
+        a time.
+        """
+        is_standing = ready.step.is_long_running and not ready.step.fills
+        if self.spill is not None and is_standing and not self._is_evacuated():
+            return self.spill.reserve_standing(
+                ready.step, service, reservations, self._wall_ms, now
+            )
         cell_id = reservations.reserve(ready.step, service)
         if cell_id is None and ready.step.fills and self._is_evacuated():
             cell_id = reservations.reserve_beside_any(ready.step, service)
@@ -337,9 +371,7 @@
             return {}
         tasks = self._startable_tasks(ready, now)
         self._tasks_with_pending_move.update(tasks)
-        return {
-            task: make_move(ready.tracked, task, cell_id, self.epoch) for task in tasks
-        }
+        return {task: self._make_move(ready.tracked, task, cell_id) for task in tasks}
 
     def waiting_cpu(self) -> int:
         """Return the processor time that waiting tasks would reserve.
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -1,5 +1,6 @@
 """Moves of stuck tasks to cells with headroom."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 import msgspec
@@ -32,6 +33,8 @@
     crashed_runs: tuple[tuple[int, CrashEvidence], ...] = ()
     # Moves of the task so far, counted where ``expected_finish`` is set.
     n_moves: int = 0
+    # Epoch of the target cell's owner as the moving owner knew it; 0 if it didn't.
+    target_epoch: int = 0
 
 
 class FillerHeadroom(msgspec.Struct, frozen=True, array_like=True):
@@ -50,7 +53,8 @@
 
     ``fill_waiting`` is the processor demand of the fillers waiting in the cell,
     ``free_by_worker`` the part of ``free`` on each worker. ``age_s`` is the age of the
-    load that reports it, ``is_near`` whether the cell is in the same data centre.
+    load that reports it, ``is_near`` whether the cell is in the same data centre,
+    ``epoch`` that of the cell's owner, or 0 if it isn't known.
     """
 
     cell_id: str
@@ -62,6 +66,7 @@
     free_by_worker: tuple[int, ...] = ()
     age_s: float = 0.0
     is_near: bool = True
+    epoch: int = 0
 
     def free_for(self, cpu_millis: int) -> int:
         """Return the part of ``free`` that tasks of this size can use.
@@ -123,11 +128,20 @@
 
 
 class HeadroomReservations:
-    """Reservations of other cells' headroom for the tasks moved in one round."""
+    """Reservations of other cells' headroom for the tasks moved in one round.
+
+    ``taken_before`` is what earlier moves take, in thousandths of a core by cell, that
+    the loads may not show yet; only ``rooms`` deducts it.
+    """
 
     def __init__(
-        self, headrooms: tuple[CellHeadroom, ...], interference: InterferenceModel
+        self,
+        headrooms: tuple[CellHeadroom, ...],
+        interference: InterferenceModel,
+        taken_before: Mapping[str, int] | None = None,
     ):
+        self.cell_ids = frozenset(headroom.cell_id for headroom in headrooms)
+        self._taken_before = taken_before or {}
         self._headroom_by_id = {headroom.cell_id: headroom for headroom in headrooms}
         self._interference = interference
         self._reserved = dict.fromkeys(self._headroom_by_id, 0)
@@ -150,6 +164,32 @@
         self._add_reserved(step, chosen, 1)
         return chosen
 
+    def rooms(
+        self, step: Step, service: str, share: float, max_age_s: float
+    ) -> dict[str, int]:
+        """Return the processor time left, by cell, where a task of ``step`` fits.
+
+        It is the part of the headroom that ``share`` allows to use, in thousandths of a
+        core. Cells whose load is older than ``max_age_s`` are left out.
+        """
+        left_by_id = {
+            cell_id: int(
+                headroom.free_for(step.allocation.cpu_millis) * share
+                - self._reserved[cell_id]
+                - self._taken_before.get(cell_id, 0)
+            )
+            for cell_id, headroom in self._headroom_by_id.items()
+            if headroom.service == service
+            and headroom.age_s <= max_age_s
+            and self._n_moved[cell_id] < MAX_MOVES_PER_CELL
+        }
+        cpu_millis = step.demand.cpu_millis
+        return {c: left for c, left in left_by_id.items() if left >= cpu_millis}
+
+    def add_task(self, step: Step, cell_id: str) -> None:
+        """Reserve headroom of a cell for a task of ``step``."""
+        self._add_reserved(step, cell_id, 1)
+
     def reserve_beside_any(self, step: Step, service: str) -> str | None:
         """Reserve processor time for a filler beside images that it may disturb.
 
@@ -216,6 +256,7 @@
     epoch: int,
     *,
     counts: bool = False,
+    target_epoch: int = 0,
 ) -> TaskMove:
     """Return the move of ``task`` to ``cell_id`` with its runs and checkpoint.
 
@@ -230,4 +271,5 @@
         tracked.checkpoint_of(task),
         tuple(sorted(tracked.crashes(task).items())),
         tracked.n_moves_by_task.get(task, 0) + counts,
+        target_epoch,
     )
