Plan maintenance waves, and take cordoned workers out of use

Cause: machines of a wave must be emptied and taken down one after the other by the owners of their cells.

Ruled out: freeing a slot because another worker is listed, without evidence that the maintenance has begun: a worker that crashed would count as maintained. Counting the end of a cordoned worker as a crash of its tasks: they would be given up.

Change: the planner, in three modules (list, record, plan); the cell starts nothing on cordoned workers and moves their long-running tasks within max_unavailable.

The planner has no feature yet.

--- a/libs/scheduling/src/berylcleat/scheduling/__init__.py
+++ b/libs/scheduling/src/berylcleat/scheduling/__init__.py
@@ -25,15 +25,19 @@
     ServingReading,
 )
 from ._leases import CLOCK_DRIFT, LeaseTimes, WorkerClock
-from ._maintenance import (
-    MACHINE_GONE_S,
-    MACHINE_LEASE_S,
+from ._machine_list import MACHINE_GONE_S, Machine, MachineList, MachineState
+from ._maintenance import MACHINE_LEASE_S, plan_maintenance
+from ._moves import CellHeadroom, FillerHeadroom, MovedTaskEnd, MoveProposal, TaskMove
+from ._orders import ProgressWrite, RecordBatch, WorkerOrder
+from ._pacing import LoadEstimator, PacePlan, plan_paces
+from ._placement import choose_worker
+from ._progress import CrashEvidence, Progress, decode_progress, encode_progress
+from ._submissions import SubmissionRegistry, TrackedSubmission
+from ._uneven_workers import UnevenWorkers
+from ._wave_record import (
     FreeSlot,
-    Machine,
-    MachineList,
     MachinePhase,
     MachineRecord,
-    MachineState,
     MaintenanceAction,
     MaintenanceCell,
     MaintenanceWave,
@@ -47,15 +51,7 @@
     cordoned_workers,
     decode_wave_record,
     encode_wave_record,
-    plan_maintenance,
 )
-from ._moves import CellHeadroom, FillerHeadroom, MovedTaskEnd, MoveProposal, TaskMove
-from ._orders import ProgressWrite, RecordBatch, WorkerOrder
-from ._pacing import LoadEstimator, PacePlan, plan_paces
-from ._placement import choose_worker
-from ._progress import CrashEvidence, Progress, decode_progress, encode_progress
-from ._submissions import SubmissionRegistry, TrackedSubmission
-from ._uneven_workers import UnevenWorkers
 from ._worker_health import RunOutcome, WorkerHealth
 from ._worker_speed import WorkerSpeeds
 from ._workers import Run, RunPhase, WorkerCondition, WorkerView
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -6,7 +6,7 @@
 import logging
 from collections.abc import Mapping
 
-from berylcleat.model import Submission, SubmissionState, TaskKey
+from berylcleat.model import Submission, SubmissionState, TaskDemand, TaskKey
 from berylcleat.ports import (
     OrderAnswer,
     OrderResult,
@@ -24,6 +24,7 @@
 from ._placement import explain_rejection
 from ._progress import Progress, decode_progress, encode_progress
 from ._submissions import ReadyStep
+from ._wave_record import WorkerOccupancy
 from ._workers import RunPhase, WorkerView
 
 # Seconds after a takeover in which the earlier owner may still receive submissions.
@@ -96,13 +97,51 @@
         """Add a listed worker or update the entry of a known one."""
         view = self.worker_by_id.get(entry.worker_id)
         if view is None:
-            self.worker_by_id[entry.worker_id] = WorkerView(entry)
+            is_cordoned = entry.worker_id in (self._cordoned or ())
+            view = WorkerView(entry, is_cordoned=is_cordoned)
+            self.worker_by_id[entry.worker_id] = view
             return
         if entry.started_at_ms > view.incarnation_ms and view.incarnation_ms:
             self._end_incarnation(view, "listed with a later start", now)
         view.entry = entry
         view.is_listed = True
 
+    def set_cordoned(self, worker_ids: frozenset[str]) -> None:
+        """Take exactly these workers out of use, those of machines in maintenance.
+
+        No task starts on them, and long-running tasks are moved away. Call it, if with
+        no workers, from when a wave is known: whether a task is available must have
+        been observed for some seconds before it can be moved.
+        """
+        self._cordoned = worker_ids
+        for worker_id, view in self.worker_by_id.items():
+            view.is_cordoned = worker_id in worker_ids
+
+    def occupancy(self, worker_id: str) -> WorkerOccupancy:
+        """Return whether a worker is empty and whether its machine may be taken down.
+
+        While runs of an earlier owner may be unknown, it isn't and may not. It is as of
+        the last planning round.
+        """
+        view = self.worker_by_id.get(worker_id)
+        if view is None:
+            return WorkerOccupancy(is_empty=False, forbids_maintenance=True)
+        settled_at = self._settled_at_by_worker.get(worker_id, self._settled_at)
+        is_known = not view.unknown_run_by_task and (
+            self.is_settled(worker_id) or self._planned_at >= settled_at
+        )
+        n_runs = len(view.run_by_task) + len(view.unknown_run_by_task)
+        return WorkerOccupancy(
+            is_empty=is_known and not n_runs and view.used_by_unwanted == TaskDemand(),
+            forbids_maintenance=not is_known
+            or any(
+                run.step.is_long_running and run.step.max_unavailable is not None
+                for run in view.run_by_task.values()
+            ),
+            is_cordoned=view.is_cordoned,
+            n_runs=n_runs,
+        )
+
     def must_record_workers(self) -> bool:
         """Return whether the workers that are certainly recorded aren't the cell's."""
         return (
@@ -162,7 +201,7 @@
         view = self.worker_by_id.get(worker_id)
         if view is None:
             return
-        if worker_id in self._unsettled_workers and not view.entry.is_draining:
+        if worker_id in self._unsettled_workers and not view.is_leaving:
             self.crashes.has_lost_worker = True
         self._unsettled_workers.discard(worker_id)
         self._end_incarnation(view, "another incarnation answered", now)
@@ -252,6 +291,7 @@
         self._limit_interference(now)
         self._refresh_conditions(now)
         self._relocate_from_draining(now)
+        self._relocate_within_cell(now)
         self._wall_ms = wall_ms
         self.submissions.activate_scheduled(wall_ms)
         self._observe_rates(now)
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -1,16 +1,14 @@
 """Moves of a cell's tasks to other cells, and their ends."""
 
 import logging
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 from berylcleat.model import TaskKey
 from berylcleat.ports import (
     EndedTask,
 )
 
-from ._cell_reports import CellReports
-from ._cell_starts import MAX_RELOCATING
-from ._evacuation import UNAVAILABLE_MEMORY_S, choose_relocations, is_relocatable
+from ._cell_relocations import CellRelocations
 from ._moves import (
     CellHeadroom,
     FillerHeadroom,
@@ -23,17 +21,13 @@
 )
 from ._spill import LAST_RESORT_STUCK_S, MOVE_S, may_move
 from ._submissions import ReadyStep, TrackedSubmission
-from ._workers import Run, RunPhase
 
 # Seconds between two rounds in which stuck steps move, where others move at once.
 STUCK_PERIOD_S = 0.25
-# Age in seconds of the headroom that other cells report: until then it may lack a task
-# that has moved there.
-HEADROOM_AGE_S = 2.0
 logger = logging.getLogger(__name__)
 
 
-class CellMoves(CellReports):
+class CellMoves(CellRelocations):
     """Tasks that move between cells; each is assigned to one cell at a time."""
 
     def update_moves(
@@ -106,6 +100,8 @@
                     proposals.append(proposal)
         if self.evacuation is not None and self.evacuation.may_relocate(now):
             self._relocate_from_evacuated(reservations, now)
+        elif self._cordoned:
+            self._relocate_to_other_cells(reservations, now)
         return proposals
 
     def _is_stuck_round(self, now: float) -> bool:
@@ -123,83 +119,6 @@
         """Return whether a step should move: in an evacuated cell, each should."""
         return self._is_evacuated() or is_stuck(ready, now)
 
-    def _relocate_from_evacuated(
-        self, reservations: HeadroomReservations, now: float
-    ) -> None:
-        """Stop long-running tasks that another cell can hold.
-
-        They move once they have ended. Only the home cell knows the step's other tasks.
-        """
-        for task in self._tasks_in_relocation():
-            run = self.run_by_task.get(task)
-            if run is not None:
-                self._reserve_for_run(run, reservations)
-        n_moving = self._availability.n_moved_since(now - HEADROOM_AGE_S)
-        n_allowed = MAX_RELOCATING - len(self._tasks_in_relocation()) - n_moving
-        runs = [run for run in self.run_by_task.values() if self._is_home_of(run)]
-        for run in choose_relocations(
-            runs,
-            self._unavailable_tasks(filter(is_relocatable, runs), now),
-            n_allowed,
-            lambda run: self._reserve_for_run(run, reservations),
-        ):
-            logger.info(
-                "run stopped for the evacuation: task %s run %d on %s",
-                run.task,
-                run.number,
-                run.worker_id,
-            )
-            self._relocating_tasks.add(run.task)
-            self._stop(run, now)
-
-    def _is_home_of(self, run: Run) -> bool:
-        tracked = self.submissions.by_id.get(run.task.submission_id)
-        return tracked is not None and tracked.is_home and not tracked.is_over
-
-    def _reserve_for_run(self, run: Run, reservations: HeadroomReservations) -> bool:
-        tracked = self.submissions.by_id[run.task.submission_id]
-        service = tracked.submission.queue.service
-        return reservations.reserve(run.step, service) is not None
-
-    def _tasks_in_relocation(self) -> set[TaskKey]:
-        """Return the long-running tasks that stop, or wait here after such a stop."""
-        stopping = {
-            run.task
-            for run in self.run_by_task.values()
-            if run.step.is_long_running and run.phase is RunPhase.STOPPING
-        }
-        self._relocating_tasks = {
-            task
-            for task in self._relocating_tasks
-            if task in stopping or self._is_waiting(task)
-        }
-        return stopping | self._relocating_tasks
-
-    def _is_waiting(self, task: TaskKey) -> bool:
-        tracked = self.submissions.live_by_id.get(task.submission_id)
-        if tracked is None:
-            return False
-        ready = tracked.ready_by_step.get((task.occurrence, task.step))
-        return ready is not None and task.index in ready.waiting
-
-    def _unavailable_tasks(self, runs: Iterable[Run], now: float) -> set[TaskKey]:
-        """Return the tasks of the runs' steps that were unavailable recently."""
-        unavailable: set[TaskKey] = set()
-        for task in {run.task._replace(index=0): run.task for run in runs}.values():
-            tracked = self.submissions.by_id[task.submission_id]
-            for member in tracked.step_tasks(task):
-                if self._counts_as_unavailable(tracked, member, now):
-                    unavailable.add(member)
-        return unavailable
-
-    def _counts_as_unavailable(
-        self, tracked: TrackedSubmission, task: TaskKey, now: float
-    ) -> bool:
-        if not tracked.runs_here(task):
-            since = now - UNAVAILABLE_MEMORY_S
-            return self._availability.has_moved_since(task, since)
-        return self._availability.is_unavailable(task, self.run_by_task.get(task), now)
-
     def _moves_at_once(self, ready: ReadyStep, now: float) -> bool:
         """Return whether the tasks of a step move as soon as none here can start.
 
@@ -366,6 +285,8 @@
         """Return the processor time left on the workers, by set of serving images."""
         left_by_images: dict[tuple[str, ...], int] = {}
         for view in self.worker_by_id.values():
+            if view.is_cordoned:
+                continue
             images = tuple(sorted(view.serving_images()))
             left = left_by_images.get(images, 0)
             own_left = int(max(0, view.cpu_left()) * view.effective_share())
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -80,6 +80,8 @@
         self.evacuation: CellEvacuation | None = None
         self._availability = AvailabilityTracker()
         self._relocating_tasks: set[TaskKey] = set()
+        # None where machines are never taken out of use for maintenance.
+        self._cordoned: frozenset[str] | None = None
         self._planned_at = began_at
         self._stuck_moved_at = float("-inf")
         self._began_at = began_at
@@ -120,15 +122,17 @@
 
     def _observe_time(self, now: float) -> None:
         """Take note of a pause of the owner, and of the tasks that are available."""
-        if self.evacuation is None or not self.evacuation.is_enabled:
+        has_evacuations = self.evacuation is not None and self.evacuation.is_enabled
+        if not has_evacuations and self._cordoned is None:
             return
         if self._is_paused(now):
-            logger.info(
-                "cell %s: no planning for %.1f s, evacuation requests must be read",
-                self.cell_id,
-                now - self._planned_at,
-            )
-            self.evacuation.resume(now)
+            if has_evacuations:
+                logger.info(
+                    "cell %s: no planning for %.1f s, evacuation requests must be read",
+                    self.cell_id,
+                    now - self._planned_at,
+                )
+                self.evacuation.resume(now)
             self._availability.forget_runs()
         self._planned_at = now
         self._availability.observe(self.worker_by_id.values(), now)
@@ -304,9 +308,9 @@
         view.expired_runs.clear()
 
     def _count_crash(self, view: WorkerView, now: float) -> None:
-        """Count the crash of a worker; one that drains isn't taken for crashed."""
+        """Count the crash of a worker; one that is leaving isn't taken for crashed."""
         runs = [*view.run_by_task.values(), *view.expired_runs]
-        if view.entry.is_draining:
+        if view.is_leaving:
             self.crashes.on_survival(runs)
         else:
             self.crashes.on_crash(view, runs)
@@ -331,7 +335,7 @@
                     view.clock.lease_until_ms,
                 )
                 runs = list(view.run_by_task.values())
-                if view.entry.is_draining:
+                if view.is_leaving:
                     self.crashes.on_survival(runs)
                 else:
                     self.crashes.on_silence(view, runs)
--- /dev/null
+++ b/libs/scheduling/src/berylcleat/scheduling/_machine_list.py
@@ -0,0 +1,110 @@
+"""List of the machine service: which machines are up, in maintenance or gone."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+from typing import TypeVar
+
+# Seconds for which a machine isn't listed until it counts as gone.
+MACHINE_GONE_S = 10.0
+# Seconds for which a host remembers that a maintenance has begun.
+EVIDENCE_MEMORY_S = 600.0
+Key = TypeVar("Key")
+
+
+class MachineState(Enum):
+    """State of a machine as the machine service lists it."""
+
+    UP = "up"
+    MOVING = "moving"
+    UPKEEP = "upkeep"
+    DOWN = "down"
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """Machine as the machine service lists it; ``worker_id`` is empty without one."""
+
+    machine_id: str
+    state: MachineState
+    worker_id: str = ""
+
+
+class MachineList:
+    """Machines as the complete reads of the machine service's list show them.
+
+    Times are seconds on the host's monotonic clock. One list serves all waves and cells
+    of a host; it is empty before the first read.
+    """
+
+    def __init__(self):
+        self.by_id: dict[str, Machine] = {}
+        self.read_sent_at = float("-inf")
+        self._first_read_at = float("-inf")
+        self._missing_since_by_id: dict[str, float] = {}
+        self._upkeep_at_by_worker: dict[str, float] = {}
+        self._confirmed_at_by_call: dict[tuple[int, str, str], float] = {}
+
+    def observe(self, machines: Iterable[Machine], sent_at: float) -> None:
+        """Apply a complete read of all pages, sent at ``sent_at``.
+
+        A read sent before the newest one is ignored.
+        """
+        if sent_at < self.read_sent_at:
+            return
+        if sent_at - self.read_sent_at > MACHINE_GONE_S:
+            self._first_read_at = sent_at
+            self._missing_since_by_id.clear()
+        self.read_sent_at = sent_at
+        known, self.by_id = self.by_id, {m.machine_id: m for m in machines}
+        for machine_id in known.keys() - self.by_id.keys():
+            self._missing_since_by_id[machine_id] = sent_at
+        for machine_id, machine in self.by_id.items():
+            self._missing_since_by_id.pop(machine_id, None)
+            previous = known.get(machine_id)
+            if machine.state is MachineState.UPKEEP and previous is not None:
+                self._observe_upkeep(previous)
+        self._upkeep_at_by_worker = _drop_old(self._upkeep_at_by_worker, sent_at)
+        self._confirmed_at_by_call = _drop_old(self._confirmed_at_by_call, sent_at)
+
+    def on_maintenance_begun(
+        self, wave_id: int, machine_id: str, worker_id: str, now: float
+    ) -> None:
+        """Take note that the service confirmed (200) the maintenance of a machine.
+
+        ``worker_id`` is the worker in the machine's record.
+        """
+        self._confirmed_at_by_call.setdefault((wave_id, machine_id, worker_id), now)
+
+    def begun_at(self, wave_id: int, machine_id: str, worker_id: str) -> float | None:
+        """Return when the maintenance was first known to have begun, None if it isn't.
+
+        It is known by the service's answer, or because a read shows the machine of
+        ``worker_id`` in maintenance.
+        """
+        confirmed_at = self._confirmed_at_by_call.get((wave_id, machine_id, worker_id))
+        if confirmed_at is not None:
+            return confirmed_at
+        return self._upkeep_at_by_worker.get(worker_id)
+
+    def missing_s(self, machine_id: str, now: float) -> float:
+        """Return for how long the reads have lacked a machine, 0 if nothing is known.
+
+        Only the time between two reads counts: an outage of the service says nothing.
+        """
+        if machine_id in self.by_id or now - self.read_sent_at > MACHINE_GONE_S:
+            return 0.0
+        since = self._missing_since_by_id.get(machine_id, self._first_read_at)
+        return self.read_sent_at - since
+
+    def _observe_upkeep(self, previous: Machine) -> None:
+        """Take note that the last worker that was up has ended for maintenance.
+
+        The id listed during the maintenance may be that of the next worker.
+        """
+        if previous.state is MachineState.UP and previous.worker_id:
+            self._upkeep_at_by_worker[previous.worker_id] = self.read_sent_at
+
+
+def _drop_old(time_by_key: dict[Key, float], now: float) -> dict[Key, float]:
+    return {key: at for key, at in time_by_key.items() if now - at < EVIDENCE_MEMORY_S}
--- a/libs/scheduling/src/berylcleat/scheduling/_maintenance.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_maintenance.py
@@ -1,194 +1,36 @@
-"""Maintenance waves: which machines are emptied, taken down and returned to use."""
-
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
-from enum import Enum
-
-import msgspec
+"""Plan of a maintenance wave: which machines are emptied and taken down, and when."""
+
+from ._machine_list import MACHINE_GONE_S, Machine, MachineList, MachineState
+from ._wave_record import (
+    FreeSlot,
+    MachinePhase,
+    MachineRecord,
+    MaintenanceAction,
+    MaintenanceCell,
+    MaintenanceWave,
+    ReportState,
+    RequestMaintenance,
+    TakeSlot,
+    WaveRecord,
+    WaveState,
+)
 
 # Seconds after the acquisition of a cell before the first call for its machines: a call
 # of the previous owner may still be executed until then.
 MACHINE_LEASE_S = 3.0
-# Seconds for which a machine isn't listed until it counts as gone.
-MACHINE_GONE_S = 10.0
-
-
-class MachineState(Enum):
-    """State of a machine as the machine service lists it."""
-
-    UP = "up"
-    MOVING = "moving"
-    UPKEEP = "upkeep"
-    DOWN = "down"
-
-
-class MachinePhase(Enum):
-    """Phase of a machine in a wave; it holds a slot unless it is ``DONE``."""
-
-    EMPTYING = "emptying"
-    REQUESTED = "requested"
-    DONE = "done"
-
-
-class WaveState(Enum):
-    """State of a wave as reported to the operator."""
-
-    RUNNING = "running"
-    DONE = "done"
-
-
-@dataclass(frozen=True, slots=True)
-class MaintenanceWave:
-    """Operator's request to maintain machines, at most ``max_down`` at a time.
-
-    Each must begin its maintenance within ``complete_by_s`` seconds. ``version`` is the
-    store's version of the request: the time counts anew when it is written again.
-    """
-
-    wave_id: int
-    machine_ids: tuple[str, ...]
-    max_down: int
-    complete_by_s: float
-    version: int = 0
-
-
-class MachineRecord(msgspec.Struct, frozen=True, array_like=True):
-    """Phase of one machine, set by the owner of ``cell_id`` under ``epoch``.
-
-    ``worker_id`` is the machine's worker before its maintenance. From
-    ``terminate_at_ms`` (wall clock) on, tasks that don't end are terminated.
-    """
-
-    phase: MachinePhase
-    epoch: int
-    cell_id: str
-    worker_id: str
-    terminate_at_ms: int
-
-
-class WaveRecord(msgspec.Struct, frozen=True, array_like=True):
-    """Shared state of a wave, stored once and changed by conditional commits only.
-
-    ``began_at_ms`` (wall clock) is when the request of ``version`` became known.
-    ``deferred_until_ms`` holds machines that gave their slot back because a task on
-    them must not be terminated.
-    """
-
-    version: int = 0
-    began_at_ms: int = 0
-    # None before the first report.
-    reported_state: WaveState | None = None
-    machine_by_id: dict[str, MachineRecord] = {}
-    deferred_until_ms: dict[str, int] = {}
-
-
-@dataclass(frozen=True, slots=True)
-class Machine:
-    """Machine as the machine service lists it; ``worker_id`` is empty without one."""
-
-    machine_id: str
-    state: MachineState
-    worker_id: str = ""
-
-
-class MachineList:
-    """Machines as the complete reads of the machine service's list show them.
-
-    Times are seconds on the host's monotonic clock. One list serves all waves and cells
-    of a host; it is empty before the first read.
-    """
-
-    def __init__(self):
-        self.by_id: dict[str, Machine] = {}
-
-    def observe(self, machines: Iterable[Machine], sent_at: float) -> None:
-        """Apply a complete read of all pages, sent at ``sent_at``."""
-        raise NotImplementedError
-
-    def on_maintenance_begun(
-        self, wave_id: int, machine_id: str, worker_id: str, now: float
-    ) -> None:
-        """Take note that the service confirmed (200) the maintenance of a machine.
-
-        ``worker_id`` is the worker in the machine's record.
-        """
-        raise NotImplementedError
-
-
-@dataclass(frozen=True, slots=True)
-class WorkerOccupancy:
-    """Whether a worker's machine can be taken down.
-
-    ``forbids_maintenance`` is true while a long-running task with ``max_unavailable``
-    runs on it, or may run. ``n_runs`` is the number of runs known.
-    """
-
-    is_empty: bool
-    forbids_maintenance: bool
-    is_cordoned: bool = False
-    n_runs: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class MaintenanceCell:
-    """Owned cell, as the planner needs it.
-
-    ``may_call_at`` is when the owner may send its first call: ``MACHINE_LEASE_S`` after
-    it acquired the cell, or at once if the previous owner has confirmed its stop. The
-    occupancies are those of all workers of the cell.
-    """
-
-    cell_id: str
-    epoch: int
-    may_call_at: float
-    occupancy_by_worker: Mapping[str, WorkerOccupancy] = field(default_factory=dict)
-
-
-@dataclass(frozen=True, slots=True)
-class TakeSlot:
-    """Begin to empty a machine; it holds a slot once this is committed."""
-
-    machine_id: str
-    worker_id: str
-    terminate_at_ms: int
-
-
-@dataclass(frozen=True, slots=True)
-class RequestMaintenance:
-    """Commit the phase ``REQUESTED`` under the owner's epoch, then call the service.
-
-    It is planned again, with the record unchanged, until the maintenance has begun:
-    ``apply_actions`` then returns an equal record and only the call is repeated.
-    """
-
-    machine_id: str
-    worker_id: str
-
-
-@dataclass(frozen=True, slots=True)
-class FreeSlot:
-    """Free a machine's slot: its maintenance is over, or it didn't take place.
-
-    ``reason`` is "done", "gone", "withdrawn" or "deferred". Only after "done" the
-    machine counts as maintained. ``retry_at_ms`` is when a deferred one may be emptied
-    again.
-    """
-
-    machine_id: str
-    reason: str
-    retry_at_ms: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class ReportState:
-    """Write the wave's status row, in the commit that changes its record."""
-
-    state: WaveState
-    version: int
-    began_at_ms: int
-
-
-MaintenanceAction = TakeSlot | RequestMaintenance | FreeSlot | ReportState
+# Seconds after which the owners of other cells also free the slot of a gone machine:
+# its own cell may have no owner any more.
+ORPHANED_SLOT_S = 15.0
+# Seconds from the call until the slot can be free again: 2 s of maintenance, a read of
+# the list each second, and the commits.
+DOWN_S = 4.0
+# Seconds after a confirmed call in which the same worker is still listed until the
+# maintenance counts as over: then it was confirmed because it had been done before.
+SAME_WORKER_S = 4.0
+# Seconds by which a host may learn of a wave late.
+NOTICE_S = 1.0
+# Seconds in which a step with a ``max_unavailable`` of 1 moves one task.
+MOVE_ONE_S = 6.0
 
 
 def plan_maintenance(
@@ -205,36 +47,232 @@
     milliseconds. All actions of a plan go into one commit, conditional on the version
     of ``record``; after a conflict, plan again with the present record.
     """
-    raise NotImplementedError
-
-
-def apply_actions(
-    record: WaveRecord,
-    actions: Iterable[MaintenanceAction],
-    cell: MaintenanceCell,
-) -> WaveRecord:
-    """Return the record to commit for the actions of a plan."""
-    raise NotImplementedError
-
-
-def cordoned_workers(
-    wave: MaintenanceWave | None, record: WaveRecord, cell: MaintenanceCell
-) -> frozenset[str]:
-    """Return the workers of a cell on which nothing may start because of a wave.
-
-    Pass the union of all waves to ``CellScheduler.set_cordoned`` before each plan.
-    """
-    raise NotImplementedError
-
-
-def encode_wave_record(record: WaveRecord) -> bytes:
-    """Return a record in its stored form, JSON."""
-    return msgspec.json.encode(record)
-
-
-def decode_wave_record(value: bytes) -> WaveRecord:
-    """Return a stored record.
-
-    Raises ``msgspec.DecodeError`` or ``msgspec.ValidationError`` if it is malformed.
-    """
-    return msgspec.json.decode(value, type=WaveRecord)
+    planner = _WavePlanner(wave, record, machines, cell, now, int(wall_ms))
+    return tuple(planner.plan())
+
+
+class _WavePlanner:
+    """One plan for one wave and one cell."""
+
+    def __init__(
+        self,
+        wave: MaintenanceWave | None,
+        record: WaveRecord,
+        machines: MachineList,
+        cell: MaintenanceCell,
+        now: float,
+        wall_ms: int,
+    ):
+        self._wave = wave
+        self._record = record
+        self._machines = machines
+        self._cell = cell
+        self._now = now
+        self._wall_ms = wall_ms
+        self._wanted = frozenset(wave.machine_ids) if wave else frozenset()
+
+    def plan(self) -> list[MaintenanceAction]:
+        """Return the actions, those that free slots before those that take them."""
+        actions = [
+            action
+            for machine_id, entry in self._record.machine_by_id.items()
+            if entry.phase is not MachinePhase.DONE
+            and (action := self._continue(machine_id, entry)) is not None
+        ]
+        if self._wave is None:
+            return actions
+        if not self._is_begun():
+            return actions + self._begin()
+        if self._record.reported_state is WaveState.DONE:
+            return actions
+        if not actions and self._is_done():
+            return [self._report(WaveState.DONE, self._record.began_at_ms)]
+        freed = {a.machine_id for a in actions if isinstance(a, FreeSlot)}
+        return actions + self._take_slots(freed, self._record.began_at_ms)
+
+    def _is_begun(self) -> bool:
+        """Return whether the record is of the wave as it was last written."""
+        is_reported = self._record.reported_state is not None
+        return is_reported and self._record.version == self._wave.version
+
+    def _begin(self) -> list[MaintenanceAction]:
+        if not self._is_concerned():
+            return []
+        running = self._report(WaveState.RUNNING, self._wall_ms)
+        return [running, *self._take_slots(set(), self._wall_ms)]
+
+    def _report(self, state: WaveState, began_at_ms: int) -> ReportState:
+        return ReportState(state, self._wave.version, began_at_ms)
+
+    def _is_concerned(self) -> bool:
+        """Return whether the owner reports the state of the wave.
+
+        If no cell has any of its machines, every owner does.
+        """
+        if any(self._is_here(machine_id) for machine_id in self._wanted):
+            return True
+        entries = self._record.machine_by_id.values()
+        if any(entry.cell_id == self._cell.cell_id for entry in entries):
+            return True
+        return not entries and all(self._is_gone(m) for m in self._wanted)
+
+    def _is_done(self) -> bool:
+        if not self._is_concerned():
+            return False
+        for machine_id in self._wanted:
+            entry = self._record.machine_by_id.get(machine_id)
+            if entry is None and not self._is_gone(machine_id):
+                return False
+            if entry is not None and entry.phase is not MachinePhase.DONE:
+                return False
+        return True
+
+    def _is_here(self, machine_id: str) -> bool:
+        machine = self._machines.by_id.get(machine_id)
+        return machine is not None and (
+            machine.worker_id in self._cell.occupancy_by_worker
+        )
+
+    def _is_gone(self, machine_id: str) -> bool:
+        return self._machines.missing_s(machine_id, self._now) >= MACHINE_GONE_S
+
+    def _continue(
+        self, machine_id: str, entry: MachineRecord
+    ) -> MaintenanceAction | None:
+        """Return the next action for a machine that holds a slot."""
+        missing_s = self._machines.missing_s(machine_id, self._now)
+        if entry.cell_id != self._cell.cell_id:
+            if missing_s >= ORPHANED_SLOT_S:
+                return FreeSlot(machine_id, "gone")
+            return None
+        if entry.epoch > self._cell.epoch:
+            return None
+        if missing_s >= MACHINE_GONE_S:
+            return FreeSlot(machine_id, "gone")
+        machine = self._machines.by_id.get(machine_id)
+        if machine is None or machine.state is not MachineState.UP:
+            return None
+        if entry.phase is MachinePhase.REQUESTED:
+            begun_at = self._begun_at(machine_id, entry)
+            if begun_at is not None:
+                return self._return_to_use(machine, entry, begun_at)
+        if machine_id not in self._wanted:
+            return FreeSlot(machine_id, "withdrawn")
+        if machine.worker_id != entry.worker_id:
+            return self._empty_next_worker(machine, entry)
+        return self._request_or_defer(machine, entry)
+
+    def _begun_at(self, machine_id: str, entry: MachineRecord) -> float | None:
+        wave_id = self._wave.wave_id if self._wave else 0
+        return self._machines.begun_at(wave_id, machine_id, entry.worker_id)
+
+    def _return_to_use(
+        self, machine: Machine, entry: MachineRecord, begun_at: float
+    ) -> FreeSlot | None:
+        """Return the action for a machine that is up after its maintenance began.
+
+        A read that was sent before the call's answer may show the time before the call.
+        """
+        read_s = self._machines.read_sent_at - begun_at
+        if machine.worker_id and machine.worker_id != entry.worker_id and read_s > 0:
+            return FreeSlot(machine.machine_id, "done", entry.worker_id)
+        if machine.worker_id == entry.worker_id and read_s > SAME_WORKER_S:
+            return FreeSlot(machine.machine_id, "done")
+        return None
+
+    def _empty_next_worker(
+        self, machine: Machine, entry: MachineRecord
+    ) -> TakeSlot | None:
+        """Empty the worker that has replaced another one, by all that is known a crash.
+
+        If it was the maintenance, the service confirms that at the next call.
+        """
+        if machine.worker_id not in self._cell.occupancy_by_worker:
+            return None
+        return TakeSlot(machine.machine_id, machine.worker_id, entry.terminate_at_ms)
+
+    def _request_or_defer(
+        self, machine: Machine, entry: MachineRecord
+    ) -> RequestMaintenance | FreeSlot | None:
+        occupancy = self._cell.occupancy_by_worker.get(machine.worker_id)
+        if occupancy is None or not occupancy.is_cordoned:
+            return None
+        if occupancy.forbids_maintenance:
+            # After the request, a call may still be on its way: the slot is kept.
+            if entry.phase is MachinePhase.EMPTYING:
+                return self._defer(machine.machine_id, entry)
+            return None
+        if self._now < self._cell.may_call_at:
+            return None
+        if occupancy.is_empty or self._wall_ms >= entry.terminate_at_ms:
+            return RequestMaintenance(machine.machine_id, machine.worker_id)
+        return None
+
+    def _defer(self, machine_id: str, entry: MachineRecord) -> FreeSlot | None:
+        """Let another machine have the slot of one that can't be emptied in time."""
+        if self._wall_ms < entry.terminate_at_ms + MOVE_ONE_S * 1000:
+            return None
+        if not any(not self._is_deferred(m) for m in self._left()):
+            return None
+        retry_at_ms = self._wall_ms + int(MOVE_ONE_S * 1000)
+        return FreeSlot(machine_id, "deferred", retry_at_ms=retry_at_ms)
+
+    def _is_deferred(self, machine_id: str) -> bool:
+        return self._wall_ms < self._record.deferred_until_ms.get(machine_id, 0)
+
+    def _left(self) -> list[str]:
+        """Return the existing machines of the wave that have yet to take a slot."""
+        return [
+            machine_id
+            for machine_id in dict.fromkeys(self._wave.machine_ids)
+            if machine_id not in self._record.machine_by_id
+            and not self._is_gone(machine_id)
+        ]
+
+    def _take_slots(self, freed: set[str], began_at_ms: int) -> list[TakeSlot]:
+        """Return the slots to take, for the emptiest machines of the cell first."""
+        n_held = sum(
+            entry.phase is not MachinePhase.DONE and machine_id not in freed
+            for machine_id, entry in self._record.machine_by_id.items()
+        )
+        n_free = self._wave.max_down - n_held
+        if n_free <= 0:
+            return []
+        left = self._left()
+        candidates = sorted(
+            (
+                machine_id
+                for machine_id in left
+                if self._is_here(machine_id)
+                and self._machines.by_id[machine_id].state is MachineState.UP
+                and not self._is_deferred(machine_id)
+            ),
+            key=self._effort,
+        )
+        terminate_at_ms = self._terminate_at_ms(len(left), began_at_ms)
+        return [
+            TakeSlot(
+                machine_id, self._machines.by_id[machine_id].worker_id, terminate_at_ms
+            )
+            for machine_id in candidates[:n_free]
+        ]
+
+    def _effort(self, machine_id: str) -> tuple[bool, bool, int]:
+        worker_id = self._machines.by_id[machine_id].worker_id
+        occupancy = self._cell.occupancy_by_worker[worker_id]
+        return (
+            occupancy.forbids_maintenance,
+            not occupancy.is_empty,
+            occupancy.n_runs,
+        )
+
+    def _terminate_at_ms(self, n_left: int, began_at_ms: int) -> int:
+        """Return when tasks on a machine that is now emptied are terminated.
+
+        The time left for the wave is divided by the number of machines that use the
+        same slot one after the other; half of a machine's part is for its tasks.
+        """
+        until_ms = began_at_ms + (self._wave.complete_by_s - NOTICE_S) * 1000
+        n_rounds = -(-n_left // self._wave.max_down)
+        left_ms = until_ms - self._wall_ms - (n_rounds - 1) * DOWN_S * 1000
+        return self._wall_ms + int(max(0.0, left_ms) / n_rounds / 2)
--- a/libs/scheduling/src/berylcleat/scheduling/_uneven_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_uneven_workers.py
@@ -68,7 +68,7 @@
         self, view: WorkerView, now: float, *, has_restarted: bool = False
     ) -> None:
         """Handle a worker that has restarted or doesn't answer."""
-        if not view.entry.is_draining:
+        if not view.is_leaving:
             worker_id = view.entry.worker_id
             self.health.on_outage(worker_id, now, has_restarted=has_restarted)
 
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -140,6 +140,8 @@
     expired_runs: list[Run] = field(default_factory=list)
     n_consecutive_failures: int = 0
     avoid_until: float = 0.0
+    # Whether its machine is emptied for maintenance, or was taken down for it.
+    is_cordoned: bool = False
     # None for a worker like the others, and where uneven workers aren't observed.
     condition: WorkerCondition | None = None
     fillers_stopped_at: float = 0.0
@@ -151,6 +153,11 @@
     # Processor use of runs that have ended recently, with the time of their end.
     past_uses: list[tuple[float, ImageUse]] = field(default_factory=list)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the worker is expected to end, so that its end is no crash."""
+        return self.entry.is_draining or self.is_cordoned
+
     def recordable_number(self) -> int:
         """Return the highest number up to which every run end has been processed."""
         if not self.deferred_end_by_number:
@@ -171,6 +178,8 @@
             return "not listed"
         if self.entry.is_draining:
             return "draining"
+        if self.is_cordoned:
+            return "in maintenance"
         if self.unknown_run_by_task:
             return "runs of unknown submissions"
         if 0 < self.entry.started_at_ms < self.incarnation_ms:
