Test maintenance waves; give deferred machines a share of the time

Cause: the planner had no feature. Writing it showed two faults: a plan without machines left divided by zero, and a machine that was put off got no share of the time that is left.

--- a/libs/scheduling/features/steps/relocation_steps.py
+++ b/libs/scheduling/features/steps/relocation_steps.py
@@ -110,6 +110,47 @@
     scripted_cell.step()
 
 
+@when("workers {names} are in maintenance for {seconds:d} seconds")
+def step_maintenance(context, names, seconds):
+    scripted_cell = context.scripted_cell
+    headroom = CellHeadroom("r2", "svc", 16000, (), 0, 16000)
+    for _ in range(seconds * 5):
+        scripted_cell.cell.set_cordoned(frozenset(names.split(" and ")))
+        scripted_cell.step()
+        scripted_cell.cell.propose_moves((headroom,), scripted_cell.now)
+
+
+@when("w0 reports a run of an unknown submission")
+def step_unknown_run(context):
+    context.scripted_cell.running["w0"][TaskKey(SUBMISSION_ID, 0, 0, 0)] = 1
+    context.scripted_cell.step()
+
+
+@then("no headroom is published for fillers")
+def step_no_headroom(context):
+    assert not context.scripted_cell.cell.filler_headrooms()
+
+
+@when("worker w0 ends")
+def step_worker_ends(context):
+    context.scripted_cell.cell.on_other_incarnation("w0", context.scripted_cell.now)
+
+
+@then("{n:d} tasks may have crashed a worker")
+def step_crashed(context, n):
+    tracked = context.scripted_cell.cell.submissions.by_id[SUBMISSION_ID]
+    tasks = [TaskKey(SUBMISSION_ID, 0, 0, index) for index in range(6)]
+    found = [task for task in tasks if tracked.n_crashes(task)]
+    assert len(found) == n, found
+
+
+@then("worker w0 is protected: {protected}")
+def step_protected(context, protected):
+    occupancy = context.scripted_cell.cell.occupancy("w0")
+    assert occupancy.forbids_maintenance == (protected == "yes"), occupancy
+    assert not occupancy.is_empty, occupancy
+
+
 @when("the stopped runs end")
 def step_end(context):
     scripted_cell = context.scripted_cell
--- a/libs/scheduling/src/berylcleat/scheduling/_maintenance.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_maintenance.py
@@ -1,5 +1,7 @@
 """Plan of a maintenance wave: which machines are emptied and taken down, and when."""
 
+from collections.abc import Mapping
+
 from ._machine_list import MACHINE_GONE_S, Machine, MachineList, MachineState
 from ._wave_record import (
     FreeSlot,
@@ -87,7 +89,7 @@
             return actions
         if not actions and self._is_done():
             return [self._report(WaveState.DONE, self._record.began_at_ms)]
-        freed = {a.machine_id for a in actions if isinstance(a, FreeSlot)}
+        freed = {a.machine_id: a for a in actions if isinstance(a, FreeSlot)}
         return actions + self._take_slots(freed, self._record.began_at_ms)
 
     def _is_begun(self) -> bool:
@@ -99,7 +101,7 @@
         if not self._is_concerned():
             return []
         running = self._report(WaveState.RUNNING, self._wall_ms)
-        return [running, *self._take_slots(set(), self._wall_ms)]
+        return [running, *self._take_slots({}, self._wall_ms)]
 
     def _report(self, state: WaveState, began_at_ms: int) -> ReportState:
         return ReportState(state, self._wave.version, began_at_ms)
@@ -229,7 +231,9 @@
             and not self._is_gone(machine_id)
         ]
 
-    def _take_slots(self, freed: set[str], began_at_ms: int) -> list[TakeSlot]:
+    def _take_slots(
+        self, freed: Mapping[str, FreeSlot], began_at_ms: int
+    ) -> list[TakeSlot]:
         """Return the slots to take, for the emptiest machines of the cell first."""
         n_held = sum(
             entry.phase is not MachinePhase.DONE and machine_id not in freed
@@ -249,7 +253,11 @@
             ),
             key=self._effort,
         )
-        terminate_at_ms = self._terminate_at_ms(len(left), began_at_ms)
+        if not candidates:
+            return []
+        # Those that are put off now need a slot later.
+        n_left = len(left) + sum(free.retry_at_ms > 0 for free in freed.values())
+        terminate_at_ms = self._terminate_at_ms(n_left, began_at_ms)
         return [
             TakeSlot(
                 machine_id, self._machines.by_id[machine_id].worker_id, terminate_at_ms
