--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -5,10 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from berylcleat.model import BerylError, SubmissionState
-from berylcleat.platform import WorkerClient
 from berylcleat.ports import (
-    HoldOrder,
-    OrderResult,
     RowWrite,
     WorkerEntry,
 )
@@ -21,7 +18,6 @@
     Progress,
     RecordBatch,
     UnevenWorkers,
-    WorkerView,
 )
 
 from ._cell_directory import ObservedOwner
@@ -29,6 +25,7 @@
 from ._cell_summary import log_load, make_summary
 from ._clock import now_s, wall_ms
 from ._components import Connections, Knowledge
+from ._hold_loops import HoldLoops
 from ._order_metrics import OrderMetrics
 from ._order_sender import OrderSender
 from ._peers import TakeoverReply
@@ -44,13 +41,6 @@
 from ._task_mover import TaskMover
 from ._uneven_metrics import ignore_uneven_workers, observe_uneven_workers
 
-# Long-poll timeout of a hold request: a worker answers it when a task ends or after
-# this time, so this also bounds the time between two lease renewals.
-HOLD_TIMEOUT_MS = 1000
-HOLD_RETRY_S = 0.25
-# While reported ends aren't recorded yet, the next hold request is delayed by up to 1.5
-# times this value: a worker answers at once while it lists unacknowledged ends.
-ACK_WAIT_S = 0.1
 PLAN_PERIOD_S = 0.1
 RECORD_BATCH_DELAY_S = 0.08
 RECORD_RETRY_S = 0.3
@@ -117,8 +107,7 @@
         self._unmatched_progress_by_id: dict[str, Progress] = {}
         # Set by ``start``.
         self._sender: OrderSender | None = None
-        self._client_by_worker: dict[str, WorkerClient] = {}
-        self._hold_loop_by_worker: dict[str, asyncio.Task] = {}
+        self._hold_loops: HoldLoops | None = None
         self._tasks: set[asyncio.Task] = set()
         self._plan_needed = asyncio.Event()
         self._record_needed = asyncio.Event()
@@ -173,15 +162,25 @@
                 scheduler.cancel(submission.submission_id, now)
         self._unmatched_progress_by_id = progress_by_id
         self.scheduler = scheduler
+        self._hold_loops = hold_loops = HoldLoops(
+            scheduler,
+            lambda: not self.is_inactive,
+            self._is_ownership_confirmed,
+            self._wake_loops,
+            self._record_needed.set,
+        )
         self._sender = OrderSender(
-            scheduler, self._client_by_worker, self._advisor, self._plan_needed.set
+            scheduler,
+            hold_loops.client_by_worker,
+            self._advisor,
+            self._plan_needed.set,
         )
         if self._late_limit:
             self._backlog_meter = BacklogMeter(
                 scheduler.completed_work, self._arrival_of, self._late_limit
             )
         for worker in earlier_workers:
-            self._connect_worker(worker)
+            hold_loops.connect(worker)
         self.update_workers(entry_by_worker)
         self._spawn(self._plan_loop())
         self._spawn(self._record_loop())
@@ -276,10 +275,11 @@
     async def _stop_tasks(self) -> None:
         if self.scheduler is not None and self._learns_uneven_workers:
             ignore_uneven_workers(self.scheduler)
-        await cancel_all([*self._tasks, *self._hold_loop_by_worker.values()])
+        hold_loops = self._hold_loops
+        await cancel_all([*self._tasks, *(hold_loops.tasks() if hold_loops else ())])
         self._order_metrics.clear()
-        for client in self._client_by_worker.values():
-            client.close()
+        if hold_loops is not None:
+            hold_loops.close()
 
     # Changes of submissions and workers
 
@@ -316,10 +316,9 @@
         """Replace the set of workers listed in the cell and connect to new ones."""
         if self.scheduler is None:
             return
-        for worker_id, entry in entry_by_worker.items():
+        for entry in entry_by_worker.values():
             self.scheduler.list_worker(entry, now_s())
-            if worker_id not in self._hold_loop_by_worker:
-                self._connect_worker(entry)
+            self._hold_loops.connect(entry)
         for worker_id in self.scheduler.worker_by_id.keys() - entry_by_worker.keys():
             self.scheduler.unlist_worker(worker_id)
         self._wake_loops()
@@ -343,78 +342,7 @@
             return ""
         return entry.accepted.arrival_data_centre
 
-    # Workers
-
-    def _connect_worker(self, entry: WorkerEntry) -> None:
-        worker_id = entry.worker_id
-        client = WorkerClient(worker_id, entry.address)
-        self._client_by_worker[worker_id] = client
-        loop = asyncio.get_running_loop()
-        self._hold_loop_by_worker[worker_id] = loop.create_task(
-            self._hold_loop(worker_id, client)
-        )
-
-    async def _hold_loop(self, worker_id: str, client: WorkerClient) -> None:
-        """Renew the worker's lease and process its reports, one hold at a time."""
-        must_probe = True
-        while not self.is_inactive:
-            view = self.scheduler.worker_by_id[worker_id]
-            if not self._is_ownership_confirmed():
-                await asyncio.sleep(HOLD_RETRY_S)
-                continue
-            requested_at = now_s()
-            answer = await client.hold(self._hold_order(view, must_probe, requested_at))
-            # After a failed hold the next one renews no lease: retries must not extend
-            # the lease of a worker that doesn't answer.
-            must_probe = answer.result is not OrderResult.ACCEPTED
-            if answer.result is OrderResult.ACCEPTED:
-                self.scheduler.on_report(
-                    worker_id, answer.report, requested_at, now_s()
-                )
-                self._wake_loops()
-                await self._wait_for_recording(view)
-            elif answer.result is OrderResult.FENCED:
-                self.scheduler.on_fenced(worker_id)
-                return
-            else:
-                self.scheduler.on_hold_failed(worker_id, now_s())
-                if answer.result is OrderResult.NOT_CONNECTED:
-                    continue
-                if answer.result is OrderResult.NOT_SENT:
-                    self.scheduler.on_connection_refused(worker_id, now_s())
-                if answer.result is OrderResult.OTHER_INCARNATION:
-                    self.scheduler.on_other_incarnation(worker_id, now_s())
-                    self._wake_loops()
-                if self.scheduler.can_forget(worker_id):
-                    break
-                await asyncio.sleep(HOLD_RETRY_S)
-        # After ownership has ended the scheduler keeps its workers: the recorded worker
-        # list must still name them for the next owner.
-        if not self.is_inactive:
-            self._disconnect_worker(worker_id)
-
-    def _hold_order(self, view: WorkerView, must_probe: bool, now: float) -> HoldOrder:
-        """Return a hold order; a probe renews no lease and is answered at once.
-
-        A worker that hasn't answered under this epoch yet is only probed.
-        """
-        if must_probe or not view.has_seen_epoch:
-            return HoldOrder(self.owner.epoch, 0, None, 0)
-        until_ms = self.scheduler.lease_until_ms(view, now)
-        return HoldOrder(self.owner.epoch, view.acked_number, until_ms, HOLD_TIMEOUT_MS)
-
-    async def _wait_for_recording(self, view: WorkerView) -> None:
-        """Wait for a limited time until the worker's reported ends are recorded."""
-        for _ in range(3):
-            if view.acked_number >= view.handled_number:
-                return
-            await asyncio.sleep(ACK_WAIT_S / 2)
-
-    def _disconnect_worker(self, worker_id: str) -> None:
-        self._client_by_worker.pop(worker_id).close()
-        del self._hold_loop_by_worker[worker_id]
-        self.scheduler.worker_by_id.pop(worker_id, None)
-        self._record_needed.set()
+    # Loops
 
     def _wake_loops(self) -> None:
         """Wake the plan loop and the record loop."""
--- /dev/null
+++ b/programs/beryl-host/src/berylcleat/host/_hold_loops.py
@@ -0,0 +1,125 @@
+"""Renew the leases on a cell's workers and process what they report."""
+
+import asyncio
+from collections.abc import Callable
+
+from berylcleat.platform import WorkerClient
+from berylcleat.ports import HoldOrder, OrderResult, WorkerEntry
+from berylcleat.scheduling import CellScheduler, WorkerView
+
+from ._clock import now_s
+
+# Long-poll timeout of a hold request: a worker answers it when a task ends or after
+# this time, so this also bounds the time between two lease renewals.
+HOLD_TIMEOUT_MS = 1000
+HOLD_RETRY_S = 0.25
+# While reported ends aren't recorded yet, the next hold request is delayed by up to 1.5
+# times this value: a worker answers at once while it lists unacknowledged ends.
+ACK_WAIT_S = 0.1
+
+
+class HoldLoops:
+    """A loop for each worker of one cell, with one hold request at a time.
+
+    ``may_act`` tells whether the ownership has not ended, ``is_confirmed`` whether it
+    was confirmed lately. ``on_report`` is called after the scheduler has changed,
+    ``on_forgotten`` after a worker has been removed from it.
+    """
+
+    def __init__(
+        self,
+        scheduler: CellScheduler,
+        may_act: Callable[[], bool],
+        is_confirmed: Callable[[], bool],
+        on_report: Callable[[], None],
+        on_forgotten: Callable[[], None],
+    ):
+        self.client_by_worker: dict[str, WorkerClient] = {}
+        self._scheduler = scheduler
+        self._may_act = may_act
+        self._is_confirmed = is_confirmed
+        self._on_report = on_report
+        self._on_forgotten = on_forgotten
+        self._task_by_worker: dict[str, asyncio.Task] = {}
+
+    def connect(self, entry: WorkerEntry) -> None:
+        """Start the loop of a worker unless it has one."""
+        worker_id = entry.worker_id
+        if worker_id in self._task_by_worker:
+            return
+        client = WorkerClient(worker_id, entry.address)
+        self.client_by_worker[worker_id] = client
+        loop = asyncio.get_running_loop()
+        self._task_by_worker[worker_id] = loop.create_task(self._run(worker_id, client))
+
+    def tasks(self) -> list[asyncio.Task]:
+        """Return the tasks of all loops."""
+        return list(self._task_by_worker.values())
+
+    def close(self) -> None:
+        """Close the connections to all workers; cancel the loops before."""
+        for client in self.client_by_worker.values():
+            client.close()
+
+    async def _run(self, worker_id: str, client: WorkerClient) -> None:
+        """Renew the worker's lease and process its reports, one hold at a time."""
+        must_probe = True
+        while self._may_act():
+            view = self._scheduler.worker_by_id[worker_id]
+            if not self._is_confirmed():
+                await asyncio.sleep(HOLD_RETRY_S)
+                continue
+            requested_at = now_s()
+            answer = await client.hold(self._hold_order(view, must_probe, requested_at))
+            # After a failed hold the next one renews no lease: retries must not extend
+            # the lease of a worker that doesn't answer.
+            must_probe = answer.result is not OrderResult.ACCEPTED
+            if answer.result is OrderResult.ACCEPTED:
+                self._scheduler.on_report(
+                    worker_id, answer.report, requested_at, now_s()
+                )
+                self._on_report()
+                await self._wait_for_recording(view)
+            elif answer.result is OrderResult.FENCED:
+                self._scheduler.on_fenced(worker_id)
+                return
+            else:
+                self._scheduler.on_hold_failed(worker_id, now_s())
+                if answer.result is OrderResult.NOT_CONNECTED:
+                    continue
+                if answer.result is OrderResult.NOT_SENT:
+                    self._scheduler.on_connection_refused(worker_id, now_s())
+                if answer.result is OrderResult.OTHER_INCARNATION:
+                    self._scheduler.on_other_incarnation(worker_id, now_s())
+                    self._on_report()
+                if self._scheduler.can_forget(worker_id):
+                    break
+                await asyncio.sleep(HOLD_RETRY_S)
+        # After ownership has ended the scheduler keeps its workers: the recorded worker
+        # list must still name them for the next owner.
+        if self._may_act():
+            self._forget(worker_id)
+
+    def _hold_order(self, view: WorkerView, must_probe: bool, now: float) -> HoldOrder:
+        """Return a hold order; a probe renews no lease and is answered at once.
+
+        A worker that hasn't answered under this epoch yet is only probed.
+        """
+        epoch = self._scheduler.epoch
+        if must_probe or not view.has_seen_epoch:
+            return HoldOrder(epoch, 0, None, 0)
+        until_ms = self._scheduler.lease_until_ms(view, now)
+        return HoldOrder(epoch, view.acked_number, until_ms, HOLD_TIMEOUT_MS)
+
+    async def _wait_for_recording(self, view: WorkerView) -> None:
+        """Wait for a limited time until the worker's reported ends are recorded."""
+        for _ in range(3):
+            if view.acked_number >= view.handled_number:
+                return
+            await asyncio.sleep(ACK_WAIT_S / 2)
+
+    def _forget(self, worker_id: str) -> None:
+        self.client_by_worker.pop(worker_id).close()
+        del self._task_by_worker[worker_id]
+        self._scheduler.worker_by_id.pop(worker_id, None)
+        self._on_forgotten()
