One loop for the seeded loads on cells in the scheduling tests

Cause: load_loop.py and uneven_load.py each had their own loop that holds the workers, records, plans and executes orders, and five step files built their own worker entries.

Ruled out: CellScheduler loops of crashing_workers.py, gang_steps.py and filler_steps.py. Their workers end runs, lapse and acknowledge in another way than TaskWorker, so the scenarios would compute other numbers. overload.py has no CellScheduler; only its worker entry, its delayed events and its judgement of lateness are shared.

Change: cell_loop.py has CellLoop, make_entry, lateness and split_due. The loads differ in tick_s, hold_period_s, expected_finish, uneven_workers and the on_... methods that they override. "beyond" is named "missed" in every load.

--- a/libs/scheduling/features/steps/crashing_workers.py
+++ b/libs/scheduling/features/steps/crashing_workers.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from cell_loop import make_entry
+
 from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
 from berylcleat.ports import (
     EndedTask,
@@ -51,16 +53,11 @@
 
     def entry(self) -> WorkerEntry:
         """Return the entry on the platform's list."""
-        return WorkerEntry(
+        return make_entry(
             self.worker_id,
-            "svc",
-            self.address,
-            "dc",
-            "k",
-            "r1",
-            frozenset(),
             TaskDemand(16000, 64000),
-            self.started_at_ms,
+            address=self.address,
+            started_at_ms=self.started_at_ms,
         )
 
     def clock_ms(self, now: float) -> int:
--- a/libs/scheduling/features/steps/expected_finish_steps.py
+++ b/libs/scheduling/features/steps/expected_finish_steps.py
@@ -4,7 +4,6 @@
 from load_loop import FILLER_COST, Arrival, LoadLoop, work_of
 
 from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand
-from berylcleat.scheduling import Progress
 
 BATCH = QueuePolicy(
     "batch", "svc", priority=2, max_attempts=3, stretch=2.0, objective_ms=4000
@@ -150,15 +149,7 @@
 
 def add(loop, number, step, *, queue=BATCH, age_s=0.0, home=0):
     submission_id = f"{number:016x}"
-    loop.steps_by_id[submission_id] = (step,)
-    loop.home_by_id[submission_id] = home
-    loop.cells[home].add_submission(
-        Submission(submission_id, queue, "s", (step,)),
-        Progress(),
-        loop.now - age_s,
-        loop.now,
-        inherited=False,
-    )
+    loop.accept(home, Submission(submission_id, queue, "s", (step,)), age_s)
     return submission_id
 
 
--- a/libs/scheduling/features/steps/filler_steps.py
+++ b/libs/scheduling/features/steps/filler_steps.py
@@ -1,4 +1,5 @@
 from behave import given, then, when
+from cell_loop import make_entry
 
 from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
 from berylcleat.ports import (
@@ -7,7 +8,6 @@
     RunningTask,
     StartOrder,
     StopOrder,
-    WorkerEntry,
     WorkerReport,
 )
 from berylcleat.scheduling import (
@@ -32,17 +32,7 @@
 
 
 def make_view(worker_id):
-    entry = WorkerEntry(
-        worker_id,
-        "svc",
-        "a:1",
-        "dc",
-        "k",
-        "r1",
-        frozenset(),
-        TaskDemand(32000, 64000),
-        1,
-    )
+    entry = make_entry(worker_id, TaskDemand(32000, 64000))
     return WorkerView(entry, has_seen_epoch=True)
 
 
--- a/libs/scheduling/features/steps/fragment_steps.py
+++ b/libs/scheduling/features/steps/fragment_steps.py
@@ -1,7 +1,7 @@
 from behave import given, then, when
+from cell_loop import make_entry
 
 from berylcleat.model import Step, TaskDemand, TaskKey
-from berylcleat.ports import WorkerEntry
 from berylcleat.scheduling import (
     CellHeadroom,
     InterferenceModel,
@@ -19,17 +19,7 @@
     context.slot_millis = cores * 1000
     context.views = [
         WorkerView(
-            WorkerEntry(
-                f"w{free}",
-                "svc",
-                "a:1",
-                "dc",
-                "k",
-                "r1",
-                frozenset(),
-                TaskDemand(int(free * 1000), 64000),
-                1,
-            ),
+            make_entry(f"w{free}", TaskDemand(int(free * 1000), 64000)),
             has_seen_epoch=True,
         )
         for free in (a, b, c)
--- a/libs/scheduling/features/steps/gang_steps.py
+++ b/libs/scheduling/features/steps/gang_steps.py
@@ -1,4 +1,5 @@
 from behave import given, then, when
+from cell_loop import make_entry
 
 from berylcleat.model import QueuePolicy, Step, Submission, SubmissionState, TaskDemand
 from berylcleat.ports import (
@@ -9,7 +10,6 @@
     RunningTask,
     StartOrder,
     StopOrder,
-    WorkerEntry,
     WorkerReport,
 )
 from berylcleat.scheduling import (
@@ -39,12 +39,7 @@
         self.starts = []
         self.stops = []
         capacity = TaskDemand(cpu_millis, 64000)
-        entries = tuple(
-            WorkerEntry(
-                worker_id, "svc", "a:1", "dc", "k", "r1", frozenset(), capacity, 1
-            )
-            for worker_id in self.running
-        )
+        entries = tuple(make_entry(worker_id, capacity) for worker_id in self.running)
         self.cell = CellScheduler(
             "r1",
             epoch or (2 if settled_at else 1),
--- a/libs/scheduling/features/steps/load_loop.py
+++ b/libs/scheduling/features/steps/load_loop.py
@@ -1,4 +1,4 @@
-"""Loop over the schedulers of a few cells and stand-in workers, without faults.
+"""Seeded load on a few cells whose tasks move between them, without faults.
 
 The same load, which its seed determines, is run with and without ``expected_finish``.
 """
@@ -6,6 +6,8 @@
 import random
 from dataclasses import dataclass, field
 
+from cell_loop import CellLoop, lateness, split_due
+
 from berylcleat.model import (
     QueuePolicy,
     Step,
@@ -14,23 +16,14 @@
     TaskDemand,
     TaskKey,
 )
-from berylcleat.ports import HoldOrder, RunEnd, StartOrder, StopOrder, WorkerEntry
-from berylcleat.scheduling import (
-    CellHeadroom,
-    CellScheduler,
-    InterferenceModel,
-    LeaseTimes,
-    Progress,
-)
-from berylcleat.standins import TaskWorker
+from berylcleat.ports import RunEnd
+from berylcleat.scheduling import CellHeadroom, CellScheduler, Progress
 
-TICK_S = 0.1
 MOVE_PERIOD_TICKS = 2
 LOAD_PERIOD_TICKS = 10
 COMMIT_S = 0.05
 DELIVERY_S = 0.1
-TIMES = LeaseTimes(worker_lease_s=5.0, max_lease_s=6.0, owner_limit_s=12.0)
-WORKER_CORES = 8
+WORKER_CAPACITY = TaskDemand(8000, 64000)
 SERVING_STEP = Step(
     1,
     TaskDemand(6000, 100),
@@ -60,14 +53,10 @@
     ended_at: dict[str, float] = field(default_factory=dict)
 
     def lateness(self, submission_id: str) -> str:
-        """Return "in time", "late" or "beyond" for one submission."""
+        """Return "in time", "late" or "missed" for one submission."""
         arrival = self.arrivals[submission_id]
-        submission = arrival.submission
-        objective_s = objective_of(submission)
         took_s = self.ended_at.get(submission_id, float("inf")) - arrival.at
-        if took_s <= objective_s:
-            return "in time"
-        return "late" if took_s <= 3 * objective_s else "beyond"
+        return lateness(took_s, objective_of(arrival.submission))
 
     def count(self, kind: str, queue: str = "", ids: set[str] | None = None) -> int:
         """Return the number of submissions with an outcome."""
@@ -84,8 +73,8 @@
         return n / max(len(ids), 1)
 
     def value(self) -> float:
-        """Return what the results are worth: a seventh if late, nothing beyond."""
-        worth = {"in time": 1.0, "late": 1 / 7, "beyond": 0.0}
+        """Return what the results are worth: a seventh if late, nothing if missed."""
+        worth = {"in time": 1.0, "late": 1 / 7, "missed": 0.0}
         return sum(self.weight(i) * worth[self.lateness(i)] for i in self.arrivals)
 
     def weight(self, submission_id: str) -> float:
@@ -120,20 +109,14 @@
     return path_s * submission.queue.stretch + submission.queue.objective_ms / 1000
 
 
-class LoadLoop:
-    """Cells of a service and the load on them; it observes the runs of all workers."""
+class LoadLoop(CellLoop):
+    """Cells of a service and the load on them, with moves between the cells."""
 
     def __init__(
-        self, random_state: int, cell_sizes: tuple[int, ...], *, expected_finish: bool
+        self, seed: int, cell_sizes: tuple[int, ...], *, expected_finish: bool
     ):
-        self.random_state = random_state
-        self.expected_finish = expected_finish
-        self.now = 1.0
-        self.steps_by_id: dict[str, tuple[Step, ...]] = {}
-        self.interference = InterferenceModel()
+        super().__init__(seed, 1.0, expected_finish=expected_finish)
         self.interference.restore({("press", "web"): -9.0})
-        self.workers: dict[str, TaskWorker] = {}
-        self.cells: list[CellScheduler] = []
         self.moves_by_id: dict[str, dict[TaskKey, object]] = {}
         self.home_by_id: dict[str, int] = {}
         self.n_moved = 0
@@ -143,58 +126,21 @@
         self.moves_tasks = True
         self.started: list[tuple[float, TaskKey]] = []
         for number, size in enumerate(cell_sizes):
-            self._make_cell(f"r{number}", size)
-
-    def _make_cell(self, cell_id: str, size: int) -> None:
-        for number in range(size):
-            worker_id = f"{cell_id}-w{number}"
-            capacity = TaskDemand(WORKER_CORES * 1000, 64000)
-            entry = WorkerEntry(
-                worker_id, "svc", "a", "dc", "k", cell_id, frozenset(), capacity, 1
-            )
-            self.workers[worker_id] = TaskWorker(entry, self.steps_by_id, self)
-        self.cells.append(self.make_scheduler(cell_id, 1))
-
-    def make_scheduler(self, cell_id: str, epoch: int) -> CellScheduler:
-        """Return the scheduler of a cell's new owner."""
-        entries = tuple(
-            w.entry
-            for w in self.workers.values()
-            if w.entry.worker_id.startswith(f"{cell_id}-")
-        )
-        cell = CellScheduler(
-            cell_id,
-            epoch,
-            TIMES,
-            self.now,
-            self.now,
-            entries if epoch > 1 else (),
-            self.interference,
-            expected_finish=self.expected_finish,
-        )
-        for entry in entries:
-            cell.list_worker(entry, self.now)
-        cell.on_workers_recorded(frozenset(cell.worker_by_id))
-        return cell
-
-    # Callbacks of the workers
+            cell_id = f"r{number}"
+            for index in range(size):
+                self.add_worker(f"{cell_id}-w{index}", cell_id, WORKER_CAPACITY)
+            self.cells.append(self.make_scheduler(cell_id, 1))
 
     def on_start(self, task, run, worker_id, now) -> None:
         """Note the start of a run."""
         self.started.append((now, task))
 
-    def on_end(self, task, worker_id, end) -> None:
-        """Ignore the end of a run, which the worker reports to its owner."""
-
-    def on_acknowledged(self, end) -> None:
-        """Ignore an acknowledgement."""
-
-    def plan_run(self, task: TaskKey, run: int) -> tuple[float, RunEnd]:
+    def plan_run(self, task: TaskKey, worker_id: str) -> tuple[float, RunEnd]:
         """Return the duration of a run, the same for every order of starts."""
         step = self.steps_by_id[task.submission_id][task.step]
         if step.is_long_running:
             return 1e9, RunEnd.DONE
-        spread = random.Random(f"{self.random_state} {task}").uniform(0.75, 1.25)
+        spread = random.Random(f"{self.seed} {task}").uniform(0.75, 1.25)
         cost = FILLER_COST if step.fills else 1.0
         return step.estimate_s * spread * cost, RunEnd.DONE
 
@@ -210,13 +156,10 @@
                     Submission(submission_id, SERVING_QUEUE, "s", (SERVING_STEP,)),
                 )
 
-    def accept(self, number: int, submission: Submission) -> None:
-        """Accept a submission in a cell."""
-        self.steps_by_id[submission.submission_id] = submission.steps
+    def accept(self, number: int, submission: Submission, age_s: float = 0.0) -> None:
+        """Accept a submission in its home cell."""
         self.home_by_id[submission.submission_id] = number
-        self.cells[number].add_submission(
-            submission, Progress(), self.now, self.now, inherited=False
-        )
+        super().accept(number, submission, age_s)
 
     def run(self, arrivals: list[Arrival], length_s: float) -> Outcomes:
         """Offer a load and return when its submissions ended."""
@@ -238,19 +181,15 @@
 
     # Time
 
-    def tick(self) -> None:
-        """Advance by one tick: reports, records, plans, moves."""
-        self.now = round(self.now + TICK_S, 3)
-        n_ticks = round(self.now / TICK_S)
-        due = [event for event in self.events if event[0] <= self.now]
-        self.events = [event for event in self.events if event[0] > self.now]
-        for _, _, action in sorted(due, key=lambda event: event[:2]):
+    def on_tick(self) -> None:
+        """Execute the commits and deliveries that are due."""
+        due, self.events = split_due(self.events, self.now)
+        for _, _, action in due:
             action()
-        for cell in self.cells:
-            self._hold(cell)
-            cell.on_recorded(cell.take_batch())
-            for item in cell.plan(self.now, self.now * 1000):
-                self._execute(cell, item)
+
+    def on_tick_end(self) -> None:
+        """Publish loads and move tasks in their periods."""
+        n_ticks = round(self.now / self.tick_s)
         if n_ticks % LOAD_PERIOD_TICKS == 0:
             self.headrooms = {
                 cell.cell_id: self.make_headroom(cell) for cell in self.cells
@@ -259,24 +198,6 @@
             for number in range(len(self.cells)):
                 self._move(number)
 
-    def _hold(self, cell: CellScheduler) -> None:
-        for worker_id, view in cell.worker_by_id.items():
-            until = None
-            if view.has_seen_epoch:
-                until = cell.lease_until_ms(view, self.now)
-            order = HoldOrder(cell.epoch, view.acked_number, until, 0)
-            answer = self.workers[worker_id].hold(order, self.now)
-            cell.on_report(worker_id, answer.report, self.now, self.now)
-
-    def _execute(self, cell: CellScheduler, item) -> None:
-        worker = self.workers[item.worker_id]
-        if isinstance(item.order, StartOrder):
-            answer = worker.start(item.order, self.now, self.plan_run)
-            cell.on_start_answer(item.worker_id, item.order, answer, self.now)
-        elif isinstance(item.order, StopOrder):
-            answer = worker.stop(item.order, self.now)
-            cell.on_stop_answer(item.worker_id, item.order, answer, self.now)
-
     def make_headroom(self, cell: CellScheduler) -> CellHeadroom:
         """Return the headroom that a cell publishes."""
         views = cell.worker_by_id.values()
--- a/libs/scheduling/features/steps/overload.py
+++ b/libs/scheduling/features/steps/overload.py
@@ -5,8 +5,9 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field, replace
 
+from cell_loop import LATE_LIMIT, lateness, make_entry, split_due
+
 from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand
-from berylcleat.ports import WorkerEntry
 from berylcleat.scheduling import (
     AdmissionController,
     Admit,
@@ -27,7 +28,6 @@
 BEGIN_AT = 100.0
 CORES = 16
 N_TASKS = 4
-LATE_LIMIT = 3.0
 MAX_RETRIES = 4
 # Time after the last arrival for which the queue is followed.
 DRAIN_S = 20.0
@@ -44,12 +44,9 @@
     """Cell whose runs take their estimate times a seeded factor."""
 
     def __init__(self, cell_id, data_centre_by_id):
-        entry = WorkerEntry(
-            cell_id, "svc", "a:1", "dc", "k", cell_id, frozenset(),
-            TaskDemand(CORES * 1000, 10**9), 1,
-        )  # fmt: skip
+        capacity = TaskDemand(CORES * 1000, 10**9)
         self.cell_id = cell_id
-        self.view = WorkerView(entry)
+        self.view = WorkerView(make_entry(cell_id, capacity, rack=cell_id))
         self.registry = SubmissionRegistry()
         self.completed = CompletedWork()
         self.meter = BacklogMeter(self.completed, data_centre_by_id.get, LATE_LIMIT)
@@ -86,10 +83,7 @@
             return "refused"
         if self.ended_at is None:
             return "missed"
-        took_s = self.ended_at - self.first_at
-        if took_s <= self.objective_s:
-            return "in time"
-        return "late" if took_s <= LATE_LIMIT * self.objective_s else "missed"
+        return lateness(self.ended_at - self.first_at, self.objective_s)
 
 
 @dataclass
@@ -199,8 +193,7 @@
     def tick(self):
         """End and start runs; a cell with free cores takes what waits in the other."""
         self.now += TICK_S
-        due = [item for item in self.returns if item[0] <= self.now]
-        self.returns = [item for item in self.returns if item[0] > self.now]
+        due, self.returns = split_due(self.returns, self.now)
         for cell in self.cells:
             for task, run in tuple(cell.view.run_by_task.items()):
                 if self.end_by_task[task] <= self.now:
@@ -214,7 +207,7 @@
                     self._start(cell, step, step.task(index))
         for cell in self.cells:
             cell.report(self.now)
-        for _, caller in sorted(due, key=lambda item: item[0]):
+        for _, caller in due:
             self.ask(caller)
 
     def _start(self, cell, ready, task):
