Add submissions to the scripted cell of the tests by one method

Cause: ten step files repeated the seven lines that add a submission to a ScriptedCell, and some also its acceptance of all starts, its proposal of a move, or the choice of a worker (found with a listing of duplicated lines).

Ruled out: history_steps.py and the fixed simulations, which other work uses; the remaining pairs are import lists or alike in shape only.

Change: ScriptedCell.submit and accept_all; propose_move in runs_once_steps.py; choose in filler_steps.py; one step for the states of a crashing task's submission, which compares the state that it names as strictly as the three steps before.

--- a/libs/scheduling/features/steps/advice_steps.py
+++ b/libs/scheduling/features/steps/advice_steps.py
@@ -1,9 +1,8 @@
 from behave import then, when
 from gang_steps import SUBMISSION_ID
 
-from berylcleat.model import AdvicePolicy, QueuePolicy, Step, Submission, TaskDemand
+from berylcleat.model import AdvicePolicy, QueuePolicy, Step, TaskDemand
 from berylcleat.ports import OrderAnswer, OrderResult, Ticket
-from berylcleat.scheduling import Progress
 
 POLICY = QueuePolicy("q", "svc", advice=AdvicePolicy(0.1, 0.01, 5.0))
 
@@ -11,13 +10,7 @@
 @when("a submission of {n:d} tasks of an advised queue is added")
 def step_submit(context, n):
     scripted_cell = context.scripted_cell
-    scripted_cell.cell.add_submission(
-        Submission(SUBMISSION_ID, POLICY, "s", (Step(n, TaskDemand(1000, 100)),)),
-        Progress(),
-        scripted_cell.now,
-        scripted_cell.now,
-        inherited=False,
-    )
+    scripted_cell.submit(Step(n, TaskDemand(1000, 100)), queue=POLICY)
     scripted_cell.step()
     context.requests = scripted_cell.cell.advice.take_requests()
 
--- a/libs/scheduling/features/steps/capacity_steps.py
+++ b/libs/scheduling/features/steps/capacity_steps.py
@@ -2,24 +2,11 @@
 
 from behave import given, then, when
 
-from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
+from berylcleat.model import Step, TaskDemand, TaskKey
 from berylcleat.ports import EndedTask, RunEnd
-from berylcleat.scheduling import Progress
 
 EARLIER_ID = "e" * 16
 EARLIER_TASK = TaskKey(EARLIER_ID, 0, 0, 0)
-QUEUE = QueuePolicy("q", "svc")
-
-
-def make_submission(submission_id, *steps):
-    return Submission(submission_id, QUEUE, "s", steps)
-
-
-def add_submission(scripted_cell, submission, *, inherited=False):
-    now = scripted_cell.now
-    scripted_cell.cell.add_submission(
-        submission, Progress(), now, now, inherited=inherited
-    )
 
 
 def report_earlier_run(scripted_cell):
@@ -30,7 +17,7 @@
 @given("the worker reports a run of {cores:d} cores of a submission that was cancelled")
 def step_cancelled_run(context, cores):
     step = Step(1, TaskDemand(cores * 1000, 100))
-    add_submission(context.scripted_cell, make_submission(EARLIER_ID, step))
+    context.scripted_cell.submit(step, submission_id=EARLIER_ID)
     context.scripted_cell.cell.cancel(EARLIER_ID, context.scripted_cell.now)
     report_earlier_run(context.scripted_cell)
 
@@ -43,15 +30,14 @@
 @when("the submission with a step of {cores:d} cores becomes known")
 def step_becomes_known(context, cores):
     step = Step(1, TaskDemand(cores * 1000, 100))
-    submission = make_submission(EARLIER_ID, step)
-    add_submission(context.scripted_cell, submission, inherited=True)
+    context.scripted_cell.submit(step, submission_id=EARLIER_ID, inherited=True)
     context.scripted_cell.step()
 
 
 @when("a task of {cores:d} cores is added")
 def step_add(context, cores):
     step = Step(1, TaskDemand(cores * 1000, 100))
-    add_submission(context.scripted_cell, make_submission("b" * 16, step))
+    context.scripted_cell.submit(step, submission_id="b" * 16)
     context.scripted_cell.step()
 
 
@@ -59,7 +45,7 @@
 def step_add_another(context, cores):
     context.scripted_cell.starts.clear()
     step = Step(1, TaskDemand(cores * 1000, 100))
-    add_submission(context.scripted_cell, make_submission("c" * 16, step))
+    context.scripted_cell.submit(step, submission_id="c" * 16)
     context.scripted_cell.step()
 
 
@@ -100,7 +86,7 @@
         2, TaskDemand(1000, 100), is_long_running=True, image="s", target_latency_ms=50
     )
     filler = Step(2, TaskDemand(500, 100), fills=True, image="f")
-    add_submission(scripted_cell, make_submission("f" * 16, serving, filler))
+    scripted_cell.submit(serving, filler, submission_id="f" * 16)
     for _ in range(20):
         scripted_cell.step()
         while scripted_cell.starts:
--- a/libs/scheduling/features/steps/crash_steps.py
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -7,7 +7,6 @@
 from berylcleat.model import (
     QueuePolicy,
     Step,
-    Submission,
     SubmissionState,
     TaskDemand,
     TaskKey,
@@ -90,22 +89,10 @@
     assert least <= context.cells.n_starts <= most, context.cells.n_starts
 
 
-@then("the submission of the task has failed")
-def step_failed(context):
+@then("the submission of the task {verb} {state_name}")
+def step_state(context, verb, state_name):
     state = context.cells.state()
-    assert state is SubmissionState.FAILED, state
-
-
-@then("the submission of the task is done")
-def step_done(context):
-    state = context.cells.state()
-    assert state is SubmissionState.DONE, state
-
-
-@then("the submission of the task is running")
-def step_running(context):
-    state = context.cells.state()
-    assert state is SubmissionState.RUNNING, state
+    assert state is SubmissionState[state_name.upper()], state
 
 
 @then("the other submissions are done")
@@ -123,13 +110,8 @@
     step = Step(2, TaskDemand(1000, 100), is_gang=True)
     queue = QueuePolicy("q", "svc", max_attempts=3)
     crashed = TaskKey(SUBMISSION_ID, 0, 0, 0)
-    scripted_cell.cell.add_submission(
-        Submission(SUBMISSION_ID, queue, "s", (step,)),
-        Progress(crashed_runs_by_task={crashed: {4: CrashEvidence.CERTAIN}}),
-        scripted_cell.now,
-        scripted_cell.now,
-        inherited=False,
-    )
+    progress = Progress(crashed_runs_by_task={crashed: {4: CrashEvidence.CERTAIN}})
+    scripted_cell.submit(step, queue=queue, progress=progress)
     tracked = scripted_cell.cell.submissions.by_id[SUBMISSION_ID]
     tracked.raise_run_floor(TaskKey(SUBMISSION_ID, 0, 0, 1), 7)
 
@@ -150,9 +132,7 @@
 @when("the gang has failed")
 def step_gang_fails(context):
     scripted_cell = context.scripted_cell
-    for item in scripted_cell.starts:
-        scripted_cell.accept(item)
-    scripted_cell.step()
+    scripted_cell.accept_all(scripted_cell.starts)
     for item in scripted_cell.starts:
         scripted_cell.end(item, RunEnd.FAILED)
     scripted_cell.starts.clear()
@@ -172,15 +152,7 @@
     scripted_cell = context.scripted_cell = ScriptedCell(2, 8000)
     scripted_cell.step()
     step = Step(2, TaskDemand(5000, 100))
-    scripted_cell.cell.add_submission(
-        Submission(
-            SUBMISSION_ID, QueuePolicy("q", "svc", max_attempts=3), "s", (step,)
-        ),
-        Progress(),
-        scripted_cell.now,
-        scripted_cell.now,
-        inherited=False,
-    )
+    scripted_cell.submit(step, queue=QueuePolicy("q", "svc", max_attempts=3))
     scripted_cell.step()
     context.item, other = scripted_cell.starts
     scripted_cell.starts.clear()
--- a/libs/scheduling/features/steps/early_report_steps.py
+++ b/libs/scheduling/features/steps/early_report_steps.py
@@ -1,9 +1,8 @@
 from behave import then, when
 from gang_steps import SUBMISSION_ID
 
-from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
+from berylcleat.model import Step, TaskDemand, TaskKey
 from berylcleat.ports import EndedTask, RunEnd
-from berylcleat.scheduling import Progress
 
 TASK = TaskKey(SUBMISSION_ID, 0, 0, 0)
 
@@ -24,13 +23,7 @@
 def step_add_submission(context):
     scripted_cell = context.scripted_cell
     steps = (Step(1, TaskDemand(1000, 100)), Step(1, TaskDemand(1000, 100), after=(0,)))
-    scripted_cell.cell.add_submission(
-        Submission(SUBMISSION_ID, QueuePolicy("q", "svc"), "s", steps),
-        Progress(),
-        scripted_cell.now,
-        scripted_cell.now,
-        inherited=True,
-    )
+    scripted_cell.submit(*steps, inherited=True)
     scripted_cell.step()
 
 
--- a/libs/scheduling/features/steps/evacuation_steps.py
+++ b/libs/scheduling/features/steps/evacuation_steps.py
@@ -1,8 +1,9 @@
 from dataclasses import replace
 
 from behave import given, then, when
+from gang_steps import SUBMISSION_ID
 
-from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
+from berylcleat.model import Step, TaskDemand, TaskKey
 from berylcleat.ports import OrderAnswer, OrderResult
 from berylcleat.scheduling import (
     CellEvacuation,
@@ -10,17 +11,14 @@
     CrashEvidence,
     EvacuationRules,
     FillerHeadroom,
-    Progress,
     RunPhase,
     TaskMove,
     decode_progress,
 )
 
-SUBMISSION_ID = "a" * 16
 OTHER_ID = "b" * 16
 SERVING_ID = "c" * 16
 EVACUATED = frozenset({"dc"})
-QUEUE = QueuePolicy("q", "svc")
 ORDINARY = Step(1, TaskDemand(1000, 100))
 GANG = Step(2, TaskDemand(4000, 100), is_gang=True)
 FILLER = Step(1, TaskDemand(1000, 100), fills=True, image="batch")
@@ -42,19 +40,6 @@
 }
 
 
-def add_submission(scripted_cell, submission_id, step, *, is_home=True, moves=None):
-    now = scripted_cell.now
-    scripted_cell.cell.add_submission(
-        Submission(submission_id, QUEUE, "s", (step,)),
-        Progress(),
-        now,
-        now,
-        inherited=False,
-        is_home=is_home,
-        move_by_task=moves,
-    )
-
-
 def read(context, state, age_s=0.0):
     now = context.scripted_cell.now
     evacuated = EVACUATED if state == "evacuated" else frozenset({"elsewhere"})
@@ -70,7 +55,7 @@
     """Run a serving task, which fillers disturb, on both workers."""
     scripted_cell = context.scripted_cell
     scripted_cell.cell.interference.restore({("batch", "web"): 4.0})
-    add_submission(scripted_cell, SERVING_ID, SERVING)
+    scripted_cell.submit(SERVING, submission_id=SERVING_ID)
     for index, running in enumerate(scripted_cell.running.values()):
         running[TaskKey(SERVING_ID, 0, 0, index)] = 1
     scripted_cell.step()
@@ -141,7 +126,7 @@
         add_serving_tasks(context)
     submission_id = OTHER_ID if kind.startswith("another") else SUBMISSION_ID
     step = KINDS[kind.replace("another", "an")]
-    add_submission(context.scripted_cell, submission_id, step)
+    context.scripted_cell.submit(step, submission_id=submission_id)
 
 
 @when("serving tasks run and {kind} fits nowhere")
@@ -150,25 +135,19 @@
     step = KINDS[kind]
     if not step.fills:
         step = replace(step, demand=SERVING.demand)
-    add_submission(context.scripted_cell, SUBMISSION_ID, step)
+    context.scripted_cell.submit(step)
 
 
 @when("a task is moved here by another cell")
 def step_moved_here(context):
     move = TaskMove(context.scripted_cell.cell.cell_id, 3)
     task = TaskKey(SUBMISSION_ID, 0, 0, 0)
-    add_submission(
-        context.scripted_cell,
-        SUBMISSION_ID,
-        ORDINARY,
-        is_home=False,
-        moves={task: move},
-    )
+    context.scripted_cell.submit(ORDINARY, is_home=False, moves={task: move})
 
 
 @when("a suspect of a crash waits")
 def step_suspect(context):
-    add_submission(context.scripted_cell, SUBMISSION_ID, ORDINARY)
+    context.scripted_cell.submit(ORDINARY)
     tracked = context.scripted_cell.cell.submissions.by_id[SUBMISSION_ID]
     task = TaskKey(SUBMISSION_ID, 0, 0, 0)
     tracked.add_crash(task, 1, CrashEvidence.POSSIBLE)
--- a/libs/scheduling/features/steps/filler_steps.py
+++ b/libs/scheduling/features/steps/filler_steps.py
@@ -126,22 +126,24 @@
     context.interference.restore({(filler, heavy): 4.0, (filler, mild): -4.0})
 
 
-@then('a filler "{image}" goes to one of the workers "{names}"')
-def step_filler_goes(context, image, names):
-    step = make_step(FILLER, image)
-    task = TaskKey("f" * 16, 0, 0, 0)
+def choose(context, step, submission_id):
+    """Return the worker that is chosen for a task."""
+    task = TaskKey(submission_id, 0, 0, 0)
     views = context.views.values()
     view = choose_worker(task, step, "svc", views, context.interference)
-    assert view.entry.worker_id in names.split(), view.entry.worker_id
+    return view.entry.worker_id
+
+
+@then('a filler "{image}" goes to one of the workers "{names}"')
+def step_filler_goes(context, image, names):
+    worker_id = choose(context, make_step(FILLER, image), "f" * 16)
+    assert worker_id in names.split(), worker_id
 
 
 @then('a serving task "{image}" goes to the worker "{name}"')
 def step_serving_goes(context, image, name):
-    step = make_step(SERVING, image)
-    task = TaskKey("e" * 16, 0, 0, 0)
-    views = context.views.values()
-    view = choose_worker(task, step, "svc", views, context.interference)
-    assert view.entry.worker_id == name, view.entry.worker_id
+    worker_id = choose(context, make_step(SERVING, image), "e" * 16)
+    assert worker_id == name, worker_id
 
 
 @given("a worker with a serving task and two fillers of unknown effect")
--- a/libs/scheduling/features/steps/gang_steps.py
+++ b/libs/scheduling/features/steps/gang_steps.py
@@ -22,6 +22,7 @@
 )
 
 SUBMISSION_ID = "a" * 16
+QUEUE = QueuePolicy("q", "svc")
 
 
 class ScriptedCell:
@@ -53,6 +54,28 @@
             self.cell.list_worker(entry, self.now)
         self.cell.on_workers_recorded(frozenset(self.running))
 
+    def submit(
+        self,
+        *steps,
+        submission_id=SUBMISSION_ID,
+        queue=QUEUE,
+        progress=None,
+        accepted_at=None,
+        inherited=False,
+        is_home=True,
+        moves=None,
+    ):
+        """Add a submission, accepted now if the time isn't given."""
+        self.cell.add_submission(
+            Submission(submission_id, queue, "s", steps),
+            progress or Progress(),
+            self.now if accepted_at is None else accepted_at,
+            self.now,
+            inherited=inherited,
+            is_home=is_home,
+            move_by_task=moves,
+        )
+
     def step(self):
         """Deliver a report of every worker, then collect the scheduler's orders.
 
@@ -81,6 +104,11 @@
         answer = OrderAnswer(OrderResult.ACCEPTED)
         self.cell.on_start_answer(item.worker_id, item.order, answer, self.now)
 
+    def accept_all(self, items):
+        for item in items:
+            self.accept(item)
+        self.step()
+
     def end(self, item, run_end, checkpoint=""):
         run = self.running[item.worker_id].pop(item.order.task)
         ends = self.ended[item.worker_id]
@@ -97,13 +125,7 @@
     step = Step(n, TaskDemand(cores * 1000, 100), is_gang=True, saves_progress=True)
     queue = QueuePolicy("q", "svc", max_attempts=n_attempts)
     scripted_cell = context.scripted_cell
-    scripted_cell.cell.add_submission(
-        Submission(SUBMISSION_ID, queue, "s", (step,)),
-        Progress(),
-        scripted_cell.now,
-        scripted_cell.now,
-        inherited=False,
-    )
+    scripted_cell.submit(step, queue=queue)
     scripted_cell.step()
     context.first_starts = list(scripted_cell.starts)
 
@@ -159,9 +181,7 @@
 
 def end_members(context, n, run_end):
     scripted_cell = context.scripted_cell
-    for item in context.first_starts:
-        scripted_cell.accept(item)
-    scripted_cell.step()
+    scripted_cell.accept_all(context.first_starts)
     for item in context.first_starts[:n]:
         scripted_cell.end(item, run_end)
     scripted_cell.step()
@@ -170,9 +190,7 @@
 @when("all members are stopped with different checkpoints")
 def step_checkpoints(context):
     scripted_cell = context.scripted_cell
-    for item in context.first_starts:
-        scripted_cell.accept(item)
-    scripted_cell.step()
+    scripted_cell.accept_all(context.first_starts)
     scripted_cell.starts.clear()
     for number, item in enumerate(context.first_starts):
         scripted_cell.end(item, RunEnd.STOPPED, f"c{number}")
--- a/libs/scheduling/features/steps/relocation_steps.py
+++ b/libs/scheduling/features/steps/relocation_steps.py
@@ -1,12 +1,11 @@
 from dataclasses import replace
 
 from behave import given, then, when
+from gang_steps import SUBMISSION_ID
 
-from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
+from berylcleat.model import Step, TaskDemand, TaskKey
 from berylcleat.ports import EndedTask, RunEnd, RunningTask, WorkerReport
-from berylcleat.scheduling import CellHeadroom, Progress, TaskMove
-
-SUBMISSION_ID = "a" * 16
+from berylcleat.scheduling import CellHeadroom, TaskMove
 
 
 def add_tasks(context, n, allowed, *, is_home):
@@ -22,16 +21,7 @@
     moves = {} if is_home else {task: TaskMove("r1", 0) for task in tasks}
     for task in tasks:
         scripted_cell.running[f"w{task.index % 2}"][task] = 1
-    now = scripted_cell.now
-    scripted_cell.cell.add_submission(
-        Submission(SUBMISSION_ID, QueuePolicy("q", "svc"), "s", (step,)),
-        Progress(),
-        now,
-        now,
-        inherited=True,
-        is_home=is_home,
-        move_by_task=moves,
-    )
+    scripted_cell.submit(step, inherited=True, is_home=is_home, moves=moves)
     scripted_cell.step()
     assert scripted_cell.cell.n_runs() == n
 
--- a/libs/scheduling/features/steps/runs_once_steps.py
+++ b/libs/scheduling/features/steps/runs_once_steps.py
@@ -3,28 +3,27 @@
 from behave import given, then, when
 from gang_steps import SUBMISSION_ID, ScriptedCell
 
-from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
+from berylcleat.model import Step, TaskDemand, TaskKey
 from berylcleat.ports import OrderAnswer, OrderResult, RunEnd
-from berylcleat.scheduling import CellHeadroom, MovedTaskEnd, Progress, TaskMove
+from berylcleat.scheduling import CellHeadroom, MovedTaskEnd, TaskMove
 
 TASK = TaskKey(SUBMISSION_ID, 0, 0, 0)
-SUBMISSION = Submission(
-    SUBMISSION_ID, QueuePolicy("q", "svc"), "s", (Step(1, TaskDemand(5000, 100)),)
-)
-
-
-def add_submission(scripted_cell):
-    now = scripted_cell.now
-    scripted_cell.cell.add_submission(SUBMISSION, Progress(), now, now, inherited=False)
+STEP = Step(1, TaskDemand(5000, 100))
 
 
 def start_task(scripted_cell):
     """Let the scheduler start the task; return the order, which isn't answered."""
-    add_submission(scripted_cell)
+    scripted_cell.submit(STEP)
     scripted_cell.step()
     return scripted_cell.starts.pop()
 
 
+def propose_move(scripted_cell):
+    headroom = CellHeadroom("r2", "svc", 64000, (), 0)
+    (proposal,) = scripted_cell.cell.propose_moves((headroom,), scripted_cell.now)
+    return proposal
+
+
 def advance(scripted_cell, seconds):
     end = scripted_cell.now + seconds - 0.1
     while scripted_cell.now < end:
@@ -86,7 +85,7 @@
 
 @when("a task is added")
 def step_add_task(context):
-    add_submission(context.scripted_cell)
+    context.scripted_cell.submit(STEP)
     context.scripted_cell.step()
 
 
@@ -102,15 +101,8 @@
 @when("the submission of another cell is added with the task moved here")
 def step_add_moved(context):
     scripted_cell = context.scripted_cell
-    scripted_cell.cell.add_submission(
-        SUBMISSION,
-        Progress(),
-        scripted_cell.now,
-        scripted_cell.now,
-        inherited=True,
-        is_home=False,
-        move_by_task={TASK: TaskMove("r1", 0)},
-    )
+    moves = {TASK: TaskMove("r1", 0)}
+    scripted_cell.submit(STEP, inherited=True, is_home=False, moves=moves)
     scripted_cell.step()
 
 
@@ -126,10 +118,7 @@
     scripted_cell.silent.add(item.worker_id)
     context.item = item
     advance(scripted_cell, 7)
-    headroom = CellHeadroom("r2", "svc", 64000, (), 0)
-    (context.proposal,) = scripted_cell.cell.propose_moves(
-        (headroom,), scripted_cell.now
-    )
+    context.proposal = propose_move(scripted_cell)
 
 
 @when("the worker reports that the task is done")
@@ -206,15 +195,8 @@
     other = context.other = ScriptedCell(1, 8000)
     other.step()
     move = context.proposal.move_by_task[TASK]
-    other.cell.add_submission(
-        SUBMISSION,
-        Progress(),
-        other.now,
-        other.now,
-        inherited=False,
-        is_home=False,
-        move_by_task={TASK: TaskMove("r1", move.run_floor)},
-    )
+    moves = {TASK: TaskMove("r1", move.run_floor)}
+    other.submit(STEP, is_home=False, moves=moves)
     (ends,) = cell.stray_ends(context.scripted_cell.now).values()
     report = [MovedTaskEnd(TASK, has_failed=False)]
     context.confirmations = []
@@ -259,19 +241,16 @@
 def step_moved_after_takeover(context, epoch):
     scripted_cell = context.scripted_cell = ScriptedCell(1, 2000, epoch=epoch)
     scripted_cell.step()
-    add_submission(scripted_cell)
+    scripted_cell.submit(STEP)
     advance(scripted_cell, 2)
-    headroom = CellHeadroom("r2", "svc", 64000, (), 0)
-    (context.proposal,) = scripted_cell.cell.propose_moves(
-        (headroom,), scripted_cell.now
-    )
+    context.proposal = propose_move(scripted_cell)
 
 
 @then("the other cell numbers its runs above {number:d}")
 def step_numbers(context, number):
     other = ScriptedCell(1, 8000)
     other.step()
-    add_submission(other)
+    other.submit(STEP)
     move = context.proposal.move_by_task[TASK]
     other.cell.update_moves(SUBMISSION_ID, {TASK: TaskMove("r1", move.run_floor)}, 0.0)
     other.step()
--- a/libs/scheduling/features/steps/takeover_steps.py
+++ b/libs/scheduling/features/steps/takeover_steps.py
@@ -1,9 +1,8 @@
 from behave import given, then, when
 from gang_steps import SUBMISSION_ID, ScriptedCell
 
-from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
+from berylcleat.model import Step, TaskDemand, TaskKey
 from berylcleat.ports import EndedTask, RunEnd
-from berylcleat.scheduling import Progress
 
 TASK = TaskKey(SUBMISSION_ID, 0, 0, 0)
 SILENT_WORKER = "w2"
@@ -36,13 +35,7 @@
     ]
     for submission_id, n_tasks in (("b" * 16, 501), (SUBMISSION_ID, 2)):
         step = Step(n_tasks, TaskDemand(1000, 100))
-        scripted_cell.cell.add_submission(
-            Submission(submission_id, QueuePolicy("q", "svc"), "s", (step,)),
-            Progress(),
-            scripted_cell.now,
-            scripted_cell.now,
-            inherited=True,
-        )
+        scripted_cell.submit(step, submission_id=submission_id, inherited=True)
     scripted_cell.step()
 
 
@@ -72,13 +65,7 @@
     context.worker = SILENT_WORKER if "silent" in place else "w0"
     scripted_cell.running[context.worker][TASK] = 1
     step = Step(1, TaskDemand(1000, 100), is_long_running=True)
-    scripted_cell.cell.add_submission(
-        Submission(SUBMISSION_ID, QueuePolicy("q", "svc"), "s", (step,)),
-        Progress(),
-        scripted_cell.now,
-        scripted_cell.now,
-        inherited=True,
-    )
+    scripted_cell.submit(step, inherited=True)
     scripted_cell.step()
     assert not scripted_cell.starts, scripted_cell.starts
 
--- a/libs/scheduling/features/steps/uneven_steps.py
+++ b/libs/scheduling/features/steps/uneven_steps.py
@@ -1,7 +1,7 @@
 from collections import Counter
 
 from behave import given, then, when
-from filler_steps import SERVING, add_run, make_view
+from filler_steps import SERVING, add_run, choose, make_view
 from uneven_load import DISTURBED_UNTIL_S, NEVER_S, QUEUE, Disturbance, UnevenLoad
 
 from berylcleat.model import Step, Submission, TaskDemand, TaskKey
@@ -16,7 +16,6 @@
     WorkerCondition,
     WorkerHealth,
     WorkerSpeeds,
-    choose_worker,
 )
 from berylcleat.scheduling._submissions import ReadyStep
 
@@ -158,10 +157,9 @@
 
 @then("a task goes to the {name} worker")
 def step_goes_to(context, name):
-    task = TaskKey("e" * 16, 0, 0, 0)
-    views = context.views.values()
-    view = choose_worker(task, STEP, "svc", views, InterferenceModel())
-    assert view.entry.worker_id == name, view.entry.worker_id
+    context.interference = InterferenceModel()
+    worker_id = choose(context, STEP, "e" * 16)
+    assert worker_id == name, worker_id
 
 
 @given("a worker whose serving tasks of all images are over their targets")
--- a/libs/scheduling/features/steps/urgency_order_steps.py
+++ b/libs/scheduling/features/steps/urgency_order_steps.py
@@ -1,7 +1,6 @@
 from behave import then, when
 
-from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand
-from berylcleat.scheduling import Progress
+from berylcleat.model import QueuePolicy, Step, TaskDemand
 
 EARLIER_ID = "0" * 15 + "1"
 QUEUE = QueuePolicy("q", "svc", objective_ms=500, stretch=1.5)
@@ -13,13 +12,8 @@
     step = Step(
         n_tasks, TaskDemand(cpu, 100), estimate_s=0.5, is_long_running=is_long_running
     )
-    scripted_cell = context.scripted_cell
-    scripted_cell.cell.add_submission(
-        Submission(submission_id, QUEUE, "s", (step,)),
-        Progress(),
-        accepted_at,
-        scripted_cell.now,
-        inherited=False,
+    context.scripted_cell.submit(
+        step, submission_id=submission_id, queue=QUEUE, accepted_at=accepted_at
     )
 
 
