Share the set-up of a cell's controller between the host's step files

Change: host_parts.py has the functions that make the parts of a host (moved from ownership_steps.py unchanged, but make_controller, which also takes the store, the owner, the data centre and the operator's state); read_owner in ownership_steps.py.

--- a/programs/beryl-host/features/steps/evacuation_steps.py
+++ b/programs/beryl-host/features/steps/evacuation_steps.py
@@ -4,17 +4,13 @@
 from types import SimpleNamespace
 
 from behave import given, then, when
-from ownership_steps import make_worker_entry
+from host_parts import make_controller, make_worker_entry
 from prometheus_client import REGISTRY
 
 from berylcleat.host._cell_chooser import CellChooser
-from berylcleat.host._cell_controller import CellController
-from berylcleat.host._cell_directory import CellDirectory
 from berylcleat.host._client_api import ClientApi
 from berylcleat.host._clock import now_s
-from berylcleat.host._components import Connections, Knowledge
 from berylcleat.host._evacuation_metrics import EvacuationMetrics
-from berylcleat.host._membership import Membership
 from berylcleat.host._operator_state import NO_EVACUATIONS, OperatorState
 from berylcleat.host._order_sender import OrderSender
 from berylcleat.host._peers import PeerClient
@@ -44,7 +40,6 @@
     EvacuationRules,
     FillerHeadroom,
     InterferenceModel,
-    LeaseTimes,
     WorkerOrder,
 )
 from berylcleat.standins import (
@@ -287,27 +282,14 @@
     store = MemoryStore()
     owner = OwnerRow(2, "host-1", "aa")
     store.put(CELL_TABLE, "r1", OWNER_KEY, encode(owner))
-    knowledge = Knowledge(
-        Membership(),
-        CellDirectory(context.data_centre),
-        WorkerList(),
-        SubmissionDirectory(),
-        InterferenceModel(),
-        context.operator,
-    )
     if has_read:
         set_evacuated(context, ())
-    context.controller = CellController(
-        "r1",
-        context.data_centre,
+    context.controller = make_controller(
+        store,
         owner,
-        store.rows_by_key(CELL_TABLE, "r1")[OWNER_KEY].version,
-        Connections(store, PeerClient()),
-        knowledge,
-        LeaseTimes(),
         now_s(),
-        lambda: True,
-        None,
+        data_centre=context.data_centre,
+        operator=context.operator,
     )
     await context.controller.start({"w1": make_worker_entry("w1")})
     scheduler = context.controller.scheduler
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -4,17 +4,19 @@
 
 import msgspec
 from behave import given, then, when
+from host_parts import (
+    CELL,
+    make_cell_follower,
+    make_controller,
+    make_manager,
+    make_worker_entry,
+)
 
-from berylcleat.host._cell_controller import CellController
 from berylcleat.host._cell_directory import CellDirectory, ObservedOwner
-from berylcleat.host._cell_ownership import CellOwnershipManager
 from berylcleat.host._clock import now_s
-from berylcleat.host._components import Connections, Knowledge, OwnerFeeds
 from berylcleat.host._follower import TableFollower
-from berylcleat.host._identity import HostIdentity
 from berylcleat.host._membership import Coverage, Membership, assign_cells
-from berylcleat.host._on_demand_follower import OnDemandFollower
-from berylcleat.host._peers import PeerClient, TakeoverReply
+from berylcleat.host._peers import TakeoverReply
 from berylcleat.host._recorder import ProgressRecorder
 from berylcleat.host._records import (
     CELL_TABLE,
@@ -27,11 +29,9 @@
     WorkersRow,
     encode,
 )
-from berylcleat.host._submission_directory import SubmissionDirectory
-from berylcleat.host._submission_feeds import SubmissionFeeds
 from berylcleat.host._worker_list import WorkerList
 from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand
-from berylcleat.ports import StartOrder, StoreRow, WorkerEntry, WorkerReport
+from berylcleat.ports import StartOrder, StoreRow, WorkerReport
 from berylcleat.scheduling import (
     CellScheduler,
     InterferenceModel,
@@ -42,24 +42,6 @@
 )
 from berylcleat.standins import MemoryStore
 
-CELL = "r1"
-
-
-def make_worker_entry(worker_id):
-    return WorkerEntry(
-        worker_id=worker_id,
-        service="cardhouse",
-        address="127.0.0.1:9",
-        data_centre="dc-1",
-        rack=CELL,
-        capacity=TaskDemand(8000, 8000, 0),
-        kind="a",
-        labels=frozenset({CELL}),
-        is_draining=False,
-        started_at_ms=1,
-    )
-
-
 TABLE_BY_KEY = {OWNER_KEY: CELL_TABLE, WORKERS_KEY: RECORDED_WORKER_TABLE}
 
 
@@ -80,22 +62,11 @@
     context.store.put(TABLE_BY_KEY[key], CELL, key, value)
 
 
-def make_controller(context, unsettled_s):
+def make_owner(context, unsettled_s):
     """Return a controller with earlier runs unaccounted for ``unsettled_s`` seconds."""
-    loop = asyncio.get_running_loop()
-    owner_row = context.store.rows_by_key(CELL_TABLE, CELL)[OWNER_KEY]
-    return CellController(
-        CELL,
-        "dc-1",
-        OwnerRow(2, "host-1", "aa", 18.0),
-        owner_row.version,
-        Connections(context.store, PeerClient()),
-        make_knowledge(Membership(), CellDirectory("dc-1"), WorkerList()),
-        LeaseTimes(),
-        loop.time() + unsettled_s,
-        lambda: True,
-        None,
-    )
+    settled_at = asyncio.get_running_loop().time() + unsettled_s
+    owner = OwnerRow(2, "host-1", "aa", 18.0)
+    return make_controller(context.store, owner, settled_at)
 
 
 @when(
@@ -104,7 +75,7 @@
 )
 def step_leave(context, seconds, moment):
     async def leave():
-        controller = make_controller(context, seconds)
+        controller = make_owner(context, seconds)
         if moment == "before":
             context.store.reads_allowed.clear()
         starting = asyncio.create_task(controller.start({}))
@@ -118,40 +89,9 @@
     context.run(leave())
 
 
-def make_knowledge(membership, cells, workers):
-    directory = SubmissionDirectory()
-    return Knowledge(membership, cells, workers, directory, InterferenceModel())
-
-
-def make_manager(data_centre, store, membership, cells, workers, follower):
-    knowledge = make_knowledge(membership, cells, workers)
-    submissions = SubmissionFeeds(store, knowledge.directory, 0.1)
-    return CellOwnershipManager(
-        HostIdentity("host-1", data_centre, "bb", "127.0.0.1:9"),
-        Connections(store, PeerClient()),
-        knowledge,
-        OwnerFeeds(follower, make_worker_follower(store), submissions),
-        LeaseTimes(),
-    )
-
-
-def make_worker_follower(store):
-    return OnDemandFollower(
-        store,
-        "servers",
-        lambda rows: None,
-        lambda: True,
-        wait_s=0.1,
-        min_period_s=0.1,
-        idle_period_s=10.0,
-        parts=("",),
-    )
-
-
-def make_cell_follower(store, cells):
-    return TableFollower(
-        store, CELL_TABLE, cells.on_owner_rows, wait_s=0.1, min_period_s=0.1
-    )
+async def read_owner(store, cells):
+    page = await store.read(CELL_TABLE, CELL)
+    cells.on_owner_rows(page.rows)
 
 
 @when("a host gets a takeover notice while it acquires the cell")
@@ -160,8 +100,7 @@
         store = context.store
         cells = CellDirectory("dc-1")
         workers = WorkerList()
-        page = await store.read(CELL_TABLE, CELL)
-        cells.on_owner_rows(page.rows)
+        await read_owner(store, cells)
         follower = make_cell_follower(store, cells)
         manager = make_manager("dc-1", store, Membership(), cells, workers, follower)
 
@@ -289,7 +228,7 @@
     """Return the ownership manager and the cells of the only live host."""
     membership = Membership()
     cells = CellDirectory(data_centre)
-    cells.on_owner_rows((await store.read(CELL_TABLE, CELL)).rows)
+    await read_owner(store, cells)
     # The owner acquired the cell long ago.
     observed = cells.owner_by_cell[CELL]
     cells.owner_by_cell[CELL] = replace(observed, observed_at=now_s() - 10.0)
@@ -334,7 +273,7 @@
         store.n_lost_answers = 1
         await manager.reconcile(coverage, coverage)
         assert not manager.controller_by_cell
-        cells.on_owner_rows((await store.read(CELL_TABLE, CELL)).rows)
+        await read_owner(store, cells)
         await manager.reconcile(coverage, coverage)
         context.taken = bool(manager.controller_by_cell)
         await manager.release_all()
@@ -447,7 +386,7 @@
         return replies.pop(0)
 
     async def take_over():
-        controller = make_controller(context, 18.0)
+        controller = make_owner(context, 18.0)
         await controller.start({})
         controller.complete_handover(None, confirm_stop, previous)
         loop = asyncio.get_running_loop()
@@ -469,12 +408,11 @@
 def step_dropped(context):
     async def drop():
         manager, cells = await make_live_manager(context.store, "dc-1")
-        controller = make_controller(context, 18.0)
+        controller = make_owner(context, 18.0)
         await controller.start({})
         manager.controller_by_cell[CELL] = controller
         put_cell_row(context, OWNER_KEY, encode(OwnerRow(3, "host-2", "aa")))
-        page = await context.store.read(CELL_TABLE, CELL)
-        cells.on_owner_rows(page.rows)
+        await read_owner(context.store, cells)
         await manager._drop_lost()
         context.leases = await manager.relinquish(CELL, controller.owner.epoch)
 
@@ -491,10 +429,9 @@
 def step_drop_two(context):
     async def drop():
         manager, cells = await make_live_manager(context.store, "dc-1")
-        page = await context.store.read(CELL_TABLE, CELL)
-        cells.on_owner_rows(page.rows)
+        await read_owner(context.store, cells)
         observed = cells.owner_by_cell[CELL]
-        first, second = (make_controller(context, 18.0) for _ in range(2))
+        first, second = (make_owner(context, 18.0) for _ in range(2))
         for cell_id, controller in (("first", first), ("second", second)):
             cells.owner_by_cell[cell_id] = replace(
                 observed, row=OwnerRow(3, "host-2", "aa")
@@ -522,8 +459,7 @@
 def step_broken_start(context):
     async def acquire():
         manager, cells = await make_live_manager(context.store, "dc-1")
-        page = await context.store.read(CELL_TABLE, CELL)
-        cells.on_owner_rows(page.rows)
+        await read_owner(context.store, cells)
 
         async def fail(cell_id, version):
             raise KeyError(cell_id)
