--- a/libs/scheduling/features/steps/filler_steps.py
+++ b/libs/scheduling/features/steps/filler_steps.py
@@ -1,4 +1,5 @@
 from behave import given, then, when
+from cell_loop import make_entry
 
 from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
 from berylcleat.ports import (
@@ -7,7 +8,6 @@
     RunningTask,
     StartOrder,
     StopOrder,
-    WorkerEntry,
     WorkerReport,
 )
 from berylcleat.scheduling import (
@@ -32,17 +32,7 @@
 
 
 def make_view(worker_id):
-    entry = WorkerEntry(
-        worker_id,
-        "svc",
-        "a:1",
-        "dc",
-        "k",
-        "r1",
-        frozenset(),
-        TaskDemand(32000, 64000),
-        1,
-    )
+    entry = make_entry(worker_id, TaskDemand(32000, 64000))
     return WorkerView(entry, has_seen_epoch=True)
 
 
@@ -136,22 +126,24 @@
     context.interference.restore({(filler, heavy): 4.0, (filler, mild): -4.0})
 
 
-@then('a filler "{image}" goes to one of the workers "{names}"')
-def step_filler_goes(context, image, names):
-    step = make_step(FILLER, image)
-    task = TaskKey("f" * 16, 0, 0, 0)
+def choose(context, step, submission_id):
+    """Return the worker that is chosen for a task."""
+    task = TaskKey(submission_id, 0, 0, 0)
     views = context.views.values()
     view = choose_worker(task, step, "svc", views, context.interference)
-    assert view.entry.worker_id in names.split(), view.entry.worker_id
+    return view.entry.worker_id
+
+
+@then('a filler "{image}" goes to one of the workers "{names}"')
+def step_filler_goes(context, image, names):
+    worker_id = choose(context, make_step(FILLER, image), "f" * 16)
+    assert worker_id in names.split(), worker_id
 
 
 @then('a serving task "{image}" goes to the worker "{name}"')
 def step_serving_goes(context, image, name):
-    step = make_step(SERVING, image)
-    task = TaskKey("e" * 16, 0, 0, 0)
-    views = context.views.values()
-    view = choose_worker(task, step, "svc", views, context.interference)
-    assert view.entry.worker_id == name, view.entry.worker_id
+    worker_id = choose(context, make_step(SERVING, image), "e" * 16)
+    assert worker_id == name, worker_id
 
 
 @given("a worker with a serving task and two fillers of unknown effect")
