Count a run recorded in advance only if its own worker has crashed

Cause: the next run of a suspect is recorded as crashed before it starts. An owner that was lost before the start left that record, and the next owner counted it as a possible crash if any worker of the cell had restarted or hadn't answered.

Ruled out: counting all such runs of a task as one. Where the owner is lost after each crash there is no other evidence, so a task that crashes workers would have no bound.

Change: the record names the worker and its start time, and the run starts only there. The next owner counts the run if this worker has restarted or left, takes it back if the worker reports the same start time, and counts it for now while the worker is silent. Records without the new field are settled as before; so are gangs, whose workers are chosen together. Two rows of the new scenario fail without the new rule (scratch copy).

--- a/libs/scheduling/features/crashes.feature
+++ b/libs/scheduling/features/crashes.feature
@@ -46,6 +46,25 @@
       | back under their old id | unanswered |
       | silent for 9 seconds    | answered   |
 
+  # Guards against LOST: the next owner counted a run that was recorded in advance, but
+  # never started, because any worker had crashed since. It counts if its worker has.
+  Scenario Outline: A run recorded before its owner is lost, with <lost>, <counts>
+    Given 4 workers, of which the first crashes once when the task starts there
+    And crashed workers are <return>
+    And <n> owners in turn are lost before the task restarts, and <lost> with them
+    When 60 seconds are played
+    Then all of these owners were lost
+    And the submission of the task <result>
+
+    Examples:
+      | lost       | counts        | return                  | n | result     |
+      | no worker  | doesn't count | back under a new id     | 6 | is done    |
+      | another    | doesn't count | back under a new id     | 6 | is done    |
+      | another    | doesn't count | back under their old id | 6 | is done    |
+      | its worker | counts        | back under a new id     | 2 | is done    |
+      | its worker | counts        | back under a new id     | 3 | has failed |
+      | its worker | counts        | back under their old id | 3 | has failed |
+
   # Guards against BUDGET: the cell that a task moves to counted from zero.
   Scenario: A move carries the crashes of its task
     Given 4 workers and a task that crashes them
--- a/libs/scheduling/features/steps/crash_steps.py
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -70,6 +70,17 @@
     context.cells.takeover_s = seconds
 
 
+@given("{n:d} owners in turn are lost before the task restarts, and {which} with them")
+def step_losses(context, n, which):
+    context.cells.n_losses_left = n
+    context.cells.lost_with_owner = which
+
+
+@then("all of these owners were lost")
+def step_all_lost(context):
+    assert not context.cells.n_losses_left
+
+
 @given("the task moves to another cell after each crash")
 def step_moves(context):
     context.cells.moves_after_crash = True
--- a/libs/scheduling/features/steps/crashing_workers.py
+++ b/libs/scheduling/features/steps/crashing_workers.py
@@ -87,6 +87,8 @@
         self.is_crash_silent = False
         self.takeover_s = None
         self.moves_after_crash = False
+        self.n_losses_left = 0
+        self.lost_with_owner = "no worker"
         self.n_crashes_left = 1000
         self.crash_age_s = 0.0
         self.silent_s = 0.0
@@ -175,6 +177,8 @@
                 self.take_over()
             self._list_workers()
             self._record()
+            if self.n_losses_left:
+                self._lose_owner_before_start()
             self._deliver_answers()
             for worker_id in tuple(self.cell.worker_by_id):
                 self._hold(worker_id)
@@ -244,6 +248,22 @@
             self.progress_by_id[write.submission_id] = write.value
         self.cell.on_recorded(batch)
 
+    def _lose_owner_before_start(self) -> None:
+        """Replace the owner right after it has recorded the deadly task's next run."""
+        data = self.progress_by_id.get(DEADLY_ID)
+        progress = decode_progress(DEADLY_ID, data) if data else Progress()
+        starts = {run: s for (_, run), s in progress.presumed_start_by_run.items()}
+        if not starts or DEADLY_TASK in self.cell.run_by_task:
+            return
+        run_worker_id = starts[max(starts)].worker_id
+        self.n_losses_left -= 1
+        for worker in [w for w in self.workers if not w.down_until]:
+            is_run_worker = worker.worker_id == run_worker_id
+            if self.lost_with_owner == ("its worker" if is_run_worker else "another"):
+                self._revive(worker)
+                break
+        self.take_over()
+
     def _worker_at(self, worker_id: str) -> CrashingWorker:
         address = self.cell.worker_by_id[worker_id].entry.address
         return next(w for w in self.workers if w.address == address)
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -10,6 +10,7 @@
 from ._cell_runs import CellRuns
 from ._crashes import LIKELY_CAUSE_AGE_S, MAX_QUIET_WAIT_S
 from ._placement import choose_forced_worker, choose_worker
+from ._progress import PresumedStart
 from ._submissions import ReadyStep, TrackedSubmission
 from ._workers import FORCED_START_WINDOW_S, Run, RunPhase, WorkerView
 
@@ -126,7 +127,8 @@
             return
         number = max(tracked.next_run(task, self.epoch) for task in tasks)
         are_recorded = [
-            self._ensure_start_recorded(tracked, task, number, now) for task in tasks
+            self._ensure_start_recorded(tracked, task, number, None, now)
+            for task in tasks
         ]
         if not all(are_recorded):
             return
@@ -168,7 +170,7 @@
                 return
             ready.stuck_since = None
             number = ready.tracked.next_run(task, self.epoch)
-            if not self._ensure_start_recorded(ready.tracked, task, number, now):
+            if not self._ensure_start_recorded(ready.tracked, task, number, view, now):
                 continue
             if self._may_start_beside_others(ready.tracked, task, view, now):
                 self._start(ready.tracked, task, view, now)
@@ -178,29 +180,47 @@
     ) -> bool:
         """Fail a submission whose task has crashed too many workers; return whether.
 
-        Runs that an earlier owner presumed count only if a worker may have crashed.
+        Runs that an earlier owner presumed count only if their worker has crashed.
         """
         if not tracked.n_crashes(task):
             return False
-        tracked.settle_inherited_presumptions(
-            task, may_have_crashed=self._may_have_lost_worker()
-        )
+        tracked.settle_inherited_presumptions(task, self._has_crashed_since)
         if not self.crashes.give_up_crashing(tracked, task):
             return False
         self._stop_runs_of(task.submission_id, now)
         return True
 
+    def _has_crashed_since(self, start: PresumedStart | None) -> bool | None:
+        """Return whether a worker has crashed since a run was to start there.
+
+        None if it hasn't answered yet. Without ``start`` any worker counts.
+        """
+        if start is None:
+            return self._may_have_lost_worker()
+        view = self.worker_by_id.get(start.worker_id)
+        is_awaited = start.worker_id in self._unsettled_workers
+        return self.crashes.has_crashed_since(start, view, is_awaited=is_awaited)
+
     def _ensure_start_recorded(
-        self, tracked: TrackedSubmission, task: TaskKey, number: int, now: float
+        self,
+        tracked: TrackedSubmission,
+        task: TaskKey,
+        number: int,
+        view: WorkerView | None,
+        now: float,
     ) -> bool:
         """Have the next run of a suspect recorded first; return whether it may start.
 
         The next run of a task that may have crashed a worker, also under an earlier
-        owner, is recorded as crashed before it starts.
+        owner, is recorded as crashed on its worker before it starts there. The worker
+        of a gang's run isn't recorded: it is chosen with those of the others.
         """
         if not tracked.n_crashes(task) and not self._may_have_crashed_before(task):
             return True
-        return self.crashes.ensure_start_recorded(tracked, task, number, now)
+        start = None
+        if view is not None:
+            start = PresumedStart(view.entry.worker_id, view.incarnation_ms)
+        return self.crashes.ensure_start_recorded(tracked, task, number, start, now)
 
     def _drop_presumptions(self, now: float) -> None:
         """Take back the presumed runs of waiting tasks while nothing may start.
@@ -232,14 +252,26 @@
             return True
         if now - view.last_start_at >= LIKELY_CAUSE_AGE_S:
             return True
-        return now - tracked.presumed_at_by_task[task] > MAX_QUIET_WAIT_S
+        return self._has_waited_for_quiet(tracked, task, now)
+
+    def _has_waited_for_quiet(
+        self, tracked: TrackedSubmission, task: TaskKey, now: float
+    ) -> bool:
+        return now - tracked.presumed_at_by_task.get(task, now) > MAX_QUIET_WAIT_S
 
     def _choose_worker(
         self, ready: ReadyStep, task: TaskKey, now: float
     ) -> WorkerView | None:
         views = self._startable_workers(now)
+        start = ready.tracked.presumed_start(task)
         if ready.tracked.n_crashes(task):
-            quiet = [v for v in views if now - v.last_start_at >= LIKELY_CAUSE_AGE_S]
+            recorded_id = "" if start is None else start.worker_id
+            quiet = [
+                view
+                for view in views
+                if now - view.last_start_at >= LIKELY_CAUSE_AGE_S
+                or view.entry.worker_id == recorded_id
+            ]
             views = quiet or views
         for group in self._candidate_groups(ready, task, views, now):
             chosen = self._choose_among(ready, task, group, now)
@@ -250,10 +282,22 @@
     def _candidate_groups(
         self, ready: ReadyStep, task: TaskKey, views: list[WorkerView], now: float
     ) -> list[list[WorkerView]]:
-        """Return the workers that may run a task, the preferred group first."""
-        if self.uneven_workers is None:
-            return [views]
-        return self.uneven_workers.candidate_groups(ready, task, views, now)
+        """Return the workers that may run a task, the preferred group first.
+
+        The worker that the task's next run is recorded for precedes the others of its
+        group, for which the run would have to be recorded again.
+        """
+        groups = [views]
+        if self.uneven_workers is not None:
+            groups = self.uneven_workers.candidate_groups(ready, task, views, now)
+        start = ready.tracked.presumed_start(task)
+        if start is None:
+            return groups
+        recorded = (
+            [v for v in g if v.entry.worker_id == start.worker_id] for g in groups
+        )
+        pairs = zip(recorded, groups, strict=True)
+        return [group for pair in pairs for group in pair if group]
 
     def _has_failed_here(self, task: TaskKey) -> bool:
         """Return whether a task is kept from workers where it has failed."""
@@ -303,11 +347,13 @@
         starving.sort(key=lambda ready: ready.tracked.last_forced_at)
         for ready in starving:
             for task in self._startable_tasks(ready, now)[:MAX_FORCED_PER_STEP]:
-                number = ready.tracked.next_run(task, self.epoch)
-                if not self._ensure_start_recorded(ready.tracked, task, number, now):
-                    continue
-                if not self._force_start(ready, task, now):
+                view = self._choose_forced_worker(ready, task, now)
+                if view is None:
+                    ready.tracked.drop_presumption(task)
                     break
+                number = ready.tracked.next_run(task, self.epoch)
+                if self._ensure_start_recorded(ready.tracked, task, number, view, now):
+                    self._force_start(ready, task, view, now)
 
     def _reserved_share(self, service: str, now: float) -> float:
         """Return the reserved share of a service's processors in all known cells."""
@@ -327,17 +373,24 @@
         free += sum(max(0, headroom.free) for headroom in others)
         return 1 - free / capacity if capacity else 1.0
 
-    def _force_start(self, ready: ReadyStep, task: TaskKey, now: float) -> bool:
-        """Start a filler where it should interfere least; return whether it fits."""
+    def _choose_forced_worker(
+        self, ready: ReadyStep, task: TaskKey, now: float
+    ) -> WorkerView | None:
+        """Return the worker where a filler should interfere least, if it fits any."""
         service = ready.tracked.submission.queue.service
         workers = self._startable_workers(now)
-        view = None
         for group in self._candidate_groups(ready, task, workers, now):
-            view = view or choose_forced_worker(
+            view = choose_forced_worker(
                 task, ready.step, service, group, self.interference, now
             )
-        if view is None:
-            return False
+            if view is not None:
+                return view
+        return None
+
+    def _force_start(
+        self, ready: ReadyStep, task: TaskKey, view: WorkerView, now: float
+    ) -> None:
+        """Start a filler on a worker despite interference."""
         if (
             view.can_force_filler(now)
             and now - view.last_forced_at > FORCED_START_WINDOW_S
@@ -352,7 +405,6 @@
         self._start(ready.tracked, task, view, now)
         ready.tracked.last_forced_at = now
         self.run_by_task[task].is_forced = True
-        return True
 
     def _startable_workers(self, now: float) -> list[WorkerView]:
         if not self._may_start(now):
--- a/libs/scheduling/src/berylcleat/scheduling/_crashes.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_crashes.py
@@ -2,7 +2,8 @@
 
 Only tasks that may have crashed a worker restart with care: their next run is recorded
 as crashed before it starts, until it shows otherwise. So the count survives the loss of
-the owner at any moment.
+the owner at any moment. The record names the worker, so that the next owner counts a
+run that may never have started only if this worker has crashed.
 """
 
 import logging
@@ -11,7 +12,7 @@
 from berylcleat.model import TaskKey
 from berylcleat.ports import WorkerEntry
 
-from ._progress import CrashedRuns, CrashEvidence
+from ._progress import CrashedRuns, CrashEvidence, PresumedStart
 from ._submissions import SubmissionRegistry, TrackedSubmission
 from ._workers import Run, WorkerView
 
@@ -80,6 +81,8 @@
         self._earlier_start_by_worker = {
             entry.worker_id: entry.started_at_ms for entry in earlier_workers
         }
+        # Start time of each worker when it first reported here.
+        self._first_start_by_worker: dict[str, int] = {}
         # Whether a worker of an earlier owner may have crashed before it reported here.
         self.has_lost_worker = False
         # Whether a start waits until its run is recorded as crashed.
@@ -87,10 +90,29 @@
 
     def on_first_report(self, worker_id: str, started_at_ms: int) -> None:
         """Note whether a worker has restarted since an earlier owner used it."""
+        self._first_start_by_worker.setdefault(worker_id, started_at_ms)
         earlier_start = self._earlier_start_by_worker.get(worker_id, started_at_ms)
         if started_at_ms != earlier_start:
             self.has_lost_worker = True
 
+    def has_crashed_since(
+        self, start: PresumedStart, view: WorkerView | None, *, is_awaited: bool
+    ) -> bool | None:
+        """Return whether a worker crashed after a presumed start, until it reported.
+
+        Later crashes are counted for the runs that are known by then. None while the
+        first report ``is_awaited``. One that drains isn't taken for crashed.
+        """
+        first_start = self._first_start_by_worker.get(start.worker_id)
+        if first_start is not None:
+            return first_start != start.incarnation_ms
+        if view is None:
+            return True
+        if view.entry.is_draining:
+            return None if is_awaited else False
+        has_restarted = view.entry.started_at_ms > start.incarnation_ms
+        return True if has_restarted or not is_awaited else None
+
     def on_crash(self, view: WorkerView, runs: Collection[Run]) -> None:
         """Count a worker's crash for the runs that may have caused it."""
         suspects, have_just_started = find_suspects(runs, view.alive_at)
@@ -138,12 +160,18 @@
             tracked.presumed_run_by_task[run.task] = run.number
 
     def ensure_start_recorded(
-        self, tracked: TrackedSubmission, task: TaskKey, run: int, now: float
+        self,
+        tracked: TrackedSubmission,
+        task: TaskKey,
+        run: int,
+        start: PresumedStart | None,
+        now: float,
     ) -> bool:
         """Have a suspect's next run recorded as crashed; return whether it is."""
-        if not tracked.is_crash_presumed(task, run):
-            tracked.presume_crash(task, run, now)
-        is_recorded = tracked.is_crash_recorded(task, run)
+        is_presumed = tracked.is_crash_presumed(task, run)
+        if not is_presumed or tracked.presumed_start(task) != start:
+            tracked.presume_crash(task, run, start, now)
+        is_recorded = tracked.is_start_recorded(task, run, start)
         self.awaits_record |= not is_recorded
         return is_recorded
 
--- a/libs/scheduling/src/berylcleat/scheduling/_progress.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_progress.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import IntEnum
+from typing import NamedTuple
 
 import msgspec
 
@@ -28,6 +29,13 @@
 CrashedRuns = dict[int, CrashEvidence]
 
 
+class PresumedStart(NamedTuple):
+    """Worker on which a presumed run was to start, and its start time in ms."""
+
+    worker_id: str
+    incarnation_ms: int
+
+
 class _ProgressRecord(msgspec.Struct, frozen=True, array_like=True):
     """Stored form of progress: rows [occurrence, step, ...] instead of task keys."""
 
@@ -38,6 +46,8 @@
     crashed: tuple[
         tuple[int, int, int, tuple[tuple[int, CrashEvidence], ...]], ...
     ] = ()
+    # [occurrence, step, index, run, worker id, start time of the worker in ms].
+    presumed: tuple[tuple[int, int, int, int, str, int], ...] = ()
 
 
 _encoder = msgspec.json.Encoder()
@@ -49,7 +59,7 @@
     """Done tasks, failed runs and checkpoints of one submission.
 
     ``crashed_runs_by_task`` holds the runs of a task during which their worker crashed,
-    or may have.
+    or may have. ``presumed_start_by_run`` tells where those presumed may have started.
     """
 
     final_state: SubmissionState | None = None
@@ -57,6 +67,9 @@
     failed_runs_by_task: dict[TaskKey, set[int]] = field(default_factory=dict)
     checkpoint_by_task: dict[TaskKey, str] = field(default_factory=dict)
     crashed_runs_by_task: dict[TaskKey, CrashedRuns] = field(default_factory=dict)
+    presumed_start_by_run: dict[tuple[TaskKey, int], PresumedStart] = field(
+        default_factory=dict
+    )
 
     def is_done(self, task: TaskKey) -> bool:
         """Return whether ``task`` is done."""
@@ -68,7 +81,12 @@
         key = (task.occurrence, task.step)
         self.done_by_step.setdefault(key, set()).add(task.index)
         self.checkpoint_by_task.pop(task, None)
-        self.crashed_runs_by_task.pop(task, None)
+        self.drop_crashes(task)
+
+    def drop_crashes(self, task: TaskKey) -> None:
+        """Drop all crashed runs of ``task``."""
+        for run in self.crashed_runs_by_task.pop(task, ()):
+            self.presumed_start_by_run.pop((task, run), None)
 
     def add_failure(self, task: TaskKey, run: int) -> None:
         """Add a failed run; a repeated report of the same run counts once."""
@@ -99,6 +117,10 @@
             (task.occurrence, task.step, task.index, tuple(sorted(runs.items())))
             for task, runs in progress.crashed_runs_by_task.items()
         ),
+        tuple(
+            (task.occurrence, task.step, task.index, run, *start)
+            for (task, run), start in progress.presumed_start_by_run.items()
+        ),
     )
     return _encoder.encode(record)
 
@@ -122,4 +144,9 @@
             TaskKey(submission_id, occurrence, step, index): dict(runs)
             for occurrence, step, index, runs in record.crashed
         },
+        {
+            (TaskKey(submission_id, *task), run): PresumedStart(*start)
+            for *task, run, worker_id, incarnation_ms in record.presumed
+            for start in ((worker_id, incarnation_ms),)
+        },
     )
--- a/libs/scheduling/src/berylcleat/scheduling/_submissions.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_submissions.py
@@ -1,6 +1,6 @@
 """Submissions tracked by a cell: their runnable steps, progress and end."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from berylcleat.model import (
@@ -12,7 +12,7 @@
     remaining_critical_paths_s,
 )
 
-from ._progress import CrashedRuns, CrashEvidence, Progress
+from ._progress import CrashedRuns, CrashEvidence, PresumedStart, Progress
 from ._urgency import DeadlineOrder, UrgencyOrder
 
 # Run numbers reserved per epoch, so that those of a later epoch are always higher.
@@ -74,6 +74,9 @@
     recorded_crashes_by_task: dict[TaskKey, frozenset[int]] = field(
         default_factory=dict
     )
+    recorded_start_by_run: dict[tuple[TaskKey, int], PresumedStart] = field(
+        default_factory=dict
+    )
     n_moves_by_task: dict[TaskKey, int] = field(default_factory=dict)
     moved_at_by_task: dict[TaskKey, float] = field(default_factory=dict)
     remaining_s_by_step: tuple[float, ...] = ()
@@ -284,19 +287,33 @@
         """Add a run during which its worker crashed, or may have."""
         runs = self.progress.crashed_runs_by_task.setdefault(task, {})
         runs[run] = max(evidence, runs.get(run, evidence))
+        self.progress.presumed_start_by_run.pop((task, run), None)
         if self.presumed_run_by_task.get(task) == run:
             del self.presumed_run_by_task[task]
         self.is_dirty = True
 
-    def presume_crash(self, task: TaskKey, run: int, now: float) -> None:
-        """Count a run as crashed before it starts."""
-        self.drop_presumption(task)
+    def presume_crash(
+        self, task: TaskKey, run: int, start: PresumedStart | None, now: float
+    ) -> None:
+        """Count a run as crashed before it starts.
+
+        ``start`` is where it is to start, None for a gang's.
+        """
+        if not self.is_crash_presumed(task, run):
+            self.drop_presumption(task)
+            self.presumed_at_by_task[task] = now
         runs = self.progress.crashed_runs_by_task.setdefault(task, {})
         runs[run] = CrashEvidence.PRESUMED
         self.presumed_run_by_task[task] = run
-        self.presumed_at_by_task[task] = now
+        if start is not None:
+            self.progress.presumed_start_by_run[(task, run)] = start
         self.is_dirty = True
 
+    def presumed_start(self, task: TaskKey) -> PresumedStart | None:
+        """Return where the run of ``task`` that is presumed here is to start."""
+        run = self.presumed_run_by_task.get(task, 0)
+        return self.progress.presumed_start_by_run.get((task, run))
+
     def is_crash_presumed(self, task: TaskKey, run: int) -> bool:
         """Return whether a run is counted as crashed in advance."""
         return self.presumed_run_by_task.get(task) == run
@@ -305,6 +322,13 @@
         """Return whether the record counts a run as crashed."""
         return run in self.recorded_crashes_by_task.get(task, ())
 
+    def is_start_recorded(
+        self, task: TaskKey, run: int, start: PresumedStart | None
+    ) -> bool:
+        """Return whether the record counts a run as crashed, to start at ``start``."""
+        recorded = self.recorded_start_by_run.get((task, run))
+        return self.is_crash_recorded(task, run) and recorded == start
+
     def drop_presumption(self, task: TaskKey) -> None:
         """Take back the run of ``task`` that is presumed, if any."""
         run = self.presumed_run_by_task.get(task)
@@ -312,16 +336,27 @@
             self.clear_crash(task, run)
 
     def settle_inherited_presumptions(
-        self, task: TaskKey, *, may_have_crashed: bool
+        self,
+        task: TaskKey,
+        has_crashed_since: Callable[[PresumedStart | None], bool | None],
     ) -> None:
-        """Count the runs that an earlier owner presumed, or take them back."""
+        """Count the runs that an earlier owner presumed, or take them back.
+
+        ``has_crashed_since`` tells whether the worker of such a run has crashed since.
+        While that isn't known (None), the run counts, but may still be taken back.
+        """
+        start_by_run = self.progress.presumed_start_by_run
         for run, evidence in self.crashes(task).items():
-            if evidence is not CrashEvidence.PRESUMED:
+            start = start_by_run.get((task, run))
+            if start is None and evidence is not CrashEvidence.PRESUMED:
                 continue
-            if may_have_crashed:
-                self.add_crash(task, run, CrashEvidence.POSSIBLE)
-            else:
+            has_crashed = has_crashed_since(start)
+            if has_crashed is False:
                 self.clear_crash(task, run)
+            elif has_crashed or evidence is CrashEvidence.PRESUMED:
+                self.add_crash(task, run, CrashEvidence.POSSIBLE)
+            if has_crashed is None and start is not None:
+                start_by_run[(task, run)] = start
 
     def clear_crash(self, task: TaskKey, run: int) -> None:
         """Take back a crashed run, which has shown otherwise.
@@ -332,6 +367,7 @@
             return
         runs = self.progress.crashed_runs_by_task[task]
         del runs[run]
+        self.progress.presumed_start_by_run.pop((task, run), None)
         if not runs:
             del self.progress.crashed_runs_by_task[task]
         if self.presumed_run_by_task.get(task) == run:
@@ -342,7 +378,7 @@
         """Take back all crashed runs of a task that crashes no worker."""
         if self.is_over:
             return
-        self.progress.crashed_runs_by_task.pop(task, None)
+        self.progress.drop_crashes(task)
         self.presumed_run_by_task.pop(task, None)
         self.is_dirty = True
 
@@ -352,6 +388,7 @@
             task: frozenset(runs)
             for task, runs in progress.crashed_runs_by_task.items()
         }
+        self.recorded_start_by_run = progress.presumed_start_by_run
 
     def fail(self) -> None:
         """Mark the submission as failed and drop its waiting tasks."""
