--- a/libs/scheduling/features/histories.feature
+++ b/libs/scheduling/features/histories.feature
@@ -58,6 +58,18 @@
     And no end was acknowledged before it was recorded
     And every submission has ended in every history
 
+  # Guards against LOST: runs recorded in advance that never started added up (seed 83
+  # with tasks that crash workers, seed 15 with evacuations).
+  Scenario Outline: No submission is given up for runs that never started, with <fault>
+    When 1 histories of 40 seconds with <n_cells> cells and <fault> are simulated from seed <seed>
+    Then no task ran twice, before its dependencies, or beyond its attempts
+    And every submission has ended in every history
+
+    Examples:
+      | n_cells | fault                    | seed |
+      | 2       | tasks that crash workers | 83   |
+      | 3       | evacuations              | 15   |
+
   # Guards against a check that finds nothing.
   Scenario Outline: Histories with evacuations show a late start without <mechanism>
     When histories with evacuations are simulated without the <mechanism> until one is late
