--- a/libs/ports/src/berylcleat/ports/__init__.py
+++ b/libs/ports/src/berylcleat/ports/__init__.py
@@ -18,6 +18,13 @@
 from ._change_feed import ChangeFeed, Changes
 from ._http_clients import HttpHostList, HttpObjectStore, HttpTable, HttpWorkerControl
 from ._list_source import ListSource
+from ._machines import (
+    Machine,
+    MachineService,
+    MachineState,
+    MaintenanceReply,
+    WaveRequest,
+)
 from ._operator import (
     OperatorConfig,
     Queue,
@@ -83,6 +90,10 @@
     "ListSource",
     "ListedHost",
     "ListedWorker",
+    "Machine",
+    "MachineService",
+    "MachineState",
+    "MaintenanceReply",
     "ObjectStore",
     "OperatorConfig",
     "OrderAnswer",
@@ -110,6 +121,7 @@
     "TaskThrottle",
     "Ticket",
     "Transaction",
+    "WaveRequest",
     "WorkerControl",
     "WorkerEntry",
     "WorkerPort",
