Add a machine service to the stand-in platform

Cause: the process scenario of maintenance waves needs machines whose workers return under another id, and calls whose answers are lost.

Change: StandinMachineService lists a machine for each worker, checks fences and waves, records faults of callers, and replaces the worker at another address after maintenance_s. It listens only with machine_address.

--- a/standins/src/berylcleat/standins/_task_platform.py
+++ b/standins/src/berylcleat/standins/_task_platform.py
@@ -5,9 +5,10 @@
 """
 
 import asyncio
+import base64
 import json
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -30,6 +31,8 @@
 )
 from berylcleat.runtime import StopSignal, cancel_all
 
+from ._machine_service import StandinMachineService
+from ._ports import find_free_ports
 from ._row_store import RowStore
 from ._task_worker import TaskWorker
 
@@ -64,12 +67,18 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskPlatformSettings:
-    """Addresses of the stand-in and the operator's initial configuration."""
+    """Addresses of the stand-in and the operator's initial configuration.
+
+    Without a ``machine_address`` there is no machine service; ``maintenance_s`` is how
+    long its machines are down for their maintenance.
+    """
 
     store_address: str
     control_address: str
     workers: tuple[WorkerSettings, ...]
     config: dict[str, Any]
+    machine_address: str = ""
+    maintenance_s: float = 2.0
 
 
 @dataclass(slots=True)
@@ -150,6 +159,10 @@
             worker_settings.worker_id: self._make_worker(worker_settings)
             for worker_settings in settings.workers
         }
+        self.machines = StandinMachineService(
+            tuple(self.worker_by_id), self, self._read_wave, settings.maintenance_s
+        )
+        self._server_by_worker: dict[str, HttpServer] = {}
         self.store.write("op", "config", json.dumps(settings.config).encode())
         for worker_settings in settings.workers:
             self.publish_worker(worker_settings, "ready")
@@ -192,6 +205,41 @@
             "servers", worker_settings.worker_id, json.dumps(entry).encode()
         )
 
+    async def start_worker(self, worker_id: str) -> None:
+        """Begin to serve a worker at its address."""
+        address = self.settings_by_worker[worker_id].address
+        server = HttpServer(address, self.make_worker_handler(worker_id))
+        await server.start()
+        self._server_by_worker[worker_id] = server
+
+    async def end_worker(self, worker_id: str) -> None:
+        """Terminate a worker and everything on it, and take it off the list."""
+        worker = self.worker_by_id[worker_id]
+        worker.crash(time.monotonic())
+        worker.is_up = False
+        self.store.remove("servers", worker_id)
+        await self._server_by_worker.pop(worker_id).stop(0.0)
+
+    async def join_worker(self, worker_id: str, new_worker_id: str) -> None:
+        """Start the worker that replaces an ended one, at another address."""
+        worker_settings = replace(
+            self.settings_by_worker[worker_id],
+            worker_id=new_worker_id,
+            address=f"127.0.0.1:{find_free_ports(1)[0]}",
+            listed_address="",
+        )
+        self.settings_by_worker[new_worker_id] = worker_settings
+        self.worker_by_id[new_worker_id] = self._make_worker(worker_settings)
+        await self.start_worker(new_worker_id)
+        self.publish_worker(worker_settings, "ready")
+
+    def _read_wave(self, wave_id: int) -> dict[str, Any] | None:
+        return self._read_row("op", f"wave/{wave_id}")
+
+    def _read_row(self, table: str, key: str) -> dict[str, Any] | None:
+        row = self.store.row_by_key.get((table, "", key))
+        return json.loads(base64.b64decode(row["value"])) if row else None
+
     async def handle_store_request(self, request: HttpRequest) -> HttpResponse:
         """Execute one store request under the outage mode in force.
 
@@ -252,6 +300,8 @@
     async def _handle_worker_request(
         self, worker: TaskWorker, request: HttpRequest
     ) -> HttpResponse:
+        if not worker.is_up:
+            raise AbandonConnectionError
         body = json.loads(request.body)
         if request.target == "/api/run-start":
             return _order_response(self._start(worker, body))
@@ -287,6 +337,8 @@
         )
         deadline = time.monotonic() + order.wait_ms / 1000
         while True:
+            if not worker.is_up:
+                raise AbandonConnectionError
             answer = worker.hold(order, time.monotonic())
             is_over = time.monotonic() >= deadline
             if answer.report is None or answer.report.ended or is_over:
@@ -296,7 +348,7 @@
     async def advance_workers(self) -> None:
         """End due runs on every worker periodically, until cancelled."""
         while True:
-            for worker in self.worker_by_id.values():
+            for worker in tuple(self.worker_by_id.values()):
                 worker.advance(time.monotonic())
             await asyncio.sleep(ADVANCE_PERIOD_S)
 
@@ -304,7 +356,8 @@
         """Execute a test's control request.
 
         It reads the run record, sets the outage mode, drains a worker, writes a row,
-        removes one, or drops the store's change history.
+        removes one, drops the store's change history, reads what the machine service
+        recorded of a wave, or loses answers of that service.
         """
         if request.target == "/ledger":
             return _json_response(
@@ -328,6 +381,12 @@
             self.store.write(body["table"], body["key"], body["value"].encode())
         elif request.target == "/remove":
             self.store.remove(body["table"], body["key"])
+        elif request.target == "/wave":
+            key = f"wave/{body['wave']}"
+            record = self.machines.record(body["wave"])
+            return _json_response({**record, "status": self._read_row("status", key)})
+        elif request.target == "/lose-machine-answers":
+            self.machines.n_lost_answers = body["n"]
         elif request.target == "/forget":
             self.store.forget_history()
         return _json_response({})
@@ -385,11 +444,12 @@
         HttpServer(settings.store_address, platform.handle_store_request),
         HttpServer(settings.control_address, platform.handle_control_request),
     ]
-    for worker_settings in settings.workers:
-        handler = platform.make_worker_handler(worker_settings.worker_id)
-        servers.append(HttpServer(worker_settings.address, handler))
+    if settings.machine_address:
+        servers.append(HttpServer(settings.machine_address, platform.machines.handle))
     for server in servers:
         await server.start()
+    for worker_id in tuple(platform.worker_by_id):
+        await platform.start_worker(worker_id)
     advance_task = asyncio.get_running_loop().create_task(platform.advance_workers())
     await stop.wait()
     await cancel_all([advance_task])
