Deliver the operator's wave rows to the host

Cause: a host must learn of maintenance waves, and of their removal, also while the configuration changes faster than it arrives.

Ruled out: a follower of its own (one more long poll for each host); version checks of guessed keys (the numbers of waves need not follow each other).

Malformed rows are logged once and ignored.

--- a/libs/ports/src/berylcleat/ports/_machines.py
+++ b/libs/ports/src/berylcleat/ports/_machines.py
@@ -10,7 +10,7 @@
 
     UP = "up"
     MOVING = "moving"
-    IN_MAINTENANCE = "in maintenance"
+    UPKEEP = "in maintenance"
     DOWN = "down"
 
 
--- a/programs/beryl-host/features/operator_follower.feature
+++ b/programs/beryl-host/features/operator_follower.feature
@@ -28,6 +28,28 @@
     And the same changes are followed by a host with evacuations
     Then both hosts made about as many calls and none listed or read more than once
 
+  # Guards against calls for waves where there is none.
+  Scenario: Following maintenance waves costs no call while there is none
+    Given a configuration that takes 0.01 s to arrive over the link of a host
+    When it changes every 0.27 s for 2.0 s and a host without evacuations follows it
+    And the same changes are followed by a host with maintenance waves, and no wave
+    Then both hosts made about as many calls and none listed or read more than once
+
+  # Guards against a wave that is missed because the change feed is left out up to a
+  # checked version, against a malformed row that hides another one, and against a
+  # removed wave that goes on.
+  Scenario Outline: Waves are known while the configuration changes, <names> waves
+    Given a configuration that takes <link> s to arrive over the link of a host
+    When it changes every 0.27 s for 8.0 s while <names> waves are written and removed
+    Then the host knew of each wave, and of its removal, within 1.5 s
+
+    Examples:
+      | link | names           |
+      | 0.01 | only            |
+      | 0.15 | only            |
+      | 0.3  | only            |
+      | 0.3  | evacuations and |
+
   # Guards against a request that is lost with the answer that told of it.
   Scenario: The answer that tells of a request is lost
     Given a host that follows the operator's table
--- a/programs/beryl-host/features/steps/operator_follower_steps.py
+++ b/programs/beryl-host/features/steps/operator_follower_steps.py
@@ -74,7 +74,7 @@
 class FollowingHost:
     """Follower of one host, its state, and when it learned of each change."""
 
-    def __init__(self, store, names):
+    def __init__(self, store, names, *, follows_waves=False):
         self.state = OperatorState(RULES)
         self.link = FollowedStore(store)
         self.names = names
@@ -87,7 +87,13 @@
             (lambda: self.names) if names else None,
             wait_s=WAIT_S,
             min_period_s=0.1,
+            on_waves=self._on_waves if follows_waves else None,
         )
+        self.wave_changes = []
+
+    def _on_waves(self, rows):
+        self.state.on_waves(rows)
+        self.wave_changes.append((time.monotonic(), sorted(self.state.wave_by_id)))
 
     def _on_requests(self, evacuated, version, confirmed_at):
         self.state.on_requests(evacuated, version, confirmed_at)
@@ -212,8 +218,13 @@
     context.counts.append(count_calls(context, ("dc-1", "dc-2", "dc-3")))
 
 
-def count_calls(context, names):
-    host = FollowingHost(context.store, names)
+@when("the same changes are followed by a host with maintenance waves, and no wave")
+def step_storm_with_waves(context):
+    context.counts.append(count_calls(context, None, follows_waves=True))
+
+
+def count_calls(context, names, *, follows_waves=False):
+    host = FollowingHost(context.store, names, follows_waves=follows_waves)
 
     async def run():
         async with host.following():
@@ -367,3 +378,49 @@
 @then("the host's confirmation is at least {seconds:f} s old")
 def step_confirmation_age(context, seconds):
     assert context.age_s >= seconds, context.age_s
+
+
+@when(
+    "it changes every {period:f} s for {seconds:f} s while {names} waves are written "
+    "and removed"
+)
+def step_wave_storm(context, period, seconds, names):
+    data_centres = ("dc-1",) if names == "evacuations and" else None
+    context.host = FollowingHost(context.store, data_centres, follows_waves=True)
+    context.wave_writes = []
+
+    def put_wave(wave_id, *, is_malformed=False):
+        body = {"wave": wave_id, "machines": ["m"], "completeByS": 9, "maxCount": 1}
+        text = "[not json" if is_malformed else json.dumps(body)
+        context.store.put("op", "", f"wave/{wave_id}", text.encode())
+
+    def change(number):
+        # The numbers of waves need not follow each other.
+        put_wave(7 * number)
+        put_wave(7 * number + 1, is_malformed=True)
+        if number > 1:
+            context.store.remove("op", "", f"wave/{7 * (number - 1)}")
+        context.wave_writes.append((time.monotonic(), [7 * number]))
+
+    async def run():
+        async with context.host.following():
+            for number in range(1, 5):
+                at_s = seconds / 8
+                await run_storm(
+                    context, period, seconds / 4, lambda n=number: change(n), at_s
+                )
+            await asyncio.sleep(1.0)
+
+    context.run(run())
+
+
+@then("the host knew of each wave, and of its removal, within {seconds:f} s")
+def step_knew_waves(context, seconds):
+    for written_at, expected in context.wave_writes:
+        known_at = next(
+            (at for at, ids in context.host.wave_changes if ids == expected),
+            float("inf"),
+        )
+        assert known_at - written_at <= seconds, (expected, context.host.wave_changes)
+    assert context.host.wave_changes[-1][1] == context.wave_writes[-1][1]
+    assert context.host.state.config_version == context.config_version
--- a/programs/beryl-host/src/berylcleat/host/_operator_state.py
+++ b/programs/beryl-host/src/berylcleat/host/_operator_state.py
@@ -1,11 +1,11 @@
-"""Configuration and evacuation requests of the operator, as this host knows them."""
+"""What the operator asks for, as this host knows it."""
 
 import logging
 from collections.abc import Callable
 
-from berylcleat.platform import decode_config
+from berylcleat.platform import decode_config, decode_wave
 from berylcleat.ports import OperatorConfig, StoreRow
-from berylcleat.scheduling import CellEvacuation, EvacuationRules
+from berylcleat.scheduling import CellEvacuation, EvacuationRules, MaintenanceWave
 
 ConfigListener = Callable[[OperatorConfig], None]
 NO_EVACUATIONS = EvacuationRules(0.0, 0.0)
@@ -13,11 +13,12 @@
 
 
 class OperatorState:
-    """Newest known configuration and evacuated data centres; nothing of it is stored.
+    """Newest known configuration, evacuations and waves; nothing of it is stored.
 
     ``version`` is the store's version up to which ``evacuated`` includes every request
     and ``confirmed_at`` is when the newest read of them was sent, by this host or by
     the one that relayed it. ``config_value`` is the configuration as it was stored.
+    ``wave_by_id`` holds the requested maintenance waves.
     """
 
     def __init__(self, rules: EvacuationRules = NO_EVACUATIONS):
@@ -28,6 +29,9 @@
         self.evacuated: frozenset[str] = frozenset()
         self.version = 0
         self.confirmed_at = float("-inf")
+        self.wave_by_id: dict[int, MaintenanceWave] = {}
+        # Versions of rows that can't be decoded, by key, so that each is logged once.
+        self._malformed_waves: dict[str, int] = {}
 
     @property
     def has_evacuations(self) -> bool:
@@ -78,6 +82,39 @@
             logger.info("evacuation withdrawn: data centre %s, from %s", name, source)
         self.evacuated = evacuated
 
+    def on_waves(self, rows: tuple[StoreRow, ...]) -> None:
+        """Replace the requested waves by those in ``rows``; malformed ones are none."""
+        wave_by_id = {}
+        malformed = {}
+        for row in rows:
+            request = decode_wave(row)
+            if request is None:
+                malformed[row.key] = row.version
+                if self._malformed_waves.get(row.key) != row.version:
+                    logger.error("maintenance: row %s can't be decoded", row.key)
+                continue
+            wave = MaintenanceWave(
+                request.wave_id,
+                request.machine_ids,
+                request.max_down,
+                request.complete_by_s,
+                row.version,
+            )
+            wave_by_id[wave.wave_id] = wave
+            if self.wave_by_id.get(wave.wave_id) != wave:
+                logger.info(
+                    "maintenance: wave %d requested: %d machines within %g s, "
+                    "%d at a time",
+                    wave.wave_id,
+                    len(wave.machine_ids),
+                    wave.complete_by_s,
+                    wave.max_down,
+                )
+        for wave_id in sorted(self.wave_by_id.keys() - wave_by_id.keys()):
+            logger.info("maintenance: wave %d withdrawn", wave_id)
+        self.wave_by_id = wave_by_id
+        self._malformed_waves = malformed
+
     def make_cell_evacuation(self, data_centre: str) -> CellEvacuation | None:
         """Return the evacuation state of a cell there; None if there can be none."""
         if not self.has_evacuations:
