Add the shell of maintenance waves to beryl-host

Cause: the planner's actions need a host that reads the list of machines, keeps the shared record and calls the machine service.

Ruled out: trusting the change feed of owners before a call: a host that the store doesn't answer keeps its cells for up to 12 s, while the next owner calls after 3 s. Each call is preceded by a check of the owner's row. Calling at once after a confirmed stop: a call of the previous owner may be under way, so that every takeover waits for 3 s.

Change: MaintenanceWaves and its parts, the metrics, the setting machine_service_address, wired only where that is set.

--- /dev/null
+++ b/programs/beryl-host/src/berylcleat/host/_maintenance_waves.py
@@ -0,0 +1,265 @@
+"""Carry out maintenance waves on the machines of this host's cells."""
+
+import logging
+from collections.abc import Iterable
+
+from berylcleat.model import BerylError
+from berylcleat.platform import encode_wave_status
+from berylcleat.ports import MachineService, Store
+from berylcleat.scheduling import (
+    FreeSlot,
+    MachineList,
+    MachinePhase,
+    MaintenanceAction,
+    MaintenanceWave,
+    ReportState,
+    RequestMaintenance,
+    TakeSlot,
+    WaveRecord,
+    WaveState,
+    apply_actions,
+    cordoned_workers,
+    plan_maintenance,
+)
+
+from ._clock import now_s, wall_ms
+from ._machine_list_reader import MachineListReader
+from ._maintained_cells import MaintainedCell, MaintainedCells
+from ._maintenance_calls import MaintenanceCalls
+from ._maintenance_metrics import observe_waves
+from ._operator_state import OperatorState
+from ._wave_records import WaveRecords
+
+STEP_PERIOD_S = 0.1
+# Seconds from one read to the next for a host with machines of a wave in its cells, and
+# for another one, which only has to learn that machines are gone or all are done.
+RECORD_PERIOD_S = 0.5
+LIST_PERIOD_S = 1.0
+IDLE_PERIOD_S = 5.0
+# Pause after a call that the store didn't answer.
+RETRY_S = 0.3
+# Conflicting commits after which a cell waits for the next step.
+MAX_ATTEMPTS = 3
+logger = logging.getLogger(__name__)
+
+
+class MaintenanceWaves:
+    """Shell around ``plan_maintenance`` for the cells that this host owns.
+
+    While no wave is in progress, or the host owns no cell, it calls nothing.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        service: MachineService,
+        host_id: str,
+        state: OperatorState,
+        cells: MaintainedCells,
+    ):
+        self._state = state
+        self._cells = cells
+        self._machines = MachineList()
+        self._records = WaveRecords(store)
+        self._calls = MaintenanceCalls(store, service, host_id, self._machines)
+        self._list_reader = MachineListReader(
+            service, self._machines, self._list_period_s
+        )
+        # Version of the request of each wave that is over.
+        self._over: dict[int, int] = {}
+        self._read_at_by_wave: dict[int, float] = {}
+        # Cells at the last step, by id and epoch, and those with cordoned workers.
+        self._known_cells: set[tuple[str, int]] = set()
+        self._cordoned_cells: set[tuple[str, int]] = set()
+        self._retry_at = float("-inf")
+        self._has_published = False
+
+    async def run_list(self) -> None:
+        """Read the list of machines while a wave is in progress, until cancelled."""
+        await self._list_reader.run()
+
+    async def step(self) -> None:
+        """Advance every wave in every cell of this host.
+
+        Raises the errors of the store; then the next steps wait for ``RETRY_S``.
+        """
+        self._cells.update(now_s())
+        if now_s() < self._retry_at:
+            return
+        active = self._cells.active()
+        wave_by_id = self._waves_in_progress() if active else {}
+        withdrawn = self._records.by_wave.keys() - self._state.wave_by_id.keys()
+        if not wave_by_id and not withdrawn and not self._cordoned_cells:
+            self._publish({}, [])
+            return
+        try:
+            await self._read_records(wave_by_id, active)
+            self._cordon(wave_by_id, active)
+            for wave_id in [*wave_by_id, *withdrawn]:
+                for cell in active:
+                    await self._advance(wave_id, wave_by_id.get(wave_id), cell)
+        except BerylError:
+            self._retry_at = now_s() + RETRY_S
+            raise
+        for wave_id in withdrawn:
+            self._end(wave_id)
+        for wave_id, wave in wave_by_id.items():
+            if _is_over(wave, self._records.by_wave.get(wave_id)):
+                self._over[wave_id] = wave.version
+                self._end(wave_id)
+        wave_by_id = self._waves_in_progress() if active else {}
+        self._cordon(wave_by_id, active)
+        self._publish(wave_by_id, active)
+
+    def _waves_in_progress(self) -> dict[int, MaintenanceWave]:
+        return {
+            wave_id: wave
+            for wave_id, wave in self._state.wave_by_id.items()
+            if self._over.get(wave_id) != wave.version
+        }
+
+    def _list_period_s(self) -> float | None:
+        active = self._cells.active()
+        wave_by_id = self._waves_in_progress() if active else {}
+        if not wave_by_id:
+            return None
+        is_involved = any(
+            self._is_involved(wave, active) for wave in wave_by_id.values()
+        )
+        return LIST_PERIOD_S if is_involved else IDLE_PERIOD_S
+
+    def _is_involved(self, wave: MaintenanceWave, active: list[MaintainedCell]) -> bool:
+        """Return whether machines of a wave that aren't done are in these cells."""
+        record = self._records.by_wave.get(wave.wave_id)
+        if record is None or not self._machines.by_id:
+            return True
+        cell_ids = {cell.cell_id for cell in active}
+        for machine_id in wave.machine_ids:
+            entry = record.machine_by_id.get(machine_id)
+            if entry is not None and entry.phase is MachinePhase.DONE:
+                continue
+            if entry is not None and entry.cell_id in cell_ids:
+                return True
+            machine = self._machines.by_id.get(machine_id)
+            if machine is not None and any(
+                machine.worker_id in cell.scheduler.worker_by_id for cell in active
+            ):
+                return True
+        return False
+
+    async def _read_records(
+        self, wave_by_id: dict[int, MaintenanceWave], active: list[MaintainedCell]
+    ) -> None:
+        """Read the records that are due, and all of them for a new cell."""
+        known_cells = {(cell.cell_id, cell.owner.epoch) for cell in active}
+        has_new_cell = not known_cells <= self._known_cells
+        for wave_id, wave in wave_by_id.items():
+            is_involved = self._is_involved(wave, active)
+            period_s = RECORD_PERIOD_S if is_involved else IDLE_PERIOD_S
+            read_at = self._read_at_by_wave.get(wave_id, float("-inf"))
+            if has_new_cell or now_s() >= read_at + period_s:
+                self._read_at_by_wave[wave_id] = now_s()
+                await self._records.refresh(wave_id)
+        self._known_cells = known_cells
+
+    async def _advance(
+        self, wave_id: int, wave: MaintenanceWave | None, cell: MaintainedCell
+    ) -> None:
+        """Plan and carry out what one cell does for a wave; None if it is withdrawn."""
+        for _ in range(MAX_ATTEMPTS):
+            record = self._records.by_wave.get(wave_id)
+            if record is None or cell.is_inactive:
+                return
+            now = now_s()
+            planned_cell = self._cells.describe(cell, now)
+            actions = plan_maintenance(
+                wave, record, self._machines, planned_cell, now, wall_ms()
+            )
+            if not actions:
+                return
+            changed = apply_actions(record, actions, planned_cell)
+            if changed == record or await self._commit(wave_id, changed, actions):
+                self._carry_out(wave_id, actions, cell)
+                return
+
+    async def _commit(
+        self, wave_id: int, record: WaveRecord, actions: Iterable[MaintenanceAction]
+    ) -> bool:
+        writes = tuple(
+            encode_wave_status(wave_id, is_done=action.state is WaveState.DONE)
+            for action in actions
+            if isinstance(action, ReportState)
+        )
+        return await self._records.commit(wave_id, record, writes)
+
+    def _carry_out(
+        self, wave_id: int, actions: Iterable[MaintenanceAction], cell: MaintainedCell
+    ) -> None:
+        for action in actions:
+            match action:
+                case TakeSlot(machine_id, worker_id):
+                    logger.info(
+                        "maintenance: wave %d: machine %s is taken out of use, cell "
+                        "%s, worker %s",
+                        wave_id,
+                        machine_id,
+                        cell.cell_id,
+                        worker_id,
+                    )
+                case RequestMaintenance(machine_id, worker_id):
+                    self._calls.request(wave_id, machine_id, worker_id, cell)
+                case FreeSlot(machine_id, reason):
+                    logger.info(
+                        "maintenance: wave %d: machine %s holds no slot any more: %s",
+                        wave_id,
+                        machine_id,
+                        reason,
+                    )
+                case ReportState(state):
+                    logger.info("maintenance: wave %d is %s", wave_id, state.value)
+
+    def _cordon(
+        self, wave_by_id: dict[int, MaintenanceWave], active: list[MaintainedCell]
+    ) -> None:
+        """Keep tasks from starting on the workers of machines that hold a slot."""
+        for cell in active:
+            key = (cell.cell_id, cell.owner.epoch)
+            planned_cell = self._cells.describe(cell, now_s())
+            worker_ids: frozenset[str] = frozenset()
+            for wave_id, wave in wave_by_id.items():
+                record = self._records.by_wave.get(wave_id)
+                if record is not None:
+                    worker_ids |= cordoned_workers(wave, record, planned_cell)
+            if worker_ids or key in self._cordoned_cells:
+                cell.scheduler.set_cordoned(worker_ids)
+            self._cordoned_cells.discard(key)
+            if worker_ids:
+                self._cordoned_cells.add(key)
+        # Cells that have been lost meanwhile need no more changes.
+        self._cordoned_cells &= {(cell.cell_id, cell.owner.epoch) for cell in active}
+
+    def _end(self, wave_id: int) -> None:
+        self._records.forget(wave_id)
+        self._read_at_by_wave.pop(wave_id, None)
+        self._calls.forget(wave_id)
+
+    def _publish(
+        self, wave_by_id: dict[int, MaintenanceWave], active: list[MaintainedCell]
+    ) -> None:
+        if wave_by_id or self._has_published:
+            records = [self._records.by_wave.get(wave_id) for wave_id in wave_by_id]
+            observe_waves(records, {cell.cell_id for cell in active})
+        self._has_published = bool(wave_by_id)
+
+
+def _is_over(wave: MaintenanceWave, record: WaveRecord | None) -> bool:
+    """Return whether a wave is reported as done and all of its machines are back."""
+    return (
+        record is not None
+        and record.version == wave.version
+        and record.reported_state is WaveState.DONE
+        and all(
+            machine.phase is MachinePhase.DONE
+            for machine in record.machine_by_id.values()
+        )
+    )
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -9,6 +9,7 @@
 from berylcleat.platform import (
     WORKER_TABLE,
     AdviceClient,
+    MachineClient,
     StoreClient,
     read_store_traffic,
 )
@@ -33,6 +34,8 @@
 from ._follower import Follower, TableFollower
 from ._identity import HostIdentity
 from ._live_owners import LiveOwners
+from ._maintained_cells import MaintainedCells
+from ._maintenance_waves import STEP_PERIOD_S, MaintenanceWaves
 from ._membership import Coverage, Membership
 from ._on_demand_follower import OnDemandFollower
 from ._operator_follower import OperatorFollower
@@ -151,6 +154,7 @@
         self.evacuation_metrics = EvacuationMetrics(
             self.operator, self.workers, self.ownership.controller_by_cell
         )
+        self.maintenance = self._make_maintenance()
         self.client_api = ClientApi(
             self.store,
             SubmissionStore(self.store),
@@ -173,6 +177,18 @@
         address = self.settings.advice_address
         return AdviceClient(address) if address else None
 
+    def _make_maintenance(self) -> MaintenanceWaves | None:
+        address = self.settings.machine_service_address
+        if not address:
+            return None
+        return MaintenanceWaves(
+            self.store,
+            MachineClient(address),
+            self.identity.host_id,
+            self.operator,
+            MaintainedCells(self.ownership.controller_by_cell),
+        )
+
     def _create_followers(self) -> None:
         data_centre = self.identity.data_centre
         self.operator_follower = OperatorFollower(
@@ -182,6 +198,9 @@
             self._data_centres if self.operator.has_evacuations else None,
             wait_s=FOLLOW_TIMEOUT_S,
             min_period_s=CONFIG_POLL_PERIOD_S,
+            on_waves=self.operator.on_waves
+            if self.settings.machine_service_address
+            else None,
         )
         self.worker_follower = OnDemandFollower(
             self.store,
@@ -246,6 +265,11 @@
         ]
         if self.operator.has_evacuations:
             coroutines += [self.relay.run(), self.evacuation_metrics.run()]
+        if self.maintenance is not None:
+            coroutines += [
+                self.maintenance.run_list(),
+                run_periodically(STEP_PERIOD_S, self.maintenance.step),
+            ]
         loop = asyncio.get_running_loop()
         return [loop.create_task(coroutine) for coroutine in coroutines]
 
--- a/programs/beryl-host/src/berylcleat/host/_settings.py
+++ b/programs/beryl-host/src/berylcleat/host/_settings.py
@@ -22,7 +22,8 @@
     avoidance of slow and failing workers, ``expected_finish`` order and moves by
     expected finish; a deployment's ``contracts`` may switch them on too.
     ``admission_late_limit`` is the multiple of a submission's objective beyond which it
-    is refused; 0 refuses none.
+    is refused; 0 refuses none. Without a ``machine_service_address``, maintenance waves
+    are ignored.
 
     No task is started in an evacuated data centre later than ``evacuation_deadline_ms``
     after the request, and by a host without news of the requests no later than
@@ -49,6 +50,7 @@
     expected_finish: bool = False
     contracts: tuple[str, ...] | None = None
     admission_late_limit: float = 0.0
+    machine_service_address: str = ""
 
     @property
     def cpu_power(self) -> float:
