Test maintenance waves with real host processes

Cause: the limit of machines that are down and the report of the wave depend on host, store and machine service together.

Change: a wave of four machines, one at a time, with a lost answer and with a killed owner; the group of the evacuation test is reused. A request is logged when it is recorded: with a lost answer there was no line. Cells learn of a wave that cordons nothing yet, since availability must have been observed before tasks move.

--- a/programs/beryl-host/features/steps/evacuation_process_steps.py
+++ b/programs/beryl-host/features/steps/evacuation_process_steps.py
@@ -54,13 +54,13 @@
             await asyncio.sleep(period_s)
 
 
-async def start_group(context):
+async def start_group(context, make_group):
     """Start the processes; return whether each host owns its data centre's cell.
 
     The hosts reach the store once all of them are up: a host that starts a second later
     than the other one finds its data centre's cell adopted.
     """
-    context.group = EvacuationGroup(2, 2, n_racks=2)
+    context.group = make_group()
     for link in context.group.links:
         await link.start()
     await context.group.wait_started()
@@ -82,9 +82,13 @@
 
 @given('a host and a worker in each of the data centres "dc-1" and "dc-2"')
 def step_group(context):
+    start_one_owner_per_cell(context, lambda: EvacuationGroup(2, 2, n_racks=2))
+
+
+def start_one_owner_per_cell(context, make_group):
     # A host knows the addresses of another data centre's hosts from the cells they own.
     for _ in range(N_START_ATTEMPTS):
-        if context.run(start_group(context)):
+        if context.run(start_group(context, make_group)):
             return
         context.run(stop_group(context))
     raise AssertionError("no start in which each host owns a cell")
--- a/programs/beryl-host/features/steps/host_group.py
+++ b/programs/beryl-host/features/steps/host_group.py
@@ -20,6 +20,8 @@
 
     # Settings of the hosts besides their id, data centre and addresses.
     host_settings: dict = {}
+    # Settings of the stand-in platform besides addresses, workers and configuration.
+    platform_settings: dict = {}
 
     def __init__(self, n_hosts: int, n_workers: int, *, n_racks: int = 1):
         self.folder = Path(tempfile.mkdtemp(prefix="beryl-host-"))
@@ -59,6 +61,7 @@
                 }
                 for n, address in enumerate(self.workers)
             ],
+            **self.platform_settings,
         }
         code = "from berylcleat.standins import task_platform_main as m; m()"
         return self._spawn("platform", ["-c", code], settings)
--- a/programs/beryl-host/src/berylcleat/host/_maintenance_calls.py
+++ b/programs/beryl-host/src/berylcleat/host/_maintenance_calls.py
@@ -81,12 +81,6 @@
             self._delay(call)
             return
         if reply is MaintenanceReply.ACCEPTED:
-            logger.info(
-                "maintenance: wave %d: requested for machine %s, worker %s",
-                wave_id,
-                machine_id,
-                worker_id,
-            )
             self._retry_by_call.pop(call, None)
             now = self._clock()
             self._machines.on_maintenance_begun(wave_id, machine_id, worker_id, now)
--- a/programs/beryl-host/src/berylcleat/host/_maintenance_waves.py
+++ b/programs/beryl-host/src/berylcleat/host/_maintenance_waves.py
@@ -68,7 +68,7 @@
         # Version of the request of each wave that is over.
         self._over: dict[int, int] = {}
         self._read_at_by_wave: dict[int, float] = {}
-        # Cells at the last step, by id and epoch, and those with cordoned workers.
+        # Cells at the last step, by id and epoch, and those that were told of cordons.
         self._known_cells: set[tuple[str, int]] = set()
         self._cordoned_cells: set[tuple[str, int]] = set()
         self._retry_at = float("-inf")
@@ -178,9 +178,16 @@
             if not actions:
                 return
             changed = apply_actions(record, actions, planned_cell)
-            if changed == record or await self._commit(wave_id, changed, actions):
-                self._carry_out(wave_id, actions, cell)
-                return
+            if changed != record:
+                if not await self._commit(wave_id, changed, actions):
+                    continue
+                self._log(wave_id, actions, cell)
+            for action in actions:
+                if isinstance(action, RequestMaintenance):
+                    self._calls.request(
+                        wave_id, action.machine_id, action.worker_id, cell
+                    )
+            return
 
     async def _commit(
         self, wave_id: int, record: WaveRecord, actions: Iterable[MaintenanceAction]
@@ -192,51 +199,43 @@
         )
         return await self._records.commit(wave_id, record, writes)
 
-    def _carry_out(
+    def _log(
         self, wave_id: int, actions: Iterable[MaintenanceAction], cell: MaintainedCell
     ) -> None:
+        """Log what a commit has recorded."""
         for action in actions:
             match action:
-                case TakeSlot(machine_id, worker_id):
-                    logger.info(
-                        "maintenance: wave %d: machine %s is taken out of use, cell "
-                        "%s, worker %s",
-                        wave_id,
-                        machine_id,
-                        cell.cell_id,
-                        worker_id,
-                    )
-                case RequestMaintenance(machine_id, worker_id):
-                    self._calls.request(wave_id, machine_id, worker_id, cell)
-                case FreeSlot(machine_id, reason):
-                    logger.info(
-                        "maintenance: wave %d: machine %s holds no slot any more: %s",
-                        wave_id,
-                        machine_id,
-                        reason,
-                    )
-                case ReportState(state):
-                    logger.info("maintenance: wave %d is %s", wave_id, state.value)
+                case TakeSlot():
+                    text = f"machine {action.machine_id} is taken out of use"
+                    text += f", cell {cell.cell_id}, worker {action.worker_id}"
+                case RequestMaintenance():
+                    text = f"maintenance of machine {action.machine_id} is requested"
+                    text += f", cell {cell.cell_id}, worker {action.worker_id}"
+                case FreeSlot():
+                    text = f"machine {action.machine_id} holds no slot any more"
+                    text += f": {action.reason}"
+                case ReportState():
+                    text = action.state.value
+            logger.info("maintenance: wave %d: %s", wave_id, text)
 
     def _cordon(
         self, wave_by_id: dict[int, MaintenanceWave], active: list[MaintainedCell]
     ) -> None:
-        """Keep tasks from starting on the workers of machines that hold a slot."""
+        """Keep tasks from starting on the workers of machines in maintenance."""
         for cell in active:
             key = (cell.cell_id, cell.owner.epoch)
+            if not wave_by_id and key not in self._cordoned_cells:
+                continue
             planned_cell = self._cells.describe(cell, now_s())
             worker_ids: frozenset[str] = frozenset()
             for wave_id, wave in wave_by_id.items():
                 record = self._records.by_wave.get(wave_id)
                 if record is not None:
                     worker_ids |= cordoned_workers(wave, record, planned_cell)
-            if worker_ids or key in self._cordoned_cells:
-                cell.scheduler.set_cordoned(worker_ids)
-            self._cordoned_cells.discard(key)
-            if worker_ids:
-                self._cordoned_cells.add(key)
-        # Cells that have been lost meanwhile need no more changes.
-        self._cordoned_cells &= {(cell.cell_id, cell.owner.epoch) for cell in active}
+            cell.scheduler.set_cordoned(worker_ids)
+        # Without a wave all workers have just been returned to use.
+        keys = {(cell.cell_id, cell.owner.epoch) for cell in active}
+        self._cordoned_cells = keys if wave_by_id else set()
 
     def _end(self, wave_id: int) -> None:
         self._records.forget(wave_id)
