--- a/programs/beryl-host/src/berylcleat/host/_maintenance_waves.py
+++ b/programs/beryl-host/src/berylcleat/host/_maintenance_waves.py
@@ -1,5 +1,6 @@
 """Carry out maintenance waves on the machines of this host's cells."""
 
+import asyncio
 import logging
 from collections.abc import Iterable
 
@@ -71,21 +72,21 @@
         # Cells at the last step, by id and epoch, and those that were told of cordons.
         self._known_cells: set[tuple[str, int]] = set()
         self._cordoned_cells: set[tuple[str, int]] = set()
-        self._retry_at = float("-inf")
         self._has_published = False
 
-    async def run_list(self) -> None:
-        """Read the list of machines while a wave is in progress, until cancelled."""
-        await self._list_reader.run()
+    async def read_list(self) -> None:
+        """Read the list of machines if a wave is in progress and a read is due.
+
+        Raises the errors of the machine service.
+        """
+        await self._list_reader.step()
 
     async def step(self) -> None:
         """Advance every wave in every cell of this host.
 
-        Raises the errors of the store; then the next steps wait for ``RETRY_S``.
+        Raises the errors of the store, after a wait of ``RETRY_S``.
         """
         self._cells.update(now_s())
-        if now_s() < self._retry_at:
-            return
         active = self._cells.active()
         wave_by_id = self._waves_in_progress() if active else {}
         withdrawn = self._records.by_wave.keys() - self._state.wave_by_id.keys()
@@ -99,7 +100,7 @@
                 for cell in active:
                     await self._advance(wave_id, wave_by_id.get(wave_id), cell)
         except BerylError:
-            self._retry_at = now_s() + RETRY_S
+            await asyncio.sleep(RETRY_S)
             raise
         for wave_id in withdrawn:
             self._end(wave_id)
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -267,7 +267,7 @@
             coroutines += [self.relay.run(), self.evacuation_metrics.run()]
         if self.maintenance is not None:
             coroutines += [
-                self.maintenance.run_list(),
+                run_periodically(STEP_PERIOD_S, self.maintenance.read_list),
                 run_periodically(STEP_PERIOD_S, self.maintenance.step),
             ]
         loop = asyncio.get_running_loop()
