Bound what a host reads and plans for a large wave

Cause: a record of 830 machines has about 35 kB; read every 0.5 s it would exceed the 29 kB a second of a host, and every host planned every wave.

Change: the reads of a record take at most 15 kB a second; a host without unfinished machines of a wave reads and plans it every 5 s. Right before a call, the cell is asked again whether the machine may be taken down.

The sizes are computed, not measured; no large wave was run.

--- a/programs/beryl-host/src/berylcleat/host/_maintenance_calls.py
+++ b/programs/beryl-host/src/berylcleat/host/_maintenance_calls.py
@@ -70,7 +70,11 @@
     ) -> None:
         wave_id, machine_id = call
         try:
-            if not await self._is_owned(cell):
+            # Runs that the cell adopts may have become known since the plan.
+            if (
+                not await self._is_owned(cell)
+                or cell.scheduler.occupancy(worker_id).forbids_maintenance
+            ):
                 self._delay(call)
                 return
             reply = await self._service.request_maintenance(
--- a/programs/beryl-host/src/berylcleat/host/_maintenance_waves.py
+++ b/programs/beryl-host/src/berylcleat/host/_maintenance_waves.py
@@ -31,12 +31,15 @@
 from ._operator_state import OperatorState
 from ._wave_records import WaveRecords
 
-STEP_PERIOD_S = 0.1
+STEP_PERIOD_S = 0.2
 # Seconds from one read to the next for a host with machines of a wave in its cells, and
 # for another one, which only has to learn that machines are gone or all are done.
 RECORD_PERIOD_S = 0.5
 LIST_PERIOD_S = 1.0
 IDLE_PERIOD_S = 5.0
+# Bytes a second that the reads of one record may take, base64 not counted: the record
+# of 830 machines has about 35 kB and may change ten times a second.
+RECORD_BYTES_PER_S = 15_000
 # Pause after a call that the store didn't answer.
 RETRY_S = 0.3
 # Conflicting commits after which a cell waits for the next step.
@@ -69,6 +72,8 @@
         # Version of the request of each wave that is over.
         self._over: dict[int, int] = {}
         self._read_at_by_wave: dict[int, float] = {}
+        # Waves with machines that aren't done yet in this host's cells.
+        self._involved: set[int] = set()
         # Cells at the last step, by id and epoch, and those that were told of cordons.
         self._known_cells: set[tuple[str, int]] = set()
         self._cordoned_cells: set[tuple[str, int]] = set()
@@ -94,9 +99,11 @@
             self._publish({}, [])
             return
         try:
-            await self._read_records(wave_by_id, active)
+            read = await self._read_records(wave_by_id, active)
+            self._involved = self._find_involved(wave_by_id, active)
             self._cordon(wave_by_id, active)
-            for wave_id in [*wave_by_id, *withdrawn]:
+            # Without machines here, a wave is planned once for each read of its record.
+            for wave_id in [*((self._involved | read) & wave_by_id.keys()), *withdrawn]:
                 for cell in active:
                     await self._advance(wave_id, wave_by_id.get(wave_id), cell)
         except BerylError:
@@ -124,44 +131,63 @@
         wave_by_id = self._waves_in_progress() if active else {}
         if not wave_by_id:
             return None
-        is_involved = any(
-            self._is_involved(wave, active) for wave in wave_by_id.values()
-        )
+        is_involved = not self._machines.by_id or wave_by_id.keys() & self._involved
         return LIST_PERIOD_S if is_involved else IDLE_PERIOD_S
 
-    def _is_involved(self, wave: MaintenanceWave, active: list[MaintainedCell]) -> bool:
-        """Return whether machines of a wave that aren't done are in these cells."""
+    def _find_involved(
+        self, wave_by_id: dict[int, MaintenanceWave], active: list[MaintainedCell]
+    ) -> set[int]:
+        """Return the waves with machines in these cells that aren't done."""
+        cell_ids = {cell.cell_id for cell in active}
+        worker_ids = set().union(*(cell.scheduler.worker_by_id for cell in active))
+        return {
+            wave_id
+            for wave_id, wave in wave_by_id.items()
+            if self._is_involved(wave, cell_ids, worker_ids)
+        }
+
+    def _is_involved(
+        self, wave: MaintenanceWave, cell_ids: set[str], worker_ids: set[str]
+    ) -> bool:
         record = self._records.by_wave.get(wave.wave_id)
-        if record is None or not self._machines.by_id:
+        if record is None:
             return True
-        cell_ids = {cell.cell_id for cell in active}
         for machine_id in wave.machine_ids:
             entry = record.machine_by_id.get(machine_id)
-            if entry is not None and entry.phase is MachinePhase.DONE:
+            if entry is not None:
+                is_here = entry.cell_id in cell_ids
+                if is_here and entry.phase is not MachinePhase.DONE:
+                    return True
                 continue
-            if entry is not None and entry.cell_id in cell_ids:
-                return True
             machine = self._machines.by_id.get(machine_id)
-            if machine is not None and any(
-                machine.worker_id in cell.scheduler.worker_by_id for cell in active
-            ):
+            if machine is not None and machine.worker_id in worker_ids:
                 return True
-        return False
+        # The owners whose machines were the last ones report the wave as done.
+        return record.reported_state is not WaveState.DONE and any(
+            entry.cell_id in cell_ids for entry in record.machine_by_id.values()
+        )
 
     async def _read_records(
         self, wave_by_id: dict[int, MaintenanceWave], active: list[MaintainedCell]
-    ) -> None:
-        """Read the records that are due, and all of them for a new cell."""
+    ) -> set[int]:
+        """Read the records that are due, all of them for a new cell; return which."""
         known_cells = {(cell.cell_id, cell.owner.epoch) for cell in active}
         has_new_cell = not known_cells <= self._known_cells
-        for wave_id, wave in wave_by_id.items():
-            is_involved = self._is_involved(wave, active)
-            period_s = RECORD_PERIOD_S if is_involved else IDLE_PERIOD_S
+        read = set()
+        for wave_id in wave_by_id:
             read_at = self._read_at_by_wave.get(wave_id, float("-inf"))
-            if has_new_cell or now_s() >= read_at + period_s:
+            if has_new_cell or now_s() >= read_at + self._record_period_s(wave_id):
                 self._read_at_by_wave[wave_id] = now_s()
                 await self._records.refresh(wave_id)
+                read.add(wave_id)
         self._known_cells = known_cells
+        return read
+
+    def _record_period_s(self, wave_id: int) -> float:
+        if wave_id not in self._involved:
+            return IDLE_PERIOD_S
+        n_bytes = self._records.n_bytes(wave_id)
+        return max(RECORD_PERIOD_S, n_bytes / RECORD_BYTES_PER_S)
 
     async def _advance(
         self, wave_id: int, wave: MaintenanceWave | None, cell: MaintainedCell
--- a/programs/beryl-host/src/berylcleat/host/_wave_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_wave_records.py
@@ -27,6 +27,7 @@
         self.by_wave: dict[int, WaveRecord] = {}
         self._store = store
         self._version_by_wave: dict[int, int] = {}
+        self._n_bytes_by_wave: dict[int, int] = {}
 
     async def refresh(self, wave_id: int) -> None:
         """Read a record unless it is unchanged.
@@ -48,20 +49,27 @@
         Returns whether it was replaced; if not, the present one is known now.
         """
         key = (MAINTENANCE_TABLE, "", _wave_key(wave_id))
-        write = RowWrite(*key, encode_wave_record(record))
+        value = encode_wave_record(record)
+        write = RowWrite(*key, value)
         commit = Commit((self._condition(wave_id),), (write, *writes))
         outcome = await self._store.commit(commit)
         if not outcome.applied:
             self._on_conflict(wave_id, outcome)
             return False
         self._version_by_wave[wave_id] = outcome.version
+        self._n_bytes_by_wave[wave_id] = len(value)
         self.by_wave[wave_id] = record
         return True
 
+    def n_bytes(self, wave_id: int) -> int:
+        """Return the size of a record in its stored form, 0 if it isn't known."""
+        return self._n_bytes_by_wave.get(wave_id, 0)
+
     def forget(self, wave_id: int) -> None:
         """Drop what is known of a record."""
         self.by_wave.pop(wave_id, None)
         self._version_by_wave.pop(wave_id, None)
+        self._n_bytes_by_wave.pop(wave_id, None)
 
     def _condition(self, wave_id: int) -> Condition:
         version = self._version_by_wave.get(wave_id, 0)
@@ -73,6 +81,7 @@
             if row.key != _wave_key(wave_id):
                 continue
             self._version_by_wave[wave_id] = row.version
+            self._n_bytes_by_wave[wave_id] = len(row.value)
             try:
                 self.by_wave[wave_id] = decode_wave_record(row.value)
             except msgspec.MsgspecError as error:
