Share the types of machines between the port and the planner

Cause: libs/ports and libs/scheduling each had a Machine and a MachineState, and the second used the wire's word for a maintenance.

Change: the planner uses those of libs/ports, as for workers; the state is MAINTENANCE. The table of one test names it so; no check is changed.

--- a/libs/ports/src/berylcleat/ports/_machines.py
+++ b/libs/ports/src/berylcleat/ports/_machines.py
@@ -10,7 +10,7 @@
 
     UP = "up"
     MOVING = "moving"
-    UPKEEP = "in maintenance"
+    MAINTENANCE = "maintenance"
     DOWN = "down"
 
 
@@ -33,8 +33,8 @@
     """Machine on the service's list; ``worker_id`` is empty while it has no worker."""
 
     machine_id: str
-    worker_id: str
     state: MachineState
+    worker_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/scheduling/features/maintenance.feature
+++ b/libs/scheduling/features/maintenance.feature
@@ -43,7 +43,7 @@
       | A crash is no maintenance            | a:up:0:requested:new        | 9     | 4   | take a for 1.0 s                    |
       | A machine returns with a new worker  | a:up:0:confirmed:new b:up:1 | 9     | 4   | free a (done), take b for 22.5 s    |
       | The read may be older than the call  | a:up:0:confirmed:new b:up:1 | 9     | 2   | nothing                             |
-      | A machine isn't up yet               | a:upkeep:0:confirmed b:up:1 | 9     | 4   | nothing                             |
+      | A machine isn't up yet               | a:maintenance:0:confirmed b:up:1 | 9     | 4   | nothing                             |
       | It had been maintained before        | a:up:0:confirmed            | 9     | 9   | free a (done)                       |
       | A machine is gone                    | a:gone:0:requested b:up:1   | 9     | 4   | free a (gone), take b for 22.5 s    |
       | All are maintained or gone           | a:up:0:done b:gone:0        | 9     | 4   | report done                         |
--- a/libs/scheduling/features/steps/maintenance_steps.py
+++ b/libs/scheduling/features/steps/maintenance_steps.py
@@ -1,13 +1,12 @@
 from behave import given, then, when
 from wave_simulation import WaveSimulation
 
+from berylcleat.ports import Machine, MachineState
 from berylcleat.scheduling import (
     FreeSlot,
-    Machine,
     MachineList,
     MachinePhase,
     MachineRecord,
-    MachineState,
     MaintenanceCell,
     MaintenanceWave,
     ReportState,
--- a/libs/scheduling/features/steps/wave_simulation.py
+++ b/libs/scheduling/features/steps/wave_simulation.py
@@ -3,11 +3,10 @@
 import random
 from dataclasses import dataclass, field
 
+from berylcleat.ports import Machine, MachineState
 from berylcleat.scheduling import (
     MACHINE_LEASE_S,
-    Machine,
     MachineList,
-    MachineState,
     MaintenanceCell,
     MaintenanceWave,
     ReportState,
@@ -23,7 +22,7 @@
 )
 
 TICK_S = 0.2
-UPKEEP_S = 2.0
+MAINTENANCE_S = 2.0
 BEGAN_AT = 100.0
 
 
@@ -47,7 +46,7 @@
         return Machine(self.name, self.state, worker_id if is_up else "")
 
     def end_worker(self, state, now):
-        self.state, self.up_at = state, now + UPKEEP_S
+        self.state, self.up_at = state, now + MAINTENANCE_S
         self.ends, self.n_protected = [], 0
 
 
@@ -181,9 +180,9 @@
                 return
             assert machine.n_protected == 0, f"{machine.name}: protected task ended"
             machine.begun_at, machine.token = self.now, owner.epoch
-            machine.end_worker(MachineState.UPKEEP, self.now)
+            machine.end_worker(MachineState.MAINTENANCE, self.now)
             states = [m.state for m in self.machines.values()]
-            assert states.count(MachineState.UPKEEP) <= self.wave.max_down
+            assert states.count(MachineState.MAINTENANCE) <= self.wave.max_down
         if is_answered:
             worker_id = owner.record.machine_by_id[machine.name].worker_id
             owner.machines.on_maintenance_begun(1, machine.name, worker_id, self.now)
--- a/libs/scheduling/src/berylcleat/scheduling/__init__.py
+++ b/libs/scheduling/src/berylcleat/scheduling/__init__.py
@@ -25,7 +25,7 @@
     ServingReading,
 )
 from ._leases import CLOCK_DRIFT, LeaseTimes, WorkerClock
-from ._machine_list import MACHINE_GONE_S, Machine, MachineList, MachineState
+from ._machine_list import MACHINE_GONE_S, MachineList
 from ._maintenance import MACHINE_LEASE_S, plan_maintenance
 from ._moves import CellHeadroom, FillerHeadroom, MovedTaskEnd, MoveProposal, TaskMove
 from ._orders import ProgressWrite, RecordBatch, WorkerOrder
@@ -80,11 +80,9 @@
     "InterferenceModel",
     "LeaseTimes",
     "LoadEstimator",
-    "Machine",
     "MachineList",
     "MachinePhase",
     "MachineRecord",
-    "MachineState",
     "MaintenanceAction",
     "MaintenanceCell",
     "MaintenanceWave",
--- a/libs/scheduling/src/berylcleat/scheduling/_machine_list.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_machine_list.py
@@ -1,10 +1,10 @@
 """List of the machine service: which machines are up, in maintenance or gone."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
-from enum import Enum
 from typing import TypeVar
 
+from berylcleat.ports import Machine, MachineState
+
 # Seconds for which a machine isn't listed until it counts as gone.
 MACHINE_GONE_S = 10.0
 # Seconds for which a host remembers that a maintenance has begun.
@@ -12,24 +12,6 @@
 Key = TypeVar("Key")
 
 
-class MachineState(Enum):
-    """State of a machine as the machine service lists it."""
-
-    UP = "up"
-    MOVING = "moving"
-    UPKEEP = "upkeep"
-    DOWN = "down"
-
-
-@dataclass(frozen=True, slots=True)
-class Machine:
-    """Machine as the machine service lists it; ``worker_id`` is empty without one."""
-
-    machine_id: str
-    state: MachineState
-    worker_id: str = ""
-
-
 class MachineList:
     """Machines as the complete reads of the machine service's list show them.
 
@@ -42,7 +24,7 @@
         self.read_sent_at = float("-inf")
         self._first_read_at = float("-inf")
         self._missing_since_by_id: dict[str, float] = {}
-        self._upkeep_at_by_worker: dict[str, float] = {}
+        self._maintained_at_by_worker: dict[str, float] = {}
         self._confirmed_at_by_call: dict[tuple[int, str, str], float] = {}
 
     def observe(self, machines: Iterable[Machine], sent_at: float) -> None:
@@ -62,9 +44,11 @@
         for machine_id, machine in self.by_id.items():
             self._missing_since_by_id.pop(machine_id, None)
             previous = known.get(machine_id)
-            if machine.state is MachineState.UPKEEP and previous is not None:
-                self._observe_upkeep(previous)
-        self._upkeep_at_by_worker = _drop_old(self._upkeep_at_by_worker, sent_at)
+            if machine.state is MachineState.MAINTENANCE and previous is not None:
+                self._observe_maintenance(previous)
+        self._maintained_at_by_worker = _drop_old(
+            self._maintained_at_by_worker, sent_at
+        )
         self._confirmed_at_by_call = _drop_old(self._confirmed_at_by_call, sent_at)
 
     def on_maintenance_begun(
@@ -85,7 +69,7 @@
         confirmed_at = self._confirmed_at_by_call.get((wave_id, machine_id, worker_id))
         if confirmed_at is not None:
             return confirmed_at
-        return self._upkeep_at_by_worker.get(worker_id)
+        return self._maintained_at_by_worker.get(worker_id)
 
     def missing_s(self, machine_id: str, now: float) -> float:
         """Return for how long the reads have lacked a machine, 0 if nothing is known.
@@ -97,13 +81,13 @@
         since = self._missing_since_by_id.get(machine_id, self._first_read_at)
         return self.read_sent_at - since
 
-    def _observe_upkeep(self, previous: Machine) -> None:
+    def _observe_maintenance(self, previous: Machine) -> None:
         """Take note that the last worker that was up has ended for maintenance.
 
         The id listed during the maintenance may be that of the next worker.
         """
         if previous.state is MachineState.UP and previous.worker_id:
-            self._upkeep_at_by_worker[previous.worker_id] = self.read_sent_at
+            self._maintained_at_by_worker[previous.worker_id] = self.read_sent_at
 
 
 def _drop_old(time_by_key: dict[Key, float], now: float) -> dict[Key, float]:
--- a/libs/scheduling/src/berylcleat/scheduling/_maintenance.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_maintenance.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Mapping
 
-from ._machine_list import MACHINE_GONE_S, Machine, MachineList, MachineState
+from berylcleat.ports import Machine, MachineState
+
+from ._machine_list import MACHINE_GONE_S, MachineList
 from ._wave_record import (
     FreeSlot,
     MachinePhase,
--- a/programs/beryl-host/src/berylcleat/host/_machine_list_reader.py
+++ b/programs/beryl-host/src/berylcleat/host/_machine_list_reader.py
@@ -4,9 +4,8 @@
 from collections.abc import Callable
 
 from berylcleat.model import BerylError
-from berylcleat.ports import Machine, MachineService
-from berylcleat.scheduling import Machine as PlannedMachine
-from berylcleat.scheduling import MachineList, MachineState
+from berylcleat.ports import MachineService
+from berylcleat.scheduling import MachineList
 
 from ._clock import now_s
 
@@ -52,9 +51,4 @@
             raise
         self._backoff_s = 0.0
         self._read_at = sent_at
-        self._machines.observe(map(_to_planned, machines), sent_at)
-
-
-def _to_planned(machine: Machine) -> PlannedMachine:
-    state = MachineState[machine.state.name]
-    return PlannedMachine(machine.machine_id, state, machine.worker_id)
+        self._machines.observe(machines, sent_at)
