Let a host acquire a fenced cell again if no other host has

Cause: a host drops a cell that a worker has fenced and doesn't run its epoch again.

Change: an owner row of a relinquished epoch of this host doesn't count as live, so the cell is acquired under the next epoch; the commit fails if another host has it. The scenario that asserted that the host owns no cell asserts that no epoch runs twice, which is what it guards against, and a new one that the cell has an owner again.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -50,7 +50,7 @@
         tracked.apply_move(
             task, move.run_floor, move.failed_runs, move.crashed_runs, move.checkpoint
         )
-        self._compare_epochs(task, move)
+        self._apply_target_epoch(task, move)
         was_assigned_here = tracked.runs_here(task)
         if not was_assigned_here:
             tracked.moved_at_by_task[task] = now
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -200,8 +200,8 @@
             return False
         return task not in self._tasks_with_known_run and not self.has_settled(now)
 
-    def _compare_epochs(self, task: TaskKey, move: TaskMove) -> None:
-        """Note whether a move to this cell names this owner's epoch or a later one.
+    def _apply_target_epoch(self, task: TaskKey, move: TaskMove) -> None:
+        """Take note that a move names this owner's epoch; end at a later one.
 
         A later one proves a takeover that this owner may learn of from its own row only
         after the new owner has started the task.
--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -104,7 +104,14 @@
   Scenario: A fenced owner doesn't run its cell again under the same epoch
     Given a cell with recorded workers "w1 w2" that was released
     When a host acquires it and is fenced before it reads the next owner's row
-    Then the host owns no cell
+    Then it runs the cell under no epoch twice
+
+  # Guards against LOST: a cell without a next owner stayed without one while the host lived.
+  Scenario: A fenced owner acquires its cell again if no other host has
+    Given a cell with recorded workers "w1 w2" that was released
+    When a host acquires it and is fenced before it reads the next owner's row
+    And it looks after its cells again
+    Then it owns the cell under a higher epoch
 
   # Guards against a host that never acquires a cell again: a takeover notice that came
   # while another lost cell was dropped ended the loop.
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -429,15 +429,38 @@
 def step_fenced(context):
     async def fence():
         manager, _ = await make_live_manager(context.store, "dc-1")
-        coverage = Coverage(now_s() - 10.0, now_s())
-        await manager.reconcile(coverage, coverage)
-        manager.controller_by_cell[CELL].scheduler.on_fenced("w1")
-        await manager.reconcile(coverage, coverage)
         context.manager = manager
+        await reconcile(context)
+        context.fenced_epoch = manager.controller_by_cell[CELL].owner.epoch
+        manager.controller_by_cell[CELL].scheduler.on_fenced("w1")
+        await reconcile(context)
 
     context.run(fence())
 
 
+async def reconcile(context):
+    coverage = Coverage(now_s() - 10.0, now_s())
+    await context.manager.reconcile(coverage, coverage)
+
+
+@when("it looks after its cells again")
+def step_reconcile_again(context):
+    context.run(reconcile(context))
+
+
+@then("it runs the cell under no epoch twice")
+def step_no_epoch_twice(context):
+    controller = context.manager.controller_by_cell.get(CELL)
+    assert controller is None or controller.owner.epoch > context.fenced_epoch
+
+
+@then("it owns the cell under a higher epoch")
+def step_higher_epoch(context):
+    controller = context.manager.controller_by_cell.get(CELL)
+    assert controller is not None, "the cell has no owner"
+    assert controller.owner.epoch > context.fenced_epoch, controller.owner.epoch
+
+
 @when("its owner drops two lost cells and gets the notice for the second meanwhile")
 def step_drop_two(context):
     async def drop():
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -139,12 +139,9 @@
                 self._identity.host_id,
                 self._identity.incarnation,
             )
-            is_relinquished = (
-                self._relinquished_epoch_by_cell.get(cell_id, 0) >= row.epoch
-            )
             if (
                 is_ours
-                and not is_relinquished
+                and not self._has_relinquished(cell_id, row)
                 and cell_id not in self.controller_by_cell
             ):
                 logger.info(
@@ -183,6 +180,7 @@
             cell_id: owner.row.host_id
             for cell_id, owner in self._cells.owner_by_cell.items()
             if self._is_owner_live(owner, live_hosts.keys(), local, remote)
+            and not self._has_relinquished(cell_id, owner.row)
         }
         live_centres = self._cells.remote_liveness.live_data_centres(remote)
         live_centres.add(self._identity.data_centre)
@@ -193,6 +191,19 @@
         }
         return assign_cells(cell_ids, live_owner_by_cell, live_hosts)
 
+    def _has_relinquished(self, cell_id: str, row: OwnerRow) -> bool:
+        """Return whether a row names an epoch that this incarnation no longer runs.
+
+        Another host has usually acquired the cell, and the attempt to acquire it tells.
+        If none has, the cell would have no owner while this host lives.
+        """
+        if (row.host_id, row.incarnation) != (
+            self._identity.host_id,
+            self._identity.incarnation,
+        ):
+            return False
+        return self._relinquished_epoch_by_cell.get(cell_id, 0) >= row.epoch
+
     def _is_owner_live(
         self,
         owner: ObservedOwner,
