Let a cell start nothing before its cordons are known

A new owner plans at once, but set_cordoned follows only after a step and a read per wave, later if the store fails. A protected task can start on a machine whose maintenance the previous owner has requested.

Ruled out: an empty cordon for the time until then, which is what allows such starts.

Add CellScheduler.awaits_cordon: while it is true nothing starts and explain_waiting says "maintenance not known". Add MaintenanceWave.learned_at_ms, for the host to say when it read the request. The host sets neither yet.

--- a/libs/scheduling/features/maintenance.feature
+++ b/libs/scheduling/features/maintenance.feature
@@ -85,6 +85,18 @@
       | a gang           |
       | a forced filler  |
 
+  # Guards against a start on a machine in maintenance that a new owner doesn't know of.
+  Scenario: Nothing starts before the machines in maintenance are known
+    Given a cell with 2 workers of 8 cores
+    When the machines in maintenance are not known yet
+    And a client submits an ordinary task
+    And 4.0 seconds pass without reads
+    Then nothing has started
+    And the wait is explained by "maintenance not known"
+    When the machines in maintenance are known
+    And workers nowhere are in maintenance for 1 seconds
+    Then it has started
+
   # Guards against the termination of a protected run that the owner doesn't know yet.
   Scenario: A run of an unknown submission may be protected
     Given a cell with 2 workers of 8 cores
--- a/libs/scheduling/features/steps/relocation_steps.py
+++ b/libs/scheduling/features/steps/relocation_steps.py
@@ -110,6 +110,11 @@
         scripted_cell.cell.propose_moves((headroom,), scripted_cell.now)
 
 
+@when("the machines in maintenance are {state}")
+def step_await_cordon(context, state):
+    context.scripted_cell.cell.awaits_cordon = state == "not known yet"
+
+
 @when("w0 reports a run of an unknown submission")
 def step_unknown_run(context):
     context.scripted_cell.running["w0"][TaskKey(SUBMISSION_ID, 0, 0, 0)] = 1
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -309,8 +309,9 @@
 
         Maps each reason to the number of workers that it applies to.
         """
-        if not self._may_start(now):
-            return {self.evacuation.explain(now): len(self.worker_by_id)}
+        reason = self._explain_no_start(now)
+        if reason:
+            return {reason: len(self.worker_by_id)}
         task = ready.task(min(ready.waiting))
         counts: dict[str, int] = {}
         if self._may_have_unknown_run(task, now):
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -82,6 +82,8 @@
         self._relocating_tasks: set[TaskKey] = set()
         # None where machines are never taken out of use for maintenance.
         self._cordoned: frozenset[str] | None = None
+        # Whether the machines in maintenance are unknown, so that nothing may start.
+        self.awaits_cordon = False
         self._planned_at = began_at
         self._stuck_moved_at = float("-inf")
         self._began_at = began_at
@@ -112,8 +114,14 @@
         return len(self.run_by_task) + n_unknown
 
     def _may_start(self, now: float) -> bool:
-        """Return whether the evacuation of the data centre lets tasks start."""
-        return self.evacuation is None or self.evacuation.may_start(now)
+        """Return whether tasks may start in the cell."""
+        return not self._explain_no_start(now)
+
+    def _explain_no_start(self, now: float) -> str:
+        """Return why no task may start in the cell, or an empty string."""
+        if self.awaits_cordon:
+            return "maintenance not known"
+        return "" if self.evacuation is None else self.evacuation.explain(now)
 
     def _is_evacuated(self) -> bool:
         return self.evacuation is not None and self.evacuation.is_evacuated
--- a/libs/scheduling/src/berylcleat/scheduling/_wave_record.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_wave_record.py
@@ -28,6 +28,8 @@
 
     Each must begin its maintenance within ``complete_by_s`` seconds. ``version`` is the
     store's version of the request: the time counts anew when it is written again.
+    ``learned_at_ms`` (wall clock) is when the host read this version, 0 if unknown: the
+    time then counts from the first plan.
     """
 
     wave_id: int
@@ -35,6 +37,7 @@
     max_down: int
     complete_by_s: float
     version: int = 0
+    learned_at_ms: int = 0
 
 
 class MachineRecord(msgspec.Struct, frozen=True, array_like=True):
