Apply a lower maxCount and a shorter time of a rewritten wave

A request that was written again with a lower maxCount was honoured for new slots only: three machines that were being emptied with a limit of 1 were all requested. With a shorter completeByS the machines that held slots kept their old time of termination.

Ruled out: freeing the surplus slots, since a machine that is nearly empty would be filled again; a cap computed at each plan, since the record doesn't tell which slots were taken before the request was rewritten.

Request maintenance only for as many machines as may be down, counting those already requested. The report that begins a new version bounds terminate_at_ms of the machines that hold slots, in the same commit.

--- a/libs/scheduling/features/maintenance.feature
+++ b/libs/scheduling/features/maintenance.feature
@@ -50,6 +50,10 @@
       | One has yet to be maintained         | a:up:0:done b:down:0        | 9     | 4   | nothing                             |
       | The wave is new                      | a:up:0:unknown              | 9     | 0   | report running, take a for 29.5 s   |
       | The wave was removed                 | a:up:2:emptying:removed     | 9     | 4   | free a (withdrawn)                  |
+      | Fewer may be down than hold slots    | a:up:0:emptying b:up:0:emptying | 9     | 4   | request a                           |
+      | One is down, another one is empty    | a:maintenance:0:requested b:up:0:emptying | 9     | 4   | nothing                             |
+      | Only one of two requests is repeated | a:up:0:requested b:up:0:requested | 9     | 4   | request a                           |
+      | Half of the new time ends sooner     | a:up:1:emptying:rewritten   | 9     | 0   | report running, keep a for 2.5 s    |
 
   # Guards against a start on a machine that is emptied, and stops beyond max_unavailable.
   Scenario Outline: Long-running tasks leave <names>, <allowed> may be unavailable
--- a/libs/scheduling/features/steps/maintenance_steps.py
+++ b/libs/scheduling/features/steps/maintenance_steps.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 from behave import given, then, when
 from wave_simulation import WaveSimulation
 
@@ -86,9 +88,13 @@
     began_ms = int(TAKEN_AT_S - 10) * 1000
     is_new = words[0][3:] == ["unknown"]
     state = None if is_new else WaveState.RUNNING
+    # Its time is shorter than before.
+    is_rewritten = words[0][4:] == ["rewritten"]
     context.record = WaveRecord(5, began_ms, state, entries)
     names = tuple(word[0] for word in words)
     wave = MaintenanceWave(1, names, 1, 60.0, 5)
+    if is_rewritten:
+        wave = replace(wave, complete_by_s=6.0, version=6)
     context.wave = None if words[0][4:] == ["removed"] else wave
 
 
@@ -106,7 +112,11 @@
     # A call may be on its way while a machine's phase is "requested".
     record = apply_actions(context.record, actions, cell)
     for name, entry in record.machine_by_id.items():
-        if context.record.machine_by_id.get(name, entry).phase is not entry.phase:
+        known = context.record.machine_by_id.get(name, entry)
+        if entry.terminate_at_ms < known.terminate_at_ms:
+            left_s = entry.terminate_at_ms / 1000 - now
+            context.actions.append(f"keep {name} for {left_s:.1f} s")
+        if known.phase is not entry.phase:
             assert entry.phase is not MachinePhase.EMPTYING, name
 
 
--- a/libs/scheduling/src/berylcleat/scheduling/_maintenance.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_maintenance.py
@@ -74,6 +74,8 @@
         self._now = now
         self._wall_ms = wall_ms
         self._wanted = frozenset(wave.machine_ids) if wave else frozenset()
+        # Machines whose maintenance is or may be requested; at most ``max_down``.
+        self._callable = self._requested()[: wave.max_down] if wave else []
 
     def plan(self) -> list[MaintenanceAction]:
         """Return the actions, those that free slots before those that take them."""
@@ -90,10 +92,34 @@
         if self._record.reported_state is WaveState.DONE:
             return actions
         if not actions and self._is_done():
-            return [self._report(WaveState.DONE, self._record.began_at_ms)]
+            began_at_ms = self._record.began_at_ms
+            return [ReportState(WaveState.DONE, self._wave.version, began_at_ms)]
         freed = {a.machine_id: a for a in actions if isinstance(a, FreeSlot)}
         return actions + self._take_slots(freed, self._record.began_at_ms)
 
+    def _requested(self) -> list[str]:
+        return [
+            machine_id
+            for machine_id, entry in self._record.machine_by_id.items()
+            if entry.phase is MachinePhase.REQUESTED
+        ]
+
+    def _may_request(self, machine_id: str) -> bool:
+        """Return whether a machine may go down within ``max_down``, and count it.
+
+        More machines than that hold slots if the request was written again with a lower
+        ``max_down``.
+        """
+        if machine_id in self._callable:
+            return True
+        entry = self._record.machine_by_id[machine_id]
+        if entry.phase is MachinePhase.REQUESTED:
+            return False
+        if len(self._callable) >= self._wave.max_down:
+            return False
+        self._callable.append(machine_id)
+        return True
+
     def _is_begun(self) -> bool:
         """Return whether the record is of the wave as it was last written."""
         is_reported = self._record.reported_state is not None
@@ -102,11 +128,23 @@
     def _begin(self) -> list[MaintenanceAction]:
         if not self._is_concerned():
             return []
-        running = self._report(WaveState.RUNNING, self._wall_ms)
+        running = ReportState(
+            WaveState.RUNNING,
+            self._wave.version,
+            self._wall_ms,
+            self._terminate_by_ms(self._wall_ms),
+        )
         return [running, *self._take_slots({}, self._wall_ms)]
 
-    def _report(self, state: WaveState, began_at_ms: int) -> ReportState:
-        return ReportState(state, self._wave.version, began_at_ms)
+    def _terminate_by_ms(self, began_at_ms: int) -> int:
+        """Return the latest termination on machines that hold slots, 0 if none does."""
+        n_held = sum(
+            entry.phase is not MachinePhase.DONE
+            for entry in self._record.machine_by_id.values()
+        )
+        if not n_held:
+            return 0
+        return self._terminate_at_ms(len(self._left()) + n_held, began_at_ms)
 
     def _is_concerned(self) -> bool:
         """Return whether the owner reports the state of the wave.
@@ -208,7 +246,8 @@
             return None
         if self._now < self._cell.may_call_at:
             return None
-        if occupancy.is_empty or self._wall_ms >= entry.terminate_at_ms:
+        is_due = occupancy.is_empty or self._wall_ms >= entry.terminate_at_ms
+        if is_due and self._may_request(machine.machine_id):
             return RequestMaintenance(machine.machine_id, machine.worker_id)
         return None
 
--- a/libs/scheduling/src/berylcleat/scheduling/_wave_record.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_wave_record.py
@@ -138,11 +138,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportState:
-    """Write the wave's status row, in the commit that changes its record."""
+    """Write the wave's status row, in the commit that changes its record.
+
+    ``terminate_by_ms`` (wall clock), unless 0, bounds ``terminate_at_ms`` of the
+    machines that hold a slot: a request that is written again may leave less time.
+    """
 
     state: WaveState
     version: int
     began_at_ms: int
+    terminate_by_ms: int = 0
 
 
 MaintenanceAction = TakeSlot | RequestMaintenance | FreeSlot | ReportState
@@ -163,6 +168,8 @@
             case ReportState():
                 state, version = action.state, action.version
                 began_at_ms = action.began_at_ms
+                if action.terminate_by_ms:
+                    machine_by_id = _bound_ends(machine_by_id, action.terminate_by_ms)
             case TakeSlot():
                 deferred_until_ms.pop(action.machine_id, None)
                 # A call that was sent for an earlier worker may still be on its way.
@@ -194,6 +201,19 @@
     return WaveRecord(version, began_at_ms, state, machine_by_id, deferred_until_ms)
 
 
+def _bound_ends(
+    machine_by_id: Mapping[str, MachineRecord], terminate_by_ms: int
+) -> dict[str, MachineRecord]:
+    return {
+        machine_id: entry
+        if entry.phase is MachinePhase.DONE
+        else msgspec.structs.replace(
+            entry, terminate_at_ms=min(entry.terminate_at_ms, terminate_by_ms)
+        )
+        for machine_id, entry in machine_by_id.items()
+    }
+
+
 def cordoned_workers(
     wave: MaintenanceWave | None, record: WaveRecord, cell: MaintenanceCell
 ) -> frozenset[str]:
