Keep a host with an older request from restarting a wave

A host that still knew version 5 of a request wrote a record of version 6 back to 5: the time counted anew, slots were taken with the old limit, and a finished wave ran again.

Ruled out: ignoring such a record, since its owner must still repeat calls and free the slots of machines that are maintained or gone.

If the record's version is higher, only continue what is requested, take no slots and report nothing; cordon all machines of the cell that the record names, as the newer request may name others.

--- a/libs/scheduling/features/maintenance.feature
+++ b/libs/scheduling/features/maintenance.feature
@@ -53,6 +53,9 @@
       | Fewer may be down than hold slots    | a:up:0:emptying b:up:0:emptying | 9     | 4   | request a                           |
       | One is down, another one is empty    | a:maintenance:0:requested b:up:0:emptying | 9     | 4   | nothing                             |
       | Only one of two requests is repeated | a:up:0:requested b:up:0:requested | 9     | 4   | request a                           |
+      | An older request takes no slot       | a:up:0:done:outdated b:up:0 | 9     | 4   | nothing                             |
+      | An older request frees none          | a:up:0:emptying:outdated b:up:0 | 9     | 4   | nothing                             |
+      | An older request repeats calls       | a:up:0:requested:outdated b:up:0 | 9     | 4   | request a                           |
       | Half of the new time ends sooner     | a:up:1:emptying:rewritten   | 9     | 0   | report running, keep a for 2.5 s    |
 
   # Guards against a start on a machine that is emptied, and stops beyond max_unavailable.
--- a/libs/scheduling/features/steps/maintenance_steps.py
+++ b/libs/scheduling/features/steps/maintenance_steps.py
@@ -95,6 +95,8 @@
     wave = MaintenanceWave(1, names, 1, 60.0, 5)
     if is_rewritten:
         wave = replace(wave, complete_by_s=6.0, version=6)
+    if words[0][4:] == ["outdated"]:
+        wave = replace(wave, version=4)
     context.wave = None if words[0][4:] == ["removed"] else wave
 
 
--- a/libs/scheduling/src/berylcleat/scheduling/_maintenance.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_maintenance.py
@@ -85,7 +85,7 @@
             if entry.phase is not MachinePhase.DONE
             and (action := self._continue(machine_id, entry)) is not None
         ]
-        if self._wave is None:
+        if self._wave is None or self._is_outdated():
             return actions
         if not self._is_begun():
             return actions + self._begin()
@@ -97,6 +97,13 @@
         freed = {a.machine_id: a for a in actions if isinstance(a, FreeSlot)}
         return actions + self._take_slots(freed, self._record.began_at_ms)
 
+    def _is_outdated(self) -> bool:
+        """Return whether the request was written again and this host doesn't know it.
+
+        Its limits and machines may have changed: only what has been requested goes on.
+        """
+        return self._wave is not None and self._record.version > self._wave.version
+
     def _requested(self) -> list[str]:
         return [
             machine_id
@@ -198,7 +205,11 @@
             begun_at = self._begun_at(machine_id, entry)
             if begun_at is not None:
                 return self._return_to_use(machine, entry, begun_at)
+        if self._is_outdated() and entry.phase is not MachinePhase.REQUESTED:
+            return None
         if machine_id not in self._wanted:
+            if self._is_outdated():
+                return None
             return FreeSlot(machine_id, "withdrawn")
         if machine.worker_id != entry.worker_id:
             return self._empty_next_worker(machine, entry)
--- a/libs/scheduling/src/berylcleat/scheduling/_wave_record.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_wave_record.py
@@ -226,6 +226,9 @@
     if wave is None:
         return frozenset()
     wanted = frozenset(wave.machine_ids)
+    if record.version > wave.version:
+        # The request that this host doesn't know yet may name other machines.
+        wanted = frozenset(record.machine_by_id)
     return frozenset(
         entry.worker_id
         for machine_id, entry in record.machine_by_id.items()
