Don't count a maintenance for two waves that requested it

That a read showed a machine in maintenance was remembered by worker. If two waves had requested the same machine and one took it down, the other one, whose call was answered "busy", counted it as done too.

Ruled out: a parameter with the other waves' records, since those of finished waves are dropped by the host.

The list of machines remembers which waves have requested which worker. If several have, or they may be unknown since the owner may not call yet, the list is no evidence: the next worker is emptied and the service is asked again, which confirms a maintenance that took place.

--- a/libs/scheduling/features/steps/maintenance_steps.py
+++ b/libs/scheduling/features/steps/maintenance_steps.py
@@ -67,10 +67,17 @@
 @given("machines {machines} of a wave with at most 1 down")
 def step_machines(context, machines):
     context.listed, context.occupancies, entries = [], {}, {}
-    context.machines = MachineList()
+    context.machines, context.earlier = MachineList(), []
     words = [word.split(":") for word in machines.split()]
     for name, state, runs, *rest in words:
-        worker = f"{name}-new" if rest[1:] == ["new"] else name
+        is_seen = rest[1:] in (["seen"], ["shared"])
+        worker = f"{name}-new" if rest[1:] == ["new"] or is_seen else name
+        if is_seen:
+            earlier_states = (MachineState.UP, MachineState.MAINTENANCE)
+            context.earlier = [[Machine(name, s, name)] for s in earlier_states]
+            context.machines.on_requested(1, [name], TAKEN_AT_S)
+        if rest[1:] == ["shared"]:
+            context.machines.on_requested(2, [name], TAKEN_AT_S)
         if state != "gone":
             context.listed.append(Machine(name, MachineState(state), worker))
         n_runs = int(runs.removeprefix("p"))
@@ -103,8 +110,9 @@
 @when("the owner of {owned:g} s plans {age:g} s after the slot was taken")
 def step_plan(context, owned, age):
     now = TAKEN_AT_S + age
-    for sent_at in (now - 10, now - 5, now):
-        context.machines.observe(context.listed, sent_at)
+    reads = [*(context.earlier or 2 * [context.listed]), context.listed]
+    for sent_at, listed in zip((now - 10, now - 5, now), reads, strict=True):
+        context.machines.observe(listed, sent_at)
     may_call_at = now - owned + 3.0
     cell = MaintenanceCell("r1", 3, may_call_at, context.occupancies)
     actions = plan_maintenance(
--- a/libs/scheduling/src/berylcleat/scheduling/_machine_list.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_machine_list.py
@@ -9,6 +9,7 @@
 MACHINE_GONE_S = 10.0
 # Seconds for which a host remembers that a maintenance has begun.
 EVIDENCE_MEMORY_S = 600.0
+SEVERAL_WAVES = -1
 Key = TypeVar("Key")
 
 
@@ -26,6 +27,10 @@
         self._missing_since_by_id: dict[str, float] = {}
         self._maintained_at_by_worker: dict[str, float] = {}
         self._confirmed_at_by_call: dict[tuple[int, str, str], float] = {}
+        # Wave that has requested the maintenance of a worker, or ``SEVERAL_WAVES``, and
+        # when its record was last seen.
+        self._wave_by_requested_worker: dict[str, int] = {}
+        self._requested_at_by_worker: dict[str, float] = {}
 
     def observe(self, machines: Iterable[Machine], sent_at: float) -> None:
         """Apply a complete read of all pages, sent at ``sent_at``.
@@ -50,6 +55,23 @@
             self._maintained_at_by_worker, sent_at
         )
         self._confirmed_at_by_call = _drop_old(self._confirmed_at_by_call, sent_at)
+        self._requested_at_by_worker = _drop_old(self._requested_at_by_worker, sent_at)
+        self._wave_by_requested_worker = {
+            worker_id: self._wave_by_requested_worker[worker_id]
+            for worker_id in self._requested_at_by_worker
+        }
+
+    def on_requested(self, wave_id: int, worker_ids: Iterable[str], now: float) -> None:
+        """Take note of the workers whose maintenance a wave's record has requested.
+
+        If two waves have requested that of one worker, the list doesn't tell which of
+        the calls was executed.
+        """
+        for worker_id in worker_ids:
+            known = self._wave_by_requested_worker.setdefault(worker_id, wave_id)
+            if known != wave_id:
+                self._wave_by_requested_worker[worker_id] = SEVERAL_WAVES
+            self._requested_at_by_worker[worker_id] = now
 
     def on_maintenance_begun(
         self, wave_id: int, machine_id: str, worker_id: str, now: float
@@ -64,11 +86,13 @@
         """Return when the maintenance was first known to have begun, None if it isn't.
 
         It is known by the service's answer, or because a read shows the machine of
-        ``worker_id`` in maintenance.
+        ``worker_id`` in maintenance and no other wave has requested that.
         """
         confirmed_at = self._confirmed_at_by_call.get((wave_id, machine_id, worker_id))
         if confirmed_at is not None:
             return confirmed_at
+        if self._wave_by_requested_worker.get(worker_id, wave_id) != wave_id:
+            return None
         return self._maintained_at_by_worker.get(worker_id)
 
     def missing_s(self, machine_id: str, now: float) -> float:
--- a/libs/scheduling/src/berylcleat/scheduling/_maintenance.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_maintenance.py
@@ -49,8 +49,18 @@
 
     ``now`` is the host's monotonic clock in seconds, ``wall_ms`` the wall clock in
     milliseconds. All actions of a plan go into one commit, conditional on the version
-    of ``record``; after a conflict, plan again with the present record.
+    of ``record``; after a conflict, plan again with the present record. ``machines``
+    takes note of the requests in ``record``, which the plans of other waves need.
     """
+    if wave is not None:
+        requested = [
+            entry.worker_id
+            for entry in record.machine_by_id.values()
+            if entry.phase is not MachinePhase.EMPTYING
+            and entry.worker_id
+            and entry.cell_id == cell.cell_id
+        ]
+        machines.on_requested(wave.wave_id, requested, now)
     planner = _WavePlanner(wave, record, machines, cell, now, int(wall_ms))
     return tuple(planner.plan())
 
@@ -216,6 +226,9 @@
         return self._request_or_defer(machine, entry)
 
     def _begun_at(self, machine_id: str, entry: MachineRecord) -> float | None:
+        if self._now < self._cell.may_call_at:
+            # The requests of other waves may not be known yet.
+            return None
         wave_id = self._wave.wave_id if self._wave else 0
         return self._machines.begun_at(wave_id, machine_id, entry.worker_id)
 
@@ -242,6 +255,9 @@
         """
         if machine.worker_id not in self._cell.occupancy_by_worker:
             return None
+        is_requested = entry.phase is MachinePhase.REQUESTED
+        if is_requested and self._now < self._cell.may_call_at:
+            return None
         return TakeSlot(machine.machine_id, machine.worker_id, entry.terminate_at_ms)
 
     def _request_or_defer(
