Request maintenance by a recent read of the machine list only

With a list that was 60 s old, maintenance was still requested. The machine may have a new worker since then, and the call terminates its tasks, also those that must not be terminated.

Ruled out: the age of the machine's worker in the cell, which the planner doesn't know. That the machine is listed, up and with the worker of its record was required before.

Require a read that was sent at most 2 s ago; a host reads the list each second while it empties machines.

--- a/libs/scheduling/features/maintenance.feature
+++ b/libs/scheduling/features/maintenance.feature
@@ -56,6 +56,7 @@
       | A read shows the maintenance         | a:up:0:requested:seen b:up:1 | 9     | 4   | free a (done), take b for 22.5 s    |
       | It may be that of another wave       | a:up:0:requested:shared b:up:1 | 9     | 4   | take a for 1.0 s                    |
       | Other waves may not be known yet     | a:up:0:requested:seen b:up:1 | 2     | 4   | nothing                             |
+      | The list is too old for a call       | a:up:0:emptying:unread      | 9     | 4   | nothing                             |
       | An older request takes no slot       | a:up:0:done:outdated b:up:0 | 9     | 4   | nothing                             |
       | An older request frees none          | a:up:0:emptying:outdated b:up:0 | 9     | 4   | nothing                             |
       | An older request repeats calls       | a:up:0:requested:outdated b:up:0 | 9     | 4   | request a                           |
--- a/libs/scheduling/features/steps/maintenance_steps.py
+++ b/libs/scheduling/features/steps/maintenance_steps.py
@@ -102,6 +102,7 @@
     wave = MaintenanceWave(1, names, 1, 60.0, 5)
     if is_rewritten:
         wave = replace(wave, complete_by_s=6.0, version=6)
+    context.read_age_s = 2.1 if words[0][4:] == ["unread"] else 0.0
     if words[0][4:] == ["outdated"]:
         wave = replace(wave, version=4)
     context.wave = None if words[0][4:] == ["removed"] else wave
@@ -111,8 +112,8 @@
 def step_plan(context, owned, age):
     now = TAKEN_AT_S + age
     reads = [*(context.earlier or 2 * [context.listed]), context.listed]
-    for sent_at, listed in zip((now - 10, now - 5, now), reads, strict=True):
-        context.machines.observe(listed, sent_at)
+    for age_s, listed in zip((10, 5, context.read_age_s), reads, strict=True):
+        context.machines.observe(listed, now - age_s)
     may_call_at = now - owned + 3.0
     cell = MaintenanceCell("r1", 3, may_call_at, context.occupancies)
     actions = plan_maintenance(
--- a/libs/scheduling/src/berylcleat/scheduling/_maintenance.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_maintenance.py
@@ -31,6 +31,9 @@
 # Seconds after a confirmed call in which the same worker is still listed until the
 # maintenance counts as over: then it was confirmed because it had been done before.
 SAME_WORKER_S = 4.0
+# Maximum age in seconds of the read of the list by which a machine is taken down: by
+# now it may have another worker, with tasks that must not be terminated.
+MAX_READ_AGE_S = 2.0
 # Seconds by which a host may learn of a wave late.
 NOTICE_S = 1.0
 # Seconds in which a step with a ``max_unavailable`` of 1 moves one task.
@@ -273,6 +276,8 @@
             return None
         if self._now < self._cell.may_call_at:
             return None
+        if self._now - self._machines.read_sent_at > MAX_READ_AGE_S:
+            return None
         is_due = occupancy.is_empty or self._wall_ms >= entry.terminate_at_ms
         if is_due and self._may_request(machine.machine_id):
             return RequestMaintenance(machine.machine_id, machine.worker_id)
