Refuse to send a start to a worker that was taken out of use

may_send_start checked nothing where evacuations are not enabled, and ignored cordons elsewhere. A start that was decided before the cordon was sent, or repeated, after it.

Ruled out: the further checks of evacuations for deployments without them, which must behave as before where there is no wave.

Refuse a start if its worker is cordoned or the cordons aren't known, and one that was withdrawn while waves are known.

--- a/libs/scheduling/features/maintenance.feature
+++ b/libs/scheduling/features/maintenance.feature
@@ -108,6 +108,24 @@
     And workers nowhere are in maintenance for 1 seconds
     Then it has started
 
+  # Guards against a start that was decided before its worker was taken out of use, and
+  # against one that is repeated afterwards.
+  Scenario Outline: A start is sent only while its worker is in use: <names>
+    Given a cell with 2 workers of 8 cores
+    When a client submits an ordinary task
+    And 0.4 seconds pass without reads
+    And workers <names> are in maintenance for 0 seconds
+    Then the start <may> be sent
+    And <n> run is left and none is stopped
+    When workers w0 and w1 are in maintenance for 0 seconds
+    Then the start may not be sent
+    And <n> run is left and none is stopped
+
+    Examples:
+      | names     | may     | n |
+      | w0 and w1 | may not | 0 |
+      | nowhere   | may     | 1 |
+
   # Guards against the termination of a protected run that the owner doesn't know yet.
   Scenario: A run of an unknown submission may be protected
     Given a cell with 2 workers of 8 cores
--- a/libs/scheduling/features/steps/relocation_steps.py
+++ b/libs/scheduling/features/steps/relocation_steps.py
@@ -104,6 +104,7 @@
 def step_maintenance(context, names, seconds):
     scripted_cell = context.scripted_cell
     headroom = CellHeadroom("r2", "svc", 16000, (), 0, 16000)
+    scripted_cell.cell.set_cordoned(frozenset(names.split(" and ")))
     for _ in range(seconds * 5):
         scripted_cell.cell.set_cordoned(frozenset(names.split(" and ")))
         scripted_cell.step()
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -123,6 +123,12 @@
             return "maintenance not known"
         return "" if self.evacuation is None else self.evacuation.explain(now)
 
+    def _has_evacuations(self) -> bool:
+        return self.evacuation is not None and self.evacuation.is_enabled
+
+    def _has_maintenance(self) -> bool:
+        return self._cordoned is not None or self.awaits_cordon
+
     def _is_evacuated(self) -> bool:
         return self.evacuation is not None and self.evacuation.is_evacuated
 
@@ -132,7 +138,7 @@
 
     def _observe_time(self, now: float) -> None:
         """Take note of a pause of the owner, and of the tasks that are available."""
-        has_evacuations = self.evacuation is not None and self.evacuation.is_enabled
+        has_evacuations = self._has_evacuations()
         if not has_evacuations and self._cordoned is None:
             return
         if self._is_paused(now):
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -79,11 +79,9 @@
 
         If not, the run is withdrawn, or unconfirmed if an earlier try may have arrived.
         """
-        if self.evacuation is None or not self.evacuation.is_enabled:
-            return True
         run = self.run_by_task.get(order.task)
         if run is None or run.number != order.run:
-            return False
+            return not self._has_evacuations() and not self._has_maintenance()
         if self._may_still_start(run, now):
             run.may_have_been_sent = True
             return True
@@ -100,9 +98,13 @@
         A worker that has restarted accepts orders of earlier owners, so a late one
         could start a task that a new owner has started elsewhere.
         """
+        view = self.worker_by_id.get(run.worker_id)
+        if self.awaits_cordon or (view is not None and view.is_cordoned):
+            return False
+        if not self._has_evacuations():
+            return True
         if self._is_paused(now) or not self._may_start(now) or self.is_fenced_out:
             return False
-        view = self.worker_by_id.get(run.worker_id)
         if view is None or view.hold_failed_at is not None:
             return False
         if view.incarnation_ms != run.incarnation_ms:
