--- a/libs/scheduling/features/maintenance.feature
+++ b/libs/scheduling/features/maintenance.feature
@@ -50,6 +50,17 @@
       | One has yet to be maintained         | a:up:0:done b:down:0        | 9     | 4   | nothing                             |
       | The wave is new                      | a:up:0:unknown              | 9     | 0   | report running, take a for 29.5 s   |
       | The wave was removed                 | a:up:2:emptying:removed     | 9     | 4   | free a (withdrawn)                  |
+      | Fewer may be down than hold slots    | a:up:0:emptying b:up:0:emptying | 9     | 4   | request a                           |
+      | One is down, another one is empty    | a:maintenance:0:requested b:up:0:emptying | 9     | 4   | nothing                             |
+      | Only one of two requests is repeated | a:up:0:requested b:up:0:requested | 9     | 4   | request a                           |
+      | A read shows the maintenance         | a:up:0:requested:seen b:up:1 | 9     | 4   | free a (done), take b for 22.5 s    |
+      | It may be that of another wave       | a:up:0:requested:shared b:up:1 | 9     | 4   | take a for 1.0 s                    |
+      | Other waves may not be known yet     | a:up:0:requested:seen b:up:1 | 2     | 4   | nothing                             |
+      | The list is too old for a call       | a:up:0:emptying:unread      | 9     | 4   | nothing                             |
+      | An older request takes no slot       | a:up:0:done:outdated b:up:0 | 9     | 4   | nothing                             |
+      | An older request frees none          | a:up:0:emptying:outdated b:up:0 | 9     | 4   | nothing                             |
+      | An older request repeats calls       | a:up:0:requested:outdated b:up:0 | 9     | 4   | request a                           |
+      | Half of the new time ends sooner     | a:up:1:emptying:rewritten   | 9     | 0   | report running, keep a for 2.5 s    |
 
   # Guards against a start on a machine that is emptied, and stops beyond max_unavailable.
   Scenario Outline: Long-running tasks leave <names>, <allowed> may be unavailable
@@ -85,6 +96,36 @@
       | a gang           |
       | a forced filler  |
 
+  # Guards against a start on a machine in maintenance that a new owner doesn't know of.
+  Scenario: Nothing starts before the machines in maintenance are known
+    Given a cell with 2 workers of 8 cores
+    When the machines in maintenance are not known yet
+    And a client submits an ordinary task
+    And 4.0 seconds pass without reads
+    Then nothing has started
+    And the wait is explained by "maintenance not known"
+    When the machines in maintenance are known
+    And workers nowhere are in maintenance for 1 seconds
+    Then it has started
+
+  # Guards against a start that was decided before its worker was taken out of use, and
+  # against one that is repeated afterwards.
+  Scenario Outline: A start is sent only while its worker is in use: <names>
+    Given a cell with 2 workers of 8 cores
+    When a client submits an ordinary task
+    And 0.4 seconds pass without reads
+    And workers <names> are in maintenance for 0 seconds
+    Then the start <may> be sent
+    And <n> run is left and none is stopped
+    When workers w0 and w1 are in maintenance for 0 seconds
+    Then the start may not be sent
+    And <n> run is left and none is stopped
+
+    Examples:
+      | names     | may     | n |
+      | w0 and w1 | may not | 0 |
+      | nowhere   | may     | 1 |
+
   # Guards against the termination of a protected run that the owner doesn't know yet.
   Scenario: A run of an unknown submission may be protected
     Given a cell with 2 workers of 8 cores
--- a/libs/scheduling/features/steps/relocation_steps.py
+++ b/libs/scheduling/features/steps/relocation_steps.py
@@ -104,12 +104,18 @@
 def step_maintenance(context, names, seconds):
     scripted_cell = context.scripted_cell
     headroom = CellHeadroom("r2", "svc", 16000, (), 0, 16000)
+    scripted_cell.cell.set_cordoned(frozenset(names.split(" and ")))
     for _ in range(seconds * 5):
         scripted_cell.cell.set_cordoned(frozenset(names.split(" and ")))
         scripted_cell.step()
         scripted_cell.cell.propose_moves((headroom,), scripted_cell.now)
 
 
+@when("the machines in maintenance are {state}")
+def step_await_cordon(context, state):
+    context.scripted_cell.cell.awaits_cordon = state == "not known yet"
+
+
 @when("w0 reports a run of an unknown submission")
 def step_unknown_run(context):
     context.scripted_cell.running["w0"][TaskKey(SUBMISSION_ID, 0, 0, 0)] = 1
--- a/libs/scheduling/src/berylcleat/scheduling/_maintenance.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_maintenance.py
@@ -31,6 +31,9 @@
 # Seconds after a confirmed call in which the same worker is still listed until the
 # maintenance counts as over: then it was confirmed because it had been done before.
 SAME_WORKER_S = 4.0
+# Maximum age in seconds of the read of the list by which a machine is taken down: by
+# now it may have another worker, with tasks that must not be terminated.
+MAX_READ_AGE_S = 2.0
 # Seconds by which a host may learn of a wave late.
 NOTICE_S = 1.0
 # Seconds in which a step with a ``max_unavailable`` of 1 moves one task.
@@ -49,8 +52,18 @@
 
     ``now`` is the host's monotonic clock in seconds, ``wall_ms`` the wall clock in
     milliseconds. All actions of a plan go into one commit, conditional on the version
-    of ``record``; after a conflict, plan again with the present record.
+    of ``record``; after a conflict, plan again with the present record. ``machines``
+    takes note of the requests in ``record``, which the plans of other waves need.
     """
+    if wave is not None:
+        requested = [
+            entry.worker_id
+            for entry in record.machine_by_id.values()
+            if entry.phase is not MachinePhase.EMPTYING
+            and entry.worker_id
+            and entry.cell_id == cell.cell_id
+        ]
+        machines.on_requested(wave.wave_id, requested, now)
     planner = _WavePlanner(wave, record, machines, cell, now, int(wall_ms))
     return tuple(planner.plan())
 
@@ -74,6 +87,8 @@
         self._now = now
         self._wall_ms = wall_ms
         self._wanted = frozenset(wave.machine_ids) if wave else frozenset()
+        # Machines whose maintenance is or may be requested; at most ``max_down``.
+        self._callable = self._requested()[: wave.max_down] if wave else []
 
     def plan(self) -> list[MaintenanceAction]:
         """Return the actions, those that free slots before those that take them."""
@@ -83,17 +98,48 @@
             if entry.phase is not MachinePhase.DONE
             and (action := self._continue(machine_id, entry)) is not None
         ]
-        if self._wave is None:
+        if self._wave is None or self._is_outdated():
             return actions
         if not self._is_begun():
             return actions + self._begin()
         if self._record.reported_state is WaveState.DONE:
             return actions
         if not actions and self._is_done():
-            return [self._report(WaveState.DONE, self._record.began_at_ms)]
+            began_at_ms = self._record.began_at_ms
+            return [ReportState(WaveState.DONE, self._wave.version, began_at_ms)]
         freed = {a.machine_id: a for a in actions if isinstance(a, FreeSlot)}
         return actions + self._take_slots(freed, self._record.began_at_ms)
 
+    def _is_outdated(self) -> bool:
+        """Return whether the request was written again and this host doesn't know it.
+
+        Its limits and machines may have changed: only what has been requested goes on.
+        """
+        return self._wave is not None and self._record.version > self._wave.version
+
+    def _requested(self) -> list[str]:
+        return [
+            machine_id
+            for machine_id, entry in self._record.machine_by_id.items()
+            if entry.phase is MachinePhase.REQUESTED
+        ]
+
+    def _may_request(self, machine_id: str) -> bool:
+        """Return whether a machine may go down within ``max_down``, and count it.
+
+        More machines than that hold slots if the request was written again with a lower
+        ``max_down``.
+        """
+        if machine_id in self._callable:
+            return True
+        entry = self._record.machine_by_id[machine_id]
+        if entry.phase is MachinePhase.REQUESTED:
+            return False
+        if len(self._callable) >= self._wave.max_down:
+            return False
+        self._callable.append(machine_id)
+        return True
+
     def _is_begun(self) -> bool:
         """Return whether the record is of the wave as it was last written."""
         is_reported = self._record.reported_state is not None
@@ -102,11 +148,23 @@
     def _begin(self) -> list[MaintenanceAction]:
         if not self._is_concerned():
             return []
-        running = self._report(WaveState.RUNNING, self._wall_ms)
+        running = ReportState(
+            WaveState.RUNNING,
+            self._wave.version,
+            self._wall_ms,
+            self._terminate_by_ms(self._wall_ms),
+        )
         return [running, *self._take_slots({}, self._wall_ms)]
 
-    def _report(self, state: WaveState, began_at_ms: int) -> ReportState:
-        return ReportState(state, self._wave.version, began_at_ms)
+    def _terminate_by_ms(self, began_at_ms: int) -> int:
+        """Return the latest termination on machines that hold slots, 0 if none does."""
+        n_held = sum(
+            entry.phase is not MachinePhase.DONE
+            for entry in self._record.machine_by_id.values()
+        )
+        if not n_held:
+            return 0
+        return self._terminate_at_ms(len(self._left()) + n_held, began_at_ms)
 
     def _is_concerned(self) -> bool:
         """Return whether the owner reports the state of the wave.
@@ -160,13 +218,20 @@
             begun_at = self._begun_at(machine_id, entry)
             if begun_at is not None:
                 return self._return_to_use(machine, entry, begun_at)
+        if self._is_outdated() and entry.phase is not MachinePhase.REQUESTED:
+            return None
         if machine_id not in self._wanted:
+            if self._is_outdated():
+                return None
             return FreeSlot(machine_id, "withdrawn")
         if machine.worker_id != entry.worker_id:
             return self._empty_next_worker(machine, entry)
         return self._request_or_defer(machine, entry)
 
     def _begun_at(self, machine_id: str, entry: MachineRecord) -> float | None:
+        if self._now < self._cell.may_call_at:
+            # The requests of other waves may not be known yet.
+            return None
         wave_id = self._wave.wave_id if self._wave else 0
         return self._machines.begun_at(wave_id, machine_id, entry.worker_id)
 
@@ -193,6 +258,9 @@
         """
         if machine.worker_id not in self._cell.occupancy_by_worker:
             return None
+        is_requested = entry.phase is MachinePhase.REQUESTED
+        if is_requested and self._now < self._cell.may_call_at:
+            return None
         return TakeSlot(machine.machine_id, machine.worker_id, entry.terminate_at_ms)
 
     def _request_or_defer(
@@ -208,7 +276,10 @@
             return None
         if self._now < self._cell.may_call_at:
             return None
-        if occupancy.is_empty or self._wall_ms >= entry.terminate_at_ms:
+        if self._now - self._machines.read_sent_at > MAX_READ_AGE_S:
+            return None
+        is_due = occupancy.is_empty or self._wall_ms >= entry.terminate_at_ms
+        if is_due and self._may_request(machine.machine_id):
             return RequestMaintenance(machine.machine_id, machine.worker_id)
         return None
 
