Serve maintenance waves only where there are operator duties

Cause: the platform's settings name a machine service also in deployments whose operator requests nothing, so every host there followed waves without need.

Ruled out: an additional switch in the operator's configuration, which a host reads only after it has decided what to follow.

Change: the setting operator_duties passes the platform's list of duties on. If the list is empty, machine_service_address has no effect; if it is absent, the address alone decides.

--- a/programs/beryl-host/features/steps/evacuation_settings_steps.py
+++ b/programs/beryl-host/features/steps/evacuation_settings_steps.py
@@ -18,6 +18,7 @@
     "bounds.evacuateMs": "5000",
     "bounds.maxStretchMs": "6000",
     "orders": "push",
+    "cloud.duties|json": "[]",
     "contracts|json": '["base", "health"]',
 }
 
--- a/programs/beryl-host/features/steps/uneven_host_steps.py
+++ b/programs/beryl-host/features/steps/uneven_host_steps.py
@@ -46,6 +46,12 @@
     assert apply_contracts(context.settings).uneven_workers == (switch == "yes")
 
 
+@then("it uses the machine service: {use}")
+def step_machine_service(context, use):
+    address = apply_contracts(context.settings).machine_service_address
+    assert bool(address) == (use == "yes"), address
+
+
 @given(
     "a cell of two workers of 8000 millicores, of which one runs 4 times as long",
 )
--- a/programs/beryl-host/features/uneven_workers.feature
+++ b/programs/beryl-host/features/uneven_workers.feature
@@ -13,6 +13,18 @@
       | "contracts": ["health"]   | yes    |
       | "uneven_workers": true    | yes    |
 
+  # Guards against a deployment without operator duties that reads or calls for waves.
+  Scenario Outline: Settings with <text> use the machine service: <use>
+    Given the settings of a host with "machine_service_address": "a:1", <text>
+    Then it uses the machine service: <use>
+
+    Examples:
+      | text                          | use |
+      | "contracts": []               | yes |
+      | "operator_duties": null       | yes |
+      | "operator_duties": ["upkeep"] | yes |
+      | "operator_duties": []         | no  |
+
   # Guards against herds: other cells and home cell choices saw slow workers as sound.
   Scenario: The published load counts the effective capacity of a slow worker
     Given a cell of two workers of 8000 millicores, of which one runs 4 times as long
--- a/programs/beryl-host/src/berylcleat/host/_settings.py
+++ b/programs/beryl-host/src/berylcleat/host/_settings.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, replace
 
 from berylcleat.model import SettingsError
-from berylcleat.platform import decode_contracts
+from berylcleat.platform import decode_contracts, has_operator_duties
 from berylcleat.scheduling import EvacuationRules
 
 # Time that start orders need to arrive: a host whose news of the evacuations is older
@@ -22,8 +22,8 @@
     avoidance of slow and failing workers, ``expected_finish`` order and moves by
     expected finish; a deployment's ``contracts`` may switch them on too.
     ``admission_late_limit`` is the multiple of a submission's objective beyond which it
-    is refused; 0 refuses none. Without a ``machine_service_address``, maintenance waves
-    are ignored.
+    is refused; 0 refuses none. Without a ``machine_service_address``, or with a list
+    of ``operator_duties`` that is empty, maintenance waves are ignored.
 
     No task is started in an evacuated data centre later than ``evacuation_deadline_ms``
     after the request, and by a host without news of the requests no later than
@@ -51,6 +51,7 @@
     contracts: tuple[str, ...] | None = None
     admission_late_limit: float = 0.0
     machine_service_address: str = ""
+    operator_duties: tuple[str, ...] | None = None
 
     @property
     def cpu_power(self) -> float:
@@ -67,12 +68,14 @@
 
 
 def apply_contracts(settings: HostSettings) -> HostSettings:
-    """Return the settings with the switches on that its contracts ask for."""
+    """Return the settings with the parts that contracts and duties ask for."""
     switches = decode_contracts(settings.contracts or ())
+    has_duties = has_operator_duties(settings.operator_duties)
     return replace(
         settings,
         uneven_workers=settings.uneven_workers or switches.uneven_workers,
         expected_finish=settings.expected_finish or switches.expected_finish,
+        machine_service_address=settings.machine_service_address if has_duties else "",
     )
 
 
