--- a/programs/beryl-host/src/berylcleat/host/_maintenance_waves.py
+++ b/programs/beryl-host/src/berylcleat/host/_maintenance_waves.py
@@ -74,6 +74,8 @@
         self._read_at_by_wave: dict[int, float] = {}
         # Waves with machines that aren't done yet in this host's cells.
         self._involved: set[int] = set()
+        # Waves whose last step failed, so that consecutive failures are logged once.
+        self._failing: set[int] = set()
         # Cells at the last step, by id and epoch, and those that were told of cordons.
         self._known_cells: set[tuple[str, int]] = set()
         self._cordoned_cells: set[tuple[str, int]] = set()
@@ -104,8 +106,7 @@
             self._cordon(wave_by_id, active)
             # Without machines here, a wave is planned once for each read of its record.
             for wave_id in [*((self._involved | read) & wave_by_id.keys()), *withdrawn]:
-                for cell in active:
-                    await self._advance(wave_id, wave_by_id.get(wave_id), cell)
+                await self._advance_in_cells(wave_id, wave_by_id.get(wave_id), active)
         except BerylError:
             await asyncio.sleep(RETRY_S)
             raise
@@ -189,6 +190,25 @@
         n_bytes = self._records.n_bytes(wave_id)
         return max(RECORD_PERIOD_S, n_bytes / RECORD_BYTES_PER_S)
 
+    async def _advance_in_cells(
+        self, wave_id: int, wave: MaintenanceWave | None, cells: list[MaintainedCell]
+    ) -> None:
+        """Advance a wave; an unexpected failure doesn't keep other waves from it.
+
+        Raises the errors of the store, which concern all waves.
+        """
+        try:
+            for cell in cells:
+                await self._advance(wave_id, wave, cell)
+        except BerylError:
+            raise
+        except Exception:
+            if wave_id not in self._failing:
+                logger.exception("maintenance: wave %d can't be planned", wave_id)
+            self._failing.add(wave_id)
+        else:
+            self._failing.discard(wave_id)
+
     async def _advance(
         self, wave_id: int, wave: MaintenanceWave | None, cell: MaintainedCell
     ) -> None:
@@ -268,6 +288,7 @@
         self._records.forget(wave_id)
         self._read_at_by_wave.pop(wave_id, None)
         self._calls.forget(wave_id)
+        self._failing.discard(wave_id)
 
     def _publish(
         self, wave_by_id: dict[int, MaintenanceWave], active: list[MaintainedCell]
