Start nothing in a new cell before the records of all waves are read

Cause: a new owner planned at once, but learned the cordoned workers only after a step and a commit for each wave, later if the store failed. An undecodable record counted as one without cordons. A task could start on a machine whose earlier owner had requested its maintenance.

Ruled out: reading the records before the cell begins: an outage of the store would then delay everything that the owner does for its cell, also the ends of tasks.

Change: a cell that begins while waves are known starts nothing until the first step that has read the records of all of them. Without a wave's record the cells keep the cordons that they have; a wave whose record can't be decoded keeps new cells waiting until its row is removed.

--- /dev/null
+++ b/programs/beryl-host/features/maintenance_waves.feature
@@ -0,0 +1,17 @@
+Feature: Cells of a host while maintenance waves are known
+  In memory, with one cell and one wave.
+
+  # Guards against tasks that start on a machine whose earlier owner has requested its
+  # maintenance, before the new owner has read the wave's record.
+  Scenario Outline: A new cell, and a wave whose record is <record>
+    Given a cell that begins while a wave is known, and its record is <record>
+    When the host takes a step
+    Then the cell waits for its cordons: <waits>, and the cordoned workers are "<workers>"
+
+    Examples:
+      | record     | waits | workers |
+      | absent     | no    |         |
+      | present    | no    | w0      |
+      | unreadable | yes   |         |
+      | withdrawn  | no    |         |
+      | not read   | yes   |         |
--- /dev/null
+++ b/programs/beryl-host/features/steps/maintenance_wave_steps.py
@@ -0,0 +1,82 @@
+import json
+from contextlib import suppress
+from types import SimpleNamespace
+
+from behave import given, then, when
+
+from berylcleat.host._maintained_cells import MaintainedCells
+from berylcleat.host._maintenance_waves import MaintenanceWaves
+from berylcleat.host._operator_state import OperatorState
+from berylcleat.model import PlatformUnavailableError, TaskDemand
+from berylcleat.ports import StoreRow, WorkerEntry
+from berylcleat.scheduling import (
+    CellScheduler,
+    InterferenceModel,
+    LeaseTimes,
+    MachinePhase,
+    MachineRecord,
+    WaveRecord,
+    WaveState,
+    encode_wave_record,
+)
+from berylcleat.standins import MemoryStore
+
+
+class UnreachableStore:
+    async def commit(self, commit):
+        raise PlatformUnavailableError("store: no answer", "Try again")
+
+
+def wave_row(version=1, **fields):
+    body = {"wave": 1, "machines": ["m-0", "m-1"], "completeByS": 60, "maxCount": 1}
+    return StoreRow("op", "", "wave/1", json.dumps(body | fields).encode(), version)
+
+
+@given("a cell that begins while a wave is known, and its record is {record}")
+def step_cell(context, record):
+    state = OperatorState()
+    state.on_waves(() if record == "withdrawn" else (wave_row(),))
+    entry = MachineRecord(MachinePhase.REQUESTED, 1, "r1", "w0", 0)
+    value = encode_wave_record(WaveRecord(1, 1, WaveState.RUNNING, {"m-0": entry}))
+    store = UnreachableStore() if record == "not read" else MemoryStore()
+    if record in ("present", "unreadable"):
+        value = value if record == "present" else b"[not json"
+        store.put("maintenance", "", "wave-1", value)
+    cell = CellScheduler("r1", 2, LeaseTimes(), 0.0, 0.0, (), InterferenceModel())
+    cell.awaits_cordon = True
+    for worker_id in ("w0", "w1"):
+        place = ("svc", "a:1", "dc", "k", "r1", frozenset(), TaskDemand(8000), 1)
+        cell.list_worker(WorkerEntry(worker_id, *place), 0.0)
+    controller = SimpleNamespace(
+        cell_id="r1",
+        owner=SimpleNamespace(epoch=2),
+        owner_version=1,
+        scheduler=cell,
+        is_inactive=False,
+    )
+    cells = MaintainedCells({"r1": controller})
+    context.cell = cell
+    context.waves = MaintenanceWaves(store, None, "host-1", state, cells)
+
+
+@when("the host takes a step")
+def step_step(context):
+    async def run():
+        with suppress(PlatformUnavailableError):
+            await context.waves.step()
+
+    context.run(run())
+
+
+@then(
+    'the cell waits for its cordons: {waits}, and the cordoned workers are "{workers}"'
+)
+@then('the cell waits for its cordons: {waits}, and the cordoned workers are ""')
+def step_waits(context, waits, workers=""):
+    assert context.cell.awaits_cordon == (waits == "yes")
+    cordoned = {
+        worker_id
+        for worker_id in context.cell.worker_by_id
+        if context.cell.occupancy(worker_id).is_cordoned
+    }
+    assert cordoned == set(workers.split()), cordoned
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -145,6 +145,8 @@
         now = now_s()
         scheduler.evacuation = self._operator.make_cell_evacuation(self.data_centre)
         self._operator.update(scheduler.evacuation, now)
+        # An earlier owner's call for a machine may be under way.
+        scheduler.awaits_cordon = bool(self._operator.wave_by_id)
         for entry in self._directory.in_cell(self.cell_id):
             submission = entry.accepted.submission
             progress = progress_by_id.pop(submission.submission_id, Progress())
--- a/programs/beryl-host/src/berylcleat/host/_maintenance_waves.py
+++ b/programs/beryl-host/src/berylcleat/host/_maintenance_waves.py
@@ -98,6 +98,7 @@
         wave_by_id = self._waves_in_progress() if active else {}
         withdrawn = self._records.by_wave.keys() - self._state.wave_by_id.keys()
         if not wave_by_id and not withdrawn and not self._cordoned_cells:
+            self._cordon({}, active)
             self._publish({}, [])
             return
         try:
@@ -268,18 +269,24 @@
     def _cordon(
         self, wave_by_id: dict[int, MaintenanceWave], active: list[MaintainedCell]
     ) -> None:
-        """Keep tasks from starting on the workers of machines in maintenance."""
+        """Keep tasks from starting on the workers of machines in maintenance.
+
+        Without the record of a wave, cells keep their cordons, and new ones wait.
+        """
+        if not wave_by_id.keys() <= self._records.by_wave.keys():
+            return
         for cell in active:
             key = (cell.cell_id, cell.owner.epoch)
             if not wave_by_id and key not in self._cordoned_cells:
+                cell.scheduler.awaits_cordon = False
                 continue
             planned_cell = self._cells.describe(cell, now_s())
             worker_ids: frozenset[str] = frozenset()
             for wave_id, wave in wave_by_id.items():
-                record = self._records.by_wave.get(wave_id)
-                if record is not None:
-                    worker_ids |= cordoned_workers(wave, record, planned_cell)
+                record = self._records.by_wave[wave_id]
+                worker_ids |= cordoned_workers(wave, record, planned_cell)
             cell.scheduler.set_cordoned(worker_ids)
+            cell.scheduler.awaits_cordon = False
         # Without a wave all workers have just been returned to use.
         keys = {(cell.cell_id, cell.owner.epoch) for cell in active}
         self._cordoned_cells = keys if wave_by_id else set()
