Let cells begin only when the maintenance waves have been read

Cause: a host that restarts could acquire a cell before its first read of the operator's table, and a cell that begins without known waves doesn't wait for its cordons.

Ruled out: letting every new cell wait for the table: hosts without a machine service would start tasks later than today.

Change: with a machine service, cells are acquired after that first read.

--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -298,7 +298,12 @@
             )
 
     async def reconcile_cells(self) -> None:
-        """Acquire and drop cells, as membership changes."""
+        """Acquire and drop cells, as membership changes.
+
+        A cell may only begin when the maintenance waves are known.
+        """
+        if self.maintenance is not None and not self.operator_follower.has_synced:
+            return
         if self.data_centre_follower.has_synced and self.digest_follower.has_synced:
             await self.ownership.reconcile(
                 self._local_coverage(), _coverage(self.digest_follower)
