Back off after a call for maintenance that fails unexpectedly

Cause: an exception that isn't an error of the service set no backoff, so the call and its traceback were repeated in every step, five times a second.

Ruled out: catching it where the call is made: the check of the ownership can fail so too.

Change: the end of a failed call sets the backoff, and only the first of consecutive failures is logged.

--- a/programs/beryl-host/features/maintenance_waves.feature
+++ b/programs/beryl-host/features/maintenance_waves.feature
@@ -15,3 +15,10 @@
       | unreadable | yes   |         |
       | withdrawn  | no    |         |
       | not read   | yes   |         |
+
+  # Guards against a call, and a traceback, in every step while the service fails in an
+  # unexpected way.
+  Scenario: A call for maintenance fails with an unexpected exception
+    Given calls for maintenance that fail with an unexpected exception
+    When the same call is requested 5 times within 0.1 s
+    Then the machine service was called once
--- a/programs/beryl-host/features/steps/maintenance_wave_steps.py
+++ b/programs/beryl-host/features/steps/maintenance_wave_steps.py
@@ -1,3 +1,4 @@
+import asyncio
 import json
 from contextlib import suppress
 from types import SimpleNamespace
@@ -5,14 +6,16 @@
 from behave import given, then, when
 
 from berylcleat.host._maintained_cells import MaintainedCells
+from berylcleat.host._maintenance_calls import MaintenanceCalls
 from berylcleat.host._maintenance_waves import MaintenanceWaves
 from berylcleat.host._operator_state import OperatorState
 from berylcleat.model import PlatformUnavailableError, TaskDemand
-from berylcleat.ports import StoreRow, WorkerEntry
+from berylcleat.ports import CommitOutcome, StoreRow, WorkerEntry
 from berylcleat.scheduling import (
     CellScheduler,
     InterferenceModel,
     LeaseTimes,
+    MachineList,
     MachinePhase,
     MachineRecord,
     WaveRecord,
@@ -56,9 +59,45 @@
     )
     cells = MaintainedCells({"r1": controller})
     context.cell = cell
+    context.controller = controller
     context.waves = MaintenanceWaves(store, None, "host-1", state, cells)
 
 
+@given("calls for maintenance that fail with an unexpected exception")
+def step_failing_service(context):
+    step_cell(context, "absent")
+    context.n_calls = 0
+
+    async def request_maintenance(*arguments):
+        context.n_calls += 1
+        raise ValueError("unexpected")
+
+    async def commit(commit):
+        return CommitOutcome(True, 1)
+
+    context.calls = MaintenanceCalls(
+        SimpleNamespace(commit=commit),
+        SimpleNamespace(request_maintenance=request_maintenance),
+        "host-1",
+        MachineList(),
+    )
+
+
+@when("the same call is requested 5 times within 0.1 s")
+def step_requests(context):
+    async def run():
+        for _ in range(5):
+            context.calls.request(1, "m-0", "w0", context.controller)
+            await asyncio.sleep(0.02)
+
+    context.run(run())
+
+
+@then("the machine service was called once")
+def step_called_once(context):
+    assert context.n_calls == 1, context.n_calls
+
+
 @when("the host takes a step")
 def step_step(context):
     async def run():
--- a/programs/beryl-host/src/berylcleat/host/_maintenance_calls.py
+++ b/programs/beryl-host/src/berylcleat/host/_maintenance_calls.py
@@ -119,4 +119,10 @@
     def _on_done(self, call: tuple[int, str], task: asyncio.Task) -> None:
         del self._task_by_call[call]
         if not task.cancelled() and task.exception() is not None:
-            logger.error("maintenance: call failed", exc_info=task.exception())
+            if call not in self._retry_by_call:
+                logger.error(
+                    "maintenance: wave %d, machine %s: call failed",
+                    *call,
+                    exc_info=task.exception(),
+                )
+            self._delay(call)
