Log a machine's request for maintenance once

Cause: a repeated request was logged as "is requested" again whenever the same commit changed another machine.

Ruled out: comparing the epochs too: a new owner repeats the call, but the machine's phase stays the same.

Change: only a change of the phase to requested is logged.

--- a/programs/beryl-host/features/maintenance_waves.feature
+++ b/programs/beryl-host/features/maintenance_waves.feature
@@ -22,3 +22,9 @@
     Given calls for maintenance that fail with an unexpected exception
     When the same call is requested 5 times within 0.1 s
     Then the machine service was called once
+
+  # Guards against a log line for each repetition of a call, beside the changes of others.
+  Scenario: A repeated request isn't logged again beside another machine's change
+    Given a cell that begins while a wave is known, and its record is present
+    When a commit requests the maintenance of "m-0" again and of "m-1" for the first time
+    Then only the maintenance of "m-1" is logged as requested
--- a/programs/beryl-host/features/steps/maintenance_wave_steps.py
+++ b/programs/beryl-host/features/steps/maintenance_wave_steps.py
@@ -2,6 +2,7 @@
 import json
 from contextlib import suppress
 from types import SimpleNamespace
+from unittest.mock import patch
 
 from behave import given, then, when
 
@@ -18,6 +19,7 @@
     MachineList,
     MachinePhase,
     MachineRecord,
+    RequestMaintenance,
     WaveRecord,
     WaveState,
     encode_wave_record,
@@ -98,6 +100,28 @@
     assert context.n_calls == 1, context.n_calls
 
 
+@when(
+    'a commit requests the maintenance of "{again}" again and of "{first}" for the '
+    "first time"
+)
+def step_requested_again(context, again, first):
+    entries = {
+        again: MachineRecord(MachinePhase.REQUESTED, 1, "r1", "w0", 0),
+        first: MachineRecord(MachinePhase.EMPTYING, 2, "r1", "w1", 0),
+    }
+    record = WaveRecord(1, 1, WaveState.RUNNING, entries)
+    actions = (RequestMaintenance(again, "w0"), RequestMaintenance(first, "w1"))
+    with patch("berylcleat.host._maintenance_waves.logger") as logger:
+        context.waves._log(1, actions, context.controller, record)
+    context.logged = [call.args[-1] for call in logger.info.call_args_list]
+
+
+@then('only the maintenance of "{machine}" is logged as requested')
+def step_logged(context, machine):
+    (line,) = context.logged
+    assert line.startswith(f"maintenance of machine {machine} is requested"), line
+
+
 @when("the host takes a step")
 def step_step(context):
     async def run():
--- a/programs/beryl-host/src/berylcleat/host/_maintenance_waves.py
+++ b/programs/beryl-host/src/berylcleat/host/_maintenance_waves.py
@@ -229,7 +229,7 @@
             if changed != record:
                 if not await self._commit(wave_id, changed, actions):
                     continue
-                self._log(wave_id, actions, cell)
+                self._log(wave_id, actions, cell, record)
             for action in actions:
                 if isinstance(action, RequestMaintenance):
                     self._calls.request(
@@ -248,11 +248,18 @@
         return await self._records.commit(wave_id, record, writes)
 
     def _log(
-        self, wave_id: int, actions: Iterable[MaintenanceAction], cell: MaintainedCell
+        self,
+        wave_id: int,
+        actions: Iterable[MaintenanceAction],
+        cell: MaintainedCell,
+        previous: WaveRecord,
     ) -> None:
-        """Log what a commit has recorded."""
+        """Log what a commit has changed in the record ``previous``."""
         for action in actions:
             match action:
+                case RequestMaintenance() if _is_requested(previous, action):
+                    # The call is only repeated; another machine has changed.
+                    continue
                 case TakeSlot():
                     text = f"machine {action.machine_id} is taken out of use"
                     text += f", cell {cell.cell_id}, worker {action.worker_id}"
@@ -306,6 +313,11 @@
         self._has_published = bool(wave_by_id)
 
 
+def _is_requested(record: WaveRecord, action: RequestMaintenance) -> bool:
+    entry = record.machine_by_id.get(action.machine_id)
+    return entry is not None and entry.phase is MachinePhase.REQUESTED
+
+
 def _is_over(wave: MaintenanceWave, record: WaveRecord | None) -> bool:
     """Return whether a wave is reported as done and all of its machines are back."""
     return (
