Tell the planner when the host learned of a wave

Cause: the time of a wave counted from the first plan with a list of machines, so an outage of the machine service was added to it.

Ruled out: a time from the row: it has none, and the store tells no time of a write.

Change: learned_at_ms is the wall clock at the first read of a version of the row; the same version, read again, keeps it.

--- a/programs/beryl-host/features/maintenance_waves.feature
+++ b/programs/beryl-host/features/maintenance_waves.feature
@@ -28,3 +28,14 @@
     Given a cell that begins while a wave is known, and its record is present
     When a commit requests the maintenance of "m-0" again and of "m-1" for the first time
     Then only the maintenance of "m-1" is logged as requested
+
+  # Guards against a wave whose time begins anew with each read, or not with a new row.
+  Scenario Outline: A wave that is read again with <change>
+    Given the row of a wave that the host has read
+    When it is read again 0.05 s later with <change>
+    Then the time at which the host learned of it <effect>
+
+    Examples:
+      | change         | effect        |
+      | the same row   | is the first  |
+      | a newer row    | is the second |
--- a/programs/beryl-host/features/steps/maintenance_wave_steps.py
+++ b/programs/beryl-host/features/steps/maintenance_wave_steps.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+import time
 from contextlib import suppress
 from types import SimpleNamespace
 from unittest.mock import patch
@@ -143,3 +144,24 @@
         if context.cell.occupancy(worker_id).is_cordoned
     }
     assert cordoned == set(workers.split()), cordoned
+
+
+@given("the row of a wave that the host has read")
+def step_read_row(context):
+    context.state = OperatorState()
+    context.state.on_waves((wave_row(),))
+    context.learned_at_ms = [context.state.wave_by_id[1].learned_at_ms]
+    assert abs(context.learned_at_ms[0] - time.time() * 1000) < 1000
+
+
+@when("it is read again 0.05 s later with {change}")
+def step_read_again(context, change):
+    time.sleep(0.05)
+    context.state.on_waves((wave_row(2 if change == "a newer row" else 1),))
+    context.learned_at_ms.append(context.state.wave_by_id[1].learned_at_ms)
+
+
+@then("the time at which the host learned of it is the {which}")
+def step_learned_at(context, which):
+    first, second = context.learned_at_ms
+    assert (second > first) == (which == "second"), context.learned_at_ms
--- a/programs/beryl-host/src/berylcleat/host/_operator_state.py
+++ b/programs/beryl-host/src/berylcleat/host/_operator_state.py
@@ -7,6 +7,8 @@
 from berylcleat.ports import OperatorConfig, StoreRow
 from berylcleat.scheduling import CellEvacuation, EvacuationRules, MaintenanceWave
 
+from ._clock import wall_ms
+
 ConfigListener = Callable[[OperatorConfig], None]
 NO_EVACUATIONS = EvacuationRules(0.0, 0.0)
 logger = logging.getLogger(__name__)
@@ -93,23 +95,26 @@
                 if self._malformed_waves.get(row.key) != row.version:
                     logger.error("maintenance: row %s can't be decoded", row.key)
                 continue
+            known = self.wave_by_id.get(request.wave_id)
+            if known is not None and known.version == row.version:
+                wave_by_id[known.wave_id] = known
+                continue
             wave = MaintenanceWave(
                 request.wave_id,
                 request.machine_ids,
                 request.max_down,
                 request.complete_by_s,
                 row.version,
+                learned_at_ms=int(wall_ms()),
             )
             wave_by_id[wave.wave_id] = wave
-            if self.wave_by_id.get(wave.wave_id) != wave:
-                logger.info(
-                    "maintenance: wave %d requested: %d machines within %g s, "
-                    "%d at a time",
-                    wave.wave_id,
-                    len(wave.machine_ids),
-                    wave.complete_by_s,
-                    wave.max_down,
-                )
+            logger.info(
+                "maintenance: wave %d requested: %d machines within %g s, %d at a time",
+                wave.wave_id,
+                len(wave.machine_ids),
+                wave.complete_by_s,
+                wave.max_down,
+            )
         for wave_id in sorted(self.wave_by_id.keys() - wave_by_id.keys()):
             logger.info("maintenance: wave %d withdrawn", wave_id)
         self.wave_by_id = wave_by_id
