Share the rate limit of the machine service between the hosts

Cause: every involved host read all pages each second, and a refused page (429) discarded the whole read: in the review 100 hosts and 9 pages got no complete read in 15 s, against a limit of 60 reads a second for all hosts.

Ruled out: reading only the pages of a host's own machines: tokens are opaque and need not stay valid.

Hosts with a slot read each second, more rarely if the cells with slots and the pages exceed 30 reads a second; the others share 20 reads a second by the number of hosts that own cells. Where their period exceeds 10 s (more than 200 hosts times pages), only hosts with a slot notice that a machine is gone.

Not run with 100 hosts.

--- a/libs/ports/src/berylcleat/ports/_machines.py
+++ b/libs/ports/src/berylcleat/ports/_machines.py
@@ -55,9 +55,12 @@
     """Service that lists machines and carries out their maintenance.
 
     Calls raise ``PlatformUnavailableError`` (the request had no effect) or
-    ``OutcomeUnknownError`` (it may have taken effect, or may still do so).
+    ``OutcomeUnknownError`` (it may have taken effect, or may still do so). ``n_pages``
+    is the number of reads that the last list took.
     """
 
+    n_pages: int
+
     async def list_machines(self) -> tuple[Machine, ...]:
         """Return all machines."""
 
--- a/programs/beryl-host/features/maintenance_waves.feature
+++ b/programs/beryl-host/features/maintenance_waves.feature
@@ -39,3 +39,18 @@
       | change         | effect        |
       | the same row   | is the first  |
       | a newer row    | is the second |
+
+  # Guards against more reads than the service accepts from all hosts together, and
+  # against hosts with a slot that learn too late that a machine is up.
+  Scenario Outline: Hosts share the limit of the machine service
+    Given a cell that begins while a wave is known, and its record is <record>
+    And <hosts> hosts, and a list of <pages> pages
+    When the host takes a step
+    Then it reads the list each <period> s
+
+    Examples:
+      | record  | hosts | pages | period |
+      | present | 1     | 1     | 1.0    |
+      | present | 100   | 9     | 1.0    |
+      | absent  | 1     | 1     | 1.0    |
+      | absent  | 100   | 9     | 45.0   |
--- a/programs/beryl-host/features/steps/maintenance_wave_steps.py
+++ b/programs/beryl-host/features/steps/maintenance_wave_steps.py
@@ -165,3 +165,14 @@
 def step_learned_at(context, which):
     first, second = context.learned_at_ms
     assert (second > first) == (which == "second"), context.learned_at_ms
+
+
+@given("{n_hosts:d} hosts, and a list of {n_pages:d} pages")
+def step_hosts(context, n_hosts, n_pages):
+    context.waves._count_hosts = lambda: n_hosts
+    context.waves._service = SimpleNamespace(n_pages=n_pages)
+
+
+@then("it reads the list each {seconds:f} s")
+def step_period(context, seconds):
+    assert context.waves._list_period_s() == seconds, context.waves._list_period_s()
--- a/programs/beryl-host/src/berylcleat/host/_maintenance_waves.py
+++ b/programs/beryl-host/src/berylcleat/host/_maintenance_waves.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from berylcleat.model import BerylError
 from berylcleat.platform import encode_wave_status
@@ -37,6 +37,10 @@
 RECORD_PERIOD_S = 0.5
 LIST_PERIOD_S = 1.0
 IDLE_PERIOD_S = 5.0
+# Pages a second that all hosts with a slot, and all others, may read from the machine
+# service: together less than the 60 a second that it accepts.
+SLOT_PAGES_PER_S = 30
+OTHER_PAGES_PER_S = 20
 # Bytes a second that the reads of one record may take, base64 not counted: the record
 # of 830 machines has about 35 kB and may change ten times a second.
 RECORD_BYTES_PER_S = 15_000
@@ -60,9 +64,12 @@
         host_id: str,
         state: OperatorState,
         cells: MaintainedCells,
+        count_hosts: Callable[[], int] = lambda: 1,
     ):
         self._state = state
         self._cells = cells
+        self._service = service
+        self._count_hosts = count_hosts
         self._machines = MachineList()
         self._records = WaveRecords(store)
         self._calls = MaintenanceCalls(store, service, host_id, self._machines)
@@ -133,8 +140,26 @@
         wave_by_id = self._waves_in_progress() if active else {}
         if not wave_by_id:
             return None
+        n_pages = self._service.n_pages
+        slot_cells = self._cells_with_slots(wave_by_id)
+        if slot_cells & {cell.cell_id for cell in active}:
+            return max(LIST_PERIOD_S, len(slot_cells) * n_pages / SLOT_PAGES_PER_S)
         is_involved = not self._machines.by_id or wave_by_id.keys() & self._involved
-        return LIST_PERIOD_S if is_involved else IDLE_PERIOD_S
+        return max(
+            LIST_PERIOD_S if is_involved else IDLE_PERIOD_S,
+            self._count_hosts() * n_pages / OTHER_PAGES_PER_S,
+        )
+
+    def _cells_with_slots(self, wave_by_id: Iterable[int]) -> set[str]:
+        """Return the cells that empty a machine or have requested its maintenance."""
+        records = (self._records.by_wave.get(wave_id) for wave_id in wave_by_id)
+        return {
+            entry.cell_id
+            for record in records
+            if record is not None
+            for entry in record.machine_by_id.values()
+            if entry.phase is not MachinePhase.DONE
+        }
 
     def _find_involved(
         self, wave_by_id: dict[int, MaintenanceWave], active: list[MaintainedCell]
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -188,6 +188,7 @@
             self.identity.host_id,
             self.operator,
             MaintainedCells(self.ownership.controller_by_cell),
+            lambda: self.cells.count_owning_hosts()[0],
         )
 
     def _create_followers(self) -> None:
