--- a/libs/scheduling/features/steps/maintenance_steps.py
+++ b/libs/scheduling/features/steps/maintenance_steps.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 from behave import given, then, when
 from wave_simulation import WaveSimulation
 
@@ -65,10 +67,17 @@
 @given("machines {machines} of a wave with at most 1 down")
 def step_machines(context, machines):
     context.listed, context.occupancies, entries = [], {}, {}
-    context.machines = MachineList()
+    context.machines, context.earlier = MachineList(), []
     words = [word.split(":") for word in machines.split()]
     for name, state, runs, *rest in words:
-        worker = f"{name}-new" if rest[1:] == ["new"] else name
+        is_seen = rest[1:] in (["seen"], ["shared"])
+        worker = f"{name}-new" if rest[1:] == ["new"] or is_seen else name
+        if is_seen:
+            earlier_states = (MachineState.UP, MachineState.MAINTENANCE)
+            context.earlier = [[Machine(name, s, name)] for s in earlier_states]
+            context.machines.on_requested(1, [name], TAKEN_AT_S)
+        if rest[1:] == ["shared"]:
+            context.machines.on_requested(2, [name], TAKEN_AT_S)
         if state != "gone":
             context.listed.append(Machine(name, MachineState(state), worker))
         n_runs = int(runs.removeprefix("p"))
@@ -86,17 +95,25 @@
     began_ms = int(TAKEN_AT_S - 10) * 1000
     is_new = words[0][3:] == ["unknown"]
     state = None if is_new else WaveState.RUNNING
+    # Its time is shorter than before.
+    is_rewritten = words[0][4:] == ["rewritten"]
     context.record = WaveRecord(5, began_ms, state, entries)
     names = tuple(word[0] for word in words)
     wave = MaintenanceWave(1, names, 1, 60.0, 5)
+    if is_rewritten:
+        wave = replace(wave, complete_by_s=6.0, version=6)
+    context.read_age_s = 2.1 if words[0][4:] == ["unread"] else 0.0
+    if words[0][4:] == ["outdated"]:
+        wave = replace(wave, version=4)
     context.wave = None if words[0][4:] == ["removed"] else wave
 
 
 @when("the owner of {owned:g} s plans {age:g} s after the slot was taken")
 def step_plan(context, owned, age):
     now = TAKEN_AT_S + age
-    for sent_at in (now - 10, now - 5, now):
-        context.machines.observe(context.listed, sent_at)
+    reads = [*(context.earlier or 2 * [context.listed]), context.listed]
+    for age_s, listed in zip((10, 5, context.read_age_s), reads, strict=True):
+        context.machines.observe(listed, now - age_s)
     may_call_at = now - owned + 3.0
     cell = MaintenanceCell("r1", 3, may_call_at, context.occupancies)
     actions = plan_maintenance(
@@ -106,7 +123,11 @@
     # A call may be on its way while a machine's phase is "requested".
     record = apply_actions(context.record, actions, cell)
     for name, entry in record.machine_by_id.items():
-        if context.record.machine_by_id.get(name, entry).phase is not entry.phase:
+        known = context.record.machine_by_id.get(name, entry)
+        if entry.terminate_at_ms < known.terminate_at_ms:
+            left_s = entry.terminate_at_ms / 1000 - now
+            context.actions.append(f"keep {name} for {left_s:.1f} s")
+        if known.phase is not entry.phase:
             assert entry.phase is not MachinePhase.EMPTYING, name
 
 
