Pace the commits of a wave's record by bytes

Cause: only the periodic reads of a record were within RECORD_BYTES_PER_S; commits and their conflicts, each with the whole record (21 kB at 400 entries), were not bounded.

Ruled out: a smaller record for each machine: maxCount needs one conditional commit over all of them.

Change: commits that are more than 1.5 s of the rate ahead wait for a later step, except those of a withdrawn wave. A commit or conflict counts as a read of the record.

--- a/programs/beryl-host/features/maintenance_waves.feature
+++ b/programs/beryl-host/features/maintenance_waves.feature
@@ -54,3 +54,14 @@
       | present | 100   | 9     | 1.0    |
       | absent  | 1     | 1     | 1.0    |
       | absent  | 100   | 9     | 45.0   |
+
+  # Guards against commits of a large record that take more than their part of a link.
+  Scenario Outline: Commits of a record of <size> kB are paced
+    Given a cell that begins while a wave is known, and its record is absent
+    When the record, of <size> kB, would change in each of 20 steps within 1 s
+    Then it is committed <n> times
+
+    Examples:
+      | size | n  |
+      | 0    | 20 |
+      | 21   | 2  |
--- a/programs/beryl-host/features/steps/maintenance_wave_steps.py
+++ b/programs/beryl-host/features/steps/maintenance_wave_steps.py
@@ -20,6 +20,7 @@
     MachineList,
     MachinePhase,
     MachineRecord,
+    ReportState,
     RequestMaintenance,
     WaveRecord,
     WaveState,
@@ -40,7 +41,7 @@
 
 @given("a cell that begins while a wave is known, and its record is {record}")
 def step_cell(context, record):
-    state = OperatorState()
+    context.state = state = OperatorState()
     state.on_waves(() if record == "withdrawn" else (wave_row(),))
     entry = MachineRecord(MachinePhase.REQUESTED, 1, "r1", "w0", 0)
     value = encode_wave_record(WaveRecord(1, 1, WaveState.RUNNING, {"m-0": entry}))
@@ -176,3 +177,33 @@
 @then("it reads the list each {seconds:f} s")
 def step_period(context, seconds):
     assert context.waves._list_period_s() == seconds, context.waves._list_period_s()
+
+
+@when("the record, of {size:d} kB, would change in each of 20 steps within 1 s")
+def step_change_often(context, size):
+    waves = context.waves
+    context.n_commits = 0
+    wave = context.state.wave_by_id[1]
+    waves._records.by_wave[1] = WaveRecord()
+
+    async def commit(wave_id, record, writes):
+        context.n_commits += 1
+        return True
+
+    def plan(*arguments):
+        return (ReportState(WaveState.RUNNING, 1, context.n_commits + 1),)
+
+    async def run():
+        for _ in range(20):
+            await waves._advance(1, wave, context.controller)
+            await asyncio.sleep(0.02)
+
+    waves._records.commit = commit
+    waves._records.n_bytes = lambda wave_id: size * 1000
+    with patch("berylcleat.host._maintenance_waves.plan_maintenance", plan):
+        context.run(run())
+
+
+@then("it is committed {n:d} times")
+def step_n_commits(context, n):
+    assert context.n_commits == n, context.n_commits
--- a/programs/beryl-host/src/berylcleat/host/_maintenance_waves.py
+++ b/programs/beryl-host/src/berylcleat/host/_maintenance_waves.py
@@ -41,9 +41,12 @@
 # service: together less than the 60 a second that it accepts.
 SLOT_PAGES_PER_S = 30
 OTHER_PAGES_PER_S = 20
-# Bytes a second that the reads of one record may take, base64 not counted: the record
-# of 830 machines has about 35 kB and may change ten times a second.
+# Bytes a second that the reads and commits of one record may take, base64 not counted:
+# the record of 830 machines has about 35 kB and may change ten times a second.
 RECORD_BYTES_PER_S = 15_000
+# Seconds of that rate by which commits may be ahead, so that a slot that is freed can
+# be taken at once.
+COMMIT_BURST_S = 1.5
 # Pause after a call that the store didn't answer.
 RETRY_S = 0.3
 # Conflicting commits after which a cell waits for the next step.
@@ -79,6 +82,8 @@
         # Version of the request of each wave that is over.
         self._over: dict[int, int] = {}
         self._read_at_by_wave: dict[int, float] = {}
+        # When the bytes of all commits of a record so far are within the rate.
+        self._paid_at_by_wave: dict[int, float] = {}
         # Waves with machines that aren't done yet in this host's cells.
         self._involved: set[int] = set()
         # Waves whose last step failed, so that consecutive failures are logged once.
@@ -252,6 +257,9 @@
                 return
             changed = apply_actions(record, actions, planned_cell)
             if changed != record:
+                # A withdrawn wave is forgotten after this step, so it can't wait.
+                if wave is not None and not self._may_commit(wave_id, now):
+                    return
                 if not await self._commit(wave_id, changed, actions):
                     continue
                 self._log(wave_id, actions, cell, record)
@@ -262,6 +270,9 @@
                     )
             return
 
+    def _may_commit(self, wave_id: int, now: float) -> bool:
+        return self._paid_at_by_wave.get(wave_id, now) <= now + COMMIT_BURST_S
+
     async def _commit(
         self, wave_id: int, record: WaveRecord, actions: Iterable[MaintenanceAction]
     ) -> bool:
@@ -270,7 +281,14 @@
             for action in actions
             if isinstance(action, ReportState)
         )
-        return await self._records.commit(wave_id, record, writes)
+        is_applied = await self._records.commit(wave_id, record, writes)
+        # A conflict returns the present record, so this counts as a read too.
+        now = now_s()
+        self._read_at_by_wave[wave_id] = now
+        paid_at = max(now, self._paid_at_by_wave.get(wave_id, now))
+        paid_at += self._records.n_bytes(wave_id) / RECORD_BYTES_PER_S
+        self._paid_at_by_wave[wave_id] = paid_at
+        return is_applied
 
     def _log(
         self,
@@ -326,6 +344,7 @@
     def _end(self, wave_id: int) -> None:
         self._records.forget(wave_id)
         self._read_at_by_wave.pop(wave_id, None)
+        self._paid_at_by_wave.pop(wave_id, None)
         self._calls.forget(wave_id)
         self._failing.discard(wave_id)
 
