--- a/programs/beryl-host/src/berylcleat/host/_maintenance_waves.py
+++ b/programs/beryl-host/src/berylcleat/host/_maintenance_waves.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from berylcleat.model import BerylError
 from berylcleat.platform import encode_wave_status
@@ -37,9 +37,16 @@
 RECORD_PERIOD_S = 0.5
 LIST_PERIOD_S = 1.0
 IDLE_PERIOD_S = 5.0
-# Bytes a second that the reads of one record may take, base64 not counted: the record
-# of 830 machines has about 35 kB and may change ten times a second.
+# Pages a second that all hosts with a slot, and all others, may read from the machine
+# service: together less than the 60 a second that it accepts.
+SLOT_PAGES_PER_S = 30
+OTHER_PAGES_PER_S = 20
+# Bytes a second that the reads and commits of one record may take, base64 not counted:
+# the record of 830 machines has about 35 kB and may change ten times a second.
 RECORD_BYTES_PER_S = 15_000
+# Seconds of that rate by which commits may be ahead, so that a slot that is freed can
+# be taken at once.
+COMMIT_BURST_S = 1.5
 # Pause after a call that the store didn't answer.
 RETRY_S = 0.3
 # Conflicting commits after which a cell waits for the next step.
@@ -60,9 +67,12 @@
         host_id: str,
         state: OperatorState,
         cells: MaintainedCells,
+        count_hosts: Callable[[], int] = lambda: 1,
     ):
         self._state = state
         self._cells = cells
+        self._service = service
+        self._count_hosts = count_hosts
         self._machines = MachineList()
         self._records = WaveRecords(store)
         self._calls = MaintenanceCalls(store, service, host_id, self._machines)
@@ -72,8 +82,12 @@
         # Version of the request of each wave that is over.
         self._over: dict[int, int] = {}
         self._read_at_by_wave: dict[int, float] = {}
+        # When the bytes of all commits of a record so far are within the rate.
+        self._paid_at_by_wave: dict[int, float] = {}
         # Waves with machines that aren't done yet in this host's cells.
         self._involved: set[int] = set()
+        # Waves whose last step failed, so that consecutive failures are logged once.
+        self._failing: set[int] = set()
         # Cells at the last step, by id and epoch, and those that were told of cordons.
         self._known_cells: set[tuple[str, int]] = set()
         self._cordoned_cells: set[tuple[str, int]] = set()
@@ -96,6 +110,7 @@
         wave_by_id = self._waves_in_progress() if active else {}
         withdrawn = self._records.by_wave.keys() - self._state.wave_by_id.keys()
         if not wave_by_id and not withdrawn and not self._cordoned_cells:
+            self._cordon({}, active)
             self._publish({}, [])
             return
         try:
@@ -104,8 +119,7 @@
             self._cordon(wave_by_id, active)
             # Without machines here, a wave is planned once for each read of its record.
             for wave_id in [*((self._involved | read) & wave_by_id.keys()), *withdrawn]:
-                for cell in active:
-                    await self._advance(wave_id, wave_by_id.get(wave_id), cell)
+                await self._advance_in_cells(wave_id, wave_by_id.get(wave_id), active)
         except BerylError:
             await asyncio.sleep(RETRY_S)
             raise
@@ -131,8 +145,26 @@
         wave_by_id = self._waves_in_progress() if active else {}
         if not wave_by_id:
             return None
+        n_pages = self._service.n_pages
+        slot_cells = self._cells_with_slots(wave_by_id)
+        if slot_cells & {cell.cell_id for cell in active}:
+            return max(LIST_PERIOD_S, len(slot_cells) * n_pages / SLOT_PAGES_PER_S)
         is_involved = not self._machines.by_id or wave_by_id.keys() & self._involved
-        return LIST_PERIOD_S if is_involved else IDLE_PERIOD_S
+        return max(
+            LIST_PERIOD_S if is_involved else IDLE_PERIOD_S,
+            self._count_hosts() * n_pages / OTHER_PAGES_PER_S,
+        )
+
+    def _cells_with_slots(self, wave_by_id: Iterable[int]) -> set[str]:
+        """Return the cells that empty a machine or have requested its maintenance."""
+        records = (self._records.by_wave.get(wave_id) for wave_id in wave_by_id)
+        return {
+            entry.cell_id
+            for record in records
+            if record is not None
+            for entry in record.machine_by_id.values()
+            if entry.phase is not MachinePhase.DONE
+        }
 
     def _find_involved(
         self, wave_by_id: dict[int, MaintenanceWave], active: list[MaintainedCell]
@@ -189,6 +221,25 @@
         n_bytes = self._records.n_bytes(wave_id)
         return max(RECORD_PERIOD_S, n_bytes / RECORD_BYTES_PER_S)
 
+    async def _advance_in_cells(
+        self, wave_id: int, wave: MaintenanceWave | None, cells: list[MaintainedCell]
+    ) -> None:
+        """Advance a wave; an unexpected failure doesn't keep other waves from it.
+
+        Raises the errors of the store, which concern all waves.
+        """
+        try:
+            for cell in cells:
+                await self._advance(wave_id, wave, cell)
+        except BerylError:
+            raise
+        except Exception:
+            if wave_id not in self._failing:
+                logger.exception("maintenance: wave %d can't be planned", wave_id)
+            self._failing.add(wave_id)
+        else:
+            self._failing.discard(wave_id)
+
     async def _advance(
         self, wave_id: int, wave: MaintenanceWave | None, cell: MaintainedCell
     ) -> None:
@@ -206,9 +257,12 @@
                 return
             changed = apply_actions(record, actions, planned_cell)
             if changed != record:
+                # A withdrawn wave is forgotten after this step, so it can't wait.
+                if wave is not None and not self._may_commit(wave_id, now):
+                    return
                 if not await self._commit(wave_id, changed, actions):
                     continue
-                self._log(wave_id, actions, cell)
+                self._log(wave_id, actions, cell, record)
             for action in actions:
                 if isinstance(action, RequestMaintenance):
                     self._calls.request(
@@ -216,6 +270,9 @@
                     )
             return
 
+    def _may_commit(self, wave_id: int, now: float) -> bool:
+        return self._paid_at_by_wave.get(wave_id, now) <= now + COMMIT_BURST_S
+
     async def _commit(
         self, wave_id: int, record: WaveRecord, actions: Iterable[MaintenanceAction]
     ) -> bool:
@@ -224,14 +281,28 @@
             for action in actions
             if isinstance(action, ReportState)
         )
-        return await self._records.commit(wave_id, record, writes)
+        is_applied = await self._records.commit(wave_id, record, writes)
+        # A conflict returns the present record, so this counts as a read too.
+        now = now_s()
+        self._read_at_by_wave[wave_id] = now
+        paid_at = max(now, self._paid_at_by_wave.get(wave_id, now))
+        paid_at += self._records.n_bytes(wave_id) / RECORD_BYTES_PER_S
+        self._paid_at_by_wave[wave_id] = paid_at
+        return is_applied
 
     def _log(
-        self, wave_id: int, actions: Iterable[MaintenanceAction], cell: MaintainedCell
+        self,
+        wave_id: int,
+        actions: Iterable[MaintenanceAction],
+        cell: MaintainedCell,
+        previous: WaveRecord,
     ) -> None:
-        """Log what a commit has recorded."""
+        """Log what a commit has changed in the record ``previous``."""
         for action in actions:
             match action:
+                case RequestMaintenance() if _is_requested(previous, action):
+                    # The call is only repeated; another machine has changed.
+                    continue
                 case TakeSlot():
                     text = f"machine {action.machine_id} is taken out of use"
                     text += f", cell {cell.cell_id}, worker {action.worker_id}"
@@ -248,18 +319,24 @@
     def _cordon(
         self, wave_by_id: dict[int, MaintenanceWave], active: list[MaintainedCell]
     ) -> None:
-        """Keep tasks from starting on the workers of machines in maintenance."""
+        """Keep tasks from starting on the workers of machines in maintenance.
+
+        Without the record of a wave, cells keep their cordons, and new ones wait.
+        """
+        if not wave_by_id.keys() <= self._records.by_wave.keys():
+            return
         for cell in active:
             key = (cell.cell_id, cell.owner.epoch)
             if not wave_by_id and key not in self._cordoned_cells:
+                cell.scheduler.awaits_cordon = False
                 continue
             planned_cell = self._cells.describe(cell, now_s())
             worker_ids: frozenset[str] = frozenset()
             for wave_id, wave in wave_by_id.items():
-                record = self._records.by_wave.get(wave_id)
-                if record is not None:
-                    worker_ids |= cordoned_workers(wave, record, planned_cell)
+                record = self._records.by_wave[wave_id]
+                worker_ids |= cordoned_workers(wave, record, planned_cell)
             cell.scheduler.set_cordoned(worker_ids)
+            cell.scheduler.awaits_cordon = False
         # Without a wave all workers have just been returned to use.
         keys = {(cell.cell_id, cell.owner.epoch) for cell in active}
         self._cordoned_cells = keys if wave_by_id else set()
@@ -267,7 +344,9 @@
     def _end(self, wave_id: int) -> None:
         self._records.forget(wave_id)
         self._read_at_by_wave.pop(wave_id, None)
+        self._paid_at_by_wave.pop(wave_id, None)
         self._calls.forget(wave_id)
+        self._failing.discard(wave_id)
 
     def _publish(
         self, wave_by_id: dict[int, MaintenanceWave], active: list[MaintainedCell]
@@ -278,6 +357,11 @@
         self._has_published = bool(wave_by_id)
 
 
+def _is_requested(record: WaveRecord, action: RequestMaintenance) -> bool:
+    entry = record.machine_by_id.get(action.machine_id)
+    return entry is not None and entry.phase is MachinePhase.REQUESTED
+
+
 def _is_over(wave: MaintenanceWave, record: WaveRecord | None) -> bool:
     """Return whether a wave is reported as done and all of its machines are back."""
     return (
