Let a suspect start elsewhere once its recorded worker has been full for 1 s

Cause: since the record of a suspect's next run names its worker, the task waited for that worker; in a full cell other tasks took the slot before each record was written. Task 24.0.0.4 of the flapping load in uneven_workers waited over 10 s, and one submission missed three times its objective.

Ruled out: submissions given up for crashes; the log has none.

Change: a suspect that has waited for 1 s is recorded without a worker and starts wherever it fits; the next owner then counts it by the rule before.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -24,6 +24,8 @@
 # Seconds after which the list of workers may lack that a capacity has shrunk: longer
 # than two waits for its changes, shorter than the platform allows.
 MAX_LIST_AGE_S = 4.0
+# Seconds for which a suspect waits for the worker that its next run is recorded for.
+MAX_RECORDED_WORKER_WAIT_S = 1.0
 # Maximum tasks of one step that one planning round forces.
 MAX_FORCED_PER_STEP = 6
 # Maximum long-running tasks that are relocated at a time, from draining workers
@@ -220,7 +222,10 @@
         if not tracked.n_crashes(task) and not self._may_have_crashed_before(task):
             return True
         start = None
-        if view is not None:
+        since = tracked.suspect_since_by_task.setdefault(task, now)
+        # In a full cell the recorded worker is often taken again by the next round: a
+        # record without a worker lets the task start wherever it fits.
+        if view is not None and now - since <= MAX_RECORDED_WORKER_WAIT_S:
             start = PresumedStart(view.entry.worker_id, view.incarnation_ms)
         return self.crashes.ensure_start_recorded(tracked, task, number, start, now)
 
@@ -451,6 +456,7 @@
             is_resumed=bool(tracked.checkpoint_of(task)),
         )
         self._add_run(tracked, run)
+        tracked.suspect_since_by_task.pop(run.task, None)
         view.last_start_at = now
         if tracked.n_crashes(task):
             view.trial_until = now + LIKELY_CAUSE_AGE_S
--- a/libs/scheduling/src/berylcleat/scheduling/_submissions.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_submissions.py
@@ -71,6 +71,8 @@
     confirmed_ends: set[TaskKey] = field(default_factory=set)
     presumed_run_by_task: dict[TaskKey, int] = field(default_factory=dict)
     presumed_at_by_task: dict[TaskKey, float] = field(default_factory=dict)
+    # When each suspect first had its next run presumed, until it starts.
+    suspect_since_by_task: dict[TaskKey, float] = field(default_factory=dict)
     recorded_crashes_by_task: dict[TaskKey, frozenset[int]] = field(
         default_factory=dict
     )
@@ -307,6 +309,8 @@
         self.presumed_run_by_task[task] = run
         if start is not None:
             self.progress.presumed_start_by_run[(task, run)] = start
+        else:
+            self.progress.presumed_start_by_run.pop((task, run), None)
         self.is_dirty = True
 
     def presumed_start(self, task: TaskKey) -> PresumedStart | None:
