--- a/libs/scheduling/features/steps/relocation_steps.py
+++ b/libs/scheduling/features/steps/relocation_steps.py
@@ -1,12 +1,11 @@
 from dataclasses import replace
 
 from behave import given, then, when
+from gang_steps import SUBMISSION_ID
 
-from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
+from berylcleat.model import Step, TaskDemand, TaskKey
 from berylcleat.ports import EndedTask, RunEnd, RunningTask, WorkerReport
-from berylcleat.scheduling import CellHeadroom, Progress, TaskMove
-
-SUBMISSION_ID = "a" * 16
+from berylcleat.scheduling import CellHeadroom, TaskMove
 
 
 def add_tasks(context, n, allowed, *, is_home):
@@ -22,16 +21,7 @@
     moves = {} if is_home else {task: TaskMove("r1", 0) for task in tasks}
     for task in tasks:
         scripted_cell.running[f"w{task.index % 2}"][task] = 1
-    now = scripted_cell.now
-    scripted_cell.cell.add_submission(
-        Submission(SUBMISSION_ID, QueuePolicy("q", "svc"), "s", (step,)),
-        Progress(),
-        now,
-        now,
-        inherited=True,
-        is_home=is_home,
-        move_by_task=moves,
-    )
+    scripted_cell.submit(step, inherited=True, is_home=is_home, moves=moves)
     scripted_cell.step()
     assert scripted_cell.cell.n_runs() == n
 
@@ -110,6 +100,53 @@
     scripted_cell.step()
 
 
+@when("workers {names} are in maintenance for {seconds:d} seconds")
+def step_maintenance(context, names, seconds):
+    scripted_cell = context.scripted_cell
+    headroom = CellHeadroom("r2", "svc", 16000, (), 0, 16000)
+    scripted_cell.cell.set_cordoned(frozenset(names.split(" and ")))
+    for _ in range(seconds * 5):
+        scripted_cell.cell.set_cordoned(frozenset(names.split(" and ")))
+        scripted_cell.step()
+        scripted_cell.cell.propose_moves((headroom,), scripted_cell.now)
+
+
+@when("the machines in maintenance are {state}")
+def step_await_cordon(context, state):
+    context.scripted_cell.cell.awaits_cordon = state == "not known yet"
+
+
+@when("w0 reports a run of an unknown submission")
+def step_unknown_run(context):
+    context.scripted_cell.running["w0"][TaskKey(SUBMISSION_ID, 0, 0, 0)] = 1
+    context.scripted_cell.step()
+
+
+@then("no headroom is published for fillers")
+def step_no_headroom(context):
+    assert not context.scripted_cell.cell.filler_headrooms()
+
+
+@when("worker w0 ends")
+def step_worker_ends(context):
+    context.scripted_cell.cell.on_other_incarnation("w0", context.scripted_cell.now)
+
+
+@then("{n:d} tasks may have crashed a worker")
+def step_crashed(context, n):
+    tracked = context.scripted_cell.cell.submissions.by_id[SUBMISSION_ID]
+    tasks = [TaskKey(SUBMISSION_ID, 0, 0, index) for index in range(6)]
+    found = [task for task in tasks if tracked.n_crashes(task)]
+    assert len(found) == n, found
+
+
+@then("worker w0 is protected: {protected}")
+def step_protected(context, protected):
+    occupancy = context.scripted_cell.cell.occupancy("w0")
+    assert occupancy.forbids_maintenance == (protected == "yes"), occupancy
+    assert not occupancy.is_empty, occupancy
+
+
 @when("the stopped runs end")
 def step_end(context):
     scripted_cell = context.scripted_cell
--- a/libs/scheduling/src/berylcleat/scheduling/__init__.py
+++ b/libs/scheduling/src/berylcleat/scheduling/__init__.py
@@ -25,6 +25,8 @@
     ServingReading,
 )
 from ._leases import CLOCK_DRIFT, LeaseTimes, WorkerClock
+from ._machine_list import MACHINE_GONE_S, MachineList
+from ._maintenance import MACHINE_LEASE_S, plan_maintenance
 from ._moves import CellHeadroom, FillerHeadroom, MovedTaskEnd, MoveProposal, TaskMove
 from ._orders import ProgressWrite, RecordBatch, WorkerOrder
 from ._pacing import LoadEstimator, PacePlan, plan_paces
@@ -32,19 +34,39 @@
 from ._progress import CrashEvidence, Progress, decode_progress, encode_progress
 from ._submissions import SubmissionRegistry, TrackedSubmission
 from ._uneven_workers import UnevenWorkers
+from ._wave_record import (
+    FreeSlot,
+    MachinePhase,
+    MachineRecord,
+    MaintenanceAction,
+    MaintenanceCell,
+    MaintenanceWave,
+    ReportState,
+    RequestMaintenance,
+    TakeSlot,
+    WaveRecord,
+    WaveState,
+    WorkerOccupancy,
+    apply_actions,
+    cordoned_workers,
+    decode_wave_record,
+    encode_wave_record,
+)
 from ._worker_health import RunOutcome, WorkerHealth
 from ._worker_speed import WorkerSpeeds
 from ._workers import Run, RunPhase, WorkerCondition, WorkerView
 
 __all__ = [
     "CLOCK_DRIFT",
-    "AvailabilityTracker",
-    "CellEvacuation",
+    "MACHINE_GONE_S",
+    "MACHINE_LEASE_S",
     "Account",
     "AdmissionController",
     "Admit",
+    "AvailabilityTracker",
     "BacklogMeter",
     "CellBacklog",
+    "CellEvacuation",
     "CellHeadroom",
     "CellLoad",
     "CellScheduler",
@@ -52,11 +74,18 @@
     "CrashEvidence",
     "EvacuationRules",
     "FillerHeadroom",
+    "FreeSlot",
     "ImageUse",
     "InterferenceLevel",
     "InterferenceModel",
     "LeaseTimes",
     "LoadEstimator",
+    "MachineList",
+    "MachinePhase",
+    "MachineRecord",
+    "MaintenanceAction",
+    "MaintenanceCell",
+    "MaintenanceWave",
     "MoveProposal",
     "MovedTaskEnd",
     "PacePlan",
@@ -64,25 +93,36 @@
     "ProgressWrite",
     "RecordBatch",
     "Refuse",
+    "ReportState",
+    "RequestMaintenance",
     "Run",
     "RunOutcome",
     "RunPhase",
     "ServiceLoads",
     "ServingReading",
     "SubmissionRegistry",
+    "TakeSlot",
     "TaskMove",
     "TrackedSubmission",
     "UnevenWorkers",
+    "WaveRecord",
+    "WaveState",
     "WorkerClock",
     "WorkerCondition",
     "WorkerHealth",
+    "WorkerOccupancy",
     "WorkerOrder",
     "WorkerSpeeds",
     "WorkerView",
+    "apply_actions",
     "choose_fillers_to_stop",
     "choose_relocations",
     "choose_worker",
+    "cordoned_workers",
     "decode_progress",
+    "decode_wave_record",
     "encode_progress",
+    "encode_wave_record",
+    "plan_maintenance",
     "plan_paces",
 ]
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -80,6 +80,10 @@
         self.evacuation: CellEvacuation | None = None
         self._availability = AvailabilityTracker()
         self._relocating_tasks: set[TaskKey] = set()
+        # None where machines are never taken out of use for maintenance.
+        self._cordoned: frozenset[str] | None = None
+        # Whether the machines in maintenance are unknown, so that nothing may start.
+        self.awaits_cordon = False
         self._planned_at = began_at
         self._stuck_moved_at = float("-inf")
         self._began_at = began_at
@@ -110,8 +114,20 @@
         return len(self.run_by_task) + n_unknown
 
     def _may_start(self, now: float) -> bool:
-        """Return whether the evacuation of the data centre lets tasks start."""
-        return self.evacuation is None or self.evacuation.may_start(now)
+        """Return whether tasks may start in the cell."""
+        return not self._explain_no_start(now)
+
+    def _explain_no_start(self, now: float) -> str:
+        """Return why no task may start in the cell, or an empty string."""
+        if self.awaits_cordon:
+            return "maintenance not known"
+        return "" if self.evacuation is None else self.evacuation.explain(now)
+
+    def _has_evacuations(self) -> bool:
+        return self.evacuation is not None and self.evacuation.is_enabled
+
+    def _has_maintenance(self) -> bool:
+        return self._cordoned is not None or self.awaits_cordon
 
     def _is_evacuated(self) -> bool:
         return self.evacuation is not None and self.evacuation.is_evacuated
@@ -122,15 +138,17 @@
 
     def _observe_time(self, now: float) -> None:
         """Take note of a pause of the owner, and of the tasks that are available."""
-        if self.evacuation is None or not self.evacuation.is_enabled:
+        has_evacuations = self._has_evacuations()
+        if not has_evacuations and self._cordoned is None:
             return
         if self._is_paused(now):
-            logger.info(
-                "cell %s: no planning for %.1f s, evacuation requests must be read",
-                self.cell_id,
-                now - self._planned_at,
-            )
-            self.evacuation.resume(now)
+            if has_evacuations:
+                logger.info(
+                    "cell %s: no planning for %.1f s, evacuation requests must be read",
+                    self.cell_id,
+                    now - self._planned_at,
+                )
+                self.evacuation.resume(now)
             self._availability.forget_runs()
         self._planned_at = now
         self._availability.observe(self.worker_by_id.values(), now)
@@ -196,8 +214,8 @@
             return False
         return task not in self._tasks_with_known_run and not self.has_settled(now)
 
-    def _compare_epochs(self, task: TaskKey, move: TaskMove) -> None:
-        """Note whether a move to this cell names this owner's epoch or a later one.
+    def _apply_target_epoch(self, task: TaskKey, move: TaskMove) -> None:
+        """Take note that a move names this owner's epoch; end at a later one.
 
         A later one proves a takeover that this owner may learn of from its own row only
         after the new owner has started the task.
@@ -328,9 +346,9 @@
         view.expired_runs.clear()
 
     def _count_crash(self, view: WorkerView, now: float) -> None:
-        """Count the crash of a worker; one that drains isn't taken for crashed."""
+        """Count the crash of a worker; one that is leaving isn't taken for crashed."""
         runs = [*view.run_by_task.values(), *view.expired_runs]
-        if view.entry.is_draining:
+        if view.is_leaving:
             self.crashes.on_survival(runs)
         else:
             self.crashes.on_crash(view, runs)
@@ -355,7 +373,7 @@
                     view.clock.lease_until_ms,
                 )
                 runs = list(view.run_by_task.values())
-                if view.entry.is_draining:
+                if view.is_leaving:
                     self.crashes.on_survival(runs)
                 else:
                     self.crashes.on_silence(view, runs)
