Mend what a review of home cells, crash records and fenced cells found

Cause: (1) a fenced host that had more cells than others assigned its cell to another host, which took it for live, so the cell had no owner; (2) a write under way could replace the record of a suspect's worker after its run had started there; (3) after 1 s a suspect lost the worker from its record although it only waited for a quiet worker, or for a slow write; (4) the preference for local cells counted as headroom of full ones.

Ruled out: counting a run on a silent worker less, tried: it breaks the bound on starts in crashes.feature (takeovers with workers silent for 9 s).

Change: the host acquires such cells itself; a new presumption waits for its own write; the limit is 2 s and a written record stands; the draw weighs headroom alone, and full cells are ranked as before.

No scenario has two live hosts for (1), and none slow writes for (2).

--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -24,8 +24,9 @@
 # Seconds after which the list of workers may lack that a capacity has shrunk: longer
 # than two waits for its changes, shorter than the platform allows.
 MAX_LIST_AGE_S = 4.0
-# Seconds for which a suspect waits for the worker that its next run is recorded for.
-MAX_RECORDED_WORKER_WAIT_S = 1.0
+# Seconds for which a suspect waits for the worker that its next run is recorded for:
+# longer than it may wait for a quiet worker, so that its record keeps the worker then.
+MAX_RECORDED_WORKER_WAIT_S = 2.0
 # Maximum tasks of one step that one planning round forces.
 MAX_FORCED_PER_STEP = 6
 # Maximum long-running tasks that are relocated at a time, from draining workers
@@ -216,17 +217,21 @@
         """Have the next run of a suspect recorded first; return whether it may start.
 
         The next run of a task that may have crashed a worker, also under an earlier
-        owner, is recorded as crashed on its worker before it starts there. The worker
-        of a gang's run isn't recorded: it is chosen with those of the others.
+        owner, is recorded as crashed on its worker before it starts there. No worker is
+        recorded for a gang's run, which is chosen with those of the others, nor for a
+        task that has waited too long for one.
         """
         if not tracked.n_crashes(task) and not self._may_have_crashed_before(task):
             return True
         start = None
-        since = tracked.suspect_since_by_task.setdefault(task, now)
-        # In a full cell the recorded worker is often taken again by the next round: a
-        # record without a worker lets the task start wherever it fits.
-        if view is not None and now - since <= MAX_RECORDED_WORKER_WAIT_S:
+        if view is not None:
             start = PresumedStart(view.entry.worker_id, view.incarnation_ms)
+            since = tracked.suspect_since_by_task.setdefault(task, now)
+            is_recorded = tracked.is_start_recorded(task, number, start)
+            # In a full cell the recorded worker is often taken again by the next round:
+            # a record without a worker lets the task start wherever it fits.
+            if not is_recorded and now - since > MAX_RECORDED_WORKER_WAIT_S:
+                start = None
         return self.crashes.ensure_start_recorded(tracked, task, number, start, now)
 
     def _drop_presumptions(self, now: float) -> None:
--- a/libs/scheduling/src/berylcleat/scheduling/_submissions.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_submissions.py
@@ -299,7 +299,7 @@
     ) -> None:
         """Count a run as crashed before it starts.
 
-        ``start`` is where it is to start, None for a gang's.
+        ``start`` is where it is to start, None if that may be any worker.
         """
         if not self.is_crash_presumed(task, run):
             self.drop_presumption(task)
@@ -311,8 +311,18 @@
             self.progress.presumed_start_by_run[(task, run)] = start
         else:
             self.progress.presumed_start_by_run.pop((task, run), None)
+        self._forget_recorded_start(task, run)
         self.is_dirty = True
 
+    def _forget_recorded_start(self, task: TaskKey, run: int) -> None:
+        """Let a run start only after the next write of its record.
+
+        A write that is under way may replace the record that was known so far.
+        """
+        self.recorded_start_by_run.pop((task, run), None)
+        recorded = self.recorded_crashes_by_task.get(task, frozenset())
+        self.recorded_crashes_by_task[task] = recorded - {run}
+
     def presumed_start(self, task: TaskKey) -> PresumedStart | None:
         """Return where the run of ``task`` that is presumed here is to start."""
         run = self.presumed_run_by_task.get(task, 0)
@@ -337,6 +347,7 @@
         """Take back the run of ``task`` that is presumed, if any."""
         run = self.presumed_run_by_task.get(task)
         if run is not None:
+            self._forget_recorded_start(task, run)
             self.clear_crash(task, run)
 
     def settle_inherited_presumptions(
--- a/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
@@ -195,16 +195,18 @@
         if self._draws_home and not first_step.target_latency_ms:
             return self._draw_among(submission, suitable)
         if first_step.fills:
-            return max(
-                suitable,
-                key=lambda cell_id: self._filler_headroom(
-                    cell_id, suitable[cell_id], first_step
-                ),
-            )
+            return self._choose_for_fillers(first_step, suitable)
         if first_step.target_latency_ms:
             return self._choose_for_image(first_step, suitable)
         return self._choose_by_slots(first_step, suitable)
 
+    def _choose_for_fillers(self, step: Step, suitable: dict[str, CellSummary]) -> str:
+        """Return the cell with the most headroom for fillers of a step's image."""
+        return max(
+            suitable,
+            key=lambda cell_id: self._filler_headroom(cell_id, suitable[cell_id], step),
+        )
+
     def _draw_among(
         self, submission: Submission, suitable: dict[str, CellSummary]
     ) -> str:
@@ -214,8 +216,7 @@
         if step.fills:
             needed = float(step.n_tasks * step.demand.cpu_millis)
             headroom_by_cell = {
-                cell_id: self._filler_headroom(cell_id, summary, step)
-                * summary.cpu_capacity
+                cell_id: float(self._filler_cpu_left(cell_id, summary, step))
                 for cell_id, summary in suitable.items()
             }
         else:
@@ -232,7 +233,7 @@
             return drawn
         HOME_CELLS.labels("full").inc()
         if step.fills:
-            return max(headroom_by_cell, key=headroom_by_cell.__getitem__)
+            return self._choose_for_fillers(step, suitable)
         return self._choose_by_slots(step, suitable)
 
     def _n_slots_left(self, cell_id: str, summary: CellSummary, cpu: int) -> int:
@@ -284,14 +285,18 @@
 
         The headroom is relative to the cell's capacity.
         """
-        cpu_left = headroom_from_summary(cell_id, summary).headroom_for_filler(
-            step.image, self._interference
-        )
-        cpu_left -= self._recently_assigned_cpu(cell_id, fills=True)
+        cpu_left = self._filler_cpu_left(cell_id, summary, step)
         is_local = summary.data_centre == self._data_centre
         preference = LOCAL_PREFERENCE if is_local else 0.0
         return cpu_left / summary.cpu_capacity + preference
 
+    def _filler_cpu_left(self, cell_id: str, summary: CellSummary, step: Step) -> int:
+        """Return the processor time left beside images that a step doesn't disturb."""
+        cpu_left = headroom_from_summary(cell_id, summary).headroom_for_filler(
+            step.image, self._interference
+        )
+        return cpu_left - self._recently_assigned_cpu(cell_id, fills=True)
+
     def _recently_assigned_cpu(self, cell_id: str, *, fills: bool) -> int:
         return sum(
             item.cpu
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -115,6 +115,7 @@
             for cell_id, host_id in self._assignments(local, remote).items()
             if host_id == self._identity.host_id
         }
+        assigned |= self._relinquished_cells()
         for cell_id in self._eligible_since_by_cell.keys() - assigned:
             del self._eligible_since_by_cell[cell_id]
         for cell_id in sorted(assigned - self.controller_by_cell.keys()):
@@ -180,7 +181,6 @@
             cell_id: owner.row.host_id
             for cell_id, owner in self._cells.owner_by_cell.items()
             if self._is_owner_live(owner, live_hosts.keys(), local, remote)
-            and not self._has_relinquished(cell_id, owner.row)
         }
         live_centres = self._cells.remote_liveness.live_data_centres(remote)
         live_centres.add(self._identity.data_centre)
@@ -191,6 +191,19 @@
         }
         return assign_cells(cell_ids, live_owner_by_cell, live_hosts)
 
+    def _relinquished_cells(self) -> set[str]:
+        """Return the listed cells whose rows still name an epoch that ended here.
+
+        Other hosts take this one for their live owner, so only it may acquire them.
+        """
+        owner_by_cell = self._cells.owner_by_cell
+        return {
+            cell_id
+            for cell_id in self._workers.data_centre_by_cell()
+            if cell_id in owner_by_cell
+            and self._has_relinquished(cell_id, owner_by_cell[cell_id].row)
+        }
+
     def _has_relinquished(self, cell_id: str, row: OwnerRow) -> bool:
         """Return whether a row names an epoch that this incarnation no longer runs.
 
