--- a/libs/scheduling/src/berylcleat/scheduling/_spill.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_spill.py
@@ -57,6 +57,7 @@
         # Places among the cells that share a target, drawn anew each turn.
         self._turn = -1
         self._place_by_target: dict[str, int] = {}
+        # Standing tasks moved so far; each takes the next evenly spaced point.
         self._n_standing = 0
 
     def choose_tasks(
--- a/programs/beryl-host/src/berylcleat/host/_home_choice.py
+++ b/programs/beryl-host/src/berylcleat/host/_home_choice.py
@@ -10,7 +10,7 @@
 import xxhash
 
 # Part of the highest headroom from which a cell is a candidate where no cell can hold a
-# whole step.
+# whole step: nearly full cells would only pass most of its tasks on.
 CANDIDATE_SHARE = 0.5
 HASH_RANGE = 2**64
 
