Waiting lines tell of the record that a start waits for

A task that may have crashed a worker starts only after its next run has been recorded. They now end with the task's crashes, the presumed run and how often it was withdrawn. No decision changes.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -329,6 +329,25 @@
             counts[reason or "fits"] = counts.get(reason or "fits", 0) + 1
         return counts
 
+    def explain_record(self, ready: ReadyStep) -> str:
+        """Return what is recorded of the first waiting task's next run.
+
+        Empty for a task that may start without a record.
+        """
+        task = ready.task(min(ready.waiting))
+        tracked = ready.tracked
+        if not tracked.n_crashes(task) and not self._may_have_crashed_before(task):
+            return ""
+        start = tracked.presumed_start(task)
+        run = tracked.presumed_run_by_task.get(task)
+        where = "any worker" if start is None else start.worker_id
+        state = "not presumed" if run is None else f"run {run} presumed on {where}"
+        n_withdrawn = tracked.n_withdrawn_by_task.get(task, 0)
+        return (
+            f", {tracked.n_crashes(task)} crashes, {state}, withdrawn {n_withdrawn}"
+            " times"
+        )
+
     def take_batch(self) -> RecordBatch:
         """Return the progress to record and the ends to acknowledge after it."""
         writes = []
--- a/libs/scheduling/src/berylcleat/scheduling/_submissions.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_submissions.py
@@ -79,6 +79,8 @@
     recorded_start_by_run: dict[tuple[TaskKey, int], PresumedStart] = field(
         default_factory=dict
     )
+    # How often the record of a task's next run was taken back before its start.
+    n_withdrawn_by_task: dict[TaskKey, int] = field(default_factory=dict)
     n_moves_by_task: dict[TaskKey, int] = field(default_factory=dict)
     moved_at_by_task: dict[TaskKey, float] = field(default_factory=dict)
     remaining_s_by_step: tuple[float, ...] = ()
@@ -347,6 +349,8 @@
         """Take back the run of ``task`` that is presumed, if any."""
         run = self.presumed_run_by_task.get(task)
         if run is not None:
+            n_withdrawn = self.n_withdrawn_by_task.get(task, 0)
+            self.n_withdrawn_by_task[task] = n_withdrawn + 1
             self._forget_recorded_start(task, run)
             self.clear_crash(task, run)
 
