Withdraw the record of a start only when no way of choosing a worker has found one

Callers see LOST: an accepted submission whose filler could run never runs.

Cause: a start that must be recorded first takes several planning rounds. Each round has two ways of choosing a worker for a filler, the ordinary choice and, after 1.5 s, the forced one. The ordinary choice withdrew the record as soon as it found no worker, and the forced one then recorded the run anew, in each round. It applies to tasks that may have crashed a worker and, while a worker may have been lost around a takeover, to every inherited task.

Ruled out for this test: the forced choice itself (a filler without a suspicion is forced in the same cell), and the recorder (the test's cell records in each round).

Change: the round withdraws at its end, and only what no way of choosing has prepared.

Before: both scenarios of KNOWN-RED 18 fail, the filler hasn't started after 9.5 s. After: both pass; features of libs/scheduling 265 passed, 0 failed beside KNOWN-RED 14.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -296,9 +296,7 @@
         self.submissions.activate_scheduled(wall_ms)
         self._observe_rates(now)
         if self._may_start(now) and not self.is_fenced_out:
-            for ready in self.submissions.ready_steps(now):
-                self._start_waiting(ready, now)
-            self._force_starving_fillers(now)
+            self._start_tasks(now)
         else:
             self._drop_presumptions(now)
         orders, self._orders = self._orders, []
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -98,6 +98,10 @@
         # Tasks whose move to this cell names this owner's epoch.
         self._tasks_moved_to_owner: set[TaskKey] = set()
         self._orders: list[WorkerOrder] = []
+        # Of the present planning round: tasks for which one way of choosing a worker
+        # has found none, and tasks whose next run is recorded, or to be recorded.
+        self._unplaced_tasks: list[tuple[TrackedSubmission, TaskKey]] = []
+        self._prepared_tasks: set[TaskKey] = set()
         self._tasks_with_pending_move: set[TaskKey] = set()
         self._wall_ms = 0.0
         self._other_headrooms: tuple[CellHeadroom, ...] = ()
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -38,6 +38,22 @@
 class CellStarts(CellRuns):
     """Choice of the tasks to start and of the workers that run them."""
 
+    def _start_tasks(self, now: float) -> None:
+        """Start the waiting tasks that fit, and prepare starts that need a record.
+
+        Such a start takes several rounds. Its record is withdrawn only if no way of
+        choosing a worker has found one in this round: the next owner would count a run
+        that never started as a possible crash.
+        """
+        self._unplaced_tasks.clear()
+        self._prepared_tasks.clear()
+        for ready in self.submissions.ready_steps(now):
+            self._start_waiting(ready, now)
+        self._force_starving_fillers(now)
+        for tracked, task in self._unplaced_tasks:
+            if task not in self._prepared_tasks:
+                tracked.drop_presumption(task)
+
     def _startable_tasks(self, ready: ReadyStep, now: float) -> list[TaskKey]:
         """Return the waiting tasks of a step that certainly run nowhere, in order."""
         tasks = (ready.task(index) for index in sorted(ready.waiting))
@@ -166,7 +182,7 @@
                 return
             view = self._choose_worker(ready, task, now)
             if view is None:
-                ready.tracked.drop_presumption(task)
+                self._unplaced_tasks.append((ready.tracked, task))
                 if ready.stuck_since is None:
                     ready.stuck_since = now
                 if self._has_failed_here(task):
@@ -223,6 +239,7 @@
         """
         if not tracked.n_crashes(task) and not self._may_have_crashed_before(task):
             return True
+        self._prepared_tasks.add(task)
         start = None
         if view is not None:
             start = PresumedStart(view.entry.worker_id, view.incarnation_ms)
@@ -361,7 +378,7 @@
             for task in self._startable_tasks(ready, now)[:MAX_FORCED_PER_STEP]:
                 view = self._choose_forced_worker(ready, task, now)
                 if view is None:
-                    ready.tracked.drop_presumption(task)
+                    self._unplaced_tasks.append((ready.tracked, task))
                     break
                 number = ready.tracked.next_run(task, self.epoch)
                 if self._ensure_start_recorded(ready.tracked, task, number, view, now):
