Tasks that may have crashed a worker wait beside idle workers: failing tests

On a busy worker other tasks take the room between the record and the start, so a standing task waits as long as others arrive. The test's cells can now take time to record.

--- a/libs/scheduling/features/crashes.feature
+++ b/libs/scheduling/features/crashes.feature
@@ -105,3 +105,17 @@
     Given two tasks on workers of which one falls silent until its lease expires
     When its task is done elsewhere and the list names its restart
     Then no crash is counted
+
+  # Guards against LOST: all chose the same worker, which took one of them at a time, so
+  # the last of them waited for seconds beside idle workers.
+  Scenario: Many tasks that may have crashed a worker start on idle workers at once
+    Given 8 workers and 40 tasks of an earlier owner that may each have crashed a worker
+    And a record takes 0.2 seconds
+    When 3 seconds are played
+    Then each of these tasks has started
+
+  # Guards against LOST: other tasks took the room between the record and the start.
+  Scenario: A standing task that may have crashed a worker keeps its room until it starts
+    Given 1 worker with room for one task, and a standing task that may have crashed a worker
+    When other tasks arrive in each round for 3 seconds
+    Then each of these tasks has started
--- a/libs/scheduling/features/steps/crash_steps.py
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -1,7 +1,7 @@
 from dataclasses import replace
 
 from behave import given, then, when
-from crashing_workers import DEADLY_ID, CrashingCells
+from crashing_workers import DEADLY_ID, STEP_S, CrashingCells
 from gang_steps import SUBMISSION_ID, ScriptedCell
 
 from berylcleat.model import (
@@ -50,6 +50,55 @@
     context.cells.crash_age_s = seconds
 
 
+@given(
+    "{n:d} workers and {n_tasks:d} tasks of an earlier owner that may each have "
+    "crashed a worker"
+)
+def step_inherited_suspects(context, n, n_tasks):
+    context.cells = CrashingCells(n)
+    context.cells.n_crashes_left = 0
+    context.cells.advance(1.0)
+    step = Step(1, TaskDemand(1000, 100), estimate_s=1.0)
+    context.suspects = context.cells.add_suspects(n_tasks, step)
+    context.cells.take_over()
+
+
+@given(
+    "1 worker with room for one task, and a standing task that may have crashed a "
+    "worker"
+)
+def step_suspect_without_room(context):
+    cells = CrashingCells(1)
+    cells.n_crashes_left = 0
+    cells.advance(3.0)
+    context.cells = cells
+    step = Step(1, TaskDemand(16000, 100), is_long_running=True)
+    context.suspects = cells.add_suspects(1, step)
+    cells.take_over()
+
+
+@when("other tasks arrive in each round for {seconds:d} seconds")
+def step_others_arrive(context, seconds):
+    for number in range(seconds * 10):
+        context.cells.add_other(number, cpu_millis=16000)
+        context.cells.advance(STEP_S)
+
+
+@given("a record takes {seconds:g} seconds")
+def step_record_time(context, seconds):
+    context.cells.record_s = seconds
+
+
+@then("each of these tasks has started")
+def step_suspects_started(context):
+    waiting = [
+        submission_id
+        for submission_id in context.suspects
+        if context.cells.state(submission_id) is SubmissionState.QUEUED
+    ]
+    assert not waiting, f"{len(waiting)} of {len(context.suspects)} wait"
+
+
 @given("crashed workers are {place}")
 def step_return(context, place):
     cells = context.cells
--- a/libs/scheduling/features/steps/crashing_workers.py
+++ b/libs/scheduling/features/steps/crashing_workers.py
@@ -19,10 +19,13 @@
 from berylcleat.scheduling import (
     CellHeadroom,
     CellScheduler,
+    CrashEvidence,
     InterferenceModel,
     LeaseTimes,
     Progress,
+    RecordBatch,
     decode_progress,
+    encode_progress,
 )
 
 STEP_S = 0.1
@@ -93,6 +96,10 @@
         self.n_ids = n_workers
         self.epoch = 0
         self.progress_by_id: dict[str, bytes] = {}
+        # How long a record takes, and the one under way.
+        self.record_s = 0.0
+        self.recorded_at = 0.0
+        self.pending_batch: RecordBatch | None = None
         self.recorded_workers: tuple[WorkerEntry, ...] = ()
         self.move_by_task = {}
         self.next_hold_at: dict[str, float] = {}
@@ -113,6 +120,24 @@
             self.submission_by_id[submission_id] = submission
             self.add_submission(submission, inherited=False)
 
+    def add_other(self, number: int, cpu_millis: int) -> None:
+        """Add a submission of one short task."""
+        step = Step(1, TaskDemand(cpu_millis, 100), estimate_s=1.0)
+        submission = Submission(f"{number:016x}", QUEUE, "s", (step,))
+        self.submission_by_id[submission.submission_id] = submission
+        self.add_submission(submission, inherited=False)
+
+    def add_suspects(self, n: int, step: Step) -> list[str]:
+        """Store submissions of a task each that may have crashed a worker."""
+        ids = [f"c{number:015x}" for number in range(n)]
+        for submission_id in ids:
+            crashes = {TaskKey(submission_id, 0, 0, 0): {1: CrashEvidence.POSSIBLE}}
+            progress = Progress(crashed_runs_by_task=crashes)
+            self.progress_by_id[submission_id] = encode_progress(progress)
+            submission = Submission(submission_id, QUEUE, "s", (step,))
+            self.submission_by_id[submission_id] = submission
+        return ids
+
     def add_submission(self, submission: Submission, *, inherited: bool) -> None:
         """Let the owner track a submission, with the progress that is recorded."""
         data = self.progress_by_id.get(submission.submission_id)
@@ -144,6 +169,7 @@
         )
         self.next_hold_at.clear()
         self.pending_answers.clear()
+        self.pending_batch = None
         for submission in self.submission_by_id.values():
             self.add_submission(submission, inherited=self.epoch > 1)
 
@@ -240,7 +266,16 @@
             views = self.cell.worker_by_id
             self.recorded_workers = tuple(view.entry for view in views.values())
             self.cell.on_workers_recorded(frozenset(views))
-        batch = self.cell.take_batch()
+        if not self.record_s:
+            self._store(self.cell.take_batch())
+        elif self.pending_batch is None:
+            self.pending_batch = self.cell.take_batch()
+            self.recorded_at = self.now + self.record_s
+        elif self.now >= self.recorded_at:
+            self._store(self.pending_batch)
+            self.pending_batch = None
+
+    def _store(self, batch: RecordBatch) -> None:
         for write in batch.writes:
             self.progress_by_id[write.submission_id] = write.value
         self.cell.on_recorded(batch)
