Run a host's loops again after an unexpected error

Callers' accepted work hung while its owner went on renewing its ownership: an exception that isn't a BerylError (a listener's KeyError, a RecursionError of a decoder) ended a follower, the publisher or the relay for good. Nothing was logged either, since nobody looks at these tasks before the process ends. Without the follower of the cell table ownership counts as unconfirmed, so no task starts, and the heartbeat still names a live owner, so no other host takes over.

keep_running logs the error with its traceback, counts it in beryl_background_failures{task} and calls the loop again after 1 s. A follower keeps its version, so it misses no change.

Weighed: ending the process, so that the platform starts it anew. One row that can't be applied would then end every host at once, each time. A catch in each loop would repeat the same lines five times.

--- a/libs/runtime/src/berylcleat/runtime/__init__.py
+++ b/libs/runtime/src/berylcleat/runtime/__init__.py
@@ -5,6 +5,8 @@
     EXIT_FATAL_ERROR,
     StopSignal,
     cancel_all,
+    keep_running,
+    report_failure,
     run_periodically,
     run_process,
 )
@@ -18,6 +20,8 @@
     "cancel_all",
     "error_response",
     "json_response",
+    "keep_running",
+    "report_failure",
     "run_periodically",
     "run_process",
 ]
--- a/libs/runtime/src/berylcleat/runtime/_process.py
+++ b/libs/runtime/src/berylcleat/runtime/_process.py
@@ -6,10 +6,18 @@
 import sys
 from collections.abc import Awaitable, Callable
 
+from prometheus_client import Counter
+
 from berylcleat.model import BerylError
 from berylcleat.telemetry import setup_logging
 
 EXIT_FATAL_ERROR = 2
+RESTART_DELAY_S = 1.0
+BACKGROUND_FAILURES = Counter(
+    "beryl_background_failures",
+    "Unexpected exceptions in tasks that run in the background",
+    ("task",),
+)
 logger = logging.getLogger(__name__)
 
 
@@ -88,6 +96,28 @@
         await asyncio.sleep(due_at - loop.time())
 
 
+def report_failure(task: str, error: BaseException, subject: str = "") -> None:
+    """Log an unexpected exception of a background task, and count it by task.
+
+    ``subject`` tells in the log what the task was for.
+    """
+    BACKGROUND_FAILURES.labels(task).inc()
+    name = f"{subject}: {task}" if subject else task
+    logger.error("%s: background task failed", name, exc_info=error)
+
+
+async def keep_running(
+    run: Callable[[], Awaitable[None]], delay_s: float = RESTART_DELAY_S
+) -> None:
+    """Call ``run`` again after every exception until cancelled."""
+    while True:
+        try:
+            return await run()
+        except Exception as error:
+            report_failure(run.__qualname__, error)
+        await asyncio.sleep(delay_s)
+
+
 async def cancel_all(tasks: list[asyncio.Task]) -> None:
     """Cancel ``tasks`` and wait until all have ended."""
     for task in tasks:
--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -126,3 +126,14 @@
     Given a cell with recorded workers "w1 w2" that was released
     When a host acquires it and an unexpected error ends its start
     Then the host owns no cell
+
+  # Guards against LOST: a host stayed a live owner without the loop that an error had ended.
+  Scenario Outline: A host's <loop> goes on after an unexpected error
+    When one call of "<call>" of the <loop> of a host fails unexpectedly
+    Then it is called again and the failure is counted
+
+    Examples:
+      | loop            | call            |
+      | cell_follower   | _read_all       |
+      | worker_follower | _read_all       |
+      | publisher       | publish_if_due  |
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -11,12 +11,14 @@
     make_manager,
     make_worker_entry,
 )
+from prometheus_client import REGISTRY
 
 from berylcleat.host._cell_directory import CellDirectory, ObservedOwner
 from berylcleat.host._clock import now_s
 from berylcleat.host._follower import TableFollower
 from berylcleat.host._membership import Coverage, Membership, assign_cells
 from berylcleat.host._peers import TakeoverReply
+from berylcleat.host._process import Host
 from berylcleat.host._recorder import ProgressRecorder
 from berylcleat.host._records import (
     CELL_TABLE,
@@ -29,9 +31,11 @@
     WorkersRow,
     encode,
 )
+from berylcleat.host._settings import HostSettings
 from berylcleat.host._worker_list import WorkerList
 from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand
 from berylcleat.ports import StartOrder, StoreRow, WorkerReport
+from berylcleat.runtime import cancel_all
 from berylcleat.scheduling import (
     CellScheduler,
     InterferenceModel,
@@ -42,6 +46,7 @@
 )
 from berylcleat.standins import MemoryStore
 
+HOST_SETTINGS = HostSettings("host-1", "dc-1", *["127.0.0.1:9"] * 5)
 TABLE_BY_KEY = {OWNER_KEY: CELL_TABLE, WORKERS_KEY: RECORDED_WORKER_TABLE}
 
 
@@ -505,3 +510,37 @@
         context.manager = manager
 
     context.run(acquire())
+
+
+def count_failures(task):
+    labels = {"task": task}
+    return REGISTRY.get_sample_value("beryl_background_failures_total", labels) or 0
+
+
+@when('one call of "{call}" of the {loop} of a host fails unexpectedly')
+def step_failing_loop(context, call, loop):
+    async def play():
+        host = Host(HOST_SETTINGS)
+        part = getattr(host, loop)
+        called_again = asyncio.Event()
+        answers = iter([KeyError("unexpected")])
+
+        async def fail_once():
+            for error in answers:
+                raise error
+            called_again.set()
+
+        setattr(part, call, fail_once)
+        n_before = count_failures(part.run.__qualname__)
+        tasks = host.start_tasks()
+        await asyncio.wait([asyncio.ensure_future(called_again.wait())], timeout=3.0)
+        await cancel_all(tasks)
+        context.is_called_again = called_again.is_set()
+        context.n_failures = count_failures(part.run.__qualname__) - n_before
+
+    context.run(play())
+
+
+@then("it is called again and the failure is counted")
+def step_called_again(context):
+    assert (context.is_called_again, context.n_failures) == (True, 1)
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -18,6 +18,7 @@
     AdminRouter,
     StopSignal,
     cancel_all,
+    keep_running,
     run_periodically,
 )
 from berylcleat.scheduling import InterferenceModel, LeaseTimes
@@ -53,7 +54,6 @@
 from ._worker_list import WorkerList
 
 RECONCILE_PERIOD_S = 0.25
-PUBLISH_CHECK_PERIOD_S = 0.25
 TRAFFIC_LOG_PERIOD_S = 10.0
 # Long-poll timeout of a table follower: a dead connection is detected after this time
 # plus a margin.
@@ -259,14 +259,12 @@
 
     def start_tasks(self) -> list[asyncio.Task]:
         """Start the tasks that read and publish rows and own cells."""
-        coroutines = [follower.run() for follower in self.followers]
-        coroutines += [
-            self.publisher.run(PUBLISH_CHECK_PERIOD_S),
-            run_periodically(RECONCILE_PERIOD_S, self.reconcile_cells),
-            self._log_store_traffic(),
-        ]
+        loops = [follower.run for follower in self.followers]
+        loops += [self.publisher.run, self._log_store_traffic]
         if self.operator.has_evacuations:
-            coroutines += [self.relay.run(), self.evacuation_metrics.run()]
+            loops += [self.relay.run, self.evacuation_metrics.run]
+        coroutines = [keep_running(run) for run in loops]
+        coroutines.append(run_periodically(RECONCILE_PERIOD_S, self.reconcile_cells))
         if self.maintenance is not None:
             coroutines += [
                 run_periodically(STEP_PERIOD_S, self.maintenance.read_list),
--- a/programs/beryl-host/src/berylcleat/host/_publisher.py
+++ b/programs/beryl-host/src/berylcleat/host/_publisher.py
@@ -13,6 +13,7 @@
 
 HEARTBEAT_PERIOD_S = 1.0
 CONFLICT_RETRY_S = 0.2
+CHECK_PERIOD_S = 0.25
 logger = logging.getLogger(__name__)
 
 
@@ -47,7 +48,7 @@
         self._heartbeat_version = 0
         self._published_at = float("-inf")
 
-    async def run(self, check_period_s: float) -> None:
+    async def run(self) -> None:
         """Publish periodically; log the first of several failures in a row."""
         is_failing = False
         while True:
@@ -62,7 +63,7 @@
                     logger.warning("could not publish the heartbeat: %s", error)
                 is_failing = True
                 await asyncio.sleep(HEARTBEAT_PERIOD_S)
-            await asyncio.sleep(check_period_s)
+            await asyncio.sleep(CHECK_PERIOD_S)
 
     async def publish_if_due(self) -> None:
         """Publish after the heartbeat period, or at once if a source is urgent."""
--- a/programs/beryl-host/src/berylcleat/host/_submission_feeds.py
+++ b/programs/beryl-host/src/berylcleat/host/_submission_feeds.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from berylcleat.ports import Store
+from berylcleat.runtime import keep_running
 
 from ._follower import TableFollower
 from ._records import SUBMISSION_PARTS, cell_submission_table
@@ -42,7 +43,7 @@
         await follower.sync()
         self._follower_by_table[table] = follower
         loop = asyncio.get_running_loop()
-        self._task_by_table[table] = loop.create_task(follower.run())
+        self._task_by_table[table] = loop.create_task(keep_running(follower.run))
 
     def close_unused(self, owned_cell_ids: set[str]) -> None:
         """Stop following tables without an owned cell, and forget their submissions.
