Apply the rows that come with one that can't be applied

A row whose listener raises, such as one nested too deeply for the decoder (RecursionError) in the workers' table, where other writers' entries are to be expected, took with it all rows of its page: the follower marks the rows as delivered before it passes them on, so they never came again. Submissions that came with it never ran.

After a failure the listener gets each row by itself, and what it can't apply is logged, counted and left out, as rows are that can't be decoded. Every listener compares versions or replaces what it knows, so rows that it had applied before the failure may come again.

Weighed: marking rows as delivered after the listener. Then the failing row would come again for ever and hold up what follows it.

--- a/programs/beryl-host/features/steps/submission_feeds_steps.py
+++ b/programs/beryl-host/features/steps/submission_feeds_steps.py
@@ -73,3 +73,28 @@
 @then("it has forgotten the submission of the other table")
 def step_forgotten(context):
     assert context.known[context.cells[2]] == 0, context.known
+
+
+@when("a host that follows the first cell can't apply its submission")
+def step_poison(context):
+    first, second, _ = context.cells
+    context.applied = set()
+
+    def apply(submission_id, entry):
+        if entry.accepted.cell_id == first:
+            raise KeyError(submission_id)
+        context.applied.add(entry.accepted.cell_id)
+
+    async def play():
+        directory = SubmissionDirectory()
+        directory.listeners.append(apply)
+        feeds = SubmissionFeeds(context.store, directory, 0.05)
+        await feeds.open(first, 0)
+        feeds.close_unused(set())
+
+    asyncio.run(play())
+
+
+@then("it has applied the submission of the second cell")
+def step_applied(context):
+    assert context.applied == {context.cells[1]}, context.applied
--- a/programs/beryl-host/features/submission_feeds.feature
+++ b/programs/beryl-host/features/submission_feeds.feature
@@ -9,3 +9,9 @@
     And it acquires the second cell
     Then it knows the submissions of the first and the second cell
     And it has forgotten the submission of the other table
+
+  # Guards against LOST: the rows that came with one that can't be applied were lost too.
+  Scenario: Submissions that come with one that can't be applied are known
+    Given a submission each in two cells of one table and in a cell of another table
+    When a host that follows the first cell can't apply its submission
+    Then it has applied the submission of the second cell
--- a/programs/beryl-host/src/berylcleat/host/_follower.py
+++ b/programs/beryl-host/src/berylcleat/host/_follower.py
@@ -6,6 +6,7 @@
 
 from berylcleat.model import BerylError
 from berylcleat.ports import HistoryLostError, Store, StoreRow
+from berylcleat.runtime import report_failure
 
 from ._clock import now_s
 
@@ -155,7 +156,7 @@
 
     def _deliver_removals(self, live_keys: set[tuple[str, str]]) -> None:
         removed = [row for row in self._version_by_row if row not in live_keys]
-        self._on_rows(
+        self._pass_on(
             tuple(
                 StoreRow(self._table, part, key, b"", self.version, is_removed=True)
                 for part, key in removed
@@ -177,4 +178,19 @@
                 self._version_by_row[key] = row.version
                 newer.append(row)
         if newer:
-            self._on_rows(tuple(newer))
+            self._pass_on(tuple(newer))
+
+    def _pass_on(self, rows: tuple[StoreRow, ...]) -> None:
+        """Call the listener; leave out the rows that it can't apply.
+
+        After a failure it gets each row by itself, those applied before once more.
+        """
+        try:
+            self._on_rows(rows)
+        except Exception as error:
+            first = [(row.part, row.key) for row in rows[:1]]
+            subject = f"table {self._table}, {len(rows)} rows from {first}"
+            report_failure("TableFollower.on_rows", error, subject)
+            if len(rows) > 1:
+                for row in rows:
+                    self._pass_on((row,))
