Give a cell up after an unexpected error in one of its tasks

A proposed move that ended so left its tasks announced as moving, and they neither moved nor started. The host logged one line and went on renewing its ownership, so no other host took over.

The controller now counts as failed: it starts nothing and renews no lease, the next check (0.25 s) writes the owner row without an owner, and the host that the cell is assigned to loads it anew under a higher epoch. Runs go on and are adopted. What wasn't recorded is left out, the workers report it again. This host doesn't acquire the cell for 1 s, which bounds the load on the store if the error comes at once again. Logging the load is no reason to give a cell up and is repeated instead.

Weighed: each loop logs the error and goes on with its next round. The round that failed has announced moves or taken orders that nobody settles, so the scheduler's state would stay wrong. Settling a move after any error was weighed too: if its outcome is unknown the task could run twice. Nothing makes another host take the cell: it is the one with the fewest cells for its power, which may be the same host.

Ruled out as causes: a KeyError of TaskMover for a submission that keep_only has forgotten wasn't found to be reachable. It keeps what has tasks in a followed table, and a moved task that has ended or waits here has a move to this cell.

--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -137,3 +137,17 @@
       | cell_follower   | _read_all       |
       | worker_follower | _read_all       |
       | publisher       | publish_if_due  |
+
+  # Guards against LOST: an owner without one of its loops, or with a move that never ends.
+  Scenario Outline: A cell is loaded anew after an unexpected error in <task>
+    Given a cell with recorded workers "w1 w2" that was released
+    When a host acquires it and its scheduler's "<call>" <answer>
+    Then it has owned the cell under the next epoch
+
+    Examples:
+      | task                  | call                        | answer                  |
+      | the plan loop         | plan                        | fails                   |
+      | the record loop       | take_batch                  | fails                   |
+      | the move loop         | unconfirmed_moved_task_ends | fails                   |
+      | the stray-end loop    | stray_ends                  | fails                   |
+      | the move of a task    | propose_moves               | names no known task     |
--- a/programs/beryl-host/features/steps/host_parts.py
+++ b/programs/beryl-host/features/steps/host_parts.py
@@ -21,6 +21,13 @@
 CELL = "r1"
 
 
+class IdleMover:
+    """Mover of tasks that knows no other cell."""
+
+    def headrooms(self, cell_id, data_centre):
+        return ()
+
+
 def make_worker_entry(worker_id):
     return WorkerEntry(
         worker_id=worker_id,
@@ -56,7 +63,7 @@
         LeaseTimes(),
         settled_at,
         lambda: True,
-        None,
+        IdleMover(),
     )
 
 
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -40,6 +40,7 @@
     CellScheduler,
     InterferenceModel,
     LeaseTimes,
+    MoveProposal,
     Progress,
     ProgressWrite,
     RecordBatch,
@@ -544,3 +545,34 @@
 @then("it is called again and the failure is counted")
 def step_called_again(context):
     assert (context.is_called_again, context.n_failures) == (True, 1)
+
+
+@when('a host acquires it and its scheduler\'s "{call}" {answer}')
+def step_failing_scheduler(context, call, answer):
+    def fail(*_):
+        if answer == "fails":
+            raise KeyError("unexpected")
+        return [MoveProposal("f" * 16, {})]
+
+    async def play():
+        manager, _ = await make_live_manager(context.store, "dc-1")
+        context.manager = manager
+        await reconcile(context)
+        controller = manager.controller_by_cell[CELL]
+        context.fenced_epoch = controller.owner.epoch
+        setattr(controller.scheduler, call, fail)
+        controller._wake_loops()
+        for _ in range(20):
+            await asyncio.sleep(0.1)
+            await reconcile(context)
+        context.has_owner = CELL in manager.controller_by_cell
+        await manager.release_all()
+
+    context.run(play())
+
+
+@then("it has owned the cell under the next epoch")
+def step_next_epoch(context):
+    assert context.has_owner
+    epoch = read_row(context, OWNER_KEY, OwnerRow).epoch
+    assert epoch == context.fenced_epoch + 1, (epoch, context.fenced_epoch)
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -9,7 +9,7 @@
     RowWrite,
     WorkerEntry,
 )
-from berylcleat.runtime import cancel_all
+from berylcleat.runtime import cancel_all, report_failure, run_periodically
 from berylcleat.scheduling import (
     BacklogMeter,
     CellScheduler,
@@ -58,7 +58,8 @@
 
     ``scheduler`` is None until ``start`` has loaded the recorded state. Until
     ``settled_at``, in seconds of ``now_s``, runs of earlier owners may be unaccounted
-    for.
+    for. ``has_failed`` is true after an unexpected exception: what the scheduler holds
+    may then contradict itself, so the cell must be given up.
     """
 
     def __init__(
@@ -81,6 +82,7 @@
         self.owner = owner
         self.owner_version = owner_version
         self.scheduler: CellScheduler | None = None
+        self.has_failed = False
         self._is_stopped = False
         self._recorder = ProgressRecorder(connections.store, cell_id, owner_version)
         self._directory = knowledge.directory
@@ -116,7 +118,8 @@
     @property
     def is_inactive(self) -> bool:
         """Return whether task starts and lease renewals are no longer allowed."""
-        return self._is_stopped or self._recorder.has_lost_ownership
+        has_ended = self._is_stopped or self._recorder.has_lost_ownership
+        return has_ended or self.has_failed
 
     # Start and stop
 
@@ -186,7 +189,7 @@
         self.update_workers(entry_by_worker)
         self._spawn(self._plan_loop())
         self._spawn(self._record_loop())
-        self._spawn(self._log_load_loop())
+        self._spawn(run_periodically(LOAD_LOG_PERIOD_S, self._log_load))
         self._spawn(self._move_loops.run_moves(self._observe_order))
         self._spawn(self._move_loops.run_stray_ends(self._record_needed.set))
         logger.info(
@@ -237,13 +240,16 @@
     async def release(self) -> None:
         """Stop all loops and write an owner row without an owner.
 
-        No task is started and no lease renewed after this call.
+        No task is started and no lease renewed after this call. After a failure what
+        isn't recorded yet is left out: the workers report it to the next owner.
         """
         self._is_stopped = True
         await self._stop_tasks()
         row = OwnerRow(self.owner.epoch, "", "", self._unsettled_s())
         write = RowWrite(CELL_TABLE, self.cell_id, OWNER_KEY, encode(row))
-        batch = self.scheduler.take_batch() if self.scheduler else RecordBatch((), {})
+        batch = RecordBatch((), {})
+        if self.scheduler is not None and not self.has_failed:
+            batch = self.scheduler.take_batch()
         try:
             await self._recorder.commit(self.scheduler, batch, (write,))
             logger.info("cell %s: released", self.cell_id)
@@ -351,11 +357,8 @@
         self._plan_needed.set()
         self._record_needed.set()
 
-    async def _log_load_loop(self) -> None:
-        """Log the load of the cell periodically."""
-        while True:
-            await asyncio.sleep(LOAD_LOG_PERIOD_S)
-            log_load(self.scheduler, now_s())
+    async def _log_load(self) -> None:
+        log_load(self.scheduler, now_s())
 
     # Orders
 
@@ -435,8 +438,9 @@
     def _on_task_done(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            logger.error(
-                "cell %s: background task failed",
-                self.cell_id,
-                exc_info=task.exception(),
-            )
+            self._on_failure(task.get_coro().__qualname__, task.exception())
+
+    def _on_failure(self, name: str, error: BaseException) -> None:
+        """Begin to give the cell up; its owner row is released at the next check."""
+        report_failure(name, error, f"cell {self.cell_id}")
+        self.has_failed = True
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -33,6 +33,9 @@
 REMOTE_TAKEOVER_DELAY_S = 1.0
 # The same delay for a cell that its owner released: live hosts are known by then.
 RELEASED_TAKEOVER_DELAY_S = 0.3
+# Time for which this host doesn't acquire a cell that it has given up after an
+# unexpected exception: one that comes again at once must not load the store.
+FAILED_CELL_DELAY_S = 1.0
 logger = logging.getLogger(__name__)
 
 
@@ -76,6 +79,8 @@
         self._remaining_leases_by_cell: dict[str, RemainingLeases] = {}
         # Highest epoch under which this host must no longer run a cell, by cell id.
         self._relinquished_epoch_by_cell: dict[str, int] = {}
+        # When cells of this host failed with an unexpected exception, by cell id.
+        self._failed_at_by_cell: dict[str, float] = {}
         self._connections = connections
         self._store = connections.store
         self._knowledge = knowledge
@@ -120,6 +125,9 @@
             del self._eligible_since_by_cell[cell_id]
         for cell_id in sorted(assigned - self.controller_by_cell.keys()):
             data_centre = self._workers.data_centre_by_cell()[cell_id]
+            failed_at = self._failed_at_by_cell.get(cell_id, float("-inf"))
+            if now - failed_at < FAILED_CELL_DELAY_S:
+                continue
             eligible_since = self._eligible_since_by_cell.setdefault(cell_id, now)
             wait_s = self._remote_takeover_delay_s(cell_id)
             is_remote = data_centre != self._identity.data_centre
@@ -403,15 +411,25 @@
             is_fenced = (
                 controller.scheduler is not None and controller.scheduler.is_fenced_out
             )
-            if not is_ours or is_fenced or controller.is_inactive:
-                del self.controller_by_cell[cell_id]
-                # The epoch is over, also before this host reads the next owner's row:
-                # a second scheduler of the epoch wouldn't know the runs of this one.
-                self._relinquished_epoch_by_cell[cell_id] = max(
-                    self._relinquished_epoch_by_cell.get(cell_id, 0),
-                    controller.owner.epoch,
-                )
+            has_lost = controller.is_inactive and not controller.has_failed
+            if not is_ours or is_fenced or has_lost:
+                self._end_epoch(cell_id, controller)
                 await self._abandon(cell_id, controller)
+            elif controller.has_failed:
+                self._failed_at_by_cell[cell_id] = now_s()
+                self._end_epoch(cell_id, controller)
+                await controller.release()
+
+    def _end_epoch(self, cell_id: str, controller: CellController) -> None:
+        """Remove a controller, and never run its cell under its epoch again.
+
+        That holds also before this host reads the next owner's row: a second scheduler
+        of the epoch wouldn't know the runs of this one.
+        """
+        del self.controller_by_cell[cell_id]
+        self._relinquished_epoch_by_cell[cell_id] = max(
+            self._relinquished_epoch_by_cell.get(cell_id, 0), controller.owner.epoch
+        )
 
     def _on_submission(self, submission_id: str, entry: SubmissionEntry) -> None:
         if entry.accepted is None:
