Keep an error of one cell from the other cells of its host

A change of a submission or of the workers is passed to the cells of a host in turn, and their loads are published together. An unexpected error in one cell kept the change from those after it, which then didn't learn of a submission, and kept all heartbeats back. Ends of moved tasks that another cell of the host reported ended the loop of that other cell.

The new scenario failed before: the second cell didn't get the change.

The controller of a cell now takes the error for its own and is given up, as after an error in one of its tasks; the others go on.

--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -151,3 +151,10 @@
       | the move loop         | unconfirmed_moved_task_ends | fails                   |
       | the stray-end loop    | stray_ends                  | fails                   |
       | the move of a task    | propose_moves               | names no known task     |
+
+  # Guards against LOST: a change that one cell can't apply was kept from the host's others.
+  Scenario: A change that one cell can't apply reaches the host's other cells
+    Given a cell with recorded workers "w1 w2"
+    When one of the owner's two cells can't apply a change of the workers
+    Then the other cell has applied it
+    And the cell that can't is to be given up
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -576,3 +576,31 @@
     assert context.has_owner
     epoch = read_row(context, OWNER_KEY, OwnerRow).epoch
     assert epoch == context.fenced_epoch + 1, (epoch, context.fenced_epoch)
+
+
+@when("one of the owner's two cells can't apply a change of the workers")
+def step_failing_listener(context):
+    async def change():
+        manager, _ = await make_live_manager(context.store, "dc-1")
+        context.failing, other = (make_owner(context, 18.0) for _ in range(2))
+        manager.controller_by_cell = {"first": context.failing, "second": other}
+        context.applied = []
+
+        def fail(entry_by_worker):
+            raise KeyError("unexpected")
+
+        context.failing.update_workers = fail
+        other.update_workers = context.applied.append
+        manager._on_workers({"second": {"w1": make_worker_entry("w1")}})
+
+    context.run(change())
+
+
+@then("the other cell has applied it")
+def step_other_applied(context):
+    assert [list(workers) for workers in context.applied] == [["w1"]], context.applied
+
+
+@then("the cell that can't is to be given up")
+def step_to_be_given_up(context):
+    assert context.failing.has_failed and context.failing.is_inactive
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 from berylcleat.model import BerylError, SubmissionState
 from berylcleat.ports import (
@@ -50,6 +51,7 @@
 LATE_SUBMISSION_MS = 1500
 # Pause between two requests to a previous owner that hasn't confirmed its stop.
 HANDOVER_RETRY_S = 0.5
+Result = TypeVar("Result")
 logger = logging.getLogger(__name__)
 
 
@@ -394,9 +396,10 @@
         """Apply ends that another cell reported; return whether they are durable."""
         if self.scheduler is None:
             return False
-        is_durable = self.scheduler.on_moved_task_ends(submission_id, ends, now_s())
+        apply = self.scheduler.on_moved_task_ends
+        is_durable = self.attempt(apply, submission_id, ends, now_s())
         self._wake_loops()
-        return is_durable
+        return bool(is_durable)
 
     async def _record_loop(self) -> None:
         """Record workers and task ends; recorded ends are then acknowledged."""
@@ -440,6 +443,20 @@
         if not task.cancelled() and task.exception() is not None:
             self._on_failure(task.get_coro().__qualname__, task.exception())
 
+    def attempt(self, call: Callable[..., Result], *arguments: object) -> Result | None:
+        """Return the result of one of this controller's methods.
+
+        After an unexpected exception this cell alone is given up; the result is None
+        from then on.
+        """
+        if self.has_failed:
+            return None
+        try:
+            return call(*arguments)
+        except Exception as error:
+            self._on_failure(call.__qualname__, error)
+            return None
+
     def _on_failure(self, name: str, error: BaseException) -> None:
         """Begin to give the cell up; its owner row is released at the next check."""
         report_failure(name, error, f"cell {self.cell_id}")
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -177,7 +177,7 @@
         """Return load summaries of the cells that this host owns, by cell id."""
         summaries = {}
         for cell_id, controller in self.controller_by_cell.items():
-            summary = controller.summary()
+            summary = controller.attempt(controller.summary)
             if summary is not None:
                 summaries[cell_id] = summary
         return summaries
@@ -438,8 +438,9 @@
         for cell_id, controller in self.controller_by_cell.items():
             # A cell must also be notified when tasks moved to it are moved elsewhere.
             if cell_id in cells or controller.tracks(submission_id):
-                controller.on_submission(submission_id, entry)
+                controller.attempt(controller.on_submission, submission_id, entry)
 
     def _on_workers(self, by_cell: dict[str, dict[str, WorkerEntry]]) -> None:
         for cell_id, controller in self.controller_by_cell.items():
-            controller.update_workers(by_cell.get(cell_id, {}))
+            workers = by_cell.get(cell_id, {})
+            controller.attempt(controller.update_workers, workers)
