Go on holding a worker after an unexpected error with its report

An exception while a report was applied ended the loop that renews the worker's lease, without a log line. The worker stayed unused while the cell had its owner, and a worker that came back under the same id wasn't connected to again.

The error is logged and counted, and the worker then counts as one that doesn't answer: no task starts on it and its lease isn't renewed until a report is applied again, so its runs lapse and start elsewhere.

Weighed: giving the cell up, as for errors of its other tasks. A worker repeats its report, so each owner in turn would give the cell up because of one worker.

--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -158,3 +158,10 @@
     When one of the owner's two cells can't apply a change of the workers
     Then the other cell has applied it
     And the cell that can't is to be given up
+
+  # Guards against LOST: a worker stayed unused and its runs without a lease.
+  Scenario: A worker is used although one of its reports can't be processed
+    Given a cell with recorded workers "w1 w2"
+    When the first report of "w1" raises an unexpected error in its owner
+    Then the next report of "w1" is processed
+    And no lease was asked for between the two
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -34,7 +34,13 @@
 from berylcleat.host._settings import HostSettings
 from berylcleat.host._worker_list import WorkerList
 from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand
-from berylcleat.ports import StartOrder, StoreRow, WorkerReport
+from berylcleat.ports import (
+    OrderAnswer,
+    OrderResult,
+    StartOrder,
+    StoreRow,
+    WorkerReport,
+)
 from berylcleat.runtime import cancel_all
 from berylcleat.scheduling import (
     CellScheduler,
@@ -604,3 +610,43 @@
 @then("the cell that can't is to be given up")
 def step_to_be_given_up(context):
     assert context.failing.has_failed and context.failing.is_inactive
+
+
+@when('the first report of "{name}" raises an unexpected error in its owner')
+def step_failing_report(context, name):
+    async def hold_twice():
+        controller = make_owner(context, 0.0)
+        await controller.start({name: make_worker_entry(name)})
+        context.view = controller.scheduler.worker_by_id[name]
+        context.holds = []
+
+        async def hold(order):
+            context.holds.append(order)
+            await asyncio.sleep(0.05)
+            report = WorkerReport(len(context.holds), 1, (), ())
+            return OrderAnswer(OrderResult.ACCEPTED, 1, report)
+
+        on_report = controller.scheduler.on_report
+        errors = iter([KeyError("unexpected")])
+
+        def fail_once(*arguments):
+            for error in errors:
+                raise error
+            on_report(*arguments)
+
+        controller.scheduler.on_report = fail_once
+        controller._hold_loops.client_by_worker[name].hold = hold
+        await asyncio.sleep(1.0)
+        await controller.abandon()
+
+    context.run(hold_twice())
+
+
+@then('the next report of "{name}" is processed')
+def step_processed(context, name):
+    assert context.view.has_seen_epoch
+
+
+@then("no lease was asked for between the two")
+def step_no_lease(context):
+    assert [hold.deadline_ms for hold in context.holds[:2]] == [None, None]
--- a/programs/beryl-host/src/berylcleat/host/_hold_loops.py
+++ b/programs/beryl-host/src/berylcleat/host/_hold_loops.py
@@ -5,6 +5,7 @@
 
 from berylcleat.platform import WorkerClient
 from berylcleat.ports import HoldOrder, OrderResult, WorkerEntry
+from berylcleat.runtime import report_failure
 from berylcleat.scheduling import CellScheduler, WorkerView
 
 from ._clock import now_s
@@ -62,44 +63,59 @@
             client.close()
 
     async def _run(self, worker_id: str, client: WorkerClient) -> None:
-        """Renew the worker's lease and process its reports, one hold at a time."""
-        must_probe = True
+        """Renew the worker's lease and process its reports, one hold at a time.
+
+        After an unexpected exception, as after a failed hold, no lease is renewed and
+        no task starts on the worker until it has reported again.
+        """
+        result: OrderResult | None = None
         while self._may_act():
-            view = self._scheduler.worker_by_id[worker_id]
             if not self._is_confirmed():
                 await asyncio.sleep(HOLD_RETRY_S)
                 continue
-            requested_at = now_s()
-            answer = await client.hold(self._hold_order(view, must_probe, requested_at))
             # After a failed hold the next one renews no lease: retries must not extend
             # the lease of a worker that doesn't answer.
-            must_probe = answer.result is not OrderResult.ACCEPTED
-            if answer.result is OrderResult.ACCEPTED:
-                self._scheduler.on_report(
-                    worker_id, answer.report, requested_at, now_s()
-                )
-                self._on_report()
-                await self._wait_for_recording(view)
-            elif answer.result is OrderResult.FENCED:
-                self._scheduler.on_fenced(worker_id)
-                return
-            else:
+            must_probe = result is not OrderResult.ACCEPTED
+            try:
+                result = await self._hold(worker_id, client, must_probe)
+            except Exception as error:
+                report_failure("HoldLoops._run", error, f"worker {worker_id}")
+                result = OrderResult.NO_ANSWER
                 self._scheduler.on_hold_failed(worker_id, now_s())
-                if answer.result is OrderResult.NOT_CONNECTED:
-                    continue
-                if answer.result is OrderResult.NOT_SENT:
-                    self._scheduler.on_connection_refused(worker_id, now_s())
-                if answer.result is OrderResult.OTHER_INCARNATION:
-                    self._scheduler.on_other_incarnation(worker_id, now_s())
-                    self._on_report()
-                if self._scheduler.can_forget(worker_id):
-                    break
-                await asyncio.sleep(HOLD_RETRY_S)
+            if result is OrderResult.FENCED:
+                return
+            if result in (OrderResult.ACCEPTED, OrderResult.NOT_CONNECTED):
+                continue
+            if self._scheduler.can_forget(worker_id):
+                break
+            await asyncio.sleep(HOLD_RETRY_S)
         # After ownership has ended the scheduler keeps its workers: the recorded worker
         # list must still name them for the next owner.
         if self._may_act():
             self._forget(worker_id)
 
+    async def _hold(
+        self, worker_id: str, client: WorkerClient, must_probe: bool
+    ) -> OrderResult:
+        """Send one hold and pass its answer to the scheduler."""
+        view = self._scheduler.worker_by_id[worker_id]
+        requested_at = now_s()
+        answer = await client.hold(self._hold_order(view, must_probe, requested_at))
+        if answer.result is OrderResult.ACCEPTED:
+            self._scheduler.on_report(worker_id, answer.report, requested_at, now_s())
+            self._on_report()
+            await self._wait_for_recording(view)
+        elif answer.result is OrderResult.FENCED:
+            self._scheduler.on_fenced(worker_id)
+        else:
+            self._scheduler.on_hold_failed(worker_id, now_s())
+            if answer.result is OrderResult.NOT_SENT:
+                self._scheduler.on_connection_refused(worker_id, now_s())
+            if answer.result is OrderResult.OTHER_INCARNATION:
+                self._scheduler.on_other_incarnation(worker_id, now_s())
+                self._on_report()
+        return answer.result
+
     def _hold_order(self, view: WorkerView, must_probe: bool, now: float) -> HoldOrder:
         """Return a hold order; a probe renews no lease and is answered at once.
 
