Ignore the end of a task that doesn't exist

A worker's report with an end whose step isn't in the submission raised IndexError each time. An index or occurrence beyond the step's was counted as done, and could end a step before its tasks.

Running tasks were checked already.

Such an end is logged, acknowledged and not counted. It isn't reported to another cell either.

--- a/libs/scheduling/features/early_reports.feature
+++ b/libs/scheduling/features/early_reports.feature
@@ -22,3 +22,17 @@
     When a worker reports a run of a task whose submission is unknown
     And 6 seconds pass
     Then the run is stopped
+
+  # Guards against a worker that stays unused: its report raised IndexError, each time.
+  Scenario Outline: An end of a task that doesn't exist is acknowledged and not counted
+    Given a cell with 1 workers of 8 cores
+    When the submission is added
+    And the worker reports that task <index> of step <step> of occurrence <number> is done
+    Then the end may be acknowledged
+    And the submission has no task that is done
+
+    Examples:
+      | number | step | index |
+      | 0      | 7    | 0     |
+      | 0      | 0    | 9     |
+      | 5      | 0    | 0     |
--- a/libs/scheduling/features/steps/early_report_steps.py
+++ b/libs/scheduling/features/steps/early_report_steps.py
@@ -19,6 +19,22 @@
     context.scripted_cell.step()
 
 
+@when(
+    "the worker reports that task {index:d} of step {step:d} of occurrence {number:d} "
+    "is done"
+)
+def step_other_end(context, index, step, number):
+    task = TaskKey(SUBMISSION_ID, number, step, index)
+    context.scripted_cell.ended["w0"].append(EndedTask(1, task, 1, RunEnd.DONE, ""))
+    context.scripted_cell.step()
+
+
+@then("the submission has no task that is done")
+def step_none_done(context):
+    tracked = context.scripted_cell.cell.submissions.by_id[SUBMISSION_ID]
+    assert not tracked.progress.done_by_step, tracked.progress
+
+
 @when("the submission is added")
 def step_add_submission(context):
     scripted_cell = context.scripted_cell
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_reports.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_reports.py
@@ -85,6 +85,15 @@
                     self._on_running(view, running, now)
 
     def _on_end(self, view: WorkerView, end: EndedTask, now: float) -> None:
+        tracked = self.submissions.by_id.get(end.task.submission_id)
+        if tracked is not None and not self._task_exists(tracked, end.task):
+            logger.warning(
+                "end ignored: task %s run %d on %s: there is no such task",
+                end.task,
+                end.run,
+                view.entry.worker_id,
+            )
+            return
         run = self.run_by_task.get(end.task)
         is_current_run = (
             run is not None
@@ -97,7 +106,6 @@
         if reason is not None:
             self._defer_end(view, end, reason, now)
             return
-        tracked = self.submissions.by_id[end.task.submission_id]
         logger.info(
             "run ended: task %s run %d on %s: %s%s",
             end.task,
@@ -311,6 +319,8 @@
         steps = tracked.submission.steps
         if task.step >= len(steps):
             return False
+        if task.occurrence not in tracked.submission.occurrences():
+            return False
         return task.index < steps[task.step].n_tasks
 
     def _on_unreported_run(
--- a/programs/beryl-host/features/moves.feature
+++ b/programs/beryl-host/features/moves.feature
@@ -55,6 +55,13 @@
     When the owner of "r1" settles an end of another submission
     Then the end is settled
 
+  # Guards against LOST: the loop that reports such ends raised IndexError.
+  Scenario: An end of a task that doesn't exist is settled without a report
+    Given a submission of cell "r2"
+    When the owner of "r1" settles an end of a task of a step that doesn't exist
+    Then cell "r2" was told nothing
+    And the end is settled
+
   # Guards against TWICE: an old read must not give a moved task back to its cell.
   Scenario: A slow read doesn't undo a move that is known
     Given a submission with a task moved from cell "r1" to "r2"
--- a/programs/beryl-host/features/steps/moves_steps.py
+++ b/programs/beryl-host/features/steps/moves_steps.py
@@ -165,12 +165,12 @@
         self.controller_by_cell = {owner.cell_id: owner for owner in owners}
 
 
-def settle(context, cell_id, submission_id, *, records):
+def settle(context, cell_id, submission_id, *, records, task=TASK):
     context.owner_by_cell = {
         cell: RecordingOwner(cell, records=records) for cell in ("r1", "r2")
     }
     context.owner = context.owner_by_cell[cell_id]
-    context.end = EndedTask(1, TASK, 1, RunEnd.DONE, "")
+    context.end = EndedTask(1, task, 1, RunEnd.DONE, "")
     ownership = Ownership(context.owner_by_cell.values())
     context.directory = SubmissionDirectory()
     mover = TaskMover(
@@ -194,6 +194,12 @@
     settle(context, cell_id, "f" * 16, records=True)
 
 
+@when('the owner of "{cell_id}" settles an end of a task of a step that doesn\'t exist')
+def step_settle_no_task(context, cell_id):
+    task = TASK._replace(step=7)
+    settle(context, cell_id, SUBMISSION_ID, records=True, task=task)
+
+
 @then('cell "{cell_id}" was told that the task is done')
 def step_told(context, cell_id):
     assert context.owner_by_cell[cell_id].told == [TASK]
--- a/programs/beryl-host/src/berylcleat/host/_task_mover.py
+++ b/programs/beryl-host/src/berylcleat/host/_task_mover.py
@@ -175,12 +175,16 @@
             ends_by_cell.setdefault(entry.cell_of(end.task), []).append(end)
         if ends_by_cell.pop(controller.cell_id, None):
             self._directory.add_entry(submission_id, entry)
-        steps = entry.accepted.submission.steps
+        counted_steps = {
+            number
+            for number, step in enumerate(entry.accepted.submission.steps)
+            if not step.is_long_running
+        }
         for cell_id, cell_ends in ends_by_cell.items():
             done = [
                 MovedTaskEnd(end.task, has_failed=False)
                 for end in cell_ends
-                if end.end is RunEnd.DONE and not steps[end.task.step].is_long_running
+                if end.end is RunEnd.DONE and end.task.step in counted_steps
             ]
             if not done or await self._report_ends(submission_id, done, cell_id):
                 logger.info(
