--- a/programs/beryl-host/features/moves.feature
+++ b/programs/beryl-host/features/moves.feature
@@ -55,6 +55,13 @@
     When the owner of "r1" settles an end of another submission
     Then the end is settled
 
+  # Guards against LOST: the loop that reports such ends raised IndexError.
+  Scenario: An end of a task that doesn't exist is settled without a report
+    Given a submission of cell "r2"
+    When the owner of "r1" settles an end of a task of a step that doesn't exist
+    Then cell "r2" was told nothing
+    And the end is settled
+
   # Guards against TWICE: an old read must not give a moved task back to its cell.
   Scenario: A slow read doesn't undo a move that is known
     Given a submission with a task moved from cell "r1" to "r2"
@@ -68,3 +75,9 @@
     When the owner of "r1" settles the task's end while "r2" records it
     Then cell "r2" was told nothing
     And the end is settled
+
+  # Guards against LOST: the tasks of a move that is never applied neither moved nor started.
+  Scenario: A move that is too large for the store is given up
+    Given a submission of cell "r1"
+    When its owner moves a task of it to each of 120 cells
+    Then the move is settled and its tasks stay in cell "r1"
--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -126,3 +126,42 @@
     Given a cell with recorded workers "w1 w2" that was released
     When a host acquires it and an unexpected error ends its start
     Then the host owns no cell
+
+  # Guards against LOST: a host stayed a live owner without the loop that an error had ended.
+  Scenario Outline: A host's <loop> goes on after an unexpected error
+    When one call of "<call>" of the <loop> of a host fails unexpectedly
+    Then it is called again and the failure is counted
+
+    Examples:
+      | loop            | call            |
+      | cell_follower   | _read_all       |
+      | worker_follower | _read_all       |
+      | publisher       | publish_if_due  |
+
+  # Guards against LOST: an owner without one of its loops, or with a move that never ends.
+  Scenario Outline: A cell is loaded anew after an unexpected error in <task>
+    Given a cell with recorded workers "w1 w2" that was released
+    When a host acquires it and its scheduler's "<call>" <answer>
+    Then it has owned the cell under the next epoch
+
+    Examples:
+      | task                  | call                        | answer                  |
+      | the plan loop         | plan                        | fails                   |
+      | the record loop       | take_batch                  | fails                   |
+      | the move loop         | unconfirmed_moved_task_ends | fails                   |
+      | the stray-end loop    | stray_ends                  | fails                   |
+      | the move of a task    | propose_moves               | names no known task     |
+
+  # Guards against LOST: a change that one cell can't apply was kept from the host's others.
+  Scenario: A change that one cell can't apply reaches the host's other cells
+    Given a cell with recorded workers "w1 w2"
+    When one of the owner's two cells can't apply a change of the workers
+    Then the other cell has applied it
+    And the cell that can't is to be given up
+
+  # Guards against LOST: a worker stayed unused and its runs without a lease.
+  Scenario: A worker is used although one of its reports can't be processed
+    Given a cell with recorded workers "w1 w2"
+    When the first report of "w1" raises an unexpected error in its owner
+    Then the next report of "w1" is processed
+    And no lease was asked for between the two
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -11,12 +11,14 @@
     make_manager,
     make_worker_entry,
 )
+from prometheus_client import REGISTRY
 
 from berylcleat.host._cell_directory import CellDirectory, ObservedOwner
 from berylcleat.host._clock import now_s
 from berylcleat.host._follower import TableFollower
 from berylcleat.host._membership import Coverage, Membership, assign_cells
 from berylcleat.host._peers import TakeoverReply
+from berylcleat.host._process import Host
 from berylcleat.host._recorder import ProgressRecorder
 from berylcleat.host._records import (
     CELL_TABLE,
@@ -29,19 +31,29 @@
     WorkersRow,
     encode,
 )
+from berylcleat.host._settings import HostSettings
 from berylcleat.host._worker_list import WorkerList
 from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand
-from berylcleat.ports import StartOrder, StoreRow, WorkerReport
+from berylcleat.ports import (
+    OrderAnswer,
+    OrderResult,
+    StartOrder,
+    StoreRow,
+    WorkerReport,
+)
+from berylcleat.runtime import cancel_all
 from berylcleat.scheduling import (
     CellScheduler,
     InterferenceModel,
     LeaseTimes,
+    MoveProposal,
     Progress,
     ProgressWrite,
     RecordBatch,
 )
 from berylcleat.standins import MemoryStore
 
+HOST_SETTINGS = HostSettings("host-1", "dc-1", *["127.0.0.1:9"] * 5)
 TABLE_BY_KEY = {OWNER_KEY: CELL_TABLE, WORKERS_KEY: RECORDED_WORKER_TABLE}
 
 
@@ -505,3 +517,136 @@
         context.manager = manager
 
     context.run(acquire())
+
+
+def count_failures(task):
+    labels = {"task": task}
+    return REGISTRY.get_sample_value("beryl_background_failures_total", labels) or 0
+
+
+@when('one call of "{call}" of the {loop} of a host fails unexpectedly')
+def step_failing_loop(context, call, loop):
+    async def play():
+        host = Host(HOST_SETTINGS)
+        part = getattr(host, loop)
+        called_again = asyncio.Event()
+        answers = iter([KeyError("unexpected")])
+
+        async def fail_once():
+            for error in answers:
+                raise error
+            called_again.set()
+
+        setattr(part, call, fail_once)
+        n_before = count_failures(part.run.__qualname__)
+        tasks = host.start_tasks()
+        await asyncio.wait([asyncio.ensure_future(called_again.wait())], timeout=3.0)
+        await cancel_all(tasks)
+        context.is_called_again = called_again.is_set()
+        context.n_failures = count_failures(part.run.__qualname__) - n_before
+
+    context.run(play())
+
+
+@then("it is called again and the failure is counted")
+def step_called_again(context):
+    assert (context.is_called_again, context.n_failures) == (True, 1)
+
+
+@when('a host acquires it and its scheduler\'s "{call}" {answer}')
+def step_failing_scheduler(context, call, answer):
+    def fail(*_):
+        if answer == "fails":
+            raise KeyError("unexpected")
+        return [MoveProposal("f" * 16, {})]
+
+    async def play():
+        manager, _ = await make_live_manager(context.store, "dc-1")
+        context.manager = manager
+        await reconcile(context)
+        controller = manager.controller_by_cell[CELL]
+        context.fenced_epoch = controller.owner.epoch
+        setattr(controller.scheduler, call, fail)
+        controller._wake_loops()
+        for _ in range(20):
+            await asyncio.sleep(0.1)
+            await reconcile(context)
+        context.has_owner = CELL in manager.controller_by_cell
+        await manager.release_all()
+
+    context.run(play())
+
+
+@then("it has owned the cell under the next epoch")
+def step_next_epoch(context):
+    assert context.has_owner
+    epoch = read_row(context, OWNER_KEY, OwnerRow).epoch
+    assert epoch == context.fenced_epoch + 1, (epoch, context.fenced_epoch)
+
+
+@when("one of the owner's two cells can't apply a change of the workers")
+def step_failing_listener(context):
+    async def change():
+        manager, _ = await make_live_manager(context.store, "dc-1")
+        context.failing, other = (make_owner(context, 18.0) for _ in range(2))
+        manager.controller_by_cell = {"first": context.failing, "second": other}
+        context.applied = []
+
+        def fail(entry_by_worker):
+            raise KeyError("unexpected")
+
+        context.failing.update_workers = fail
+        other.update_workers = context.applied.append
+        manager._on_workers({"second": {"w1": make_worker_entry("w1")}})
+
+    context.run(change())
+
+
+@then("the other cell has applied it")
+def step_other_applied(context):
+    assert [list(workers) for workers in context.applied] == [["w1"]], context.applied
+
+
+@then("the cell that can't is to be given up")
+def step_to_be_given_up(context):
+    assert context.failing.has_failed and context.failing.is_inactive
+
+
+@when('the first report of "{name}" raises an unexpected error in its owner')
+def step_failing_report(context, name):
+    async def hold_twice():
+        controller = make_owner(context, 0.0)
+        await controller.start({name: make_worker_entry(name)})
+        context.view = controller.scheduler.worker_by_id[name]
+        context.holds = []
+
+        async def hold(order):
+            context.holds.append(order)
+            await asyncio.sleep(0.05)
+            report = WorkerReport(len(context.holds), 1, (), ())
+            return OrderAnswer(OrderResult.ACCEPTED, 1, report)
+
+        on_report = controller.scheduler.on_report
+        errors = iter([KeyError("unexpected")])
+
+        def fail_once(*arguments):
+            for error in errors:
+                raise error
+            on_report(*arguments)
+
+        controller.scheduler.on_report = fail_once
+        controller._hold_loops.client_by_worker[name].hold = hold
+        await asyncio.sleep(1.0)
+        await controller.abandon()
+
+    context.run(hold_twice())
+
+
+@then('the next report of "{name}" is processed')
+def step_processed(context, name):
+    assert context.view.has_seen_epoch
+
+
+@then("no lease was asked for between the two")
+def step_no_lease(context):
+    assert [hold.deadline_ms for hold in context.holds[:2]] == [None, None]
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -3,13 +3,14 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 from berylcleat.model import BerylError, SubmissionState
 from berylcleat.ports import (
     RowWrite,
     WorkerEntry,
 )
-from berylcleat.runtime import cancel_all
+from berylcleat.runtime import cancel_all, report_failure, run_periodically
 from berylcleat.scheduling import (
     BacklogMeter,
     CellScheduler,
@@ -50,6 +51,7 @@
 LATE_SUBMISSION_MS = 1500
 # Pause between two requests to a previous owner that hasn't confirmed its stop.
 HANDOVER_RETRY_S = 0.5
+Result = TypeVar("Result")
 logger = logging.getLogger(__name__)
 
 
@@ -58,7 +60,8 @@
 
     ``scheduler`` is None until ``start`` has loaded the recorded state. Until
     ``settled_at``, in seconds of ``now_s``, runs of earlier owners may be unaccounted
-    for.
+    for. ``has_failed`` is true after an unexpected exception: what the scheduler holds
+    may then contradict itself, so the cell must be given up.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         self.owner = owner
         self.owner_version = owner_version
         self.scheduler: CellScheduler | None = None
+        self.has_failed = False
         self._is_stopped = False
         self._recorder = ProgressRecorder(connections.store, cell_id, owner_version)
         self._directory = knowledge.directory
@@ -116,7 +120,8 @@
     @property
     def is_inactive(self) -> bool:
         """Return whether task starts and lease renewals are no longer allowed."""
-        return self._is_stopped or self._recorder.has_lost_ownership
+        has_ended = self._is_stopped or self._recorder.has_lost_ownership
+        return has_ended or self.has_failed
 
     # Start and stop
 
@@ -186,7 +191,7 @@
         self.update_workers(entry_by_worker)
         self._spawn(self._plan_loop())
         self._spawn(self._record_loop())
-        self._spawn(self._log_load_loop())
+        self._spawn(run_periodically(LOAD_LOG_PERIOD_S, self._log_load))
         self._spawn(self._move_loops.run_moves(self._observe_order))
         self._spawn(self._move_loops.run_stray_ends(self._record_needed.set))
         logger.info(
@@ -237,13 +242,16 @@
     async def release(self) -> None:
         """Stop all loops and write an owner row without an owner.
 
-        No task is started and no lease renewed after this call.
+        No task is started and no lease renewed after this call. After a failure what
+        isn't recorded yet is left out: the workers report it to the next owner.
         """
         self._is_stopped = True
         await self._stop_tasks()
         row = OwnerRow(self.owner.epoch, "", "", self._unsettled_s())
         write = RowWrite(CELL_TABLE, self.cell_id, OWNER_KEY, encode(row))
-        batch = self.scheduler.take_batch() if self.scheduler else RecordBatch((), {})
+        batch = RecordBatch((), {})
+        if self.scheduler is not None and not self.has_failed:
+            batch = self.scheduler.take_batch()
         try:
             await self._recorder.commit(self.scheduler, batch, (write,))
             logger.info("cell %s: released", self.cell_id)
@@ -351,11 +359,8 @@
         self._plan_needed.set()
         self._record_needed.set()
 
-    async def _log_load_loop(self) -> None:
-        """Log the load of the cell periodically."""
-        while True:
-            await asyncio.sleep(LOAD_LOG_PERIOD_S)
-            log_load(self.scheduler, now_s())
+    async def _log_load(self) -> None:
+        log_load(self.scheduler, now_s())
 
     # Orders
 
@@ -391,9 +396,10 @@
         """Apply ends that another cell reported; return whether they are durable."""
         if self.scheduler is None:
             return False
-        is_durable = self.scheduler.on_moved_task_ends(submission_id, ends, now_s())
+        apply = self.scheduler.on_moved_task_ends
+        is_durable = self.attempt(apply, submission_id, ends, now_s())
         self._wake_loops()
-        return is_durable
+        return bool(is_durable)
 
     async def _record_loop(self) -> None:
         """Record workers and task ends; recorded ends are then acknowledged."""
@@ -435,8 +441,23 @@
     def _on_task_done(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            logger.error(
-                "cell %s: background task failed",
-                self.cell_id,
-                exc_info=task.exception(),
-            )
+            self._on_failure(task.get_coro().__qualname__, task.exception())
+
+    def attempt(self, call: Callable[..., Result], *arguments: object) -> Result | None:
+        """Return the result of one of this controller's methods.
+
+        After an unexpected exception this cell alone is given up; the result is None
+        from then on.
+        """
+        if self.has_failed:
+            return None
+        try:
+            return call(*arguments)
+        except Exception as error:
+            self._on_failure(call.__qualname__, error)
+            return None
+
+    def _on_failure(self, name: str, error: BaseException) -> None:
+        """Begin to give the cell up; its owner row is released at the next check."""
+        report_failure(name, error, f"cell {self.cell_id}")
+        self.has_failed = True
