Don't put workers on probation for the crashes of one task

Cause: each crash counted as an outage of the worker. Its probation allows one run at a time, after the second outage within 20 s only after 1 to 8 s. A task that crashes four workers spared four workers for that.

Workers that are back under another id were never put on probation, so the fault shows only where a worker keeps its id, or where its connection fails for longer than 0.5 s.

Change: a crash whose likely cause is a task that may have crashed a worker before isn't an outage. The first crash of a task still is: a worker may have crashed by itself.

Test: on the code before, the new scenario failed (two workers on probation).

--- a/libs/scheduling/features/steps/uneven_steps.py
+++ b/libs/scheduling/features/steps/uneven_steps.py
@@ -4,7 +4,13 @@
 from filler_steps import SERVING, add_run, choose, make_view
 from uneven_load import DISTURBED_UNTIL_S, NEVER_S, QUEUE, Disturbance, UnevenLoad
 
-from berylcleat.model import Step, Submission, TaskDemand, TaskKey
+from berylcleat.model import (
+    Step,
+    Submission,
+    SubmissionState,
+    TaskDemand,
+    TaskKey,
+)
 from berylcleat.scheduling import (
     InterferenceModel,
     Progress,
@@ -319,3 +325,20 @@
     groups = context.uneven.candidate_groups(ready, task, context.views, seconds)
     found = {view.entry.worker_id for group in groups for view in group}
     assert found == set(names.split()), found
+
+
+@when("the owner learns from outages for {seconds:d} seconds")
+def step_learn_outages(context, seconds):
+    cells = context.cells
+    cells.cell.uneven_workers = UnevenWorkers()
+    context.spared = set()
+    for _ in range(seconds * 10):
+        cells.advance(0.1)
+        health = cells.cell.uneven_workers.health
+        context.spared |= set(filter(health.probation, cells.cell.worker_by_id))
+
+
+@then("the task is given up, and only one worker was on probation")
+def step_one_spared(context):
+    assert context.cells.state() is SubmissionState.FAILED
+    assert len(context.spared) == 1, context.spared
--- a/libs/scheduling/features/uneven_workers.feature
+++ b/libs/scheduling/features/uneven_workers.feature
@@ -101,3 +101,11 @@
     Then the task may go to "w2" after 1 s
     And the task may go to "w0 w1 w2" after 3 s
     And another task may go to "w0 w1 w2" after 1 s
+
+  # Guards against LOST: a task that crashes its workers left their room unused.
+  Scenario: Only the first worker that a task crashes is put on probation
+    Given 5 workers and a task that crashes them
+    And crashed workers are back under their old id
+    And starts before a crash are not answered
+    When the owner learns from outages for 30 seconds
+    Then the task is given up, and only one worker was on probation
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -317,9 +317,12 @@
         if not view.incarnation_ms:
             return
         logger.info("worker %s: incarnation ended: %s", view.entry.worker_id, reason)
-        self._count_crash(view, now)
+        was_crashed_by_task = self._count_crash(view, now)
         if self.uneven_workers is not None:
-            self.uneven_workers.on_outage(view, now, has_restarted=True)
+            if was_crashed_by_task:
+                self.uneven_workers.on_outage_explained(view)
+            else:
+                self.uneven_workers.on_outage(view, now, has_restarted=True)
         for run in tuple(view.run_by_task.values()):
             if run.was_reported:
                 self._mark_lost(run, reason, now, may_have_crashed=True)
@@ -345,14 +348,19 @@
         view.used_by_unwanted = TaskDemand()
         view.expired_runs.clear()
 
-    def _count_crash(self, view: WorkerView, now: float) -> None:
-        """Count the crash of a worker; one that is leaving isn't taken for crashed."""
+    def _count_crash(self, view: WorkerView, now: float) -> bool:
+        """Count the crash of a worker; one that is leaving isn't taken for crashed.
+
+        Return whether a task crashed it that may have crashed a worker before.
+        """
         runs = [*view.run_by_task.values(), *view.expired_runs]
+        was_crashed_by_task = False
         if view.is_leaving:
             self.crashes.on_survival(runs)
         else:
-            self.crashes.on_crash(view, runs)
+            was_crashed_by_task = self.crashes.on_crash(view, runs)
         self._stop_runs_of_failed(runs, now)
+        return was_crashed_by_task
 
     def _stop_runs_of_failed(self, runs: list[Run], now: float) -> None:
         """Stop the other runs of submissions that have ended because of crashes."""
--- a/libs/scheduling/src/berylcleat/scheduling/_crashes.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_crashes.py
@@ -113,9 +113,17 @@
         has_restarted = view.entry.started_at_ms > start.incarnation_ms
         return True if has_restarted or not is_awaited else None
 
-    def on_crash(self, view: WorkerView, runs: Collection[Run]) -> None:
-        """Count a worker's crash for the runs that may have caused it."""
+    def on_crash(self, view: WorkerView, runs: Collection[Run]) -> bool:
+        """Count a worker's crash for the runs that may have caused it.
+
+        Return whether a task is its likely cause that may have crashed a worker before.
+        """
         suspects, have_just_started = find_suspects(runs, view.alive_at)
+        is_repeated = have_just_started and any(
+            tracked.n_crashes(run.task)
+            for run in suspects
+            if (tracked := self._tracked(run)) is not None
+        )
         for run in runs:
             tracked = self._tracked(run)
             if tracked is None:
@@ -129,6 +137,7 @@
                 self._count(tracked, run, evidence)
             elif tracked.is_crash_presumed(run.task, run.number):
                 tracked.drop_presumption(run.task)
+        return is_repeated
 
     def on_silence(self, view: WorkerView, runs: Collection[Run]) -> None:
         """Count a possible crash of a worker whose leases have expired.
--- a/libs/scheduling/src/berylcleat/scheduling/_uneven_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_uneven_workers.py
@@ -72,6 +72,10 @@
             worker_id = view.entry.worker_id
             self.health.on_outage(worker_id, now, has_restarted=has_restarted)
 
+    def on_outage_explained(self, view: WorkerView) -> None:
+        """Handle a crash of a worker that is the fault of a task."""
+        self.health.on_outage_explained(view.entry.worker_id)
+
     def on_answer(self, view: WorkerView, n_workers: int, now: float) -> None:
         """Handle a report of a worker, which may have been down before it."""
         if self.health.on_answer(view.entry.worker_id, n_workers, now):
--- a/libs/scheduling/src/berylcleat/scheduling/_worker_health.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_worker_health.py
@@ -185,6 +185,13 @@
         record.outages.append(now)
         self._recent_outages.append((worker_id, now))
 
+    def on_outage_explained(self, worker_id: str) -> None:
+        """Take back the outage of a worker that a task has crashed."""
+        record = self._record_by_worker.get(worker_id)
+        if record is not None and record.is_down:
+            record.is_down = record.has_restarted = False
+            record.outages.pop()
+
     def on_answer(self, worker_id: str, n_workers: int, now: float) -> bool:
         """Put a worker that came up on probation, unless many were down together.
 
