Release spared workers for tasks that fit nowhere else

Cause: a worker is avoided for 4 s after three failures in a row, and on probation for up to 8 s between two runs. If a cell's free capacity is all on such workers, its tasks wait for that long, or move only if another cell has capacity that it publishes, which lacks spared workers too.

Ruled out: a release that ends with the round, tried: a suspect's run must be recorded before it starts, so that such a task lost the worker again in each second round.

Change: a step that is stuck for 1.5 s releases the spared workers that hold it for one run each, at most every 0.5 s, while less than half of the capacity is reserved; tasks that last always do. The bounds are those of the users' rule LOST.

--- a/libs/scheduling/features/steps/uneven_steps.py
+++ b/libs/scheduling/features/steps/uneven_steps.py
@@ -342,3 +342,19 @@
 def step_one_spared(context):
     assert context.cells.state() is SubmissionState.FAILED
     assert len(context.spared) == 1, context.spared
+
+
+@given("each worker is {spared} for {seconds:d} s")
+def step_spared(context, spared, seconds):
+    until = context.scripted_cell.now + seconds
+    for view in context.scripted_cell.cell.worker_by_id.values():
+        if spared == "avoided":
+            view.avoid_until = until
+        else:
+            view.condition = WorkerCondition(is_on_probation=True, may_start_at=until)
+
+
+@when("{seconds:d} s pass")
+def step_pass(context, seconds):
+    for _ in range(seconds * 5 - 1):
+        context.scripted_cell.step()
--- a/libs/scheduling/features/uneven_workers.feature
+++ b/libs/scheduling/features/uneven_workers.feature
@@ -109,3 +109,26 @@
     And starts before a crash are not answered
     When the owner learns from outages for 30 seconds
     Then the task is given up, and only one worker was on probation
+
+  # Guards against LOST: all workers with room were spared for 4 s and longer.
+  Scenario Outline: A task that fits nowhere else starts within 3 s on a spared worker
+    Given a cell with 3 workers of 8 cores
+    And each worker is <spared> for 8 s
+    When a task of 5 cores is added
+    And 3 s pass
+    Then the task of 5 cores is started
+
+    Examples:
+      | spared       |
+      | avoided      |
+      | on probation |
+
+  # Guards against failed submissions: a full cell tries its failing workers too often.
+  Scenario: A spared worker gets no task while half of the capacity is in use
+    Given a cell with 2 workers of 8 cores
+    When a task of 8 cores is added
+    Then the task of 8 cores is started
+    Given each worker is avoided for 8 s
+    When another task of 5 cores is added
+    And 3 s pass
+    Then no task is started
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -23,6 +23,7 @@
 from ._orders import ProgressWrite, RecordBatch, WorkerOrder
 from ._placement import explain_rejection
 from ._progress import Progress, decode_progress, encode_progress
+from ._releases import release_workers
 from ._submissions import ReadyStep
 from ._wave_record import WorkerOccupancy
 from ._workers import RunPhase, WorkerView
@@ -290,6 +291,13 @@
         self._retry_stops(now)
         self._limit_interference(now)
         self._refresh_conditions(now)
+        release_workers(
+            self.worker_by_id.values(),
+            self.submissions.iter_ready(),
+            self._other_headrooms,
+            self.interference,
+            now,
+        )
         self._relocate_from_draining(now)
         self._relocate_within_cell(now)
         self._wall_ms = wall_ms
--- /dev/null
+++ b/libs/scheduling/src/berylcleat/scheduling/_releases.py
@@ -0,0 +1,74 @@
+"""Release of workers that are avoided or on probation, for tasks that wait too long.
+
+Failures and outages keep starts from a worker, at most for some seconds. That is too
+long for a task that no other worker can hold while most of the capacity is free.
+"""
+
+from collections.abc import Iterable
+
+from ._interference import InterferenceModel
+from ._moves import CellHeadroom
+from ._placement import explain_rejection
+from ._submissions import ReadyStep
+from ._workers import WorkerView
+
+# Seconds that a step is stuck before it may use such a worker, and seconds between two
+# starts there; the platform requires waiting work to run within 3 s while less than
+# half of the capacity is in use. A release lasts long enough for a record of the start.
+MAX_KEPT_BACK_WAIT_S = 1.5
+MIN_RELEASE_PERIOD_S = 0.5
+RELEASE_S = 1.0
+MAX_RESERVED_SHARE = 0.5
+
+
+def release_workers(
+    views: Iterable[WorkerView],
+    waiting: Iterable[ReadyStep],
+    others: tuple[CellHeadroom, ...],
+    interference: InterferenceModel,
+    now: float,
+) -> None:
+    """Release each worker for one start that holds a step which has waited too long.
+
+    ``others`` is the headroom of other cells, which counts as capacity too.
+    """
+    views = list(views)
+    kept_back = [
+        view
+        for view in views
+        if now >= view.released_until
+        and now - view.last_start_at > MIN_RELEASE_PERIOD_S
+        and view.explain_kept_back(now)
+    ]
+    if not kept_back:
+        return
+    for ready in waiting:
+        since = ready.stuck_since
+        if since is None or now - since <= MAX_KEPT_BACK_WAIT_S:
+            continue
+        service = ready.tracked.submission.queue.service
+        if not ready.step.is_long_running and (
+            _reserved_share(service, views, others) >= MAX_RESERVED_SHARE
+        ):
+            continue
+        task = ready.task(min(ready.waiting))
+        for view in kept_back:
+            if not explain_rejection(task, ready.step, service, view, interference):
+                view.released_until = now + RELEASE_S
+
+
+def _reserved_share(
+    service: str, views: list[WorkerView], others: tuple[CellHeadroom, ...]
+) -> float:
+    """Return the reserved share of a service's processors, kept back ones included."""
+    entries = [
+        (v.entry.capacity, v.free()) for v in views if v.entry.service == service
+    ]
+    capacity = sum(total.cpu_millis for total, _ in entries)
+    free = sum(max(0, left.cpu_millis) for _, left in entries)
+    for headroom in others:
+        if headroom.service == service:
+            capacity += headroom.capacity
+            # Unlike ``free``, it isn't reduced by what waits in the cell.
+            free += sum(headroom.free_by_worker) or max(0, headroom.free)
+    return 1 - free / capacity if capacity else 1.0
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -140,6 +140,8 @@
     expired_runs: list[Run] = field(default_factory=list)
     n_consecutive_failures: int = 0
     avoid_until: float = 0.0
+    # Until when one more run may start although the worker is avoided or on probation.
+    released_until: float = float("-inf")
     # Whether its machine is emptied for maintenance, or was taken down for it.
     is_cordoned: bool = False
     # None for a worker like the others, and where uneven workers aren't observed.
@@ -184,14 +186,18 @@
             return "runs of unknown submissions"
         if 0 < self.entry.started_at_ms < self.incarnation_ms:
             return "capacity since its restart unknown"
-        if now < self.avoid_until:
-            return "avoided"
-        if self.condition is not None and self._is_probation_full(now):
-            return "on probation"
         if now < self.trial_until:
             return "a suspect of a crash has just started"
         if now - self.clock.answered_at >= MAX_SILENCE_S:
             return "silent"
+        return "" if now < self.released_until else self.explain_kept_back(now)
+
+    def explain_kept_back(self, now: float) -> str:
+        """Return why the worker is spared for now, or an empty string."""
+        if now < self.avoid_until:
+            return "avoided"
+        if self.condition is not None and self._is_probation_full(now):
+            return "on probation"
         return ""
 
     def _is_probation_full(self, now: float) -> bool:
@@ -258,6 +264,7 @@
     def add_run(self, run: Run) -> None:
         """Add ``run`` and reserve its capacity."""
         self.run_by_task[run.task] = run
+        self.released_until = float("-inf")
         self.used = self.used + run.step.allocation
 
     def remove_run(self, run: Run, now: float) -> None:
