Try to start a gang without effects on workers, and keep its room until it is recorded

Callers see LOST: while a gang waits of which a member may have crashed a worker, other accepted work waits beside idle workers, or the gang itself never starts where it fits.

Cause: each try to start a gang reserved runs, and only a complete gang kept them. An incomplete try withdrew the runs but left the workers closed for 0.3 s as for the trial of a suspect, raised the run numbers, so that the next try had to be recorded anew, and left a record of runs that never started. In a complete try the first suspect closed its worker to the other members. Nothing was kept between the record of a gang and its start.

Evidence: in the tests none of 8 small tasks starts in 0.8 s on two workers with 16 idle processors; a gang of two with one suspect doesn't start on an idle worker that holds both; another task takes the room of a recorded gang.

Ruled out: the order of starts (the small tasks start as soon as the gang isn't there), and the records of the test's cell, which are written in each round.

Change: the members are placed first, on workers that are left as they were. If all fit, their runs are recorded and capacity is kept for all of them until they start; if not, their records are withdrawn like those of other tasks. A trial begins when a start is sent.

Before: the three new scenarios fail. After: crashes.feature and gangs.feature 36 passed, 0 failed.

--- a/libs/scheduling/features/crashes.feature
+++ b/libs/scheduling/features/crashes.feature
@@ -119,3 +119,24 @@
     Given 1 worker with room for one task, and a standing task that may have crashed a worker
     When other tasks arrive in each round for 3 seconds
     Then each of these tasks has started
+
+  # Guards against LOST: each try to start a waiting gang closed the workers that had room
+  # for its suspects, used up a run number, and recorded a run that never started.
+  Scenario: A waiting gang with a suspect leaves workers open to other tasks
+    Given 2 workers of 8 cores and a gang of 5 tasks of 4 cores, of which 2 may have crashed a worker
+    When 8 tasks of 1 cores arrive, one in each round of 0.1 s
+    Then 0 tasks of the gang and 8 other tasks have started
+    And the gang's next run number is still 2
+    And the record counts no crash that hasn't happened
+
+  # Guards against LOST: a suspect of the gang closed its worker to the other members.
+  Scenario: Members of a gang start on the worker of a suspect among them
+    Given 1 workers of 8 cores and a gang of 2 tasks of 4 cores, of which 1 may have crashed a worker
+    When 5 tasks of 16 cores arrive, one in each round of 0.1 s
+    Then 2 tasks of the gang and 0 other tasks have started
+
+  # Guards against LOST: other tasks took the room between the record and the start.
+  Scenario: A gang with a suspect keeps its room until it starts
+    Given 2 workers of 8 cores and a gang of 4 tasks of 4 cores, of which 1 may have crashed a worker
+    When 5 tasks of 8 cores arrive, one in each round of 0.1 s
+    Then 4 tasks of the gang and 0 other tasks have started
--- a/libs/scheduling/features/steps/crash_steps.py
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -176,6 +176,54 @@
     tracked.raise_run_floor(TaskKey(SUBMISSION_ID, 0, 0, 1), 7)
 
 
+@given(
+    "{n_workers:d} workers of 8 cores and a gang of {n:d} tasks of 4 cores, of which "
+    "{n_crashed:d} may have crashed a worker"
+)
+def step_gang_with_suspects(context, n_workers, n, n_crashed):
+    scripted_cell = context.scripted_cell = ScriptedCell(n_workers, 8000)
+    scripted_cell.step()
+    step = Step(n, TaskDemand(4000, 100), is_gang=True)
+    crashes = {
+        TaskKey(SUBMISSION_ID, 0, 0, index): {1: CrashEvidence.POSSIBLE}
+        for index in range(n_crashed)
+    }
+    scripted_cell.submit(step, progress=Progress(crashed_runs_by_task=crashes))
+    for task in crashes:
+        scripted_cell.cell.submissions.by_id[SUBMISSION_ID].raise_run_floor(task, 1)
+    scripted_cell.step(0.1)
+
+
+@when("{n:d} tasks of {cores:d} cores arrive, one in each round of 0.1 s")
+def step_gang_beside_others(context, n, cores):
+    scripted_cell = context.scripted_cell
+    for number in range(n):
+        step = Step(1, TaskDemand(cores * 1000, 100))
+        scripted_cell.submit(step, submission_id=f"{number:016x}")
+        scripted_cell.step(0.1)
+
+
+@then("{n:d} tasks of the gang and {n_others:d} other tasks have started")
+def step_gang_and_others(context, n, n_others):
+    starts = [i.order.task.submission_id for i in context.scripted_cell.starts]
+    n_gang = starts.count(SUBMISSION_ID)
+    assert (n_gang, len(starts) - n_gang) == (n, n_others), starts
+
+
+@then("the gang's next run number is still {number:d}")
+def step_gang_number(context, number):
+    cell = context.scripted_cell.cell
+    tracked = cell.submissions.by_id[SUBMISSION_ID]
+    next_run = tracked.next_run(TaskKey(SUBMISSION_ID, 0, 0, 0), cell.epoch)
+    assert next_run == number, next_run
+
+
+@then("the record counts no crash that hasn't happened")
+def step_no_presumed_crash(context):
+    tracked = context.scripted_cell.cell.submissions.by_id[SUBMISSION_ID]
+    assert not tracked.presumed_run_by_task, tracked.presumed_run_by_task
+
+
 @when("the gang has started again")
 def step_gang_starts(context):
     for _ in range(3):
--- a/libs/scheduling/features/steps/gang_steps.py
+++ b/libs/scheduling/features/steps/gang_steps.py
@@ -76,12 +76,12 @@
             move_by_task=moves,
         )
 
-    def step(self):
+    def step(self, seconds=0.2):
         """Deliver a report of every worker, then collect the scheduler's orders.
 
         Progress is recorded, but no end is acknowledged.
         """
-        self.now += 0.2
+        self.now += seconds
         self.cell.on_recorded(RecordBatch(self.cell.take_batch().writes, {}))
         for worker_id, running in self.running.items():
             if worker_id in self.silent:
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -38,6 +38,11 @@
 logger = logging.getLogger(__name__)
 
 
+def _is_quiet(view: WorkerView, now: float) -> bool:
+    """Return whether nothing has just started on a worker."""
+    return now - view.last_start_at >= LIKELY_CAUSE_AGE_S
+
+
 class CellStarts(CellRuns):
     """Choice of the tasks to start and of the workers that run them."""
 
@@ -165,32 +170,48 @@
         tasks = self._startable_tasks(ready, now)
         if any(self._give_up_crashing(tracked, task, now) for task in tasks):
             return
+        for task in tasks:
+            self._release_capacity(task)
         number = max(tracked.next_run(task, self.epoch) for task in tasks)
+        runs = self._place_gang(ready, tasks, number, now)
+        if not runs:
+            self._unplaced_tasks += [(tracked, task) for task in tasks]
+            if ready.stuck_since is None:
+                ready.stuck_since = now
+            return
+        ready.stuck_since = None
         are_recorded = [
             self._ensure_start_recorded(tracked, task, number, None, now)
             for task in tasks
         ]
         if not all(are_recorded):
+            for run in runs:
+                self._keep_capacity(tracked, run.task, self.worker_by_id[run.worker_id])
+            self._prepared_tasks.update(tasks)
             return
+        for run in runs:
+            self._add_run(tracked, run)
+        for run in runs:
+            self._send_start(tracked, run, now)
+
+    def _place_gang(
+        self, ready: ReadyStep, tasks: list[TaskKey], number: int, now: float
+    ) -> list[Run]:
+        """Return a run for each member of a gang, or none if not all of them fit.
+
+        No run is added: a try that fails leaves workers and run numbers as they are.
+        """
         runs: list[Run] = []
         for task in tasks:
             view = self._choose_worker(ready, task, now)
             if view is None:
                 break
-            runs.append(self._reserve_run(tracked, task, view, number, now))
-        if len(runs) == len(tasks):
-            ready.stuck_since = None
-            for run in runs:
-                self._send_start(tracked, run, now)
-            return
+            run = self._make_run(ready.tracked, task, view, number, now)
+            view.add_run(run)
+            runs.append(run)
         for run in runs:
-            self._remove_run(run, now)
-            tracked.requeue(run.task)
-        # The requeue may have created a new ReadyStep for the step.
-        requeued = tracked.ready_by_step[(ready.occurrence, ready.number)]
-        requeued.stuck_since = (
-            ready.stuck_since if ready.stuck_since is not None else now
-        )
+            self.worker_by_id[run.worker_id].withdraw_run(run)
+        return runs if len(runs) == len(tasks) else []
 
     def _start_waiting(self, ready: ReadyStep, now: float) -> None:
         if ready.step.is_gang:
@@ -311,7 +332,7 @@
             return False
         if not tracked.n_crashes(task):
             return True
-        if now - view.last_start_at >= LIKELY_CAUSE_AGE_S:
+        if _is_quiet(view, now):
             return True
         return self._has_waited_for_quiet(tracked, task, now)
 
@@ -323,10 +344,13 @@
     def _choose_worker(
         self, ready: ReadyStep, task: TaskKey, now: float
     ) -> WorkerView | None:
-        if ready.tracked.n_crashes(task):
-            views = self._workers_for_suspect(ready.tracked, task, now)
-        else:
+        if not ready.tracked.n_crashes(task):
             views = self._startable_workers(now)
+        elif ready.step.is_gang:
+            views = self._startable_workers(now)
+            views = [view for view in views if _is_quiet(view, now)] or views
+        else:
+            views = self._workers_for_suspect(ready.tracked, task, now)
         for group in self._candidate_groups(ready, task, views, now):
             chosen = self._choose_among(ready, task, group, now)
             if chosen is not None:
@@ -353,10 +377,7 @@
         quiet = [
             view
             for view in views
-            if (
-                now - view.last_start_at >= LIKELY_CAUSE_AGE_S
-                and len(view.kept_by_task) == n_prepared
-            )
+            if (_is_quiet(view, now) and len(view.kept_by_task) == n_prepared)
             or view.entry.worker_id == recorded_id
         ]
         return quiet or views
@@ -515,11 +536,11 @@
         self, tracked: TrackedSubmission, task: TaskKey, view: WorkerView, now: float
     ) -> None:
         number = tracked.next_run(task, self.epoch)
-        self._send_start(
-            tracked, self._reserve_run(tracked, task, view, number, now), now
-        )
+        run = self._make_run(tracked, task, view, number, now)
+        self._add_run(tracked, run)
+        self._send_start(tracked, run, now)
 
-    def _reserve_run(
+    def _make_run(
         self,
         tracked: TrackedSubmission,
         task: TaskKey,
@@ -527,8 +548,7 @@
         number: int,
         now: float,
     ) -> Run:
-        """Create a run and reserve its capacity on a worker."""
-        run = Run(
+        return Run(
             task,
             number,
             view.entry.worker_id,
@@ -540,16 +560,14 @@
             incarnation_ms=view.incarnation_ms,
             is_resumed=bool(tracked.checkpoint_of(task)),
         )
-        self._add_run(tracked, run)
-        tracked.suspect_since_by_task.pop(run.task, None)
-        view.last_start_at = now
-        if tracked.n_crashes(task):
-            view.trial_until = now + LIKELY_CAUSE_AGE_S
-        return run
 
     def _send_start(self, tracked: TrackedSubmission, run: Run, now: float) -> None:
         tracked.has_started = True
+        tracked.suspect_since_by_task.pop(run.task, None)
         view = self.worker_by_id[run.worker_id]
+        view.last_start_at = now
+        if tracked.n_crashes(run.task):
+            view.trial_until = now + LIKELY_CAUSE_AGE_S
         logger.info(
             "run started: task %s run %d on %s, %d of %d left, %.1f s before due",
             run.task,
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -276,11 +276,15 @@
         Its processor use still counts in ``image_uses`` for the span of a reading.
         """
         if self.run_by_task.get(run.task) is run:
-            del self.run_by_task[run.task]
-            self.used = self.used - run.step.allocation
+            self.withdraw_run(run)
             if run.step.fills or run.step.target_latency_ms:
                 self.past_uses.append((now, self._image_use(run, now)))
 
+    def withdraw_run(self, run: Run) -> None:
+        """Remove ``run``, which was never sent, and release its capacity."""
+        del self.run_by_task[run.task]
+        self.used = self.used - run.step.allocation
+
     def count_failure(self, now: float) -> None:
         """Count a failed run; avoid the worker after too many in a row."""
         self.n_consecutive_failures += 1
