Count a prepared start wherever its run would count on the worker

Callers see LOST: fillers that may have crashed a worker, or are inherited after one was lost, wait as long as other fillers do, and tasks of a step with a limit for each worker start one for each record.

Cause: capacity kept for a prepared start lowers what is free, but not the processor time left, by which fillers and scores choose, as fillers have no allocation. Nor does it count for max_per_worker. So other fillers took the time between record and start, inherited tasks were all recorded for the worker with the most time left, and tasks of a step were recorded for one worker that may take only one of them.

Evidence: in the tests a filler that comes first never starts beside six later ones on a worker with room for four, and of four tasks on four idle workers one has started after two rounds.

Ruled out: the recorder (the tests record in each round) and the trial of suspects (the inherited tasks are none).

A filler that fits nowhere keeps what it had until it may be forced at the end of the round.

--- a/libs/scheduling/features/crashes.feature
+++ b/libs/scheduling/features/crashes.feature
@@ -140,3 +140,10 @@
     Given 2 workers of 8 cores and a gang of 4 tasks of 4 cores, of which 1 may have crashed a worker
     When 5 tasks of 8 cores arrive, one in each round of 0.1 s
     Then 4 tasks of the gang and 0 other tasks have started
+
+  # Guards against LOST: all tasks of the step were recorded for the same worker, which
+  # took one of them, so they started one for each record.
+  Scenario: Recorded starts of a step with one task for a worker are spread over the workers
+    Given 4 workers and an earlier owner's step of 4 tasks, one for a worker, after a worker was lost
+    When 2 rounds are planned
+    Then 4 workers have got a task each
--- a/libs/scheduling/features/fillers.feature
+++ b/libs/scheduling/features/fillers.feature
@@ -91,3 +91,10 @@
       | lost        | that                                   |
       | hasn't lost | whose earlier run may have crashed a worker |
       | has lost    | of the earlier owner                   |
+
+  # Guards against LOST: other fillers took the processor time between the record and the
+  # start, as fillers have no reserve.
+  Scenario: A filler whose run must be recorded first keeps its processor time until then
+    Given a cell whose only worker runs 8 tasks "web", beside which "press" is mild
+    When a filler whose earlier run may have crashed a worker is starving beside 6 later ones
+    Then it has run within 1 forced period
--- a/libs/scheduling/features/steps/crash_steps.py
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -194,6 +194,30 @@
     scripted_cell.step(0.1)
 
 
+@given(
+    "{n:d} workers and an earlier owner's step of {n_tasks:d} tasks, one for a worker, "
+    "after a worker was lost"
+)
+def step_inherited_spread(context, n, n_tasks):
+    scripted_cell = context.scripted_cell = ScriptedCell(n, 8000)
+    scripted_cell.step()
+    scripted_cell.cell.crashes.has_lost_worker = True
+    step = Step(n_tasks, TaskDemand(1000, 100), max_per_worker=1)
+    scripted_cell.submit(step, inherited=True)
+
+
+@when("{n:d} rounds are planned")
+def step_rounds(context, n):
+    for _ in range(n):
+        context.scripted_cell.step()
+
+
+@then("{n:d} workers have got a task each")
+def step_spread(context, n):
+    workers = [item.worker_id for item in context.scripted_cell.starts]
+    assert len(workers) == len(set(workers)) == n, workers
+
+
 @when("{n:d} tasks of {cores:d} cores arrive, one in each round of 0.1 s")
 def step_gang_beside_others(context, n, cores):
     scripted_cell = context.scripted_cell
--- a/libs/scheduling/features/steps/filler_steps.py
+++ b/libs/scheduling/features/steps/filler_steps.py
@@ -282,6 +282,16 @@
     context.worker.cell.submissions.by_id[task.submission_id].raise_run_floor(task, 1)
 
 
+@when(
+    "a filler whose earlier run may have crashed a worker is starving beside {n:d} "
+    "later ones"
+)
+def step_suspect_beside_others(context, n):
+    step_suspect_starves(context)
+    for number in range(n):
+        add_submission(context, 3 + number, make_step(FILLER, "press"))
+
+
 @when("a filler of the earlier owner is starving")
 def step_inherited_starves(context):
     add_submission(context, 2, make_step(FILLER, "press"), inherited=True)
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -70,13 +70,15 @@
         Otherwise tasks without a record would take it in each round, and all tasks with
         one would be recorded for the same worker.
         """
-        view.kept_by_task[task] = tracked.submission.steps[task.step].allocation
+        view.kept_step_by_task[task] = tracked.submission.steps[task.step]
         self._keeper_by_task[task] = view
 
-    def _release_capacity(self, task: TaskKey) -> None:
+    def _release_capacity(self, task: TaskKey) -> WorkerView | None:
+        """Release the capacity kept for a task; return the worker that kept it."""
         view = self._keeper_by_task.pop(task, None)
         if view is not None:
-            del view.kept_by_task[task]
+            del view.kept_step_by_task[task]
+        return view
 
     def _startable_tasks(self, ready: ReadyStep, now: float) -> list[TaskKey]:
         """Return the waiting tasks of a step that certainly run nowhere, in order."""
@@ -220,9 +222,12 @@
         for task in self._startable_tasks(ready, now):
             if self._give_up_crashing(ready.tracked, task, now):
                 return
-            self._release_capacity(task)
+            keeper = self._release_capacity(task)
             view = self._choose_worker(ready, task, now)
             if view is None:
+                if keeper is not None and ready.step.fills:
+                    # It may be forced there at the end of the round.
+                    self._keep_capacity(ready.tracked, task, keeper)
                 self._unplaced_tasks.append((ready.tracked, task))
                 if ready.stuck_since is None:
                     ready.stuck_since = now
@@ -370,14 +375,14 @@
         views = [
             view
             for view in self._usable_workers(now)
-            if len(view.kept_by_task) < MAX_PREPARED_STARTS
+            if len(view.kept_step_by_task) < MAX_PREPARED_STARTS
             or view.entry.worker_id == recorded_id
         ]
-        n_prepared = min((len(view.kept_by_task) for view in views), default=0)
+        n_prepared = min((len(view.kept_step_by_task) for view in views), default=0)
         quiet = [
             view
             for view in views
-            if (_is_quiet(view, now) and len(view.kept_by_task) == n_prepared)
+            if (_is_quiet(view, now) and len(view.kept_step_by_task) == n_prepared)
             or view.entry.worker_id == recorded_id
         ]
         return quiet or views
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -124,8 +124,9 @@
     used: TaskDemand = field(default_factory=TaskDemand)
     # Capacity that runs use which are to be stopped without having been adopted.
     used_by_unwanted: TaskDemand = field(default_factory=TaskDemand)
-    # Capacity kept for tasks that start here once their next run is recorded.
-    kept_by_task: dict[TaskKey, TaskDemand] = field(default_factory=dict)
+    # Steps of the tasks that start here once their next run is recorded: capacity is
+    # kept for them.
+    kept_step_by_task: dict[TaskKey, Step] = field(default_factory=dict)
     handled_number: int = 0
     acked_number: int = 0
     # Ends that can't be counted yet, and runs of submissions that the owner has not
@@ -257,8 +258,8 @@
     def free(self) -> TaskDemand:
         """Return the capacity neither used nor kept; negative where it has shrunk."""
         free = self.entry.capacity - self.used - self.used_by_unwanted
-        for kept in self.kept_by_task.values():
-            free = free - kept
+        for step in self.kept_step_by_task.values():
+            free = free - step.allocation
         return free
 
     def cpu_share(self, cpu_millis: float) -> float:
@@ -308,11 +309,15 @@
         return {run.step.image for run in self.serving_runs()}
 
     def cpu_left(self) -> int:
-        """Return the processor time expected to be unused, in thousandths of a core."""
+        """Return the processor time expected to be unused, in thousandths of a core.
+
+        What is kept for tasks that are about to start counts as used.
+        """
         left = float(self.entry.capacity.cpu_millis)
-        for run in self.run_by_task.values():
-            use = SERVING_CPU_SHARE if run.step.target_latency_ms else 1.0
-            left -= run.step.demand.cpu_millis * use
+        steps = [run.step for run in self.run_by_task.values()]
+        for step in (*steps, *self.kept_step_by_task.values()):
+            use = SERVING_CPU_SHARE if step.target_latency_ms else 1.0
+            left -= step.demand.cpu_millis * use
         return int(left)
 
     def readings(self) -> list[ServingReading]:
