--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -248,7 +248,8 @@
         if result is OrderResult.ACCEPTED:
             # The clock of the worker's next incarnation starts anew.
             run.was_accepted = answer.clock_ms >= view.clock.clock_ms > 0
-            view.alive_at = max(view.alive_at, run.started_at)
+            if run.was_accepted:
+                view.alive_at = max(view.alive_at, run.started_at)
             if run.phase in (RunPhase.STARTING, RunPhase.UNCONFIRMED):
                 run.phase = RunPhase.RUNNING
                 run.phase_since = now
