Record whether a worker is draining, so that the next owner needn't wait for it

Cause: a cell's recorded workers were written again only when a worker joined or left. A worker that began to drain under a live owner stayed recorded as it was before. If the owner was then killed, the worker ended and left the list before the cell had its next owner, which found it neither listed nor reachable, with a record that didn't say that it had drained. So it counted as a worker that may restart and have runs of the earlier owner, and each inherited task that was found running nowhere waited for the longest lease of an owner that is cut off, 18.7 s; after one more takeover again.

Ruled out: runs that the worker still reports (the connection is refused), other tasks in front (the lines name this reason only).

The fix: a change of this state makes the record incomplete, also during a write. The scenario with a worker that drained failed before, in both examples; the one without a drain keeps the wait.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -103,6 +103,9 @@
             return
         if entry.started_at_ms > view.incarnation_ms and view.incarnation_ms:
             self._end_incarnation(view, "listed with a later start", now)
+        if entry.is_draining != view.entry.is_draining:
+            # The next owner must know of a worker that has left whether it drained.
+            self._recorded_workers.discard(entry.worker_id)
         view.entry = entry
         view.is_listed = True
 
@@ -143,7 +146,10 @@
         )
 
     def must_record_workers(self) -> bool:
-        """Return whether the workers that are certainly recorded aren't the cell's."""
+        """Return whether the workers that are certainly recorded aren't the cell's.
+
+        A worker counts as recorded if the record tells whether it is draining.
+        """
         return (
             self._is_worker_record_in_doubt
             or self._recorded_workers != self.worker_by_id.keys()
--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -28,6 +28,26 @@
     When the answer to a write of the same workers is lost
     Then the workers must be written again
 
+  # Guards against LOST: the next owner waited 18.7 s for runs on a worker that had
+  # drained and left while the cell had no owner.
+  Scenario Outline: The next owner doesn't wait for a worker that <drains> and left
+    Given a cell with recorded workers "w1 w2"
+    When "w1" <drains> and the owner's process ends
+    And the next owner finds "w1" neither listed nor reachable, and "w2" reports
+    Then the next owner knows all runs of earlier owners
+
+    Examples:
+      | drains                                |
+      | drained                               |
+      | drained during a write of the workers |
+
+  # Guards against TWICE: a worker that isn't known to drain may restart.
+  Scenario: The next owner waits for a worker that left without draining
+    Given a cell with recorded workers "w1 w2"
+    When the owner's process ends
+    And the next owner finds "w1" neither listed nor reachable, and "w2" reports
+    Then the next owner doesn't know all runs of earlier owners
+
   Scenario: A host that gets a takeover notice before it starts a cell doesn't start it
     Given a cell with recorded workers "w1 w2"
     When a host gets a takeover notice while it acquires the cell
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -317,6 +317,68 @@
     scheduler.add_submission(submission, Progress(), 1.0, 1.0, inherited=False)
 
 
+@when('"{name}" drained and the owner\'s process ends')
+def step_worker_drained(context, name):
+    make_owning_scheduler(context)
+    list_as_draining(context.scheduler, name)
+    step_record_workers(context)
+
+
+@when('"{name}" drained during a write of the workers and the owner\'s process ends')
+def step_worker_drained_meanwhile(context, name):
+    make_owning_scheduler(context)
+    context.scheduler.list_worker(make_worker_entry("w3"), 1.0)
+
+    async def drain():
+        context.store.before_commit = None
+        list_as_draining(context.scheduler, name)
+
+    context.store.before_commit = drain
+    step_record_workers(context)
+
+
+@when("the owner's process ends")
+def step_process_ends(context):
+    make_owning_scheduler(context)
+
+
+def make_owning_scheduler(context):
+    workers = read_row(context, WORKERS_KEY, WorkersRow).workers
+    context.scheduler = make_scheduler(workers)
+    for worker in workers:
+        context.scheduler.list_worker(worker, 1.0)
+    context.recorder = make_recorder(context)
+    context.run(context.recorder.read_workers())
+
+
+def list_as_draining(scheduler, name):
+    scheduler.list_worker(replace(make_worker_entry(name), is_draining=True), 1.0)
+
+
+@when(
+    'the next owner finds "{left}" neither listed nor reachable, and "{name}" reports'
+)
+def step_next_owner(context, left, name):
+    workers = read_row(context, WORKERS_KEY, WorkersRow).workers
+    scheduler = CellScheduler(
+        CELL, 3, LeaseTimes(), 0.0, 18.0, workers, InterferenceModel()
+    )
+    for worker in workers:
+        if worker.worker_id == left:
+            scheduler.on_hold_failed(left, 1.0)
+            scheduler.on_connection_refused(left, 1.0)
+        else:
+            scheduler.list_worker(worker, 1.0)
+            report = WorkerReport(1000, 1, (), ())
+            scheduler.on_report(worker.worker_id, report, 1.0, 1.0)
+    context.scheduler = scheduler
+
+
+@then("the next owner {knows} all runs of earlier owners")
+def step_knows_runs(context, knows):
+    assert context.scheduler.has_settled(1.0) == (knows == "knows")
+
+
 @when("the workers are recorded until nothing is left to record")
 def step_record_workers(context):
     async def record():
--- a/programs/beryl-host/src/berylcleat/host/_recorder.py
+++ b/programs/beryl-host/src/berylcleat/host/_recorder.py
@@ -70,7 +70,8 @@
         """Record the cell's workers; return whether they are durable."""
         views = dict(scheduler.worker_by_id)
         scheduler.on_recording_workers(frozenset(views))
-        row = WorkersRow(tuple(view.entry for view in views.values()))
+        entry_by_worker = {worker_id: view.entry for worker_id, view in views.items()}
+        row = WorkersRow(tuple(entry_by_worker.values()))
         row_key = (RECORDED_WORKER_TABLE, self._cell_id, WORKERS_KEY)
         conditions = (self._owner_condition, Condition(*row_key, self._workers_version))
         try:
@@ -86,7 +87,14 @@
             self._on_conflict(outcome)
             return False
         self._workers_version = outcome.version
-        scheduler.on_workers_recorded(frozenset(views))
+        # Workers that began to drain during the write are recorded by the next one.
+        scheduler.on_workers_recorded(
+            frozenset(
+                worker_id
+                for worker_id, entry in entry_by_worker.items()
+                if views[worker_id].entry.is_draining == entry.is_draining
+            )
+        )
         return True
 
     async def commit(
