Name the owners that may still run in a cell's row, and ask each of them

Cause: the row of a cell that was taken over from a silent owner says that runs of owners before it may be unknown for 18.7 s. The next owner counted this time from its first read of the row and asked only the previous owner. After a restart of all hosts that time began anew, also if the owners before had all restarted, and also long after the takeover. Likewise a host whose commit was applied but not answered knew the earlier owner's row no more, asked nobody and waited 18.7 s even for an owner that had restarted. While it waits, one recorded worker without an answer keeps each inherited task that was found running nowhere from starting.

Ruled out: the previous owner's leases (its host has restarted, which is known by then).

The fix: an owner row names the owners that may still have been running when it was written, and the new owner asks all of them; that the newest tells its leases suffices, since they include those it was waiting for. All that have stopped leave the longest lease, 6.2 s. One that can't be asked is waited for as before. Rows of earlier versions name none and are treated as before.

Two steps now call the code by its new signature and check the same.

--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -95,6 +95,33 @@
     When a host acquires it and the answer to its commit is lost
     Then it has taken the cell
 
+  # Guards against LOST: hosts that had restarted waited 18.7 s for the owners before the
+  # previous one, although these had restarted too. Against TWICE: one that can't be
+  # asked may still run.
+  Scenario Outline: All owners that may still run are asked after two takeovers
+    Given a cell with recorded workers "w1 w2" that was lost
+    And its owner's host <restarts>
+    When a host takes it over and is killed, and all hosts restart
+    Then it waits for runs of earlier owners for <low> to <high> s
+
+    Examples:
+      | restarts        | low | high |
+      | restarts        | 6   | 7    |
+      | doesn't restart | 18  | 20   |
+
+  # Guards against LOST: a host whose commit's answer was lost asked no earlier owner and
+  # waited 18.7 s.
+  Scenario Outline: Earlier owners are asked also if the answer to the commit was lost
+    Given a cell with recorded workers "w1 w2" that was lost
+    And its owner's host <restarts>
+    When a host acquires it, and is told of it only by its row
+    Then it waits for runs of earlier owners for <low> to <high> s
+
+    Examples:
+      | restarts        | low | high |
+      | restarts        | 6   | 7    |
+      | doesn't restart | 18  | 20   |
+
   Scenario: A host without cells reads the list of workers rarely
     Given a table of 20 rows that are all written again every 0.1 s
     When a host that needs no changes follows it for 2.0 s, reading it every 10.0 s
--- a/programs/beryl-host/features/steps/host_parts.py
+++ b/programs/beryl-host/features/steps/host_parts.py
@@ -60,11 +60,13 @@
     )
 
 
-def make_manager(data_centre, store, membership, cells, workers, follower):
+def make_manager(
+    data_centre, store, membership, cells, workers, follower, incarnation="bb"
+):
     knowledge = make_knowledge(membership, cells, workers)
     submissions = SubmissionFeeds(store, knowledge.directory, 0.1)
     return CellOwnershipManager(
-        HostIdentity("host-1", data_centre, "bb", "127.0.0.1:9"),
+        HostIdentity("host-1", data_centre, incarnation, "127.0.0.1:9"),
         Connections(store, PeerClient()),
         knowledge,
         OwnerFeeds(follower, make_worker_follower(store), submissions),
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -12,7 +12,7 @@
     make_worker_entry,
 )
 
-from berylcleat.host._cell_directory import CellDirectory, ObservedOwner
+from berylcleat.host._cell_directory import CellDirectory
 from berylcleat.host._clock import now_s
 from berylcleat.host._follower import TableFollower
 from berylcleat.host._membership import Coverage, Membership, assign_cells
@@ -224,7 +224,7 @@
     put_cell_row(context, OWNER_KEY, encode(owner))
 
 
-async def make_live_manager(store, data_centre):
+async def make_live_manager(store, data_centre, incarnation="bb"):
     """Return the ownership manager and the cells of the only live host."""
     membership = Membership()
     cells = CellDirectory(data_centre)
@@ -232,13 +232,15 @@
     # The owner acquired the cell long ago.
     observed = cells.owner_by_cell[CELL]
     cells.owner_by_cell[CELL] = replace(observed, observed_at=now_s() - 10.0)
-    host = encode(HostRow("bb", "127.0.0.1:9", 1.0))
+    host = encode(HostRow(incarnation, "127.0.0.1:9", 1.0))
     membership.on_host_rows((StoreRow("centre-dc", "dc", "host/host-1", host, 1),))
     workers = WorkerList()
     workers.data_centre_by_cell()[CELL] = "dc-1"
     follower = make_cell_follower(store, cells)
     follower.confirmed_at = now_s()
-    manager = make_manager(data_centre, store, membership, cells, workers, follower)
+    manager = make_manager(
+        data_centre, store, membership, cells, workers, follower, incarnation
+    )
     return manager, cells
 
 
@@ -281,6 +283,73 @@
     context.run(acquire())
 
 
+async def report_restart(store, manager):
+    """Let the host "gone" write a heartbeat of its next incarnation.
+
+    It is leaving, so it acquires no cell.
+    """
+    heartbeat = encode(HostRow("cc", "127.0.0.1:9", 1.0, is_leaving=True))
+    store.put("centre-dc", "dc", "host/gone", heartbeat)
+    page = await store.read("centre-dc", "dc")
+    manager._membership.on_host_rows(page.rows)
+
+
+async def keep_settled_time(context, manager):
+    controller = manager.controller_by_cell[CELL]
+    now = now_s()
+    context.settled_after_s = next(
+        (s for s in range(30) if controller.scheduler.has_settled(now + s)), 30
+    )
+    await manager.release_all()
+
+
+@when("a host takes it over and is killed, and all hosts restart")
+def step_two_takeovers(context):
+    async def take_over_twice():
+        store = context.store
+        first, _ = await make_live_manager(store, "dc-1")
+        coverage = Coverage(now_s() - 10.0, now_s())
+        await first.reconcile(coverage, coverage)
+        await first.controller_by_cell[CELL].abandon()
+        second, cells = await make_live_manager(store, "dc-1", "dd")
+        # The restarted host reads the owner row for the first time.
+        observed = cells.owner_by_cell[CELL]
+        cells.owner_by_cell[CELL] = replace(observed, observed_at=now_s())
+        if context.has_restarted:
+            await report_restart(store, second)
+        await second.reconcile(coverage, coverage)
+        await keep_settled_time(context, second)
+
+    context.run(take_over_twice())
+
+
+@given("its owner's host {restarts}")
+def step_owner_restarts(context, restarts):
+    context.has_restarted = restarts == "restarts"
+
+
+@when("a host acquires it, and is told of it only by its row")
+def step_told_by_row(context):
+    async def acquire():
+        store = context.store
+        manager, cells = await make_live_manager(store, "dc-1")
+        coverage = Coverage(now_s() - 10.0, now_s())
+        store.n_lost_answers = 1
+        await manager.reconcile(coverage, coverage)
+        await read_owner(store, cells)
+        if context.has_restarted:
+            await report_restart(store, manager)
+        await manager.reconcile(coverage, coverage)
+        await keep_settled_time(context, manager)
+
+    context.run(acquire())
+
+
+@then("it waits for runs of earlier owners for {low:d} to {high:d} s")
+def step_waits(context, low, high):
+    assert low <= context.settled_after_s <= high, context.settled_after_s
+
+
 def make_scheduler(workers):
     return CellScheduler(CELL, 2, LeaseTimes(), 0.0, 0.0, workers, InterferenceModel())
 
@@ -433,7 +502,8 @@
         manager, cells = await make_live_manager(context.store, "dc-1")
         page = await context.store.read("centre-dc", "dc")
         manager._membership.on_host_rows(page.rows)
-        reply = await manager._confirm_stop(CELL, cells.owner_by_cell[CELL])
+        owners = manager._earlier_owners(cells.owner_by_cell[CELL])
+        reply = await manager._confirm_stops(CELL, owners)
         return reply is not None
 
     assert context.run(has_stopped()) == (state == "has stopped")
@@ -442,7 +512,6 @@
 @when("a host takes it over and the previous owner replies to the third request only")
 def step_late_reply(context):
     replies = [None, None, TakeoverReply({"w1": 0.0, "w2": 0.0})]
-    previous = ObservedOwner(OwnerRow(1, "host-2", "aa"), 1, 0.0)
 
     async def confirm_stop():
         return replies.pop(0)
@@ -450,7 +519,7 @@
     async def take_over():
         controller = make_owner(context, 18.0)
         await controller.start({})
-        controller.complete_handover(None, confirm_stop, previous)
+        controller.complete_handover(None, confirm_stop, now_s())
         loop = asyncio.get_running_loop()
         began_at = loop.time()
         while not controller.scheduler.has_settled(loop.time()):
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -20,7 +20,6 @@
     UnevenWorkers,
 )
 
-from ._cell_directory import ObservedOwner
 from ._cell_move_loops import MOVE_PERIOD_S, SPILL_PERIOD_S, CellMoveLoops
 from ._cell_summary import log_load, make_summary
 from ._clock import now_s, wall_ms
@@ -201,34 +200,35 @@
         self,
         reply: TakeoverReply | None,
         confirm_stop: Callable[[], Awaitable[TakeoverReply | None]],
-        previous: ObservedOwner | None,
+        unsettled_until: float,
     ) -> None:
-        """Apply the previous owner's reply; without one, repeat the question."""
-        if self.is_inactive or self.scheduler is None or previous is None:
+        """Apply the earlier owners' reply; without one, repeat the question.
+
+        Owners that can't be asked may have runs until ``unsettled_until``.
+        """
+        if self.is_inactive or self.scheduler is None:
             return
         if reply is None:
-            self._spawn(self._handover_loop(confirm_stop, previous))
+            self._spawn(self._handover_loop(confirm_stop, unsettled_until))
         elif reply.lease_left_s_by_worker is not None:
             self.scheduler.on_leases_told(reply.lease_left_s_by_worker, now_s())
 
     async def _handover_loop(
         self,
         confirm_stop: Callable[[], Awaitable[TakeoverReply | None]],
-        previous: ObservedOwner,
+        unsettled_until: float,
     ) -> None:
-        """Ask the previous owner, which may be cut off, until its runs are known."""
+        """Ask the earlier owners, which may be cut off, until their runs are known."""
         while not self.scheduler.has_settled(now_s()):
             await asyncio.sleep(HANDOVER_RETRY_S)
             reply = await confirm_stop()
             if reply is None:
                 continue
-            logger.info(
-                "cell %s: previous owner %s has stopped",
-                self.cell_id,
-                previous.row.host_id,
-            )
+            logger.info("cell %s: the earlier owners have stopped", self.cell_id)
             now = now_s()
-            self.scheduler.on_earlier_owner_stopped(previous.unsettled_s(now), now)
+            self.scheduler.on_earlier_owner_stopped(
+                max(0.0, unsettled_until - now), now
+            )
             if reply.lease_left_s_by_worker is not None:
                 self.scheduler.on_leases_told(reply.lease_left_s_by_worker, now)
             self._plan_needed.set()
@@ -241,7 +241,14 @@
         """
         self._is_stopped = True
         await self._stop_tasks()
-        row = OwnerRow(self.owner.epoch, "", "", self._unsettled_s())
+        unsettled_s = self._unsettled_s()
+        row = OwnerRow(
+            self.owner.epoch,
+            "",
+            "",
+            unsettled_s,
+            earlier_owners=self.owner.earlier_owners if unsettled_s else (),
+        )
         write = RowWrite(CELL_TABLE, self.cell_id, OWNER_KEY, encode(row))
         batch = self.scheduler.take_batch() if self.scheduler else RecordBatch((), {})
         try:
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import Set
 from dataclasses import dataclass
+from functools import partial
 
 from berylcleat.model import BerylError
 from berylcleat.ports import (
@@ -22,7 +23,14 @@
 from ._identity import HostIdentity
 from ._membership import Coverage, assign_cells
 from ._peers import TakeoverNotice, TakeoverReply
-from ._records import CELL_TABLE, OWNER_KEY, CellSummary, OwnerRow, encode
+from ._records import (
+    CELL_TABLE,
+    OWNER_KEY,
+    CellSummary,
+    EarlierOwner,
+    OwnerRow,
+    encode,
+)
 from ._remote_liveness import choose_adopting_data_centre
 from ._submission_directory import SubmissionEntry
 from ._submission_store import SubmissionStore
@@ -51,6 +59,17 @@
         }
 
 
+def _as_earlier_owners(observed: ObservedOwner) -> tuple[EarlierOwner, ...]:
+    """Return the owner that an owner row names, if any."""
+    row = observed.row
+    if not row.host_id:
+        return ()
+    owner = EarlierOwner(
+        row.epoch, row.host_id, row.incarnation, row.peer_address, observed.version
+    )
+    return (owner,)
+
+
 class CellOwnershipManager:
     """Manager of the cells of one host incarnation: acquires and releases them.
 
@@ -129,11 +148,7 @@
             await self._acquire(cell_id)
 
     async def _start_unacknowledged(self) -> None:
-        """Start cells that were acquired by a commit whose answer was lost.
-
-        The commit replaced the previous owner's row, so that owner can't be asked to
-        stop: its runs are waited for as if it were still alive.
-        """
+        """Start cells that were acquired by a commit whose answer was lost."""
         for cell_id, owner in tuple(self._cells.owner_by_cell.items()):
             row = owner.row
             is_ours = (row.host_id, row.incarnation) == (
@@ -258,6 +273,7 @@
             unsettled_s,
             self._identity.data_centre,
             self._identity.peer_address,
+            self._earlier_owners(previous),
         )
         row_key = (CELL_TABLE, cell_id, OWNER_KEY)
         commit = Commit(
@@ -287,6 +303,29 @@
             return remaining_s
         return max(remaining_s, self._times.takeover_wait_s(owner_is_dead=False))
 
+    def _earlier_owners(
+        self, previous: ObservedOwner | None
+    ) -> tuple[EarlierOwner, ...] | None:
+        """Return the earlier owners that may still be running; None if not known."""
+        if previous is None:
+            return ()
+        owners = previous.row.earlier_owners
+        if not previous.unsettled_s(now_s()):
+            owners = ()
+        if owners is None:
+            return None
+        return tuple(
+            owner
+            for owner in (*owners, *_as_earlier_owners(previous))
+            if not self._is_replaced(owner)
+        )
+
+    def _is_replaced(self, owner: EarlierOwner) -> bool:
+        """Return whether the host of an earlier owner is known to have restarted."""
+        return self._membership.is_replaced(
+            owner.host_id, owner.incarnation, owner.version
+        )
+
     async def _start_controller(
         self,
         cell_id: str,
@@ -294,8 +333,13 @@
         version: int,
         previous: ObservedOwner | None,
     ) -> None:
-        remaining_s = previous.unsettled_s(now_s()) if previous else 0.0
-        reply = await self._confirm_stop(cell_id, previous)
+        owners, remaining_s = row.earlier_owners, 0.0
+        if owners is None and previous is not None:
+            owners = _as_earlier_owners(previous)
+            remaining_s = previous.unsettled_s(now_s())
+        unsettled_until = now_s() + remaining_s
+        confirm_stop = partial(self._confirm_stops, cell_id, owners or ())
+        reply = await confirm_stop()
         wait_s = self._times.takeover_wait_s(owner_is_dead=reply is not None)
         controller = CellController(
             cell_id,
@@ -305,7 +349,7 @@
             self._connections,
             self._knowledge,
             self._times,
-            now_s() + max(wait_s, remaining_s),
+            max(now_s() + wait_s, unsettled_until),
             self._is_ownership_confirmed,
             self._mover,
             expected_finish=self._expected_finish,
@@ -323,9 +367,7 @@
             await self._feeds.workers.catch_up()
             await self._feeds.submissions.open(cell_id, version)
             await controller.start(self._workers.in_cell(cell_id))
-            controller.complete_handover(
-                reply, lambda: self._confirm_stop(cell_id, previous), previous
-            )
+            controller.complete_handover(reply, confirm_stop, unsettled_until)
         except BerylError as error:
             logger.warning("cell %s: could not start: %s", cell_id, error)
             await self._give_up(cell_id, controller)
@@ -340,25 +382,35 @@
         if self.controller_by_cell.pop(cell_id, None) is not None:
             await controller.release()
 
-    async def _confirm_stop(
-        self, cell_id: str, previous: ObservedOwner | None
+    async def _confirm_stops(
+        self, cell_id: str, owners: tuple[EarlierOwner, ...]
     ) -> TakeoverReply | None:
-        """Return what is known of a previous owner's leases; None if it may run.
+        """Return what is known of earlier owners' leases; None if one may run.
 
-        A stopped owner renews no lease and starts no task.
+        A stopped owner renews no lease and starts no task. The leases that the newest
+        one tells of include those that owners before it may have granted.
         """
-        if previous is None or not previous.row.host_id:
-            return TakeoverReply()
-        row = previous.row
-        if row.host_id == self._identity.host_id:
-            is_replaced = row.incarnation != self._identity.incarnation
+        for owner in reversed(owners):
+            reply = await self._confirm_stop(cell_id, owner)
+            if reply is None:
+                return None
+            if owner is owners[-1] and reply.lease_left_s_by_worker is not None:
+                return reply
+        return TakeoverReply()
+
+    async def _confirm_stop(
+        self, cell_id: str, owner: EarlierOwner
+    ) -> TakeoverReply | None:
+        """Return what is known of an earlier owner's leases; None if it may run."""
+        if owner.host_id == self._identity.host_id:
+            is_replaced = owner.incarnation != self._identity.incarnation
             return TakeoverReply() if is_replaced else None
-        if self._membership.is_replaced(row.host_id, row.incarnation, previous.version):
+        if self._is_replaced(owner):
             return TakeoverReply()
-        if not row.peer_address:
+        if not owner.peer_address:
             return None
         return await self._connections.peers.send_takeover(
-            row.peer_address, TakeoverNotice(cell_id, row.epoch, row.host_id)
+            owner.peer_address, TakeoverNotice(cell_id, owner.epoch, owner.host_id)
         )
 
     async def relinquish(self, cell_id: str, epoch: int) -> dict[str, float] | None:
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -55,11 +55,25 @@
     arrival_data_centre: str = ""
 
 
+class EarlierOwner(msgspec.Struct, frozen=True, array_like=True):
+    """Owner that a later one replaced without knowing whether it had stopped.
+
+    ``version`` is the version of the owner row that it wrote.
+    """
+
+    epoch: int
+    host_id: str
+    incarnation: str
+    peer_address: str
+    version: int
+
+
 class OwnerRow(msgspec.Struct, frozen=True):
     """Owner of a cell; ``host_id`` is empty if the cell was released.
 
     For ``unsettled_s`` seconds after the row was written, earlier owners may still have
-    runs that are unaccounted for.
+    runs that are unaccounted for. ``earlier_owners`` names the ones that may still have
+    been running then; None if they aren't known, so that none can be asked.
     """
 
     epoch: int
@@ -68,6 +82,7 @@
     unsettled_s: float = 0.0
     data_centre: str = ""
     peer_address: str = ""
+    earlier_owners: tuple[EarlierOwner, ...] | None = None
 
 
 class WorkersRow(msgspec.Struct, frozen=True):
