--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -28,6 +28,26 @@
     When the answer to a write of the same workers is lost
     Then the workers must be written again
 
+  # Guards against LOST: the next owner waited 18.7 s for runs on a worker that had
+  # drained and left while the cell had no owner.
+  Scenario Outline: The next owner doesn't wait for a worker that <drains> and left
+    Given a cell with recorded workers "w1 w2"
+    When "w1" <drains> and the owner's process ends
+    And the next owner finds "w1" neither listed nor reachable, and "w2" reports
+    Then the next owner knows all runs of earlier owners
+
+    Examples:
+      | drains                                |
+      | drained                               |
+      | drained during a write of the workers |
+
+  # Guards against TWICE: a worker that isn't known to drain may restart.
+  Scenario: The next owner waits for a worker that left without draining
+    Given a cell with recorded workers "w1 w2"
+    When the owner's process ends
+    And the next owner finds "w1" neither listed nor reachable, and "w2" reports
+    Then the next owner doesn't know all runs of earlier owners
+
   Scenario: A host that gets a takeover notice before it starts a cell doesn't start it
     Given a cell with recorded workers "w1 w2"
     When a host gets a takeover notice while it acquires the cell
@@ -75,6 +95,33 @@
     When a host acquires it and the answer to its commit is lost
     Then it has taken the cell
 
+  # Guards against LOST: hosts that had restarted waited 18.7 s for the owners before the
+  # previous one, although these had restarted too. Against TWICE: one that can't be
+  # asked may still run.
+  Scenario Outline: All owners that may still run are asked after two takeovers
+    Given a cell with recorded workers "w1 w2" that was lost
+    And its owner's host <restarts>
+    When a host takes it over and is killed, and all hosts restart
+    Then it waits for runs of earlier owners for <low> to <high> s
+
+    Examples:
+      | restarts        | low | high |
+      | restarts        | 6   | 7    |
+      | doesn't restart | 18  | 20   |
+
+  # Guards against LOST: a host whose commit's answer was lost asked no earlier owner and
+  # waited 18.7 s.
+  Scenario Outline: Earlier owners are asked also if the answer to the commit was lost
+    Given a cell with recorded workers "w1 w2" that was lost
+    And its owner's host <restarts>
+    When a host acquires it, and is told of it only by its row
+    Then it waits for runs of earlier owners for <low> to <high> s
+
+    Examples:
+      | restarts        | low | high |
+      | restarts        | 6   | 7    |
+      | doesn't restart | 18  | 20   |
+
   Scenario: A host without cells reads the list of workers rarely
     Given a table of 20 rows that are all written again every 0.1 s
     When a host that needs no changes follows it for 2.0 s, reading it every 10.0 s
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -13,7 +13,7 @@
 )
 from prometheus_client import REGISTRY
 
-from berylcleat.host._cell_directory import CellDirectory, ObservedOwner
+from berylcleat.host._cell_directory import CellDirectory
 from berylcleat.host._clock import now_s
 from berylcleat.host._follower import TableFollower
 from berylcleat.host._membership import Coverage, Membership, assign_cells
@@ -236,7 +236,7 @@
     put_cell_row(context, OWNER_KEY, encode(owner))
 
 
-async def make_live_manager(store, data_centre):
+async def make_live_manager(store, data_centre, incarnation="bb"):
     """Return the ownership manager and the cells of the only live host."""
     membership = Membership()
     cells = CellDirectory(data_centre)
@@ -244,13 +244,15 @@
     # The owner acquired the cell long ago.
     observed = cells.owner_by_cell[CELL]
     cells.owner_by_cell[CELL] = replace(observed, observed_at=now_s() - 10.0)
-    host = encode(HostRow("bb", "127.0.0.1:9", 1.0))
+    host = encode(HostRow(incarnation, "127.0.0.1:9", 1.0))
     membership.on_host_rows((StoreRow("centre-dc", "dc", "host/host-1", host, 1),))
     workers = WorkerList()
     workers.data_centre_by_cell()[CELL] = "dc-1"
     follower = make_cell_follower(store, cells)
     follower.confirmed_at = now_s()
-    manager = make_manager(data_centre, store, membership, cells, workers, follower)
+    manager = make_manager(
+        data_centre, store, membership, cells, workers, follower, incarnation
+    )
     return manager, cells
 
 
@@ -293,6 +295,73 @@
     context.run(acquire())
 
 
+async def report_restart(store, manager):
+    """Let the host "gone" write a heartbeat of its next incarnation.
+
+    It is leaving, so it acquires no cell.
+    """
+    heartbeat = encode(HostRow("cc", "127.0.0.1:9", 1.0, is_leaving=True))
+    store.put("centre-dc", "dc", "host/gone", heartbeat)
+    page = await store.read("centre-dc", "dc")
+    manager._membership.on_host_rows(page.rows)
+
+
+async def keep_settled_time(context, manager):
+    controller = manager.controller_by_cell[CELL]
+    now = now_s()
+    context.settled_after_s = next(
+        (s for s in range(30) if controller.scheduler.has_settled(now + s)), 30
+    )
+    await manager.release_all()
+
+
+@when("a host takes it over and is killed, and all hosts restart")
+def step_two_takeovers(context):
+    async def take_over_twice():
+        store = context.store
+        first, _ = await make_live_manager(store, "dc-1")
+        coverage = Coverage(now_s() - 10.0, now_s())
+        await first.reconcile(coverage, coverage)
+        await first.controller_by_cell[CELL].abandon()
+        second, cells = await make_live_manager(store, "dc-1", "dd")
+        # The restarted host reads the owner row for the first time.
+        observed = cells.owner_by_cell[CELL]
+        cells.owner_by_cell[CELL] = replace(observed, observed_at=now_s())
+        if context.has_restarted:
+            await report_restart(store, second)
+        await second.reconcile(coverage, coverage)
+        await keep_settled_time(context, second)
+
+    context.run(take_over_twice())
+
+
+@given("its owner's host {restarts}")
+def step_owner_restarts(context, restarts):
+    context.has_restarted = restarts == "restarts"
+
+
+@when("a host acquires it, and is told of it only by its row")
+def step_told_by_row(context):
+    async def acquire():
+        store = context.store
+        manager, cells = await make_live_manager(store, "dc-1")
+        coverage = Coverage(now_s() - 10.0, now_s())
+        store.n_lost_answers = 1
+        await manager.reconcile(coverage, coverage)
+        await read_owner(store, cells)
+        if context.has_restarted:
+            await report_restart(store, manager)
+        await manager.reconcile(coverage, coverage)
+        await keep_settled_time(context, manager)
+
+    context.run(acquire())
+
+
+@then("it waits for runs of earlier owners for {low:d} to {high:d} s")
+def step_waits(context, low, high):
+    assert low <= context.settled_after_s <= high, context.settled_after_s
+
+
 def make_scheduler(workers):
     return CellScheduler(CELL, 2, LeaseTimes(), 0.0, 0.0, workers, InterferenceModel())
 
@@ -329,6 +398,68 @@
     scheduler.add_submission(submission, Progress(), 1.0, 1.0, inherited=False)
 
 
+@when('"{name}" drained and the owner\'s process ends')
+def step_worker_drained(context, name):
+    make_owning_scheduler(context)
+    list_as_draining(context.scheduler, name)
+    step_record_workers(context)
+
+
+@when('"{name}" drained during a write of the workers and the owner\'s process ends')
+def step_worker_drained_meanwhile(context, name):
+    make_owning_scheduler(context)
+    context.scheduler.list_worker(make_worker_entry("w3"), 1.0)
+
+    async def drain():
+        context.store.before_commit = None
+        list_as_draining(context.scheduler, name)
+
+    context.store.before_commit = drain
+    step_record_workers(context)
+
+
+@when("the owner's process ends")
+def step_process_ends(context):
+    make_owning_scheduler(context)
+
+
+def make_owning_scheduler(context):
+    workers = read_row(context, WORKERS_KEY, WorkersRow).workers
+    context.scheduler = make_scheduler(workers)
+    for worker in workers:
+        context.scheduler.list_worker(worker, 1.0)
+    context.recorder = make_recorder(context)
+    context.run(context.recorder.read_workers())
+
+
+def list_as_draining(scheduler, name):
+    scheduler.list_worker(replace(make_worker_entry(name), is_draining=True), 1.0)
+
+
+@when(
+    'the next owner finds "{left}" neither listed nor reachable, and "{name}" reports'
+)
+def step_next_owner(context, left, name):
+    workers = read_row(context, WORKERS_KEY, WorkersRow).workers
+    scheduler = CellScheduler(
+        CELL, 3, LeaseTimes(), 0.0, 18.0, workers, InterferenceModel()
+    )
+    for worker in workers:
+        if worker.worker_id == left:
+            scheduler.on_hold_failed(left, 1.0)
+            scheduler.on_connection_refused(left, 1.0)
+        else:
+            scheduler.list_worker(worker, 1.0)
+            report = WorkerReport(1000, 1, (), ())
+            scheduler.on_report(worker.worker_id, report, 1.0, 1.0)
+    context.scheduler = scheduler
+
+
+@then("the next owner {knows} all runs of earlier owners")
+def step_knows_runs(context, knows):
+    assert context.scheduler.has_settled(1.0) == (knows == "knows")
+
+
 @when("the workers are recorded until nothing is left to record")
 def step_record_workers(context):
     async def record():
@@ -383,7 +514,8 @@
         manager, cells = await make_live_manager(context.store, "dc-1")
         page = await context.store.read("centre-dc", "dc")
         manager._membership.on_host_rows(page.rows)
-        reply = await manager._confirm_stop(CELL, cells.owner_by_cell[CELL])
+        owners = manager._earlier_owners(cells.owner_by_cell[CELL])
+        reply = await manager._confirm_stops(CELL, owners)
         return reply is not None
 
     assert context.run(has_stopped()) == (state == "has stopped")
@@ -392,7 +524,6 @@
 @when("a host takes it over and the previous owner replies to the third request only")
 def step_late_reply(context):
     replies = [None, None, TakeoverReply({"w1": 0.0, "w2": 0.0})]
-    previous = ObservedOwner(OwnerRow(1, "host-2", "aa"), 1, 0.0)
 
     async def confirm_stop():
         return replies.pop(0)
@@ -400,7 +531,7 @@
     async def take_over():
         controller = make_owner(context, 18.0)
         await controller.start({})
-        controller.complete_handover(None, confirm_stop, previous)
+        controller.complete_handover(None, confirm_stop, now_s())
         loop = asyncio.get_running_loop()
         began_at = loop.time()
         while not controller.scheduler.has_settled(loop.time()):
