Give up a move that the store rejects for good

A move's transaction holds a row for each table with tasks of its submission. With more than 100 entries or 1 MB the store answers 400 each time. That counted as an unknown outcome, so the move was tried again every 0.3 s while the cell had its owner, and its tasks neither moved nor started: LOST.

The new scenario failed before: the move wasn't settled within 1 s.

Such an answer is an error of its own, RejectedWriteError. The move is settled, and its tasks may start in their cell or be proposed again. A client whose submission is rejected so gets 503 instead of 504.

Left open: a record of progress that is rejected so is still repeated.

--- a/libs/model/src/berylcleat/model/__init__.py
+++ b/libs/model/src/berylcleat/model/__init__.py
@@ -24,6 +24,7 @@
     OutcomeUnknownError,
     PlatformUnavailableError,
     PortInUseError,
+    RejectedWriteError,
     SettingsError,
 )
 from ._jobs import (
@@ -72,6 +73,7 @@
     "PlatformUnavailableError",
     "PortInUseError",
     "QueuePolicy",
+    "RejectedWriteError",
     "Resources",
     "Rule",
     "Selector",
--- a/libs/model/src/berylcleat/model/_errors.py
+++ b/libs/model/src/berylcleat/model/_errors.py
@@ -73,6 +73,10 @@
     code = ErrorCode.PLATFORM_UNAVAILABLE
 
 
+class RejectedWriteError(PlatformUnavailableError):
+    """Write that the platform rejects for what it is: another try has no effect."""
+
+
 class OutcomeUnknownError(BerylError):
     """Write that may or may not have taken effect."""
 
--- a/programs/beryl-host/features/moves.feature
+++ b/programs/beryl-host/features/moves.feature
@@ -75,3 +75,9 @@
     When the owner of "r1" settles the task's end while "r2" records it
     Then cell "r2" was told nothing
     And the end is settled
+
+  # Guards against LOST: the tasks of a move that is never applied neither moved nor started.
+  Scenario: A move that is too large for the store is given up
+    Given a submission of cell "r1"
+    When its owner moves a task of it to each of 120 cells
+    Then the move is settled and its tasks stay in cell "r1"
--- a/programs/beryl-host/features/steps/moves_steps.py
+++ b/programs/beryl-host/features/steps/moves_steps.py
@@ -1,3 +1,5 @@
+import asyncio
+
 from behave import given, then, when
 
 from berylcleat.host._operator_state import OperatorState
@@ -17,7 +19,7 @@
 from berylcleat.host._task_mover import TaskMover
 from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
 from berylcleat.ports import EndedTask, RunEnd
-from berylcleat.scheduling import TaskMove
+from berylcleat.scheduling import MoveProposal, TaskMove
 from berylcleat.standins import MemoryStore
 
 SUBMISSION_ID = "0123456789abcdef"
@@ -147,6 +149,8 @@
 
     def __init__(self, cell_id, *, records):
         self.cell_id = cell_id
+        self.data_centre = "dc-1"
+        self.is_inactive = False
         self.records = records
         self.scheduler = self
         self.told = []
@@ -156,6 +160,9 @@
         self.told += [end.task for end in ends]
         return self.records
 
+    def on_move_settled(self, proposal, now):
+        self.settled.append(proposal)
+
     def on_stray_ends_settled(self, ends):
         self.settled += ends
 
@@ -237,3 +244,32 @@
 @then('the host still knows that the task is in "{cell_id}"')
 def step_still_known(context, cell_id):
     assert context.directory.by_id[SUBMISSION_ID].cell_of(TASK) == cell_id
+
+
+@when("its owner moves a task of it to each of {n:d} cells")
+def step_large_move(context, n):
+    owner_row = context.memory.rows_by_key(CELL_TABLE, HOME)[OWNER_KEY]
+    context.owner = RecordingOwner(HOME, records=True)
+    context.owner.owner_version = owner_row.version
+    directory = SubmissionDirectory()
+    directory.add_entry(SUBMISSION_ID, read(context, HOME))
+    mover = TaskMover(
+        context.submissions, directory, None, None, Ownership([]), OperatorState()
+    )
+    moves = {
+        TaskKey(SUBMISSION_ID, 0, 0, index): TaskMove(f"other-{index}", 1)
+        for index in range(n)
+    }
+    context.proposal = MoveProposal(SUBMISSION_ID, moves)
+
+    async def move_in_time():
+        async with asyncio.timeout(1.0):
+            await mover.move(context.owner, context.proposal)
+
+    context.run(move_in_time())
+
+
+@then('the move is settled and its tasks stay in cell "{cell_id}"')
+def step_move_given_up(context, cell_id):
+    assert context.owner.settled == [context.proposal]
+    assert read(context, cell_id).cells() == {cell_id}
--- a/programs/beryl-host/src/berylcleat/host/_task_mover.py
+++ b/programs/beryl-host/src/berylcleat/host/_task_mover.py
@@ -4,7 +4,7 @@
 import logging
 from dataclasses import replace
 
-from berylcleat.model import BerylError, PlatformUnavailableError
+from berylcleat.model import BerylError, PlatformUnavailableError, RejectedWriteError
 from berylcleat.ports import EndedTask, RunEnd, StoreRow
 from berylcleat.scheduling import CellHeadroom, MovedTaskEnd, MoveProposal
 
@@ -80,6 +80,14 @@
         while not controller.is_inactive:
             try:
                 outcome = await self._store.commit_move(move)
+            except RejectedWriteError as error:
+                logger.error(
+                    "submission %s: tasks can't be moved: %s",
+                    proposal.submission_id,
+                    error,
+                )
+                controller.scheduler.on_move_settled(proposal, now_s())
+                return
             except PlatformUnavailableError:
                 await asyncio.sleep(MOVE_RETRY_S)
             except BerylError as error:
--- a/standins/src/berylcleat/standins/_memory_store.py
+++ b/standins/src/berylcleat/standins/_memory_store.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from berylcleat.model import OutcomeUnknownError
+from berylcleat.model import OutcomeUnknownError, RejectedWriteError
 from berylcleat.ports import (
     Commit,
     CommitOutcome,
@@ -58,14 +58,14 @@
     async def commit(self, commit: Commit) -> CommitOutcome:
         """Apply ``commit``, or return the current rows of a failed condition.
 
-        Raises ``OutcomeUnknownError`` for a transaction that is too large or whose
-        answer is to be lost.
+        Raises ``RejectedWriteError`` for a transaction that is too large and
+        ``OutcomeUnknownError`` for one whose answer is to be lost.
         """
         if self.before_commit is not None:
             await self.before_commit()
         status, body = self._execute_transaction(commit.conditions, commit.writes)
         if status == 400:
-            raise OutcomeUnknownError(body["error"], REMEDY)
+            raise RejectedWriteError(body["error"], "Write less at once")
         if self.n_lost_answers:
             self.n_lost_answers -= 1
             raise OutcomeUnknownError("store: no answer", REMEDY)
