Don't count tasks whose room is kept as waiting for more of it

Callers see LOST or late starts: tasks stuck in one cell don't move to another with room.

Cause: capacity kept for a prepared start isn't free any more, and the load that a cell publishes also deducts the demand of its waiting tasks, among them those whose room is kept. Other cells saw each prepared start as two.

Evidence: in the test 4 of 32 cores are kept for 4 tasks, and 4 more count as waited for.

Ruled out: runs, which count once, as they don't wait.

Change: waiting_cpu and stuck_cpu leave out the tasks whose room is kept.

Before: the new scenario fails with 4000 instead of 0. After: it passes.

--- a/libs/scheduling/features/crashes.feature
+++ b/libs/scheduling/features/crashes.feature
@@ -147,3 +147,10 @@
     Given 4 workers and an earlier owner's step of 4 tasks, one for a worker, after a worker was lost
     When 2 rounds are planned
     Then 4 workers have got a task each
+
+  # Guards against LOST: other cells saw the room that a prepared start takes as taken
+  # twice, so their stuck tasks stayed.
+  Scenario: A task whose room is kept doesn't count as waiting for more
+    Given 4 workers and an earlier owner's step of 4 tasks, one for a worker, after a worker was lost
+    When 1 rounds are planned
+    Then 28000 thousandths of a core are free and 0 are waited for
--- a/libs/scheduling/features/steps/crash_steps.py
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -212,6 +212,13 @@
         context.scripted_cell.step()
 
 
+@then("{free:d} thousandths of a core are free and {waiting:d} are waited for")
+def step_room(context, free, waiting):
+    cell = context.scripted_cell.cell
+    n_free = sum(view.free().cpu_millis for view in cell.worker_by_id.values())
+    assert (n_free, cell.waiting_cpu()) == (free, waiting), (n_free, cell.waiting_cpu())
+
+
 @then("{n:d} workers have got a task each")
 def step_spread(context, n):
     workers = [item.worker_id for item in context.scripted_cell.starts]
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -295,12 +295,17 @@
     def waiting_cpu(self) -> int:
         """Return the processor time that waiting tasks would reserve.
 
-        The unit is a thousandth of a core; fillers reserve none.
+        The unit is a thousandth of a core; fillers reserve none. What is kept for tasks
+        that are about to start isn't free any more, so it doesn't count here.
         """
-        return sum(
-            len(ready.waiting) * ready.step.allocation.cpu_millis
-            for ready in self.submissions.iter_ready()
-        )
+        return sum(map(self._waiting_cpu_of, self.submissions.iter_ready()))
+
+    def _waiting_cpu_of(self, ready: ReadyStep) -> int:
+        cpu_millis = ready.step.allocation.cpu_millis
+        if not self._keeper_by_task:
+            return len(ready.waiting) * cpu_millis
+        n_kept = sum(ready.task(i) in self._keeper_by_task for i in ready.waiting)
+        return (len(ready.waiting) - n_kept) * cpu_millis
 
     def stuck_cpu(self, now: float) -> int:
         """Return the part of ``waiting_cpu`` that belongs to stuck steps.
@@ -308,7 +313,7 @@
         It can't start on this cell's workers, so it doesn't use up their capacity.
         """
         return sum(
-            len(ready.waiting) * ready.step.allocation.cpu_millis
+            self._waiting_cpu_of(ready)
             for ready in self.submissions.iter_ready()
             if self._is_stuck(ready, now)
         )
