Publish no headroom for fillers on workers that can't start anything

Callers see LOST or late starts: fillers move to cells where no worker starts them.

Cause: the headroom for fillers counted every worker that the owner knows except those in maintenance: also those that drain, aren't listed, don't answer, or have never answered this owner. A worker that ran nothing known counted with all its processors, as mild to every filler.

Evidence: in the tests a worker that isn't listed, drains or is silent is published as headroom.

Ruled out: the headroom for ordinary tasks, which counts only workers that can start.

Change: workers that are out of use until they answer or their entry changes are left out. Those that are avoided for a moment still count, as the tasks of a move arrive later.

--- a/libs/scheduling/features/fillers.feature
+++ b/libs/scheduling/features/fillers.feature
@@ -98,3 +98,16 @@
     Given a cell whose only worker runs 8 tasks "web", beside which "press" is mild
     When a filler whose earlier run may have crashed a worker is starving beside 6 later ones
     Then it has run within 1 forced period
+
+  # Guards against LOST: fillers moved to cells for the time left on workers that can't
+  # start them, and on again, before they were starving.
+  Scenario Outline: A worker that is <state> is no headroom for fillers
+    Given a cell whose only worker runs 1 tasks "web", beside which "press" is mild
+    When the worker is <state>
+    Then no other cell sends fillers to it
+
+    Examples:
+      | state      |
+      | not listed |
+      | draining   |
+      | silent     |
--- a/libs/scheduling/features/steps/filler_steps.py
+++ b/libs/scheduling/features/steps/filler_steps.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 from behave import given, then, when
 from cell_loop import make_entry
 
@@ -292,6 +294,23 @@
         add_submission(context, 3 + number, make_step(FILLER, "press"))
 
 
+@when("the worker is {state}")
+def step_worker_out_of_use(context, state):
+    cell = context.worker.cell
+    if state == "not listed":
+        cell.unlist_worker("w")
+    elif state == "draining":
+        entry = cell.worker_by_id["w"].entry
+        cell.list_worker(replace(entry, is_draining=True), context.worker.now)
+    else:
+        cell.on_hold_failed("w", context.worker.now)
+
+
+@then("no other cell sends fillers to it")
+def step_no_filler_headroom(context):
+    assert not context.worker.cell.filler_headrooms()
+
+
 @when("a filler of the earlier owner is starving")
 def step_inherited_starves(context):
     add_submission(context, 2, make_step(FILLER, "press"), inherited=True)
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -319,10 +319,13 @@
         )
 
     def filler_headrooms(self) -> tuple[FillerHeadroom, ...]:
-        """Return the processor time left on the workers, by set of serving images."""
+        """Return the processor time left on the workers, by set of serving images.
+
+        Workers that may not start anything count as none.
+        """
         left_by_images: dict[tuple[str, ...], int] = {}
         for view in self.worker_by_id.values():
-            if view.is_cordoned:
+            if view.explain_out_of_use():
                 continue
             images = tuple(sorted(view.serving_images()))
             left = left_by_images.get(images, 0)
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -180,6 +180,22 @@
 
     def explain_unusable(self, now: float) -> str:
         """Return why no start may be prepared for this worker, or an empty string."""
+        reason = self.explain_out_of_use()
+        if reason:
+            return reason
+        if now < self.avoid_until:
+            return "avoided"
+        if self.condition is not None and self._is_probation_full(now):
+            return "on probation"
+        if now - self.clock.answered_at >= MAX_SILENCE_S:
+            return "silent"
+        return ""
+
+    def explain_out_of_use(self) -> str:
+        """Return why the worker is out of use, whatever the time, or an empty string.
+
+        It stays so until it answers or its entry changes.
+        """
         if not self.has_seen_epoch:
             return "no answer under this epoch"
         if self.hold_failed_at is not None:
@@ -194,12 +210,6 @@
             return "runs of unknown submissions"
         if 0 < self.entry.started_at_ms < self.incarnation_ms:
             return "capacity since its restart unknown"
-        if now < self.avoid_until:
-            return "avoided"
-        if self.condition is not None and self._is_probation_full(now):
-            return "on probation"
-        if now - self.clock.answered_at >= MAX_SILENCE_S:
-            return "silent"
         return ""
 
     def _is_probation_full(self, now: float) -> bool:
