Limit the moves of fillers in every deployment, so that a starving one is forced

Callers see LOST: a filler that fits in no cell moves between cells for ever.

Cause: a filler moves once it has fitted nowhere for 1 s and is forced after 1.5 s, and each move starts this time anew. Moves were limited only where tasks move at once. The headroom that attracts fillers is a sum over workers, so it can hold one that no single worker holds.

Evidence: in the test a filler that has moved twice is proposed for the next move after 1 s and never starts, on a worker with 28 of 32 processors free.

Ruled out: deployments with expected_finish, which have limited the moves to two before.

Change: the moves of fillers count and are limited everywhere, except in evacuated cells and for gangs and tasks that last.

Before: the new scenario fails. After: it passes.

--- a/libs/scheduling/features/fillers.feature
+++ b/libs/scheduling/features/fillers.feature
@@ -111,3 +111,10 @@
       | not listed |
       | draining   |
       | silent     |
+
+  # Guards against LOST: a filler moves after 1 s and is forced after 1.5 s, so one that fits
+  # in no cell moved between cells for ever.
+  Scenario: A filler that has moved twice is forced
+    Given a cell whose only worker runs a task "web", beside which "press" is heavy
+    When a filler that has moved twice is starving, and another cell seems to have room
+    Then it has run within 1 forced period
--- a/libs/scheduling/features/steps/filler_steps.py
+++ b/libs/scheduling/features/steps/filler_steps.py
@@ -13,8 +13,10 @@
     WorkerReport,
 )
 from berylcleat.scheduling import (
+    CellHeadroom,
     CellScheduler,
     CrashEvidence,
+    FillerHeadroom,
     ImageUse,
     InterferenceLevel,
     InterferenceModel,
@@ -311,6 +313,19 @@
     assert not context.worker.cell.filler_headrooms()
 
 
+@when("a filler that has moved twice is starving, and another cell seems to have room")
+def step_bouncing_filler(context):
+    worker = context.worker
+    add_submission(context, 2, make_step(FILLER, "press"))
+    tracked = worker.cell.submissions.by_id[f"{2:016x}"]
+    tracked.n_moves_by_task[TaskKey(f"{2:016x}", 0, 0, 0)] = 2
+    rooms = (FillerHeadroom((), 32000),)
+    headroom = CellHeadroom("r2", "svc", 32000, rooms, 0, 32000, (32000,))
+    while worker.now < 4.5:
+        worker.step()
+        worker.cell.propose_moves((headroom,), worker.now)
+
+
 @when("a filler of the earlier owner is starving")
 def step_inherited_starves(context):
     add_submission(context, 2, make_step(FILLER, "press"), inherited=True)
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -239,15 +239,19 @@
         )
 
     def _counts_moves(self, ready: ReadyStep) -> bool:
-        """Return whether the moves of a step's tasks are limited in number."""
-        if self.spill is None or self._is_evacuated():
+        """Return whether the moves of a step's tasks are limited in number.
+
+        Those of fillers always are: a filler that moves on can't be forced.
+        """
+        if self._is_evacuated() or ready.step.is_gang or ready.step.is_long_running:
             return False
-        return not ready.step.is_gang and not ready.step.is_long_running
+        return ready.step.fills or self.spill is not None
 
     def _may_move(self, ready: ReadyStep, task: TaskKey, now: float) -> bool:
         """Return whether a stuck task has not moved too often or too recently.
 
-        Moves are limited only where tasks move at once, and not for tasks that last.
+        Moves are limited for fillers, and for others where tasks move at once, but not
+        for tasks that last.
         """
         if not self._counts_moves(ready):
             return True
