Record the submissions first whose last record is oldest

Callers see LOST: a task whose run must be recorded before it starts never starts.

Cause: a record holds at most 49 submissions, and the recorder takes the first of the unrecorded ones, in the order of their arrival. While as many earlier ones change before each record, later ones are never recorded.

Evidence: in the test 11 of 60 submissions aren't in either of two records.

Ruled out: nothing else chooses what a record holds.

Change: unrecorded submissions come in the order of their last record.

Before: the new scenario fails. After: it passes.

--- a/libs/scheduling/features/crashes.feature
+++ b/libs/scheduling/features/crashes.feature
@@ -154,3 +154,10 @@
     Given 4 workers and an earlier owner's step of 4 tasks, one for a worker, after a worker was lost
     When 1 rounds are planned
     Then 28000 thousandths of a core are free and 0 are waited for
+
+  # Guards against LOST: a record holds at most 49 submissions, always those that came
+  # first, so later ones never started while the progress of these changed.
+  Scenario: Each submission is recorded although the progress of many changes
+    Given 60 submissions of a task each, and records that hold 49 submissions
+    When the progress of all changes before each of 2 records
+    Then each of them has been recorded
--- a/libs/scheduling/features/steps/crash_steps.py
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -12,7 +12,7 @@
     TaskKey,
 )
 from berylcleat.ports import RunEnd
-from berylcleat.scheduling import CrashEvidence, Progress
+from berylcleat.scheduling import CrashEvidence, Progress, RecordBatch
 
 
 @given("{n:d} workers, of which the first crashes once when the task starts there")
@@ -212,6 +212,32 @@
         context.scripted_cell.step()
 
 
+@given("{n:d} submissions of a task each, and records that hold {n_held:d} submissions")
+def step_many_submissions(context, n, n_held):
+    scripted_cell = context.scripted_cell = ScriptedCell(1, 8000)
+    for number in range(n):
+        step = Step(1, TaskDemand(1000, 100))
+        scripted_cell.submit(step, submission_id=f"{number:016x}")
+    context.n_held = n_held
+
+
+@when("the progress of all changes before each of {n:d} records")
+def step_all_change(context, n):
+    cell = context.scripted_cell.cell
+    context.recorded = set()
+    for _ in range(n):
+        for tracked in cell.submissions.by_id.values():
+            tracked.is_dirty = True
+        writes = cell.take_batch().writes[: context.n_held]
+        context.recorded |= {write.submission_id for write in writes}
+        cell.on_recorded(RecordBatch(writes, {}))
+
+
+@then("each of them has been recorded")
+def step_all_recorded(context):
+    assert context.recorded == context.scripted_cell.cell.submissions.by_id.keys()
+
+
 @then("{free:d} thousandths of a core are free and {waiting:d} are waited for")
 def step_room(context, free, waiting):
     cell = context.scripted_cell.cell
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -367,8 +367,11 @@
 
     def on_recorded(self, batch: RecordBatch) -> None:
         """Mark ``batch`` as durable and acknowledge its ends."""
+        self.submissions.n_records += 1
         for write in batch.writes:
             tracked = self.submissions.by_id.get(write.submission_id)
+            if tracked:
+                tracked.record_number = self.submissions.n_records
             if tracked and (
                 tracked.progress.crashed_runs_by_task
                 or tracked.recorded_crashes_by_task
--- a/libs/scheduling/src/berylcleat/scheduling/_submissions.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_submissions.py
@@ -62,6 +62,8 @@
     has_started: bool = False
     last_forced_at: float = 0.0
     is_dirty: bool = False
+    # Number of the latest record of the cell that holds its progress.
+    record_number: int = 0
     ready_by_step: dict[tuple[int, int], ReadyStep] = field(default_factory=dict)
     activated_steps: set[tuple[int, int]] = field(default_factory=set)
     run_floor_by_task: dict[TaskKey, int] = field(default_factory=dict)
@@ -431,6 +433,8 @@
         self._order: UrgencyOrder = order or DeadlineOrder()
         self.by_id: dict[str, TrackedSubmission] = {}
         self.live_by_id: dict[str, TrackedSubmission] = {}
+        # Number of records written so far.
+        self.n_records = 0
         # Moving average over the ordinary steps added here, in thousandths of a core.
         self.usual_demand_millis = 0
 
@@ -486,8 +490,12 @@
         return self._order.sort(self.iter_ready(), now)
 
     def dirty_submissions(self) -> list[TrackedSubmission]:
-        """Return the submissions with unrecorded progress."""
-        return [tracked for tracked in self.live_by_id.values() if tracked.is_dirty]
+        """Return the submissions with unrecorded progress.
+
+        Those recorded least recently come first, as a record may hold only some.
+        """
+        dirty = (tracked for tracked in self.live_by_id.values() if tracked.is_dirty)
+        return sorted(dirty, key=lambda tracked: tracked.record_number)
 
     def n_pending_by_queue(self) -> dict[str, int]:
         """Return the number of submissions without a started task, by queue."""
