Let suspects choose among all workers if none without a recent start fits

Callers see LOST: after a worker has crashed, a task that may have caused it waits although it fits.

Cause: a suspect prefers workers where nothing has started for 0.3 s, and chose among these alone as soon as there was one, whether the task fits there or not. Full workers get no starts, so they are such. While short tasks start on every worker with room, the suspect was never recorded for one of them.

Evidence: in the test a task of 4 cores doesn't start in 1.9 s beside a worker with 7 of 8 cores free, as two others are full.

Ruled out for this test: records (written in each round), takeovers and interference (none).

Change: if no worker without a recent start takes the task, the others are a choice too. It is recorded there and keeps its room until nothing has started for 0.3 s, or for 1 s. The same holds for workers with more prepared starts than others, up to two, and for gangs.

Before: the new scenario fails. After: crashes, fillers, gangs and advice.feature 66 passed, 0 failed.

--- a/libs/scheduling/features/crashes.feature
+++ b/libs/scheduling/features/crashes.feature
@@ -161,3 +161,10 @@
     Given 60 submissions of a task each, and records that hold 49 submissions
     When the progress of all changes before each of 2 records
     Then each of them has been recorded
+
+  # Guards against LOST: the full workers were the only ones without a recent start, and
+  # the task chose among these alone.
+  Scenario: A task that may have crashed a worker starts on the only worker with room, though it is busy
+    Given 3 workers of 8 cores, of which 2 are full, and a task of 4 cores that may have crashed a worker
+    When 20 short tasks arrive, one in each round of 0.1 s
+    Then the task that may have crashed a worker has started
--- a/libs/scheduling/features/steps/crash_steps.py
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -212,6 +212,52 @@
         context.scripted_cell.step()
 
 
+@given(
+    "{n:d} workers of 8 cores, of which {n_full:d} are full, and a task of {cores:d} "
+    "cores that may have crashed a worker"
+)
+def step_suspect_beside_full(context, n, n_full, cores):
+    scripted_cell = context.scripted_cell = ScriptedCell(n, 8000)
+    scripted_cell.step()
+    full = Step(n_full, TaskDemand(8000, 100), is_long_running=True)
+    scripted_cell.submit(full, submission_id="f" * 16)
+    scripted_cell.step()
+    scripted_cell.accept_all(scripted_cell.starts)
+    scripted_cell.starts.clear()
+    scripted_cell.step()
+    task = TaskKey(SUBMISSION_ID, 0, 0, 0)
+    crashes = {task: {1: CrashEvidence.POSSIBLE}}
+    context.suspect_step = Step(1, TaskDemand(cores * 1000, 100))
+    context.suspect_progress = Progress(crashed_runs_by_task=crashes)
+
+
+@when("{n:d} short tasks arrive, one in each round of 0.1 s")
+def step_short_tasks(context, n):
+    scripted_cell = context.scripted_cell
+    started = []
+    for number in range(n):
+        if number == 1:
+            scripted_cell.submit(
+                context.suspect_step, progress=context.suspect_progress
+            )
+            tracked = scripted_cell.cell.submissions.by_id[SUBMISSION_ID]
+            tracked.raise_run_floor(TaskKey(SUBMISSION_ID, 0, 0, 0), 1)
+        step = Step(1, TaskDemand(1000, 100))
+        scripted_cell.submit(step, submission_id=f"{number:016x}")
+        scripted_cell.step(0.1)
+        for item in [i for i in scripted_cell.starts if i not in started]:
+            started.append(item)
+            scripted_cell.accept(item)
+            if item.order.task.submission_id != SUBMISSION_ID:
+                scripted_cell.end(item, RunEnd.DONE)
+
+
+@then("the task that may have crashed a worker has started")
+def step_suspect_started(context):
+    starts = [i.order.task.submission_id for i in context.scripted_cell.starts]
+    assert SUBMISSION_ID in starts, starts
+
+
 @given("{n:d} submissions of a task each, and records that hold {n_held:d} submissions")
 def step_many_submissions(context, n, n_held):
     scripted_cell = context.scripted_cell = ScriptedCell(1, 8000)
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -349,26 +349,37 @@
     def _choose_worker(
         self, ready: ReadyStep, task: TaskKey, now: float
     ) -> WorkerView | None:
+        for views in self._preferred_workers(ready, task, now):
+            for group in self._candidate_groups(ready, task, views, now):
+                chosen = self._choose_among(ready, task, group, now)
+                if chosen is not None:
+                    return chosen
+        return None
+
+    def _preferred_workers(
+        self, ready: ReadyStep, task: TaskKey, now: float
+    ) -> list[list[WorkerView]]:
+        """Return the workers where a start may be prepared, the preferred ones first.
+
+        A suspect prefers workers where nothing has just started. These may be full, so
+        the others are a choice too: it waits there for its start.
+        """
         if not ready.tracked.n_crashes(task):
+            return [self._startable_workers(now)]
+        if ready.step.is_gang:
             views = self._startable_workers(now)
-        elif ready.step.is_gang:
-            views = self._startable_workers(now)
-            views = [view for view in views if _is_quiet(view, now)] or views
+            quiet = [view for view in views if _is_quiet(view, now)]
         else:
-            views = self._workers_for_suspect(ready.tracked, task, now)
-        for group in self._candidate_groups(ready, task, views, now):
-            chosen = self._choose_among(ready, task, group, now)
-            if chosen is not None:
-                return chosen
-        return None
+            views, quiet = self._workers_for_suspect(ready.tracked, task, now)
+        return [quiet, views]
 
     def _workers_for_suspect(
         self, tracked: TrackedSubmission, task: TaskKey, now: float
-    ) -> list[WorkerView]:
-        """Return the workers where a suspect's start may be prepared.
+    ) -> tuple[list[WorkerView], list[WorkerView]]:
+        """Return the workers where a suspect's start may be prepared, and the best.
 
-        These are the worker that it is recorded for, and those that the fewest starts
-        are prepared for, if any of them without one that has just started.
+        The best are the worker that it is recorded for, and those that the fewest
+        starts are prepared for, if nothing has just started there.
         """
         start = tracked.presumed_start(task)
         recorded_id = "" if start is None else start.worker_id
@@ -385,7 +396,7 @@
             if (_is_quiet(view, now) and len(view.kept_step_by_task) == n_prepared)
             or view.entry.worker_id == recorded_id
         ]
-        return quiet or views
+        return views, quiet
 
     def _candidate_groups(
         self, ready: ReadyStep, task: TaskKey, views: list[WorkerView], now: float
