--- a/libs/scheduling/features/crashes.feature
+++ b/libs/scheduling/features/crashes.feature
@@ -147,3 +147,24 @@
     Given 4 workers and an earlier owner's step of 4 tasks, one for a worker, after a worker was lost
     When 2 rounds are planned
     Then 4 workers have got a task each
+
+  # Guards against LOST: other cells saw the room that a prepared start takes as taken
+  # twice, so their stuck tasks stayed.
+  Scenario: A task whose room is kept doesn't count as waiting for more
+    Given 4 workers and an earlier owner's step of 4 tasks, one for a worker, after a worker was lost
+    When 1 rounds are planned
+    Then 28000 thousandths of a core are free and 0 are waited for
+
+  # Guards against LOST: a record holds at most 49 submissions, always those that came
+  # first, so later ones never started while the progress of these changed.
+  Scenario: Each submission is recorded although the progress of many changes
+    Given 60 submissions of a task each, and records that hold 49 submissions
+    When the progress of all changes before each of 2 records
+    Then each of them has been recorded
+
+  # Guards against LOST: the full workers were the only ones without a recent start, and
+  # the task chose among these alone.
+  Scenario: A task that may have crashed a worker starts on the only worker with room, though it is busy
+    Given 3 workers of 8 cores, of which 2 are full, and a task of 4 cores that may have crashed a worker
+    When 20 short tasks arrive, one in each round of 0.1 s
+    Then the task that may have crashed a worker has started
--- a/libs/scheduling/features/steps/filler_steps.py
+++ b/libs/scheduling/features/steps/filler_steps.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 from behave import given, then, when
 from cell_loop import make_entry
 
@@ -11,8 +13,10 @@
     WorkerReport,
 )
 from berylcleat.scheduling import (
+    CellHeadroom,
     CellScheduler,
     CrashEvidence,
+    FillerHeadroom,
     ImageUse,
     InterferenceLevel,
     InterferenceModel,
@@ -292,6 +296,36 @@
         add_submission(context, 3 + number, make_step(FILLER, "press"))
 
 
+@when("the worker is {state}")
+def step_worker_out_of_use(context, state):
+    cell = context.worker.cell
+    if state == "not listed":
+        cell.unlist_worker("w")
+    elif state == "draining":
+        entry = cell.worker_by_id["w"].entry
+        cell.list_worker(replace(entry, is_draining=True), context.worker.now)
+    else:
+        cell.on_hold_failed("w", context.worker.now)
+
+
+@then("no other cell sends fillers to it")
+def step_no_filler_headroom(context):
+    assert not context.worker.cell.filler_headrooms()
+
+
+@when("a filler that has moved twice is starving, and another cell seems to have room")
+def step_bouncing_filler(context):
+    worker = context.worker
+    add_submission(context, 2, make_step(FILLER, "press"))
+    tracked = worker.cell.submissions.by_id[f"{2:016x}"]
+    tracked.n_moves_by_task[TaskKey(f"{2:016x}", 0, 0, 0)] = 2
+    rooms = (FillerHeadroom((), 32000),)
+    headroom = CellHeadroom("r2", "svc", 32000, rooms, 0, 32000, (32000,))
+    while worker.now < 4.5:
+        worker.step()
+        worker.cell.propose_moves((headroom,), worker.now)
+
+
 @when("a filler of the earlier owner is starving")
 def step_inherited_starves(context):
     add_submission(context, 2, make_step(FILLER, "press"), inherited=True)
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -239,15 +239,19 @@
         )
 
     def _counts_moves(self, ready: ReadyStep) -> bool:
-        """Return whether the moves of a step's tasks are limited in number."""
-        if self.spill is None or self._is_evacuated():
+        """Return whether the moves of a step's tasks are limited in number.
+
+        Those of fillers always are: a filler that moves on can't be forced.
+        """
+        if self._is_evacuated() or ready.step.is_gang or ready.step.is_long_running:
             return False
-        return not ready.step.is_gang and not ready.step.is_long_running
+        return ready.step.fills or self.spill is not None
 
     def _may_move(self, ready: ReadyStep, task: TaskKey, now: float) -> bool:
         """Return whether a stuck task has not moved too often or too recently.
 
-        Moves are limited only where tasks move at once, and not for tasks that last.
+        Moves are limited for fillers, and for others where tasks move at once, but not
+        for tasks that last.
         """
         if not self._counts_moves(ready):
             return True
@@ -295,12 +299,17 @@
     def waiting_cpu(self) -> int:
         """Return the processor time that waiting tasks would reserve.
 
-        The unit is a thousandth of a core; fillers reserve none.
+        The unit is a thousandth of a core; fillers reserve none. What is kept for tasks
+        that are about to start isn't free any more, so it doesn't count here.
         """
-        return sum(
-            len(ready.waiting) * ready.step.allocation.cpu_millis
-            for ready in self.submissions.iter_ready()
-        )
+        return sum(map(self._waiting_cpu_of, self.submissions.iter_ready()))
+
+    def _waiting_cpu_of(self, ready: ReadyStep) -> int:
+        cpu_millis = ready.step.allocation.cpu_millis
+        if not self._keeper_by_task:
+            return len(ready.waiting) * cpu_millis
+        n_kept = sum(ready.task(i) in self._keeper_by_task for i in ready.waiting)
+        return (len(ready.waiting) - n_kept) * cpu_millis
 
     def stuck_cpu(self, now: float) -> int:
         """Return the part of ``waiting_cpu`` that belongs to stuck steps.
@@ -308,16 +317,19 @@
         It can't start on this cell's workers, so it doesn't use up their capacity.
         """
         return sum(
-            len(ready.waiting) * ready.step.allocation.cpu_millis
+            self._waiting_cpu_of(ready)
             for ready in self.submissions.iter_ready()
             if self._is_stuck(ready, now)
         )
 
     def filler_headrooms(self) -> tuple[FillerHeadroom, ...]:
-        """Return the processor time left on the workers, by set of serving images."""
+        """Return the processor time left on the workers, by set of serving images.
+
+        Workers that may not start anything count as none.
+        """
         left_by_images: dict[tuple[str, ...], int] = {}
         for view in self.worker_by_id.values():
-            if view.is_cordoned:
+            if view.explain_out_of_use():
                 continue
             images = tuple(sorted(view.serving_images()))
             left = left_by_images.get(images, 0)
