Report no headroom for fillers on workers that have shrunk below their runs

Callers see their fillers wait in a cell of workers whose capacity has shrunk.

Cause: a worker that has shrunk below what its runs reserve takes no task at all, also no filler, whose processor time isn't reserved. Its serving tasks use about half of what they reserve, and what they left stood in the cell's load as headroom for fillers. Other cells moved fillers there and hosts chose the cell for new ones.

Ruled out: ordinary tasks, whose headroom counts free capacity, none where it's negative.

Change: the headroom leaves such workers out, as those in maintenance.

--- a/libs/scheduling/features/capacity.feature
+++ b/libs/scheduling/features/capacity.feature
@@ -44,6 +44,19 @@
     And a task of 5 cores is added
     Then the task of 5 cores is started
 
+  # Guards against LOST: other cells moved fillers to a cell where none could start, as its
+  # serving tasks leave processor time but reserve more than the workers' capacity.
+  Scenario: A worker whose capacity has shrunk below its runs has no headroom for fillers
+    Given a cell with 1 workers of 8 cores
+    And a serving task of 6 cores runs on the worker
+    Then the headroom for fillers is some
+    When the capacity of the worker changes to 5 cores
+    And a filler of 1 core is added
+    Then no task is started
+    And the headroom for fillers is none
+    When the capacity of the worker changes to 8 cores
+    Then the headroom for fillers is some
+
   # Guards against LIMIT: the next incarnation may have another capacity.
   Scenario: Nothing starts on a restarted worker before the list names its capacity
     Given a cell with 1 workers of 8 cores
--- a/libs/scheduling/features/steps/capacity_steps.py
+++ b/libs/scheduling/features/steps/capacity_steps.py
@@ -6,6 +6,7 @@
 from berylcleat.ports import EndedTask, RunEnd
 
 EARLIER_ID = "e" * 16
+FILLER_ID = "d" * 16
 EARLIER_TASK = TaskKey(EARLIER_ID, 0, 0, 0)
 
 
@@ -94,6 +95,30 @@
     assert all(len(runs) >= 1 for runs in scripted_cell.running.values())
 
 
+@given("a serving task of {cores:d} cores runs on the worker")
+def step_serving_task(context, cores):
+    scripted_cell = context.scripted_cell
+    demand = TaskDemand(cores * 1000, 100)
+    step = Step(1, demand, is_long_running=True, image="web", target_latency_ms=50)
+    scripted_cell.submit(step, submission_id="f" * 16)
+    scripted_cell.step()
+    scripted_cell.accept(scripted_cell.starts.pop())
+
+
+@when("a filler of {cores:d} core is added")
+def step_add_filler(context, cores):
+    step = Step(1, TaskDemand(cores * 1000, 100), fills=True, image="batch")
+    context.scripted_cell.submit(step, submission_id=FILLER_ID)
+    context.scripted_cell.step()
+
+
+@then("the headroom for fillers is {amount}")
+def step_filler_headroom(context, amount):
+    headrooms = context.scripted_cell.cell.filler_headrooms()
+    left = sum(headroom.cpu_left for headroom in headrooms)
+    assert (left > 0) == (amount == "some"), headrooms
+
+
 @when("the worker restarts and reports before the list names the restart")
 def step_restart(context):
     scripted_cell = context.scripted_cell
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -314,10 +314,10 @@
         )
 
     def filler_headrooms(self) -> tuple[FillerHeadroom, ...]:
-        """Return the processor time left on the workers, by set of serving images."""
+        """Return the processor time left for fillers, by set of serving images."""
         left_by_images: dict[tuple[str, ...], int] = {}
         for view in self.worker_by_id.values():
-            if view.is_cordoned:
+            if view.is_cordoned or view.is_overcommitted:
                 continue
             images = tuple(sorted(view.serving_images()))
             left = left_by_images.get(images, 0)
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -251,6 +251,11 @@
         """Return the capacity not used by runs; it's negative where it has shrunk."""
         return self.entry.capacity - self.used - self.used_by_unwanted
 
+    @property
+    def is_overcommitted(self) -> bool:
+        """Whether runs use more than the capacity, which has shrunk: nothing fits."""
+        return not TaskDemand().fits_in(self.free())
+
     def cpu_share(self, cpu_millis: float) -> float:
         """Return a processor time as a share of the worker's, which may be nothing."""
         return cpu_millis / max(self.entry.capacity.cpu_millis, 1)
