Move fillers that can't even be forced here to a cell where they may be forced

A filler of an accepted submission can wait for ever in a cell whose workers have shrunk, while most of the service is free, which is LOST.

Cause: a filler that fits nowhere is forced onto the worker that it should disturb least, but only in its own cell. It moves only to cells where its image is known to disturb none of the serving ones. In a cell in which no worker has capacity and processor time for it, as all have shrunk, it is never forced.

Change: a filler that starves where no worker could take it moves beside images that it may disturb, as fillers of an evacuated cell do. There it fits or is forced. It moves under the conditions under which fillers are forced: after 1.5 s, while less than 0.6 of the service is reserved.

After: it passes; a filler that can be forced here stays, and so does one while much is reserved.

--- a/libs/scheduling/features/capacity.feature
+++ b/libs/scheduling/features/capacity.feature
@@ -57,6 +57,22 @@
     When the capacity of the worker changes to 8 cores
     Then the headroom for fillers is some
 
+  # Guards against LOST: a filler stayed in a cell that can't take it by force either, beside a
+  # cell with room whose images it disturbs.
+  Scenario Outline: A filler starves in a cell of <cores> cores, the other one has <free> free
+    Given a cell with 1 workers of 8 cores
+    And a serving task of 6 cores runs on the worker
+    And fillers disturb serving tasks
+    When the capacity of the worker changes to <cores> cores
+    And a filler of 1 core waits for 3 seconds beside a cell with <free> of 32 cores free
+    Then the filler was <handled>
+
+    Examples:
+      | cores | free | handled            |
+      | 5     | 32   | moved              |
+      | 5     | 8    | neither            |
+      | 8     | 32   | forced             |
+
   # Guards against LIMIT: the next incarnation may have another capacity.
   Scenario: Nothing starts on a restarted worker before the list names its capacity
     Given a cell with 1 workers of 8 cores
--- a/libs/scheduling/features/steps/capacity_steps.py
+++ b/libs/scheduling/features/steps/capacity_steps.py
@@ -4,6 +4,7 @@
 
 from berylcleat.model import Step, TaskDemand, TaskKey
 from berylcleat.ports import EndedTask, RunEnd
+from berylcleat.scheduling import CellHeadroom, FillerHeadroom
 
 EARLIER_ID = "e" * 16
 FILLER_ID = "d" * 16
@@ -112,6 +113,38 @@
     context.scripted_cell.step()
 
 
+@given("fillers disturb serving tasks")
+def step_disturbing(context):
+    context.scripted_cell.cell.interference.restore({("batch", "web"): 5.0})
+
+
+@when(
+    "a filler of {cores:d} core waits for {seconds:d} seconds "
+    "beside a cell with {free:d} of {capacity:d} cores free"
+)
+def step_filler_waits(context, cores, seconds, free, capacity):
+    scripted_cell = context.scripted_cell
+    fillers = (FillerHeadroom(("web",), capacity * 1000 // 2),)
+    headroom = CellHeadroom("r2", "svc", free * 1000, fillers, 0, capacity * 1000)
+    step = Step(1, TaskDemand(cores * 1000, 100), fills=True, image="batch")
+    scripted_cell.submit(step, submission_id=FILLER_ID)
+    context.proposals = []
+    until = scripted_cell.now + seconds
+    while scripted_cell.now < until:
+        scripted_cell.step()
+        proposals = scripted_cell.cell.propose_moves((headroom,), scripted_cell.now)
+        context.proposals.extend(proposals)
+
+
+@then("the filler was {handled}")
+def step_filler_handled(context, handled):
+    started = [item.order.task for item in context.scripted_cell.starts]
+    moved = [p.move_by_task for p in context.proposals]
+    task = TaskKey(FILLER_ID, 0, 0, 0)
+    assert (task in started) == (handled == "forced"), started
+    assert any(task in moves for moves in moved) == (handled == "moved"), moved
+
+
 @then("the headroom for fillers is {amount}")
 def step_filler_headroom(context, amount):
     headrooms = context.scripted_cell.cell.filler_headrooms()
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -9,6 +9,7 @@
 )
 
 from ._cell_relocations import CellRelocations
+from ._cell_starts import MAX_RESERVED_SHARE_TO_FORCE, STARVATION_S
 from ._moves import (
     CellHeadroom,
     FillerHeadroom,
@@ -19,6 +20,7 @@
     is_stuck,
     make_move,
 )
+from ._placement import can_hold_forced_filler
 from ._spill import LAST_RESORT_STUCK_S, MOVE_S, may_move
 from ._submissions import ReadyStep, TrackedSubmission
 
@@ -264,7 +266,7 @@
         """Reserve headroom for a task of a stuck step; return its cell or None.
 
         Standing tasks are spread, except in an evacuated cell, where only a few move at
-        a time.
+        a time. Fillers that can't stay go beside images that they may disturb.
         """
         is_standing = ready.step.is_long_running and not ready.step.fills
         if self.spill is not None and is_standing and not self._is_evacuated():
@@ -272,9 +274,27 @@
                 ready.step, service, reservations, self._wall_ms, now
             )
         cell_id = reservations.reserve(ready.step, service)
-        if cell_id is None and ready.step.fills and self._is_evacuated():
-            cell_id = reservations.reserve_beside_any(ready.step, service)
-        return cell_id
+        if cell_id is not None or not ready.step.fills:
+            return cell_id
+        if self._is_evacuated() or self._can_only_start_elsewhere(ready, now):
+            return reservations.reserve_beside_any(ready.step, service)
+        return None
+
+    def _can_only_start_elsewhere(self, ready: ReadyStep, now: float) -> bool:
+        """Return whether fillers starve here and can't be forced onto any worker.
+
+        As fillers are, they move only while much of the service isn't reserved.
+        """
+        queue = ready.tracked.submission.queue
+        if queue.advice is not None or not self._may_start(now):
+            return False
+        if ready.stuck_since is None or now - ready.stuck_since <= STARVATION_S:
+            return False
+        task = ready.task(min(ready.waiting))
+        workers = self._startable_workers(now)
+        if can_hold_forced_filler(task, ready.step, queue.service, workers):
+            return False
+        return self._reserved_share(queue.service, now) < MAX_RESERVED_SHARE_TO_FORCE
 
     def _propose_gang_move(
         self,
--- a/libs/scheduling/src/berylcleat/scheduling/_placement.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_placement.py
@@ -66,23 +66,27 @@
     best: WorkerView | None = None
     best_score = (0.0, 0.0)
     for worker in workers:
-        if not _is_feasible(task, step, service, worker):
-            continue
-        left = worker.cpu_left()
-        if left < step.demand.cpu_millis or not worker.can_force_filler(now):
+        if not _can_hold_filler(task, step, service, worker):
             continue
-        if worker.is_recovering:
+        if worker.is_recovering or not worker.can_force_filler(now):
             continue
         expected_interference = sum(
             interference.probability(step.image, run.step.image)
             for run in worker.serving_runs()
         )
-        score = (worker.start_penalty(), expected_interference / left)
+        score = (worker.start_penalty(), expected_interference / worker.cpu_left())
         if best is None or score < best_score:
             best, best_score = worker, score
     return best
 
 
+def can_hold_forced_filler(
+    task: TaskKey, step: Step, service: str, workers: Iterable[WorkerView]
+) -> bool:
+    """Return whether a filler may be forced onto one of the workers, now or later."""
+    return any(_can_hold_filler(task, step, service, worker) for worker in workers)
+
+
 def explain_rejection(
     task: TaskKey,
     step: Step,
@@ -114,6 +118,15 @@
     return not step.max_per_worker or _n_siblings(task, worker) < step.max_per_worker
 
 
+def _can_hold_filler(
+    task: TaskKey, step: Step, service: str, worker: WorkerView
+) -> bool:
+    """Return whether a worker has capacity and processor time for a filler."""
+    if worker.cpu_left() < step.demand.cpu_millis:
+        return False
+    return _is_feasible(task, step, service, worker)
+
+
 def _explain_filler_rejection(
     step: Step, worker: WorkerView, interference: InterferenceModel
 ) -> str:
