--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -367,16 +367,16 @@
         if not ready.tracked.n_crashes(task):
             return [self._startable_workers(now)]
         if ready.step.is_gang:
-            views = self._startable_workers(now)
-            quiet = [view for view in views if _is_quiet(view, now)]
-        else:
-            views, quiet = self._workers_for_suspect(ready.tracked, task, now)
-        return [quiet, views]
+            quiet, others = [], []
+            for view in self._startable_workers(now):
+                (quiet if _is_quiet(view, now) else others).append(view)
+            return [quiet, others]
+        return self._workers_for_suspect(ready.tracked, task, now)
 
     def _workers_for_suspect(
         self, tracked: TrackedSubmission, task: TaskKey, now: float
-    ) -> tuple[list[WorkerView], list[WorkerView]]:
-        """Return the workers where a suspect's start may be prepared, and the best.
+    ) -> list[list[WorkerView]]:
+        """Return the workers where a suspect's start may be prepared, the best first.
 
         The best are the worker that it is recorded for, and those that the fewest
         starts are prepared for, if nothing has just started there.
@@ -390,13 +390,13 @@
             or view.entry.worker_id == recorded_id
         ]
         n_prepared = min((len(view.kept_step_by_task) for view in views), default=0)
-        quiet = [
-            view
-            for view in views
-            if (_is_quiet(view, now) and len(view.kept_step_by_task) == n_prepared)
-            or view.entry.worker_id == recorded_id
-        ]
-        return views, quiet
+        best, others = [], []
+        for view in views:
+            is_best = view.entry.worker_id == recorded_id or (
+                _is_quiet(view, now) and len(view.kept_step_by_task) == n_prepared
+            )
+            (best if is_best else others).append(view)
+        return [best, others]
 
     def _candidate_groups(
         self, ready: ReadyStep, task: TaskKey, views: list[WorkerView], now: float
