Tell the home cell of a last attempt that fails after its task has moved on

Callers see LOST: a task of an accepted submission runs nowhere for ever, with all workers idle, and the submission is shown as running.

Cause: a run's lease expired, its task moved on, and then the worker answered with the failure of the run, the last of the task's attempts. The cell that the task had left recorded its submission as failed, but reported only tasks assigned to it, so the home cell learned nothing and the task could be started elsewhere once more. If the task moved back, nobody ran it: the cell took the submission for failed, and had stopped to follow it, so it didn't report that either.

The new scenario failed before: no end was reported.

Ruled out: a backlog (nothing runs or waits in either cell), a pending move (both were applied).

Change: a cell in which a submission has failed reports the tasks without attempts left, also those that have moved on, and follows the submission again when a task moves here.

--- a/libs/scheduling/features/runs_once.feature
+++ b/libs/scheduling/features/runs_once.feature
@@ -104,3 +104,13 @@
     Then the task isn't started a second time
     When its connections are refused for 1 seconds
     Then the task is started on the other worker
+
+  # Guards against LOST: the cell where the last attempt failed, after the task had moved
+  # on, told nobody, and a task that moved back there was neither run nor given up.
+  Scenario: A last failed attempt that comes in after its task has moved reaches its home
+    Given a cell with 1 workers of 8 cores
+    And a task moved here whose last attempt is silent until its lease expires
+    When the task moves on and the failure of that attempt comes in
+    Then its failure is reported to the home cell
+    When the home cell has confirmed it and another task moves here
+    Then the failure of the other task is reported to the home cell
--- a/libs/scheduling/features/steps/runs_once_steps.py
+++ b/libs/scheduling/features/steps/runs_once_steps.py
@@ -3,11 +3,12 @@
 from behave import given, then, when
 from gang_steps import SUBMISSION_ID, ScriptedCell
 
-from berylcleat.model import Step, TaskDemand, TaskKey
+from berylcleat.model import QueuePolicy, Step, TaskDemand, TaskKey
 from berylcleat.ports import OrderAnswer, OrderResult, RunEnd
 from berylcleat.scheduling import CellHeadroom, MovedTaskEnd, TaskMove
 
 TASK = TaskKey(SUBMISSION_ID, 0, 0, 0)
+OTHER_TASK = TaskKey(SUBMISSION_ID, 0, 0, 1)
 STEP = Step(1, TaskDemand(5000, 100))
 
 
@@ -311,3 +312,56 @@
             context.item.worker_id, scripted_cell.now
         )
         scripted_cell.step()
+
+
+# Last attempts of tasks that have moved on
+
+
+@given("a task moved here whose last attempt is silent until its lease expires")
+def step_silent_last_attempt(context):
+    scripted_cell = context.scripted_cell
+    scripted_cell.submit(
+        replace(STEP, n_tasks=2),
+        queue=QueuePolicy("q", "svc", max_attempts=1),
+        is_home=False,
+        moves={TASK: TaskMove("r1", 0)},
+    )
+    scripted_cell.step()
+    (context.item,) = scripted_cell.starts
+    scripted_cell.accept(context.item)
+    scripted_cell.step()
+    scripted_cell.silent.add(context.item.worker_id)
+    advance(scripted_cell, 8)
+
+
+@when("the task moves on and the failure of that attempt comes in")
+def step_late_failure(context):
+    scripted_cell = context.scripted_cell
+    moves = {TASK: TaskMove("r2", context.item.order.run)}
+    scripted_cell.cell.update_moves(SUBMISSION_ID, moves, scripted_cell.now)
+    scripted_cell.silent.clear()
+    scripted_cell.end(context.item, RunEnd.FAILED)
+    scripted_cell.step()
+    scripted_cell.step()
+
+
+@then("its failure is reported to the home cell")
+def step_failure_reported(context):
+    ends = context.scripted_cell.cell.unconfirmed_moved_task_ends()
+    assert ends == {SUBMISSION_ID: [MovedTaskEnd(TASK, has_failed=True)]}, ends
+
+
+@when("the home cell has confirmed it and another task moves here")
+def step_confirmed(context):
+    scripted_cell = context.scripted_cell
+    cell = scripted_cell.cell
+    for submission_id, ends in cell.unconfirmed_moved_task_ends().items():
+        cell.on_moved_task_ends_confirmed(submission_id, ends, scripted_cell.now)
+    moves = {OTHER_TASK: TaskMove("r1", 0)}
+    cell.update_moves(SUBMISSION_ID, moves, scripted_cell.now)
+
+
+@then("the failure of the other task is reported to the home cell")
+def step_other_failure_reported(context):
+    ends = context.scripted_cell.cell.unconfirmed_moved_task_ends()
+    assert ends == {SUBMISSION_ID: [MovedTaskEnd(OTHER_TASK, has_failed=True)]}, ends
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -60,6 +60,7 @@
         tracked.moved_away.discard(task)
         self._availability.on_moved_here(task)
         tracked.moved_here.add(task)
+        self.submissions.revive(tracked)
         if not was_assigned_here and task not in self.run_by_task:
             tracked.requeue(task)
 
--- a/libs/scheduling/src/berylcleat/scheduling/_submissions.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_submissions.py
@@ -156,15 +156,21 @@
                 crashes.setdefault(run, evidence)
 
     def unconfirmed_ends(self) -> list[TaskKey]:
-        """Return the ended tasks moved here whose home has not confirmed the end."""
+        """Return the tasks whose end here the home cell has not confirmed.
+
+        If the submission has failed here, these are all tasks moved here, and those
+        that have moved on since the last of their attempts.
+        """
         if self.is_home or self.is_cancelled:
             return []
-        has_failed = self.progress.final_state is SubmissionState.FAILED
-        return [
-            task
-            for task in self.moved_here - self.confirmed_ends
-            if has_failed or self.progress.is_done(task)
-        ]
+        if self.progress.final_state is not SubmissionState.FAILED:
+            tasks = self.moved_here - self.confirmed_ends
+            return [task for task in tasks if self.progress.is_done(task)]
+        failed = set(filter(self._has_used_attempts, self.progress.failed_runs_by_task))
+        return list((self.moved_here | failed) - self.confirmed_ends)
+
+    def _has_used_attempts(self, task: TaskKey) -> bool:
+        return self.n_failures(task) >= self.submission.queue.max_attempts
 
     def task_key(self, occurrence: int, step: int, index: int) -> TaskKey:
         """Return the key of a task of this submission."""
@@ -270,7 +276,7 @@
             return
         self.progress.add_failure(task, run)
         self.is_dirty = True
-        if self.n_failures(task) >= self.submission.queue.max_attempts:
+        if self._has_used_attempts(task):
             self.fail()
 
     def crashes(self, task: TaskKey) -> CrashedRuns:
@@ -474,6 +480,11 @@
         if tracked.is_over and not tracked.is_dirty and not tracked.unconfirmed_ends():
             self.live_by_id.pop(tracked.submission.submission_id, None)
 
+    def revive(self, tracked: TrackedSubmission) -> None:
+        """Track a retired submission again if its home must learn of an end."""
+        if tracked.unconfirmed_ends():
+            self.live_by_id[tracked.submission.submission_id] = tracked
+
     def activate_scheduled(self, wall_ms: float) -> None:
         """Activate the due steps of submissions with scheduled occurrences."""
         for tracked in self.live_by_id.values():
