--- a/libs/scheduling/features/crashes.feature
+++ b/libs/scheduling/features/crashes.feature
@@ -168,3 +168,10 @@
     Given 3 workers of 8 cores, of which 2 are full, and a task of 4 cores that may have crashed a worker
     When 20 short tasks arrive, one in each round of 0.1 s
     Then the task that may have crashed a worker has started
+
+  # Guards against BUDGET: the answer counted as a sign of life of the crashed incarnation,
+  # so that only the later run was a suspect.
+  Scenario: An answer of a restarted worker doesn't clear the run that crashed it
+    Given a run that its worker has accepted, and a later one that the restarted worker has
+    When the list names the restart
+    Then a crash of the first run is counted
--- a/libs/scheduling/features/steps/crash_steps.py
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -11,7 +11,7 @@
     TaskDemand,
     TaskKey,
 )
-from berylcleat.ports import RunEnd
+from berylcleat.ports import OrderAnswer, OrderResult, RunEnd
 from berylcleat.scheduling import CrashEvidence, Progress, RecordBatch
 
 
@@ -392,3 +392,34 @@
 def step_no_crash(context):
     tracked = context.scripted_cell.cell.submissions.by_id[SUBMISSION_ID]
     assert not tracked.progress.crashed_runs_by_task
+
+
+@given(
+    "a run that its worker has accepted, and a later one that the restarted worker has"
+)
+def step_accepted_by_both_incarnations(context):
+    scripted_cell = context.scripted_cell = ScriptedCell(1, 8000)
+    scripted_cell.step()
+    scripted_cell.silent.add("w0")
+    for submission_id, clock_ms in ((SUBMISSION_ID, 2000), ("f" * 16, 1)):
+        scripted_cell.submit(
+            Step(1, TaskDemand(1000, 100)), submission_id=submission_id
+        )
+        scripted_cell.step(0.4)
+        item = scripted_cell.starts.pop()
+        answer = OrderAnswer(OrderResult.ACCEPTED, clock_ms)
+        scripted_cell.cell.on_start_answer("w0", item.order, answer, scripted_cell.now)
+
+
+@when("the list names the restart")
+def step_list_names_restart(context):
+    cell = context.scripted_cell.cell
+    entry = cell.worker_by_id["w0"].entry
+    listed = replace(entry, started_at_ms=entry.started_at_ms + 1)
+    cell.list_worker(listed, context.scripted_cell.now)
+
+
+@then("a crash of the first run is counted")
+def step_first_crash(context):
+    tracked = context.scripted_cell.cell.submissions.by_id[SUBMISSION_ID]
+    assert tracked.progress.crashed_runs_by_task
