Play histories 10 to 15 with evacuations where only 15 was played

The step asserts that starts in an evacuated data centre, withheld starts and relocations occur. Histories 10 to 15 include 15, have all of these events, and all end: nothing is checked less.

--- a/libs/scheduling/features/histories.feature
+++ b/libs/scheduling/features/histories.feature
@@ -86,7 +86,7 @@
     Examples:
       | n | n_cells | fault                    | seed |
       | 1 | 2       | tasks that crash workers | 83   |
-      | 2 | 3       | evacuations              | 15   |
+      | 6 | 3       | evacuations              | 10   |
 
   # Guards against a check that finds nothing.
   Scenario Outline: Histories with evacuations show a late start without <mechanism>
