Find the workers that may start tasks once in a planning round

Each waiting task looked at each worker anew, through three calls since the parts were joined, and the processor time left built lists for each look. Whether a worker is in use and answers stays the same during the starts of a round, so it is found once; what a start changes is still looked at each time.

No decision changes.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -102,6 +102,8 @@
         # has found none, and tasks whose next run is recorded, or to be recorded.
         self._unplaced_tasks: list[tuple[TrackedSubmission, TaskKey]] = []
         self._prepared_tasks: set[TaskKey] = set()
+        # Found once for the starts of a round, None otherwise.
+        self._answering_workers: list[WorkerView] | None = None
         # The worker that keeps capacity for a task whose start is prepared.
         self._keeper_by_task: dict[TaskKey, WorkerView] = {}
         self._tasks_with_pending_move: set[TaskKey] = set()
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -55,9 +55,11 @@
         """
         self._unplaced_tasks.clear()
         self._prepared_tasks.clear()
+        self._answering_workers = self._find_answering_workers(now)
         for ready in self.submissions.ready_steps(now):
             self._start_waiting(ready, now)
         self._force_starving_fillers(now)
+        self._answering_workers = None
         for tracked, task in self._unplaced_tasks:
             if task not in self._prepared_tasks:
                 tracked.drop_presumption(task)
@@ -538,13 +540,23 @@
         """
         if not self._may_start(now):
             return []
+        views = self._answering_workers
+        if views is None:
+            views = self._find_answering_workers(now)
+        return [view for view in views if not view.explain_spared(now)]
+
+    def _find_answering_workers(self, now: float) -> list[WorkerView]:
+        """Return the recorded workers that are in use, spared ones included.
+
+        They stay the same during the starts of a planning round.
+        """
         is_list_outdated = now - self.workers_listed_at > MAX_LIST_AGE_S
         unsafe_services = self.unguarded_services if is_list_outdated else ()
         return [
             view
             for worker_id, view in self.worker_by_id.items()
             if worker_id in self._recorded_workers
-            and not view.explain_unusable(now)
+            and not view.explain_no_answer(now)
             and view.entry.service not in unsafe_services
         ]
 
--- a/libs/scheduling/src/berylcleat/scheduling/_placement.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_placement.py
@@ -171,8 +171,9 @@
 
 def _n_siblings(task: TaskKey, worker: WorkerView) -> int:
     step_key = task[:3]
-    tasks = (*worker.run_by_task, *worker.kept_step_by_task)
-    return sum(1 for other in tasks if other[:3] == step_key)
+    n_running = sum(1 for other in worker.run_by_task if other[:3] == step_key)
+    n_kept = sum(1 for other in worker.kept_step_by_task if other[:3] == step_key)
+    return n_running + n_kept
 
 
 def _score(
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -102,6 +102,12 @@
     may_start_at: float = 0.0
 
 
+def _expected_cpu(step: Step) -> float:
+    """Return the processor time that a task of ``step`` is expected to use."""
+    use = SERVING_CPU_SHARE if step.target_latency_ms else 1.0
+    return step.demand.cpu_millis * use
+
+
 @dataclass(slots=True)
 class WorkerView:
     """Entry, clock, runs and run ends of one worker.
@@ -182,11 +188,17 @@
 
     def explain_unusable(self, now: float) -> str:
         """Return why no start may be prepared for this worker, or an empty string."""
+        return self.explain_no_answer(now) or self.explain_spared(now)
+
+    def explain_no_answer(self, now: float) -> str:
+        """Return why the worker is out of use or silent, or an empty string."""
         reason = self.explain_out_of_use()
-        if reason:
-            return reason
-        if now - self.clock.answered_at >= MAX_SILENCE_S:
+        if not reason and now - self.clock.answered_at >= MAX_SILENCE_S:
             return "silent"
+        return reason
+
+    def explain_spared(self, now: float) -> str:
+        """Return why the worker is spared and not released, or an empty string."""
         return "" if now < self.released_until else self.explain_kept_back(now)
 
     def explain_kept_back(self, now: float) -> str:
@@ -336,10 +348,10 @@
         What is kept for tasks that are about to start counts as used.
         """
         left = float(self.entry.capacity.cpu_millis)
-        steps = [run.step for run in self.run_by_task.values()]
-        for step in (*steps, *self.kept_step_by_task.values()):
-            use = SERVING_CPU_SHARE if step.target_latency_ms else 1.0
-            left -= step.demand.cpu_millis * use
+        for run in self.run_by_task.values():
+            left -= _expected_cpu(run.step)
+        for step in self.kept_step_by_task.values():
+            left -= _expected_cpu(step)
         return int(left)
 
     def readings(self) -> list[ServingReading]:
