--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -27,8 +27,8 @@
 # Seconds for which a suspect waits for the worker that its next run is recorded for:
 # longer than it may wait for a quiet worker, so that its record keeps the worker then.
 MAX_RECORDED_WORKER_WAIT_S = 2.0
-# Maximum starts that are prepared for a worker while suspects wait: each of them delays
-# the next one by the time of its trial.
+# Maximum starts that are prepared for a worker while suspects wait: after each of them
+# nothing else may start there for LIKELY_CAUSE_AGE_S.
 MAX_PREPARED_STARTS = 2
 # Maximum tasks of one step that one planning round forces.
 MAX_FORCED_PER_STEP = 6
@@ -543,10 +543,10 @@
         views = self._answering_workers
         if views is None:
             views = self._find_answering_workers(now)
-        return [view for view in views if not view.explain_spared(now)]
+        return [view for view in views if not view.explain_unreleased(now)]
 
     def _find_answering_workers(self, now: float) -> list[WorkerView]:
-        """Return the recorded workers that are in use, spared ones included.
+        """Return the recorded workers that are in use, avoided ones included.
 
         They stay the same during the starts of a planning round.
         """
--- a/libs/scheduling/src/berylcleat/scheduling/_releases.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_releases.py
@@ -15,7 +15,7 @@
 # Seconds that a step is stuck before it may use such a worker, and seconds between two
 # starts there; the platform requires waiting work to run within 3 s while less than
 # half of the capacity is in use. A release lasts long enough for a record of the start.
-MAX_KEPT_BACK_WAIT_S = 1.5
+MAX_AVOIDANCE_WAIT_S = 1.5
 MIN_RELEASE_PERIOD_S = 0.5
 RELEASE_S = 1.0
 MAX_RESERVED_SHARE = 0.5
@@ -33,18 +33,18 @@
     ``others`` is the headroom of other cells, which counts as capacity too.
     """
     views = list(views)
-    kept_back = [
+    avoided = [
         view
         for view in views
         if now >= view.released_until
         and now - view.last_start_at > MIN_RELEASE_PERIOD_S
-        and view.explain_kept_back(now)
+        and view.explain_avoidance(now)
     ]
-    if not kept_back:
+    if not avoided:
         return
     for ready in waiting:
         since = ready.stuck_since
-        if since is None or now - since <= MAX_KEPT_BACK_WAIT_S:
+        if since is None or now - since <= MAX_AVOIDANCE_WAIT_S:
             continue
         service = ready.tracked.submission.queue.service
         if not ready.step.is_long_running and (
@@ -52,7 +52,7 @@
         ):
             continue
         task = ready.task(min(ready.waiting))
-        for view in kept_back:
+        for view in avoided:
             if not explain_rejection(task, ready.step, service, view, interference):
                 view.released_until = now + RELEASE_S
 
@@ -60,7 +60,7 @@
 def _reserved_share(
     service: str, views: list[WorkerView], others: tuple[CellHeadroom, ...]
 ) -> float:
-    """Return the reserved share of a service's processors, kept back ones included."""
+    """Return the reserved share of a service's processors, avoided ones included."""
     entries = [
         (v.entry.capacity, v.free()) for v in views if v.entry.service == service
     ]
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -188,7 +188,7 @@
 
     def explain_unusable(self, now: float) -> str:
         """Return why no start may be prepared for this worker, or an empty string."""
-        return self.explain_no_answer(now) or self.explain_spared(now)
+        return self.explain_no_answer(now) or self.explain_unreleased(now)
 
     def explain_no_answer(self, now: float) -> str:
         """Return why the worker is out of use or silent, or an empty string."""
@@ -197,12 +197,12 @@
             return "silent"
         return reason
 
-    def explain_spared(self, now: float) -> str:
-        """Return why the worker is spared and not released, or an empty string."""
-        return "" if now < self.released_until else self.explain_kept_back(now)
+    def explain_unreleased(self, now: float) -> str:
+        """Return why the worker is avoided and not released, or an empty string."""
+        return "" if now < self.released_until else self.explain_avoidance(now)
 
-    def explain_kept_back(self, now: float) -> str:
-        """Return why the worker is spared for now, or an empty string."""
+    def explain_avoidance(self, now: float) -> str:
+        """Return why the worker is avoided for now, or an empty string."""
         if now < self.avoid_until:
             return "avoided"
         if self.condition is not None and self._is_probation_full(now):
