Act on an owner's own conclusions only once the store confirms it

Callers saw a task start again after its end had been acknowledged (TWICE).

Cause: an owner that has been replaced and can't read the store acts for 12 s after its last confirmation. A run whose worker it can't reach is lost by its own lease clock, while the new owner renews the lease, hears of the end and acknowledges it. The old one then starts the task on a worker that the new owner hasn't reached.

Expired leases, ended incarnations, runs missing from a report, the end of the wait for earlier runs, restarted workers and submissions received 3 s after the last confirmation now count only once the store has named this owner in answer to a request sent after them. What workers report under the epoch counts at once, so that ordinary work goes on during an outage. A host takes reads of the cell table, and writes conditional on its owner row, as confirmations, and reads the row when a decision waits. It stops at once when it has read another owner's row.

The checker of the histories compares each start with what has happened since the owner's last confirmation.

--- /dev/null
+++ b/libs/scheduling/features/confirmation.feature
@@ -0,0 +1,62 @@
+Feature: An owner acts only on what was so when the store last confirmed it
+  A later owner may exist from the owner's last confirmation on. What a worker tells under
+  the owner's epoch holds all the same; what the owner presumes itself doesn't.
+
+  # Guards against TWICE: the next owner had renewed the lease of a run that the earlier
+  # one took for lost, and had acknowledged its end.
+  Scenario: A run whose lease has expired is lost only once the store confirms the owner
+    Given a cell with 2 workers of 8 cores whose owner was just confirmed
+    And a task that runs on a worker that falls silent
+    When 8 seconds pass
+    Then the task isn't started again, and a confirmation is awaited
+    When the owner is confirmed as of now
+    Then the task is started on the other worker
+
+  # Guards against TWICE: the next owner knew the end of the run before the restart.
+  Scenario: A task whose worker has restarted starts again only after a confirmation
+    Given a cell with 2 workers of 8 cores whose owner was just confirmed
+    And a task that runs on a worker that restarts
+    When 1 seconds pass
+    Then the task isn't started again, and a confirmation is awaited
+    When the owner is confirmed as of now
+    Then the task is started on any worker
+
+  # Guards against TWICE: a restarted worker has forgotten the epoch of the next owner.
+  Scenario: No task starts on a restarted worker before a confirmation
+    Given a cell with 1 workers of 8 cores whose owner was just confirmed
+    When the worker reports a restart
+    And a new task is added
+    Then the task isn't started again, and a confirmation is awaited
+    When the owner is confirmed as of now
+    Then the task is started on any worker
+
+  # Guards against LOST: ordinary work must go on while the store doesn't answer.
+  Scenario: A task starts, and fails and starts again, without a newer confirmation
+    Given a cell with 1 workers of 8 cores whose owner was just confirmed
+    When 2 seconds pass
+    And a new task is added
+    Then the task is started on any worker
+    When the worker reports that its run has failed
+    Then the task is started on any worker
+
+  # Guards against TWICE: the next owner waits for runs of such submissions only as long
+  # as an owner that has lost its cell may still hear of them.
+  Scenario Outline: A submission is received <seconds> s after the owner's confirmation
+    Given a cell with 1 workers of 8 cores whose owner was just confirmed
+    When <seconds> seconds pass
+    And a new task is added
+    Then <outcome>
+
+    Examples:
+      | seconds | outcome                                                   |
+      | 2       | the task is started on any worker                         |
+      | 4       | the task isn't started again, and a confirmation is awaited |
+
+  # Guards against TWICE: runs of the earlier owner, renewed by the next one.
+  Scenario: Runs of an earlier owner have expired only once the store confirms that
+    Given a cell of 3 workers taken over with runs unknown for 18 s, one of them silent
+    And its owner is confirmed no more after 5 s
+    When an inherited task waits for 20 s
+    Then the task isn't started again, and a confirmation is awaited
+    When the owner is confirmed as of now
+    Then the task is started on any worker
--- a/libs/scheduling/features/histories.feature
+++ b/libs/scheduling/features/histories.feature
@@ -145,6 +145,7 @@
       | recorded workers          |
       | condition on the owner    |
       | epoch in a move           |
+      | confirmation by the store |
 
   # Guards against LOST: work waited while workers with room were on probation (seeds 14,
   # 18 and 40). Owners die just after a start, tasks crash workers, capacities change.
--- a/libs/scheduling/features/steps/cell_simulation.py
+++ b/libs/scheduling/features/steps/cell_simulation.py
@@ -62,6 +62,15 @@
 TIMES = LeaseTimes(worker_lease_s=5.0, max_lease_s=6.0, owner_limit_s=12.0)
 
 
+@dataclass(frozen=True, slots=True)
+class ObservedEnd:
+    """End of a task's last run on a worker at a time in seconds."""
+
+    worker_id: str
+    run: int
+    at: float
+
+
 @dataclass(slots=True)
 class InvariantChecker:
     """Actual runs and ends of all tasks, and the violations of invariants."""
@@ -80,11 +89,15 @@
     crashing_tasks: set[TaskKey] = field(default_factory=set)
     n_failed_ends: dict[TaskKey, int] = field(default_factory=dict)
     started_at: dict[TaskKey, float] = field(default_factory=dict)
+    now: float = 0.0
+    last_run_by_task: dict[TaskKey, int] = field(default_factory=dict)
+    last_end_by_task: dict[TaskKey, "ObservedEnd"] = field(default_factory=dict)
 
     def on_start(self, task: TaskKey, run: int, worker_id: str, now: float) -> None:
         """Record a started run and check the invariants of a start."""
         self.n_starts += 1
         self.started_at[task] = now
+        self.last_run_by_task[task] = run
         others = self.running.setdefault(task, [])
         if others:
             self.violations.append(
@@ -139,6 +152,8 @@
     def on_end(self, task: TaskKey, worker_id: str, end: RunEnd | None) -> None:
         """Remove an ended run; ``end`` is None after a crash."""
         self.running[task].remove(worker_id)
+        run = self.last_run_by_task[task]
+        self.last_end_by_task[task] = ObservedEnd(worker_id, run, self.now)
         if end is RunEnd.DONE:
             self.done.add(task)
         elif end is RunEnd.FAILED:
@@ -209,6 +224,10 @@
         self.paused_until = 0.0
         self.unreachable: set[str] = set()
         self.cell = sim.make_cell(sim_cell, settled_at, workers)
+        if sim.disabled_mechanism != "confirmation by the store":
+            self.cell.confirmation.confirmed_at = sim.now
+        # Runs whose end a worker has reported to this owner.
+        self.reported_ends: set[tuple[TaskKey, int]] = set()
         self.next_hold_at: dict[str, float] = {}
         self.needs_probe: dict[str, bool] = {}
         self.answered_incarnation: dict[str, int] = {}
@@ -244,6 +263,8 @@
             if self.sim_cell.epoch != self.epoch:
                 self.is_dead = True
                 return
+            # The answer to a read that was sent in the previous tick.
+            self.cell.confirmation.confirm(now - TICK_S)
             self._record()
             if self.sim.rng.random() <= 0.2:
                 self._propose_moves()
@@ -357,6 +378,7 @@
         elif answer.result is OrderResult.ACCEPTED:
             self.needs_probe[worker_id] = False
             self.answered_incarnation[worker_id] = answer.report.started_at_ms
+            self.reported_ends.update((e.task, e.run) for e in answer.report.ended)
             self.cell.on_report(worker_id, answer.report, sent_at, now)
         elif answer.result is OrderResult.FENCED:
             self.cell.on_fenced(worker_id)
@@ -579,10 +601,40 @@
 
     def dispatch(self, owner: SimOwner, item: WorkerOrder) -> None:
         """Send an order of a planning round."""
-        if isinstance(item.order, StartOrder) and not owner.is_out_of_date:
-            self.checker.on_start_order(item.order.task, self.now)
+        if isinstance(item.order, StartOrder):
+            self._check_beliefs(owner, item)
+            if not owner.is_out_of_date:
+                self.checker.on_start_order(item.order.task, self.now)
         self.send(owner, item.worker_id, item.order)
 
+    def _check_beliefs(self, owner: SimOwner, item: WorkerOrder) -> None:
+        """Check that a start relies on nothing that a later owner may know better.
+
+        That is what has happened after the owner's last confirmation: the end of the
+        task's last run that no worker has reported to it, or a restart of the worker.
+        """
+        task = item.order.task
+        confirmed_at = owner.confirmed_at
+        end = self.checker.last_end_by_task.get(task)
+        if (
+            end is not None
+            and end.worker_id in owner.sim_cell.worker_ids
+            and end.at > confirmed_at
+            and (task, end.run) not in owner.reported_ends
+        ):
+            self.checker.violations.append(
+                f"{self.now:.2f}: {task} is ordered after an end that no worker told, "
+                f"of {end.at:.2f}, owner confirmed at {confirmed_at:.2f}"
+            )
+        worker = self.workers[item.worker_id]
+        view = owner.cell.worker_by_id[item.worker_id]
+        is_present = view.incarnation_ms == worker.started_at_ms
+        if is_present and worker.clock_started_at > confirmed_at:
+            self.checker.violations.append(
+                f"{self.now:.2f}: {task} is ordered on {item.worker_id}, restarted at "
+                f"{worker.clock_started_at:.2f}, owner confirmed at {confirmed_at:.2f}"
+            )
+
     def send(self, owner: SimOwner, worker_id: str, order) -> None:
         """Send an order that may be delayed or lost, or whose answer may be lost."""
         fault_draw = self.rng.random()
@@ -674,6 +726,7 @@
         end = self.now + length_s + fault_free_s
         while self.now < end:
             self.now += TICK_S
+            self.checker.now = self.now
             for sim_cell in self.cell_by_id.values():
                 self._inject_faults(
                     sim_cell, is_fault_free=self.now >= end - fault_free_s
--- a/libs/scheduling/features/steps/gang_steps.py
+++ b/libs/scheduling/features/steps/gang_steps.py
@@ -36,6 +36,8 @@
         self.running = {f"w{n}": {} for n in range(n_workers)}
         self.ended = {worker_id: [] for worker_id in self.running}
         self.started_at_ms = dict.fromkeys(self.running, 1)
+        # When the clock of each worker began.
+        self.clock_began_at = dict.fromkeys(self.running, 0.0)
         self.silent = set()
         self.starts = []
         self.stops = []
@@ -90,7 +92,7 @@
                 RunningTask(t, run, "", 100, 0.0) for t, run in running.items()
             )
             ended = tuple(self.ended[worker_id])
-            clock_ms = int(self.now * 1000)
+            clock_ms = int((self.now - self.clock_began_at[worker_id]) * 1000)
             report = WorkerReport(clock_ms, self.started_at_ms[worker_id], rows, ended)
             self.cell.on_report(worker_id, report, self.now, self.now)
         for item in self.cell.plan(self.now, 0.0):
--- a/libs/scheduling/features/steps/history_steps.py
+++ b/libs/scheduling/features/steps/history_steps.py
@@ -173,8 +173,9 @@
 def step_simulate_without(context, mechanism):
     context.violation = None
     for seed in range(1, SEED_LIMIT):
-        # Only an owner that learns late starts a task that moves here after a takeover.
-        is_late = mechanism == "epoch in a move"
+        # Only an owner that learns late starts a task that moves here after a takeover,
+        # or takes a run for lost that its successor knows.
+        is_late = mechanism in ("epoch in a move", "confirmation by the store")
         sim = simulate(seed, 40, mechanism, n_cells=2, has_unaware_owners=is_late)
         if sim.checker.violations:
             context.violation = sim.checker.violations[0]
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -63,6 +63,7 @@
         tracked = self.submissions.add(
             submission, progress, accepted_at, is_home=is_home
         )
+        tracked.received_at = now
         tracked.activate_due_steps(self._wall_ms)
         if inherited or now < self._began_at + HANDOVER_GRACE_S:
             self._inherited_submissions.add(submission.submission_id)
@@ -293,6 +294,7 @@
 
     def plan(self, now: float, wall_ms: float) -> list[WorkerOrder]:
         """Run one planning round and return the orders to send."""
+        self.confirmation.is_awaited = False
         self._observe_time(now)
         self._expire_leases(now)
         self._retry_stops(now)
@@ -327,8 +329,9 @@
             return {reason: len(self.worker_by_id)}
         task = ready.task(min(ready.waiting))
         counts: dict[str, int] = {}
-        if self._may_have_unknown_run(task, now):
-            return {"runs of earlier owner unknown": len(self._unsettled_workers)}
+        doubt = self._explain_doubt(task, now)
+        if doubt:
+            return {doubt: len(self._unsettled_workers)}
         if task in self._tasks_with_pending_move:
             return {"move pending": 1}
         service = ready.tracked.submission.queue.service
@@ -336,6 +339,8 @@
             reason = view.explain_unavailable(now)
             if worker_id not in self._recorded_workers:
                 reason = "worker not recorded yet"
+            elif not self.confirmation.covers(view.started_by):
+                reason = reason or "ownership not confirmed since its start"
             reason = reason or explain_rejection(
                 task, ready.step, service, view, self.interference
             )
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_reports.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_reports.py
@@ -13,6 +13,7 @@
 
 from ._cell_starts import CellStarts
 from ._deferred_ends import DeferralReason, DeferredEnd
+from ._leases import latest_start
 from ._submissions import TrackedSubmission
 from ._workers import Run, RunPhase, WorkerView
 
@@ -40,7 +41,8 @@
             if report.started_at_ms < view.incarnation_ms:
                 return
             if view.incarnation_ms:
-                self._end_incarnation(view, "worker restarted", now)
+                started_by = latest_start(report.clock_ms, now)
+                self._end_incarnation(view, "worker restarted", now, started_by)
             else:
                 self.crashes.on_first_report(worker_id, report.started_at_ms)
             view.incarnation_ms = report.started_at_ms
@@ -57,6 +59,7 @@
             lease_ms = int(self.times.max_lease_s * 1000)
             view.clock.extend_lease(report.clock_ms + lease_ms)
             view.has_seen_epoch = True
+            view.started_by = latest_start(report.clock_ms, now)
         if len(report.ended) < MAX_ENDS_IN_REPORT:
             self._unsettled_workers.discard(worker_id)
         for end in report.ended:
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -14,6 +14,7 @@
 
 from ._advice import TicketCache
 from ._backlog_meter import CompletedWork
+from ._confirmation import OwnershipConfirmation
 from ._crashes import CrashTracker
 from ._evacuation import MAX_PAUSE_S, AvailabilityTracker, CellEvacuation
 from ._filler_stops import choose_fillers_to_stop, must_stop_all_fillers
@@ -29,11 +30,17 @@
 from ._urgency import ExpectedFinishOrder
 from ._workers import Run, RunPhase, WorkerView
 
+# Time by which a run has ended that never began.
+NEVER_RAN = float("-inf")
 # Seconds for which a worker gets no new run after it rejected a start: for lack of
 # capacity that the owner counted as free, and for another reason.
 NO_CAPACITY_COOLDOWN_S = 0.3
 REJECTION_COOLDOWN_S = 1.0
 STOP_RETRY_S = 0.5
+# Maximum seconds between an owner's confirmation and the receipt of a submission whose
+# tasks it starts without another: less than HANDOVER_GRACE_S, in which the next owner
+# expects that.
+MAX_RECEIPT_AFTER_CONFIRMATION_S = 3.0
 logger = logging.getLogger(__name__)
 
 
@@ -70,6 +77,7 @@
         self.worker_by_id: dict[str, WorkerView] = {}
         self.run_by_task: dict[TaskKey, Run] = {}
         self.is_fenced_out = False
+        self.confirmation = OwnershipConfirmation()
         # None where speeds and failures of workers aren't to be learned.
         self.uneven_workers: UnevenWorkers | None = None
         # When the list of workers was known to be complete, and the services whose
@@ -97,6 +105,8 @@
         self._tasks_with_known_run: set[TaskKey] = set()
         # Tasks whose move to this cell names this owner's epoch.
         self._tasks_moved_to_owner: set[TaskKey] = set()
+        # When the last run of a task had ended, where only this owner says so.
+        self._presumed_end_by_task: dict[TaskKey, float] = {}
         self._orders: list[WorkerOrder] = []
         # Of the present planning round: tasks for which one way of choosing a worker
         # has found none, and tasks whose next run is recorded, or to be recorded.
@@ -211,16 +221,46 @@
     def _may_have_unknown_run(self, task: TaskKey, now: float) -> bool:
         """Return whether an earlier owner may have a run of a task that is unknown.
 
-        A task that has run under this epoch has none: its earlier owner could start
-        another run only after this one had ended. Nor has one whose move to this cell
-        names this epoch: its last owner knew of no run, and an earlier owner of this
-        cell that learns of the move learns of the takeover too.
+        A task that has run under this epoch has none: what its earlier owner presumes
+        of the run's end, the store must confirm. Nor has one whose move
+        to this cell names this epoch: its last owner knew of no run, and an earlier
+        owner of this cell that learns of the move learns of the takeover too.
         """
         if task.submission_id not in self._inherited_submissions:
             return False
-        if task in self._tasks_moved_to_owner:
+        if task in self._tasks_moved_to_owner or task in self._tasks_with_known_run:
             return False
-        return task not in self._tasks_with_known_run and not self.has_settled(now)
+        return not self._has_certainly_settled(now)
+
+    def _has_certainly_settled(self, now: float) -> bool:
+        """Return whether runs of earlier owners had settled at the last confirmation.
+
+        A later owner may renew the leases of those that haven't.
+        """
+        if not self.has_settled(now):
+            return False
+        return all(
+            self.confirmation.covers(
+                self._settled_at_by_worker.get(worker_id, self._settled_at)
+            )
+            for worker_id in self._unsettled_workers
+        )
+
+    def _explain_doubt(self, task: TaskKey, now: float) -> str:
+        """Return why a task may run where this owner doesn't know, or an empty string.
+
+        Without a newer confirmation a later owner may have started the task: after the
+        end of a run that this owner only presumes, or of a submission received since.
+        """
+        if self._may_have_unknown_run(task, now):
+            return "runs of earlier owner unknown"
+        ended_at = self._presumed_end_by_task.get(task)
+        if ended_at is not None and not self.confirmation.covers(ended_at):
+            return "ownership not confirmed since its run was lost"
+        received_at = self.submissions.by_id[task.submission_id].received_at
+        if not self.confirmation.covers(received_at - MAX_RECEIPT_AFTER_CONFIRMATION_S):
+            return "ownership not confirmed since it was received"
+        return ""
 
     def _apply_target_epoch(self, task: TaskKey, move: TaskMove) -> None:
         """Take note that a move names this owner's epoch; end at a later one.
@@ -279,14 +319,22 @@
             elif result is not OrderResult.OLD_RUN:
                 view.avoid_until = max(view.avoid_until, now + REJECTION_COOLDOWN_S)
         self.crashes.on_survival((run,))
-        self._mark_lost(run, result.value, now)
+        self._mark_lost(run, result.value, now, ended_by=NEVER_RAN)
 
     def _mark_lost(
-        self, run: Run, reason: str, now: float, *, may_have_crashed: bool = False
+        self,
+        run: Run,
+        reason: str,
+        now: float,
+        *,
+        may_have_crashed: bool = False,
+        ended_by: float | None = None,
     ) -> None:
-        """Remove a run that has certainly ended and enqueue its task again.
+        """Remove a run that has ended and enqueue its task again.
 
-        Unless its worker may have crashed during it, the run crashed no worker.
+        Unless its worker may have crashed during it, the run crashed no worker. It had
+        ended by ``ended_by``, or now: if a later owner knew it by then, it may have
+        ended otherwise and be recorded.
         """
         logger.info(
             "run lost: task %s run %d on %s: %s (%s for %.1f s, reported: %s)",
@@ -299,6 +347,7 @@
             run.was_reported,
         )
         self._remove_run(run, now)
+        self._presumed_end_by_task[run.task] = now if ended_by is None else ended_by
         tracked = self.submissions.by_id.get(run.task.submission_id)
         if tracked is None:
             return
@@ -315,12 +364,15 @@
             if run.task[:3] == task[:3] and run.number <= number:
                 self._stop(run, now)
 
-    def _end_incarnation(self, view: WorkerView, reason: str, now: float) -> None:
+    def _end_incarnation(
+        self, view: WorkerView, reason: str, now: float, ended_by: float | None = None
+    ) -> None:
         """Mark the runs of an ended incarnation as lost and reset the worker's state.
 
         A run that was never in a report may have started in the next incarnation
-        already, so it becomes unconfirmed instead. Does nothing if the incarnation
-        has ended already: the leases that it granted must be able to expire.
+        already, so it becomes unconfirmed instead. The incarnation had ended by
+        ``ended_by``, or now. Does nothing if it has ended already: the leases that it
+        granted must be able to expire.
         """
         if not view.incarnation_ms:
             return
@@ -333,7 +385,9 @@
                 self.uneven_workers.on_outage(view, now, has_restarted=True)
         for run in tuple(view.run_by_task.values()):
             if run.was_reported:
-                self._mark_lost(run, reason, now, may_have_crashed=True)
+                self._mark_lost(
+                    run, reason, now, may_have_crashed=True, ended_by=ended_by
+                )
             elif run.phase is not RunPhase.STARTING:
                 logger.info(
                     "run unconfirmed: task %s run %d on %s: %s, it was %s for %.1f s",
@@ -379,7 +433,13 @@
 
     def _expire_leases(self, now: float) -> None:
         for view in self.worker_by_id.values():
-            if view.run_by_task and now > view.clock.all_leases_expire_at():
+            expires_at = view.clock.all_leases_expire_at()
+            # A later owner may have renewed the lease.
+            if (
+                view.run_by_task
+                and now > expires_at
+                and self.confirmation.covers(expires_at)
+            ):
                 logger.info(
                     "worker %s: lease expired, answered %.1f s ago with clock %d, "
                     "lease until %d",
@@ -395,7 +455,13 @@
                     self.crashes.on_silence(view, runs)
                 view.expired_runs += runs
                 for run in runs:
-                    self._mark_lost(run, "lease expired", now, may_have_crashed=True)
+                    self._mark_lost(
+                        run,
+                        "lease expired",
+                        now,
+                        may_have_crashed=True,
+                        ended_by=expires_at,
+                    )
                 self._stop_runs_of_failed(runs, now)
 
     def _refresh_conditions(self, now: float) -> None:
@@ -443,6 +509,7 @@
     def _add_run(self, tracked: TrackedSubmission, run: Run) -> None:
         tracked.raise_run_floor(run.task, run.number)
         tracked.remove_waiting(run.task)
+        self._presumed_end_by_task.pop(run.task, None)
         if run.task.submission_id in self._inherited_submissions:
             self._tasks_with_known_run.add(run.task)
         self.run_by_task[run.task] = run
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -7,7 +7,7 @@
     StartOrder,
 )
 
-from ._cell_runs import CellRuns
+from ._cell_runs import NEVER_RAN, CellRuns
 from ._crashes import LIKELY_CAUSE_AGE_S, MAX_QUIET_WAIT_S
 from ._placement import choose_forced_worker, choose_worker
 from ._progress import PresumedStart
@@ -90,7 +90,7 @@
             for task in tasks
             if task not in self.run_by_task
             and task not in self._tasks_with_pending_move
-            and not self._may_have_unknown_run(task, now)
+            and not self._explain_doubt(task, now)
         ]
 
     def _is_whole_gang_startable(self, ready: ReadyStep, now: float) -> bool:
@@ -134,7 +134,7 @@
             return True
         if not run.may_have_been_sent:
             self.crashes.on_survival((run,))
-            self._mark_lost(run, "its start was not sent", now)
+            self._mark_lost(run, "its start was not sent", now, ended_by=NEVER_RAN)
         elif run.phase is RunPhase.STARTING:
             self._mark_unconfirmed(run, now)
         return False
@@ -558,6 +558,7 @@
             if worker_id in self._recorded_workers
             and not view.explain_no_answer(now)
             and view.entry.service not in unsafe_services
+            and self.confirmation.covers(view.started_by)
         ]
 
     def _start(
--- a/libs/scheduling/src/berylcleat/scheduling/_leases.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_leases.py
@@ -30,6 +30,14 @@
         return (renewals_s + self.max_lease_s) * (1 + 2 * CLOCK_DRIFT)
 
 
+def latest_start(clock_ms: int, now: float) -> float:
+    """Return the latest time at which a worker may have started.
+
+    Its clock, which starts with it, had reached ``clock_ms`` by ``now``.
+    """
+    return now - clock_ms / 1000 / (1 + CLOCK_DRIFT)
+
+
 @dataclass(slots=True)
 class WorkerClock:
     """Bounds on a worker's monotonic clock, derived from its latest answer."""
--- a/libs/scheduling/src/berylcleat/scheduling/_submissions.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_submissions.py
@@ -62,6 +62,8 @@
     has_started: bool = False
     last_forced_at: float = 0.0
     is_dirty: bool = False
+    # When this owner received it.
+    received_at: float = 0.0
     # Number of the latest record of the cell that holds its progress.
     record_number: int = 0
     ready_by_step: dict[tuple[int, int], ReadyStep] = field(default_factory=dict)
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -123,6 +123,8 @@
     clock: WorkerClock = field(default_factory=WorkerClock)
     incarnation_ms: int = 0
     has_seen_epoch: bool = False
+    # When this incarnation had certainly started, as told by its clock.
+    started_by: float = 0.0
     # When the first hold since the last report failed.
     hold_failed_at: float | None = None
     is_listed: bool = True
--- /dev/null
+++ b/programs/beryl-host/features/confirmation.feature
@@ -0,0 +1,28 @@
+Feature: A host has the store confirm that it owns a cell
+  Runs in memory. The host's reads of all cells lag behind, as during an outage.
+
+  # Guards against TWICE: a decision relied on an ownership that had ended. Guards against
+  # LOST: the decision waited for the next read of all cells.
+  Scenario: The owner row is read when a task waits for a confirmation
+    Given a cell with recorded workers "w1 w2"
+    When its owner, last confirmed 10 s ago, has a task that waits for a confirmation
+    Then the task no longer waits for it
+    And the owner row was read at most 3 times
+
+  Scenario: The owner row is found to be another's when a task waits for a confirmation
+    Given a cell with recorded workers "w1 w2"
+    When another host acquires it and its owner has a task that waits for a confirmation
+    Then the owner has ended
+
+  # Guards against a store that is asked again without a pause.
+  Scenario: The store doesn't answer while a task waits for a confirmation
+    Given a cell with recorded workers "w1 w2"
+    When the store is down and its owner has a task that waits for a confirmation
+    Then the task still waits for it
+    And the owner row was read at most 12 times
+
+  # Guards against TWICE: an owner went on until its next look at its cells.
+  Scenario: An owner stops to act as soon as it has read another owner's row
+    Given a cell with recorded workers "w1 w2" that was released
+    When a host acquires it and reads the next owner's row
+    Then it may not act on the cell
--- /dev/null
+++ b/programs/beryl-host/features/steps/confirmation_steps.py
@@ -0,0 +1,117 @@
+import asyncio
+
+from behave import then, when
+from host_parts import CELL, make_controller
+from ownership_steps import make_live_manager, put_cell_row, reconcile
+
+from berylcleat.host._clock import now_s
+from berylcleat.host._records import CELL_TABLE, OWNER_KEY, OwnerRow, encode
+from berylcleat.model import (
+    PlatformUnavailableError,
+    QueuePolicy,
+    Step,
+    Submission,
+    TaskDemand,
+    TaskKey,
+)
+from berylcleat.scheduling import Progress
+
+SUBMISSION = Submission(
+    "a" * 16, QueuePolicy("q", "svc"), "s", (Step(1, TaskDemand(100, 100, 0)),)
+)
+TASK = TaskKey(SUBMISSION.submission_id, 0, 0, 0)
+
+
+async def wait_for_confirmation(context, before_wait):
+    """Let a task wait for half a second, the store having changed before."""
+    confirmed_at = now_s() - 10.0
+    controller = make_controller(
+        context.store,
+        OwnerRow(2, "host-1", "aa", 18.0),
+        now_s(),
+        read_confirmed_at=lambda: confirmed_at,
+    )
+    await controller.start({})
+    context.n_reads = 0
+    context.is_store_down = False
+    read = context.store.read
+
+    async def count_read(table, *key):
+        context.n_reads += table == CELL_TABLE
+        if context.is_store_down:
+            raise PlatformUnavailableError("store down", "Wait")
+        return await read(table, *key)
+
+    context.store.read = count_read
+    before_wait()
+    controller.scheduler.add_submission(
+        SUBMISSION, Progress(), now_s(), now_s(), inherited=True
+    )
+    await asyncio.sleep(0.8)
+    context.doubt = controller.scheduler._explain_doubt(TASK, now_s())
+    context.is_inactive = controller.is_inactive
+    await controller.abandon()
+
+
+@when("its owner, last confirmed 10 s ago, has a task that waits for a confirmation")
+def step_wait(context):
+    context.run(wait_for_confirmation(context, lambda: None))
+
+
+@when("another host acquires it and its owner has a task that waits for a confirmation")
+def step_wait_replaced(context):
+    def replace_owner():
+        put_cell_row(context, OWNER_KEY, encode(OwnerRow(3, "host-2", "bb", 18.0)))
+
+    context.run(wait_for_confirmation(context, replace_owner))
+
+
+@when("the store is down and its owner has a task that waits for a confirmation")
+def step_wait_outage(context):
+    def stop_store():
+        context.is_store_down = True
+
+    context.run(wait_for_confirmation(context, stop_store))
+
+
+@then("the task no longer waits for it")
+def step_confirmed(context):
+    assert not context.doubt, context.doubt
+
+
+@then("the task still waits for it")
+def step_unconfirmed(context):
+    assert context.doubt
+    assert not context.is_inactive
+
+
+@then("the owner row was read at most {n:d} times")
+def step_read(context, n):
+    assert 1 <= context.n_reads <= n, context.n_reads
+
+
+@then("the owner has ended")
+def step_ended(context):
+    assert context.is_inactive
+
+
+@when("a host acquires it and reads the next owner's row")
+def step_next_owner_read(context):
+    async def acquire():
+        manager, cells = await make_live_manager(context.store, "dc-1")
+        context.manager = manager
+        await reconcile(context)
+        controller = manager.controller_by_cell[CELL]
+        assert controller._is_ownership_confirmed()
+        put_cell_row(context, OWNER_KEY, encode(OwnerRow(9, "host-2", "cc")))
+        page = await context.store.read(CELL_TABLE, CELL)
+        cells.on_owner_rows(page.rows)
+        context.may_act = controller._is_ownership_confirmed()
+        await manager.release_all()
+
+    context.run(acquire())
+
+
+@then("it may not act on the cell")
+def step_may_not_act(context):
+    assert not context.may_act
--- a/programs/beryl-host/features/steps/host_parts.py
+++ b/programs/beryl-host/features/steps/host_parts.py
@@ -3,6 +3,7 @@
 from berylcleat.host._cell_controller import CellController
 from berylcleat.host._cell_directory import CellDirectory
 from berylcleat.host._cell_ownership import CellOwnershipManager
+from berylcleat.host._clock import now_s
 from berylcleat.host._components import Connections, Knowledge, OwnerFeeds
 from berylcleat.host._follower import TableFollower
 from berylcleat.host._identity import HostIdentity
@@ -50,7 +51,15 @@
     return Knowledge(membership, cells, workers, directory, interference, operator)
 
 
-def make_controller(store, owner, settled_at, *, data_centre="dc-1", operator=None):
+def make_controller(
+    store,
+    owner,
+    settled_at,
+    *,
+    data_centre="dc-1",
+    operator=None,
+    read_confirmed_at=now_s,
+):
     """Return a controller; earlier runs count as unknown until ``settled_at``."""
     cells = CellDirectory(data_centre)
     return CellController(
@@ -62,7 +71,7 @@
         make_knowledge(Membership(), cells, WorkerList(), operator),
         LeaseTimes(),
         settled_at,
-        lambda: True,
+        read_confirmed_at,
         IdleMover(),
     )
 
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -50,6 +50,8 @@
 LATE_SUBMISSION_MS = 1500
 # Pause between two requests to a previous owner that hasn't confirmed its stop.
 HANDOVER_RETRY_S = 0.5
+# Minimum time between two reads of the owner row that decisions wait for.
+CONFIRM_PERIOD_S = 0.1
 Result = TypeVar("Result")
 logger = logging.getLogger(__name__)
 
@@ -60,7 +62,9 @@
     ``scheduler`` is None until ``start`` has loaded the recorded state. Until
     ``settled_at``, in seconds of ``now_s``, runs of earlier owners may be unaccounted
     for. ``has_failed`` is true after an unexpected exception: what the scheduler holds
-    may then contradict itself, so the cell must be given up.
+    may then contradict itself, so the cell must be given up. ``read_confirmed_at``
+    returns when the newest read of the cells was sent that showed this owner, or minus
+    infinity if one showed another.
     """
 
     def __init__(
@@ -73,7 +77,7 @@
         knowledge: Knowledge,
         times: LeaseTimes,
         settled_at: float,
-        is_ownership_confirmed: Callable[[], bool],
+        read_confirmed_at: Callable[[], float],
         mover: TaskMover,
         *,
         expected_finish: bool = False,
@@ -91,7 +95,7 @@
         self._times = times
         self._created_at = now_s()
         self._settled_at = settled_at
-        self._is_ownership_confirmed = is_ownership_confirmed
+        self._read_confirmed_at = read_confirmed_at
         self._interference = knowledge.interference
         self._operator = knowledge.operator
         self._learns_uneven_workers = knowledge.learns_uneven_workers
@@ -114,6 +118,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._plan_needed = asyncio.Event()
         self._record_needed = asyncio.Event()
+        self._confirmation_needed = asyncio.Event()
         self._order_metrics = OrderMetrics(cell_id)
 
     @property
@@ -168,6 +173,7 @@
                 scheduler.cancel(submission.submission_id, now)
         self._unmatched_progress_by_id = progress_by_id
         self.scheduler = scheduler
+        self._update_confirmation()
         self._hold_loops = hold_loops = HoldLoops(
             scheduler,
             lambda: not self.is_inactive,
@@ -190,6 +196,7 @@
         self.update_workers(entry_by_worker)
         self._spawn(self._plan_loop())
         self._spawn(self._record_loop())
+        self._spawn(self._confirm_loop())
         self._spawn(run_periodically(LOAD_LOG_PERIOD_S, self._log_load))
         self._spawn(self._move_loops.run_moves(self._observe_order))
         self._spawn(self._move_loops.run_stray_ends(self._record_needed.set))
@@ -369,6 +376,28 @@
     async def _log_load(self) -> None:
         log_load(self.scheduler, now_s())
 
+    # Confirmation by the store
+
+    def _is_ownership_confirmed(self) -> bool:
+        """Return whether the store has named this owner recently enough to act."""
+        return now_s() - self._read_confirmed_at() < self._times.owner_limit_s
+
+    def _update_confirmation(self) -> None:
+        confirmed_at = max(self._read_confirmed_at(), self._recorder.confirmed_at)
+        self.scheduler.confirmation.confirmed_at = confirmed_at
+
+    async def _confirm_loop(self) -> None:
+        """Read the owner row when decisions wait for a confirmation."""
+        while not self.is_inactive:
+            await self._confirmation_needed.wait()
+            self._confirmation_needed.clear()
+            try:
+                await self._recorder.confirm_ownership()
+            except BerylError as error:
+                logger.info("cell %s: ownership not confirmed: %s", self.cell_id, error)
+            self._plan_needed.set()
+            await asyncio.sleep(CONFIRM_PERIOD_S)
+
     # Orders
 
     async def _plan_loop(self) -> None:
@@ -382,6 +411,7 @@
             self._plan_needed.clear()
             if self._is_ownership_confirmed() and not self.is_inactive:
                 self._operator.update(self.scheduler.evacuation, now_s())
+                self._update_confirmation()
                 self.scheduler.workers_listed_at = self._worker_list.read_confirmed_at()
                 self.scheduler.unguarded_services = self._worker_list.unguarded_services
                 for worker_order in self.scheduler.plan(now_s(), wall_ms()):
@@ -390,6 +420,8 @@
                     self._spawn(self._sender.request_advice(request))
                 if self.scheduler.crashes.awaits_record:
                     self._record_needed.set()
+                if self.scheduler.confirmation.is_awaited:
+                    self._confirmation_needed.set()
 
     # Moves and records
 
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -358,7 +358,7 @@
             self._knowledge,
             self._times,
             max(now_s() + wait_s, unsettled_until),
-            self._is_ownership_confirmed,
+            partial(self._confirmed_at, cell_id, row),
             self._mover,
             expected_finish=self._expected_finish,
         )
@@ -448,10 +448,15 @@
                 {worker: now + left_s for worker, left_s in left_s_by_worker.items()},
             )
 
-    def _is_ownership_confirmed(self) -> bool:
-        """Return whether the cell table was read recently enough to trust ownership."""
-        age_s = now_s() - self._feeds.cells.confirmed_at
-        return age_s < self._times.owner_limit_s
+    def _confirmed_at(self, cell_id: str, row: OwnerRow) -> float:
+        """Return when the newest read of the cell table was sent that shows a row.
+
+        Minus infinity if another row has replaced it.
+        """
+        owner = self._cells.owner_by_cell.get(cell_id)
+        if owner is None or owner.row != row:
+            return float("-inf")
+        return self._feeds.cells.confirmed_at
 
     async def _drop_lost(self) -> None:
         for cell_id, controller in tuple(self.controller_by_cell.items()):
--- a/programs/beryl-host/src/berylcleat/host/_recorder.py
+++ b/programs/beryl-host/src/berylcleat/host/_recorder.py
@@ -16,6 +16,7 @@
 )
 from berylcleat.scheduling import CellScheduler, Progress, RecordBatch, decode_progress
 
+from ._clock import now_s
 from ._records import (
     CELL_TABLE,
     OWNER_KEY,
@@ -35,17 +36,30 @@
     """Writer of one cell's rows, as long as its owner row has not changed.
 
     Each write is also conditional on its own row's version, so that a delayed write
-    can't overwrite a newer one.
+    can't overwrite a newer one. ``confirmed_at`` is when the newest request was sent
+    whose answer showed the owner row unchanged.
     """
 
     def __init__(self, store: Store, cell_id: str, owner_version: int):
         self.has_lost_ownership = False
+        self.confirmed_at = float("-inf")
         self._store = store
         self._cell_id = cell_id
         self._owner_condition = Condition(CELL_TABLE, cell_id, OWNER_KEY, owner_version)
         self._version_by_id: dict[str, int] = {}
         self._workers_version = 0
 
+    async def confirm_ownership(self) -> None:
+        """Read the owner row. Raises ``BerylError`` if the store doesn't answer."""
+        requested_at = now_s()
+        page = await self._store.read(
+            CELL_TABLE, self._cell_id, OWNER_KEY, OWNER_KEY + "\x00"
+        )
+        if [row.version for row in page.rows] == [self._owner_condition.version]:
+            self._on_confirmed(requested_at)
+        else:
+            self._on_lost()
+
     async def read_progress(self) -> dict[str, Progress]:
         """Return the progress that earlier owners recorded, by submission id."""
         page = await self._store.read(PROGRESS_TABLE, self._cell_id)
@@ -74,6 +88,7 @@
         row = WorkersRow(tuple(entry_by_worker.values()))
         row_key = (RECORDED_WORKER_TABLE, self._cell_id, WORKERS_KEY)
         conditions = (self._owner_condition, Condition(*row_key, self._workers_version))
+        requested_at = now_s()
         try:
             outcome = await self._store.commit(
                 Commit(conditions, (RowWrite(*row_key, encode(row)),))
@@ -86,6 +101,7 @@
         if not outcome.applied:
             self._on_conflict(outcome)
             return False
+        self._on_confirmed(requested_at)
         self._workers_version = outcome.version
         # Workers that began to drain during the write are recorded by the next one.
         scheduler.on_workers_recorded(
@@ -116,10 +132,12 @@
             key = (PROGRESS_TABLE, self._cell_id, write.submission_id)
             conditions.append(Condition(*key, version))
             writes.append(RowWrite(*key, write.value))
+        requested_at = now_s()
         outcome = await self._store.commit(Commit(tuple(conditions), tuple(writes)))
         if not outcome.applied:
             self._on_conflict(outcome)
             return False
+        self._on_confirmed(requested_at)
         for write in chunk:
             self._version_by_id[write.submission_id] = outcome.version
         is_complete = len(chunk) == len(batch.writes)
@@ -136,10 +154,16 @@
                 # Written by an earlier commit of this recorder whose answer was lost.
                 self._version_by_id[row.key] = row.version
             elif row.version != self._owner_condition.version:
-                logger.warning(
-                    "cell %s: ownership lost, the owner row has changed", self._cell_id
-                )
-                self.has_lost_ownership = True
+                self._on_lost()
+
+    def _on_confirmed(self, requested_at: float) -> None:
+        self.confirmed_at = max(self.confirmed_at, requested_at)
+
+    def _on_lost(self) -> None:
+        logger.warning(
+            "cell %s: ownership lost, the owner row has changed", self._cell_id
+        )
+        self.has_lost_ownership = True
 
     def _decode_rows(self, rows: tuple[StoreRow, ...]) -> dict[str, Progress]:
         progress_by_id = {}
