Withhold a start that waits for a connection once its reasons have gone

It was sent even if the owner had been fenced, the worker had restarted or fallen silent, the run had been withdrawn, or the ownership was no longer confirmed: a restarted worker forgets the epochs and takes the order (TWICE). Only hosts with evacuations checked this.

The check before sending holds everywhere now, and includes that the ownership was confirmed lately. The new scenarios of both confirmation.feature files fail without it.

--- a/libs/scheduling/features/confirmation.feature
+++ b/libs/scheduling/features/confirmation.feature
@@ -60,3 +60,11 @@
     Then the task isn't started again, and a confirmation is awaited
     When the owner is confirmed as of now
     Then the task is started on any worker
+
+  # Guards against TWICE: an order that waits for a connection is sent to the worker's
+  # next incarnation.
+  Scenario: A start isn't sent if its worker has restarted since it was decided
+    Given a cell with 1 workers of 8 cores whose owner was just confirmed
+    When a new task is added
+    And the worker reports a restart
+    Then the start may not be sent any more
--- a/libs/scheduling/features/steps/confirmation_steps.py
+++ b/libs/scheduling/features/steps/confirmation_steps.py
@@ -94,3 +94,10 @@
 def step_started(context):
     started = [item.order.task for item in context.scripted_cell.starts]
     assert started == [TASK], started
+
+
+@then("the start may not be sent any more")
+def step_not_sent(context):
+    scripted_cell = context.scripted_cell
+    (item,) = scripted_cell.starts
+    assert not scripted_cell.cell.may_send_start(item.order, scripted_cell.now)
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -144,9 +144,6 @@
     def _has_evacuations(self) -> bool:
         return self.evacuation is not None and self.evacuation.is_enabled
 
-    def _has_maintenance(self) -> bool:
-        return self._cordoned is not None or self.awaits_cordon
-
     def _is_evacuated(self) -> bool:
         return self.evacuation is not None and self.evacuation.is_evacuated
 
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -128,7 +128,7 @@
         """
         run = self.run_by_task.get(order.task)
         if run is None or run.number != order.run:
-            return not self._has_evacuations() and not self._has_maintenance()
+            return False
         if self._may_still_start(run, now):
             run.may_have_been_sent = True
             return True
@@ -148,15 +148,15 @@
         view = self.worker_by_id.get(run.worker_id)
         if self.awaits_cordon or (view is not None and view.is_cordoned):
             return False
-        if not self._has_evacuations():
-            return True
-        if self._is_paused(now) or not self._may_start(now) or self.is_fenced_out:
-            return False
-        if view is None or view.hold_failed_at is not None:
+        if self.is_fenced_out or view is None or view.hold_failed_at is not None:
             return False
         if view.incarnation_ms != run.incarnation_ms:
             return False
-        return run.may_have_been_sent or run.phase is not RunPhase.STOPPING
+        if not run.may_have_been_sent and run.phase is RunPhase.STOPPING:
+            return False
+        if not self._has_evacuations():
+            return True
+        return not self._is_paused(now) and self._may_start(now)
 
     def _mark_unconfirmed(self, run: Run, now: float) -> None:
         """Take note that a worker may or may not run an order that it got."""
--- a/programs/beryl-host/features/confirmation.feature
+++ b/programs/beryl-host/features/confirmation.feature
@@ -26,3 +26,8 @@
     Given a cell with recorded workers "w1 w2" that was released
     When a host acquires it and reads the next owner's row
     Then it may not act on the cell
+
+  # Guards against TWICE: a start that waited for a connection was sent after that.
+  Scenario: A start that waits for a connection isn't sent once the ownership is in doubt
+    When a start order is to be sent while the ownership isn't confirmed
+    Then it isn't sent
--- a/programs/beryl-host/features/steps/confirmation_steps.py
+++ b/programs/beryl-host/features/steps/confirmation_steps.py
@@ -5,6 +5,7 @@
 from ownership_steps import make_live_manager, put_cell_row, reconcile
 
 from berylcleat.host._clock import now_s
+from berylcleat.host._order_sender import OrderSender
 from berylcleat.host._records import CELL_TABLE, OWNER_KEY, OwnerRow, encode
 from berylcleat.model import (
     PlatformUnavailableError,
@@ -14,7 +15,8 @@
     TaskDemand,
     TaskKey,
 )
-from berylcleat.scheduling import Progress
+from berylcleat.ports import OrderAnswer, OrderResult, StartOrder
+from berylcleat.scheduling import Progress, WorkerOrder
 
 SUBMISSION = Submission(
     "a" * 16, QueuePolicy("q", "svc"), "s", (Step(1, TaskDemand(100, 100, 0)),)
@@ -115,3 +117,42 @@
 @then("it may not act on the cell")
 def step_may_not_act(context):
     assert not context.may_act
+
+
+class WillingScheduler:
+    """Scheduler that allows every start."""
+
+    def may_send_start(self, order, now):
+        return True
+
+    def on_start_answer(self, worker_id, order, answer, now):
+        pass
+
+
+class WaitingWorker:
+    """Worker client that asks before it sends a start."""
+
+    is_sent = False
+
+    async def start(self, order, may_send):
+        self.is_sent = may_send()
+        return OrderAnswer(OrderResult.NOT_SENT)
+
+
+@when("a start order is to be sent while the ownership isn't confirmed")
+def step_send_in_doubt(context):
+    context.worker = WaitingWorker()
+    sender = OrderSender(
+        WillingScheduler(),
+        {"w1": context.worker},
+        None,
+        lambda: None,
+        lambda: False,
+    )
+    order = StartOrder(TASK, 1, "s", 1000, 1)
+    context.run(sender.send(WorkerOrder("w1", order)))
+
+
+@then("it isn't sent")
+def step_not_sent(context):
+    assert not context.worker.is_sent
--- a/programs/beryl-host/features/steps/evacuation_steps.py
+++ b/programs/beryl-host/features/steps/evacuation_steps.py
@@ -406,7 +406,9 @@
     def on_change():
         context.n_changes += 1
 
-    sender = OrderSender(context.scheduler, {"w1": context.worker}, None, on_change)
+    sender = OrderSender(
+        context.scheduler, {"w1": context.worker}, None, on_change, lambda: True
+    )
     context.run(sender.send(WorkerOrder("w1", context.order)))
 
 
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -186,6 +186,7 @@
             hold_loops.client_by_worker,
             self._advisor,
             self._plan_needed.set,
+            self._is_ownership_confirmed,
         )
         if self._late_limit:
             self._backlog_meter = BacklogMeter(
--- a/programs/beryl-host/src/berylcleat/host/_order_sender.py
+++ b/programs/beryl-host/src/berylcleat/host/_order_sender.py
@@ -23,7 +23,8 @@
 class OrderSender:
     """Sender of orders that passes the answers to the scheduler.
 
-    ``on_change`` is called when a new planning round is needed.
+    ``on_change`` is called when a new planning round is needed, ``may_act`` tells
+    whether the ownership was confirmed lately.
     """
 
     def __init__(
@@ -32,11 +33,13 @@
         client_by_worker: Mapping[str, WorkerPort],
         advisor: Advisor | None,
         on_change: Callable[[], None],
+        may_act: Callable[[], bool],
     ):
         self._scheduler = scheduler
         self._client_by_worker = client_by_worker
         self._advisor = advisor
         self._on_change = on_change
+        self._may_act = may_act
 
     async def send(self, worker_order: WorkerOrder) -> None:
         """Send one order and apply its answer."""
@@ -46,9 +49,7 @@
             logger.warning("order dropped: no client for worker %s", worker_id)
             return
         if isinstance(order, StartOrder):
-            answer = await client.start(
-                order, lambda: self._scheduler.may_send_start(order, now_s())
-            )
+            answer = await client.start(order, lambda: self._may_send_start(order))
             if answer.result is not OrderResult.ACCEPTED:
                 _log_refused_start(worker_order, answer.result)
             self._scheduler.on_start_answer(worker_id, order, answer, now_s())
@@ -61,6 +62,10 @@
         if answer.result is not OrderResult.ACCEPTED:
             self._on_change()
 
+    def _may_send_start(self, order: StartOrder) -> bool:
+        # The order may have waited for a connection.
+        return self._may_act() and self._scheduler.may_send_start(order, now_s())
+
     async def request_advice(self, request: AdviceRequest) -> None:
         """Ask the advice service which workers may run a step, and apply the answer."""
         tracked = self._scheduler.submissions.by_id.get(request.step.submission_id)
