Wait for earlier owners where a move names an epoch before this owner's

A move names the epoch of the target cell's owner as the moving owner knew it. If that is an earlier owner's, that owner may hear of the move first, from the other host, and start the task while it can't read the store. The present owner waited for its runs only if it had received the submission as an inherited one, so a task of a new submission, or one that had run here before, could run twice. Found by reading, not seen in a run.

Such a task now waits until the runs of earlier owners are known or over. The scenario with epochs 1 and 0 fails without this.

--- a/libs/scheduling/features/confirmation.feature
+++ b/libs/scheduling/features/confirmation.feature
@@ -61,6 +61,19 @@
     When the owner is confirmed as of now
     Then the task is started on any worker
 
+  # Guards against TWICE: an earlier owner that hears of a move to its epoch starts the
+  # task, also one of a submission that the present owner received long after it began.
+  Scenario Outline: A task of a new submission moves here under epoch <epoch> of the cell
+    Given a cell of 3 workers taken over with runs unknown for 18 s, one of them silent
+    When a new submission's task is moved here after 8 s under epoch <epoch>, this owner has 2
+    Then <outcome>
+
+    Examples:
+      | epoch | outcome                      |
+      | 2     | it is started after 9 s      |
+      | 1     | it isn't started before 18 s |
+      | 0     | it isn't started before 18 s |
+
   # Guards against TWICE: an order that waits for a connection is sent to the worker's
   # next incarnation.
   Scenario: A start isn't sent if its worker has restarted since it was decided
--- a/libs/scheduling/features/steps/confirmation_steps.py
+++ b/libs/scheduling/features/steps/confirmation_steps.py
@@ -1,11 +1,12 @@
 from dataclasses import replace
 
 from behave import given, then, when
-from gang_steps import ScriptedCell
+from gang_steps import SUBMISSION_ID, ScriptedCell
 from runs_once_steps import STEP, TASK, advance, start_task
 
 from berylcleat.model import QueuePolicy
 from berylcleat.ports import EndedTask, RunEnd
+from berylcleat.scheduling import TaskMove
 
 
 @given("a cell with {n:d} workers of {cores:d} cores whose owner was just confirmed")
@@ -75,6 +76,19 @@
     scripted_cell.step()
 
 
+@when(
+    "a new submission's task is moved here after {seconds:d} s under epoch {epoch:d}, "
+    "this owner has 2"
+)
+def step_moved_late(context, seconds, epoch):
+    scripted_cell = context.scripted_cell
+    advance(scripted_cell, seconds)
+    moves = {TASK: TaskMove("r1", 0, target_epoch=epoch)}
+    scripted_cell.submit(STEP, is_home=False, moves=moves)
+    scripted_cell.cell.update_moves(SUBMISSION_ID, moves, scripted_cell.now)
+    scripted_cell.step()
+
+
 @when("the owner is confirmed as of now")
 def step_confirm(context):
     scripted_cell = context.scripted_cell
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -68,7 +68,7 @@
         self, tracked: TrackedSubmission, task: TaskKey, now: float
     ) -> None:
         tracked.moved_here.discard(task)
-        self._tasks_moved_to_owner.discard(task)
+        self._forget_target_epoch(task)
         if tracked.is_home:
             step = tracked.submission.steps[task.step]
             if step.is_long_running and task not in tracked.moved_away:
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -103,8 +103,10 @@
         self._is_worker_record_in_doubt = False
         self._inherited_submissions: set[str] = set()
         self._tasks_with_known_run: set[TaskKey] = set()
-        # Tasks whose move to this cell names this owner's epoch.
+        # Tasks whose move to this cell names this owner's epoch, and an earlier one.
         self._tasks_moved_to_owner: set[TaskKey] = set()
+        self._tasks_moved_to_earlier_owner: set[TaskKey] = set()
+        self._accepted_move_by_task: dict[TaskKey, TaskMove] = {}
         # When the last run of a task had ended, where only this owner says so.
         self._presumed_end_by_task: dict[TaskKey, float] = {}
         self._orders: list[WorkerOrder] = []
@@ -221,12 +223,14 @@
         A task that has run under this epoch has none: what its earlier owner presumes
         of the run's end, the store must confirm. Nor has one whose move
         to this cell names this epoch: its last owner knew of no run, and an earlier
-        owner of this cell that learns of the move learns of the takeover too.
+        owner of this cell that learns of the move learns of the takeover too. If the
+        move names an earlier epoch, that owner may have started the task.
         """
-        if task.submission_id not in self._inherited_submissions:
-            return False
-        if task in self._tasks_moved_to_owner or task in self._tasks_with_known_run:
-            return False
+        if task not in self._tasks_moved_to_earlier_owner:
+            if task.submission_id not in self._inherited_submissions:
+                return False
+            if task in self._tasks_moved_to_owner or task in self._tasks_with_known_run:
+                return False
         return not self._has_certainly_settled(now)
 
     def _has_certainly_settled(self, now: float) -> bool:
@@ -265,10 +269,15 @@
         A later one proves a takeover that this owner may learn of from its own row only
         after the new owner has started the task.
         """
-        self._tasks_moved_to_owner.discard(task)
+        if self._accepted_move_by_task.get(task) == move:
+            return
+        self._forget_target_epoch(task)
+        self._accepted_move_by_task[task] = move
         if move.target_epoch == self.epoch:
             self._tasks_moved_to_owner.add(task)
-        elif move.target_epoch > self.epoch and not self.is_fenced_out:
+        elif move.target_epoch < self.epoch:
+            self._tasks_moved_to_earlier_owner.add(task)
+        elif not self.is_fenced_out:
             logger.warning(
                 "cell %s: task %s was moved here under epoch %d, this owner is fenced",
                 self.cell_id,
@@ -277,6 +286,11 @@
             )
             self.is_fenced_out = True
 
+    def _forget_target_epoch(self, task: TaskKey) -> None:
+        self._tasks_moved_to_owner.discard(task)
+        self._tasks_moved_to_earlier_owner.discard(task)
+        self._accepted_move_by_task.pop(task, None)
+
     def _observe_rates(self, now: float) -> None:
         """Measure the processors that fillers and ordinary tasks get."""
         if self.estimator is None:
@@ -507,6 +521,8 @@
         tracked.raise_run_floor(run.task, run.number)
         tracked.remove_waiting(run.task)
         self._presumed_end_by_task.pop(run.task, None)
+        if not run.is_adopted:
+            self._tasks_moved_to_earlier_owner.discard(run.task)
         if run.task.submission_id in self._inherited_submissions:
             self._tasks_with_known_run.add(run.task)
         self.run_by_task[run.task] = run
