Wait for earlier owners if an adopted run ends just after the takeover

A worker may answer a hold of the earlier owner that it got before it learned of the new epoch, within 2 s, and so tell both owners of the end of a run. Both then start its task: the new one waited for earlier runs of a task only until it had found one run of it. Found by reading, not seen in a run; the simulated workers answer holds at once.

A found run now accounts for its task once the worker reports it more than 2.1 s after its first answer under the epoch.

Changed test: "A task that was found running starts again as soon as its run ends" let the run end 0.2 s after it was found, which is the unsafe case. It now ends after 3 s and must start again at once as before; a new scenario ends it after 1 s, and fails without this change.

--- a/libs/scheduling/features/takeover.feature
+++ b/libs/scheduling/features/takeover.feature
@@ -5,9 +5,18 @@
   Scenario: A task that was found running starts again as soon as its run ends
     Given a cell of 3 workers taken over with runs unknown for 18 s, one of them silent
     And a standing task that runs on a worker that answers
-    When its run is lost to a failure
+    When its run is lost to a failure after 3 s
     Then it is started again at once
 
+  # Guards against TWICE: the worker may tell the earlier owner too of an end by which a
+  # hold of that owner still waits there, and that owner then starts the task elsewhere.
+  Scenario: A task whose run ends just after it was found waits for earlier owners
+    Given a cell of 3 workers taken over with runs unknown for 18 s, one of them silent
+    And a standing task that runs on a worker that answers
+    When its run is lost to a failure after 1 s
+    Then it isn't started before 18 s
+    And it is started after 18 s
+
   Scenario: A task that was not found waits until no run of it can be left
     Given a cell of 3 workers taken over with runs unknown for 18 s, one of them silent
     And a standing task that runs on the silent worker
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_reports.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_reports.py
@@ -11,6 +11,7 @@
     WorkerReport,
 )
 
+from ._cell_runs import MAX_HOLD_WAIT_S
 from ._cell_starts import CellStarts
 from ._deferred_ends import DeferralReason, DeferredEnd
 from ._leases import latest_start
@@ -60,6 +61,7 @@
             view.clock.extend_lease(report.clock_ms + lease_ms)
             view.has_seen_epoch = True
             view.started_by = latest_start(report.clock_ms, now)
+            view.epoch_seen_at = now
         if len(report.ended) < MAX_ENDS_IN_REPORT:
             self._unsettled_workers.discard(worker_id)
         for end in report.ended:
@@ -85,7 +87,7 @@
             for task, running in tuple(view.unknown_run_by_task.items()):
                 if task.submission_id == submission_id:
                     del view.unknown_run_by_task[task]
-                    self._on_running(view, running, now)
+                    self._on_running(view, running, view.epoch_seen_at, now)
 
     def _on_end(self, view: WorkerView, end: EndedTask, now: float) -> None:
         tracked = self.submissions.by_id.get(end.task.submission_id)
@@ -213,7 +215,7 @@
         for running in report.running:
             reported[(running.task, running.run)] = running
             if running.task.submission_id in self.submissions.by_id:
-                self._on_running(view, running, now)
+                self._on_running(view, running, requested_at, now)
             else:
                 self._on_unknown_run(view, running, now)
         if not view.unknown_run_by_task:
@@ -233,7 +235,9 @@
             stop = StopOrder(running.task, running.run, self.epoch)
             self._enqueue_order(view.entry.worker_id, stop)
 
-    def _on_running(self, view: WorkerView, running: RunningTask, now: float) -> None:
+    def _on_running(
+        self, view: WorkerView, running: RunningTask, requested_at: float, now: float
+    ) -> None:
         run = self.run_by_task.get(running.task)
         if (
             run is None
@@ -244,6 +248,8 @@
         if run is None:
             return
         run.was_reported = True
+        if requested_at - view.epoch_seen_at > MAX_HOLD_WAIT_S:
+            self._accounted_tasks.add(running.task)
         tracked = self.submissions.by_id[running.task.submission_id]
         self.crashes.on_running(tracked, run, now)
         run.percent = running.pace_percent
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -37,6 +37,9 @@
 NO_CAPACITY_COOLDOWN_S = 0.3
 REJECTION_COOLDOWN_S = 1.0
 STOP_RETRY_S = 0.5
+# Seconds for which a worker may still answer a hold that it received before it learned
+# of a later epoch.
+MAX_HOLD_WAIT_S = 2.1
 # Maximum seconds between an owner's confirmation and the receipt of a submission whose
 # tasks it starts without another: less than HANDOVER_GRACE_S, in which the next owner
 # expects that.
@@ -103,6 +106,8 @@
         self._is_worker_record_in_doubt = False
         self._inherited_submissions: set[str] = set()
         self._tasks_with_known_run: set[TaskKey] = set()
+        # Tasks that earlier owners have certainly not started unknown to this one.
+        self._accounted_tasks: set[TaskKey] = set()
         # Tasks whose move to this cell names this owner's epoch, and an earlier one.
         self._tasks_moved_to_owner: set[TaskKey] = set()
         self._tasks_moved_to_earlier_owner: set[TaskKey] = set()
@@ -220,8 +225,9 @@
     def _may_have_unknown_run(self, task: TaskKey, now: float) -> bool:
         """Return whether an earlier owner may have a run of a task that is unknown.
 
-        A task that has run under this epoch has none: what its earlier owner presumes
-        of the run's end, the store must confirm. Nor has one whose move
+        A task that was started under this epoch has none. Nor has one that was found
+        running long enough: no worker tells its earlier owner of the end any more, and
+        what that owner presumes itself, the store must confirm. Nor has one whose move
         to this cell names this epoch: its last owner knew of no run, and an earlier
         owner of this cell that learns of the move learns of the takeover too. If the
         move names an earlier epoch, that owner may have started the task.
@@ -229,7 +235,7 @@
         if task not in self._tasks_moved_to_earlier_owner:
             if task.submission_id not in self._inherited_submissions:
                 return False
-            if task in self._tasks_moved_to_owner or task in self._tasks_with_known_run:
+            if task in self._tasks_moved_to_owner or task in self._accounted_tasks:
                 return False
         return not self._has_certainly_settled(now)
 
@@ -522,6 +528,7 @@
         tracked.remove_waiting(run.task)
         self._presumed_end_by_task.pop(run.task, None)
         if not run.is_adopted:
+            self._accounted_tasks.add(run.task)
             self._tasks_moved_to_earlier_owner.discard(run.task)
         if run.task.submission_id in self._inherited_submissions:
             self._tasks_with_known_run.add(run.task)
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -125,6 +125,8 @@
     has_seen_epoch: bool = False
     # When this incarnation had certainly started, as told by its clock.
     started_by: float = 0.0
+    # When this incarnation first answered under the owner's epoch.
+    epoch_seen_at: float = 0.0
     # When the first hold since the last report failed.
     hold_failed_at: float | None = None
     is_listed: bool = True
