Count the lease that a late start may grant on a restarted worker

A start whose answer is lost may be executed seconds later. If its worker has restarted meanwhile, the deadline in the order is by the earlier clock, far ahead of the new one, so that the worker grants the longest lease to all its runs at that moment.

After a start without an answer the leases of the worker's next incarnation now count until ten seconds and the longest lease after it. The new scenario failed before: the other task of the worker was started again within 14 s.

--- a/libs/scheduling/features/runs_once.feature
+++ b/libs/scheduling/features/runs_once.feature
@@ -114,3 +114,13 @@
     Then its failure is reported to the home cell
     When the home cell has confirmed it and another task moves here
     Then the failure of the other task is reported to the home cell
+
+  # Guards against TWICE: a start that a restarted worker carries out late extends the
+  # lease of all its runs, as its deadline is by the clock of before the restart.
+  Scenario: A start without an answer may extend the lease of a restarted worker
+    Given a cell whose start order to a worker that has just restarted isn't answered
+    And another task that runs on the worker since its restart
+    When the worker falls silent for 14 seconds
+    Then the other task isn't started a second time
+    When the worker falls silent for 4 seconds
+    Then the other task is started on the other worker
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -245,6 +245,8 @@
         self, worker_id: str, order: StartOrder, answer: OrderAnswer, now: float
     ) -> None:
         """Apply the answer to a start order."""
+        if answer.result is OrderResult.NO_ANSWER:
+            self._on_start_unanswered(worker_id, order, now)
         run = self.run_by_task.get(order.task)
         if run is None or run.number != order.run:
             return
@@ -270,6 +272,18 @@
         elif run.phase is not RunPhase.RUNNING:
             self._on_rejected_start(run, result, now)
 
+    def _on_start_unanswered(
+        self, worker_id: str, order: StartOrder, now: float
+    ) -> None:
+        view = self.worker_by_id.get(worker_id)
+        if view is None:
+            return
+        view.unanswered_start_at = now
+        run = self.run_by_task.get(order.task)
+        is_known = run is not None and run.number == order.run
+        if not is_known or run.incarnation_ms != view.incarnation_ms:
+            view.expect_late_start(self.times)
+
     def on_stop_answer(
         self, worker_id: str, order: StopOrder, answer: OrderAnswer, now: float
     ) -> None:
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -211,7 +211,7 @@
         }
 
     def _lease_left_s(self, worker_id: str, view: WorkerView, now: float) -> float:
-        left_s = view.clock.all_leases_expire_at() - now
+        left_s = view.leases_expire_at() - now
         if view.hold_failed_at is not None or any(
             not run.was_reported for run in view.run_by_task.values()
         ):
@@ -418,6 +418,7 @@
                 run.phase = RunPhase.UNCONFIRMED
                 run.phase_since = now
         view.clock.assume_longest_lease(now, self.times.max_lease_s)
+        view.expect_late_start(self.times)
         view.incarnation_ms = 0
         view.has_seen_epoch = False
         view.handled_number = 0
@@ -450,7 +451,7 @@
 
     def _expire_leases(self, now: float) -> None:
         for view in self.worker_by_id.values():
-            expires_at = view.clock.all_leases_expire_at()
+            expires_at = view.leases_expire_at()
             # A later owner may have renewed the lease.
             if (
                 view.run_by_task
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -8,7 +8,7 @@
 
 from ._deferred_ends import DeferredEnd
 from ._interference import ImageUse, ServingReading
-from ._leases import WorkerClock
+from ._leases import LeaseTimes, WorkerClock
 
 # Consecutive failures after which a worker is avoided, and for how many seconds.
 AVOID_AFTER_FAILURES = 3
@@ -16,6 +16,8 @@
 # Seconds for which a filler affects readings after its end: a reading covers the last
 # half second.
 READING_SPAN_S = 1.1
+# Seconds by which a worker may execute an order after its answer was given up.
+MAX_ORDER_DELAY_S = 10.0
 # Seconds without an answer after which no run is started on a worker.
 MAX_SILENCE_S = 2.5
 # In seconds: forced fillers of a worker start within this window and may be stopped
@@ -123,6 +125,10 @@
     clock: WorkerClock = field(default_factory=WorkerClock)
     incarnation_ms: int = 0
     has_seen_epoch: bool = False
+    # When the answer to a start was last given up, and until when such a start of an
+    # earlier incarnation may have extended the lease of this one.
+    unanswered_start_at: float = float("-inf")
+    late_lease_until: float = float("-inf")
     # When this incarnation had certainly started, as told by its clock.
     started_by: float = 0.0
     # When this incarnation first answered under the owner's epoch.
@@ -173,6 +179,20 @@
         """Whether the worker is expected to end, so that its end is no crash."""
         return self.entry.is_draining or self.is_cordoned
 
+    def leases_expire_at(self) -> float:
+        """Return the owner's time by which every granted lease has expired."""
+        return max(self.clock.all_leases_expire_at(), self.late_lease_until)
+
+    def expect_late_start(self, times: LeaseTimes) -> None:
+        """Expect a start without an answer that was sent to an earlier incarnation.
+
+        Its deadline is by the clock of that one, so it grants the longest lease here.
+        """
+        may_arrive_until = self.unanswered_start_at + MAX_ORDER_DELAY_S
+        self.late_lease_until = may_arrive_until + times.takeover_wait_s(
+            owner_is_dead=True
+        )
+
     def recordable_number(self) -> int:
         """Return the highest number up to which every run end has been processed."""
         if not self.deferred_end_by_number:
