--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -63,6 +63,7 @@
         tracked = self.submissions.add(
             submission, progress, accepted_at, is_home=is_home
         )
+        tracked.received_at = now
         tracked.activate_due_steps(self._wall_ms)
         if inherited or now < self._began_at + HANDOVER_GRACE_S:
             self._inherited_submissions.add(submission.submission_id)
@@ -244,6 +245,8 @@
         self, worker_id: str, order: StartOrder, answer: OrderAnswer, now: float
     ) -> None:
         """Apply the answer to a start order."""
+        if answer.result is OrderResult.NO_ANSWER:
+            self._on_start_unanswered(worker_id, order, now)
         run = self.run_by_task.get(order.task)
         if run is None or run.number != order.run:
             return
@@ -269,6 +272,18 @@
         elif run.phase is not RunPhase.RUNNING:
             self._on_rejected_start(run, result, now)
 
+    def _on_start_unanswered(
+        self, worker_id: str, order: StartOrder, now: float
+    ) -> None:
+        view = self.worker_by_id.get(worker_id)
+        if view is None:
+            return
+        view.unanswered_start_at = now
+        run = self.run_by_task.get(order.task)
+        is_known = run is not None and run.number == order.run
+        if not is_known or run.incarnation_ms != view.incarnation_ms:
+            view.expect_late_start(self.times)
+
     def on_stop_answer(
         self, worker_id: str, order: StopOrder, answer: OrderAnswer, now: float
     ) -> None:
@@ -293,6 +308,7 @@
 
     def plan(self, now: float, wall_ms: float) -> list[WorkerOrder]:
         """Run one planning round and return the orders to send."""
+        self.confirmation.is_awaited = False
         self._observe_time(now)
         self._expire_leases(now)
         self._retry_stops(now)
@@ -327,8 +343,9 @@
             return {reason: len(self.worker_by_id)}
         task = ready.task(min(ready.waiting))
         counts: dict[str, int] = {}
-        if self._may_have_unknown_run(task, now):
-            return {"runs of earlier owner unknown": len(self._unsettled_workers)}
+        doubt = self._explain_doubt(task, now)
+        if doubt:
+            return {doubt: len(self._unsettled_workers)}
         if task in self._tasks_with_pending_move:
             return {"move pending": 1}
         service = ready.tracked.submission.queue.service
@@ -336,6 +353,8 @@
             reason = view.explain_unavailable(now)
             if worker_id not in self._recorded_workers:
                 reason = "worker not recorded yet"
+            elif not self.confirmation.covers(view.started_by):
+                reason = reason or "ownership not confirmed since its start"
             reason = reason or explain_rejection(
                 task, ready.step, service, view, self.interference
             )
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -7,7 +7,7 @@
     StartOrder,
 )
 
-from ._cell_runs import CellRuns
+from ._cell_runs import NEVER_RAN, CellRuns
 from ._crashes import LIKELY_CAUSE_AGE_S, MAX_QUIET_WAIT_S
 from ._placement import choose_forced_worker, choose_worker
 from ._progress import PresumedStart
@@ -90,7 +90,7 @@
             for task in tasks
             if task not in self.run_by_task
             and task not in self._tasks_with_pending_move
-            and not self._may_have_unknown_run(task, now)
+            and not self._explain_doubt(task, now)
         ]
 
     def _is_whole_gang_startable(self, ready: ReadyStep, now: float) -> bool:
@@ -128,13 +128,13 @@
         """
         run = self.run_by_task.get(order.task)
         if run is None or run.number != order.run:
-            return not self._has_evacuations() and not self._has_maintenance()
+            return False
         if self._may_still_start(run, now):
             run.may_have_been_sent = True
             return True
         if not run.may_have_been_sent:
             self.crashes.on_survival((run,))
-            self._mark_lost(run, "its start was not sent", now)
+            self._mark_lost(run, "its start was not sent", now, ended_by=NEVER_RAN)
         elif run.phase is RunPhase.STARTING:
             self._mark_unconfirmed(run, now)
         return False
@@ -148,15 +148,15 @@
         view = self.worker_by_id.get(run.worker_id)
         if self.awaits_cordon or (view is not None and view.is_cordoned):
             return False
-        if not self._has_evacuations():
-            return True
-        if self._is_paused(now) or not self._may_start(now) or self.is_fenced_out:
-            return False
-        if view is None or view.hold_failed_at is not None:
+        if self.is_fenced_out or view is None or view.hold_failed_at is not None:
             return False
         if view.incarnation_ms != run.incarnation_ms:
             return False
-        return run.may_have_been_sent or run.phase is not RunPhase.STOPPING
+        if not run.may_have_been_sent and run.phase is RunPhase.STOPPING:
+            return False
+        if not self._has_evacuations():
+            return True
+        return not self._is_paused(now) and self._may_start(now)
 
     def _mark_unconfirmed(self, run: Run, now: float) -> None:
         """Take note that a worker may or may not run an order that it got."""
@@ -558,6 +558,7 @@
             if worker_id in self._recorded_workers
             and not view.explain_no_answer(now)
             and view.entry.service not in unsafe_services
+            and self.confirmation.covers(view.started_by)
         ]
 
     def _start(
