Keep a crash counted when the lease of its run expires later

Cause: a run that no report had contained stays unconfirmed after its worker's crash, since the next incarnation may have started it. Its lease then expires, and it joined the runs whose crash is taken back as soon as the worker answers, as one that was only silent. That also took back the crash of the earlier incarnation.

Ruled out: a takeover at that time (the owner stayed the same from 28.5 s to 50.3 s), a move, a record that was lost.

Change: an answer takes back only what the silence counted. The step "a crash of the first run is counted" now asks for run 1; the presumed next run satisfied it, too.

--- a/libs/scheduling/features/crashes.feature
+++ b/libs/scheduling/features/crashes.feature
@@ -175,3 +175,11 @@
     Given a run that its worker has accepted, and a later one that the restarted worker has
     When the list names the restart
     Then a crash of the first run is counted
+
+  # Guards against BUDGET: the answers counted as those of a worker that was only silent,
+  # and the task was started once more than a task that crashes workers may be.
+  Scenario: A crash stays counted though the run's lease expires before the worker answers
+    Given a run that its worker has accepted but not reported
+    When the list names the restart
+    And the restarted worker answers after the run's lease has expired
+    Then a crash of the first run is counted
--- a/libs/scheduling/features/steps/crash_steps.py
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -411,6 +411,18 @@
         scripted_cell.cell.on_start_answer("w0", item.order, answer, scripted_cell.now)
 
 
+@given("a run that its worker has accepted but not reported")
+def step_accepted_only(context):
+    scripted_cell = context.scripted_cell = ScriptedCell(1, 8000)
+    scripted_cell.step()
+    scripted_cell.silent.add("w0")
+    scripted_cell.submit(Step(1, TaskDemand(1000, 100)))
+    scripted_cell.step()
+    item = scripted_cell.starts.pop()
+    answer = OrderAnswer(OrderResult.ACCEPTED, 2000)
+    scripted_cell.cell.on_start_answer("w0", item.order, answer, scripted_cell.now)
+
+
 @when("the list names the restart")
 def step_list_names_restart(context):
     cell = context.scripted_cell.cell
@@ -419,7 +431,20 @@
     cell.list_worker(listed, context.scripted_cell.now)
 
 
+@when("the restarted worker answers after the run's lease has expired")
+def step_answer_after_expiry(context):
+    scripted_cell = context.scripted_cell
+    for _ in range(40):
+        scripted_cell.step()
+    assert not scripted_cell.cell.run_by_task
+    scripted_cell.started_at_ms["w0"] += 1
+    scripted_cell.silent.clear()
+    for _ in range(2):
+        scripted_cell.step()
+
+
 @then("a crash of the first run is counted")
 def step_first_crash(context):
     tracked = context.scripted_cell.cell.submissions.by_id[SUBMISSION_ID]
-    assert tracked.progress.crashed_runs_by_task
+    crashes = tracked.crashes(TaskKey(SUBMISSION_ID, 0, 0, 0))
+    assert 1 in crashes, crashes
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_reports.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_reports.py
@@ -45,7 +45,7 @@
                 self.crashes.on_first_report(worker_id, report.started_at_ms)
             view.incarnation_ms = report.started_at_ms
         elif view.expired_runs:
-            self.crashes.on_survival(view.expired_runs)
+            self.crashes.on_return(view.expired_runs)
             view.expired_runs.clear()
         if self.uneven_workers is not None:
             self.uneven_workers.on_answer(view, len(self.worker_by_id), now)
--- a/libs/scheduling/src/berylcleat/scheduling/_crashes.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_crashes.py
@@ -142,7 +142,7 @@
     def on_silence(self, view: WorkerView, runs: Collection[Run]) -> None:
         """Count a possible crash of a worker whose leases have expired.
 
-        ``on_survival`` takes it back.
+        ``on_return`` takes it back.
         """
         for run in runs:
             tracked = self._tracked(run)
@@ -152,8 +152,22 @@
             if is_presumed or view.alive_at - run.started_at < LIKELY_CAUSE_AGE_S:
                 self._count(tracked, run, CrashEvidence.SILENT)
 
+    def on_return(self, runs: Iterable[Run]) -> None:
+        """Take back what the silence of a worker counted, since it hasn't crashed.
+
+        A crash of the incarnation before it stays counted for a run that may have
+        started in either.
+        """
+        for run in runs:
+            tracked = self._submissions.by_id.get(run.task.submission_id)
+            if tracked is None:
+                continue
+            known = tracked.crashes(run.task).get(run.number)
+            if known is CrashEvidence.SILENT:
+                tracked.clear_crash(run.task, run.number)
+
     def on_survival(self, runs: Iterable[Run]) -> None:
-        """Take back the possible crashes of a worker that was only silent."""
+        """Take back the possible crashes of runs that crashed no worker."""
         for run in runs:
             tracked = self._submissions.by_id.get(run.task.submission_id)
             if tracked is not None:
