Let a standing task move to a whole slot beside tasks that wait there

After a takeover with one silent worker, 8 inherited tasks of 4 cores count as 32 waiting cores beside 16 free ones until the wait for unknown runs ends; a step that gets one start now and then counts as newly waiting each time. No standing task of another cell moves there meanwhile. The platform asks for a standing task to run wherever it fits twice over, whatever else waits.

Change: as the last choice, after the usual share and the whole headroom, the slots that the workers really have free count.

Evidence: the new scenario proposed no move before ("ASSERT FAILED: Counter()"). spill.feature passes (14).

--- a/libs/scheduling/features/spill.feature
+++ b/libs/scheduling/features/spill.feature
@@ -65,3 +65,10 @@
       | 1  | 4       | 12       | 2.5 | 3       |
       | 1  | 1       | 4        | 2.5 | 1       |
       | 1  | 4       | 12       | 3.5 | 0       |
+
+  # Guards against LOST: what waits in a cell without fitting there, or for reports of its
+  # workers after a takeover, counted as if it took the slot of the standing task.
+  Scenario: A standing task moves to a cell where other tasks wait beside a whole slot
+    Given 1 cells in each of which 1 standing tasks of 4 cores are stuck
+    When it proposes moves to a cell with 2 slots of 4 cores, where 16 cores are waited for
+    Then 1 tasks are moved, to each cell some but no more than it has capacity for
--- a/libs/scheduling/features/steps/spill_steps.py
+++ b/libs/scheduling/features/steps/spill_steps.py
@@ -215,6 +215,17 @@
     ]
 
 
+@when(
+    "it proposes moves to a cell with {n:d} slots of 4 cores, where {waiting:d} cores "
+    "are waited for"
+)
+def step_propose_beside_waiting(context, n, waiting):
+    context.slots = {"t0": n}
+    free = 4000 * n - 1000 * waiting
+    load = CellHeadroom("t0", "svc", free, (), 0, free_by_worker=(4000,) * n)
+    context.moves = propose(context, 0, (load,), context.loop.now)
+
+
 @then("{n:d} tasks are moved, to each cell some but no more than it has capacity for")
 def step_spread(context, n):
     n_by_cell = Counter(move.cell_id for move in context.moves)
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -73,12 +73,18 @@
 
         What is left over on each worker holds none of them.
         """
+        return min(self.free, self.whole_slots(cpu_millis))
+
+    def whole_slots(self, cpu_millis: int) -> int:
+        """Return the processor time of all slots for tasks of this size.
+
+        Unlike ``free`` it isn't reduced by what waits in the cell.
+        """
         if not self.free_by_worker:
             return self.free
-        usable = sum(
+        return sum(
             free // max(cpu_millis, 1) * cpu_millis for free in self.free_by_worker
         )
-        return min(self.free, usable)
 
     def headroom_for_filler(self, image: str, interference: InterferenceModel) -> int:
         """Return the processor time left where ``image`` interferes only mildly.
@@ -165,16 +171,29 @@
         return chosen
 
     def rooms(
-        self, step: Step, service: str, share: float, max_age_s: float
+        self,
+        step: Step,
+        service: str,
+        share: float,
+        max_age_s: float,
+        *,
+        beside_waiting: bool = True,
     ) -> dict[str, int]:
         """Return the processor time left, by cell, where a task of ``step`` fits.
 
         It is the part of the headroom that ``share`` allows to use, in thousandths of a
-        core. Cells whose load is older than ``max_age_s`` are left out.
+        core, ``beside_waiting`` less what waits in the cell. Cells whose load is older
+        than ``max_age_s`` are left out.
         """
+        cpu_millis = step.allocation.cpu_millis
         left_by_id = {
             cell_id: int(
-                headroom.free_for(step.allocation.cpu_millis) * share
+                (
+                    headroom.free_for(cpu_millis)
+                    if beside_waiting
+                    else headroom.whole_slots(cpu_millis)
+                )
+                * share
                 - self._reserved[cell_id]
                 - self._taken_before.get(cell_id, 0)
             )
@@ -183,8 +202,8 @@
             and headroom.age_s <= max_age_s
             and self._n_moved[cell_id] < MAX_MOVES_PER_CELL
         }
-        cpu_millis = step.demand.cpu_millis
-        return {c: left for c, left in left_by_id.items() if left >= cpu_millis}
+        needed = step.demand.cpu_millis
+        return {c: left for c, left in left_by_id.items() if left >= needed}
 
     def add_task(self, step: Step, cell_id: str) -> None:
         """Reserve headroom of a cell for a task of ``step``."""
--- a/libs/scheduling/src/berylcleat/scheduling/_spill.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_spill.py
@@ -28,6 +28,10 @@
 LOAD_DELAY_S = 2.0
 # Seconds after a rejected proposal until the step is proposed again.
 CONFLICT_RETRY_S = 0.3
+# Shares of the headroom that a standing task may use, and whether what waits there
+# counts as taken, the preferred first. The platform requires a standing task to run
+# where there is capacity for it, whatever else waits.
+STANDING_ROOMS = ((USABLE_HEADROOM_SHARE, True), (1.0, True), (1.0, False))
 # Milliseconds for which the same cells share a cell's headroom, in parts of at least
 # this many thousandths of a core. Every fourth time one cell gets all, for large tasks.
 SHARE_PERIOD_MS = 2000
@@ -136,10 +140,13 @@
 
         Cells are chosen in proportion to the room left: the cells whose tasks are stuck
         choose evenly spaced points of all the room, and so do the tasks of each. Where
-        the usual share of no headroom holds the task, the whole headroom counts.
+        the usual share of no headroom holds the task, the whole headroom counts, at
+        last also what the tasks that wait in its cell would take.
         """
-        for share in (USABLE_HEADROOM_SHARE, 1.0):
-            rooms = reservations.rooms(step, service, share, MAX_LOAD_AGE_S)
+        for share, beside_waiting in STANDING_ROOMS:
+            rooms = reservations.rooms(
+                step, service, share, MAX_LOAD_AGE_S, beside_waiting=beside_waiting
+            )
             if rooms:
                 break
         else:
