Report ends of moved tasks to each home cell by itself

A home whose host is cut off costs 0.5 s a submission, so 20 such submissions hold back all moves of the cell for 10 s, in each round, and every other home learns of its ends as late.

Ruled out: slow proposals to the store, which are tasks of their own.

Change: the reports to each home cell are a task of their own, one at a time; the next round goes on meanwhile.

--- a/programs/beryl-host/features/moves.feature
+++ b/programs/beryl-host/features/moves.feature
@@ -81,3 +81,12 @@
     Given a submission of cell "r1"
     When its owner moves a task of it to each of 120 cells
     Then the move is settled and its tasks stay in cell "r1"
+
+  # Guards against LOST: no move was proposed until the reports to all homes that don't
+  # answer had timed out one after the other, and no other home learned of an end.
+  Scenario: A home cell that doesn't answer delays neither moves nor other reports
+    Given a cell with ends of 20 submissions, of whose home cells all but the last are cut off
+    When its moves are played for 1 s
+    Then moves have been proposed at least 3 times
+    And the end of the last submission is confirmed
+    And no home cell got two reports at a time
--- a/programs/beryl-host/features/steps/moves_steps.py
+++ b/programs/beryl-host/features/steps/moves_steps.py
@@ -1,7 +1,9 @@
 import asyncio
+from collections import Counter
 
 from behave import given, then, when
 
+from berylcleat.host._cell_move_loops import MOVE_PERIOD_S, CellMoveLoops
 from berylcleat.host._operator_state import OperatorState
 from berylcleat.host._records import (
     CELL_TABLE,
@@ -19,7 +21,7 @@
 from berylcleat.host._task_mover import TaskMover
 from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
 from berylcleat.ports import EndedTask, RunEnd
-from berylcleat.scheduling import MoveProposal, TaskMove
+from berylcleat.scheduling import MovedTaskEnd, MoveProposal, TaskMove
 from berylcleat.standins import MemoryStore
 
 SUBMISSION_ID = "0123456789abcdef"
@@ -273,3 +275,88 @@
 def step_move_given_up(context, cell_id):
     assert context.owner.settled == [context.proposal]
     assert read(context, cell_id).cells() == {cell_id}
+
+
+class ScriptedReports:
+    """Scheduler and mover of a cell; the homes but one don't answer for 0.5 s."""
+
+    cell_id = "r9"
+    data_centre = "dc"
+
+    def __init__(self, n):
+        self.scheduler = self
+        self.n_rounds = 0
+        self.ends_by_id = {
+            f"{number:016x}": [MovedTaskEnd(TASK, has_failed=False)]
+            for number in range(n)
+        }
+        self.last_id = f"{n - 1:016x}"
+        self.asked = Counter()
+        self.n_overlapping = 0
+
+    def headrooms(self, cell_id, data_centre):
+        return ()
+
+    def propose_moves(self, headrooms, now):
+        self.n_rounds += 1
+        return []
+
+    def unconfirmed_moved_task_ends(self):
+        return dict(self.ends_by_id)
+
+    def home_of(self, submission_id):
+        return "r1" if submission_id == self.last_id else "r2"
+
+    async def report_moved_task_ends(self, submission_id, ends):
+        home = self.home_of(submission_id)
+        self.asked[home] += 1
+        self.n_overlapping += self.asked[home] > 1
+        if home == "r2":
+            await asyncio.sleep(0.5)
+        self.asked[home] -= 1
+        return home == "r1"
+
+    def on_moved_task_ends_confirmed(self, submission_id, ends, now):
+        del self.ends_by_id[submission_id]
+
+
+@given(
+    "a cell with ends of {n:d} submissions, of whose home cells all but the last are "
+    "cut off"
+)
+def step_unanswered_reports(context, n):
+    context.reports = ScriptedReports(n)
+
+
+@when("its moves are played for {seconds:d} s")
+def step_play_moves(context, seconds):
+    async def play():
+        tasks = []
+        reports = context.reports
+
+        def spawn(coroutine):
+            tasks.append(asyncio.ensure_future(coroutine))
+
+        loops = CellMoveLoops(reports, reports, lambda: True, spawn, MOVE_PERIOD_S)
+        spawn(loops.run_moves(lambda: None))
+        await asyncio.sleep(seconds)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    context.run(play())
+
+
+@then("moves have been proposed at least {n:d} times")
+def step_proposed(context, n):
+    assert context.reports.n_rounds >= n, context.reports.n_rounds
+
+
+@then("the end of the last submission is confirmed")
+def step_last_confirmed(context):
+    assert context.reports.last_id not in context.reports.ends_by_id
+
+
+@then("no home cell got two reports at a time")
+def step_one_report(context):
+    assert not context.reports.n_overlapping
--- a/programs/beryl-host/src/berylcleat/host/_cell_move_loops.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_move_loops.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Coroutine
 
 from berylcleat.model import BerylError
+from berylcleat.scheduling import MovedTaskEnd
 
 from ._clock import now_s
 from ._owned_cells import OwnedCell
@@ -16,6 +17,8 @@
 STRAY_END_PERIOD_S = 0.5
 logger = logging.getLogger(__name__)
 
+EndsById = dict[str, list[MovedTaskEnd]]
+
 
 class CellMoveLoops:
     """Loops of one owned cell; ``may_act`` tells whether its owner may act now."""
@@ -33,6 +36,8 @@
         self._may_act = may_act
         self._spawn = spawn
         self._move_period_s = move_period_s
+        # Home cells to which ends are being reported.
+        self._reported_homes: set[str] = set()
 
     async def run_moves(self, on_round: Callable[[], None]) -> None:
         """Move tasks to other cells and report ends of tasks moved here."""
@@ -41,7 +46,7 @@
             on_round()
             if self._may_act():
                 self._propose_moves()
-                await self._report_ends()
+                self._start_reports()
 
     def _propose_moves(self) -> None:
         cell = self._cell
@@ -49,12 +54,28 @@
         for proposal in cell.scheduler.propose_moves(headrooms, now_s()):
             self._spawn(self._mover.move(cell, proposal))
 
-    async def _report_ends(self) -> None:
-        scheduler = self._cell.scheduler
-        ends_by_id = scheduler.unconfirmed_moved_task_ends()
+    def _start_reports(self) -> None:
+        """Report ends to each home cell by itself.
+
+        A home that doesn't answer delays neither the moves nor other reports.
+        """
+        ends_by_home: dict[str, EndsById] = {}
+        ends_by_id = self._cell.scheduler.unconfirmed_moved_task_ends()
         for submission_id, ends in ends_by_id.items():
-            if await self._mover.report_moved_task_ends(submission_id, ends):
-                scheduler.on_moved_task_ends_confirmed(submission_id, ends, now_s())
+            home = self._mover.home_of(submission_id)
+            ends_by_home.setdefault(home, {})[submission_id] = ends
+        for home in ends_by_home.keys() - self._reported_homes:
+            self._reported_homes.add(home)
+            self._spawn(self._report_ends(home, ends_by_home[home]))
+
+    async def _report_ends(self, home: str, ends_by_id: EndsById) -> None:
+        scheduler = self._cell.scheduler
+        try:
+            for submission_id, ends in ends_by_id.items():
+                if await self._mover.report_moved_task_ends(submission_id, ends):
+                    scheduler.on_moved_task_ends_confirmed(submission_id, ends, now_s())
+        finally:
+            self._reported_homes.discard(home)
 
     async def run_stray_ends(self, on_settled: Callable[[], None]) -> None:
         """Report ends that other cells count to these, before they are acknowledged."""
--- a/programs/beryl-host/src/berylcleat/host/_task_mover.py
+++ b/programs/beryl-host/src/berylcleat/host/_task_mover.py
@@ -146,12 +146,15 @@
         rows = tuple(row for row in current if row.table != CELL_TABLE)
         self._directory.on_rows(rows)
 
+    def home_of(self, submission_id: str) -> str:
+        """Return the home cell of a submission."""
+        return self._directory.by_id[submission_id].accepted.cell_id
+
     async def report_moved_task_ends(
         self, submission_id: str, ends: list[MovedTaskEnd]
     ) -> bool:
         """Report ends to the home cell; return whether it has recorded them."""
-        entry = self._directory.by_id[submission_id]
-        return await self._report_ends(submission_id, ends, entry.accepted.cell_id)
+        return await self._report_ends(submission_id, ends, self.home_of(submission_id))
 
     async def _report_ends(
         self, submission_id: str, ends: list[MovedTaskEnd], cell_id: str
