Name the worker in each record of a suspect's next run

Cause: a suspect that had waited for its record for 2 s, for instance while its owner was cut off from the store, was recorded without a worker. The next owner then counts the run if any worker of the cell has crashed. The rule dates from when other tasks took the recorded worker's capacity; since the worker keeps it.

Ruled out: that the rule is still needed for suspects in full cells. The load in uneven_workers.feature that it was made for passes without it, as do crashes, fillers, gangs and evacuation.

Change: the rule is gone. A gang's runs still name no worker.

Evidence: the new scenario failed before, as the record named no worker ("expected 1, got 0").

--- a/libs/scheduling/features/crashes.feature
+++ b/libs/scheduling/features/crashes.feature
@@ -183,3 +183,11 @@
     When the list names the restart
     And the restarted worker answers after the run's lease has expired
     Then a crash of the first run is counted
+
+  # Guards against LOST: a record without a worker counted against the task if any worker
+  # of the cell had crashed, though the task had never started.
+  Scenario: The record of a suspect names its worker after a time without records
+    Given a task that may have crashed a worker, and 3 seconds in which nothing is recorded
+    When its next run is recorded
+    Then the record names the worker where the run is to start
+    And the run starts there in the next round
--- a/libs/scheduling/features/steps/crash_steps.py
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -12,7 +12,12 @@
     TaskKey,
 )
 from berylcleat.ports import OrderAnswer, OrderResult, RunEnd
-from berylcleat.scheduling import CrashEvidence, Progress, RecordBatch
+from berylcleat.scheduling import (
+    CrashEvidence,
+    Progress,
+    RecordBatch,
+    decode_progress,
+)
 
 
 @given("{n:d} workers, of which the first crashes once when the task starts there")
@@ -448,3 +453,40 @@
     tracked = context.scripted_cell.cell.submissions.by_id[SUBMISSION_ID]
     crashes = tracked.crashes(TaskKey(SUBMISSION_ID, 0, 0, 0))
     assert 1 in crashes, crashes
+
+
+@given(
+    "a task that may have crashed a worker, and {seconds:d} seconds in which nothing "
+    "is recorded"
+)
+def step_late_record(context, seconds):
+    scripted_cell = context.scripted_cell = ScriptedCell(2, 8000)
+    scripted_cell.step()
+    task = TaskKey(SUBMISSION_ID, 0, 0, 0)
+    progress = Progress(crashed_runs_by_task={task: {4: CrashEvidence.CERTAIN}})
+    scripted_cell.submit(Step(1, TaskDemand(1000, 100)), progress=progress)
+    for _ in range(seconds * 5):
+        scripted_cell.step(records=False)
+    assert not scripted_cell.starts
+
+
+@when("its next run is recorded")
+def step_record_next_run(context):
+    cell = context.scripted_cell.cell
+    batch = cell.take_batch()
+    context.record = decode_progress(SUBMISSION_ID, batch.writes[0].value)
+    cell.on_recorded(RecordBatch(batch.writes, {}))
+
+
+@then("the record names the worker where the run is to start")
+def step_names_worker(context):
+    (start,) = context.record.presumed_start_by_run.values()
+    assert start.worker_id in context.scripted_cell.running, start
+    context.start = start
+
+
+@then("the run starts there in the next round")
+def step_starts_there(context):
+    context.scripted_cell.step(records=False)
+    workers = [item.worker_id for item in context.scripted_cell.starts]
+    assert workers == [context.start.worker_id], workers
--- a/libs/scheduling/features/steps/gang_steps.py
+++ b/libs/scheduling/features/steps/gang_steps.py
@@ -76,13 +76,14 @@
             move_by_task=moves,
         )
 
-    def step(self, seconds=0.2):
+    def step(self, seconds=0.2, *, records=True):
         """Deliver a report of every worker, then collect the scheduler's orders.
 
-        Progress is recorded, but no end is acknowledged.
+        Progress is recorded unless ``records`` is false, but no end is acknowledged.
         """
         self.now += seconds
-        self.cell.on_recorded(RecordBatch(self.cell.take_batch().writes, {}))
+        if records:
+            self.cell.on_recorded(RecordBatch(self.cell.take_batch().writes, {}))
         for worker_id, running in self.running.items():
             if worker_id in self.silent:
                 continue
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -24,9 +24,6 @@
 # Seconds after which the list of workers may lack that a capacity has shrunk: longer
 # than two waits for its changes, shorter than the platform allows.
 MAX_LIST_AGE_S = 4.0
-# Seconds for which a suspect waits for the worker that its next run is recorded for:
-# longer than it may wait for a quiet worker, so that its record keeps the worker then.
-MAX_RECORDED_WORKER_WAIT_S = 2.0
 # Maximum starts that are prepared for a worker while suspects wait: after each of them
 # nothing else may start there for LIKELY_CAUSE_AGE_S.
 MAX_PREPARED_STARTS = 2
@@ -290,8 +287,7 @@
 
         The next run of a task that may have crashed a worker, also under an earlier
         owner, is recorded as crashed on its worker before it starts there. No worker is
-        recorded for a gang's run, which is chosen with those of the others, nor for a
-        task that has waited too long for one.
+        recorded for a gang's run, which is chosen with those of the others.
         """
         if not tracked.n_crashes(task) and not self._may_have_crashed_before(task):
             return True
@@ -299,12 +295,6 @@
         start = None
         if view is not None:
             start = PresumedStart(view.entry.worker_id, view.incarnation_ms)
-            since = tracked.suspect_since_by_task.setdefault(task, now)
-            is_recorded = tracked.is_start_recorded(task, number, start)
-            # In a full cell the recorded worker is often taken again by the next round:
-            # a record without a worker lets the task start wherever it fits.
-            if not is_recorded and now - since > MAX_RECORDED_WORKER_WAIT_S:
-                start = None
         return self.crashes.ensure_start_recorded(tracked, task, number, start, now)
 
     def _drop_presumptions(self, now: float) -> None:
@@ -591,7 +581,6 @@
 
     def _send_start(self, tracked: TrackedSubmission, run: Run, now: float) -> None:
         tracked.has_started = True
-        tracked.suspect_since_by_task.pop(run.task, None)
         view = self.worker_by_id[run.worker_id]
         view.last_start_at = now
         if tracked.n_crashes(run.task):
--- a/libs/scheduling/src/berylcleat/scheduling/_submissions.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_submissions.py
@@ -73,8 +73,6 @@
     confirmed_ends: set[TaskKey] = field(default_factory=set)
     presumed_run_by_task: dict[TaskKey, int] = field(default_factory=dict)
     presumed_at_by_task: dict[TaskKey, float] = field(default_factory=dict)
-    # When each suspect first had its next run presumed, until it starts.
-    suspect_since_by_task: dict[TaskKey, float] = field(default_factory=dict)
     recorded_crashes_by_task: dict[TaskKey, frozenset[int]] = field(
         default_factory=dict
     )
