Let a task that starves move to a cell's only slot

Cause: a move used 0.7 of a cell's headroom. Where each other cell has one slot for the task, 0.7 of it hold none, so the task stayed until something else ended.

Ruled out: pending moves and records that a start waited for; the task had neither. That the other cell's second worker was avoided after failures contributed: its capacity isn't published, and no task there releases it.

Change: a step that has been stuck for 1.5 s while less than 0.6 of the service is reserved takes a whole slot for one task a round, as a standing task does. The share is found once in a round of moves.

--- a/libs/scheduling/features/spill.feature
+++ b/libs/scheduling/features/spill.feature
@@ -84,3 +84,19 @@
       | waiting |
       | 0       |
       | 16      |
+
+  # Guards against LOST: a task stayed in its full cell for as long as each other cell had
+  # only one slot for it, of which a share was used (LivenessSimulation(49, 2) and (91, 2)).
+  Scenario Outline: A task stuck for <stuck> s moves to a cell's only slot if <free> cores of 40 are free there, <switch> expected finish
+    Given a full cell <switch> expected finish, in which a task of 4 cores is stuck for <stuck> s
+    When it proposes moves to two cells of 40 cores with a slot of 4 cores and <free> cores free
+    Then the task <moves> to one of them
+
+    Examples:
+      | switch  | stuck | free | moves        |
+      | with    | 2.0   | 30   | moves        |
+      | without | 2.0   | 30   | moves        |
+      | with    | 1.0   | 30   | doesn't move |
+      | without | 1.0   | 30   | doesn't move |
+      | with    | 2.0   | 10   | doesn't move |
+      | without | 2.0   | 10   | doesn't move |
--- a/libs/scheduling/features/steps/spill_steps.py
+++ b/libs/scheduling/features/steps/spill_steps.py
@@ -192,21 +192,69 @@
     fill_with_standing(context, 1, 1, expected_finish=False)
 
 
-def fill_with_standing(context, n, n_stuck, *, expected_finish):
-    """Fill ``n`` cells with standing tasks, and let ``n_stuck`` wait in each."""
+def fill_with_standing(
+    context, n, n_stuck, *, expected_finish, is_long_running=True, stuck_s=0.8
+):
+    """Fill ``n`` cells with standing tasks, and let ``n_stuck`` wait in each.
+
+    Those that wait are standing tasks, too, unless ``is_long_running`` is false.
+    """
     context.loop = loop = LoadLoop(1, (1,) * n, expected_finish=expected_finish)
     loop.moves_tasks = False
     for number in range(n):
         # Those of the first submission run and fill the cell's worker.
         for order, n_tasks in enumerate((2, n_stuck)):
-            step = Step(n_tasks, TaskDemand(4000, 100), is_long_running=True)
+            step = Step(
+                n_tasks,
+                TaskDemand(4000, 100),
+                estimate_s=ESTIMATE_S,
+                is_long_running=is_long_running or not order,
+            )
             submission_id = f"{2 * number + order + 1:016x}"
             submission = Submission(submission_id, INTERACTIVE, "s", (step,))
             loop.accept(number, submission)
-    for _ in range(8):
+    for _ in range(round(stuck_s / loop.tick_s)):
         loop.tick()
 
 
+@given(
+    "a full cell {switch} expected finish, in which a task of 4 cores is stuck for "
+    "{stuck_s:f} s"
+)
+def step_ordinary_stuck(context, switch, stuck_s):
+    has_switch = switch == "with"
+    fill_with_standing(
+        context,
+        1,
+        1,
+        expected_finish=has_switch,
+        is_long_running=False,
+        stuck_s=stuck_s + 0.2,
+    )
+
+
+@when(
+    "it proposes moves to two cells of 40 cores with a slot of 4 cores and {free:d} "
+    "cores free"
+)
+def step_propose_to_single_slots(context, free):
+    rest = 1000 * free - 4000
+    pieces = (3000,) * (rest // 3000)
+    loads = tuple(
+        CellHeadroom(
+            cell_id, "svc", 1000 * free, (), 0, 40000, free_by_worker=(4000, *pieces)
+        )
+        for cell_id in ("t0", "t1")
+    )
+    context.moves = propose(context, 0, loads)
+
+
+@then("the task {moves} to one of them")
+def step_moves_to_one(context, moves):
+    cells = [move.cell_id for move in context.moves]
+    assert len(cells) == (moves == "moves") and {"t0", "t1"}.issuperset(cells), cells
+
+
 @when('each proposes moves twice to cells of "{cores}" cores on loads {age_s:f} s old')
 def step_propose_standing(context, cores, age_s):
     context.slots = {f"t{n}": int(c) // 4 for n, c in enumerate(cores.split())}
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -89,6 +89,7 @@
         The tasks aren't started here until ``on_move_settled`` is called.
         """
         self._other_headrooms = headrooms
+        self._share_by_service.clear()
         proposals = []
         taken_cpu_by_cell: dict[str, int] = {}
         if self.spill is not None:
@@ -187,6 +188,10 @@
             self._wall_ms,
             now,
         )
+        if tasks and not cell_ids and self._starves(ready, now):
+            taken = self.spill.taken_cpu_by_cell(now)
+            reservations = HeadroomReservations(headrooms, self.interference, taken)
+            cell_ids = self.spill.reserve_slot(ready.step, service, reservations, now)
         move_by_task = {
             task: self._make_move(tracked, task, cell_id, counts=True)
             for task, cell_id in zip(tasks, cell_ids, strict=False)
@@ -280,7 +285,7 @@
                 ready.step, service, reservations, self._wall_ms, now
             )
         cell_id = reservations.reserve(ready.step, service)
-        if cell_id is None and is_standing:
+        if cell_id is None and (is_standing or self._starves(ready, now)):
             return reservations.reserve_slot(ready.step, service)
         if cell_id is not None or not ready.step.fills:
             return cell_id
@@ -288,6 +293,18 @@
             return reservations.reserve_beside_any(ready.step, service)
         return None
 
+    def _starves(self, ready: ReadyStep, now: float) -> bool:
+        """Return whether an ordinary step is stuck while much isn't reserved."""
+        if ready.step.fills or ready.stuck_since is None:
+            return False
+        if now - ready.stuck_since <= STARVATION_S:
+            return False
+        service = ready.tracked.submission.queue.service
+        share = self._share_by_service.get(service)
+        if share is None:
+            share = self._share_by_service[service] = self._reserved_share(service, now)
+        return share < MAX_RESERVED_SHARE_TO_FORCE
+
     def _can_only_start_elsewhere(self, ready: ReadyStep, now: float) -> bool:
         """Return whether fillers starve here and can't be forced onto any worker.
 
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -109,6 +109,8 @@
         self._tasks_with_pending_move: set[TaskKey] = set()
         self._wall_ms = 0.0
         self._other_headrooms: tuple[CellHeadroom, ...] = ()
+        # Reserved shares found in the present round of moves.
+        self._share_by_service: dict[str, float] = {}
         for entry in earlier_workers:
             self.worker_by_id[entry.worker_id] = WorkerView(entry, is_listed=False)
 
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -205,12 +205,14 @@
         needed = step.demand.cpu_millis
         return {c: left for c, left in left_by_id.items() if left >= needed}
 
-    def reserve_slot(self, step: Step, service: str) -> str | None:
+    def reserve_slot(
+        self, step: Step, service: str, max_age_s: float = float("inf")
+    ) -> str | None:
         """Reserve a slot for a task in the cell with the most; return it or None.
 
         Unlike ``reserve``, it counts the whole headroom and nothing of what waits.
         """
-        rooms = self.rooms(step, service, 1.0, float("inf"), beside_waiting=False)
+        rooms = self.rooms(step, service, 1.0, max_age_s, beside_waiting=False)
         if not rooms:
             return None
         chosen = max(rooms, key=rooms.__getitem__)
--- a/libs/scheduling/src/berylcleat/scheduling/_spill.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_spill.py
@@ -164,6 +164,20 @@
         self._taken.append(_Taken(now, cell_id, step.fills, step.demand.cpu_millis))
         return cell_id
 
+    def reserve_slot(
+        self,
+        step: Step,
+        service: str,
+        reservations: HeadroomReservations,
+        now: float,
+    ) -> list[str]:
+        """Take a slot for one task of a starving step; return its cell, if any."""
+        cell_id = reservations.reserve_slot(step, service, MAX_LOAD_AGE_S)
+        if cell_id is None:
+            return []
+        self._taken.append(_Taken(now, cell_id, step.fills, step.demand.cpu_millis))
+        return [cell_id]
+
     def _count_sharing(
         self,
         fills: bool,
