Keep whole slots of other cells for relocations from an evacuated cell

Cause: since a stuck standing task takes the only slot of another cell, those that wait in an evacuated cell took the slots that its running tasks are relocated to.

Change: in an evacuated cell the usual share counts, as before. A task that waits there while each other cell has one slot for it still waits.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -276,8 +276,8 @@
         """Reserve headroom for a task of a stuck step; return its cell or None.
 
         Standing tasks are spread, except in an evacuated cell, where only a few move at
-        a time; at last any slot will do. Fillers that can't stay go beside images that
-        they may disturb.
+        a time. Where the usual share holds none, a slot will do for a standing or a
+        starving task. Fillers that can't stay go beside images that they may disturb.
         """
         is_standing = ready.step.is_long_running and not ready.step.fills
         if self.spill is not None and is_standing and not self._is_evacuated():
@@ -285,10 +285,12 @@
                 ready.step, service, reservations, self._wall_ms, now
             )
         cell_id = reservations.reserve(ready.step, service)
-        if cell_id is None and (is_standing or self._starves(ready, now)):
-            return reservations.reserve_slot(ready.step, service)
-        if cell_id is not None or not ready.step.fills:
+        if cell_id is not None:
             return cell_id
+        if not ready.step.fills:
+            if self._is_evacuated() or not (is_standing or self._starves(ready, now)):
+                return None
+            return reservations.reserve_slot(ready.step, service)
         if self._is_evacuated() or self._can_only_start_elsewhere(ready, now):
             return reservations.reserve_beside_any(ready.step, service)
         return None
