--- a/libs/scheduling/features/spill.feature
+++ b/libs/scheduling/features/spill.feature
@@ -65,3 +65,38 @@
       | 1  | 4       | 12       | 2.5 | 3       |
       | 1  | 1       | 4        | 2.5 | 1       |
       | 1  | 4       | 12       | 3.5 | 0       |
+
+  # Guards against LOST: what waits in a cell without fitting there, or for reports of its
+  # workers after a takeover, counted as if it took the slot of the standing task.
+  Scenario: A standing task moves to a cell where other tasks wait beside a whole slot
+    Given 1 cells in each of which 1 standing tasks of 4 cores are stuck
+    When it proposes moves to a cell with 2 slots of 4 cores, where 16 cores are waited for
+    Then 1 tasks are moved, to each cell some but no more than it has capacity for
+
+  # Guards against LOST: without ``expected_finish`` only a share of a cell's headroom, less
+  # than its only slot, was used, and nothing where other tasks wait.
+  Scenario Outline: A standing task moves to one slot, <waiting> cores waited for, without expected finish
+    Given a full cell without expected finish, in which a standing task of 4 cores is stuck
+    When it proposes moves to a cell with 1 slots of 4 cores, where <waiting> cores are waited for
+    Then 1 tasks are moved, to each cell some but no more than it has capacity for
+
+    Examples:
+      | waiting |
+      | 0       |
+      | 16      |
+
+  # Guards against LOST: a task stayed in its full cell for as long as each other cell had
+  # only one slot for it, of which a share was used (LivenessSimulation(49, 2) and (91, 2)).
+  Scenario Outline: A task stuck for <stuck> s moves to a cell's only slot if <free> cores of 40 are free there, <switch> expected finish
+    Given a full cell <switch> expected finish, in which a task of 4 cores is stuck for <stuck> s
+    When it proposes moves to two cells of 40 cores with a slot of 4 cores and <free> cores free
+    Then the task <moves> to one of them
+
+    Examples:
+      | switch  | stuck | free | moves        |
+      | with    | 2.0   | 30   | moves        |
+      | without | 2.0   | 30   | moves        |
+      | with    | 1.0   | 30   | doesn't move |
+      | without | 1.0   | 30   | doesn't move |
+      | with    | 2.0   | 10   | doesn't move |
+      | without | 2.0   | 10   | doesn't move |
