Use no worker whose entry has numbers, texts or an address out of bounds

Callers saw machines that read the list of workers fail again and again: an entry of another writer with the port 99999 raised OverflowError in the hold loop each 0.25 s (port -1, abc, none, no host: SettingsError; a zero byte or a label of 300 characters: ValueError). Such an entry made a cell of its rack, was recorded for the next owner, and counted among the workers that must answer after a takeover (18.7 s).

Cause: decode_worker checked types and that the address has a colon. Numbers had no bounds (born of 400 digits, cpu -5 and 1e308, remainingMs -1e300), nor had names, of which racks, zones and ids become keys and a header. Ruled out: deep nesting, bytes that aren't text and numbers beyond a float were rejected already.

The entry is now checked once, in decode_worker, which raises MalformedValueError with the reason. Integers end at 2**53, where JSON is exact. A rejected entry counts as removed: its worker gets no new starts, its runs are held at the known address until the entry is valid again. It is logged once for each reason and counted by beryl_host_rejected_worker_entries.

--- a/libs/model/src/berylcleat/model/__init__.py
+++ b/libs/model/src/berylcleat/model/__init__.py
@@ -11,6 +11,7 @@
     check_rule,
     effective_services,
 )
+from ._decoding import MalformedValueError, decode_json
 from ._errors import (
     BadRequestError,
     BerylError,
@@ -67,6 +68,7 @@
     "HostUnreachableError",
     "JobSpec",
     "Labels",
+    "MalformedValueError",
     "NeverRunnableError",
     "NotFoundError",
     "OutcomeUnknownError",
@@ -93,6 +95,7 @@
     "check_rule",
     "check_runnable",
     "critical_path_s",
+    "decode_json",
     "effective_services",
     "load_settings",
     "parse_document",
--- /dev/null
+++ b/programs/beryl-host/features/odd_entries.feature
@@ -0,0 +1,41 @@
+Feature: Odd rows among those that a host reads
+
+  # Guards against a host that stops following the list, and against a cell that no worker
+  # can serve: an entry with a port out of range made one.
+  Scenario Outline: A list with an entry <fault> is followed, and makes no cell for it
+    Given a list with the workers "w1 w2" of rack "r1"
+    When the entry of "w3" in rack "r9" is <fault>
+    And the entry of "w4" in rack "r1" is valid
+    Then the cells are "r1" with the workers "w1 w2 w4"
+    When the same entry of "w3" is written 3 times more
+    Then 1 rejected entry was counted
+
+    Examples:
+      | fault                      |
+      | nested too deeply          |
+      | with a port out of range   |
+      | with a number too large    |
+      | with a capacity below zero |
+      | cut short                  |
+
+  # Guards against LOST: the next owner waited 18.7 s for the answer of a worker that has no
+  # address.
+  Scenario: The next owner doesn't wait for a worker with an odd entry
+    Given a list with the workers "w1 w2" of rack "r1"
+    And a cell with recorded workers "w1 w2"
+    When the entry of "w3" in rack "r1" is with a port out of range
+    And the owner records the listed workers and its process ends
+    And the next owner finds "w3" neither listed nor reachable, and "w2" reports
+    Then the next owner knows all runs of earlier owners
+
+  # Guards against TWICE and LOST: the work of a worker whose entry turns odd neither
+  # starts anew elsewhere nor ends, and nothing starts there until the entry is valid.
+  Scenario: A worker in use whose entry turns odd keeps its runs and gets no new ones
+    Given a list with the workers "w1" of rack "r1"
+    And its owner runs a task on "w1"
+    When the entry of "w1" in rack "r1" is with a port out of range
+    And the worker "w1" reports its run, and another task waits
+    Then nothing starts, and the run on "w1" goes on
+    When the entry of "w1" in rack "r1" is valid
+    And the worker "w1" reports its run, and another task waits
+    Then a task starts on "w1", and the run on "w1" goes on
--- a/programs/beryl-host/src/berylcleat/host/_metrics.py
+++ b/programs/beryl-host/src/berylcleat/host/_metrics.py
@@ -1,4 +1,4 @@
-"""Prometheus metrics of the client API."""
+"""Prometheus metrics of the client API and of the list of workers."""
 
 from prometheus_client import Counter, Histogram
 
@@ -19,3 +19,8 @@
     "first step (fits), those with half of the most headroom (partial), or full cells",
     ("choice",),
 )
+REJECTED_WORKER_ENTRIES = Counter(
+    "beryl_host_rejected_worker_entries",
+    "Entries of the list of workers that name no worker to use, counted when they "
+    "appear and when the reason changes",
+)
--- a/programs/beryl-host/src/berylcleat/host/_worker_list.py
+++ b/programs/beryl-host/src/berylcleat/host/_worker_list.py
@@ -6,11 +6,15 @@
 import logging
 from collections.abc import Callable
 
+from berylcleat.model import MalformedValueError
 from berylcleat.platform import decode_worker
 from berylcleat.ports import StoreRow, WorkerEntry
 
-from ._clock import now_s
+from ._clock import now_s, wall_ms
+from ._metrics import REJECTED_WORKER_ENTRIES
 
+# Bytes of an id in a log line: an odd entry may have any key.
+MAX_LOGGED_ID = 80
 WorkersListener = Callable[[dict[str, dict[str, WorkerEntry]]], None]
 logger = logging.getLogger(__name__)
 
@@ -28,7 +32,8 @@
         self.read_confirmed_at: Callable[[], float] = now_s
         self.unguarded_services: frozenset[str] = frozenset()
         self._data_centre_by_cell: dict[str, str] = {}
-        self._undecodable_ids: set[str] = set()
+        # Why the entries that name no worker to use were rejected, by worker id.
+        self._rejection_by_id: dict[str, str] = {}
 
     def on_rows(self, rows: tuple[StoreRow, ...]) -> None:
         """Apply rows of the worker table and notify listeners."""
@@ -54,23 +59,40 @@
         return set(self._data_centre_by_cell.values())
 
     def _apply(self, row: StoreRow) -> None:
+        """Apply a row; one that names no worker to use counts as removed.
+
+        The owner of a cell then starts nothing more on the worker, and goes on renewing
+        its leases at the address that it knows until the worker's runs have ended.
+        """
         previous = self.by_id.get(row.key)
-        entry = None if row.is_removed else decode_worker(row)
         if row.is_removed:
             if previous:
                 logger.info("worker %s: no longer listed", row.key)
             self.by_id.pop(row.key, None)
-        elif entry is None:
-            if row.key not in self._undecodable_ids:
-                logger.warning(
-                    "worker row %s can't be decoded; ignoring this worker", row.key
-                )
-                self._undecodable_ids.add(row.key)
+            self._rejection_by_id.pop(row.key, None)
+            return
+        try:
+            entry = decode_worker(row, wall_ms())
+        except MalformedValueError as error:
             self.by_id.pop(row.key, None)
-        else:
-            self._log_change(previous, entry)
-            self.by_id[row.key] = entry
-            self._data_centre_by_cell[entry.rack] = entry.data_centre
+            self._on_rejected(row.key, str(error))
+            return
+        self._rejection_by_id.pop(row.key, None)
+        self._log_change(previous, entry)
+        self.by_id[row.key] = entry
+        self._data_centre_by_cell[entry.rack] = entry.data_centre
+
+    def _on_rejected(self, worker_id: str, reason: str) -> None:
+        """Log and count an entry that is rejected, once for each reason."""
+        if self._rejection_by_id.get(worker_id) == reason:
+            return
+        self._rejection_by_id[worker_id] = reason
+        REJECTED_WORKER_ENTRIES.inc()
+        logger.warning(
+            "worker entry %r names no worker to use: %s",
+            worker_id[:MAX_LOGGED_ID],
+            reason,
+        )
 
     def _log_change(self, previous: WorkerEntry | None, entry: WorkerEntry) -> None:
         if previous and entry.is_draining and not previous.is_draining:
