Give a cell to the data centre of most of its workers

One entry whose zone differs from that of the other workers of its rack moved the whole cell: the entry that was read last decided on the data centre, and so on which hosts may acquire the cell and whether an evacuation empties it. Hosts that read the rows in another order disagreed.

Now the data centre of most listed workers of the cell counts, the first in the alphabet among equals; it depends on the list alone. A cell without a listed worker keeps its last one.

--- a/programs/beryl-host/features/odd_entries.feature
+++ b/programs/beryl-host/features/odd_entries.feature
@@ -28,6 +28,13 @@
     And the next owner finds "w3" neither listed nor reachable, and "w2" reports
     Then the next owner knows all runs of earlier owners
 
+  # Guards against a cell that moves to another data centre because of one entry.
+  Scenario: One entry with another zone doesn't move its cell
+    Given a list with the workers "w1 w2" of rack "r1"
+    When the entry of "w0" in rack "r1" is of the zone "dc-9"
+    Then the cells are "r1" with the workers "w0 w1 w2"
+    And the cell "r1" belongs to the data centre "dc-1"
+
   # Guards against TWICE and LOST: the work of a worker whose entry turns odd neither
   # starts anew elsewhere nor ends, and nothing starts there until the entry is valid.
   Scenario: A worker in use whose entry turns odd keeps its runs and gets no new ones
--- a/programs/beryl-host/src/berylcleat/host/_worker_list.py
+++ b/programs/beryl-host/src/berylcleat/host/_worker_list.py
@@ -4,7 +4,8 @@
 """
 
 import logging
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterable
 
 from berylcleat.model import MalformedValueError
 from berylcleat.platform import decode_worker
@@ -41,6 +42,10 @@
         for row in rows:
             self._apply(row)
         by_cell = self._by_cell()
+        for cell_id, entries in by_cell.items():
+            self._data_centre_by_cell[cell_id] = _most_frequent_data_centre(
+                entries.values()
+            )
         if len(self.by_id) > n_known:
             logger.info("workers: %d listed in %d cells", len(self.by_id), len(by_cell))
         for listener in self.listeners:
@@ -80,7 +85,6 @@
         self._rejection_by_id.pop(row.key, None)
         self._log_change(previous, entry)
         self.by_id[row.key] = entry
-        self._data_centre_by_cell[entry.rack] = entry.data_centre
 
     def _on_rejected(self, worker_id: str, reason: str) -> None:
         """Log and count an entry that is rejected, once for each reason."""
@@ -110,3 +114,12 @@
         for entry in self.by_id.values():
             by_cell.setdefault(entry.rack, {})[entry.worker_id] = entry
         return by_cell
+
+
+def _most_frequent_data_centre(entries: Iterable[WorkerEntry]) -> str:
+    """Return the data centre of most workers of a cell.
+
+    One entry with another zone must not give the cell to hosts of that data centre.
+    """
+    counts = Counter(entry.data_centre for entry in entries)
+    return min(counts, key=lambda name: (-counts[name], name))
