Reject JSON that is nested too deeply in every decoder

Callers saw processes that stopped following a row, or answered nothing: the JSON decoder raises RecursionError, no error of its own, for values that are nested too deeply, and only two of some twenty decoders expected it. A configuration or a wave of that kind left the operator's follower at the row before it, restarted each second without evacuations and waves; an owner row kept a host from acquiring any cell; a submission or a peer's message got no answer.

All decoders of what other processes write now use model.decode_json, which raises MalformedValueError. Each caller treats that as it treated malformed JSON before. An unknown state in a peer's reply or in recorded progress counts as malformed too: it raised ValueError.

Ruled out: worker entries and workers' answers, which were covered.

--- a/libs/scheduling/src/berylcleat/scheduling/_progress.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_progress.py
@@ -6,7 +6,12 @@
 
 import msgspec
 
-from berylcleat.model import SubmissionState, TaskKey
+from berylcleat.model import (
+    MalformedValueError,
+    SubmissionState,
+    TaskKey,
+    decode_json,
+)
 
 
 class CrashEvidence(IntEnum):
@@ -126,9 +131,9 @@
 
 
 def decode_progress(submission_id: str, data: bytes) -> Progress:
-    """Decode stored progress; raise ``msgspec.MsgspecError`` if it is malformed."""
-    record = _decoder.decode(data)
-    state = SubmissionState(record.final_state) if record.final_state else None
+    """Decode stored progress; raise ``MalformedValueError`` if it is malformed."""
+    record = decode_json(_decoder, data)
+    state = _decode_state(record.final_state)
     return Progress(
         state,
         {(occurrence, step): set(indices) for occurrence, step, indices in record.done},
@@ -150,3 +155,12 @@
             for start in ((worker_id, incarnation_ms),)
         },
     )
+
+
+def _decode_state(value: str) -> SubmissionState | None:
+    if not value:
+        return None
+    try:
+        return SubmissionState(value)
+    except ValueError as error:
+        raise MalformedValueError(f"unknown state {value[:40]!r}") from error
--- a/libs/scheduling/src/berylcleat/scheduling/_wave_record.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_wave_record.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from berylcleat.model import decode_json
+
 
 class MachinePhase(Enum):
     """Phase of a machine in a wave; it holds a slot unless it is ``DONE``."""
@@ -70,6 +72,9 @@
     deferred_until_ms: dict[str, int] = {}
 
 
+_decoder = msgspec.json.Decoder(WaveRecord)
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerOccupancy:
     """Whether a worker's machine can be taken down.
@@ -244,6 +249,6 @@
 def decode_wave_record(value: bytes) -> WaveRecord:
     """Return a stored record.
 
-    Raises ``msgspec.DecodeError`` or ``msgspec.ValidationError`` if it is malformed.
+    Raises ``MalformedValueError`` if it is malformed.
     """
-    return msgspec.json.decode(value, type=WaveRecord)
+    return decode_json(_decoder, value)
--- a/programs/beryl-host/features/odd_entries.feature
+++ b/programs/beryl-host/features/odd_entries.feature
@@ -46,3 +46,32 @@
     When the entry of "w1" in rack "r1" is valid
     And the worker "w1" reports its run, and another task waits
     Then a task starts on "w1", and the run on "w1" goes on
+
+  # Guards against a loop that ends or repeats without end: RecursionError of the
+  # configuration left the operator's follower at the row before it.
+  Scenario Outline: After <source> that is <fault> the host reads the next one
+    When a host reads <source> that is <fault>, and then a valid one
+    Then it has applied the valid one
+
+    Examples:
+      | source            | fault             |
+      | a configuration   | nested too deeply |
+      | a configuration   | not text          |
+      | a wave            | nested too deeply |
+      | a wave            | not text          |
+      | an owner row      | nested too deeply |
+      | an owner row      | not text          |
+      | a heartbeat       | nested too deeply |
+      | a heartbeat       | empty             |
+      | a load            | nested too deeply |
+      | live owners       | nested too deeply |
+      | live owners       | not text          |
+      | pairs             | nested too deeply |
+      | a sum of pairs    | not text          |
+      | a sum of pairs    | nested too deeply |
+      | a submission      | nested too deeply |
+      | moves             | nested too deeply |
+      | a home            | nested too deeply |
+      | a peer's message  | nested too deeply |
+      | a peer's reply    | nested too deeply |
+      | a peer's reply    | of no known state |
--- a/programs/beryl-host/src/berylcleat/host/_cell_directory.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_directory.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from berylcleat.model import MalformedValueError, decode_json
 from berylcleat.ports import StoreRow
 
 from ._clock import now_s
@@ -57,8 +58,8 @@
         if known is not None and row.version <= known.version:
             return
         try:
-            owner = _owner_decoder.decode(row.value)
-        except msgspec.MsgspecError as error:
+            owner = decode_json(_owner_decoder, row.value)
+        except MalformedValueError as error:
             logger.error("owner row of cell %s can't be decoded: %s", row.part, error)
             return
         self.owner_by_cell[row.part] = ObservedOwner(owner, row.version, now_s())
@@ -85,8 +86,8 @@
     def _on_load_row(self, row: StoreRow) -> None:
         cell_id = row.key.removeprefix(LOAD_PREFIX)
         try:
-            load = _load_decoder.decode(row.value)
-        except msgspec.MsgspecError as error:
+            load = decode_json(_load_decoder, row.value)
+        except MalformedValueError as error:
             logger.error("load of cell %s can't be decoded: %s", cell_id, error)
             return
         known = self._load_by_cell.get(cell_id)
--- a/programs/beryl-host/src/berylcleat/host/_client_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_client_api.py
@@ -10,6 +10,7 @@
 from berylcleat.model import (
     BadRequestError,
     BerylError,
+    MalformedValueError,
     OutcomeUnknownError,
     PlatformUnavailableError,
     Submission,
@@ -300,7 +301,7 @@
             if progress.final_state is not None:
                 return progress.final_state
             entry = await self._submissions.read_entry(submission_id, cell_id)
-        except (BerylError, msgspec.MsgspecError) as error:
+        except (BerylError, MalformedValueError) as error:
             logger.info(
                 "submission %s: record could not be read: %s", submission_id, error
             )
--- a/programs/beryl-host/src/berylcleat/host/_membership.py
+++ b/programs/beryl-host/src/berylcleat/host/_membership.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from berylcleat.model import MalformedValueError, decode_json
 from berylcleat.ports import StoreRow
 
 from ._clock import now_s
@@ -56,8 +57,8 @@
     def _on_host_row(self, row: StoreRow) -> None:
         host_id = row.key.removeprefix(HOST_PREFIX)
         try:
-            host = _host_decoder.decode(row.value)
-        except msgspec.MsgspecError as error:
+            host = decode_json(_host_decoder, row.value)
+        except MalformedValueError as error:
             logger.error("heartbeat of host %s can't be decoded: %s", host_id, error)
             return
         known = self.heartbeat_by_host.get(host_id)
--- a/programs/beryl-host/src/berylcleat/host/_pair_exchange.py
+++ b/programs/beryl-host/src/berylcleat/host/_pair_exchange.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from berylcleat.model import MalformedValueError, decode_json
 from berylcleat.ports import RowWrite, StoreRow
 from berylcleat.scheduling import InterferenceModel
 
@@ -197,8 +198,8 @@
 
 def _decode(row: StoreRow, value: bytes) -> PairsRow | None:
     try:
-        return _pairs_decoder.decode(value)
-    except msgspec.MsgspecError as error:
+        return decode_json(_pairs_decoder, value)
+    except MalformedValueError as error:
         logger.error("pairs in row %s can't be decoded: %s", row.key, error)
         return None
 
--- a/programs/beryl-host/src/berylcleat/host/_peer_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_peer_api.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from berylcleat.http import HttpRequest, HttpResponse
+from berylcleat.model import MalformedValueError, decode_json
 from berylcleat.ports import StoreRow
 
 from ._cell_ownership import CellOwnershipManager
@@ -29,6 +30,9 @@
 from ._submission_directory import SubmissionDirectory
 
 logger = logging.getLogger(__name__)
+_update_decoder = msgspec.json.Decoder(SubmissionUpdate)
+_ends_decoder = msgspec.json.Decoder(MovedTaskEnds)
+_takeover_decoder = msgspec.json.Decoder(TakeoverNotice)
 
 
 class PeerApi:
@@ -50,7 +54,7 @@
         """Answer one request; 400 if its body can't be decoded."""
         try:
             return await self._dispatch(request)
-        except msgspec.MsgspecError as error:
+        except MalformedValueError as error:
             logger.error("peer request %s can't be decoded: %s", request.target, error)
             return HttpResponse(400)
 
@@ -86,7 +90,7 @@
         return HttpResponse(200, (), msgspec.json.encode(StateReply(value)))
 
     def _on_submission_update(self, body: bytes) -> HttpResponse:
-        update = msgspec.json.decode(body, type=SubmissionUpdate)
+        update = decode_json(_update_decoder, body)
         if update.accepted is not None:
             self._directory.add_accepted(update.accepted)
         if update.accepted is not None and update.moves_of:
@@ -99,7 +103,7 @@
         return HttpResponse(200)
 
     def _on_moved_task_ends(self, body: bytes) -> HttpResponse:
-        report = msgspec.json.decode(body, type=MovedTaskEnds)
+        report = decode_json(_ends_decoder, body)
         cell_id = report.cell_id or self._home_cell(report.submission_id)
         controller = self._ownership.controller_by_cell.get(cell_id)
         if controller is None:
@@ -117,7 +121,7 @@
         return entry.accepted.cell_id
 
     async def _on_takeover(self, body: bytes) -> HttpResponse:
-        notice = msgspec.json.decode(body, type=TakeoverNotice)
+        notice = decode_json(_takeover_decoder, body)
         if notice.host_id != self._identity.host_id:
             logger.info("takeover notice for host %s came to this host", notice.host_id)
             return HttpResponse(409)
--- a/programs/beryl-host/src/berylcleat/host/_peers.py
+++ b/programs/beryl-host/src/berylcleat/host/_peers.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from berylcleat.http import ExchangeError, HttpClient, HttpRequest, HttpResponse
-from berylcleat.model import SubmissionState
+from berylcleat.model import MalformedValueError, SubmissionState, decode_json
 from berylcleat.scheduling import MovedTaskEnd
 
 from ._records import AcceptedRow
@@ -24,6 +24,7 @@
 OPERATOR_PATH = "/operator-state"
 # Names the version of the configuration that the requester has.
 OPERATOR_QUERY = "?config="
+STATE_BY_VALUE = {state.value: state for state in SubmissionState}
 logger = logging.getLogger(__name__)
 
 
@@ -90,6 +91,7 @@
     def __init__(self):
         self._client_by_address: dict[str, HttpClient] = {}
         self._decoder = msgspec.json.Decoder(StateReply)
+        self._takeover_decoder = msgspec.json.Decoder(TakeoverReply)
         self._operator_decoder = msgspec.json.Decoder(OperatorReply)
         self._background_tasks: set[asyncio.Task] = set()
 
@@ -100,8 +102,12 @@
         response = await self._request(address, "GET", STATE_PREFIX + submission_id)
         if response is None or response.status != 200:
             return None
-        value = self._decoder.decode(response.body).state
-        return SubmissionState(value) if value else None
+        try:
+            value = decode_json(self._decoder, response.body).state
+        except MalformedValueError as error:
+            logger.error("state reply of %s can't be decoded: %s", address, error)
+            return None
+        return STATE_BY_VALUE.get(value)
 
     async def send_update(self, address: str, update: SubmissionUpdate) -> bool:
         """Send ``update``; return whether it was accepted."""
@@ -130,8 +136,8 @@
         if response is None or response.status != 200:
             return None
         try:
-            return msgspec.json.decode(response.body, type=TakeoverReply)
-        except msgspec.MsgspecError as error:
+            return decode_json(self._takeover_decoder, response.body)
+        except MalformedValueError as error:
             logger.error("takeover reply of %s can't be decoded: %s", address, error)
             return None
 
@@ -144,8 +150,8 @@
         if response is None or response.status != 200:
             return None
         try:
-            return self._operator_decoder.decode(response.body)
-        except msgspec.MsgspecError as error:
+            return decode_json(self._operator_decoder, response.body)
+        except MalformedValueError as error:
             logger.error("operator state of peer %s is malformed: %s", address, error)
             return None
 
--- a/programs/beryl-host/src/berylcleat/host/_recorder.py
+++ b/programs/beryl-host/src/berylcleat/host/_recorder.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from berylcleat.model import BerylError
+from berylcleat.model import BerylError, MalformedValueError, decode_json
 from berylcleat.ports import (
     Commit,
     CommitOutcome,
@@ -29,6 +29,7 @@
 # The store accepts at most 100 entries, conditions and writes, per transaction.
 MAX_TRANSACTION_ENTRIES = 100
 logger = logging.getLogger(__name__)
+_workers_decoder = msgspec.json.Decoder(WorkersRow)
 
 
 class ProgressRecorder:
@@ -57,8 +58,8 @@
         for row in page.rows:
             self._workers_version = row.version
             try:
-                return msgspec.json.decode(row.value, type=WorkersRow).workers
-            except msgspec.MsgspecError as error:
+                return decode_json(_workers_decoder, row.value).workers
+            except MalformedValueError as error:
                 logger.error(
                     "cell %s: recorded workers can't be decoded: %s",
                     self._cell_id,
@@ -147,6 +148,6 @@
             self._version_by_id[row.key] = row.version
             try:
                 progress_by_id[row.key] = decode_progress(row.key, row.value)
-            except msgspec.MsgspecError as error:
+            except MalformedValueError as error:
                 logger.error("progress row %s can't be decoded: %s", row.key, error)
         return progress_by_id
--- a/programs/beryl-host/src/berylcleat/host/_remote_liveness.py
+++ b/programs/beryl-host/src/berylcleat/host/_remote_liveness.py
@@ -10,6 +10,7 @@
 import msgspec
 import xxhash
 
+from berylcleat.model import MalformedValueError, decode_json
 from berylcleat.ports import StoreRow
 
 from ._clock import now_s
@@ -41,8 +42,8 @@
             self._writer(row, DIGEST_HEARTBEAT_PREFIX).heartbeat_at = now_s()
         elif row.key.startswith(OWNERS_PREFIX):
             try:
-                owners = _live_owners_decoder.decode(row.value)
-            except msgspec.MsgspecError as error:
+                owners = decode_json(_live_owners_decoder, row.value)
+            except MalformedValueError as error:
                 logger.error("row %s can't be decoded: %s", row.key, error)
                 return
             self._writer(row, OWNERS_PREFIX).owners = owners
--- a/programs/beryl-host/src/berylcleat/host/_submission_directory.py
+++ b/programs/beryl-host/src/berylcleat/host/_submission_directory.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from berylcleat.model import TaskKey
+from berylcleat.model import MalformedValueError, TaskKey, decode_json
 from berylcleat.ports import StoreRow
 from berylcleat.scheduling import TaskMove
 
@@ -73,8 +73,8 @@
         if row.version <= entry.moves_version:
             return
         try:
-            moves = _moves_decoder.decode(row.value).moves
-        except msgspec.MsgspecError as error:
+            moves = decode_json(_moves_decoder, row.value).moves
+        except MalformedValueError as error:
             logger.error(
                 "moves of submission %s can't be decoded: %s", submission_id, error
             )
@@ -122,8 +122,8 @@
 
     def _add_row(self, row: StoreRow) -> None:
         try:
-            self.add_accepted(_accepted_decoder.decode(row.value))
-        except msgspec.MsgspecError as error:
+            self.add_accepted(decode_json(_accepted_decoder, row.value))
+        except MalformedValueError as error:
             logger.error("submission row %s can't be decoded: %s", row.key, error)
 
     def _notify(self, submission_id: str, entry: SubmissionEntry) -> None:
--- a/programs/beryl-host/src/berylcleat/host/_submission_store.py
+++ b/programs/beryl-host/src/berylcleat/host/_submission_store.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from berylcleat.model import TaskKey
+from berylcleat.model import MalformedValueError, TaskKey, decode_json
 from berylcleat.ports import (
     Commit,
     CommitOutcome,
@@ -131,8 +131,8 @@
             if row.table != SUBMISSION_TABLE:
                 continue
             try:
-                self._remember(row.key, _home_decoder.decode(row.value).cell_id)
-            except msgspec.MsgspecError as error:
+                self._remember(row.key, decode_json(_home_decoder, row.value).cell_id)
+            except MalformedValueError as error:
                 logger.error("home of submission %s is malformed: %s", row.key, error)
 
     def _remember(self, submission_id: str, cell_id: str) -> None:
--- a/programs/beryl-host/src/berylcleat/host/_wave_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_wave_records.py
@@ -2,8 +2,7 @@
 
 import logging
 
-import msgspec
-
+from berylcleat.model import MalformedValueError
 from berylcleat.ports import Commit, CommitOutcome, Condition, RowWrite, Store
 from berylcleat.scheduling import WaveRecord, decode_wave_record, encode_wave_record
 
@@ -84,7 +83,7 @@
             self._n_bytes_by_wave[wave_id] = len(row.value)
             try:
                 self.by_wave[wave_id] = decode_wave_record(row.value)
-            except msgspec.MsgspecError as error:
+            except MalformedValueError as error:
                 logger.error(
                     "maintenance: record of wave %d can't be decoded: %s",
                     wave_id,
