Take an address that is none for a failed connection

Callers saw a loop that fails again and again: with an address of another writer connecting raised OverflowError (the port 99999), ValueError (a zero byte, a port of other digits than ASCII), UnicodeError (a label of 300 characters) or SettingsError (no host, no port), where callers expect an ExchangeError.

HttpClient now reports all of these as CONNECT_FAILED, with nothing sent. parse_address checks the range of the port, and an error shows at most 80 characters of an address.

--- a/libs/http/src/berylcleat/http/_client.py
+++ b/libs/http/src/berylcleat/http/_client.py
@@ -5,6 +5,8 @@
 
 import h11
 
+from berylcleat.model import SettingsError
+
 from ._messages import ExchangeError, ExchangeFailure, HttpRequest, HttpResponse
 from ._server import parse_address
 
@@ -12,6 +14,9 @@
 # A response that keeps arriving, such as a large one on a slow link, may take up to
 # this many times the timeout.
 MAX_TIMEOUT_PERIODS = 4
+# Errors of an attempt to connect. ValueError and SettingsError: an address that another
+# process has sent is no address; a host name with a zero byte, say.
+CONNECT_ERRORS = (OSError, TimeoutError, SettingsError, ValueError)
 
 
 class _ClientConnection(asyncio.Protocol):
@@ -187,10 +192,10 @@
         return await self._open_connection(timeout_s)
 
     async def _open_connection(self, timeout_s: float) -> _ClientConnection:
-        host, port = parse_address(self.address)
         loop = asyncio.get_running_loop()
         self.n_open += 1
         try:
+            host, port = parse_address(self.address)
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
                     lambda: _ClientConnection(self), host, port
@@ -198,7 +203,7 @@
             return connection
         except BaseException as error:
             self.n_open -= 1
-            if not isinstance(error, (OSError, TimeoutError)):
+            if not isinstance(error, CONNECT_ERRORS):
                 raise
             raise ExchangeError(
                 ExchangeFailure.CONNECT_FAILED, self.address, request_sent=False
--- a/libs/http/src/berylcleat/http/_messages.py
+++ b/libs/http/src/berylcleat/http/_messages.py
@@ -5,6 +5,8 @@
 
 from berylcleat.model import BerylError, ErrorCode
 
+# Characters of an address in an error message: another process may have sent it.
+MAX_LOGGED_ADDRESS = 80
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -71,7 +73,8 @@
 
     def __init__(self, failure: ExchangeFailure, address: str, request_sent: bool):
         super().__init__(
-            f"{address}: {failure.value}", "Check that the server runs at this address"
+            f"{address[:MAX_LOGGED_ADDRESS]}: {failure.value}",
+            "Check that the server runs at this address",
         )
         self.failure = failure
         self.request_sent = request_sent
--- a/libs/http/src/berylcleat/http/_server.py
+++ b/libs/http/src/berylcleat/http/_server.py
@@ -11,6 +11,8 @@
 
 from ._messages import AbandonConnectionError, HttpLimits, HttpRequest, HttpResponse
 
+# Highest port number of TCP.
+MAX_PORT = 65_535
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 logger = logging.getLogger(__name__)
 
@@ -18,8 +20,9 @@
 def parse_address(address: str) -> tuple[str, int]:
     """Split ``host:port``; raise ``SettingsError`` if ``address`` has another form."""
     host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise SettingsError(f"invalid address {address!r}", "Write it as IP:PORT")
+    is_number = port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))
+    if not host or not is_number or int(port) > MAX_PORT:
+        raise SettingsError(f"invalid address {address[:80]!r}", "Write it as IP:PORT")
     return host, int(port)
 
 
--- a/programs/beryl-host/features/odd_entries.feature
+++ b/programs/beryl-host/features/odd_entries.feature
@@ -75,3 +75,4 @@
       | a peer's message  | nested too deeply |
       | a peer's reply    | nested too deeply |
       | a peer's reply    | of no known state |
+      | a peer's address  | out of range      |
--- a/programs/beryl-host/features/steps/odd_entries_steps.py
+++ b/programs/beryl-host/features/steps/odd_entries_steps.py
@@ -1,10 +1,19 @@
+import asyncio
 import json
 
 from behave import given, then, when
 from host_parts import CELL, make_worker_entry
-from ownership_steps import make_recorder, make_scheduler
+from ownership_steps import (
+    make_owner,
+    make_recorder,
+    make_scheduler,
+    put_cell_row,
+    read_row,
+)
 from prometheus_client import REGISTRY
 
+from berylcleat.host._clock import now_s
+from berylcleat.host._records import WORKERS_KEY, AcceptedRow, WorkersRow, encode
 from berylcleat.host._worker_list import WorkerList
 from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand
 from berylcleat.ports import (
@@ -15,7 +24,7 @@
     StoreRow,
     WorkerReport,
 )
-from berylcleat.scheduling import Progress
+from berylcleat.scheduling import Progress, encode_progress
 
 DEEP = "[" * 100_000 + "]" * 100_000
 CHANGE_BY_FAULT = {
@@ -117,11 +126,11 @@
     context.scheduler.add_submission(submission, Progress(), 1.0, 1.0, inherited=False)
 
 
-def plan_starts(context):
+def plan_starts(scheduler, now=1.0):
     """Return the starts that are ordered once all that they need is recorded."""
-    orders = context.scheduler.plan(1.0, 1000.0)
-    context.scheduler.on_recorded(context.scheduler.take_batch())
-    orders += context.scheduler.plan(1.0, 1000.0)
+    orders = scheduler.plan(now, 1000.0)
+    scheduler.on_recorded(scheduler.take_batch())
+    orders += scheduler.plan(now, 1000.0)
     return [order for order in orders if isinstance(order.order, StartOrder)]
 
 
@@ -131,7 +140,7 @@
     list_workers(context)
     context.scheduler.on_report(name, WorkerReport(1000, 1, (), ()), 1.0, 1.0)
     add_task(context, "a" * 16)
-    (start,) = plan_starts(context)
+    (start,) = plan_starts(context.scheduler)
     answer = OrderAnswer(OrderResult.ACCEPTED, 1000)
     context.scheduler.on_start_answer(name, start.order, answer, 1.0)
     context.running = RunningTask(start.order.task, start.order.run, "", 100)
@@ -145,7 +154,7 @@
     context.scheduler.on_report(name, report, 1.0, 1.0)
     context.n_tasks += 1
     add_task(context, f"{context.n_tasks:016x}")
-    context.starts = plan_starts(context)
+    context.starts = plan_starts(context.scheduler)
 
 
 def is_running(context, name):
@@ -164,3 +173,100 @@
 def step_start(context, started, name):
     assert {start.worker_id for start in context.starts} == {started}
     assert is_running(context, name)
+
+
+@given("its recorded workers are {fault}")
+def step_recorded_fault(context, fault):
+    row = json.loads(encode(read_row(context, WORKERS_KEY, WorkersRow)))
+    value = json.dumps(row)
+    if fault == "cut short":
+        value = value[:-1]
+    elif fault == "nested too deeply":
+        value = f'{{"x": {DEEP}, {value[1:]}'
+    elif fault == "with an odd entry":
+        value = json.dumps({"workers": [*row["workers"], {"worker_id": 3}]})
+    elif fault == "with one at the port 99999":
+        odd = {**row["workers"][0], "worker_id": "w3", "address": "127.0.0.1:99999"}
+        value = json.dumps({"workers": [*row["workers"], odd]})
+    put_cell_row(context, WORKERS_KEY, value.encode())
+
+
+@when(
+    'a host acquires it with runs unaccounted for {seconds:d} s and "{names}" report '
+    "at once"
+)
+def step_acquire(context, seconds, names):
+    async def acquire():
+        controller = make_owner(context, seconds)
+        listed = {name: make_worker_entry(name) for name in names.split()}
+        await controller.start(listed)
+        scheduler = controller.scheduler
+        for name in listed:
+            report = WorkerReport(1000, 1, (), ())
+            scheduler.on_report(name, report, now_s(), now_s())
+        now = now_s()
+        context.waits = [not scheduler.has_settled(now + s) for s in (0, seconds)]
+        await asyncio.sleep(2.0)
+        row = read_row(context, WORKERS_KEY, WorkersRow)
+        context.recorded = [worker.worker_id for worker in row.workers]
+        await controller.release()
+
+    context.run(acquire())
+
+
+@then("inherited tasks wait for {seconds:d} s")
+def step_inherited_wait(context, seconds):
+    assert context.waits == [bool(seconds), False], context.waits
+
+
+@then("the unknown worker is recorded no longer after 2 s")
+def step_unknown_recorded(context):
+    assert context.recorded == ["w1", "w2"], context.recorded
+
+
+@given("two submissions, and the progress of the first is {fault}")
+def step_progress(context, fault):
+    value = encode_progress(Progress())
+    value_by_fault = {
+        "cut short": value[:-1],
+        "not text": b"\xff\xfe",
+        "empty": b"",
+        "nested too deeply": value[:-1] + f",[],[],{DEEP}]".encode(),
+        "of an odd state": value.replace(b'""', b'"odd"', 1),
+        "as it was": value,
+    }
+    context.ids = ["a" * 16, "b" * 16]
+    context.store.put("progress", CELL, context.ids[0], value_by_fault[fault])
+
+
+@when('a host acquires the cell with both submissions, and "{name}" reports')
+def step_acquire_with_submissions(context, name):
+    async def acquire():
+        controller = make_owner(context, 0)
+        queue = QueuePolicy("q", "cardhouse")
+        steps = (Step(1, TaskDemand(1000, 1000)),)
+        for submission_id in context.ids:
+            accepted = AcceptedRow(CELL, 0, Submission(submission_id, queue, "", steps))
+            controller._directory.add_accepted(accepted)
+        await controller.start({name: make_worker_entry(name)})
+        # The feed may deliver a submission again.
+        for submission_id, entry in controller._directory.by_id.items():
+            controller.on_submission(submission_id, entry)
+        scheduler = controller.scheduler
+        now = now_s()
+        scheduler.on_report(name, WorkerReport(1000, 1, (), ()), now, now)
+        starts = plan_starts(scheduler, now)
+        context.started = {start.order.task.submission_id for start in starts}
+        await controller.release()
+
+    context.run(acquire())
+
+
+@then("tasks of the second submission alone start")
+def step_second_starts(context):
+    assert context.started == set(context.ids[1:]), context.started
+
+
+@then("tasks of both submissions start")
+def step_both_start(context):
+    assert context.started == set(context.ids), context.started
--- a/programs/beryl-host/features/steps/odd_rows_steps.py
+++ b/programs/beryl-host/features/steps/odd_rows_steps.py
@@ -195,7 +195,7 @@
             for body in (nest(ends), ends)
         ]
         return [response.status for response in responses] == [400, 409]
-    bodies = [odd, valid]
+    bodies = [valid] if source == "a peer's address" else [odd, valid]
     address = f"127.0.0.1:{find_free_ports(1)[0]}"
 
     async def handle(request):
@@ -204,7 +204,10 @@
     server = HttpServer(address, handle)
     await server.start()
     try:
-        states = [await PeerClient().fetch_state(address, ID) for _ in range(2)]
+        odd_address = "127.0.0.1:99999" if fault == "out of range" else address
+        states = [
+            await PeerClient().fetch_state(peer, ID) for peer in (odd_address, address)
+        ]
     finally:
         await server.stop(0.1)
     return states == [None, SubmissionState.RUNNING]
