Wait for all leases if recorded workers can't be decoded

Callers saw nothing yet; found by running each decoder. If the row of recorded workers couldn't be decoded, the next owner took it for no workers: it waited for none, and inherited tasks started at once although they ran (TWICE). One malformed entry had the same effect for all; deep nesting kept the cell from starting. A recorded worker with an address that is none, from before entries were checked, never answered, and the owner waited 6.2 s or 18.7 s each time.

Each entry is now decoded by itself. For what can't be decoded UNKNOWN_WORKER stands, which never reports: inherited tasks wait until all leases of earlier owners have expired, then it is forgotten and the row written anew. Entries without a usable address are left out, as nothing can have started there.

Evidence: on "Recorded workers ... make the next owner wait" failed for "cut short" and "with an odd entry" (waits [False, False], expected [True, False]) and with RecursionError for deep nesting; "aren't waited for" failed with [True, False] and OverflowError each 0.25 s.

--- a/programs/beryl-host/features/odd_entries.feature
+++ b/programs/beryl-host/features/odd_entries.feature
@@ -76,3 +76,27 @@
       | a peer's reply    | nested too deeply |
       | a peer's reply    | of no known state |
       | a peer's address  | out of range      |
+
+  # Guards against TWICE: a next owner that could not read the recorded workers waited for
+  # none, and started tasks that ran.
+  Scenario Outline: Recorded workers <fault> make the next owner wait for all leases
+    Given a cell with recorded workers "w1 w2"
+    And its recorded workers are <fault>
+    When a host acquires it with runs unaccounted for 1 s and "w1 w2" report at once
+    Then inherited tasks wait for <wait> s
+    And the unknown worker is recorded no longer after 2 s
+
+    Examples:
+      | fault                    | wait |
+      | cut short                | 1    |
+      | nested too deeply        | 1    |
+      | with an odd entry        | 1    |
+      | as they were             | 0    |
+
+  # Guards against LOST: workers without an address that an earlier version recorded never
+  # answer.
+  Scenario: Recorded workers without a usable address aren't waited for
+    Given a cell with recorded workers "w1 w2"
+    And its recorded workers are with one at the port 99999
+    When a host acquires it with runs unaccounted for 1 s and "w1 w2" report at once
+    Then inherited tasks wait for 0 s
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -29,7 +29,7 @@
 from ._order_metrics import OrderMetrics
 from ._order_sender import OrderSender
 from ._peers import TakeoverReply
-from ._recorder import ProgressRecorder
+from ._recorder import UNKNOWN_WORKER, ProgressRecorder
 from ._records import (
     CELL_TABLE,
     OWNER_KEY,
@@ -186,7 +186,10 @@
                 scheduler.completed_work, self._arrival_of, self._late_limit
             )
         for worker in earlier_workers:
-            hold_loops.connect(worker)
+            if worker != UNKNOWN_WORKER:
+                hold_loops.connect(worker)
+        if UNKNOWN_WORKER in earlier_workers:
+            self._spawn(self._forget_unknown_worker())
         self.update_workers(entry_by_worker)
         self._spawn(self._plan_loop())
         self._spawn(self._record_loop())
@@ -239,6 +242,13 @@
             self._plan_needed.set()
             return
 
+    async def _forget_unknown_worker(self) -> None:
+        """Forget it once all leases of earlier owners have expired."""
+        while not self.scheduler.has_settled(now_s()):
+            await asyncio.sleep(HANDOVER_RETRY_S)
+        self.scheduler.worker_by_id.pop(UNKNOWN_WORKER.worker_id, None)
+        self._record_needed.set()
+
     async def release(self) -> None:
         """Stop all loops and write an owner row without an owner.
 
--- a/programs/beryl-host/src/berylcleat/host/_recorder.py
+++ b/programs/beryl-host/src/berylcleat/host/_recorder.py
@@ -4,7 +4,13 @@
 
 import msgspec
 
-from berylcleat.model import BerylError, MalformedValueError, decode_json
+from berylcleat.model import (
+    BerylError,
+    MalformedValueError,
+    TaskDemand,
+    decode_json,
+)
+from berylcleat.platform import check_address
 from berylcleat.ports import (
     Commit,
     CommitOutcome,
@@ -29,7 +35,29 @@
 # The store accepts at most 100 entries, conditions and writes, per transaction.
 MAX_TRANSACTION_ENTRIES = 100
 logger = logging.getLogger(__name__)
-_workers_decoder = msgspec.json.Decoder(WorkersRow)
+# Stands for recorded workers that can't be decoded. It never reports, so that inherited
+# tasks wait until all leases of earlier owners have expired.
+UNKNOWN_WORKER = WorkerEntry(
+    worker_id="",
+    service="",
+    address="",
+    data_centre="",
+    kind="",
+    rack="",
+    labels=frozenset(),
+    capacity=TaskDemand(),
+    started_at_ms=0,
+)
+
+
+class _RawWorkersRow(msgspec.Struct, frozen=True):
+    """Recorded workers, each still to be decoded."""
+
+    workers: tuple[msgspec.Raw, ...]
+
+
+_row_decoder = msgspec.json.Decoder(_RawWorkersRow)
+_entry_decoder = msgspec.json.Decoder(WorkerEntry)
 
 
 class ProgressRecorder:
@@ -53,20 +81,50 @@
         return self._decode_rows(page.rows)
 
     async def read_workers(self) -> tuple[WorkerEntry, ...]:
-        """Return the workers on which an earlier owner may have started tasks."""
+        """Return the workers on which an earlier owner may have started tasks.
+
+        ``UNKNOWN_WORKER`` is among them if one can't be decoded. Those without a usable
+        address are left out: nothing can have started there.
+        """
         page = await self._store.read(RECORDED_WORKER_TABLE, self._cell_id, WORKERS_KEY)
         for row in page.rows:
             self._workers_version = row.version
-            try:
-                return decode_json(_workers_decoder, row.value).workers
-            except MalformedValueError as error:
-                logger.error(
-                    "cell %s: recorded workers can't be decoded: %s",
-                    self._cell_id,
-                    error,
-                )
+            return self._decode_workers(row.value)
         return ()
 
+    def _decode_workers(self, value: bytes) -> tuple[WorkerEntry, ...]:
+        try:
+            raw_entries = decode_json(_row_decoder, value).workers
+        except MalformedValueError as error:
+            self._log_workers(error)
+            return (UNKNOWN_WORKER,)
+        entry_by_id = {}
+        for raw in raw_entries:
+            entry = self._decode_worker(raw)
+            if entry is not None:
+                entry_by_id[entry.worker_id] = entry
+        return tuple(entry_by_id.values())
+
+    def _decode_worker(self, raw: msgspec.Raw) -> WorkerEntry | None:
+        try:
+            entry = decode_json(_entry_decoder, raw)
+        except MalformedValueError as error:
+            self._log_workers(error)
+            return UNKNOWN_WORKER
+        if entry == UNKNOWN_WORKER:
+            return entry
+        try:
+            check_address(entry.address)
+        except MalformedValueError as error:
+            self._log_workers(error)
+            return None
+        return entry
+
+    def _log_workers(self, error: MalformedValueError) -> None:
+        logger.error(
+            "cell %s: recorded workers can't be decoded: %s", self._cell_id, error
+        )
+
     async def record_workers(self, scheduler: CellScheduler) -> bool:
         """Record the cell's workers; return whether they are durable."""
         views = dict(scheduler.worker_by_id)
