Start no task of a submission whose progress can't be decoded

Callers saw nothing yet; found by running each decoder. A row of progress that couldn't be decoded counted as none, so that the next owner started tasks again that were done (TWICE). With deep nesting or an unknown state the cell didn't start at all (LOST for all its work).

Which tasks are done isn't known, so the submission is left out: none of its tasks starts, its client is told that it runs, and an error names it. Ruled out: to fail it (its end would be false) and to give up the cell (its other work would stop).

Evidence: on "No task starts whose progress is ..." failed in five of six cases: starts of both submissions for cut short, not text and empty, RecursionError and "ValueError: 'odd' is not a valid SubmissionState" for the other two.

--- a/programs/beryl-host/features/odd_entries.feature
+++ b/programs/beryl-host/features/odd_entries.feature
@@ -100,3 +100,20 @@
     And its recorded workers are with one at the port 99999
     When a host acquires it with runs unaccounted for 1 s and "w1 w2" report at once
     Then inherited tasks wait for 0 s
+
+  # Guards against TWICE: progress that could not be read counted as none, and tasks that
+  # were done started again. Against LOST: one such row kept the whole cell from starting.
+  Scenario Outline: No task starts whose progress is <fault>, and the others do
+    Given a cell with recorded workers "w1"
+    And two submissions, and the progress of the first is <fault>
+    When a host acquires the cell with both submissions, and "w1" reports
+    Then tasks of <started> start
+
+    Examples:
+      | fault              | started                     |
+      | cut short          | the second submission alone |
+      | not text           | the second submission alone |
+      | empty              | the second submission alone |
+      | nested too deeply  | the second submission alone |
+      | of an odd state    | the second submission alone |
+      | as it was          | both submissions            |
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -153,6 +153,8 @@
         scheduler.awaits_cordon = bool(self._operator.wave_by_id)
         for entry in self._directory.in_cell(self.cell_id):
             submission = entry.accepted.submission
+            if submission.submission_id in self._recorder.unreadable_ids:
+                continue
             progress = progress_by_id.pop(submission.submission_id, Progress())
             age_s = max(0.0, wall_ms() - entry.accepted.accepted_at_ms) / 1000
             scheduler.add_submission(
@@ -314,6 +316,8 @@
         """Add or update a submission of this cell, including its cancellation."""
         if self.scheduler is None or entry.accepted is None:
             return
+        if submission_id in self._recorder.unreadable_ids:
+            return
         now = now_s()
         age_ms = wall_ms() - entry.accepted.accepted_at_ms
         # Deadlines count from the acceptance in every cell that orders by them alike.
--- a/programs/beryl-host/src/berylcleat/host/_recorder.py
+++ b/programs/beryl-host/src/berylcleat/host/_recorder.py
@@ -64,11 +64,13 @@
     """Writer of one cell's rows, as long as its owner row has not changed.
 
     Each write is also conditional on its own row's version, so that a delayed write
-    can't overwrite a newer one.
+    can't overwrite a newer one. ``unreadable_ids`` are the submissions whose recorded
+    progress can't be decoded: which of their tasks are done isn't known.
     """
 
     def __init__(self, store: Store, cell_id: str, owner_version: int):
         self.has_lost_ownership = False
+        self.unreadable_ids: set[str] = set()
         self._store = store
         self._cell_id = cell_id
         self._owner_condition = Condition(CELL_TABLE, cell_id, OWNER_KEY, owner_version)
@@ -207,5 +209,11 @@
             try:
                 progress_by_id[row.key] = decode_progress(row.key, row.value)
             except MalformedValueError as error:
-                logger.error("progress row %s can't be decoded: %s", row.key, error)
+                self.unreadable_ids.add(row.key)
+                logger.error(
+                    "submission %s: its progress can't be decoded, so none of its "
+                    "tasks starts: %s",
+                    row.key,
+                    error,
+                )
         return progress_by_id
