Acquire no cell whose owner row can't be decoded

Callers saw nothing yet; found by running the decoder. An owner row that can't be decoded counted as no row: each host tried to acquire the cell with version 0, was refused and logged the row four times a second, at the price of a write.

The epoch of such a row isn't known, and one that is used twice lets two schedulers number runs alike (TWICE); so nobody acquires the cell until the row can be read. It is logged once for each version. Other cells aren't affected. Epochs lie from 0 to 2**53 / 1000, since run numbers are a thousand times as large.

--- a/programs/beryl-host/features/odd_entries.feature
+++ b/programs/beryl-host/features/odd_entries.feature
@@ -117,3 +117,21 @@
       | nested too deeply  | the second submission alone |
       | of an odd state    | the second submission alone |
       | as it was          | both submissions            |
+
+  # Guards against TWICE: an owner row that can't be read isn't "no owner", its epoch could
+  # be used again. Against LOST: it kept the host from acquiring its other cells. Against
+  # a refused write of the store, and a log line, four times a second.
+  Scenario Outline: No host acquires a cell whose owner row is <fault>
+    Given a cell with recorded workers "w1 w2" that was released
+    And its owner row is <fault>
+    When a host looks after that cell and another one 3 times
+    Then it owns the other cell, after 1 commit
+    And the owner row was logged once
+
+    Examples:
+      | fault                                                |
+      | {"epoch": 2, "host_id": "", "incarnation":           |
+      | (deep)                                               |
+      | {"epoch": -1, "host_id": "", "incarnation": ""}      |
+      | {"epoch": 1e300, "host_id": "", "incarnation": ""}   |
+      | {"epoch": 9007199254740993, "host_id": "", "incarnation": ""} |
--- a/programs/beryl-host/src/berylcleat/host/_cell_directory.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_directory.py
@@ -42,6 +42,9 @@
     def __init__(self, data_centre: str):
         self._data_centre = data_centre
         self.owner_by_cell: dict[str, ObservedOwner] = {}
+        # Versions of owner rows that can't be decoded, by cell. As their epochs aren't
+        # known, nobody may acquire the cell: an epoch could be used again.
+        self.unreadable_version_by_cell: dict[str, int] = {}
         self.remote_liveness = RemoteLiveness()
         self._load_by_cell: dict[str, LoadRow] = {}
         # Version of each load row, and when it was first received.
@@ -60,8 +63,9 @@
         try:
             owner = decode_json(_owner_decoder, row.value)
         except MalformedValueError as error:
-            logger.error("owner row of cell %s can't be decoded: %s", row.part, error)
+            self._on_unreadable_owner(row, error)
             return
+        self.unreadable_version_by_cell.pop(row.part, None)
         self.owner_by_cell[row.part] = ObservedOwner(owner, row.version, now_s())
         logger.info(
             "cell %s: owner %s epoch %d",
@@ -70,6 +74,12 @@
             owner.epoch,
         )
 
+    def _on_unreadable_owner(self, row: StoreRow, error: MalformedValueError) -> None:
+        if self.unreadable_version_by_cell.get(row.part, -1) >= row.version:
+            return
+        self.unreadable_version_by_cell[row.part] = row.version
+        logger.error("owner row of cell %s can't be decoded: %s", row.part, error)
+
     def on_data_centre_rows(self, rows: tuple[StoreRow, ...]) -> None:
         """Apply the loads in the table of this data centre; ignore other rows."""
         for row in rows:
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -270,6 +270,8 @@
         return data_centre == self._identity.data_centre
 
     async def _acquire(self, cell_id: str) -> None:
+        if cell_id in self._cells.unreadable_version_by_cell:
+            return
         previous = self._cells.owner_by_cell.get(cell_id)
         epoch = previous.row.epoch + 1 if previous else 1
         version = previous.version if previous else 0
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -1,5 +1,7 @@
 """Rows that the host process keeps in the store."""
 
+from typing import Annotated
+
 import msgspec
 import xxhash
 
@@ -39,6 +41,9 @@
 # are spread over several; the store holds at most 100 tables.
 N_CELL_SUBMISSION_TABLES = 84
 
+# Exact in JSON. Workers get it as a fencing token, and run numbers contain it.
+Epoch = Annotated[int, msgspec.Meta(ge=0, le=2**53 // 1000)]
+
 
 class HomeRow(msgspec.Struct, frozen=True):
     """Home cell of an accepted submission."""
@@ -76,10 +81,10 @@
     been running then; None if they aren't known, so that none can be asked.
     """
 
-    epoch: int
+    epoch: Epoch
     host_id: str
     incarnation: str
-    unsettled_s: float = 0.0
+    unsettled_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     data_centre: str = ""
     peer_address: str = ""
     earlier_owners: tuple[EarlierOwner, ...] | None = None
@@ -145,7 +150,7 @@
 class LoadRow(msgspec.Struct, frozen=True, array_like=True):
     """Load of a cell, as its owner under ``epoch`` published it last."""
 
-    epoch: int
+    epoch: Epoch
     summary: CellSummary
 
 
