Ignore heartbeats without processing capacity

Callers saw nothing yet; found by a scenario. A heartbeat with the processing capacity 0 made every host of the data centre divide by zero when it assigned cells, so that none was acquired while that host lived.

HostRow requires more than 0, as the settings do; another row is malformed and ignored.

--- a/programs/beryl-host/features/odd_entries.feature
+++ b/programs/beryl-host/features/odd_entries.feature
@@ -135,3 +135,10 @@
       | {"epoch": -1, "host_id": "", "incarnation": ""}      |
       | {"epoch": 1e300, "host_id": "", "incarnation": ""}   |
       | {"epoch": 9007199254740993, "host_id": "", "incarnation": ""} |
+
+  # Guards against a host that acquires no cell: the share of a live host with no
+  # processing capacity was computed by a division by zero.
+  Scenario: A heartbeat without processing capacity doesn't count
+    Given a cell with recorded workers "w1 w2" that was released
+    When a host looks after it beside a host with the processing capacity 0
+    Then it has taken the cell
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -183,7 +183,7 @@
 
     incarnation: str
     peer_address: str
-    cpu_power: float
+    cpu_power: Annotated[float, msgspec.Meta(gt=0)]
     is_leaving: bool = False
 
 
