Answer 410 to a read or a cancellation of an id that can't exist

Clients got 500 for GET and DELETE of an id that isn't 16 hexadecimal digits: the part in which a submission's rows lie is computed from its last four digits (ValueError). No such submission exists, which is what 410 says.

Evidence: the new rows of "Invalid requests get an error status and the host keeps serving" failed with (GET /proofs/nothex, 500) and pass; a submission of 10**12 tasks is answered 400 there too.

--- a/programs/beryl-host/features/host.feature
+++ b/programs/beryl-host/features/host.feature
@@ -36,6 +36,10 @@
       | POST   | /proofs/0123456789abcdef | {"steps":[{"count":"x"}]}  | 400    |
       | POST   | /proofs/nothex           | {"steps":[{"count":1}]}    | 400    |
       | GET    | /proofs/0123456789abcdef |                            | 410    |
+      | GET    | /proofs/nothex           |                            | 410    |
+      | GET    | /proofs/0123456789abcdeg |                            | 410    |
+      | DELETE | /proofs/nothex           |                            | 410    |
+      | POST   | /proofs/0123456789abcdef | {"x":3,"steps":[{"count":1000000000000}]} | 400 |
       | DELETE | /proofs/0123456789abcdef |                            | 410    |
       | GET    | /elsewhere/              |                            | 404    |
       | PUT    | /proofs/0123456789abcdef |                            | 404    |
--- a/programs/beryl-host/src/berylcleat/host/_client_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_client_api.py
@@ -22,6 +22,7 @@
     decode_submission,
     encode_pending,
     encode_state,
+    is_submission_id,
     parse_ingress,
 )
 from berylcleat.ports import OperatorConfig, Store
@@ -266,6 +267,8 @@
         return make_response(200, encode_state(state))
 
     async def _find_home(self, submission_id: str) -> str | None:
+        if not is_submission_id(submission_id):
+            return None
         known = self._known_home(submission_id)
         return known or await self._submissions.find_home(submission_id)
 
