--- a/programs/beryl-host/src/berylcleat/host/_cell_directory.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_directory.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from berylcleat.model import MalformedValueError, decode_json
 from berylcleat.ports import StoreRow
 
 from ._clock import now_s
@@ -41,6 +42,9 @@
     def __init__(self, data_centre: str):
         self._data_centre = data_centre
         self.owner_by_cell: dict[str, ObservedOwner] = {}
+        # Versions of owner rows that can't be decoded, by cell. As their epochs aren't
+        # known, nobody may acquire the cell: an epoch could be used again.
+        self.unreadable_version_by_cell: dict[str, int] = {}
         self.remote_liveness = RemoteLiveness()
         self._load_by_cell: dict[str, LoadRow] = {}
         # Version of each load row, and when it was first received.
@@ -57,10 +61,11 @@
         if known is not None and row.version <= known.version:
             return
         try:
-            owner = _owner_decoder.decode(row.value)
-        except msgspec.MsgspecError as error:
-            logger.error("owner row of cell %s can't be decoded: %s", row.part, error)
+            owner = decode_json(_owner_decoder, row.value)
+        except MalformedValueError as error:
+            self._on_unreadable_owner(row, error)
             return
+        self.unreadable_version_by_cell.pop(row.part, None)
         self.owner_by_cell[row.part] = ObservedOwner(owner, row.version, now_s())
         logger.info(
             "cell %s: owner %s epoch %d",
@@ -69,6 +74,12 @@
             owner.epoch,
         )
 
+    def _on_unreadable_owner(self, row: StoreRow, error: MalformedValueError) -> None:
+        if self.unreadable_version_by_cell.get(row.part, -1) >= row.version:
+            return
+        self.unreadable_version_by_cell[row.part] = row.version
+        logger.error("owner row of cell %s can't be decoded: %s", row.part, error)
+
     def on_data_centre_rows(self, rows: tuple[StoreRow, ...]) -> None:
         """Apply the loads in the table of this data centre; ignore other rows."""
         for row in rows:
@@ -85,8 +96,8 @@
     def _on_load_row(self, row: StoreRow) -> None:
         cell_id = row.key.removeprefix(LOAD_PREFIX)
         try:
-            load = _load_decoder.decode(row.value)
-        except msgspec.MsgspecError as error:
+            load = decode_json(_load_decoder, row.value)
+        except MalformedValueError as error:
             logger.error("load of cell %s can't be decoded: %s", cell_id, error)
             return
         known = self._load_by_cell.get(cell_id)
--- a/programs/beryl-host/src/berylcleat/host/_client_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_client_api.py
@@ -10,6 +10,7 @@
 from berylcleat.model import (
     BadRequestError,
     BerylError,
+    MalformedValueError,
     OutcomeUnknownError,
     PlatformUnavailableError,
     Submission,
@@ -21,6 +22,7 @@
     decode_submission,
     encode_pending,
     encode_state,
+    is_submission_id,
     parse_ingress,
 )
 from berylcleat.ports import OperatorConfig, Store
@@ -265,6 +267,8 @@
         return make_response(200, encode_state(state))
 
     async def _find_home(self, submission_id: str) -> str | None:
+        if not is_submission_id(submission_id):
+            return None
         known = self._known_home(submission_id)
         return known or await self._submissions.find_home(submission_id)
 
@@ -300,7 +304,7 @@
             if progress.final_state is not None:
                 return progress.final_state
             entry = await self._submissions.read_entry(submission_id, cell_id)
-        except (BerylError, msgspec.MsgspecError) as error:
+        except (BerylError, MalformedValueError) as error:
             logger.info(
                 "submission %s: record could not be read: %s", submission_id, error
             )
--- a/programs/beryl-host/src/berylcleat/host/_recorder.py
+++ b/programs/beryl-host/src/berylcleat/host/_recorder.py
@@ -4,7 +4,13 @@
 
 import msgspec
 
-from berylcleat.model import BerylError
+from berylcleat.model import (
+    BerylError,
+    MalformedValueError,
+    TaskDemand,
+    decode_json,
+)
+from berylcleat.platform import check_address
 from berylcleat.ports import (
     Commit,
     CommitOutcome,
@@ -30,6 +36,29 @@
 # The store accepts at most 100 entries, conditions and writes, per transaction.
 MAX_TRANSACTION_ENTRIES = 100
 logger = logging.getLogger(__name__)
+# Stands for recorded workers that can't be decoded. It never reports, so that inherited
+# tasks wait until all leases of earlier owners have expired.
+UNKNOWN_WORKER = WorkerEntry(
+    worker_id="",
+    service="",
+    address="",
+    data_centre="",
+    kind="",
+    rack="",
+    labels=frozenset(),
+    capacity=TaskDemand(),
+    started_at_ms=0,
+)
+
+
+class _RawWorkersRow(msgspec.Struct, frozen=True):
+    """Recorded workers, each still to be decoded."""
+
+    workers: tuple[msgspec.Raw, ...]
+
+
+_row_decoder = msgspec.json.Decoder(_RawWorkersRow)
+_entry_decoder = msgspec.json.Decoder(WorkerEntry)
 
 
 class ProgressRecorder:
@@ -37,12 +66,14 @@
 
     Each write is also conditional on its own row's version, so that a delayed write
     can't overwrite a newer one. ``confirmed_at`` is when the newest request was sent
-    whose answer showed the owner row unchanged.
+    whose answer showed the owner row unchanged. ``unreadable_ids`` are the submissions
+    whose recorded progress can't be decoded: which of their tasks are done isn't known.
     """
 
     def __init__(self, store: Store, cell_id: str, owner_version: int):
         self.has_lost_ownership = False
         self.confirmed_at = float("-inf")
+        self.unreadable_ids: set[str] = set()
         self._store = store
         self._cell_id = cell_id
         self._owner_condition = Condition(CELL_TABLE, cell_id, OWNER_KEY, owner_version)
@@ -66,20 +97,50 @@
         return self._decode_rows(page.rows)
 
     async def read_workers(self) -> tuple[WorkerEntry, ...]:
-        """Return the workers on which an earlier owner may have started tasks."""
+        """Return the workers on which an earlier owner may have started tasks.
+
+        ``UNKNOWN_WORKER`` is among them if one can't be decoded. Those without a usable
+        address are left out: nothing can have started there.
+        """
         page = await self._store.read(RECORDED_WORKER_TABLE, self._cell_id, WORKERS_KEY)
         for row in page.rows:
             self._workers_version = row.version
-            try:
-                return msgspec.json.decode(row.value, type=WorkersRow).workers
-            except msgspec.MsgspecError as error:
-                logger.error(
-                    "cell %s: recorded workers can't be decoded: %s",
-                    self._cell_id,
-                    error,
-                )
+            return self._decode_workers(row.value)
         return ()
 
+    def _decode_workers(self, value: bytes) -> tuple[WorkerEntry, ...]:
+        try:
+            raw_entries = decode_json(_row_decoder, value).workers
+        except MalformedValueError as error:
+            self._log_workers(error)
+            return (UNKNOWN_WORKER,)
+        entry_by_id = {}
+        for raw in raw_entries:
+            entry = self._decode_worker(raw)
+            if entry is not None:
+                entry_by_id[entry.worker_id] = entry
+        return tuple(entry_by_id.values())
+
+    def _decode_worker(self, raw: msgspec.Raw) -> WorkerEntry | None:
+        try:
+            entry = decode_json(_entry_decoder, raw)
+        except MalformedValueError as error:
+            self._log_workers(error)
+            return UNKNOWN_WORKER
+        if entry == UNKNOWN_WORKER:
+            return entry
+        try:
+            check_address(entry.address)
+        except MalformedValueError as error:
+            self._log_workers(error)
+            return None
+        return entry
+
+    def _log_workers(self, error: MalformedValueError) -> None:
+        logger.error(
+            "cell %s: recorded workers can't be decoded: %s", self._cell_id, error
+        )
+
     async def record_workers(self, scheduler: CellScheduler) -> bool:
         """Record the cell's workers; return whether they are durable."""
         views = dict(scheduler.worker_by_id)
@@ -171,6 +232,12 @@
             self._version_by_id[row.key] = row.version
             try:
                 progress_by_id[row.key] = decode_progress(row.key, row.value)
-            except msgspec.MsgspecError as error:
-                logger.error("progress row %s can't be decoded: %s", row.key, error)
+            except MalformedValueError as error:
+                self.unreadable_ids.add(row.key)
+                logger.error(
+                    "submission %s: its progress can't be decoded, so none of its "
+                    "tasks starts: %s",
+                    row.key,
+                    error,
+                )
         return progress_by_id
