--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -345,7 +345,8 @@
         counts: dict[str, int] = {}
         doubt = self._explain_doubt(task, now)
         if doubt:
-            return {doubt: len(self._unsettled_workers)}
+            n_workers = len(self._unsettled_workers) or len(self.worker_by_id)
+            return {doubt: n_workers}
         if task in self._tasks_with_pending_move:
             return {"move pending": 1}
         service = ready.tracked.submission.queue.service
