Keep the record of a start that may be executed late when its worker crashes

Cause: an order may be executed after its answer was given up. When the worker crashed then, a run that had just started counted as the only cause, and the older run, recorded in advance as possibly crashed, was taken back as too old. Its age is that of the sending, not of the start.

Ruled out: counting all such starts, recorded or not.

Change: the record of such a run stays as a possible crash.

--- a/libs/scheduling/features/crashes.feature
+++ b/libs/scheduling/features/crashes.feature
@@ -191,3 +191,10 @@
     When its next run is recorded
     Then the record names the worker where the run is to start
     And the run starts there in the next round
+
+  # Guards against BUDGET: a run that was recorded in advance, and whose start was executed
+  # late, was taken back, as another run had just started when its worker crashed.
+  Scenario: A recorded start without an answer may have crashed a worker later
+    Given a suspect's run whose start wasn't answered, and a later one that its worker has accepted
+    When the list names the restart
+    Then a crash of the first run is counted
--- a/libs/scheduling/features/steps/crash_steps.py
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -416,6 +416,30 @@
         scripted_cell.cell.on_start_answer("w0", item.order, answer, scripted_cell.now)
 
 
+@given(
+    "a suspect's run whose start wasn't answered, and a later one that its worker has "
+    "accepted"
+)
+def step_unanswered_start(context):
+    scripted_cell = context.scripted_cell = ScriptedCell(1, 8000)
+    scripted_cell.step()
+    task = TaskKey(SUBMISSION_ID, 0, 0, 0)
+    suspect = Progress(crashed_runs_by_task={task: {4: CrashEvidence.CERTAIN}})
+    scripted_cell.submit(Step(1, TaskDemand(1000, 100)), progress=suspect)
+    scripted_cell.step()
+    scripted_cell.silent.add("w0")
+    scripted_cell.step()
+    unanswered = scripted_cell.starts.pop().order
+    scripted_cell.submit(Step(1, TaskDemand(1000, 100)), submission_id="f" * 16)
+    scripted_cell.step(0.4)
+    accepted = scripted_cell.starts.pop().order
+    for order, answer in (
+        (unanswered, OrderAnswer(OrderResult.NO_ANSWER)),
+        (accepted, OrderAnswer(OrderResult.ACCEPTED, 2000)),
+    ):
+        scripted_cell.cell.on_start_answer("w0", order, answer, scripted_cell.now)
+
+
 @given("a run that its worker has accepted but not reported")
 def step_accepted_only(context):
     scripted_cell = context.scripted_cell = ScriptedCell(1, 8000)
--- a/libs/scheduling/src/berylcleat/scheduling/_crashes.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_crashes.py
@@ -14,7 +14,7 @@
 
 from ._progress import CrashedRuns, CrashEvidence, PresumedStart
 from ._submissions import SubmissionRegistry, TrackedSubmission
-from ._workers import Run, WorkerView
+from ._workers import Run, RunPhase, WorkerView
 
 # Seconds after its start within which a run is the likely cause of a crash.
 LIKELY_CAUSE_AGE_S = 0.3
@@ -58,6 +58,13 @@
     return hold_failed_at - run.started_at < LIKELY_CAUSE_AGE_S
 
 
+def _may_start_late(run: Run) -> bool:
+    """Return whether a run's start may be executed at any time after its sending."""
+    if run.phase not in (RunPhase.UNCONFIRMED, RunPhase.STOPPING):
+        return False
+    return not (run.is_adopted or run.was_accepted or run.was_reported)
+
+
 def must_give_up(crashed_runs: CrashedRuns) -> bool:
     """Return whether a task with these crashed runs isn't started any more."""
     if len(crashed_runs) >= MAX_CRASHES_WITH_SILENT:
@@ -136,7 +143,10 @@
                         evidence = CrashEvidence.EXPLAINED
                 self._count(tracked, run, evidence)
             elif tracked.is_crash_presumed(run.task, run.number):
-                tracked.drop_presumption(run.task)
+                if _may_start_late(run):
+                    self._count(tracked, run, CrashEvidence.POSSIBLE)
+                else:
+                    tracked.drop_presumption(run.task)
         return is_repeated
 
     def on_silence(self, view: WorkerView, runs: Collection[Run]) -> None:
