Ignore moves and ends of tasks that a submission doesn't have

A move, or a peer's report of a moved task's end, with a step that its submission lacks raised IndexError in the scheduler, and the cell was given up; the row was read again by the next owner.

Submission.has_task tells which tasks exist. The directory drops other moves, with an error in the log, and the peer API other ends.

Ruled out: rows of workers, whose tasks the scheduler checks (a trial with steps, occurrences and indices out of range passes), and progress with such keys (the same).

Evidence: "The move of a task that doesn't exist is ignored" and "The end of ..." failed for the step 9 on with IndexError: tuple index out of range.

--- a/libs/model/src/berylcleat/model/_submissions.py
+++ b/libs/model/src/berylcleat/model/_submissions.py
@@ -164,6 +164,15 @@
         """Whether the steps run at scheduled times."""
         return self.n_occurrences > 0
 
+    def has_task(self, task: TaskKey) -> bool:
+        """Return whether ``task`` is one of this submission."""
+        return (
+            task.submission_id == self.submission_id
+            and task.occurrence in self.occurrences()
+            and 0 <= task.step < len(self.steps)
+            and 0 <= task.index < self.steps[task.step].n_tasks
+        )
+
     def occurrences(self) -> range:
         """Return the numbers of all occurrences."""
         return range(max(self.n_occurrences, 1))
--- a/programs/beryl-host/features/odd_entries.feature
+++ b/programs/beryl-host/features/odd_entries.feature
@@ -136,6 +136,23 @@
       | {"epoch": 1e300, "host_id": "", "incarnation": ""}   |
       | {"epoch": 9007199254740993, "host_id": "", "incarnation": ""} |
 
+  # Guards against LOST: a cell was given up again and again because of a move, or of the
+  # end of a moved task, with a step that the submission doesn't have.
+  Scenario Outline: The <message> of a task that doesn't exist is ignored
+    Given a cell with recorded workers "w1"
+    And its owner has a submission of one step
+    When it hears of the <message> of task <task>
+    Then the cell goes on
+
+    Examples:
+      | message | task    |
+      | move    | 0.9.0   |
+      | move    | 9.0.0   |
+      | move    | -1.-1.0 |
+      | end     | 0.9.0   |
+      | end     | 9.0.0   |
+      | end     | 0.0.9   |
+
   # Guards against a host that acquires no cell: the share of a live host with no
   # processing capacity was computed by a division by zero.
   Scenario: A heartbeat without processing capacity doesn't count
--- a/programs/beryl-host/src/berylcleat/host/_peer_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_peer_api.py
@@ -7,6 +7,7 @@
 from berylcleat.http import HttpRequest, HttpResponse
 from berylcleat.model import MalformedValueError, decode_json
 from berylcleat.ports import StoreRow
+from berylcleat.scheduling import MovedTaskEnd
 
 from ._cell_ownership import CellOwnershipManager
 from ._clock import now_s
@@ -109,10 +110,18 @@
         if controller is None:
             return HttpResponse(409)
         is_durable = controller.on_moved_task_ends(
-            report.submission_id, list(report.ends)
+            report.submission_id, self._existing_ends(report)
         )
         return HttpResponse(200 if is_durable else 409)
 
+    def _existing_ends(self, report: MovedTaskEnds) -> list[MovedTaskEnd]:
+        """Return the ends of tasks that the submission has, as far as it is known."""
+        entry = self._directory.by_id.get(report.submission_id)
+        if entry is None or entry.accepted is None:
+            return list(report.ends)
+        submission = entry.accepted.submission
+        return [end for end in report.ends if submission.has_task(end.task)]
+
     def _home_cell(self, submission_id: str) -> str:
         """Return the home cell of a submission, or an empty string if unknown."""
         entry = self._directory.by_id.get(submission_id)
--- a/programs/beryl-host/src/berylcleat/host/_submission_directory.py
+++ b/programs/beryl-host/src/berylcleat/host/_submission_directory.py
@@ -32,6 +32,16 @@
     move_by_task: dict[TaskKey, TaskMove] = field(default_factory=dict)
     moves_version: int = 0
 
+    def drop_odd_moves(self) -> None:
+        """Drop the moves of tasks that the submission doesn't have."""
+        if self.accepted is None:
+            return
+        submission = self.accepted.submission
+        odd = [task for task in self.move_by_task if not submission.has_task(task)]
+        for task in odd:
+            logger.error("move of task %s ignored: there is no such task", task)
+            del self.move_by_task[task]
+
     def cells(self) -> set[str]:
         """Return the cells that run tasks of the submission."""
         if self.accepted is None:
@@ -127,5 +137,6 @@
             logger.error("submission row %s can't be decoded: %s", row.key, error)
 
     def _notify(self, submission_id: str, entry: SubmissionEntry) -> None:
+        entry.drop_odd_moves()
         for listener in self.listeners:
             listener(submission_id, entry)
