Log what waiting steps wait for; account for the time of late submissions

The owner of a cell logs a line when the reason changes why a step waits (each 0.25 s, 20 lines at most, with expected_finish only), with what is free in the cell, on one worker and in how many other cells. "answered" lines tell how long the first answer took.

--- a/libs/scheduling/src/berylcleat/scheduling/__init__.py
+++ b/libs/scheduling/src/berylcleat/scheduling/__init__.py
@@ -32,7 +32,8 @@
 from ._pacing import LoadEstimator, PacePlan, plan_paces
 from ._placement import choose_worker
 from ._progress import CrashEvidence, Progress, decode_progress, encode_progress
-from ._submissions import SubmissionRegistry, TrackedSubmission
+from ._step_waits import StepWait, WaitReason
+from ._submissions import ReadyStep, SubmissionRegistry, TrackedSubmission
 from ._uneven_workers import UnevenWorkers
 from ._wave_record import (
     FreeSlot,
@@ -92,6 +93,7 @@
     "Progress",
     "ProgressWrite",
     "RecordBatch",
+    "ReadyStep",
     "Refuse",
     "ReportState",
     "RequestMaintenance",
@@ -100,11 +102,13 @@
     "RunPhase",
     "ServiceLoads",
     "ServingReading",
+    "StepWait",
     "SubmissionRegistry",
     "TakeSlot",
     "TaskMove",
     "TrackedSubmission",
     "UnevenWorkers",
+    "WaitReason",
     "WaveRecord",
     "WaveState",
     "WorkerClock",
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -24,6 +24,7 @@
 from ._placement import explain_rejection
 from ._progress import Progress, decode_progress, encode_progress
 from ._releases import release_workers
+from ._step_waits import StepWait, WaitReason, explain_capacity
 from ._submissions import ReadyStep
 from ._wave_record import WorkerOccupancy
 from ._workers import RunPhase, WorkerView
@@ -342,6 +343,16 @@
             counts[reason or "fits"] = counts.get(reason or "fits", 0) + 1
         return counts
 
+    def explain_step_wait(self, ready: ReadyStep, now: float) -> StepWait:
+        """Return what the first waiting task of a step waits for."""
+        task = ready.task(min(ready.waiting))
+        if self._explain_no_start(now) or self._may_have_unknown_run(task, now):
+            return StepWait(WaitReason.OWNER)
+        if task in self._tasks_with_pending_move:
+            return StepWait(WaitReason.MOVE)
+        usable = self._startable_workers(now)
+        return explain_capacity(ready, usable, self._other_headrooms, self.interference)
+
     def explain_record(self, ready: ReadyStep) -> str:
         """Return what is recorded of the first waiting task's next run.
 
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -40,11 +40,13 @@
 from ._submission_directory import SubmissionEntry
 from ._task_mover import TaskMover
 from ._uneven_metrics import ignore_uneven_workers, observe_uneven_workers
+from ._waiting_log import WaitingLog
 
 PLAN_PERIOD_S = 0.1
 RECORD_BATCH_DELAY_S = 0.08
 RECORD_RETRY_S = 0.3
 LOAD_LOG_PERIOD_S = 5.0
+WAITING_LOG_PERIOD_S = 0.25
 # A submission that is received this long after its acceptance may already run under an
 # earlier owner, so it is treated as inherited.
 LATE_SUBMISSION_MS = 1500
@@ -115,6 +117,7 @@
         self._plan_needed = asyncio.Event()
         self._record_needed = asyncio.Event()
         self._order_metrics = OrderMetrics(cell_id)
+        self._waiting_log = WaitingLog()
 
     @property
     def is_inactive(self) -> bool:
@@ -191,6 +194,8 @@
         self._spawn(self._plan_loop())
         self._spawn(self._record_loop())
         self._spawn(run_periodically(LOAD_LOG_PERIOD_S, self._log_load))
+        if self._expected_finish:
+            self._spawn(run_periodically(WAITING_LOG_PERIOD_S, self._log_waiting))
         self._spawn(self._move_loops.run_moves(self._observe_order))
         self._spawn(self._move_loops.run_stray_ends(self._record_needed.set))
         logger.info(
@@ -369,6 +374,9 @@
     async def _log_load(self) -> None:
         log_load(self.scheduler, now_s())
 
+    async def _log_waiting(self) -> None:
+        self._waiting_log.update(self.scheduler, now_s())
+
     # Orders
 
     async def _plan_loop(self) -> None:
--- a/programs/beryl-host/src/berylcleat/host/_client_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_client_api.py
@@ -138,6 +138,7 @@
                 "submission %s: rejected as malformed: %s", submission_id, error
             )
             return make_response(400, msgspec.json.encode({"error": str(error)}))
+        received_at = now_s()
         decision = await self._decide(submission, deadline)
         if decision is None:
             logger.info(
@@ -161,13 +162,15 @@
             self._chooser.withdraw(submission_id)
             REFUSALS.labels(submission.queue.name, "store").inc()
         logger.info(
-            "submission %s: answered %d, queue %s, cell %s, %d steps, %d tasks",
+            "submission %s: answered %d, queue %s, cell %s, %d steps, %d tasks, "
+            "after %.2f s",
             submission_id,
             status,
             submission.queue.name,
             cell_id,
             len(submission.steps),
             sum(step.n_tasks for step in submission.steps),
+            now_s() - received_at,
         )
         return make_response(status)
 
--- a/tools/worth_account.py
+++ b/tools/worth_account.py
@@ -9,8 +9,11 @@
 import statistics
 import sys
 from collections import defaultdict
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
+from wait_account import WaitAccount, print_waits
+
 ACCEPTED = re.compile(r"submission (\S+): answered 200, queue (\S+), cell (\S+), (\d+)")
 STARTED = re.compile(
     r"run started: task (\w+)\.(\d+)\.(\d+)\.(\d+) run (\d+) .* (-?[\d.]+) s before due"
@@ -54,18 +57,24 @@
         return self.recorded_at - self.due_at
 
 
-def read_timelines(lines) -> dict[str, SubmissionTimeline]:
-    """Parse the submissions in ``lines`` of a benchmark's log, by id."""
-    timelines: dict[str, SubmissionTimeline] = {}
+def read_messages(lines: Iterable[str]) -> Iterator[tuple[float, str]]:
+    """Yield the messages in ``lines`` of a benchmark's log with their times."""
     for line in lines:
         parts = line.split(None, 2)
         if len(parts) < 3 or not parts[2].startswith("{"):
             continue
-        at = float(parts[0])
         try:
-            message = json.loads(parts[2])["message"]
-        except (json.JSONDecodeError, KeyError):
+            yield float(parts[0]), json.loads(parts[2])["message"]
+        except (ValueError, KeyError):
             continue
+
+
+def read_timelines(
+    messages: Iterable[tuple[float, str]],
+) -> dict[str, SubmissionTimeline]:
+    """Parse the submissions in ``messages``, by id."""
+    timelines: dict[str, SubmissionTimeline] = {}
+    for at, message in messages:
         _apply_message(timelines, at, message)
     return timelines
 
@@ -140,7 +149,21 @@
     """Print the summary of the log file named on the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("log", type=argparse.FileType("r"), default=sys.stdin)
-    print_summary(read_timelines(parser.parse_args().log))
+    parser.add_argument(
+        "--waits",
+        action="store_true",
+        help="account for what late and failed submissions waited for",
+    )
+    parser.add_argument("--bin", type=float, default=1.0, help="seconds to sum up")
+    arguments = parser.parse_args()
+    messages = read_messages(arguments.log)
+    if not arguments.waits:
+        print_summary(read_timelines(messages))
+        return
+    account = WaitAccount()
+    for at, message in messages:
+        account.read(at, message)
+    print_waits(account, arguments.bin)
 
 
 if __name__ == "__main__":
