Share another cell's free capacity in whole tasks among cells that have work waiting

Cause: a cell's headroom is shared among as many cells as it holds parts of 4 cores, whether they have work waiting or not, and a part counts 0.7 of the processor time. In a nearly full service a worker has room for one task: 0.7 of it, or half of two, holds none. Only every fourth turn of 2 s one drawn cell got all. Besides, cells were ordered by CRC-32 of similar names, which are related: one cell came first for most targets of a turn.

The parts are now whole tasks, at least one, for the cells whose loads report waiting tasks and the one that asks; the draw mixes the checksum. Fillers are shared as before.

--- a/libs/scheduling/features/spill.feature
+++ b/libs/scheduling/features/spill.feature
@@ -65,3 +65,24 @@
       | 1  | 4       | 12       | 2.5 | 3       |
       | 1  | 1       | 4        | 2.5 | 1       |
       | 1  | 4       | 12       | 3.5 | 0       |
+
+  # Guards against tasks that wait while each of the other cells has a worker for one:
+  # a part of such headroom in processor time holds no task.
+  Scenario: A step wider than its cell takes the gaps of one task in other cells
+    Given 1 full cell where 10 tasks of 4 cores wait, and 21 cells with a gap of 5 cores
+    When each full cell proposes moves on the same loads
+    Then all 10 tasks of each are moved, at most 1 to a cell
+
+  # Guards against two tasks for one gap.
+  Scenario: Full cells share the gaps of one task in other cells
+    Given 3 full cells where 10 tasks of 4 cores wait, and 21 cells with a gap of 5 cores
+    When each full cell proposes moves on the same loads
+    Then each moves some tasks, and at most 1 is moved to a cell
+    When each full cell proposes moves on the same loads
+    Then no further task is moved by any
+
+  # Guards against steps that take seconds longer than their work while there are gaps.
+  Scenario: Interactive steps wider than any cell's free capacity in a nearly full service
+    Given interactive steps of 10 tasks of 4 cores, every 1.0 s, in 20 cells with a gap for one task each
+    Then at least 9 of 10 are in time
+    And every submission ends
--- a/libs/scheduling/features/steps/load_loop.py
+++ b/libs/scheduling/features/steps/load_loop.py
@@ -216,6 +216,7 @@
             fill_waiting,
             sum(view.entry.capacity.cpu_millis for view in views),
             free,
+            waiting=cell.waiting_cpu(),
         )
 
     def _move(self, number: int) -> None:
--- a/libs/scheduling/features/steps/spill_steps.py
+++ b/libs/scheduling/features/steps/spill_steps.py
@@ -221,3 +221,98 @@
     assert n_by_cell.total() == n, n_by_cell
     assert not n or n_by_cell.keys() == context.slots.keys(), n_by_cell
     assert all(n_by_cell[c] <= slots for c, slots in context.slots.items()), n_by_cell
+
+
+GAP_DEMAND = TaskDemand(4000, 100)
+PROMPT = QueuePolicy(
+    "prompt", "svc", priority=0, max_attempts=3, stretch=1.5, objective_ms=1000
+)
+
+
+@given(
+    "{n_full:d} full cell where {n_tasks:d} tasks of 4 cores wait, and {n_gaps:d} "
+    "cells with a gap of 5 cores"
+)
+@given(
+    "{n_full:d} full cells where {n_tasks:d} tasks of 4 cores wait, and {n_gaps:d} "
+    "cells with a gap of 5 cores"
+)
+def step_gaps(context, n_full, n_tasks, n_gaps):
+    context.loop = loop = LoadLoop(1, (1,) * n_full, expected_finish=True)
+    loop.moves_tasks = False
+    for number in range(n_full):
+        # Those of the first submission run and fill the cell's worker.
+        for order, n in enumerate((2, n_tasks)):
+            submission_id = f"{2 * number + order + 1:016x}"
+            step = Step(n, GAP_DEMAND, estimate_s=9.0)
+            loop.accept(number, Submission(submission_id, PROMPT, "s", (step,)))
+    for _ in range(5):
+        loop.tick()
+    context.gaps = tuple(
+        CellHeadroom(f"t{n}", "svc", 6000, (), 0, 64000, (5000, 1000))
+        for n in range(n_gaps)
+    )
+
+
+@when("each full cell proposes moves on the same loads")
+def step_each_proposes(context):
+    loop = context.loop
+    loads = {cell.cell_id: loop.make_headroom(cell) for cell in loop.cells}
+    context.moves = []
+    for number, cell in enumerate(loop.cells):
+        others = tuple(load for i, load in loads.items() if i != cell.cell_id)
+        context.moves.append(propose(context, number, others + context.gaps))
+
+
+def most_moved_to_one(context):
+    targets = Counter(move.cell_id for moves in context.moves for move in moves)
+    return max(targets.values(), default=0)
+
+
+@then("all {n:d} tasks of each are moved, at most 1 to a cell")
+def step_all_moved(context, n):
+    assert [len(moves) for moves in context.moves] == [n], context.moves
+    assert most_moved_to_one(context) == 1
+
+
+@then("each moves some tasks, and at most 1 is moved to a cell")
+def step_some_moved(context):
+    assert all(context.moves), context.moves
+    assert most_moved_to_one(context) == 1
+
+
+@then("no further task is moved by any")
+def step_none_moved(context):
+    assert not any(context.moves), context.moves
+
+
+@given(
+    "interactive steps of {n_tasks:d} tasks of 4 cores, every {every_s:f} s, in "
+    "{n_cells:d} cells with a gap for one task each"
+)
+def step_nearly_full(context, n_tasks, every_s, n_cells):
+    n_workers = 4
+    context.loop = loop = LoadLoop(1, (n_workers,) * n_cells, expected_finish=True)
+    standing = Step(n_workers, TaskDemand(3000, 100), is_long_running=True)
+    filling = Step(n_workers - 1, GAP_DEMAND, is_long_running=True)
+    for number in range(n_cells):
+        for order, step in enumerate((standing, filling)):
+            submission_id = f"{2 * number + order + 1:016x}"
+            loop.accept(number, Submission(submission_id, PROMPT, "s", (step,)))
+    for _ in range(5):
+        loop.tick()
+    rng = random.Random(1)
+    arrivals = []
+    for number in range(40):
+        step = Step(n_tasks, GAP_DEMAND, estimate_s=rng.uniform(0.5, 0.8))
+        submission = Submission(f"{100 + number:016x}", PROMPT, "s", (step,))
+        at = loop.now + number * every_s
+        arrivals.append(Arrival(at, rng.randrange(n_cells), submission))
+    context.pairs = [(None, loop.run(arrivals, 60.0))]
+
+
+@then("at least {n:d} of 10 are in time")
+def step_in_time(context, n):
+    ((_, outcomes),) = context.pairs
+    n_in_time = outcomes.count("in time")
+    assert n_in_time >= n / 10 * len(outcomes.arrivals), n_in_time
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -54,7 +54,8 @@
     ``fill_waiting`` is the processor demand of the fillers waiting in the cell,
     ``free_by_worker`` the part of ``free`` on each worker. ``age_s`` is the age of the
     load that reports it, ``is_near`` whether the cell is in the same data centre,
-    ``epoch`` that of the cell's owner, or 0 if it isn't known.
+    ``epoch`` that of the cell's owner, or 0 if it isn't known. ``waiting`` is what the
+    cell's own waiting tasks would reserve.
     """
 
     cell_id: str
@@ -67,6 +68,7 @@
     age_s: float = 0.0
     is_near: bool = True
     epoch: int = 0
+    waiting: int = 0
 
     def free_for(self, cpu_millis: int) -> int:
         """Return the part of ``free`` that tasks of this size can use.
--- a/libs/scheduling/src/berylcleat/scheduling/_spill.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_spill.py
@@ -5,6 +5,7 @@
 Standing tasks, which are few and large, are spread in proportion to the room instead.
 """
 
+import math
 import zlib
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
@@ -28,13 +29,16 @@
 LOAD_DELAY_S = 2.0
 # Seconds after a rejected proposal until the step is proposed again.
 CONFLICT_RETRY_S = 0.3
-# Milliseconds for which the same cells share a cell's headroom, in parts of at least
-# this many thousandths of a core. Every fourth time one cell gets all, for large tasks.
+# Milliseconds for which the same cells share a cell's headroom. For fillers its parts
+# have at least this many thousandths of a core, and every fourth time one cell gets
+# all, for large tasks.
 SHARE_PERIOD_MS = 2000
 MIN_PART_MILLIS = 4000
 WHOLE_PERIOD = 4
 # Multiples of it, modulo 1, are spaced evenly however many there are.
 GOLDEN_RATIO = 0.6180339887
+MIX_FACTORS = (0x9E3779B97F4A7C15, 0xBF58476D1CE4E5B9)
+MIX_RANGE = 2**64
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,8 +102,13 @@
         for cell_id, headroom in suitable.items():
             if headroom.age_s > MAX_LOAD_AGE_S:
                 continue
-            n_sharing = self._count_sharing(step.fills, headroom, suitable, turn)
-            n_slots = self._count_slots(step, headroom, n_sharing, interference)
+            if step.fills:
+                n_sharing = self._count_sharing(headroom, suitable, turn)
+                n_slots = self._count_filler_slots(
+                    step, headroom, n_sharing, interference
+                )
+            else:
+                n_slots = self._count_slots(step, headroom, suitable, turn)
             # Cells that hold all tasks are equal; the near ones of them come first.
             is_small = n_slots < n_tasks
             slots.append((is_small, not headroom.is_near, -n_slots, cell_id))
@@ -158,20 +167,15 @@
         return cell_id
 
     def _count_sharing(
-        self,
-        fills: bool,
-        headroom: CellHeadroom,
-        suitable: Mapping[str, CellHeadroom],
-        turn: int,
+        self, headroom: CellHeadroom, suitable: Mapping[str, CellHeadroom], turn: int
     ) -> int:
-        """Return how many cells share a cell's headroom now; 0 if this one doesn't.
+        """Return how many cells share a cell's headroom for fillers now.
 
-        Every cell but the target itself may. All compute the same from one load.
+        It is 0 if this one doesn't. Every cell but the target itself may. All compute
+        the same from one load.
         """
         names = {self._cell_id, *suitable} - {headroom.cell_id}
-        total = headroom.free
-        if fills:
-            total = sum(item.cpu_left for item in headroom.filler_headrooms)
+        total = sum(item.cpu_left for item in headroom.filler_headrooms)
         n_parts = int(total * USABLE_HEADROOM_SHARE) // MIN_PART_MILLIS
         if (turn + _draw(headroom.cell_id)) % WHOLE_PERIOD == 0:
             n_parts = 1
@@ -189,33 +193,60 @@
             self._place_by_target.clear()
         place = self._place_by_target.get(target)
         if place is None:
-            own = _draw(f"{self._cell_id}/{target}/{turn}")
-            draws = (_draw(f"{name}/{target}/{turn}") for name in names)
-            place = sum(draw < own for draw in draws)
+            place = self._compute_place(target, names, turn)
             self._place_by_target[target] = place
         return place
 
+    def _compute_place(self, target: str, names: set[str], turn: int) -> int:
+        own = _draw(f"{self._cell_id}/{target}/{turn}")
+        return sum(_draw(f"{name}/{target}/{turn}") < own for name in names)
+
     def _count_slots(
+        self,
+        step: Step,
+        headroom: CellHeadroom,
+        suitable: Mapping[str, CellHeadroom],
+        turn: int,
+    ) -> int:
+        """Return how many more ordinary tasks this cell's part of another holds.
+
+        The parts are whole tasks, for cells whose tasks wait: in a full service each
+        worker has room for one task at most, which a share in processor time never
+        holds.
+        """
+        cpu_millis = max(1, step.demand.cpu_millis)
+        n_free = headroom.free_for(step.allocation.cpu_millis) // cpu_millis
+        if n_free <= 0:
+            return 0
+        n_usable = max(1, int(n_free * USABLE_HEADROOM_SHARE))
+        names = {h.cell_id for h in suitable.values() if h.waiting > 0}
+        names = (names | {self._cell_id}) - {headroom.cell_id}
+        place = self._compute_place(headroom.cell_id, names, turn)
+        n_own = n_usable // len(names) + (place < n_usable % len(names))
+        return max(0, n_own - math.ceil(self._taken_cpu(headroom, step) / cpu_millis))
+
+    def _count_filler_slots(
         self,
         step: Step,
         headroom: CellHeadroom,
         n_sharing: int,
         interference: InterferenceModel,
     ) -> int:
-        """Return how many more tasks of ``step`` this cell's part of another holds."""
+        """Return how many more fillers this cell's part of another holds."""
         if not n_sharing:
             return 0
-        if step.fills:
-            left = headroom.headroom_for_filler(step.image, interference)
-        else:
-            left = headroom.free_for(step.allocation.cpu_millis)
-        taken = sum(
+        left = headroom.headroom_for_filler(step.image, interference)
+        part = int(left * USABLE_HEADROOM_SHARE) // n_sharing
+        part -= self._taken_cpu(headroom, step)
+        return max(0, part) // max(1, step.demand.cpu_millis)
+
+    def _taken_cpu(self, headroom: CellHeadroom, step: Step) -> int:
+        """Return what was taken from a headroom for tasks of the kind of ``step``."""
+        return sum(
             item.cpu_millis
             for item in self._taken
             if item.cell_id == headroom.cell_id and item.fills == step.fills
         )
-        part = int(left * USABLE_HEADROOM_SHARE) // n_sharing - taken
-        return max(0, part) // max(1, step.demand.cpu_millis)
 
     def on_settled(self, still_here: Iterable[TaskKey], now: float) -> None:
         """Delay the next proposal of a step whose tasks weren't moved."""
@@ -238,4 +269,12 @@
 
 
 def _draw(name: str) -> int:
-    return zlib.crc32(name.encode())
+    """Return a number drawn for a name, the same on every host.
+
+    Checksums of similar names are related, so that one cell would precede another for
+    most targets at once; multiplying their bits mixes them (Steele, Lea and Flood, Fast
+    Splittable Pseudorandom Number Generators, 2014).
+    """
+    number = zlib.crc32(name.encode()) * MIX_FACTORS[0] % MIX_RANGE
+    number = (number ^ number >> 30) * MIX_FACTORS[1] % MIX_RANGE
+    return number ^ number >> 27
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -139,6 +139,7 @@
         summary.fill_waiting,
         summary.cpu_capacity,
         summary.free_by_worker,
+        waiting=summary.cpu_waiting,
     )
 
 
