--- a/libs/scheduling/features/steps/liveness_simulation.py
+++ b/libs/scheduling/features/steps/liveness_simulation.py
@@ -329,4 +329,5 @@
         sum(len(r.waiting) * r.step.demand.cpu_millis for r in fillers),
         sum(view.effective_cpu_millis() for view in views),
         free_by_worker,
+        waiting=cell.waiting_cpu(),
     )
--- a/tools/wait_account.py
+++ b/tools/wait_account.py
@@ -281,6 +281,9 @@
         if not submission.is_running():
             by_queue[submission.queue].append(submission)
     for queue, in_queue in sorted(by_queue.items()):
+        if not any(submission.state for submission in in_queue):
+            print(f"queue {queue}: not accounted for, no end is recorded")
+            continue
         by_outcome: dict[str, list[SubmissionLog]] = defaultdict(list)
         for submission in in_queue:
             by_outcome[account.outcome_of(submission)].append(submission)
