--- a/libs/scheduling/features/spill.feature
+++ b/libs/scheduling/features/spill.feature
@@ -86,15 +86,3 @@
     Given interactive steps of 10 tasks of 4 cores, every 1.0 s, in 20 cells with a gap for one task each
     Then at least 9 of 10 are in time
     And every submission ends
-
-  # Guards against fillers that move to a cell whose owner is cut off and can't start
-  # them.
-  Scenario: Stuck fillers don't move to a cell whose owner is silent
-    Given a cell without processor time where 4 fillers have been stuck for 1.2 s
-    When it proposes moves while the load with the most room is 6 s old, of 3
-    Then its fillers move, none to the cell with that load
-
-  Scenario: Stuck fillers move on old loads where most are old
-    Given a cell without processor time where 4 fillers have been stuck for 1.2 s
-    When it proposes moves while the loads are 6 s old, of 3
-    Then its fillers move
--- a/libs/scheduling/features/steps/spill_steps.py
+++ b/libs/scheduling/features/steps/spill_steps.py
@@ -7,7 +7,7 @@
 from load_loop import Arrival, LoadLoop
 
 from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
-from berylcleat.scheduling import CellHeadroom, FillerHeadroom, TaskMove
+from berylcleat.scheduling import CellHeadroom, TaskMove
 
 INTERACTIVE = QueuePolicy(
     "interactive", "svc", priority=1, max_attempts=3, stretch=1.5, objective_ms=500
@@ -316,46 +316,3 @@
     ((_, outcomes),) = context.pairs
     n_in_time = outcomes.count("in time")
     assert n_in_time >= n / 10 * len(outcomes.arrivals), n_in_time
-
-
-@given("a cell without processor time where {n:d} fillers have been stuck for 1.2 s")
-def step_stuck_fillers(context, n):
-    context.loop = loop = LoadLoop(1, (1,), expected_finish=True)
-    loop.moves_tasks = False
-    full = Step(1, TaskDemand(8000, 100), estimate_s=60.0)
-    filler = Step(n, DEMAND, estimate_s=1.0, fills=True, image="press")
-    for number, step in enumerate((full, filler)):
-        loop.accept(0, Submission(f"{number + 1:016x}", INTERACTIVE, "s", (step,)))
-    for _ in range(15):
-        loop.tick()
-
-
-@when("it proposes moves while the load with the most room is 6 s old, of 3")
-def step_one_old(context):
-    propose_fillers(context, (6.0, 1.0, 1.0))
-
-
-@when("it proposes moves while the loads are 6 s old, of 3")
-def step_all_old(context):
-    propose_fillers(context, (6.0, 6.0, 6.0))
-
-
-def propose_fillers(context, ages_s):
-    headrooms = tuple(
-        CellHeadroom(
-            f"t{n}", "svc", 0, (FillerHeadroom((), 64000 >> n),), 0, 64000, age_s=age_s
-        )
-        for n, age_s in enumerate(ages_s)
-    )
-    context.moves = propose(context, 0, headrooms)
-
-
-@then("its fillers move, none to the cell with that load")
-def step_not_to_silent(context):
-    assert context.moves
-    assert not any(move.cell_id == "t0" for move in context.moves), context.moves
-
-
-@then("its fillers move")
-def step_fillers_move(context):
-    assert context.moves
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -18,7 +18,6 @@
     MoveProposal,
     TaskMove,
     is_stuck,
-    leave_out_silent,
     make_move,
 )
 from ._placement import can_hold_forced_filler
@@ -95,7 +94,6 @@
         if self.spill is not None:
             proposals = self._propose_spills(headrooms, now)
             taken_cpu_by_cell = self.spill.taken_cpu_by_cell(now)
-            headrooms = leave_out_silent(headrooms)
         reservations = HeadroomReservations(
             headrooms, self.interference, taken_cpu_by_cell
         )
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -18,9 +18,6 @@
 MAX_MOVES_PER_CELL = 12
 # Share of another cell's headroom that one round may reserve.
 USABLE_HEADROOM_SHARE = 0.7
-# Age of a load in seconds from which the owner of its cell may be cut off from the
-# store: it then learns of no move, and can't record the ends of what it runs.
-SILENT_OWNER_S = 5.0
 
 
 class TaskMove(msgspec.Struct, frozen=True, array_like=True):
@@ -246,17 +243,6 @@
         return left - self._reserved_for_fillers[headroom.cell_id]
 
 
-def leave_out_silent(
-    headrooms: tuple[CellHeadroom, ...],
-) -> tuple[CellHeadroom, ...]:
-    """Return the headrooms with recent loads, or all if those of most aren't recent.
-
-    In that case it may be this host that is cut off, or loads are published rarely.
-    """
-    recent = tuple(h for h in headrooms if h.age_s <= SILENT_OWNER_S)
-    return headrooms if 2 * len(recent) < len(headrooms) else recent
-
-
 def is_stuck(ready: ReadyStep, now: float) -> bool:
     """Return whether tasks of a step have fitted on no worker for too long."""
     if ready.stuck_since is None:
--- a/programs/beryl-host/features/home_choice.feature
+++ b/programs/beryl-host/features/home_choice.feature
@@ -15,20 +15,3 @@
     Then a step of 50 tasks is drawn only to cells that can hold it
     And a step of 80 tasks is drawn only to cells with at least half of the most headroom
     And no cell is drawn where there is no headroom
-
-  # Guards against submissions whose home cell can't record their end for seconds: its
-  # owner is cut off from the store, and its last load promises headroom.
-  Scenario Outline: Home cells while owners of <silent> of 22 cells are cut off
-    Given 22 cells with headroom, of which <silent> have published no load for 5 s
-    When a host that draws home cells accepts 60 submissions
-    Then their home cells are <homes>
-
-    Examples:
-      | silent | homes           |
-      | 8      | those reporting |
-      | 21     | any             |
-
-  Scenario: Home cells are chosen as before where they aren't drawn
-    Given 22 cells with headroom, of which 8 have published no load for 5 s
-    When a host that doesn't draw home cells accepts 60 submissions
-    Then their home cells are any
--- a/programs/beryl-host/features/steps/home_choice_steps.py
+++ b/programs/beryl-host/features/steps/home_choice_steps.py
@@ -1,15 +1,9 @@
 import random
 from collections import Counter
-from types import SimpleNamespace
 
 from behave import given, then, when
 
-from berylcleat.host._cell_chooser import CellChooser
 from berylcleat.host._home_choice import draw_cell, find_candidates
-from berylcleat.host._operator_state import OperatorState
-from berylcleat.host._records import CellSummary
-from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand
-from berylcleat.scheduling import InterferenceModel
 
 
 @given("22 cells with headroom for 30 to 60 tasks each")
@@ -71,58 +65,3 @@
 @then("no cell is drawn where there is no headroom")
 def step_none(context):
     assert draw_cell(find_candidates({"r1": 0.0, "r2": -1.0}, 1.0), "a") is None
-
-
-def make_summary(free_cores):
-    free = free_cores * 1000
-    return CellSummary(
-        "svc", "dc", 256_000, free, 0, (), 0, {}, 0, (free // 2, free // 2)
-    )
-
-
-@given("22 cells with headroom, of which {n:d} have published no load for 5 s")
-def step_silent(context, n):
-    # The silent ones promise the most.
-    context.silent = {f"r{number}" for number in range(n)}
-    context.summaries = {
-        f"r{number}": make_summary(64 if number < n else 32) for number in range(22)
-    }
-
-
-@when("a host that draws home cells accepts {n:d} submissions")
-def step_drawing_host(context, n):
-    accept_submissions(context, n, draws_home=True)
-
-
-@when("a host that doesn't draw home cells accepts {n:d} submissions")
-def step_other_host(context, n):
-    accept_submissions(context, n, draws_home=False)
-
-
-def accept_submissions(context, n, *, draws_home):
-    cells = SimpleNamespace(
-        summaries=lambda: dict(context.summaries),
-        load_age_s=lambda cell_id, now: 5.0 if cell_id in context.silent else 1.0,
-    )
-    ownership = SimpleNamespace(controller_by_cell={}, summaries=dict)
-    chooser = CellChooser(
-        "dc", cells, ownership, InterferenceModel(), OperatorState(),
-        draws_home=draws_home,
-    )  # fmt: skip
-    step = Step(4, TaskDemand(4000, 100), estimate_s=0.7)
-    context.homes = Counter()
-    for number in range(n):
-        queue = QueuePolicy("q", "svc")
-        submission = Submission(f"{number:016x}", queue, "s", (step,))
-        context.homes[chooser.decide(submission).cell_id] += 1
-
-
-@then("their home cells are those reporting")
-def step_reporting(context):
-    assert len(context.homes) > 4, context.homes
-    assert not context.homes.keys() & context.silent, context.homes
-
-
-@then("their home cells are any")
-def step_any(context):
-    assert context.homes.keys() & context.silent, context.homes
--- a/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
@@ -18,7 +18,7 @@
 from ._cell_directory import CellDirectory
 from ._cell_ownership import CellOwnershipManager
 from ._clock import now_s
-from ._home_choice import draw_cell, find_candidates, find_reporting
+from ._home_choice import draw_cell, find_candidates
 from ._metrics import HOME_CELLS
 from ._operator_state import OperatorState
 from ._records import CellSummary, headroom_from_summary
@@ -102,7 +102,7 @@
         self._recent_assignments = [
             item for item in self._recent_assignments if item.assigned_at >= oldest
         ]
-        decision = Admit(self._choose_among(submission, self._without_silent(suitable)))
+        decision = Admit(self._choose_among(submission, suitable))
         if self._admission is not None and may_refuse:
             loads = self._service_loads(
                 submission, suitable, summaries.keys(), decision.cell_id
@@ -117,26 +117,6 @@
         )
         return decision
 
-    def _without_silent(
-        self, suitable: dict[str, CellSummary]
-    ) -> dict[str, CellSummary]:
-        """Return the cells whose owners are known to reach the store."""
-        if not self._draws_home:
-            return suitable
-        now = now_s()
-        reporting = find_reporting(
-            {cell_id: self._load_age_s(cell_id, now) for cell_id in suitable}
-        )
-        return {
-            cell_id: suitable[cell_id] for cell_id in suitable if cell_id in reporting
-        }
-
-    def _load_age_s(self, cell_id: str, now: float) -> float:
-        """Return the seconds since a cell's load was received, 0 for an own cell."""
-        if cell_id in self._ownership.controller_by_cell:
-            return 0.0
-        return self._cells.load_age_s(cell_id, now)
-
     def withdraw(self, submission_id: str) -> None:
         """Forget the admission of a submission that was not stored."""
         if self._admission is not None:
--- a/programs/beryl-host/src/berylcleat/host/_home_choice.py
+++ b/programs/beryl-host/src/berylcleat/host/_home_choice.py
@@ -13,20 +13,6 @@
 # whole step: nearly full cells would only pass most of its tasks on.
 CANDIDATE_SHARE = 0.5
 HASH_RANGE = 2**64
-# An owner publishes a load every 2 s, which other hosts read within 1.5 s. One that is
-# cut off from the store can't record what ends in its cell.
-MAX_HOME_LOAD_AGE_S = 4.0
-
-
-def find_reporting(age_s_by_cell: Mapping[str, float]) -> frozenset[str]:
-    """Return the cells whose loads are recent, or all if those of most aren't.
-
-    In that case it may be this host that is cut off.
-    """
-    recent = {c for c, age_s in age_s_by_cell.items() if age_s <= MAX_HOME_LOAD_AGE_S}
-    if 2 * len(recent) < len(age_s_by_cell):
-        return frozenset(age_s_by_cell)
-    return frozenset(recent)
 
 
 def find_candidates(
