--- a/libs/scheduling/src/berylcleat/scheduling/_spill.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_spill.py
@@ -1,7 +1,8 @@
 """Moves at once of tasks that can't start in their cell, and of stuck standing tasks.
 
 Several cells see the same headroom of a cell before its next load tells them of each
-other. So each takes only its part of it: all parts together are no more than there is.
+other. So each takes only its part of it: all parts together are no more than there is,
+except for ordinary tasks of cells that have begun to wait since their last loads.
 Standing tasks, which are few and large, are spread in proportion to the room instead.
 """
 
