--- a/libs/scheduling/features/histories.feature
+++ b/libs/scheduling/features/histories.feature
@@ -101,7 +101,7 @@
     Examples:
       | n | n_cells | fault                    | seed |
       | 1 | 2       | tasks that crash workers | 83   |
-      | 6 | 3       | evacuations              | 10   |
+      | 8 | 3       | evacuations              | 10   |
 
   # Guards against a check that finds nothing.
   Scenario Outline: Histories with evacuations show a late start without <mechanism>
