--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -29,7 +29,7 @@
 MIN_PENALTY = 0.5
 # Tail latency relative to the target at which an excess over it ends: readings are
 # rough, so that one just below the target may stem from a tail above it.
-EXCESS_ENDS_RATIO = 0.9
+EXCESS_ENDS_RATIO = 0.95
 # Share of their reserved processor time that serving tasks are assumed to use.
 SERVING_CPU_SHARE = 0.48
 
