Form cells of two racks where submissions are ordered by expected finish

Cause: a cell was one rack, and a step of 20 tasks is as wide as what a rack has left. Each submission kept all others of its cell waiting; moves, which rely on loads of 1 to 2 s ago and of which each cell takes only its part, don't make up for that.

Ruled out: the order of waiting work.

Gangs that need one rack stay in one, tasks start near their data first. The hosts agree on the layout by a row in the store: a deployment whose cells have had owners keeps cells of one rack, since workers would have two owners otherwise.

The new load scenario compares cells of one and of two racks; the others fail without the modules that they test.

--- a/libs/scheduling/features/expected_finish.feature
+++ b/libs/scheduling/features/expected_finish.feature
@@ -49,3 +49,15 @@
     Given a submission that was demoted since too much work was before it
     When the work before it is withdrawn
     Then it counts as late for 2 s from its demotion and in time afterwards
+
+  # Guards against steps as wide as their cell: each submission waits there for all of the
+  # one before it, and moves rely on loads that are seconds old.
+  Scenario Outline: Steps as wide as a rack are in time more often in cells of two racks, offered <load> of what can be done
+    Given steps as wide as a rack, offered <load> of what 10 racks of 4 workers can do for 15 s, of 2 seeds
+    Then in cells of two racks at least a tenth more submissions are in time than in cells of one
+    And what counts is worth more
+
+    Examples:
+      | load |
+      | 0.8  |
+      | 1.5  |
--- a/libs/scheduling/features/gangs.feature
+++ b/libs/scheduling/features/gangs.feature
@@ -43,3 +43,21 @@
     When a gang of 5 tasks of 4 cores is added
     And another cell has 40 free cores
     Then a move of all 5 members to that cell is proposed
+
+  # Guards against gangs split over the racks of a cell, where each member takes longer.
+  Scenario: A gang that needs one rack starts in one rack of its cell
+    Given a cell with 4 workers of 8 cores in two racks
+    When a gang of 4 tasks of 4 cores that needs one rack is added
+    Then 4 members are started under one run number
+    And all of them are started in one rack
+
+  Scenario: A gang that needs one rack doesn't start where only both racks hold it
+    Given a cell with 4 workers of 8 cores in two racks
+    When a gang of 5 tasks of 4 cores that needs one rack is added
+    Then 0 members are started under one run number
+
+  # Guards against tasks that run far from their data beside free workers near it.
+  Scenario: Tasks start in the rack of their data first
+    Given a cell with 4 workers of 8 cores in two racks
+    When 5 tasks of 4 cores with their data in the second rack are added
+    Then 4 of them are started in the second rack and 1 in the first
--- a/libs/scheduling/features/steps/expected_finish_steps.py
+++ b/libs/scheduling/features/steps/expected_finish_steps.py
@@ -266,3 +266,73 @@
     for _ in range(5):
         loop.tick()
     assert not order.is_late(context.demoted)
+
+
+# Cells of one and of two racks
+
+RACK_WORKERS = 4
+WIDE_LENGTH_S = 15.0
+WIDE_QUEUE = QueuePolicy(
+    "batch", "svc", priority=2, max_attempts=3, stretch=3.0, objective_ms=1000
+)
+
+
+def make_wide(rng):
+    """Return a submission of two steps that take the fillers' cores of a rack each."""
+    steps = tuple(
+        Step(
+            rng.randint(15, 25),
+            DEMAND,
+            estimate_s=rng.uniform(1.5, 2.5),
+            fills=True,
+            image="press",
+            after=after,
+        )
+        for after in ((), (0,))
+    )
+    return Submission(f"{rng.getrandbits(64):016x}", WIDE_QUEUE, "s", steps)
+
+
+def make_wide_load(random_state, load, n_racks):
+    """Return pairs of an arrival time and rack with a wide submission."""
+    rng = random.Random(random_state)
+    core_s_per_s = n_racks * RACK_WORKERS * FILLER_CORES / FILLER_COST
+    mean_core_s = sum(work_of(make_wide(rng)) for _ in range(300)) / 300
+    at = 5.0
+    arrivals = []
+    while at < 5.0 + WIDE_LENGTH_S:
+        at += rng.expovariate(core_s_per_s * load / mean_core_s)
+        arrivals.append((at, rng.randrange(n_racks), make_wide(rng)))
+    return arrivals
+
+
+@given(
+    "steps as wide as a rack, offered {load:f} of what {n_racks:d} racks of 4 workers "
+    "can do for 15 s, of {n:d} seeds"
+)
+def step_wide(context, load, n_racks, n):
+    context.pairs = []
+    for seed in range(1, n + 1):
+        wide = make_wide_load(seed, load, n_racks)
+        outcomes = []
+        for n_pooled in (1, 2):
+            arrivals = [Arrival(at, rack // n_pooled, sub) for at, rack, sub in wide]
+            sizes = (RACK_WORKERS * n_pooled,) * (n_racks // n_pooled)
+            _, outcome = play(arrivals, sizes, seed, expected_finish=True)
+            outcomes.append(outcome)
+        context.pairs.append(tuple(outcomes))
+
+
+@then(
+    "in cells of two racks at least a tenth more submissions are in time than in cells "
+    "of one"
+)
+def step_wide_in_time(context):
+    (n_one, _), (n_two, _) = total(context, 0), total(context, 1)
+    assert n_two >= 1.1 * n_one, (n_one, n_two)
+
+
+@then("what counts is worth more")
+def step_wide_worth(context):
+    (_, value_one), (_, value_two) = total(context, 0), total(context, 1)
+    assert value_two > value_one, (value_one, value_two)
--- a/libs/scheduling/features/steps/gang_steps.py
+++ b/libs/scheduling/features/steps/gang_steps.py
@@ -1,3 +1,6 @@
+from collections import Counter
+from dataclasses import replace
+
 from behave import given, then, when
 from cell_loop import make_entry
 
@@ -247,3 +250,45 @@
     (proposal,) = context.proposals
     assert len(proposal.move_by_task) == n
     assert {move.cell_id for move in proposal.move_by_task.values()} == {"r2"}
+
+
+@given("a cell with {n:d} workers of {cores:d} cores in two racks")
+def step_two_racks(context, n, cores):
+    scripted_cell = context.scripted_cell = ScriptedCell(n, cores * 1000)
+    context.rack_by_worker = {}
+    for number, view in enumerate(scripted_cell.cell.worker_by_id.values()):
+        rack = "r1" if number < n // 2 else "r2"
+        view.entry = replace(view.entry, rack=rack)
+        context.rack_by_worker[view.entry.worker_id] = rack
+    scripted_cell.step()
+
+
+@when("a gang of {n:d} tasks of {cores:d} cores that needs one rack is added")
+def step_submit_same_rack(context, n, cores):
+    demand = TaskDemand(cores * 1000, 100)
+    context.scripted_cell.submit(Step(n, demand, is_gang=True, same_rack=True))
+    context.scripted_cell.step()
+
+
+@when("{n:d} tasks of {cores:d} cores with their data in the second rack are added")
+def step_submit_near(context, n, cores):
+    demand = TaskDemand(cores * 1000, 100)
+    context.scripted_cell.submit(Step(n, demand, data_rack="r2"))
+    context.scripted_cell.step()
+
+
+def count_starts_by_rack(context):
+    starts = context.scripted_cell.starts
+    return Counter(context.rack_by_worker[item.worker_id] for item in starts)
+
+
+@then("all of them are started in one rack")
+def step_one_rack(context):
+    counts = count_starts_by_rack(context)
+    assert len(counts) == 1, counts
+
+
+@then("{n_near:d} of them are started in the second rack and {n_far:d} in the first")
+def step_near_first(context, n_near, n_far):
+    counts = count_starts_by_rack(context)
+    assert (counts["r2"], counts["r1"]) == (n_near, n_far), counts
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -40,6 +40,14 @@
     return now - view.last_start_at >= LIKELY_CAUSE_AGE_S
 
 
+def _near_first(groups: list[list[WorkerView]], rack: str) -> list[list[WorkerView]]:
+    """Split groups of workers so that in each those of a rack precede the others."""
+    near = ([view for view in group if view.entry.rack == rack] for group in groups)
+    far = ([view for view in group if view.entry.rack != rack] for group in groups)
+    pairs = zip(near, far, strict=True)
+    return [group for pair in pairs for group in pair if group]
+
+
 class CellStarts(CellRuns):
     """Choice of the tasks to start and of the workers that run them."""
 
@@ -200,11 +208,34 @@
     ) -> list[Run]:
         """Return a run for each member of a gang, or none if not all of them fit.
 
-        No run is added: a try that fails leaves workers and run numbers as they are.
+        Members that need one rack are tried on each of the racks. No run is added: a
+        try that fails leaves workers and run numbers as they are.
         """
+        for rack in self._racks_for_gang(ready, now):
+            runs = self._place_gang_in(rack, ready, tasks, number, now)
+            if runs:
+                return runs
+        return []
+
+    def _racks_for_gang(self, ready: ReadyStep, now: float) -> list[str | None]:
+        """Return the racks to try for a gang, in order; None stands for all."""
+        if not ready.step.same_rack:
+            return [None]
+        racks = {view.entry.rack for view in self._startable_workers(now)}
+        return sorted(racks, key=lambda rack: (rack != ready.step.data_rack, rack))
+
+    def _place_gang_in(
+        self,
+        rack: str | None,
+        ready: ReadyStep,
+        tasks: list[TaskKey],
+        number: int,
+        now: float,
+    ) -> list[Run]:
+        """Return a run for each member on workers of one rack, or of any if None."""
         runs: list[Run] = []
         for task in tasks:
-            view = self._choose_worker(ready, task, now)
+            view = self._choose_worker(ready, task, now, rack)
             if view is None:
                 break
             run = self._make_run(ready.tracked, task, view, number, now)
@@ -339,9 +370,11 @@
         return now - tracked.presumed_at_by_task.get(task, now) > MAX_QUIET_WAIT_S
 
     def _choose_worker(
-        self, ready: ReadyStep, task: TaskKey, now: float
+        self, ready: ReadyStep, task: TaskKey, now: float, rack: str | None = None
     ) -> WorkerView | None:
         for views in self._preferred_workers(ready, task, now):
+            if rack is not None:
+                views = [view for view in views if view.entry.rack == rack]
             for group in self._candidate_groups(ready, task, views, now):
                 chosen = self._choose_among(ready, task, group, now)
                 if chosen is not None:
@@ -401,6 +434,8 @@
         groups = [views]
         if self.uneven_workers is not None:
             groups = self.uneven_workers.candidate_groups(ready, task, views, now)
+        if ready.step.data_rack:
+            groups = _near_first(groups, ready.step.data_rack)
         start = ready.tracked.presumed_start(task)
         if start is None:
             return groups
--- a/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
@@ -1,6 +1,6 @@
 """Choose the home cell of a new submission from the loads that owners publish."""
 
-from collections.abc import Set
+from collections.abc import Callable, Set
 from dataclasses import dataclass
 
 import xxhash
@@ -66,9 +66,12 @@
         admission_late_limit: float = 0.0,
         *,
         draws_home: bool = False,
+        cell_of: Callable[[str], str] = str,
     ):
         self._operator = operator
         self._draws_home = draws_home
+        # Cell of a rack; each rack is a cell of its own by default.
+        self._cell_of = cell_of
         self._admission = (
             AdmissionController(admission_late_limit) if admission_late_limit else None
         )
@@ -188,7 +191,8 @@
     def _choose_among(
         self, submission: Submission, suitable: dict[str, CellSummary]
     ) -> str:
-        data_cell_id = next((s.data_rack for s in submission.steps if s.data_rack), "")
+        data_rack = next((s.data_rack for s in submission.steps if s.data_rack), "")
+        data_cell_id = self._cell_of(data_rack)
         if data_cell_id in suitable:
             return data_cell_id
         first_step = submission.steps[0]
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -34,6 +34,7 @@
 from ._evacuation_metrics import EvacuationMetrics
 from ._follower import Follower, TableFollower
 from ._identity import HostIdentity
+from ._layout_agreement import agree_on_layout
 from ._live_owners import LiveOwners
 from ._maintained_cells import MaintainedCells
 from ._maintenance_waves import STEP_PERIOD_S, MaintenanceWaves
@@ -169,6 +170,7 @@
                 self.operator,
                 settings.admission_late_limit,
                 draws_home=settings.expected_finish,
+                cell_of=self.workers.cell_of,
             ),
             peers,
             settings.data_centre if settings.admission_late_limit else "",
@@ -260,6 +262,7 @@
     def start_tasks(self) -> list[asyncio.Task]:
         """Start the tasks that read and publish rows and own cells."""
         loops = [follower.run for follower in self.followers]
+        loops[loops.index(self.worker_follower.run)] = self._follow_workers
         loops += [self.publisher.run, self._log_store_traffic]
         if self.operator.has_evacuations:
             loops += [self.relay.run, self.evacuation_metrics.run]
@@ -273,6 +276,14 @@
         loop = asyncio.get_running_loop()
         return [loop.create_task(coroutine) for coroutine in coroutines]
 
+    async def _follow_workers(self) -> None:
+        """Follow the list of workers once the hosts agree on the cells."""
+        if self.settings.racks_per_cell > 1:
+            self.workers.layout = await agree_on_layout(
+                self.store, self.settings.racks_per_cell
+            )
+        await self.worker_follower.run()
+
     def _on_data_centre_rows(self, rows: tuple[StoreRow, ...]) -> None:
         self.membership.on_host_rows(rows)
         self.cells.on_data_centre_rows(rows)
--- a/programs/beryl-host/src/berylcleat/host/_settings.py
+++ b/programs/beryl-host/src/berylcleat/host/_settings.py
@@ -22,8 +22,9 @@
     avoidance of slow and failing workers, ``expected_finish`` order and moves by
     expected finish; a deployment's ``contracts`` may switch them on too.
     ``admission_late_limit`` is the multiple of a submission's objective beyond which it
-    is refused; 0 refuses none. Without a ``machine_service_address``, or with a list
-    of ``operator_duties`` that is empty, maintenance waves are ignored.
+    is refused; 0 refuses none. ``racks_per_cell`` racks with successive numbers form a
+    cell; it must be the same on all hosts. Without a ``machine_service_address``, or
+    with a list of ``operator_duties`` that is empty, maintenance waves are ignored.
 
     No task is started in an evacuated data centre later than ``evacuation_deadline_ms``
     after the request, and by a host without news of the requests no later than
@@ -50,6 +51,7 @@
     expected_finish: bool = False
     contracts: tuple[str, ...] | None = None
     admission_late_limit: float = 0.0
+    racks_per_cell: int = 1
     machine_service_address: str = ""
     operator_duties: tuple[str, ...] | None = None
 
@@ -75,6 +77,7 @@
         settings,
         uneven_workers=settings.uneven_workers or switches.uneven_workers,
         expected_finish=settings.expected_finish or switches.expected_finish,
+        racks_per_cell=max(settings.racks_per_cell, switches.racks_per_cell),
         machine_service_address=settings.machine_service_address if has_duties else "",
     )
 
@@ -99,6 +102,11 @@
             "Set 0 to refuse nothing for load, or a multiple of the objective, such "
             "as 3",
         )
+    if settings.racks_per_cell < 1:
+        raise SettingsError(
+            f"racks_per_cell must be at least 1, not {settings.racks_per_cell}",
+            "Set 1 for cells of one rack, or the number of racks that form a cell",
+        )
     if settings.orders_mode != "push":
         raise SettingsError(
             f"orders_mode {settings.orders_mode!r} is not supported",
--- a/programs/beryl-host/src/berylcleat/host/_worker_list.py
+++ b/programs/beryl-host/src/berylcleat/host/_worker_list.py
@@ -1,7 +1,4 @@
-"""Workers that the platform lists, by cell.
-
-A cell is a rack: its workers are one failure domain in one data centre.
-"""
+"""Workers that the platform lists, by cell."""
 
 import logging
 from collections import Counter
@@ -11,6 +8,7 @@
 from berylcleat.platform import decode_worker
 from berylcleat.ports import StoreRow, WorkerEntry
 
+from ._cell_layout import CellLayout
 from ._clock import now_s, wall_ms
 from ._metrics import REJECTED_WORKER_ENTRIES
 
@@ -27,7 +25,9 @@
     ``unguarded_services`` are those whose workers start what exceeds their capacity.
     """
 
-    def __init__(self):
+    def __init__(self, layout: CellLayout | None = None):
+        # To be set before the first row is applied.
+        self.layout = layout or CellLayout()
         self.by_id: dict[str, WorkerEntry] = {}
         self.listeners: list[WorkersListener] = []
         self.read_confirmed_at: Callable[[], float] = now_s
@@ -51,6 +51,10 @@
         for listener in self.listeners:
             listener(by_cell)
 
+    def cell_of(self, rack: str) -> str:
+        """Return the id of the cell that a rack belongs to."""
+        return self.layout.cell_of(rack)
+
     def in_cell(self, cell_id: str) -> dict[str, WorkerEntry]:
         """Return the listed workers of a cell."""
         return self._by_cell().get(cell_id, {})
@@ -112,7 +116,8 @@
     def _by_cell(self) -> dict[str, dict[str, WorkerEntry]]:
         by_cell: dict[str, dict[str, WorkerEntry]] = {}
         for entry in self.by_id.values():
-            by_cell.setdefault(entry.rack, {})[entry.worker_id] = entry
+            cell_id = self.cell_of(entry.rack)
+            by_cell.setdefault(cell_id, {})[entry.worker_id] = entry
         return by_cell
 
 
