Bound the lease of a late start by the start's own deadline

A worker that had restarted after a start without an answer kept the tasks of a silent worker waiting for 16 s, also if it had been young: once its clock has passed the deadline of that start, the start can't extend a lease any more.

Changed test: the scenario of the late start now says the age of the worker, 600 s, and holds the same bounds; a second one with 4 s fails without this.

--- a/libs/scheduling/features/runs_once.feature
+++ b/libs/scheduling/features/runs_once.feature
@@ -118,9 +118,19 @@
   # Guards against TWICE: a start that a restarted worker carries out late extends the
   # lease of all its runs, as its deadline is by the clock of before the restart.
   Scenario: A start without an answer may extend the lease of a restarted worker
-    Given a cell whose start order to a worker that has just restarted isn't answered
+    Given a start order to a worker that has just restarted after 600 s, not answered
     And another task that runs on the worker since its restart
     When the worker falls silent for 14 seconds
     Then the other task isn't started a second time
     When the worker falls silent for 4 seconds
     Then the other task is started on the other worker
+
+  # Guards against LOST: a worker that restarts often kept its tasks waiting although no
+  # late start could extend its lease any more.
+  Scenario: A start without an answer extends no lease beyond its own deadline
+    Given a start order to a worker that has just restarted after 4 s, not answered
+    And another task that runs on the worker since its restart
+    When the worker falls silent for 6 seconds
+    Then the other task isn't started a second time
+    When the worker falls silent for 5 seconds
+    Then the other task is started on the other worker
--- a/libs/scheduling/features/steps/late_start_steps.py
+++ b/libs/scheduling/features/steps/late_start_steps.py
@@ -11,9 +11,13 @@
 OTHER_STEP = Step(1, TaskDemand(1000, 100))
 
 
-@given("a cell whose start order to a worker that has just restarted isn't answered")
-def step_unanswered(context):
+@given(
+    "a start order to a worker that has just restarted after {seconds:d} s, "
+    "not answered"
+)
+def step_unanswered(context, seconds):
     scripted_cell = context.scripted_cell = ScriptedCell(2, STEP.demand.cpu_millis * 2)
+    scripted_cell.clock_began_at["w0"] = 4.0 - seconds
     scripted_cell.step()
     scripted_cell.silent.add("w1")
     advance(scripted_cell, 3)
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -279,6 +279,9 @@
         if view is None:
             return
         view.unanswered_start_at = now
+        view.unanswered_deadline_ms = max(
+            view.unanswered_deadline_ms, order.deadline_ms
+        )
         run = self.run_by_task.get(order.task)
         is_known = run is not None and run.number == order.run
         if not is_known or run.incarnation_ms != view.incarnation_ms:
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -125,10 +125,13 @@
     clock: WorkerClock = field(default_factory=WorkerClock)
     incarnation_ms: int = 0
     has_seen_epoch: bool = False
-    # When the answer to a start was last given up, and until when such a start of an
-    # earlier incarnation may have extended the lease of this one.
+    # When the answer to a start was last given up, and the latest deadline of such a
+    # start. Until when one that was sent to an earlier incarnation may have extended
+    # the lease of this one, and its deadline by the clock of either.
     unanswered_start_at: float = float("-inf")
+    unanswered_deadline_ms: int = 0
     late_lease_until: float = float("-inf")
+    late_deadline_ms: int = 0
     # When this incarnation had certainly started, as told by its clock.
     started_by: float = 0.0
     # When this incarnation first answered under the owner's epoch.
@@ -181,13 +184,17 @@
 
     def leases_expire_at(self) -> float:
         """Return the owner's time by which every granted lease has expired."""
-        return max(self.clock.all_leases_expire_at(), self.late_lease_until)
+        late_lease_until = min(
+            self.late_lease_until, self.clock.latest_reach_time(self.late_deadline_ms)
+        )
+        return max(self.clock.all_leases_expire_at(), late_lease_until)
 
     def expect_late_start(self, times: LeaseTimes) -> None:
         """Expect a start without an answer that was sent to an earlier incarnation.
 
-        Its deadline is by the clock of that one, so it grants the longest lease here.
+        Its deadline is by the clock of that one, so it may grant the longest lease.
         """
+        self.late_deadline_ms = self.unanswered_deadline_ms
         may_arrive_until = self.unanswered_start_at + MAX_ORDER_DELAY_S
         self.late_lease_until = may_arrive_until + times.takeover_wait_s(
             owner_is_dead=True
