Let every host use the recorded layout of the cells

Found in review: a host with racks_per_cell 1 ignored what others had recorded, so that two hosts could own the same workers under two cells (TWICE), and it could acquire a cell between another's look for owners and its record. Every host now agrees on the layout before it follows the workers. The example with 1 beside a layout of 2 failed before.

--- a/programs/beryl-host/features/cell_layout.feature
+++ b/programs/beryl-host/features/cell_layout.feature
@@ -56,6 +56,8 @@
       | nothing                    | 2      | 2      |
       | an owner of a cell         | 2      | 1      |
       | a layout of 2 racks a cell | 4      | 2      |
+      | a layout of 2 racks a cell | 1      | 2      |
+      | nothing                    | 1      | 1      |
 
   # Guards against a host that takes a lost answer for its own layout.
   Scenario: A host whose layout was recorded without an answer reads it
--- a/programs/beryl-host/features/steps/cell_layout_steps.py
+++ b/programs/beryl-host/features/steps/cell_layout_steps.py
@@ -9,7 +9,7 @@
 from berylcleat.host._cell_layout import CellLayout
 from berylcleat.host._layout_agreement import (
     LAYOUT_KEY,
-    LAYOUT_TABLE,
+    LAYOUT_PART,
     RETRY_S,
     agree_on_layout,
 )
@@ -116,7 +116,7 @@
         row = OwnerRow(1, "host-1", "i1", 0.0)
         context.store.put(CELL_TABLE, "r1-2", OWNER_KEY, encode(row))
     elif before != "nothing":
-        context.store.put(LAYOUT_TABLE, "", LAYOUT_KEY, LAYOUT_BY_TEXT[before])
+        context.store.put(CELL_TABLE, LAYOUT_PART, LAYOUT_KEY, LAYOUT_BY_TEXT[before])
 
 
 @given("the answers to the next {n:d} commits are lost")
--- a/programs/beryl-host/src/berylcleat/host/_layout_agreement.py
+++ b/programs/beryl-host/src/berylcleat/host/_layout_agreement.py
@@ -8,11 +8,13 @@
 
 from berylcleat.model import BerylError, MalformedValueError, decode_json
 from berylcleat.ports import Commit, Condition, RowWrite, Store
+from berylcleat.runtime import report_failure
 
 from ._cell_layout import CellLayout
 from ._records import CELL_TABLE, encode
 
-LAYOUT_TABLE = "cell-layout"
+# The layout is a row of the table of cells, in the part that belongs to no cell.
+LAYOUT_PART = ""
 LAYOUT_KEY = "layout"
 RETRY_S = 0.25
 logger = logging.getLogger(__name__)
@@ -40,6 +42,9 @@
         except (BerylError, MalformedValueError) as error:
             logger.warning("layout of the cells not known yet: %s", error)
             layout = None
+        except Exception as error:
+            report_failure("agree_on_layout", error)
+            layout = None
         if layout is not None:
             logger.info("cells are formed of %d racks", layout.racks_per_cell)
             return layout
@@ -48,14 +53,14 @@
 
 async def _read_or_record(store: Store, racks_per_cell: int) -> CellLayout | None:
     """Return the recorded layout; None if another host may just have recorded one."""
-    page = await store.read(LAYOUT_TABLE, "")
+    page = await store.read(CELL_TABLE, LAYOUT_PART)
     for row in page.rows:
         if row.key == LAYOUT_KEY:
             return CellLayout(decode_json(_decoder, row.value).racks_per_cell)
-    if await store.list_parts(CELL_TABLE):
+    if any(part != LAYOUT_PART for part in await store.list_parts(CELL_TABLE)):
         racks_per_cell = 1
-    condition = Condition(LAYOUT_TABLE, "", LAYOUT_KEY, 0)
+    condition = Condition(CELL_TABLE, LAYOUT_PART, LAYOUT_KEY, 0)
     value = encode(LayoutRow(racks_per_cell))
-    write = RowWrite(LAYOUT_TABLE, "", LAYOUT_KEY, value)
+    write = RowWrite(CELL_TABLE, LAYOUT_PART, LAYOUT_KEY, value)
     outcome = await store.commit(Commit((condition,), (write,)))
     return CellLayout(racks_per_cell) if outcome.applied else None
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -261,12 +261,12 @@
 
     def start_tasks(self) -> list[asyncio.Task]:
         """Start the tasks that read and publish rows and own cells."""
-        loops = [follower.run for follower in self.followers]
-        loops[loops.index(self.worker_follower.run)] = self._follow_workers
+        loops = [f.run for f in self.followers if f is not self.worker_follower]
         loops += [self.publisher.run, self._log_store_traffic]
         if self.operator.has_evacuations:
             loops += [self.relay.run, self.evacuation_metrics.run]
         coroutines = [keep_running(run) for run in loops]
+        coroutines.append(self._follow_workers())
         coroutines.append(run_periodically(RECONCILE_PERIOD_S, self.reconcile_cells))
         if self.maintenance is not None:
             coroutines += [
@@ -278,11 +278,10 @@
 
     async def _follow_workers(self) -> None:
         """Follow the list of workers once the hosts agree on the cells."""
-        if self.settings.racks_per_cell > 1:
-            self.workers.layout = await agree_on_layout(
-                self.store, self.settings.racks_per_cell
-            )
-        await self.worker_follower.run()
+        self.workers.layout = await agree_on_layout(
+            self.store, self.settings.racks_per_cell
+        )
+        await keep_running(self.worker_follower.run)
 
     def _on_data_centre_rows(self, rows: tuple[StoreRow, ...]) -> None:
         self.membership.on_host_rows(rows)
