Count records as confirmations, and an unreadable owner row as none

Found in review, by reading: an owner whose row was replaced by one that can't be decoded counted each read of the table as its confirmation, and one whose feed of the table failed for 12 s stopped although its records, which are conditional on its row, went on. confirmation.feature and ownership.feature pass as before; neither case has a test of its own yet.

--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -400,7 +400,11 @@
 
     def _is_ownership_confirmed(self) -> bool:
         """Return whether the store has named this owner recently enough to act."""
-        return now_s() - self._read_confirmed_at() < self._times.owner_limit_s
+        read_at = self._read_confirmed_at()
+        if read_at == float("-inf"):
+            return False
+        confirmed_at = max(read_at, self._recorder.confirmed_at)
+        return now_s() - confirmed_at < self._times.owner_limit_s
 
     def _update_confirmation(self) -> None:
         confirmed_at = max(self._read_confirmed_at(), self._recorder.confirmed_at)
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -453,10 +453,11 @@
     def _confirmed_at(self, cell_id: str, row: OwnerRow) -> float:
         """Return when the newest read of the cell table was sent that shows a row.
 
-        Minus infinity if another row has replaced it.
+        Minus infinity if another row has replaced it, also one that can't be decoded.
         """
         owner = self._cells.owner_by_cell.get(cell_id)
-        if owner is None or owner.row != row:
+        is_unreadable = cell_id in self._cells.unreadable_version_by_cell
+        if owner is None or owner.row != row or is_unreadable:
             return float("-inf")
         return self._feeds.cells.confirmed_at
 
