Keep rows of a worker's report that can't be read from counting as gone

Other unreadable rows are counted: nothing from the first such end on is acknowledged, no run of the worker counts as lost for being missing, and the worker doesn't count as settled. Rows that name no submission are left out as before.

--- a/libs/ports/src/berylcleat/ports/_task_workers.py
+++ b/libs/ports/src/berylcleat/ports/_task_workers.py
@@ -64,6 +64,14 @@
     started_at_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    # Numbers of listed ends that can't be read, and whether that holds for a run.
+    unreadable_ends: tuple[int, ...] = ()
+    has_unreadable_runs: bool = False
+
+    @property
+    def n_ends(self) -> int:
+        """Return the number of ends that the worker has listed."""
+        return len(self.ended) + len(self.unreadable_ends)
 
 
 class OrderResult(Enum):
--- a/libs/scheduling/features/runs_once.feature
+++ b/libs/scheduling/features/runs_once.feature
@@ -134,3 +134,16 @@
     Then the other task isn't started a second time
     When the worker falls silent for 5 seconds
     Then the other task is started on the other worker
+
+  # Guards against TWICE: a row that couldn't be read was left out, so its run counted as
+  # lost, or its end was acknowledged with the next one and never counted.
+  Scenario Outline: A task isn't started again while its worker lists <what> that can't be read
+    Given a running task
+    When its worker lists <what> that can't be read instead of it, and ends after it
+    Then the task isn't started again within 3 s
+    And <n> ends of the worker may be acknowledged
+
+    Examples:
+      | what   | n |
+      | an end | 0 |
+      | a run  | 2 |
--- a/libs/scheduling/features/steps/gang_steps.py
+++ b/libs/scheduling/features/steps/gang_steps.py
@@ -42,6 +42,8 @@
         # When the clock of each worker began.
         self.clock_began_at = dict.fromkeys(self.running, 0.0)
         self.silent = set()
+        self.unreadable_ends = {}
+        self.unreadable_runs = set()
         self.starts = []
         self.stops = []
         capacity = TaskDemand(cpu_millis, 64000)
@@ -97,7 +99,14 @@
             )
             ended = tuple(self.ended[worker_id])
             clock_ms = int((self.now - self.clock_began_at[worker_id]) * 1000)
-            report = WorkerReport(clock_ms, self.started_at_ms[worker_id], rows, ended)
+            report = WorkerReport(
+                clock_ms,
+                self.started_at_ms[worker_id],
+                rows,
+                ended,
+                self.unreadable_ends.get(worker_id, ()),
+                has_unreadable_runs=worker_id in self.unreadable_runs,
+            )
             self.cell.on_report(worker_id, report, self.now, self.now)
         for item in self.cell.plan(self.now, 0.0):
             if isinstance(item.order, StartOrder):
--- a/libs/scheduling/features/steps/runs_once_steps.py
+++ b/libs/scheduling/features/steps/runs_once_steps.py
@@ -4,7 +4,7 @@
 from gang_steps import SUBMISSION_ID, ScriptedCell
 
 from berylcleat.model import QueuePolicy, Step, TaskDemand, TaskKey
-from berylcleat.ports import OrderAnswer, OrderResult, RunEnd
+from berylcleat.ports import EndedTask, OrderAnswer, OrderResult, RunEnd
 from berylcleat.scheduling import CellHeadroom, MovedTaskEnd, TaskMove
 
 TASK = TaskKey(SUBMISSION_ID, 0, 0, 0)
@@ -365,3 +365,49 @@
 def step_other_failure_reported(context):
     ends = context.scripted_cell.cell.unconfirmed_moved_task_ends()
     assert ends == {SUBMISSION_ID: [MovedTaskEnd(OTHER_TASK, has_failed=True)]}, ends
+
+
+# Rows of reports that can't be read
+
+
+@given("a running task")
+def step_running_task(context):
+    scripted_cell = context.scripted_cell = ScriptedCell(2, 8000)
+    scripted_cell.step()
+    scripted_cell.submit(Step(1, TaskDemand(1000, 100)))
+    scripted_cell.step()
+    context.started = scripted_cell.starts.pop()
+    scripted_cell.accept(context.started)
+    for _ in range(3):
+        scripted_cell.step()
+
+
+@when("its worker lists {what} that can't be read instead of it, and ends after it")
+def step_unreadable_row(context, what):
+    scripted_cell = context.scripted_cell
+    worker_id = context.started.worker_id
+    scripted_cell.running[worker_id].clear()
+    stranger = TaskKey("b" * 16, 0, 0, 0)
+    is_end = what == "an end"
+    first = 2 if is_end else 1
+    scripted_cell.ended[worker_id] = [
+        EndedTask(first + n, stranger._replace(index=n), 1, RunEnd.STOPPED, "")
+        for n in range(2)
+    ]
+    scripted_cell.unreadable_ends[worker_id] = (1,) if is_end else ()
+    if not is_end:
+        scripted_cell.unreadable_runs.add(worker_id)
+    scripted_cell.submit(Step(2, TaskDemand(9000, 100)), submission_id="b" * 16)
+
+
+@then("the task isn't started again within {seconds:d} s")
+def step_not_started_again(context, seconds):
+    for _ in range(seconds * 5):
+        context.scripted_cell.step()
+    assert not context.scripted_cell.starts, context.scripted_cell.starts
+
+
+@then("{n:d} ends of the worker may be acknowledged")
+def step_acknowledgeable(context, n):
+    view = context.scripted_cell.cell.worker_by_id[context.started.worker_id]
+    assert view.recordable_number() == n, view.recordable_number()
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_reports.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_reports.py
@@ -62,11 +62,12 @@
             view.has_seen_epoch = True
             view.started_by = latest_start(report.clock_ms, now)
             view.epoch_seen_at = now
-        if len(report.ended) < MAX_ENDS_IN_REPORT:
+        if report.n_ends < MAX_ENDS_IN_REPORT and not report.has_unreadable_runs:
             self._unsettled_workers.discard(worker_id)
         for end in report.ended:
             if end.number > view.handled_number:
                 self._on_end(view, end, now)
+        view.note_unreadable_ends(report.unreadable_ends)
         if report.ended:
             view.handled_number = max(view.handled_number, report.ended[-1].number)
         self._reconcile_running(view, report, requested_at, now)
@@ -340,9 +341,11 @@
         The report says nothing about the run if it was requested before the run's
         phase last changed or before its stop was answered.
         """
-        if len(report.ended) >= MAX_ENDS_IN_REPORT:
+        if report.n_ends >= MAX_ENDS_IN_REPORT or report.unreadable_ends:
             # The run's end may be among those that the report lacks.
             return
+        if report.has_unreadable_runs:
+            return
         if run.phase is RunPhase.STARTING:
             return
         if run.stop_answered_at is not None:
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -426,6 +426,7 @@
         view.handled_number = 0
         view.acked_number = 0
         view.deferred_end_by_number.clear()
+        view.unreadable_ends.clear()
         view.unknown_run_by_task.clear()
         view.used_by_unwanted = TaskDemand()
         view.expired_runs.clear()
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -1,5 +1,6 @@
 """State of one worker and its runs as known to a cell's owner."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -154,6 +155,7 @@
     # Ends that can't be counted yet, and runs of submissions that the owner has not
     # received yet.
     deferred_end_by_number: dict[int, DeferredEnd] = field(default_factory=dict)
+    unreadable_ends: set[int] = field(default_factory=set)
     unknown_run_by_task: dict[TaskKey, RunningTask] = field(default_factory=dict)
     unknown_since: float | None = None
     # When the worker certainly was alive, and when it last got a start.
@@ -205,9 +207,18 @@
 
     def recordable_number(self) -> int:
         """Return the highest number up to which every run end has been processed."""
-        if not self.deferred_end_by_number:
+        unprocessed = self.deferred_end_by_number.keys() | self.unreadable_ends
+        if not unprocessed:
             return self.handled_number
-        return min(self.deferred_end_by_number) - 1
+        return min(unprocessed) - 1
+
+    def note_unreadable_ends(self, numbers: Iterable[int]) -> None:
+        """Keep ends that can't be read, and those after them, from being acknowledged.
+
+        Nothing is known of the runs that they belong to.
+        """
+        self.unreadable_ends.update(numbers)
+        self.handled_number = max(self.handled_number, *self.unreadable_ends, 0)
 
     def can_start(self, now: float) -> bool:
         """Return whether new runs may start on this worker now."""
