Give the host of a test its layout

A host follows the list of workers only once it knows the layout of the cells; the store of this test can't be reached, so its worker follower never began. The check is as before.

--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -16,6 +16,7 @@
 from berylcleat.host._cell_directory import CellDirectory
 from berylcleat.host._clock import now_s
 from berylcleat.host._follower import TableFollower
+from berylcleat.host._layout_agreement import LAYOUT_KEY
 from berylcleat.host._membership import Coverage, Membership, assign_cells
 from berylcleat.host._peers import TakeoverReply
 from berylcleat.host._process import Host
@@ -37,6 +38,7 @@
 from berylcleat.ports import (
     OrderAnswer,
     OrderResult,
+    RowPage,
     StartOrder,
     StoreRow,
     WorkerReport,
@@ -655,6 +657,12 @@
     return REGISTRY.get_sample_value("beryl_background_failures_total", labels) or 0
 
 
+async def read_layout(*_):
+    """Return the recorded layout: a host follows the workers only once it knows it."""
+    row = StoreRow(CELL_TABLE, "", LAYOUT_KEY, b'{"racks_per_cell":1}', 1)
+    return RowPage((row,), 1)
+
+
 @when('one call of "{call}" of the {loop} of a host fails unexpectedly')
 def step_failing_loop(context, call, loop):
     async def play():
@@ -669,6 +677,7 @@
             called_again.set()
 
         setattr(part, call, fail_once)
+        host.store.read = read_layout
         n_before = count_failures(part.run.__qualname__)
         tasks = host.start_tasks()
         await asyncio.wait([asyncio.ensure_future(called_again.wait())], timeout=3.0)
