Ask a store that refuses for a confirmation ever more rarely

What was seen: while the store refused, an owner with a waiting decision read its owner row ten times a second, in each of its cells, and logged each failure; every call counts against the limit that all hosts share.

Cause: the pause between two reads was the same after a failure.

Change: the pause doubles after each read without an answer, up to 1 s, and is 0.1 s again after an answer. Of consecutive failures the first is logged. The bound of 1 s leaves room in the 3 s in which waiting work has to run.

--- a/programs/beryl-host/features/confirmation.feature
+++ b/programs/beryl-host/features/confirmation.feature
@@ -14,12 +14,20 @@
     When another host acquires it and its owner has a task that waits for a confirmation
     Then the owner has ended
 
-  # Guards against a store that is asked again without a pause.
+  # Guards against a store that is asked again ten times a second while it refuses, as
+  # long as an outage lasts.
   Scenario: The store doesn't answer while a task waits for a confirmation
     Given a cell with recorded workers "w1 w2"
     When the store is down and its owner has a task that waits for a confirmation
     Then the task still waits for it
-    And the owner row was read at most 12 times
+    And the owner row was read at most 4 times
+    And the failed confirmations were logged once
+
+  # Guards against LOST: pauses that grow without bound, or stay long after an outage.
+  Scenario: The store answers again while a task waits for a confirmation
+    Given a cell with recorded workers "w1 w2"
+    When the store refuses 5 reads and its owner has a task that waits for a confirmation
+    Then the task no longer waits for it within 3.0 s of the last of them
 
   # Guards against TWICE: an owner went on until its next look at its cells.
   Scenario: An owner stops to act as soon as it has read another owner's row
--- a/programs/beryl-host/features/steps/confirmation_steps.py
+++ b/programs/beryl-host/features/steps/confirmation_steps.py
@@ -1,9 +1,11 @@
 import asyncio
+import logging
 
 from behave import then, when
 from host_parts import CELL, make_controller
 from ownership_steps import make_live_manager, put_cell_row, reconcile
 
+from berylcleat.host._cell_controller import CellController
 from berylcleat.host._clock import now_s
 from berylcleat.host._order_sender import OrderSender
 from berylcleat.host._records import CELL_TABLE, OWNER_KEY, OwnerRow, encode
@@ -24,9 +26,23 @@
 TASK = TaskKey(SUBMISSION.submission_id, 0, 0, 0)
 
 
-async def wait_for_confirmation(context, before_wait):
-    """Let a task wait for half a second, the store having changed before."""
-    confirmed_at = now_s() - 10.0
+class LogCollector(logging.Handler):
+    """Handler that keeps the messages that contain a text."""
+
+    def __init__(self, text):
+        super().__init__()
+        self.text = text
+        self.messages = []
+
+    def emit(self, record):
+        message = record.getMessage()
+        if self.text in message:
+            self.messages.append(message)
+
+
+async def start_unconfirmed_owner(context, age_s):
+    """Return the controller of an owner whose last confirmation is ``age_s`` old."""
+    confirmed_at = now_s() - age_s
     controller = make_controller(
         context.store,
         OwnerRow(2, "host-1", "aa", 18.0),
@@ -35,20 +51,32 @@
     )
     await controller.start({})
     context.n_reads = 0
-    context.is_store_down = False
+    # Number of reads that the store still refuses.
+    context.n_refusals = 0
     read = context.store.read
 
     async def count_read(table, *key):
         context.n_reads += table == CELL_TABLE
-        if context.is_store_down:
+        if context.n_refusals:
+            context.n_refusals -= 1
             raise PlatformUnavailableError("store down", "Wait")
         return await read(table, *key)
 
     context.store.read = count_read
-    before_wait()
+    return controller
+
+
+def add_waiting_task(controller):
     controller.scheduler.add_submission(
         SUBMISSION, Progress(), now_s(), now_s(), inherited=True
     )
+
+
+async def wait_for_confirmation(context, before_wait):
+    """Let a task wait for 0.8 s, the store having changed before."""
+    controller = await start_unconfirmed_owner(context, 10.0)
+    before_wait()
+    add_waiting_task(controller)
     await asyncio.sleep(0.8)
     context.doubt = controller.scheduler._explain_doubt(TASK, now_s())
     context.is_inactive = controller.is_inactive
@@ -71,9 +99,47 @@
 @when("the store is down and its owner has a task that waits for a confirmation")
 def step_wait_outage(context):
     def stop_store():
-        context.is_store_down = True
+        context.n_refusals = 1000
 
+    controller_logger = logging.getLogger(CellController.__module__)
+    context.collector = LogCollector("ownership not confirmed")
+    level = controller_logger.level
+    controller_logger.setLevel(logging.INFO)
+    controller_logger.addHandler(context.collector)
     context.run(wait_for_confirmation(context, stop_store))
+    controller_logger.removeHandler(context.collector)
+    controller_logger.setLevel(level)
+
+
+@then("the failed confirmations were logged once")
+def step_logged_once(context):
+    assert len(context.collector.messages) == 1, context.collector.messages
+
+
+@when(
+    "the store refuses {n:d} reads and its owner has a task that waits for a "
+    "confirmation"
+)
+def step_failing_reads(context, n):
+    async def wait():
+        controller = await start_unconfirmed_owner(context, 5.0)
+        context.n_refusals = n
+        add_waiting_task(controller)
+        while context.n_refusals:
+            await asyncio.sleep(0.02)
+        failed_at = now_s()
+        while controller.scheduler._explain_doubt(TASK, now_s()):
+            assert now_s() - failed_at < 10.0, "never confirmed"
+            await asyncio.sleep(0.02)
+        context.waited_s = now_s() - failed_at
+        await controller.abandon()
+
+    context.run(wait())
+
+
+@then("the task no longer waits for it within {seconds:f} s of the last of them")
+def step_confirmed_within(context, seconds):
+    assert context.waited_s <= seconds, context.waited_s
 
 
 @then("the task no longer waits for it")
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -52,8 +52,10 @@
 LATE_SUBMISSION_MS = 1500
 # Pause between two requests to a previous owner that hasn't confirmed its stop.
 HANDOVER_RETRY_S = 0.5
-# Minimum time between two reads of the owner row that decisions wait for.
+# Pause after a read of the owner row that decisions wait for. It doubles after each one
+# that the store doesn't answer: refused calls load it, too.
 CONFIRM_PERIOD_S = 0.1
+MAX_CONFIRM_PERIOD_S = 1.0
 Result = TypeVar("Result")
 logger = logging.getLogger(__name__)
 
@@ -411,16 +413,26 @@
         self.scheduler.confirmation.confirmed_at = confirmed_at
 
     async def _confirm_loop(self) -> None:
-        """Read the owner row when decisions wait for a confirmation."""
+        """Read the owner row when decisions wait for a confirmation.
+
+        Of consecutive reads without an answer only the first is logged.
+        """
+        pause_s = CONFIRM_PERIOD_S
         while not self.is_inactive:
             await self._confirmation_needed.wait()
             self._confirmation_needed.clear()
             try:
                 await self._recorder.confirm_ownership()
             except BerylError as error:
-                logger.info("cell %s: ownership not confirmed: %s", self.cell_id, error)
+                if pause_s == CONFIRM_PERIOD_S:
+                    logger.info(
+                        "cell %s: ownership not confirmed: %s", self.cell_id, error
+                    )
+                pause_s = min(2 * pause_s, MAX_CONFIRM_PERIOD_S)
+            else:
+                pause_s = CONFIRM_PERIOD_S
             self._plan_needed.set()
-            await asyncio.sleep(CONFIRM_PERIOD_S)
+            await asyncio.sleep(pause_s)
 
     async def _log_waiting(self) -> None:
         self._waiting_log.update(self.scheduler, now_s())
