Log the first of a host's failures to learn the layout of the cells

What was seen: while the store was away, a host that didn't know the layout yet logged four lines a second.

Cause: each try logged its failure.

Change: of consecutive failures the first is logged, as elsewhere, and counted if it is unexpected. The collector of log messages is shared by two step files.

--- a/programs/beryl-host/features/cell_layout.feature
+++ b/programs/beryl-host/features/cell_layout.feature
@@ -70,3 +70,15 @@
   Scenario: A host waits for a layout that can't be read
     Given a store with a layout that can't be decoded
     Then a host that wants cells of 2 racks waits
+
+  # Guards against a log that fills while the store is away: it had four lines a second.
+  Scenario Outline: A host without a layout logs the first of its failures
+    Given a store whose next 4 reads <fail>
+    When a host that wants cells of 2 racks starts
+    Then it has logged 1 failure
+    And it has cells of 2 racks
+
+    Examples:
+      | fail              |
+      | are refused       |
+      | fail unexpectedly |
--- a/programs/beryl-host/features/steps/cell_layout_steps.py
+++ b/programs/beryl-host/features/steps/cell_layout_steps.py
@@ -1,9 +1,10 @@
 import asyncio
+import logging
 from dataclasses import replace
 
 from behave import given, then, when
 from evacuation_steps import DEMAND, SERVICE, Cells, NoCells, make_cell_load
-from host_parts import make_worker_entry
+from host_parts import LogCollector, make_worker_entry
 
 from berylcleat.host._cell_chooser import CellChooser
 from berylcleat.host._cell_layout import CellLayout
@@ -21,7 +22,13 @@
     check_host_settings,
 )
 from berylcleat.host._worker_list import WorkerList
-from berylcleat.model import QueuePolicy, SettingsError, Step, Submission
+from berylcleat.model import (
+    PlatformUnavailableError,
+    QueuePolicy,
+    SettingsError,
+    Step,
+    Submission,
+)
 from berylcleat.scheduling import InterferenceModel
 from berylcleat.standins import MemoryStore
 
@@ -155,3 +162,40 @@
     except TimeoutError:
         return
     raise AssertionError("the host went on without a layout")
+
+
+ERROR_BY_TEXT = {
+    "are refused": PlatformUnavailableError("store down", "Wait"),
+    "fail unexpectedly": KeyError("unexpected"),
+}
+
+
+@given("a store whose next {n:d} reads {fail}")
+def step_failing_store(context, n, fail):
+    context.store = MemoryStore()
+    read = context.store.read
+    errors = iter([ERROR_BY_TEXT[fail]] * n)
+
+    async def fail_first(*arguments):
+        for error in errors:
+            raise error
+        return await read(*arguments)
+
+    context.store.read = fail_first
+
+
+@when("a host that wants cells of {n:d} racks starts")
+def step_start_host(context, n):
+    with LogCollector(logging.WARNING) as collector:
+        context.layout = context.run(agree_on_layout(context.store, n))
+    context.messages = collector.messages
+
+
+@then("it has logged {n:d} failure")
+def step_failures_logged(context, n):
+    assert len(context.messages) == n, context.messages
+
+
+@then("it has cells of {n:d} racks")
+def step_has_layout(context, n):
+    assert context.layout == CellLayout(n), context.layout
--- a/programs/beryl-host/features/steps/confirmation_steps.py
+++ b/programs/beryl-host/features/steps/confirmation_steps.py
@@ -2,10 +2,9 @@
 import logging
 
 from behave import then, when
-from host_parts import CELL, make_controller
+from host_parts import CELL, LogCollector, make_controller
 from ownership_steps import make_live_manager, put_cell_row, reconcile
 
-from berylcleat.host._cell_controller import CellController
 from berylcleat.host._clock import now_s
 from berylcleat.host._order_sender import OrderSender
 from berylcleat.host._records import CELL_TABLE, OWNER_KEY, OwnerRow, encode
@@ -26,20 +25,6 @@
 TASK = TaskKey(SUBMISSION.submission_id, 0, 0, 0)
 
 
-class LogCollector(logging.Handler):
-    """Handler that keeps the messages that contain a text."""
-
-    def __init__(self, text):
-        super().__init__()
-        self.text = text
-        self.messages = []
-
-    def emit(self, record):
-        message = record.getMessage()
-        if self.text in message:
-            self.messages.append(message)
-
-
 async def start_unconfirmed_owner(context, age_s):
     """Return the controller of an owner whose last confirmation is ``age_s`` old."""
     confirmed_at = now_s() - age_s
@@ -101,19 +86,14 @@
     def stop_store():
         context.n_refusals = 1000
 
-    controller_logger = logging.getLogger(CellController.__module__)
-    context.collector = LogCollector("ownership not confirmed")
-    level = controller_logger.level
-    controller_logger.setLevel(logging.INFO)
-    controller_logger.addHandler(context.collector)
-    context.run(wait_for_confirmation(context, stop_store))
-    controller_logger.removeHandler(context.collector)
-    controller_logger.setLevel(level)
+    with LogCollector(logging.INFO) as collector:
+        context.run(wait_for_confirmation(context, stop_store))
+    context.messages = [m for m in collector.messages if "not confirmed" in m]
 
 
 @then("the failed confirmations were logged once")
 def step_logged_once(context):
-    assert len(context.collector.messages) == 1, context.collector.messages
+    assert len(context.messages) == 1, context.messages
 
 
 @when(
--- a/programs/beryl-host/features/steps/host_parts.py
+++ b/programs/beryl-host/features/steps/host_parts.py
@@ -1,5 +1,7 @@
 """Parts of a host that several step files set up around a store in memory."""
 
+import logging
+
 from berylcleat.host._cell_controller import CellController
 from berylcleat.host._cell_directory import CellDirectory
 from berylcleat.host._cell_ownership import CellOwnershipManager
@@ -22,6 +24,29 @@
 CELL = "r1"
 
 
+class LogCollector(logging.Handler):
+    """Handler that keeps the messages of this project's code while it is entered."""
+
+    def __init__(self, level):
+        super().__init__(level)
+        self.messages = []
+        self._logger = logging.getLogger("berylcleat")
+        self._previous_level = self._logger.level
+
+    def emit(self, record):
+        self.messages.append(record.getMessage())
+
+    def __enter__(self):
+        self._previous_level = self._logger.level
+        self._logger.setLevel(self.level)
+        self._logger.addHandler(self)
+        return self
+
+    def __exit__(self, *_):
+        self._logger.removeHandler(self)
+        self._logger.setLevel(self._previous_level)
+
+
 class IdleMover:
     """Mover of tasks that knows no other cell."""
 
--- a/programs/beryl-host/src/berylcleat/host/_layout_agreement.py
+++ b/programs/beryl-host/src/berylcleat/host/_layout_agreement.py
@@ -34,17 +34,24 @@
 
     With another layout a host would take over workers of cells that have an owner, and
     submissions of cells that no longer exist would never run. So where cells have had
-    owners before a layout was recorded, each rack stays a cell. Waits for the store.
+    owners before a layout was recorded, each rack stays a cell. Waits for the store; of
+    consecutive failures the first is logged.
     """
+    is_failing = False
     while True:
+        layout = None
         try:
             layout = await _read_or_record(store, racks_per_cell)
         except (BerylError, MalformedValueError) as error:
-            logger.warning("layout of the cells not known yet: %s", error)
-            layout = None
+            if not is_failing:
+                logger.warning("layout of the cells not known yet: %s", error)
+            is_failing = True
         except Exception as error:
-            report_failure("agree_on_layout", error)
-            layout = None
+            if not is_failing:
+                report_failure("agree_on_layout", error)
+            is_failing = True
+        else:
+            is_failing = False
         if layout is not None:
             logger.info("cells are formed of %d racks", layout.racks_per_cell)
             return layout
