Never run a cell again under an epoch whose release may still be carried out

A store that answers late could release a cell that runs.

Cause: when the start of a cell failed, its release was written; if that had no answer, the row still named this host, which then started a second controller under the same epoch. The store may carry out the release 1 to 6 s later. The next owner finds a row without owner, asks nobody to stop and waits 6.2 s, while the running one renews leases for up to 12 s on workers that the next one can't reach: two runs of a task at once.

Ruled out: the release of a failed or fenced cell, whose epoch was ended before; a delayed acquisition, which its own condition fences.

Change: a start that fails ends its epoch here, so the host acquires the cell again under the next one, on which the late release no longer applies. A host that acquires its own cell again knows that its earlier controller has stopped and what leases that may have left; before, it waited 18.7 s for itself.

'A release that is carried out late ...' failed before (the row had no owner, the controller ran). With the first change alone 'A host that acquires its own cell again ...' failed with 19 s.

--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -174,6 +174,22 @@
     When a host acquires it and an unexpected error ends its start
     Then the host owns no cell
 
+  # Guards against TWICE: a second controller of the epoch ran the cell when the store
+  # carried out the first one's release; the next owner then asked nobody to stop.
+  Scenario: A release that is carried out late doesn't release a cell that runs
+    Given a cell with recorded workers "w1 w2" that was released
+    When a host acquires it, its start fails and its release has no answer
+    And it looks after its cells again
+    And the store carries out the release
+    Then the host's controller is that of the owner row
+
+  # Guards against LOST: a host waited 18.7 s for runs of its own earlier epoch.
+  Scenario: A host that acquires its own cell again doesn't wait for itself
+    Given a cell with recorded workers "w1 w2" that was released
+    When a host acquires it, its start fails and its release has no answer
+    And it looks after its cells again
+    Then the host waits for runs of earlier owners for 6 to 7 s
+
   # Guards against LOST: a host stayed a live owner without the loop that an error had ended.
   Scenario Outline: A host's <loop> goes on after an unexpected error
     When one call of "<call>" of the <loop> of a host fails unexpectedly
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -34,7 +34,14 @@
 )
 from berylcleat.host._settings import HostSettings
 from berylcleat.host._worker_list import WorkerList
-from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand
+from berylcleat.model import (
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+    QueuePolicy,
+    Step,
+    Submission,
+    TaskDemand,
+)
 from berylcleat.ports import (
     OrderAnswer,
     OrderResult,
@@ -652,6 +659,51 @@
     context.run(acquire())
 
 
+@when("a host acquires it, its start fails and its release has no answer")
+def step_failed_start(context):
+    async def acquire():
+        manager, _ = await make_live_manager(context.store, "dc-1")
+        context.manager = manager
+        open_feed = manager._feeds.submissions.open
+        commit = context.store.commit
+
+        async def fail(cell_id, version):
+            raise PlatformUnavailableError("store down", "Wait")
+
+        async def keep_release(release):
+            context.release = release
+            raise OutcomeUnknownError("store: no answer", "Read it")
+
+        async def commit_acquisition(acquisition):
+            context.store.commit = keep_release
+            return await commit(acquisition)
+
+        context.store.commit = commit_acquisition
+        manager._feeds.submissions.open = fail
+        await reconcile(context)
+        context.store.commit = commit
+        manager._feeds.submissions.open = open_feed
+
+    context.run(acquire())
+
+
+@when("the store carries out the release")
+def step_late_release(context):
+    context.run(context.store.commit(context.release))
+
+
+@then("the host's controller is that of the owner row")
+def step_owner_row(context):
+    controller = context.manager.controller_by_cell[CELL]
+    assert read_row(context, OWNER_KEY, OwnerRow) == controller.owner
+
+
+@then("the host waits for runs of earlier owners for {low:d} to {high:d} s")
+def step_host_waits(context, low, high):
+    context.run(keep_settled_time(context, context.manager))
+    step_waits(context, low, high)
+
+
 def count_failures(task):
     labels = {"task": task}
     return REGISTRY.get_sample_value("beryl_background_failures_total", labels) or 0
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -387,9 +387,14 @@
             await self._give_up(cell_id, controller)
 
     async def _give_up(self, cell_id: str, controller: CellController) -> None:
-        """Release a cell that could not be started."""
+        """Release a cell that could not be started.
+
+        The store may carry out the release late. Its epoch must not be in use then:
+        the next owner would ask nobody to stop.
+        """
         # release_all may have removed and released the controller meanwhile.
-        if self.controller_by_cell.pop(cell_id, None) is not None:
+        if self.controller_by_cell.get(cell_id) is controller:
+            self._end_epoch(cell_id, controller)
             await controller.release()
 
     async def _confirm_stops(
@@ -413,8 +418,9 @@
     ) -> TakeoverReply | None:
         """Return what is known of an earlier owner's leases; None if it may run."""
         if owner.host_id == self._identity.host_id:
-            is_replaced = owner.incarnation != self._identity.incarnation
-            return TakeoverReply() if is_replaced else None
+            if owner.incarnation != self._identity.incarnation:
+                return TakeoverReply()
+            return TakeoverReply(await self.relinquish(cell_id, owner.epoch))
         if self._is_replaced(owner):
             return TakeoverReply()
         if not owner.peer_address:
