Refuse no submission of which a commit may still take effect

What callers saw: none traced to it; found by reading. 503 promises that a submission never runs. A host whose first commit of it had no answer said 504, and then 503 to the client's next request if the store refused by then or no cell was known, while the store could still carry out the first commit.

Cause: only the refusal for load asked whether an earlier commit may take effect, and that was remembered at the 504 only: a request that came while the first one was still being handled was refused as well.

Ruled out: a lost answer within one request, after which only 200 or 504 was answered before. Not mended: a host can't know of a commit that another host sent for the same id; only a store that refuses leads to 503 there.

Change: a submission counts as uncertain from before its commit is sent until its outcome is known, and every refusal asks. The answer is then 504, at once.

--- a/programs/beryl-host/features/admission.feature
+++ b/programs/beryl-host/features/admission.feature
@@ -43,6 +43,33 @@
     When the cell becomes overloaded and the submission arrives again
     Then it is answered 200
 
+  # Guards against a 503, which promises that a submission never runs, while a commit of
+  # an earlier request may still take effect.
+  Scenario Outline: After a commit without an outcome a submission isn't refused if <what>
+    Given a host that knows a cell with capacity
+    When a submission arrives while commits have no outcome
+    Then it is answered 504
+    When <what> and the submission arrives again
+    Then it is answered 504 after at most 1 commit
+
+    Examples:
+      | what                      |
+      | the store refuses         |
+      | no cell is known any more |
+
+  # Guards against the same while the first request hasn't been answered yet.
+  Scenario: A submission isn't refused while an earlier request for it is handled
+    Given a host that knows a cell with capacity
+    When a submission arrives twice and the store leaves the first commit unanswered
+    Then neither request is answered 503
+
+  # Guards against a host that never refuses: what the store refused has not run.
+  Scenario: A submission that the store refused before is refused again
+    Given a host that knows a cell with capacity
+    When a submission arrives while the store is unavailable
+    And the store refuses and the submission arrives again
+    Then it is answered 503 with a Retry-After of 1 s
+
   Scenario: Rows of hosts that don't know of admission are read
     When a load and an accepted submission of such a host are read
     Then the load has no backlog and the submission no data centre of arrival
--- a/programs/beryl-host/features/steps/admission_steps.py
+++ b/programs/beryl-host/features/steps/admission_steps.py
@@ -1,10 +1,13 @@
+import asyncio
 import time
 from dataclasses import replace
 from types import SimpleNamespace
+from unittest.mock import patch
 
 import msgspec
 from behave import given, then, when
 
+import berylcleat.host._client_api as client_api
 from berylcleat.host._cell_chooser import CellChooser
 from berylcleat.host._cell_directory import CellDirectory
 from berylcleat.host._client_api import ClientApi
@@ -50,10 +53,11 @@
 
 
 class UnreliableStore(MemoryStore):
-    """Store that can be made to fail; it then counts what it was asked for."""
+    """Store that can be made to fail; it counts the commits that it was asked for."""
 
     read_error = None
     commit_error = None
+    n_commits = 0
 
     async def read(self, *arguments, **options):
         if self.read_error is not None:
@@ -61,6 +65,7 @@
         return await super().read(*arguments, **options)
 
     async def commit(self, commit):
+        self.n_commits += 1
         if self.commit_error is not None:
             raise self.commit_error
         return await super().commit(commit)
@@ -127,19 +132,18 @@
 
 
 def send(context):
-    """Let the submission arrive, as decoded from a request with 0.5 s left."""
-    import berylcleat.host._client_api as client_api
+    """Let the submission arrive."""
+    context.response = context.run(submit(context))
 
-    decode = client_api.decode_submission
-    client_api.decode_submission = lambda *_: make_submission()
+
+async def submit(context):
+    """Return the response to the submission, decoded from a request with 0.3 s left."""
     ingress = SimpleNamespace(
         submission_id=SUBMISSION_ID, queue=SimpleNamespace(policy=None)
     )
     deadline = time.clock_gettime(time.CLOCK_BOOTTIME) + 0.3
-    try:
-        context.response = context.run(context.api._submit(ingress, b"", deadline))
-    finally:
-        client_api.decode_submission = decode
+    with patch.object(client_api, "decode_submission", lambda *_: make_submission()):
+        return await context.api._submit(ingress, b"", deadline)
 
 
 @given("a host that knows an overloaded cell")
@@ -190,6 +194,59 @@
     send(context)
 
 
+@when("the store refuses and the submission arrives again")
+def step_refused_again(context):
+    context.memory.commit_error = PlatformUnavailableError("store: refused", "Wait")
+    context.memory.n_commits = 0
+    send(context)
+
+
+@when("no cell is known any more and the submission arrives again")
+def step_no_cell(context):
+    context.cells.owner_by_cell.clear()
+    context.memory.n_commits = 0
+    send(context)
+
+
+@then("it is answered {status:d} after at most {n:d} commit")
+def step_status_after(context, status, n):
+    assert context.response.status == status, context.response
+    assert context.memory.n_commits <= n, context.memory.n_commits
+
+
+@when("a submission arrives twice and the store leaves the first commit unanswered")
+def step_twice(context):
+    errors = [
+        OutcomeUnknownError("no answer", "Read it"),
+        PlatformUnavailableError("store: refused", "Wait"),
+    ]
+    commit_started = asyncio.Event()
+
+    async def commit(_):
+        # The first commit is still waiting when the second one is refused.
+        if len(errors) == 2:
+            error = errors.pop(0)
+            commit_started.set()
+            await asyncio.sleep(0.05)
+            raise error
+        raise errors[0]
+
+    context.memory.commit = commit
+
+    async def send_twice():
+        first = asyncio.create_task(submit(context))
+        await commit_started.wait()
+        second = await submit(context)
+        return (await first).status, second.status
+
+    context.statuses = context.run(send_twice())
+
+
+@then("neither request is answered {status:d}")
+def step_neither(context, status):
+    assert status not in context.statuses, context.statuses
+
+
 @when("its load becomes older than 5 s")
 def step_old(context):
     version, received_at = context.cells._receipt_by_cell[CELL]
--- a/programs/beryl-host/src/berylcleat/host/_client_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_client_api.py
@@ -149,17 +149,16 @@
                 self._chooser.explain_refusal(),
             )
             REFUSALS.labels(submission.queue.name, "no-cell").inc()
-            return make_response(503)
+            return make_response(self._refusal_status(submission_id))
         _observe_estimate(submission, decision)
         if isinstance(decision, Refuse):
-            if self._known_home(submission_id) is not None:
-                return make_response(200)
+            status = self._refusal_status(submission_id)
+            if status != 503:
+                return make_response(status)
             return _refuse_for_load(submission, decision)
         cell_id = decision.cell_id
         accepted = AcceptedRow(cell_id, int(wall_ms()), submission, self._data_centre)
         status = await self._store_accepted(accepted, deadline)
-        if status == 504:
-            self._remember_uncertain(submission_id)
         if status == 503:
             self._chooser.withdraw(submission_id)
             REFUSALS.labels(submission.queue.name, "store").inc()
@@ -201,6 +200,16 @@
             return self._chooser.decide(submission, may_refuse=False)
         return decision
 
+    def _refusal_status(self, submission_id: str) -> int:
+        """Return the status for a submission that isn't stored now.
+
+        503 promises that it never runs, so it isn't the answer if a commit of an
+        earlier request may still take effect.
+        """
+        if self._known_home(submission_id) is not None:
+            return 200
+        return 504 if submission_id in self._uncertain_ids else 503
+
     def _remember_uncertain(self, submission_id: str) -> None:
         self._uncertain_ids[submission_id] = None
         while len(self._uncertain_ids) > MAX_UNCERTAIN_IDS:
@@ -210,9 +219,12 @@
         """Store an accepted submission; return the status for the client.
 
         A commit without an answer may still take effect, so after one the client is
-        never told that the submission was refused: it gets 504 at the deadline.
+        never told that the submission was refused: it gets 504 at the deadline, or at
+        once if the store refuses a later request.
         """
         submission_id = accepted.submission.submission_id
+        was_uncertain = submission_id in self._uncertain_ids
+        self._remember_uncertain(submission_id)
         is_outcome_unknown = False
         while True:
             try:
@@ -220,13 +232,16 @@
             except PlatformUnavailableError as error:
                 if not is_outcome_unknown:
                     logger.info("submission %s: refused: %s", submission_id, error)
-                    return 503
+                    if not was_uncertain:
+                        self._uncertain_ids.pop(submission_id, None)
+                    return self._refusal_status(submission_id)
             except OutcomeUnknownError as error:
                 logger.info(
                     "submission %s: commit outcome unknown: %s", submission_id, error
                 )
                 is_outcome_unknown = True
             else:
+                self._uncertain_ids.pop(submission_id, None)
                 if outcome.applied:
                     self._on_accepted(accepted)
                 return 200
