Answer no cancellation with 410 while its submission may still be stored

What callers saw: none traced to it; found by reading. A client whose request to submit got 504 and that cancels then got 410 (nothing of that id exists); the store could carry out the commit seconds later, and the tasks ran.

Cause: 410 followed from a read of the store alone, though the host knew of a commit of its own without an answer.

Ruled out: cancellations of submissions that were accepted. They are stored, and the read is linearizable. Not mended: a commit that another host sent.

Change: for 10 s after its last commit without an answer a submission that isn't stored is answered 504 when it is cancelled; the client sends that again.

--- a/programs/beryl-host/features/admission.feature
+++ b/programs/beryl-host/features/admission.feature
@@ -63,6 +63,18 @@
     When a submission arrives twice and the store leaves the first commit unanswered
     Then neither request is answered 503
 
+  # Guards against UNASKED: a submission that starts after its cancellation was answered.
+  Scenario Outline: Cancelled <when> a commit without an outcome it is answered <status>
+    Given a host that knows a cell with capacity
+    When a submission arrives while commits have no outcome
+    And it is cancelled <when> that
+    Then it is answered <status>
+
+    Examples:
+      | when        | status |
+      | right after | 504    |
+      | 10 s after  | 410    |
+
   # Guards against a host that never refuses: what the store refused has not run.
   Scenario: A submission that the store refused before is refused again
     Given a host that knows a cell with capacity
--- a/programs/beryl-host/features/steps/admission_steps.py
+++ b/programs/beryl-host/features/steps/admission_steps.py
@@ -1,5 +1,4 @@
 import asyncio
-import time
 from dataclasses import replace
 from types import SimpleNamespace
 from unittest.mock import patch
@@ -11,6 +10,7 @@
 from berylcleat.host._cell_chooser import CellChooser
 from berylcleat.host._cell_directory import CellDirectory
 from berylcleat.host._client_api import ClientApi
+from berylcleat.host._clock import now_s
 from berylcleat.host._operator_state import OperatorState
 from berylcleat.host._records import (
     CELL_TABLE,
@@ -141,7 +141,7 @@
     ingress = SimpleNamespace(
         submission_id=SUBMISSION_ID, queue=SimpleNamespace(policy=None)
     )
-    deadline = time.clock_gettime(time.CLOCK_BOOTTIME) + 0.3
+    deadline = now_s() + 0.3
     with patch.object(client_api, "decode_submission", lambda *_: make_submission()):
         return await context.api._submit(ingress, b"", deadline)
 
@@ -242,6 +242,15 @@
     context.statuses = context.run(send_twice())
 
 
+@when("it is cancelled {when} that")
+def step_cancelled(context, when):
+    if when == "10 s after":
+        since = context.api._uncertain_since_by_id[SUBMISSION_ID]
+        context.api._uncertain_since_by_id[SUBMISSION_ID] = since - 10.0
+    deadline = now_s() + 1.0
+    context.response = context.run(context.api._cancel(SUBMISSION_ID, deadline))
+
+
 @then("neither request is answered {status:d}")
 def step_neither(context, status):
     assert status not in context.statuses, context.statuses
--- a/programs/beryl-host/src/berylcleat/host/_client_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_client_api.py
@@ -48,6 +48,8 @@
 REFUSAL_CHECK_S = 0.5
 # Submissions with an unknown outcome that a host remembers so as not to refuse them.
 MAX_UNCERTAIN_IDS = 10_000
+# Time within which the store may still carry out a commit that it hasn't answered.
+MAX_COMMIT_DELAY_S = 10.0
 logger = logging.getLogger(__name__)
 
 
@@ -105,8 +107,9 @@
         self._chooser = chooser
         self._peers = peers
         self._data_centre = data_centre
-        # Submissions of which a commit may still take effect, oldest first.
-        self._uncertain_ids: OrderedDict[str, None] = OrderedDict()
+        # Submissions of which a commit without an answer may have taken effect, or may
+        # still do so, oldest first, and when the newest one was given up.
+        self._uncertain_since_by_id: OrderedDict[str, float] = OrderedDict()
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one client request."""
@@ -184,7 +187,7 @@
         store can't tell, the submission is admitted and its commit decides.
         """
         submission_id = submission.submission_id
-        may_refuse = submission_id not in self._uncertain_ids
+        may_refuse = submission_id not in self._uncertain_since_by_id
         decision = self._chooser.decide(submission, may_refuse=may_refuse)
         if not isinstance(decision, Refuse):
             return decision
@@ -208,12 +211,18 @@
         """
         if self._known_home(submission_id) is not None:
             return 200
-        return 504 if submission_id in self._uncertain_ids else 503
+        return 504 if submission_id in self._uncertain_since_by_id else 503
 
     def _remember_uncertain(self, submission_id: str) -> None:
-        self._uncertain_ids[submission_id] = None
-        while len(self._uncertain_ids) > MAX_UNCERTAIN_IDS:
-            self._uncertain_ids.popitem(last=False)
+        self._uncertain_since_by_id[submission_id] = now_s()
+        self._uncertain_since_by_id.move_to_end(submission_id)
+        while len(self._uncertain_since_by_id) > MAX_UNCERTAIN_IDS:
+            self._uncertain_since_by_id.popitem(last=False)
+
+    def _may_be_stored_later(self, submission_id: str) -> bool:
+        """Return whether an unanswered commit may still store a submission."""
+        since = self._uncertain_since_by_id.get(submission_id, float("-inf"))
+        return now_s() - since < MAX_COMMIT_DELAY_S
 
     async def _store_accepted(self, accepted: AcceptedRow, deadline: float) -> int:
         """Store an accepted submission; return the status for the client.
@@ -223,7 +232,7 @@
         once if the store refuses a later request.
         """
         submission_id = accepted.submission.submission_id
-        was_uncertain = submission_id in self._uncertain_ids
+        was_uncertain = submission_id in self._uncertain_since_by_id
         self._remember_uncertain(submission_id)
         is_outcome_unknown = False
         while True:
@@ -233,15 +242,16 @@
                 if not is_outcome_unknown:
                     logger.info("submission %s: refused: %s", submission_id, error)
                     if not was_uncertain:
-                        self._uncertain_ids.pop(submission_id, None)
+                        self._uncertain_since_by_id.pop(submission_id, None)
                     return self._refusal_status(submission_id)
             except OutcomeUnknownError as error:
                 logger.info(
                     "submission %s: commit outcome unknown: %s", submission_id, error
                 )
                 is_outcome_unknown = True
+                self._remember_uncertain(submission_id)
             else:
-                self._uncertain_ids.pop(submission_id, None)
+                self._uncertain_since_by_id.pop(submission_id, None)
                 if outcome.applied:
                     self._on_accepted(accepted)
                 return 200
@@ -337,7 +347,9 @@
         try:
             cell_id = await self._find_home(submission_id)
             if cell_id is None:
-                return make_response(410)
+                # 410 promises that nothing runs from now on.
+                may_run = self._may_be_stored_later(submission_id)
+                return make_response(504 if may_run else 410)
             entry = await self._store_cancel(submission_id, cell_id, deadline)
         except PlatformUnavailableError as error:
             logger.info("submission %s: cancellation refused: %s", submission_id, error)
