Start a cell with the workers listed when its state has been read

What callers saw: none traced to it; found by reading.

Cause: the workers of a cell were taken from the list before its recorded state was read. What changed during the reads, such as a worker that begins to drain, reached the cell with the next change of any worker only: 0.7 s later while the feed works, and not at all during an outage of the feed.

Ruled out: submissions, moves, evacuations and waves, which are read after it.

Change: the list is applied again before the first loop of the cell runs.

--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -174,6 +174,13 @@
     When a host acquires it and an unexpected error ends its start
     Then the host owns no cell
 
+  # Guards against DRAIN: a change of the workers while the state of a cell was read was
+  # passed to the cell with the next change only.
+  Scenario: A worker begins to drain while its cell is being started
+    Given a cell with recorded workers "w1 w2" that was released
+    When a host acquires it and "w1" begins to drain while the progress is read
+    Then the cell knows that "w1" is draining
+
   # Guards against TWICE: a second controller of the epoch ran the cell when the store
   # carried out the first one's release; the next owner then asked nobody to stop.
   Scenario: A release that is carried out late doesn't release a cell that runs
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -659,6 +659,35 @@
     context.run(acquire())
 
 
+@when('a host acquires it and "{name}" begins to drain while the progress is read')
+def step_drain_at_start(context, name):
+    async def acquire():
+        manager, _ = await make_live_manager(context.store, "dc-1")
+        workers = manager._workers
+        workers.by_id[name] = make_worker_entry(name)
+        read = context.store.read
+
+        async def drain_meanwhile(table, *key):
+            page = await read(table, *key)
+            if table == PROGRESS_TABLE:
+                workers.by_id[name] = replace(workers.by_id[name], is_draining=True)
+                workers.on_rows(())
+            return page
+
+        context.store.read = drain_meanwhile
+        await manager._acquire(CELL)
+        scheduler = manager.controller_by_cell[CELL].scheduler
+        context.entry = scheduler.worker_by_id[name].entry
+        await manager.release_all()
+
+    context.run(acquire())
+
+
+@then('the cell knows that "{name}" is draining')
+def step_knows_draining(context, name):
+    assert context.entry.is_draining, context.entry
+
+
 @when("a host acquires it, its start fails and its release has no answer")
 def step_failed_start(context):
     async def acquire():
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -377,6 +377,8 @@
             await self._feeds.workers.catch_up()
             await self._feeds.submissions.open(cell_id, version)
             await controller.start(self._workers.in_cell(cell_id))
+            # The list may have changed while the recorded state was read.
+            controller.update_workers(self._workers.in_cell(cell_id))
             controller.complete_handover(reply, confirm_stop, unsettled_until)
         except BerylError as error:
             logger.warning("cell %s: could not start: %s", cell_id, error)
