Acquire no cell that got an owner while another one was acquired

What callers saw: none traced to it; found by reading. The tasks of a cell wait while its ownership passes on.

Cause: a host chose its cells once and then acquired them one after the other, each for as long as the store, the earlier owners and the reads take. The acquisition is conditional on the newest row known by then, not on the row of the choice, so a cell that a live host had acquired meanwhile was taken from it.

Ruled out: a second owner beside it. The row of the live owner is replaced under its version, and that owner is asked to stop.

Change: a cell whose owner row has changed since the choice is left for the next round. So is one of a commit without an answer.

--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -181,6 +181,13 @@
     When a host acquires it and "w1" begins to drain while the progress is read
     Then the cell knows that "w1" is draining
 
+  # Guards against LOST: a cell whose live owner had just acquired it was taken from that
+  # owner, since the choice was made before another cell was acquired.
+  Scenario: A cell that gets an owner while another one is acquired is left to it
+    Given two cells without an owner
+    When a host acquires the first while another live host acquires the second
+    Then the second cell has that owner
+
   # Guards against TWICE: a second controller of the epoch ran the cell when the store
   # carried out the first one's release; the next owner then asked nobody to stop.
   Scenario: A release that is carried out late doesn't release a cell that runs
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -111,7 +111,11 @@
 
 
 async def read_owner(store, cells):
-    page = await store.read(CELL_TABLE, CELL)
+    await read_owners_of(store, cells, CELL)
+
+
+async def read_owners_of(store, cells, cell_id):
+    page = await store.read(CELL_TABLE, cell_id)
     cells.on_owner_rows(page.rows)
 
 
@@ -659,6 +663,44 @@
     context.run(acquire())
 
 
+@given("two cells without an owner")
+def step_two_cells(context):
+    step_unowned_cell(context, "w1", "released")
+    row = encode(OwnerRow(2, "", ""))
+    context.store.put(CELL_TABLE, "r2", OWNER_KEY, row)
+
+
+@when("a host acquires the first while another live host acquires the second")
+def step_acquire_beside_other(context):
+    async def acquire():
+        manager, cells = await make_live_manager(context.store, "dc-1")
+        manager._workers.data_centre_by_cell()["r2"] = "dc-1"
+        await read_owners_of(context.store, cells, "r2")
+        context.other = OwnerRow(3, "host-2", "cc", data_centre="dc-1")
+        heartbeat = encode(HostRow("cc", "127.0.0.1:9", 0.1))
+
+        async def acquire_second():
+            context.store.before_commit = None
+            context.store.put(CELL_TABLE, "r2", OWNER_KEY, encode(context.other))
+            await read_owners_of(context.store, cells, "r2")
+            row = StoreRow("centre-dc", "dc", "host/host-2", heartbeat, 2)
+            manager._membership.on_host_rows((row,))
+
+        context.store.before_commit = acquire_second
+        context.manager = manager
+        await reconcile(context)
+        assert list(manager.controller_by_cell) == [CELL], manager.controller_by_cell
+        await manager.release_all()
+
+    context.run(acquire())
+
+
+@then("the second cell has that owner")
+def step_second_owner(context):
+    row = context.store.rows_by_key(CELL_TABLE, "r2")[OWNER_KEY]
+    assert msgspec.json.decode(row.value, type=OwnerRow) == context.other
+
+
 @when('a host acquires it and "{name}" begins to drain while the progress is read')
 def step_drain_at_start(context, name):
     async def acquire():
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -134,6 +134,7 @@
             return
         await self._start_unacknowledged()
         now = now_s()
+        observed_by_cell = dict(self._cells.owner_by_cell)
         assigned = {
             cell_id
             for cell_id, host_id in self._assignments(local, remote).items()
@@ -143,6 +144,9 @@
         for cell_id in self._eligible_since_by_cell.keys() - assigned:
             del self._eligible_since_by_cell[cell_id]
         for cell_id in sorted(assigned - self.controller_by_cell.keys()):
+            if self._has_changed(cell_id, observed_by_cell.get(cell_id)):
+                # Acquired by another host while this one acquired another cell.
+                continue
             data_centre = self._workers.data_centre_by_cell()[cell_id]
             failed_at = self._failed_at_by_cell.get(cell_id, float("-inf"))
             if now - failed_at < FAILED_CELL_DELAY_S:
@@ -165,6 +169,7 @@
             )
             if (
                 is_ours
+                and not self._has_changed(cell_id, owner)
                 and not self._has_relinquished(cell_id, row)
                 and cell_id not in self.controller_by_cell
             ):
@@ -175,6 +180,10 @@
                 )
                 await self._start_controller(cell_id, row, owner.version, owner)
 
+    def _has_changed(self, cell_id: str, observed: ObservedOwner | None) -> bool:
+        """Return whether a newer owner row than the observed one is known."""
+        return self._cells.owner_by_cell.get(cell_id) is not observed
+
     def _remote_takeover_delay_s(self, cell_id: str) -> float:
         owner = self._cells.owner_by_cell.get(cell_id)
         was_released = owner is not None and not owner.row.host_id
