Acquire cells only once this incarnation's heartbeat is read

What callers saw: none traced to it; found by reading. An owner was taken for stopped while it ran, so that the next one waited 6.2 s for its runs instead of asking it to stop.

Cause: a host counted as live by its id. After a restart within 3 s it acquired cells on the strength of the heartbeat of its earlier incarnation, before its own was written. The store may carry out a heartbeat of the earlier incarnation after that: it is then newer than the owner row and names another incarnation, which hosts read as a restart of the owner.

Ruled out: a late heartbeat once this incarnation's own is written, which replaces the version that the late one expects.

Change: a host acquires cells only while its last known heartbeat is that of its present incarnation. Cells of its earlier one weren't acquired before that in any case.

--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -188,6 +188,18 @@
     When a host acquires the first while another live host acquires the second
     Then the second cell has that owner
 
+  # Guards against TWICE: a heartbeat of its earlier incarnation that the store carried out
+  # after the acquisition made hosts take the new owner for stopped.
+  Scenario Outline: A restarted host acquires <what> after the heartbeat of its <incarnation> one
+    Given a cell with recorded workers "w1 w2" that was released
+    When a restarted host knows the heartbeat of its <incarnation> incarnation
+    Then it acquires <what>
+
+    Examples:
+      | incarnation | what     |
+      | earlier     | no cell  |
+      | present     | the cell |
+
   # Guards against TWICE: a second controller of the epoch ran the cell when the store
   # carried out the first one's release; the next owner then asked nobody to stop.
   Scenario: A release that is carried out late doesn't release a cell that runs
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -249,15 +249,18 @@
     put_cell_row(context, OWNER_KEY, encode(owner))
 
 
-async def make_live_manager(store, data_centre, incarnation="bb"):
-    """Return the ownership manager and the cells of the only live host."""
+async def make_live_manager(store, data_centre, incarnation="bb", heartbeat=None):
+    """Return the ownership manager and the cells of the only live host.
+
+    Its last known heartbeat is that of its present incarnation by default.
+    """
     membership = Membership()
     cells = CellDirectory(data_centre)
     await read_owner(store, cells)
     # The owner acquired the cell long ago.
     observed = cells.owner_by_cell[CELL]
     cells.owner_by_cell[CELL] = replace(observed, observed_at=now_s() - 10.0)
-    host = encode(HostRow(incarnation, "127.0.0.1:9", 1.0))
+    host = encode(HostRow(heartbeat or incarnation, "127.0.0.1:9", 1.0))
     membership.on_host_rows((StoreRow("centre-dc", "dc", "host/host-1", host, 1),))
     workers = WorkerList()
     workers.data_centre_by_cell()[CELL] = "dc-1"
@@ -663,6 +666,26 @@
     context.run(acquire())
 
 
+@when("a restarted host knows the heartbeat of its {incarnation} incarnation")
+def step_known_heartbeat(context, incarnation):
+    async def restart():
+        heartbeat = "aa" if incarnation == "earlier" else "bb"
+        manager, _ = await make_live_manager(
+            context.store, "dc-1", "bb", heartbeat=heartbeat
+        )
+        context.manager = manager
+        await reconcile(context)
+        context.n_acquired = len(manager.controller_by_cell)
+        await manager.release_all()
+
+    context.run(restart())
+
+
+@then("it acquires {what}")
+def step_acquires(context, what):
+    assert context.n_acquired == (what == "the cell"), context.n_acquired
+
+
 @given("two cells without an owner")
 def step_two_cells(context):
     step_unowned_cell(context, "w1", "released")
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -207,7 +207,15 @@
         return summaries
 
     def _assignments(self, local: Coverage, remote: Coverage) -> dict[str, str]:
-        """Return the host of this data centre for each cell that needs an owner."""
+        """Return the host of this data centre for each cell that needs an owner.
+
+        None before the heartbeat of this incarnation is read: from then on one of the
+        earlier incarnation can't be written any more, so that none is newer than the
+        owner rows of this one.
+        """
+        identity = self._identity
+        if not self._membership.is_live(identity.host_id, identity.incarnation, local):
+            return {}
         live_hosts = self._membership.live_hosts(local)
         live_owner_by_cell = {
             cell_id: owner.row.host_id
