Release a cell also after a record whose answer was lost

What callers saw: none traced to it; found by reading. A cell of a host that had left stayed its own for the others: they waited for its heartbeat to end, and then up to 18.7 s for an owner that nobody could ask any more.

Cause: a host that leaves cancels its record loop, so a record that is under way has no answer. The release is conditional on the versions of the progress rows as well; if the record had been carried out, the release conflicted. It wasn't tried again, and the log said 'released' all the same.

Ruled out: a release over the next owner's row; its owner condition fences that (second scenario, passes before and after).

Change: the recorder takes over the versions from the conflict and writes the release again, three times at most; the log says 'released' if it was.

--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -174,6 +174,20 @@
     When a host acquires it and an unexpected error ends its start
     Then the host owns no cell
 
+  # Guards against LOST: the cell stayed that of a host that had left, and its next owner
+  # waited for it. A host that leaves during a record doesn't get the answer.
+  Scenario: A cell is released although the answer to its last record was lost
+    Given a cell with recorded workers "w1 w2"
+    When its owner records a done task without an answer and then releases the cell
+    Then the cell was released
+    And the done task is recorded
+
+  # Guards against a released row that replaces that of the next owner.
+  Scenario: A cell that another host has acquired isn't released
+    Given a cell with recorded workers "w1 w2"
+    When another host acquires it and its owner then releases the cell
+    Then the cell is that of the other host
+
   # Guards against DRAIN: a change of the workers while the state of a cell was read was
   # passed to the cell with the next change only.
   Scenario: A worker begins to drain while its cell is being started
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -41,6 +41,7 @@
     Step,
     Submission,
     TaskDemand,
+    TaskKey,
 )
 from berylcleat.ports import (
     OrderAnswer,
@@ -59,10 +60,18 @@
     Progress,
     ProgressWrite,
     RecordBatch,
+    decode_progress,
 )
 from berylcleat.standins import MemoryStore
 
 HOST_SETTINGS = HostSettings("host-1", "dc-1", *["127.0.0.1:9"] * 5)
+SUBMISSION = Submission(
+    "a" * 16,
+    QueuePolicy("q", "cardhouse"),
+    "s",
+    (Step(1, TaskDemand(1000, 1000)),),
+)
+TASK = TaskKey(SUBMISSION.submission_id, 0, 0, 0)
 TABLE_BY_KEY = {OWNER_KEY: CELL_TABLE, WORKERS_KEY: RECORDED_WORKER_TABLE}
 
 
@@ -409,9 +418,7 @@
     scheduler = context.scheduler
     scheduler.list_worker(make_worker_entry(name), 1.0)
     scheduler.on_report(name, WorkerReport(1000, 1, (), ()), 1.0, 1.0)
-    step = Step(1, TaskDemand(1000, 1000))
-    submission = Submission("a" * 16, QueuePolicy("q", "cardhouse"), "s", (step,))
-    scheduler.add_submission(submission, Progress(), 1.0, 1.0, inherited=False)
+    scheduler.add_submission(SUBMISSION, Progress(), 1.0, 1.0, inherited=False)
 
 
 @when('"{name}" drained and the owner\'s process ends')
@@ -666,6 +673,51 @@
     context.run(acquire())
 
 
+@when("its owner records a done task without an answer and then releases the cell")
+def step_release_after_lost_answer(context):
+    async def release():
+        controller = make_owner(context, 0.0)
+        await controller.start({})
+        scheduler = controller.scheduler
+        scheduler.add_submission(SUBMISSION, Progress(), 0.0, 0.0, inherited=False)
+        scheduler.submissions.by_id[SUBMISSION.submission_id].add_done(TASK)
+        context.store.n_lost_answers = 1
+        try:
+            await controller._recorder.commit(scheduler, scheduler.take_batch())
+        except OutcomeUnknownError:
+            await controller.release()
+
+    context.run(release())
+
+
+@when("another host acquires it and its owner then releases the cell")
+def step_release_lost(context):
+    async def release():
+        controller = make_owner(context, 0.0)
+        await controller.start({})
+        put_cell_row(context, OWNER_KEY, encode(OwnerRow(3, "host-2", "aa")))
+        await controller.release()
+
+    context.run(release())
+
+
+@then("the cell was released")
+def step_was_released(context):
+    assert not read_row(context, OWNER_KEY, OwnerRow).host_id
+
+
+@then("the cell is that of the other host")
+def step_other_host(context):
+    assert read_row(context, OWNER_KEY, OwnerRow).host_id == "host-2"
+
+
+@then("the done task is recorded")
+def step_done_recorded(context):
+    submission_id = SUBMISSION.submission_id
+    row = context.store.rows_by_key(PROGRESS_TABLE, CELL)[submission_id]
+    assert decode_progress(submission_id, row.value).is_done(TASK)
+
+
 @when("a restarted host knows the heartbeat of its {incarnation} incarnation")
 def step_known_heartbeat(context, incarnation):
     async def restart():
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -287,8 +287,8 @@
         if self.scheduler is not None and not self.has_failed:
             batch = self.scheduler.take_batch()
         try:
-            await self._recorder.commit(self.scheduler, batch, (write,))
-            logger.info("cell %s: released", self.cell_id)
+            if await self._recorder.release(batch, write):
+                logger.info("cell %s: released", self.cell_id)
         except BerylError as error:
             logger.warning(
                 "cell %s: could not record the release: %s", self.cell_id, error
--- a/programs/beryl-host/src/berylcleat/host/_recorder.py
+++ b/programs/beryl-host/src/berylcleat/host/_recorder.py
@@ -20,7 +20,13 @@
     StoreRow,
     WorkerEntry,
 )
-from berylcleat.scheduling import CellScheduler, Progress, RecordBatch, decode_progress
+from berylcleat.scheduling import (
+    CellScheduler,
+    Progress,
+    ProgressWrite,
+    RecordBatch,
+    decode_progress,
+)
 
 from ._clock import now_s
 from ._records import (
@@ -35,6 +41,7 @@
 
 # The store accepts at most 100 entries, conditions and writes, per transaction.
 MAX_TRANSACTION_ENTRIES = 100
+MAX_RELEASE_ATTEMPTS = 3
 logger = logging.getLogger(__name__)
 # Stands for recorded workers that can't be decoded. It never reports, so that inherited
 # tasks wait until all leases of earlier owners have expired.
@@ -61,6 +68,14 @@
 _entry_decoder = msgspec.json.Decoder(WorkerEntry)
 
 
+def _first_chunk(
+    batch: RecordBatch, extra_writes: tuple[RowWrite, ...]
+) -> tuple[ProgressWrite, ...]:
+    """Return the writes of a batch that fit into one transaction beside others."""
+    # The owner condition is one entry; each row takes two, a condition and a write.
+    return batch.writes[: (MAX_TRANSACTION_ENTRIES - 1 - len(extra_writes)) // 2]
+
+
 class ProgressRecorder:
     """Writer of one cell's rows, as long as its owner row has not changed.
 
@@ -174,18 +189,40 @@
         )
         return True
 
-    async def commit(
-        self,
-        scheduler: CellScheduler | None,
-        batch: RecordBatch,
-        extra_writes: tuple[RowWrite, ...] = (),
-    ) -> bool:
+    async def commit(self, scheduler: CellScheduler | None, batch: RecordBatch) -> bool:
         """Commit as much of a batch as one transaction holds.
 
         Returns whether the whole batch is durable.
         """
-        # The owner condition is one entry; each row takes two, a condition and a write.
-        chunk = batch.writes[: (MAX_TRANSACTION_ENTRIES - 1 - len(extra_writes)) // 2]
+        chunk = _first_chunk(batch, ())
+        if not await self._commit_chunk(chunk):
+            return False
+        is_complete = len(chunk) == len(batch.writes)
+        acks = batch.ack_by_worker if is_complete else {}
+        if scheduler is not None:
+            scheduler.on_recorded(RecordBatch(chunk, acks))
+        return is_complete
+
+    async def release(self, batch: RecordBatch, owner_write: RowWrite) -> bool:
+        """Replace the owner row, and record as much of a batch as fits with it.
+
+        Returns whether the row was replaced. Progress may conflict with an earlier
+        commit of this recorder whose answer was lost; the next try takes it over.
+        """
+        chunk = _first_chunk(batch, (owner_write,))
+        for _ in range(MAX_RELEASE_ATTEMPTS):
+            if await self._commit_chunk(chunk, (owner_write,)):
+                return True
+            if self.has_lost_ownership:
+                break
+        return False
+
+    async def _commit_chunk(
+        self,
+        chunk: tuple[ProgressWrite, ...],
+        extra_writes: tuple[RowWrite, ...] = (),
+    ) -> bool:
+        """Commit writes in one transaction; return whether they are durable."""
         conditions = [self._owner_condition]
         writes = list(extra_writes)
         for write in chunk:
@@ -201,11 +238,7 @@
         self._on_confirmed(requested_at)
         for write in chunk:
             self._version_by_id[write.submission_id] = outcome.version
-        is_complete = len(chunk) == len(batch.writes)
-        acks = batch.ack_by_worker if is_complete else {}
-        if scheduler is not None:
-            scheduler.on_recorded(RecordBatch(chunk, acks))
-        return is_complete
+        return True
 
     def _on_conflict(self, outcome: CommitOutcome) -> None:
         for row in outcome.current:
