Never take a cell's new owner for an earlier one of it

What callers saw: none traced to it; found by reading. Tasks of a cell waited 18.7 s for runs of their own owner.

Cause: a host that learns of its acquisition from the row alone takes that row for the previous one. Where the row doesn't name earlier owners, the host asked itself to stop.

Ruled out: rows that name the earlier owners; those are asked as before.

Change: the row that is being started is no earlier one. Its own figure of how long runs may be unaccounted for bounds the wait.

--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -188,6 +188,14 @@
     When another host acquires it and its owner then releases the cell
     Then the cell is that of the other host
 
+  # Guards against LOST: a host took itself for an earlier owner of the cell, waited 18.7 s
+  # for its own runs, or ended its epoch.
+  Scenario: A host isn't its own earlier owner where earlier owners aren't known
+    Given a cell released 10 s ago with runs of unknown owners unaccounted for 20 s
+    When a host acquires it, and is told of it only by its row
+    Then it waits for runs of earlier owners for 9 to 10 s
+    And it runs the cell under the first epoch that it acquired
+
   # Guards against DRAIN: a change of the workers while the state of a cell was read was
   # passed to the cell with the next change only.
   Scenario: A worker begins to drain while its cell is being started
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -333,6 +333,7 @@
 
 async def keep_settled_time(context, manager):
     controller = manager.controller_by_cell[CELL]
+    context.epoch = controller.owner.epoch
     now = now_s()
     context.settled_after_s = next(
         (s for s in range(30) if controller.scheduler.has_settled(now + s)), 30
@@ -374,7 +375,7 @@
         store.n_lost_answers = 1
         await manager.reconcile(coverage, coverage)
         await read_owner(store, cells)
-        if context.has_restarted:
+        if getattr(context, "has_restarted", False):
             await report_restart(store, manager)
         await manager.reconcile(coverage, coverage)
         await keep_settled_time(context, manager)
@@ -738,6 +739,20 @@
     assert context.n_acquired == (what == "the cell"), context.n_acquired
 
 
+@given(
+    "a cell released 10 s ago with runs of unknown owners unaccounted for {seconds:d} s"
+)
+def step_unknown_owners(context, seconds):
+    step_cell(context, "w1 w2")
+    row = OwnerRow(2, "", "", float(seconds), earlier_owners=None)
+    put_cell_row(context, OWNER_KEY, encode(row))
+
+
+@then("it runs the cell under the first epoch that it acquired")
+def step_first_epoch(context):
+    assert context.epoch == 3, context.epoch
+
+
 @given("two cells without an owner")
 def step_two_cells(context):
     step_unowned_cell(context, "w1", "released")
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -362,7 +362,9 @@
     ) -> None:
         owners, remaining_s = row.earlier_owners, 0.0
         if owners is None and previous is not None:
-            owners = _as_earlier_owners(previous)
+            # A row that was acquired without an answer is the new one itself.
+            is_earlier = previous.version != version
+            owners = _as_earlier_owners(previous) if is_earlier else ()
             remaining_s = previous.unsettled_s(now_s())
         unsettled_until = now_s() + remaining_s
         confirm_stop = partial(self._confirm_stops, cell_id, owners or ())
