Tell the next owner in a release of starts that may still be carried out

Cause: an owner that gave up the answer to a start waits for up to 16.2 s until a restarted worker can't run it any more, and tells that to a next owner that asks. A release didn't tell it: the next owner waited 6.2 s for a worker that it can't reach, and started the task elsewhere.

Ruled out: starts under way on a worker that hasn't restarted. Their deadline ends them within 5.2 s, and the 6.2 s cover that.

Change: the released row states the longest lease that its owner may have granted, if that outlasts the usual wait. The next owner waits for that only on workers that don't answer it.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -212,6 +212,14 @@
             for worker_id, view in self.worker_by_id.items()
         }
 
+    def granted_lease_left_s(self, now: float) -> float:
+        """Return how long the last lease granted under this epoch may last.
+
+        It includes leases that starts without an answer may still be granted.
+        """
+        views = self.worker_by_id.values()
+        return max((view.leases_expire_at() - now for view in views), default=0.0)
+
     def _lease_left_s(self, worker_id: str, view: WorkerView, now: float) -> float:
         left_s = view.leases_expire_at() - now
         if view.hold_failed_at is not None or any(
--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -182,6 +182,14 @@
     Then the cell was released
     And the done task is recorded
 
+  # Guards against TWICE: the next owner waited 6.2 s for a worker that it can't reach, on
+  # which a start without an answer might be carried out later and run for 6 s.
+  Scenario: The next owner waits for starts that may still be carried out
+    Given a cell with recorded workers "w1 w2"
+    When its owner gives up a start on "w1", which restarts, and releases the cell
+    And a host acquires it
+    Then it waits for runs of earlier owners for 16 to 17 s
+
   # Guards against a released row that replaces that of the next owner.
   Scenario: A cell that another host has acquired isn't released
     Given a cell with recorded workers "w1 w2"
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -691,6 +691,39 @@
     context.run(release())
 
 
+@when('its owner gives up a start on "{name}", which restarts, and releases the cell')
+def step_release_with_late_start(context, name):
+    async def release():
+        controller = make_owner(context, 0.0)
+        await controller.start({})
+        scheduler = controller.scheduler
+        scheduler.add_submission(SUBMISSION, Progress(), 0.0, 0.0, inherited=False)
+        report = WorkerReport(1_000_000, 1, (), ())
+        scheduler.on_report(name, report, now_s(), now_s())
+        deadline_ms = scheduler.lease_until_ms(scheduler.worker_by_id[name], now_s())
+        order = StartOrder(TASK, 1, "s", deadline_ms, 2)
+        answer = OrderAnswer(OrderResult.NO_ANSWER)
+        scheduler.on_start_answer(name, order, answer, now_s())
+        restarted = WorkerReport(10, 2, (), ())
+        scheduler.on_report(name, restarted, now_s(), now_s())
+        await controller.release()
+
+    context.run(release())
+
+
+@when("a host acquires it")
+def step_acquire_released(context):
+    async def acquire():
+        manager, cells = await make_live_manager(context.store, "dc-1")
+        observed = cells.owner_by_cell[CELL]
+        cells.owner_by_cell[CELL] = replace(observed, observed_at=now_s())
+        context.manager = manager
+        await reconcile(context)
+        await keep_settled_time(context, manager)
+
+    context.run(acquire())
+
+
 @when("another host acquires it and its owner then releases the cell")
 def step_release_lost(context):
     async def release():
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -274,15 +274,9 @@
         """
         self._is_stopped = True
         await self._stop_tasks()
-        unsettled_s = self._unsettled_s()
-        row = OwnerRow(
-            self.owner.epoch,
-            "",
-            "",
-            unsettled_s,
-            earlier_owners=self.owner.earlier_owners if unsettled_s else (),
+        write = RowWrite(
+            CELL_TABLE, self.cell_id, OWNER_KEY, encode(self._released_row())
         )
-        write = RowWrite(CELL_TABLE, self.cell_id, OWNER_KEY, encode(row))
         batch = RecordBatch((), {})
         if self.scheduler is not None and not self.has_failed:
             batch = self.scheduler.take_batch()
@@ -294,6 +288,24 @@
                 "cell %s: could not record the release: %s", self.cell_id, error
             )
 
+    def _released_row(self) -> OwnerRow:
+        """Return the row without an owner that tells the next one how long to wait.
+
+        Leases that outlast its usual wait are those of starts without an answer. Nobody
+        can be asked about them, so no earlier owner is named then.
+        """
+        unsettled_s = self._unsettled_s()
+        earlier_owners = self.owner.earlier_owners if unsettled_s else ()
+        lease_left_s = 0.0
+        if self.scheduler is not None:
+            lease_left_s = self.scheduler.granted_lease_left_s(now_s())
+        if lease_left_s > self._times.takeover_wait_s(owner_is_dead=True):
+            unsettled_s = max(unsettled_s, lease_left_s)
+            earlier_owners = None
+        return OwnerRow(
+            self.owner.epoch, "", "", unsettled_s, earlier_owners=earlier_owners
+        )
+
     def lease_left_s_by_worker(self) -> dict[str, float] | None:
         """Return for how long each worker's leases may last; None if unknown."""
         if self.scheduler is None:
