Tell the next owner of starts that are under way when an owner ends

Cause: an owner that ends cancels the senders of its orders, but an order that has been written goes on. The answer to a start that is given up in operation makes the owner expect that a restarted worker carries it out late; a cancelled sender didn't say so, and 6.2 s were told instead of up to 16.2 s.

Ruled out: a start on the incarnation that it was decided for. It is among the runs that no report has shown, for which 6.2 s are told, and its deadline is over by then.

Change: after its senders have been cancelled, an owner takes note of each start that may have been sent to a worker that has restarted since.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -37,6 +37,8 @@
 NO_CAPACITY_COOLDOWN_S = 0.3
 REJECTION_COOLDOWN_S = 1.0
 STOP_RETRY_S = 0.5
+# Deadline of an order, if it isn't known: later than any clock of a worker.
+UNKNOWN_DEADLINE_MS = 2**53
 # Seconds for which a worker may still answer a hold that it received before it learned
 # of a later epoch.
 MAX_HOLD_WAIT_S = 2.1
@@ -212,6 +214,21 @@
             for worker_id, view in self.worker_by_id.items()
         }
 
+    def give_up_starts(self, now: float) -> None:
+        """Take note that the starts under way get no answer any more.
+
+        Call it when this owner has ended. A worker that has restarted since a start was
+        decided may still carry it out, with a deadline by its earlier clock.
+        """
+        for run in self.run_by_task.values():
+            view = self.worker_by_id.get(run.worker_id)
+            if view is None or run.phase is not RunPhase.STARTING:
+                continue
+            if run.may_have_been_sent and run.incarnation_ms != view.incarnation_ms:
+                view.unanswered_start_at = now
+                view.unanswered_deadline_ms = UNKNOWN_DEADLINE_MS
+                view.expect_late_start(self.times)
+
     def granted_lease_left_s(self, now: float) -> float:
         """Return how long the last lease granted under this epoch may last.
 
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -711,6 +711,42 @@
     context.run(release())
 
 
+@when('its owner is replaced during a start on "{name}", which has restarted meanwhile')
+def step_replaced_during_start(context, name):
+    async def replace_owner():
+        manager, _ = await make_live_manager(context.store, "dc-1")
+        controller = make_owner(context, 0.0)
+        await controller.start({name: make_worker_entry(name)})
+        manager.controller_by_cell[CELL] = controller
+        order = send_start(controller.scheduler, name)
+        restarted = WorkerReport(10, 2, (), ())
+        controller.scheduler.on_report(name, restarted, now_s(), now_s())
+        context.leases = await manager.relinquish(CELL, order.epoch)
+
+    context.run(replace_owner())
+
+
+def send_start(scheduler, name):
+    """Let the only task start on a worker; return the order, which has no answer."""
+    scheduler.confirmation.confirmed_at = float("inf")
+    scheduler.on_workers_recorded(frozenset(scheduler.worker_by_id))
+    report = WorkerReport(1_000_000, 1, (), ())
+    scheduler.on_report(name, report, now_s(), now_s())
+    scheduler.add_submission(SUBMISSION, Progress(), now_s(), now_s(), inherited=False)
+    scheduler.plan(now_s(), 1000.0)
+    # A worker of the earlier owner has not reported: a start is recorded before it.
+    scheduler.on_recorded(scheduler.take_batch())
+    orders = [item.order for item in scheduler.plan(now_s(), 1000.0)]
+    (order,) = (order for order in orders if isinstance(order, StartOrder))
+    assert scheduler.may_send_start(order, now_s())
+    return order
+
+
+@then('the lease that it tells for "{name}" lasts for {low:d} to {high:d} s')
+def step_told_lease(context, name, low, high):
+    assert low <= context.leases[name] <= high, context.leases
+
+
 @when("a host acquires it")
 def step_acquire_released(context):
     async def acquire():
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -333,6 +333,8 @@
             ignore_uneven_workers(self.scheduler)
         hold_loops = self._hold_loops
         await cancel_all([*self._tasks, *(hold_loops.tasks() if hold_loops else ())])
+        if self.scheduler is not None:
+            self.scheduler.give_up_starts(now_s())
         self._order_metrics.clear()
         if hold_loops is not None:
             hold_loops.close()
