--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -174,6 +174,85 @@
     When a host acquires it and an unexpected error ends its start
     Then the host owns no cell
 
+  # Guards against LOST: the cell stayed that of a host that had left, and its next owner
+  # waited for it. A host that leaves during a record doesn't get the answer.
+  Scenario: A cell is released although the answer to its last record was lost
+    Given a cell with recorded workers "w1 w2"
+    When its owner records a done task without an answer and then releases the cell
+    Then the cell was released
+    And the done task is recorded
+
+  # Guards against TWICE: the next owner waited 6.2 s for a worker that it can't reach, on
+  # which a start without an answer might be carried out later and run for 6 s.
+  Scenario: The next owner waits for starts that may still be carried out
+    Given a cell with recorded workers "w1 w2"
+    When its owner gives up a start on "w1", which restarts, and releases the cell
+    And a host acquires it
+    Then it waits for runs of earlier owners for 16 to 17 s
+
+  # Guards against TWICE: an order that has been written goes on after its sender has been
+  # cancelled, but the leases that were told left it out.
+  Scenario: An owner that is replaced tells of a start that is under way
+    Given a cell with recorded workers "w1 w2"
+    When its owner is replaced during a start on "w1", which has restarted meanwhile
+    Then the lease that it tells for "w1" lasts for 16 to 17 s
+
+  # Guards against a released row that replaces that of the next owner.
+  Scenario: A cell that another host has acquired isn't released
+    Given a cell with recorded workers "w1 w2"
+    When another host acquires it and its owner then releases the cell
+    Then the cell is that of the other host
+
+  # Guards against LOST: a host took itself for an earlier owner of the cell, waited 18.7 s
+  # for its own runs, or ended its epoch.
+  Scenario: A host isn't its own earlier owner where earlier owners aren't known
+    Given a cell released 10 s ago with runs of unknown owners unaccounted for 20 s
+    When a host acquires it, and is told of it only by its row
+    Then it waits for runs of earlier owners for 9 to 10 s
+    And it runs the cell under the first epoch that it acquired
+
+  # Guards against DRAIN: a change of the workers while the state of a cell was read was
+  # passed to the cell with the next change only.
+  Scenario: A worker begins to drain while its cell is being started
+    Given a cell with recorded workers "w1 w2" that was released
+    When a host acquires it and "w1" begins to drain while the progress is read
+    Then the cell knows that "w1" is draining
+
+  # Guards against LOST: a cell whose live owner had just acquired it was taken from that
+  # owner, since the choice was made before another cell was acquired.
+  Scenario: A cell that gets an owner while another one is acquired is left to it
+    Given two cells without an owner
+    When a host acquires the first while another live host acquires the second
+    Then the second cell has that owner
+
+  # Guards against TWICE: a heartbeat of its earlier incarnation that the store carried out
+  # after the acquisition made hosts take the new owner for stopped.
+  Scenario Outline: A restarted host acquires <what> after the heartbeat of its <incarnation> one
+    Given a cell with recorded workers "w1 w2" that was released
+    When a restarted host knows the heartbeat of its <incarnation> incarnation
+    Then it acquires <what>
+
+    Examples:
+      | incarnation | what     |
+      | earlier     | no cell  |
+      | present     | the cell |
+
+  # Guards against TWICE: a second controller of the epoch ran the cell when the store
+  # carried out the first one's release; the next owner then asked nobody to stop.
+  Scenario: A release that is carried out late doesn't release a cell that runs
+    Given a cell with recorded workers "w1 w2" that was released
+    When a host acquires it, its start fails and its release has no answer
+    And it looks after its cells again
+    And the store carries out the release
+    Then the host's controller is that of the owner row
+
+  # Guards against LOST: a host waited 18.7 s for runs of its own earlier epoch.
+  Scenario: A host that acquires its own cell again doesn't wait for itself
+    Given a cell with recorded workers "w1 w2" that was released
+    When a host acquires it, its start fails and its release has no answer
+    And it looks after its cells again
+    Then the host waits for runs of earlier owners for 6 to 7 s
+
   # Guards against LOST: a host stayed a live owner without the loop that an error had ended.
   Scenario Outline: A host's <loop> goes on after an unexpected error
     When one call of "<call>" of the <loop> of a host fails unexpectedly
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -34,7 +34,15 @@
 )
 from berylcleat.host._settings import HostSettings
 from berylcleat.host._worker_list import WorkerList
-from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand
+from berylcleat.model import (
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+    QueuePolicy,
+    Step,
+    Submission,
+    TaskDemand,
+    TaskKey,
+)
 from berylcleat.ports import (
     OrderAnswer,
     OrderResult,
@@ -52,10 +60,18 @@
     Progress,
     ProgressWrite,
     RecordBatch,
+    decode_progress,
 )
 from berylcleat.standins import MemoryStore
 
 HOST_SETTINGS = HostSettings("host-1", "dc-1", *["127.0.0.1:9"] * 5)
+SUBMISSION = Submission(
+    "a" * 16,
+    QueuePolicy("q", "cardhouse"),
+    "s",
+    (Step(1, TaskDemand(1000, 1000)),),
+)
+TASK = TaskKey(SUBMISSION.submission_id, 0, 0, 0)
 TABLE_BY_KEY = {OWNER_KEY: CELL_TABLE, WORKERS_KEY: RECORDED_WORKER_TABLE}
 
 
@@ -104,7 +120,11 @@
 
 
 async def read_owner(store, cells):
-    page = await store.read(CELL_TABLE, CELL)
+    await read_owners_of(store, cells, CELL)
+
+
+async def read_owners_of(store, cells, cell_id):
+    page = await store.read(CELL_TABLE, cell_id)
     cells.on_owner_rows(page.rows)
 
 
@@ -238,15 +258,18 @@
     put_cell_row(context, OWNER_KEY, encode(owner))
 
 
-async def make_live_manager(store, data_centre, incarnation="bb"):
-    """Return the ownership manager and the cells of the only live host."""
+async def make_live_manager(store, data_centre, incarnation="bb", heartbeat=None):
+    """Return the ownership manager and the cells of the only live host.
+
+    Its last known heartbeat is that of its present incarnation by default.
+    """
     membership = Membership()
     cells = CellDirectory(data_centre)
     await read_owner(store, cells)
     # The owner acquired the cell long ago.
     observed = cells.owner_by_cell[CELL]
     cells.owner_by_cell[CELL] = replace(observed, observed_at=now_s() - 10.0)
-    host = encode(HostRow(incarnation, "127.0.0.1:9", 1.0))
+    host = encode(HostRow(heartbeat or incarnation, "127.0.0.1:9", 1.0))
     membership.on_host_rows((StoreRow("centre-dc", "dc", "host/host-1", host, 1),))
     workers = WorkerList()
     workers.data_centre_by_cell()[CELL] = "dc-1"
@@ -310,6 +333,7 @@
 
 async def keep_settled_time(context, manager):
     controller = manager.controller_by_cell[CELL]
+    context.epoch = controller.owner.epoch
     now = now_s()
     context.settled_after_s = next(
         (s for s in range(30) if controller.scheduler.has_settled(now + s)), 30
@@ -351,7 +375,7 @@
         store.n_lost_answers = 1
         await manager.reconcile(coverage, coverage)
         await read_owner(store, cells)
-        if context.has_restarted:
+        if getattr(context, "has_restarted", False):
             await report_restart(store, manager)
         await manager.reconcile(coverage, coverage)
         await keep_settled_time(context, manager)
@@ -395,9 +419,7 @@
     scheduler = context.scheduler
     scheduler.list_worker(make_worker_entry(name), 1.0)
     scheduler.on_report(name, WorkerReport(1000, 1, (), ()), 1.0, 1.0)
-    step = Step(1, TaskDemand(1000, 1000))
-    submission = Submission("a" * 16, QueuePolicy("q", "cardhouse"), "s", (step,))
-    scheduler.add_submission(submission, Progress(), 1.0, 1.0, inherited=False)
+    scheduler.add_submission(SUBMISSION, Progress(), 1.0, 1.0, inherited=False)
 
 
 @when('"{name}" drained and the owner\'s process ends')
@@ -652,6 +674,266 @@
     context.run(acquire())
 
 
+@when("its owner records a done task without an answer and then releases the cell")
+def step_release_after_lost_answer(context):
+    async def release():
+        controller = make_owner(context, 0.0)
+        await controller.start({})
+        scheduler = controller.scheduler
+        scheduler.add_submission(SUBMISSION, Progress(), 0.0, 0.0, inherited=False)
+        scheduler.submissions.by_id[SUBMISSION.submission_id].add_done(TASK)
+        context.store.n_lost_answers = 1
+        try:
+            await controller._recorder.commit(scheduler, scheduler.take_batch())
+        except OutcomeUnknownError:
+            await controller.release()
+
+    context.run(release())
+
+
+@when('its owner gives up a start on "{name}", which restarts, and releases the cell')
+def step_release_with_late_start(context, name):
+    async def release():
+        controller = make_owner(context, 0.0)
+        await controller.start({})
+        scheduler = controller.scheduler
+        scheduler.add_submission(SUBMISSION, Progress(), 0.0, 0.0, inherited=False)
+        report = WorkerReport(1_000_000, 1, (), ())
+        scheduler.on_report(name, report, now_s(), now_s())
+        deadline_ms = scheduler.lease_until_ms(scheduler.worker_by_id[name], now_s())
+        order = StartOrder(TASK, 1, "s", deadline_ms, 2)
+        answer = OrderAnswer(OrderResult.NO_ANSWER)
+        scheduler.on_start_answer(name, order, answer, now_s())
+        restarted = WorkerReport(10, 2, (), ())
+        scheduler.on_report(name, restarted, now_s(), now_s())
+        await controller.release()
+
+    context.run(release())
+
+
+@when('its owner is replaced during a start on "{name}", which has restarted meanwhile')
+def step_replaced_during_start(context, name):
+    async def replace_owner():
+        manager, _ = await make_live_manager(context.store, "dc-1")
+        controller = make_owner(context, 0.0)
+        await controller.start({name: make_worker_entry(name)})
+        manager.controller_by_cell[CELL] = controller
+        order = send_start(controller.scheduler, name)
+        restarted = WorkerReport(10, 2, (), ())
+        controller.scheduler.on_report(name, restarted, now_s(), now_s())
+        context.leases = await manager.relinquish(CELL, order.epoch)
+
+    context.run(replace_owner())
+
+
+def send_start(scheduler, name):
+    """Let the only task start on a worker; return the order, which has no answer."""
+    scheduler.confirmation.confirmed_at = float("inf")
+    scheduler.on_workers_recorded(frozenset(scheduler.worker_by_id))
+    report = WorkerReport(1_000_000, 1, (), ())
+    scheduler.on_report(name, report, now_s(), now_s())
+    scheduler.add_submission(SUBMISSION, Progress(), now_s(), now_s(), inherited=False)
+    scheduler.plan(now_s(), 1000.0)
+    # A worker of the earlier owner has not reported: a start is recorded before it.
+    scheduler.on_recorded(scheduler.take_batch())
+    orders = [item.order for item in scheduler.plan(now_s(), 1000.0)]
+    (order,) = (order for order in orders if isinstance(order, StartOrder))
+    assert scheduler.may_send_start(order, now_s())
+    return order
+
+
+@then('the lease that it tells for "{name}" lasts for {low:d} to {high:d} s')
+def step_told_lease(context, name, low, high):
+    assert low <= context.leases[name] <= high, context.leases
+
+
+@when("a host acquires it")
+def step_acquire_released(context):
+    async def acquire():
+        manager, cells = await make_live_manager(context.store, "dc-1")
+        observed = cells.owner_by_cell[CELL]
+        cells.owner_by_cell[CELL] = replace(observed, observed_at=now_s())
+        context.manager = manager
+        await reconcile(context)
+        await keep_settled_time(context, manager)
+
+    context.run(acquire())
+
+
+@when("another host acquires it and its owner then releases the cell")
+def step_release_lost(context):
+    async def release():
+        controller = make_owner(context, 0.0)
+        await controller.start({})
+        put_cell_row(context, OWNER_KEY, encode(OwnerRow(3, "host-2", "aa")))
+        await controller.release()
+
+    context.run(release())
+
+
+@then("the cell was released")
+def step_was_released(context):
+    assert not read_row(context, OWNER_KEY, OwnerRow).host_id
+
+
+@then("the cell is that of the other host")
+def step_other_host(context):
+    assert read_row(context, OWNER_KEY, OwnerRow).host_id == "host-2"
+
+
+@then("the done task is recorded")
+def step_done_recorded(context):
+    submission_id = SUBMISSION.submission_id
+    row = context.store.rows_by_key(PROGRESS_TABLE, CELL)[submission_id]
+    assert decode_progress(submission_id, row.value).is_done(TASK)
+
+
+@when("a restarted host knows the heartbeat of its {incarnation} incarnation")
+def step_known_heartbeat(context, incarnation):
+    async def restart():
+        heartbeat = "aa" if incarnation == "earlier" else "bb"
+        manager, _ = await make_live_manager(
+            context.store, "dc-1", "bb", heartbeat=heartbeat
+        )
+        context.manager = manager
+        await reconcile(context)
+        context.n_acquired = len(manager.controller_by_cell)
+        await manager.release_all()
+
+    context.run(restart())
+
+
+@then("it acquires {what}")
+def step_acquires(context, what):
+    assert context.n_acquired == (what == "the cell"), context.n_acquired
+
+
+@given(
+    "a cell released 10 s ago with runs of unknown owners unaccounted for {seconds:d} s"
+)
+def step_unknown_owners(context, seconds):
+    step_cell(context, "w1 w2")
+    row = OwnerRow(2, "", "", float(seconds), earlier_owners=None)
+    put_cell_row(context, OWNER_KEY, encode(row))
+
+
+@then("it runs the cell under the first epoch that it acquired")
+def step_first_epoch(context):
+    assert context.epoch == 3, context.epoch
+
+
+@given("two cells without an owner")
+def step_two_cells(context):
+    step_unowned_cell(context, "w1", "released")
+    row = encode(OwnerRow(2, "", ""))
+    context.store.put(CELL_TABLE, "r2", OWNER_KEY, row)
+
+
+@when("a host acquires the first while another live host acquires the second")
+def step_acquire_beside_other(context):
+    async def acquire():
+        manager, cells = await make_live_manager(context.store, "dc-1")
+        manager._workers.data_centre_by_cell()["r2"] = "dc-1"
+        await read_owners_of(context.store, cells, "r2")
+        context.other = OwnerRow(3, "host-2", "cc", data_centre="dc-1")
+        heartbeat = encode(HostRow("cc", "127.0.0.1:9", 0.1))
+
+        async def acquire_second():
+            context.store.before_commit = None
+            context.store.put(CELL_TABLE, "r2", OWNER_KEY, encode(context.other))
+            await read_owners_of(context.store, cells, "r2")
+            row = StoreRow("centre-dc", "dc", "host/host-2", heartbeat, 2)
+            manager._membership.on_host_rows((row,))
+
+        context.store.before_commit = acquire_second
+        context.manager = manager
+        await reconcile(context)
+        assert list(manager.controller_by_cell) == [CELL], manager.controller_by_cell
+        await manager.release_all()
+
+    context.run(acquire())
+
+
+@then("the second cell has that owner")
+def step_second_owner(context):
+    row = context.store.rows_by_key(CELL_TABLE, "r2")[OWNER_KEY]
+    assert msgspec.json.decode(row.value, type=OwnerRow) == context.other
+
+
+@when('a host acquires it and "{name}" begins to drain while the progress is read')
+def step_drain_at_start(context, name):
+    async def acquire():
+        manager, _ = await make_live_manager(context.store, "dc-1")
+        workers = manager._workers
+        workers.by_id[name] = make_worker_entry(name)
+        read = context.store.read
+
+        async def drain_meanwhile(table, *key):
+            page = await read(table, *key)
+            if table == PROGRESS_TABLE:
+                workers.by_id[name] = replace(workers.by_id[name], is_draining=True)
+                workers.on_rows(())
+            return page
+
+        context.store.read = drain_meanwhile
+        await manager._acquire(CELL)
+        scheduler = manager.controller_by_cell[CELL].scheduler
+        context.entry = scheduler.worker_by_id[name].entry
+        await manager.release_all()
+
+    context.run(acquire())
+
+
+@then('the cell knows that "{name}" is draining')
+def step_knows_draining(context, name):
+    assert context.entry.is_draining, context.entry
+
+
+@when("a host acquires it, its start fails and its release has no answer")
+def step_failed_start(context):
+    async def acquire():
+        manager, _ = await make_live_manager(context.store, "dc-1")
+        context.manager = manager
+        open_feed = manager._feeds.submissions.open
+        commit = context.store.commit
+
+        async def fail(cell_id, version):
+            raise PlatformUnavailableError("store down", "Wait")
+
+        async def keep_release(release):
+            context.release = release
+            raise OutcomeUnknownError("store: no answer", "Read it")
+
+        async def commit_acquisition(acquisition):
+            context.store.commit = keep_release
+            return await commit(acquisition)
+
+        context.store.commit = commit_acquisition
+        manager._feeds.submissions.open = fail
+        await reconcile(context)
+        context.store.commit = commit
+        manager._feeds.submissions.open = open_feed
+
+    context.run(acquire())
+
+
+@when("the store carries out the release")
+def step_late_release(context):
+    context.run(context.store.commit(context.release))
+
+
+@then("the host's controller is that of the owner row")
+def step_owner_row(context):
+    controller = context.manager.controller_by_cell[CELL]
+    assert read_row(context, OWNER_KEY, OwnerRow) == controller.owner
+
+
+@then("the host waits for runs of earlier owners for {low:d} to {high:d} s")
+def step_host_waits(context, low, high):
+    context.run(keep_settled_time(context, context.manager))
+    step_waits(context, low, high)
+
+
 def count_failures(task):
     labels = {"task": task}
     return REGISTRY.get_sample_value("beryl_background_failures_total", labels) or 0
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -52,8 +52,10 @@
 LATE_SUBMISSION_MS = 1500
 # Pause between two requests to a previous owner that hasn't confirmed its stop.
 HANDOVER_RETRY_S = 0.5
-# Minimum time between two reads of the owner row that decisions wait for.
+# Pause after a read of the owner row that decisions wait for. It doubles after each one
+# that the store doesn't answer: refused calls load it, too.
 CONFIRM_PERIOD_S = 0.1
+MAX_CONFIRM_PERIOD_S = 1.0
 Result = TypeVar("Result")
 logger = logging.getLogger(__name__)
 
@@ -272,26 +274,38 @@
         """
         self._is_stopped = True
         await self._stop_tasks()
-        unsettled_s = self._unsettled_s()
-        row = OwnerRow(
-            self.owner.epoch,
-            "",
-            "",
-            unsettled_s,
-            earlier_owners=self.owner.earlier_owners if unsettled_s else (),
+        write = RowWrite(
+            CELL_TABLE, self.cell_id, OWNER_KEY, encode(self._released_row())
         )
-        write = RowWrite(CELL_TABLE, self.cell_id, OWNER_KEY, encode(row))
         batch = RecordBatch((), {})
         if self.scheduler is not None and not self.has_failed:
             batch = self.scheduler.take_batch()
         try:
-            await self._recorder.commit(self.scheduler, batch, (write,))
-            logger.info("cell %s: released", self.cell_id)
+            if await self._recorder.release(batch, write):
+                logger.info("cell %s: released", self.cell_id)
         except BerylError as error:
             logger.warning(
                 "cell %s: could not record the release: %s", self.cell_id, error
             )
 
+    def _released_row(self) -> OwnerRow:
+        """Return the row without an owner that tells the next one how long to wait.
+
+        Leases that outlast its usual wait are those of starts without an answer. Nobody
+        can be asked about them, so no earlier owner is named then.
+        """
+        unsettled_s = self._unsettled_s()
+        earlier_owners = self.owner.earlier_owners if unsettled_s else ()
+        lease_left_s = 0.0
+        if self.scheduler is not None:
+            lease_left_s = self.scheduler.granted_lease_left_s(now_s())
+        if lease_left_s > self._times.takeover_wait_s(owner_is_dead=True):
+            unsettled_s = max(unsettled_s, lease_left_s)
+            earlier_owners = None
+        return OwnerRow(
+            self.owner.epoch, "", "", unsettled_s, earlier_owners=earlier_owners
+        )
+
     def lease_left_s_by_worker(self) -> dict[str, float] | None:
         """Return for how long each worker's leases may last; None if unknown."""
         if self.scheduler is None:
@@ -319,6 +333,8 @@
             ignore_uneven_workers(self.scheduler)
         hold_loops = self._hold_loops
         await cancel_all([*self._tasks, *(hold_loops.tasks() if hold_loops else ())])
+        if self.scheduler is not None:
+            self.scheduler.give_up_starts(now_s())
         self._order_metrics.clear()
         if hold_loops is not None:
             hold_loops.close()
@@ -411,16 +427,26 @@
         self.scheduler.confirmation.confirmed_at = confirmed_at
 
     async def _confirm_loop(self) -> None:
-        """Read the owner row when decisions wait for a confirmation."""
+        """Read the owner row when decisions wait for a confirmation.
+
+        Of consecutive reads without an answer only the first is logged.
+        """
+        pause_s = CONFIRM_PERIOD_S
         while not self.is_inactive:
             await self._confirmation_needed.wait()
             self._confirmation_needed.clear()
             try:
                 await self._recorder.confirm_ownership()
             except BerylError as error:
-                logger.info("cell %s: ownership not confirmed: %s", self.cell_id, error)
+                if pause_s == CONFIRM_PERIOD_S:
+                    logger.info(
+                        "cell %s: ownership not confirmed: %s", self.cell_id, error
+                    )
+                pause_s = min(2 * pause_s, MAX_CONFIRM_PERIOD_S)
+            else:
+                pause_s = CONFIRM_PERIOD_S
             self._plan_needed.set()
-            await asyncio.sleep(CONFIRM_PERIOD_S)
+            await asyncio.sleep(pause_s)
 
     async def _log_waiting(self) -> None:
         self._waiting_log.update(self.scheduler, now_s())
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -134,6 +134,7 @@
             return
         await self._start_unacknowledged()
         now = now_s()
+        observed_by_cell = dict(self._cells.owner_by_cell)
         assigned = {
             cell_id
             for cell_id, host_id in self._assignments(local, remote).items()
@@ -143,6 +144,9 @@
         for cell_id in self._eligible_since_by_cell.keys() - assigned:
             del self._eligible_since_by_cell[cell_id]
         for cell_id in sorted(assigned - self.controller_by_cell.keys()):
+            if self._has_changed(cell_id, observed_by_cell.get(cell_id)):
+                # Acquired by another host while this one acquired another cell.
+                continue
             data_centre = self._workers.data_centre_by_cell()[cell_id]
             failed_at = self._failed_at_by_cell.get(cell_id, float("-inf"))
             if now - failed_at < FAILED_CELL_DELAY_S:
@@ -165,6 +169,7 @@
             )
             if (
                 is_ours
+                and not self._has_changed(cell_id, owner)
                 and not self._has_relinquished(cell_id, row)
                 and cell_id not in self.controller_by_cell
             ):
@@ -175,6 +180,10 @@
                 )
                 await self._start_controller(cell_id, row, owner.version, owner)
 
+    def _has_changed(self, cell_id: str, observed: ObservedOwner | None) -> bool:
+        """Return whether a newer owner row than the observed one is known."""
+        return self._cells.owner_by_cell.get(cell_id) is not observed
+
     def _remote_takeover_delay_s(self, cell_id: str) -> float:
         owner = self._cells.owner_by_cell.get(cell_id)
         was_released = owner is not None and not owner.row.host_id
@@ -198,7 +207,15 @@
         return summaries
 
     def _assignments(self, local: Coverage, remote: Coverage) -> dict[str, str]:
-        """Return the host of this data centre for each cell that needs an owner."""
+        """Return the host of this data centre for each cell that needs an owner.
+
+        None before the heartbeat of this incarnation is read: from then on one of the
+        earlier incarnation can't be written any more, so that none is newer than the
+        owner rows of this one.
+        """
+        identity = self._identity
+        if not self._membership.is_live(identity.host_id, identity.incarnation, local):
+            return {}
         live_hosts = self._membership.live_hosts(local)
         live_owner_by_cell = {
             cell_id: owner.row.host_id
@@ -345,7 +362,9 @@
     ) -> None:
         owners, remaining_s = row.earlier_owners, 0.0
         if owners is None and previous is not None:
-            owners = _as_earlier_owners(previous)
+            # A row that was acquired without an answer is the new one itself.
+            is_earlier = previous.version != version
+            owners = _as_earlier_owners(previous) if is_earlier else ()
             remaining_s = previous.unsettled_s(now_s())
         unsettled_until = now_s() + remaining_s
         confirm_stop = partial(self._confirm_stops, cell_id, owners or ())
@@ -377,6 +396,8 @@
             await self._feeds.workers.catch_up()
             await self._feeds.submissions.open(cell_id, version)
             await controller.start(self._workers.in_cell(cell_id))
+            # The list may have changed while the recorded state was read.
+            controller.update_workers(self._workers.in_cell(cell_id))
             controller.complete_handover(reply, confirm_stop, unsettled_until)
         except BerylError as error:
             logger.warning("cell %s: could not start: %s", cell_id, error)
@@ -387,9 +408,14 @@
             await self._give_up(cell_id, controller)
 
     async def _give_up(self, cell_id: str, controller: CellController) -> None:
-        """Release a cell that could not be started."""
+        """Release a cell that could not be started.
+
+        The store may carry out the release late. Its epoch must not be in use then:
+        the next owner would ask nobody to stop.
+        """
         # release_all may have removed and released the controller meanwhile.
-        if self.controller_by_cell.pop(cell_id, None) is not None:
+        if self.controller_by_cell.get(cell_id) is controller:
+            self._end_epoch(cell_id, controller)
             await controller.release()
 
     async def _confirm_stops(
@@ -413,8 +439,9 @@
     ) -> TakeoverReply | None:
         """Return what is known of an earlier owner's leases; None if it may run."""
         if owner.host_id == self._identity.host_id:
-            is_replaced = owner.incarnation != self._identity.incarnation
-            return TakeoverReply() if is_replaced else None
+            if owner.incarnation != self._identity.incarnation:
+                return TakeoverReply()
+            return TakeoverReply(await self.relinquish(cell_id, owner.epoch))
         if self._is_replaced(owner):
             return TakeoverReply()
         if not owner.peer_address:
