Keep unreadable rows of a submission from counting as none

A home or acceptance row that can't be decoded counted as "no such submission": the end of a moved task was acknowledged and counted nowhere, so the task ran again, and a client's GET was answered 410. A moves row that can't be decoded counted as "nothing moved": the next owner of the home cell started tasks that ran in other cells.

Cause: each decoder logged the row and returned what stands for "not there".

Ruled out: dropping the submission in owners that track it. Only its own cell's owner moves a task away, under a condition on its owner row, so an owner that has read all earlier moves at its takeover knows which tasks are its own, and goes on with them.

Change: reads raise UnreadableRecordError. Ends wait, GET and DELETE are answered 503, a new owner starts no task of the submission until its moves are readable, and no move of it is written over the unreadable ones. Such a row is logged once. An acceptance that is missing where the home says it is counts as unreadable, too.

--- a/libs/model/src/berylcleat/model/__init__.py
+++ b/libs/model/src/berylcleat/model/__init__.py
@@ -27,6 +27,7 @@
     PortInUseError,
     RejectedWriteError,
     SettingsError,
+    UnreadableRecordError,
 )
 from ._jobs import (
     URGENT_PRIORITY,
@@ -88,6 +89,7 @@
     "TaskDemand",
     "TaskKey",
     "Team",
+    "UnreadableRecordError",
     "WorkerSpec",
     "apply_rules",
     "check_config",
--- a/libs/model/src/berylcleat/model/_errors.py
+++ b/libs/model/src/berylcleat/model/_errors.py
@@ -14,6 +14,7 @@
     NEVER_RUNNABLE = "never-runnable"
     PLATFORM_UNAVAILABLE = "platform-unavailable"
     OUTCOME_UNKNOWN = "outcome-unknown"
+    UNREADABLE_RECORD = "unreadable-record"
     FENCED = "fenced"
     BAD_REQUEST = "bad-request"
     TOO_LARGE = "too-large"
@@ -83,6 +84,12 @@
     code = ErrorCode.OUTCOME_UNKNOWN
 
 
+class UnreadableRecordError(BerylError):
+    """Stored record that can't be decoded: what it says isn't known."""
+
+    code = ErrorCode.UNREADABLE_RECORD
+
+
 class FencedError(BerylError):
     """Write rejected because a higher epoch exists."""
 
--- /dev/null
+++ b/programs/beryl-host/features/odd_records.feature
@@ -0,0 +1,68 @@
+Feature: Records of submissions, and loads, that can't be read
+  What can't be read isn't "none": which tasks run where, or are done, isn't known.
+
+  # Guards against TWICE: an end was acknowledged as one of a submission that nobody
+  # submitted, and the next owner ran the task again.
+  Scenario Outline: An end waits while the <row> of its submission is <fault>
+    Given a submission with a task moved from cell "r1" to "r2"
+    And its <row> is <fault>
+    When the owner of "r1" settles the task's end 3 times
+    Then the end isn't settled
+    And 1 unreadable row was logged
+    When its <row> is as it was
+    And the owner of "r1" settles the task's end 1 times
+    Then the end is settled
+
+    Examples:
+      | row        | fault             |
+      | home       | cut short         |
+      | home       | not text          |
+      | home       | nested too deeply |
+      | acceptance | cut short         |
+      | acceptance | not text          |
+      | acceptance | nested too deeply |
+      | moves      | cut short         |
+      | moves      | not text          |
+      | moves      | nested too deeply |
+
+  # Guards against an end that counts as nobody's because the home names another cell.
+  Scenario: An end waits while the acceptance is missing where the home says it is
+    Given a submission with a task moved from cell "r1" to "r2"
+    And its acceptance is missing
+    When the owner of "r1" settles the task's end 3 times
+    Then the end isn't settled
+    And 1 unreadable row was logged
+
+  # Guards against LOST: an accepted submission whose home can't be read was answered 410.
+  Scenario Outline: A client that asks for a submission whose home is <fault> asks again
+    Given a submission of cell "r1"
+    And its home is <fault>
+    When a client sends GET and DELETE for it
+    Then it is answered 503 and 503
+
+    Examples:
+      | fault             |
+      | cut short         |
+      | nested too deeply |
+
+  # Guards against TWICE: moves that could not be read counted as none, and tasks that run
+  # in other cells started in their home cell.
+  Scenario Outline: No task starts whose moves are <fault>, until they are readable
+    Given a cell with recorded workers "w1"
+    And two submissions, and the moves of the first are <fault>
+    When a host acquires the cell whose moves may be unreadable, and later can read them
+    Then tasks of the second submission alone start
+    And the task of the first submission that wasn't moved starts once they can be read
+
+    Examples:
+      | fault             |
+      | cut short         |
+      | not text          |
+      | nested too deeply |
+
+  # Guards against LOST: only this owner moves tasks of its cell, so those stay known.
+  Scenario: An owner goes on with the tasks that it has when later moves are cut short
+    Given a cell with recorded workers "w1"
+    And two submissions, and the moves of the first are as they were
+    When a host acquires the cell, and then reads later moves that are cut short
+    Then tasks of both submissions start
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -161,7 +161,7 @@
         scheduler.awaits_cordon = bool(self._operator.wave_by_id)
         for entry in self._directory.in_cell(self.cell_id):
             submission = entry.accepted.submission
-            if submission.submission_id in self._recorder.unreadable_ids:
+            if not self._is_record_readable(submission.submission_id, entry):
                 continue
             progress = progress_by_id.pop(submission.submission_id, Progress())
             age_s = max(0.0, wall_ms() - entry.accepted.accepted_at_ms) / 1000
@@ -329,7 +329,7 @@
         """Add or update a submission of this cell, including its cancellation."""
         if self.scheduler is None or entry.accepted is None:
             return
-        if submission_id in self._recorder.unreadable_ids:
+        if not self._is_record_readable(submission_id, entry):
             return
         now = now_s()
         age_ms = wall_ms() - entry.accepted.accepted_at_ms
@@ -349,6 +349,16 @@
             self.scheduler.cancel(submission_id, now)
         self._plan_needed.set()
 
+    def _is_record_readable(self, submission_id: str, entry: SubmissionEntry) -> bool:
+        """Return whether it is known which tasks of a submission may start here.
+
+        If its moves are unknown, earlier owners may have moved any of its tasks away.
+        For one that is tracked that isn't so: since then only this owner moves them.
+        """
+        if submission_id in self._recorder.unreadable_ids:
+            return False
+        return not entry.are_moves_unknown or self.tracks(submission_id)
+
     def tracks(self, submission_id: str) -> bool:
         """Return whether the cell tracks a submission."""
         return (
--- a/programs/beryl-host/src/berylcleat/host/_cell_move_loops.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_move_loops.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import Callable, Coroutine
 
-from berylcleat.model import BerylError
+from berylcleat.model import BerylError, UnreadableRecordError
 from berylcleat.scheduling import MovedTaskEnd
 
 from ._clock import now_s
@@ -86,6 +86,10 @@
             for submission_id, ends in self._cell.scheduler.stray_ends(now_s()).items():
                 try:
                     await self._mover.settle_stray_ends(self._cell, submission_id, ends)
+                except UnreadableRecordError as error:
+                    logger.debug(
+                        "submission %s: stray ends wait: %s", submission_id, error
+                    )
                 except BerylError as error:
                     logger.info(
                         "submission %s: stray ends wait: %s", submission_id, error
--- a/programs/beryl-host/src/berylcleat/host/_client_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_client_api.py
@@ -15,6 +15,7 @@
     PlatformUnavailableError,
     Submission,
     SubmissionState,
+    UnreadableRecordError,
 )
 from berylcleat.platform import (
     IngressKind,
@@ -324,7 +325,7 @@
             if cell_id is None:
                 return make_response(410)
             entry = await self._store_cancel(submission_id, cell_id, deadline)
-        except PlatformUnavailableError as error:
+        except (PlatformUnavailableError, UnreadableRecordError) as error:
             logger.info("submission %s: cancellation refused: %s", submission_id, error)
             return make_response(503)
         except BerylError as error:
--- a/programs/beryl-host/src/berylcleat/host/_submission_directory.py
+++ b/programs/beryl-host/src/berylcleat/host/_submission_directory.py
@@ -17,6 +17,7 @@
     MovesRow,
     cell_submission_table,
 )
+from ._unreadable_rows import UnreadableRows
 
 logger = logging.getLogger(__name__)
 _accepted_decoder = msgspec.json.Decoder(AcceptedRow)
@@ -25,12 +26,23 @@
 
 @dataclass(slots=True)
 class SubmissionEntry:
-    """Acceptance, cancellation and task moves known for one submission id."""
+    """Acceptance, cancellation and task moves known for one submission id.
+
+    ``unreadable_moves_version`` is that of the newest moves that can't be decoded, or
+    0; ``is_acceptance_unreadable`` tells the same of the acceptance.
+    """
 
     accepted: AcceptedRow | None = None
     is_cancelled: bool = False
     move_by_task: dict[TaskKey, TaskMove] = field(default_factory=dict)
     moves_version: int = 0
+    unreadable_moves_version: int = 0
+    is_acceptance_unreadable: bool = False
+
+    @property
+    def are_moves_unknown(self) -> bool:
+        """Whether tasks may have moved to cells that can't be told."""
+        return self.unreadable_moves_version > self.moves_version
 
     def drop_odd_moves(self) -> None:
         """Drop the moves of tasks that the submission doesn't have."""
@@ -61,7 +73,8 @@
 class SubmissionDirectory:
     """Submissions by id; listeners are notified of every change."""
 
-    def __init__(self):
+    def __init__(self, unreadable_rows: UnreadableRows | None = None):
+        self._unreadable_rows = unreadable_rows or UnreadableRows()
         self.by_id: dict[str, SubmissionEntry] = {}
         self.listeners: list[EntryListener] = []
 
@@ -78,17 +91,21 @@
                 self._add_row(row)
 
     def add_moves(self, submission_id: str, row: StoreRow) -> None:
-        """Replace the moves of a submission's tasks if the row is newer."""
+        """Replace the moves of a submission's tasks if the row is newer.
+
+        Moves that can't be decoded leave those known before, marked as out of date.
+        """
         entry = self.by_id.setdefault(submission_id, SubmissionEntry())
         if row.version <= entry.moves_version:
             return
+        name = f"moves of submission {submission_id}"
         try:
             moves = decode_json(_moves_decoder, row.value).moves
         except MalformedValueError as error:
-            logger.error(
-                "moves of submission %s can't be decoded: %s", submission_id, error
-            )
+            entry.unreadable_moves_version = row.version
+            self._unreadable_rows.add(name, error)
             return
+        self._unreadable_rows.discard(name)
         entry.move_by_task = {move.task: move.move for move in moves}
         entry.moves_version = row.version
         self._notify(submission_id, entry)
@@ -99,6 +116,7 @@
         entry = self.by_id.setdefault(submission_id, SubmissionEntry())
         if entry.accepted is None:
             entry.accepted = accepted
+            entry.is_acceptance_unreadable = False
             self._notify(submission_id, entry)
 
     def add_cancel(self, submission_id: str) -> None:
@@ -116,6 +134,9 @@
         if entry.moves_version > known.moves_version:
             known.move_by_task = entry.move_by_task
             known.moves_version = entry.moves_version
+        known.unreadable_moves_version = max(
+            known.unreadable_moves_version, entry.unreadable_moves_version
+        )
         self._notify(submission_id, known)
 
     def in_cell(self, cell_id: str) -> list[SubmissionEntry]:
@@ -131,10 +152,16 @@
         }
 
     def _add_row(self, row: StoreRow) -> None:
+        name = f"submission row {row.key}"
         try:
-            self.add_accepted(decode_json(_accepted_decoder, row.value))
+            accepted = decode_json(_accepted_decoder, row.value)
         except MalformedValueError as error:
-            logger.error("submission row %s can't be decoded: %s", row.key, error)
+            entry = self.by_id.setdefault(row.key, SubmissionEntry())
+            entry.is_acceptance_unreadable = entry.accepted is None
+            self._unreadable_rows.add(name, error)
+            return
+        self._unreadable_rows.discard(name)
+        self.add_accepted(accepted)
 
     def _notify(self, submission_id: str, entry: SubmissionEntry) -> None:
         entry.drop_odd_moves()
--- a/programs/beryl-host/src/berylcleat/host/_submission_store.py
+++ b/programs/beryl-host/src/berylcleat/host/_submission_store.py
@@ -6,12 +6,16 @@
 each transaction writes all copies of what it changes.
 """
 
-import logging
 from collections import OrderedDict
 
 import msgspec
 
-from berylcleat.model import MalformedValueError, TaskKey, decode_json
+from berylcleat.model import (
+    MalformedValueError,
+    TaskKey,
+    UnreadableRecordError,
+    decode_json,
+)
 from berylcleat.ports import (
     Commit,
     CommitOutcome,
@@ -37,22 +41,26 @@
     submission_part,
 )
 from ._submission_directory import SubmissionDirectory, SubmissionEntry
+from ._unreadable_rows import UnreadableRows
 
 # Home cells remembered by a host; others are read again when they are asked for.
 MAX_CACHED_HOMES = 20_000
-logger = logging.getLogger(__name__)
+READ_AGAIN_REMEDY = "Read it again once it has been repaired"
 _home_decoder = msgspec.json.Decoder(HomeRow)
 
 
 class SubmissionStore:
     """Reader and writer of the rows of submissions.
 
-    Methods raise ``PlatformUnavailableError`` (no effect) or ``OutcomeUnknownError``.
+    Methods raise ``PlatformUnavailableError`` (no effect) or ``OutcomeUnknownError``,
+    those that read also ``UnreadableRecordError``: a row that can't be decoded doesn't
+    tell that there is no submission, or that none of its tasks was moved.
     """
 
     def __init__(self, store: Store):
         self._store = store
         self._home_by_id: OrderedDict[str, str] = OrderedDict()
+        self._unreadable_rows = UnreadableRows()
 
     def cached_home(self, submission_id: str) -> str | None:
         """Return the home cell of a submission if it is remembered."""
@@ -67,6 +75,9 @@
             SUBMISSION_TABLE, part, submission_id, submission_id + "\x00"
         )
         self._remember_rows(page.rows)
+        name = _home_name(submission_id)
+        if page.rows and name in self._unreadable_rows:
+            raise UnreadableRecordError(f"{name} is unreadable", READ_AGAIN_REMEDY)
         return self._home_by_id.get(submission_id)
 
     async def accept(self, accepted: AcceptedRow) -> CommitOutcome:
@@ -93,16 +104,28 @@
         table = cell_submission_table(cell_id)
         # "/" is the character after ".", with which the suffixes begin.
         page = await self._store.read(table, part, submission_id, submission_id + "/")
-        directory = SubmissionDirectory()
+        directory = SubmissionDirectory(self._unreadable_rows)
         directory.on_rows(page.rows)
-        return directory.by_id.get(submission_id, SubmissionEntry())
+        entry = directory.by_id.get(submission_id, SubmissionEntry())
+        if entry.is_acceptance_unreadable or entry.are_moves_unknown:
+            raise UnreadableRecordError(
+                f"submission {submission_id} is unreadable in cell {cell_id}",
+                READ_AGAIN_REMEDY,
+            )
+        return entry
 
     async def find_entry(self, submission_id: str) -> SubmissionEntry | None:
         """Return what is stored of a submission, or None if there is no such one."""
         home = await self.find_home(submission_id)
         if home is None:
             return None
-        return await self.read_entry(submission_id, home)
+        entry = await self.read_entry(submission_id, home)
+        if entry.accepted is None:
+            name = f"submission row {submission_id}"
+            error = MalformedValueError(f"it is missing in its home cell {home}")
+            self._unreadable_rows.add(name, error)
+            raise UnreadableRecordError(f"{name} is missing", READ_AGAIN_REMEDY)
+        return entry
 
     async def cancel(self, entry: SubmissionEntry) -> CommitOutcome:
         """Store the cancellation in every cell that has tasks of the submission.
@@ -130,10 +153,14 @@
         for row in rows:
             if row.table != SUBMISSION_TABLE:
                 continue
+            name = _home_name(row.key)
             try:
-                self._remember(row.key, decode_json(_home_decoder, row.value).cell_id)
+                home = decode_json(_home_decoder, row.value)
             except MalformedValueError as error:
-                logger.error("home of submission %s is malformed: %s", row.key, error)
+                self._unreadable_rows.add(name, error)
+                continue
+            self._unreadable_rows.discard(name)
+            self._remember(row.key, home.cell_id)
 
     def _remember(self, submission_id: str, cell_id: str) -> None:
         self._home_by_id[submission_id] = cell_id
@@ -190,6 +217,10 @@
     return Condition(CELL_TABLE, cell_id, OWNER_KEY, owner_version)
 
 
+def _home_name(submission_id: str) -> str:
+    return f"home of submission {submission_id}"
+
+
 def _moves_condition(entry: SubmissionEntry) -> Condition:
     submission_id = entry.accepted.submission.submission_id
     table = cell_submission_table(entry.accepted.cell_id)
--- a/programs/beryl-host/src/berylcleat/host/_task_mover.py
+++ b/programs/beryl-host/src/berylcleat/host/_task_mover.py
@@ -75,6 +75,10 @@
         The scheduler doesn't start the proposed tasks before the outcome is known.
         """
         entry = self._directory.by_id[proposal.submission_id]
+        if entry.are_moves_unknown:
+            # Moves are stored as a whole: these would replace the unreadable ones.
+            controller.scheduler.on_move_settled(proposal, now_s())
+            return
         owner = make_owner_condition(controller.cell_id, controller.owner_version)
         move = MoveCommit(entry, proposal.move_by_task, owner)
         while not controller.is_inactive:
@@ -175,10 +179,10 @@
     ) -> None:
         """Report ends to the cells that count them; acknowledge them after that.
 
-        Raises ``BerylError`` if the store can't be read.
+        Raises ``BerylError`` if the store can't be read: the ends wait.
         """
         entry = await self._store.find_entry(submission_id)
-        if entry is None or entry.accepted is None or entry.is_cancelled:
+        if entry is None or entry.is_cancelled:
             controller.scheduler.on_stray_ends_settled(ends)
             return
         ends_by_cell: dict[str, list[EndedTask]] = {}
