Bound what stored submissions, moves and progress name

Progress that names a task beyond its step completed the step without a task that it has: the task was never run, and later steps started.

Cause: integers of our own rows were decoded without a bound, and progress was applied without a look at the submission.

Ruled out: dropping the odd tasks alone. The index of a task that is done may be the one that is wrong, and the task would run again after its end.

Change: run numbers, epochs, counts, times and indices are bounded where rows are decoded. Progress with a task that its submission doesn't have counts as unreadable progress: no task of the submission starts, the others do, and it is logged once. The limits on tasks and occurrences that client requests have hold for stored submissions, too.

--- a/libs/model/src/berylcleat/model/__init__.py
+++ b/libs/model/src/berylcleat/model/__init__.py
@@ -40,6 +40,7 @@
 from ._load import load_settings, parse_document
 from ._numbers import (
     MAX_EXACT,
+    MAX_OCCURRENCES,
     MAX_TASKS,
     Amount,
     Count,
@@ -67,6 +68,7 @@
 __all__ = [
     "ENDED_SUBMISSION_STATES",
     "MAX_EXACT",
+    "MAX_OCCURRENCES",
     "MAX_TASKS",
     "URGENT_PRIORITY",
     "AdvicePolicy",
--- a/libs/model/src/berylcleat/model/_submissions.py
+++ b/libs/model/src/berylcleat/model/_submissions.py
@@ -4,6 +4,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+from ._numbers import Amount, Count, Integer, Number, OccurrenceCount, TaskCount
+
 
 class SubmissionState(Enum):
     """State of a submission as reported to its client."""
@@ -24,9 +26,9 @@
     """Key of a task: its submission, occurrence, step and index in the step."""
 
     submission_id: str
-    occurrence: int
-    step: int
-    index: int
+    occurrence: Integer
+    step: Integer
+    index: Integer
 
     def __str__(self) -> str:
         return f"{self.submission_id}.{self.occurrence}.{self.step}.{self.index}"
@@ -52,9 +54,9 @@
 class TaskDemand:
     """Resource demand of a task: thousandths of a core, MB and accelerators."""
 
-    cpu_millis: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
+    cpu_millis: Integer = 0
+    memory_mb: Integer = 0
+    accelerators: Integer = 0
 
     def __add__(self, other: "TaskDemand") -> "TaskDemand":
         return TaskDemand(
@@ -87,22 +89,22 @@
     ``fills`` step (fillers) use only CPU time that other tasks leave idle.
     """
 
-    n_tasks: int
+    n_tasks: TaskCount
     demand: TaskDemand
-    estimate_s: float = 0.0
-    after: tuple[int, ...] = ()
+    estimate_s: Amount = 0.0
+    after: tuple[Count, ...] = ()
     saves_progress: bool = False
     is_gang: bool = False
     same_rack: bool = False
     required_label: str = ""
     data_rack: str = ""
-    max_per_worker: int = 0
+    max_per_worker: Count = 0
     is_speculative: bool = False
     is_long_running: bool = False
     image: str = ""
-    target_latency_ms: int = 0
+    target_latency_ms: Count = 0
     fills: bool = False
-    max_unavailable: int | None = None
+    max_unavailable: Count | None = None
 
     @property
     def allocation(self) -> TaskDemand:
@@ -120,9 +122,9 @@
     tickets are valid for ``valid_s``. All times are in seconds.
     """
 
-    decide_s: float
-    per_worker_s: float
-    valid_s: float
+    decide_s: Number
+    per_worker_s: Number
+    valid_s: Number
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,10 +137,10 @@
 
     name: str
     service: str
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    objective_ms: int = 1000
+    priority: Integer = 0
+    max_attempts: Integer = 1
+    stretch: Number = 1.0
+    objective_ms: Integer = 1000
     advice: AdvicePolicy | None = None
 
 
@@ -155,9 +157,9 @@
     queue: QueuePolicy
     spec: str
     steps: tuple[Step, ...]
-    n_occurrences: int = 0
-    first_due_ms: int = 0
-    interval_ms: int = 0
+    n_occurrences: OccurrenceCount = 0
+    first_due_ms: Count = 0
+    interval_ms: Count = 0
 
     @property
     def is_scheduled(self) -> bool:
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from berylcleat.model import Integer, Step, TaskKey
+from berylcleat.model import Count, Epoch, Integer, RunNumber, Step, TaskKey
 
 from ._interference import InterferenceLevel, InterferenceModel
 from ._progress import CrashEvidence
@@ -27,14 +27,14 @@
     """
 
     cell_id: str
-    run_floor: int
-    failed_runs: tuple[int, ...] = ()
+    run_floor: RunNumber
+    failed_runs: tuple[RunNumber, ...] = ()
     checkpoint: str = ""
-    crashed_runs: tuple[tuple[int, CrashEvidence], ...] = ()
+    crashed_runs: tuple[tuple[RunNumber, CrashEvidence], ...] = ()
     # Moves of the task so far, counted where ``expected_finish`` is set.
-    n_moves: int = 0
+    n_moves: Count = 0
     # Epoch of the target cell's owner as the moving owner knew it; 0 if it didn't.
-    target_epoch: int = 0
+    target_epoch: Epoch = 0
 
 
 class FillerHeadroom(msgspec.Struct, frozen=True, array_like=True):
--- a/libs/scheduling/src/berylcleat/scheduling/_progress.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_progress.py
@@ -7,7 +7,10 @@
 import msgspec
 
 from berylcleat.model import (
+    Count,
     MalformedValueError,
+    RunNumber,
+    Submission,
     SubmissionState,
     TaskKey,
     decode_json,
@@ -45,14 +48,14 @@
     """Stored form of progress: rows [occurrence, step, ...] instead of task keys."""
 
     final_state: str
-    done: tuple[tuple[int, int, tuple[int, ...]], ...]
-    failed: tuple[tuple[int, int, int, tuple[int, ...]], ...]
-    checkpoints: tuple[tuple[int, int, int, str], ...]
+    done: tuple[tuple[Count, Count, tuple[Count, ...]], ...]
+    failed: tuple[tuple[Count, Count, Count, tuple[RunNumber, ...]], ...]
+    checkpoints: tuple[tuple[Count, Count, Count, str], ...]
     crashed: tuple[
-        tuple[int, int, int, tuple[tuple[int, CrashEvidence], ...]], ...
+        tuple[Count, Count, Count, tuple[tuple[RunNumber, CrashEvidence], ...]], ...
     ] = ()
     # [occurrence, step, index, run, worker id, start time of the worker in ms].
-    presumed: tuple[tuple[int, int, int, int, str, int], ...] = ()
+    presumed: tuple[tuple[Count, Count, Count, RunNumber, str, Count], ...] = ()
 
 
 _encoder = msgspec.json.Encoder()
@@ -76,6 +79,24 @@
         default_factory=dict
     )
 
+    def find_odd_tasks(self, submission: Submission) -> list[TaskKey]:
+        """Return the tasks named here that a submission doesn't have."""
+        submission_id = submission.submission_id
+        done = (
+            TaskKey(submission_id, *step, index)
+            for step, indices in self.done_by_step.items()
+            if indices
+            for index in (min(indices), max(indices))
+        )
+        named = (
+            *done,
+            *self.failed_runs_by_task,
+            *self.checkpoint_by_task,
+            *self.crashed_runs_by_task,
+            *(task for task, _ in self.presumed_start_by_run),
+        )
+        return [task for task in named if not submission.has_task(task)]
+
     def is_done(self, task: TaskKey) -> bool:
         """Return whether ``task`` is done."""
         done = self.done_by_step.get((task.occurrence, task.step))
--- a/programs/beryl-host/features/odd_entries.feature
+++ b/programs/beryl-host/features/odd_entries.feature
@@ -102,7 +102,8 @@
     Then inherited tasks wait for 0 s
 
   # Guards against TWICE: progress that could not be read counted as none, and tasks that
-  # were done started again. Against LOST: one such row kept the whole cell from starting.
+  # were done started again. Against LOST: one such row kept the whole cell from starting,
+  # and a done task that a step doesn't have ended the step without one that it has.
   Scenario Outline: No task starts whose progress is <fault>, and the others do
     Given a cell with recorded workers "w1"
     And two submissions, and the progress of the first is <fault>
@@ -110,13 +111,18 @@
     Then tasks of <started> start
 
     Examples:
-      | fault              | started                     |
-      | cut short          | the second submission alone |
-      | not text           | the second submission alone |
-      | empty              | the second submission alone |
-      | nested too deeply  | the second submission alone |
-      | of an odd state    | the second submission alone |
-      | as it was          | both submissions            |
+      | fault                            | started                     |
+      | cut short                        | the second submission alone |
+      | not text                         | the second submission alone |
+      | empty                            | the second submission alone |
+      | nested too deeply                | the second submission alone |
+      | of an odd state                  | the second submission alone |
+      | of a run of 400 digits           | the second submission alone |
+      | of a task beyond its step        | the second submission alone |
+      | of a step too many               | the second submission alone |
+      | of an occurrence too many        | the second submission alone |
+      | of a failed task beyond its step | the second submission alone |
+      | as it was                        | both submissions            |
 
   # Guards against TWICE: an owner row that can't be read isn't "no owner", its epoch could
   # be used again. Against LOST: it kept the host from acquiring its other cells. Against
--- a/programs/beryl-host/features/odd_records.feature
+++ b/programs/beryl-host/features/odd_records.feature
@@ -21,6 +21,8 @@
       | acceptance | cut short         |
       | acceptance | not text          |
       | acceptance | nested too deeply |
+      | acceptance | with a time of 400 digits |
+      | acceptance | with too many tasks       |
       | moves      | cut short         |
       | moves      | not text          |
       | moves      | nested too deeply |
@@ -59,6 +61,7 @@
       | cut short         |
       | not text          |
       | nested too deeply |
+      | beyond all runs   |
 
   # Guards against LOST: only this owner moves tasks of its cell, so those stay known.
   Scenario: An owner goes on with the tasks that it has when later moves are cut short
--- a/programs/beryl-host/features/steps/odd_entries_steps.py
+++ b/programs/beryl-host/features/steps/odd_entries_steps.py
@@ -15,7 +15,7 @@
 from berylcleat.host._clock import now_s
 from berylcleat.host._records import WORKERS_KEY, AcceptedRow, WorkersRow, encode
 from berylcleat.host._worker_list import WorkerList
-from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand
+from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
 from berylcleat.ports import (
     OrderAnswer,
     OrderResult,
@@ -233,8 +233,18 @@
         "empty": b"",
         "nested too deeply": value[:-1] + f",[],[],{DEEP}]".encode(),
         "of an odd state": value.replace(b'""', b'"odd"', 1),
+        "of a run of 400 digits": value.replace(
+            b"[],[],[]", b"[],[[0,0,0,[" + b"9" * 400 + b"]]],[]", 1
+        ),
+        "of a task beyond its step": encode_progress(Progress(None, {(0, 0): {5}})),
+        "of a step too many": encode_progress(Progress(None, {(0, 1): {0}})),
+        "of an occurrence too many": encode_progress(Progress(None, {(1, 0): {0}})),
+        "of a failed task beyond its step": encode_progress(
+            Progress(failed_runs_by_task={TaskKey("a" * 16, 0, 0, 5): {1}})
+        ),
         "as it was": value,
     }
+    assert value.startswith(b'["",[],[],[]'), value
     context.ids = ["a" * 16, "b" * 16]
     context.store.put("progress", CELL, context.ids[0], value_by_fault[fault])
 
--- a/programs/beryl-host/features/steps/odd_record_steps.py
+++ b/programs/beryl-host/features/steps/odd_record_steps.py
@@ -47,6 +47,10 @@
         "cut short": value[:-1],
         "not text": b"\xff\xfe",
         "nested too deeply": value[:-1] + f', "x": {DEEP}}}'.encode(),
+        "with a time of 400 digits": value.replace(
+            b'"accepted_at_ms":0', b'"accepted_at_ms":' + HUGE
+        ),
+        "with too many tasks": value.replace(b'"n_tasks":2', b'"n_tasks":1000000000'),
         "as it was": value,
         "as they were": value,
         "beyond all runs": value.replace(b'"r2",1', b'"r2",' + HUGE),
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -159,6 +159,7 @@
         self._operator.update(scheduler.evacuation, now)
         # An earlier owner's call for a machine may be under way.
         scheduler.awaits_cordon = bool(self._operator.wave_by_id)
+        self._unmatched_progress_by_id = progress_by_id
         for entry in self._directory.in_cell(self.cell_id):
             submission = entry.accepted.submission
             if not self._is_record_readable(submission.submission_id, entry):
@@ -176,7 +177,6 @@
             )
             if entry.is_cancelled:
                 scheduler.cancel(submission.submission_id, now)
-        self._unmatched_progress_by_id = progress_by_id
         self.scheduler = scheduler
         self._update_confirmation()
         self._hold_loops = hold_loops = HoldLoops(
@@ -357,6 +357,17 @@
         """
         if submission_id in self._recorder.unreadable_ids:
             return False
+        progress = self._unmatched_progress_by_id.get(submission_id, Progress())
+        odd_tasks = progress.find_odd_tasks(entry.accepted.submission)
+        if odd_tasks:
+            self._recorder.unreadable_ids.add(submission_id)
+            logger.error(
+                "submission %s: its progress names task %s, which it doesn't have, so "
+                "none of its tasks starts",
+                submission_id,
+                odd_tasks[0],
+            )
+            return False
         return not entry.are_moves_unknown or self.tracks(submission_id)
 
     def tracks(self, submission_id: str) -> bool:
--- a/programs/beryl-host/src/berylcleat/host/_peers.py
+++ b/programs/beryl-host/src/berylcleat/host/_peers.py
@@ -11,7 +11,13 @@
 import msgspec
 
 from berylcleat.http import ExchangeError, HttpClient, HttpRequest, HttpResponse
-from berylcleat.model import MalformedValueError, SubmissionState, decode_json
+from berylcleat.model import (
+    Count,
+    Epoch,
+    MalformedValueError,
+    SubmissionState,
+    decode_json,
+)
 from berylcleat.scheduling import MovedTaskEnd
 
 from ._records import AcceptedRow
@@ -35,7 +41,7 @@
     cancelled_id: str = ""
     moves_of: str = ""
     moves: bytes = b""
-    version: int = 0
+    version: Count = 0
 
 
 class MovedTaskEnds(msgspec.Struct, frozen=True):
@@ -59,7 +65,7 @@
     """
 
     cell_id: str
-    epoch: int
+    epoch: Epoch
     host_id: str = ""
 
 
--- a/programs/beryl-host/src/berylcleat/host/_recorder.py
+++ b/programs/beryl-host/src/berylcleat/host/_recorder.py
@@ -67,7 +67,8 @@
     Each write is also conditional on its own row's version, so that a delayed write
     can't overwrite a newer one. ``confirmed_at`` is when the newest request was sent
     whose answer showed the owner row unchanged. ``unreadable_ids`` are the submissions
-    whose recorded progress can't be decoded: which of their tasks are done isn't known.
+    whose recorded progress can't be relied on: which of their tasks are done isn't
+    known.
     """
 
     def __init__(self, store: Store, cell_id: str, owner_version: int):
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -5,7 +5,7 @@
 import msgspec
 import xxhash
 
-from berylcleat.model import Epoch, Integer, Submission, TaskKey
+from berylcleat.model import Count, Epoch, Integer, Submission, TaskKey
 from berylcleat.ports import WorkerEntry
 from berylcleat.scheduling import (
     CellBacklog,
@@ -52,7 +52,7 @@
     """Accepted submission, its home cell and the data centre where it arrived."""
 
     cell_id: str
-    accepted_at_ms: int
+    accepted_at_ms: Count
     submission: Submission
     arrival_data_centre: str = ""
 
@@ -63,11 +63,11 @@
     ``version`` is the version of the owner row that it wrote.
     """
 
-    epoch: int
+    epoch: Epoch
     host_id: str
     incarnation: str
     peer_address: str
-    version: int
+    version: Count
 
 
 class OwnerRow(msgspec.Struct, frozen=True):
