Keep a load under a later epoch from hiding those of the cell's owner

A load row under an epoch that its cell never had made all later loads of the cell count as those of an earlier owner, so that no host knew the cell's load: no submission and no moved task went there.

Cause: the load of the highest epoch was kept. It is meant for loads that arrive before their owner's row.

Change: a load under a later epoch than the newest owner row that was read waits beside the one that counts, and replaces it once that epoch is read.

Evidence: odd_records.feature, 4 new scenarios: before, 3 failed (the fourth is that of a load before its owner's row), with the change 37 of 37 of the file pass. Also passed: odd_entries, admission, home_choice, evacuation, uneven_workers. The step of admission that ages a load sets the time where it is kept now; its check is as before.

--- a/programs/beryl-host/features/odd_records.feature
+++ b/programs/beryl-host/features/odd_records.feature
@@ -95,3 +95,24 @@
       | processors    |
       | submissions   |
       | admitted      |
+
+  # Guards against LOST: no work went to a cell whose later loads were taken for those of
+  # an earlier owner.
+  Scenario Outline: A load under an epoch that its cell never had replaces no other
+    Given a host that knows <known>
+    When loads of "r1" under the epochs "<epochs>" and the owner row of epoch 1 arrive
+    And a load of "r1" with the free capacity 5000 arrives under the epoch 1
+    Then the load of "r1" that counts has the free capacity 5000
+
+    Examples:
+      | known                           | epochs |
+      | the loads of the cells "r1 r2"  | 1000   |
+      | the loads of the cells "r1 r2"  | 3 1000 |
+      | the loads of the cells "r2"     | 1000   |
+
+  # Guards against a cell that seems to have no owner until its next load.
+  Scenario: A load that arrives before its owner's row counts once that has arrived
+    Given a host that knows the loads of the cells "r1 r2"
+    When a load of "r1" with the free capacity 5000 arrives under the epoch 2
+    And the owner row of epoch 2 of "r1" arrives
+    Then the load of "r1" that counts has the free capacity 5000
--- a/programs/beryl-host/features/steps/admission_steps.py
+++ b/programs/beryl-host/features/steps/admission_steps.py
@@ -192,8 +192,9 @@
 
 @when("its load becomes older than 5 s")
 def step_old(context):
-    version, received_at = context.cells._receipt_by_cell[CELL]
-    context.cells._receipt_by_cell[CELL] = (version, received_at - 5.1)
+    load = context.cells._load_by_cell[CELL]
+    old = replace(load, received_at=load.received_at - 5.1)
+    context.cells._load_by_cell[CELL] = old
 
 
 @when("its load becomes that of a lost owner")
--- a/programs/beryl-host/features/steps/odd_load_steps.py
+++ b/programs/beryl-host/features/steps/odd_load_steps.py
@@ -2,10 +2,12 @@
 
 from admission_steps import DATA_CENTRE, make_submission
 from behave import given, then, when
+from msgspec.structs import replace
 from odd_record_steps import count_log
 
 from berylcleat.host._cell_chooser import CellChooser
 from berylcleat.host._cell_directory import CellDirectory
+from berylcleat.host._clock import now_s
 from berylcleat.host._operator_state import OperatorState
 from berylcleat.host._records import (
     CELL_TABLE,
@@ -86,14 +88,19 @@
     context.cells.on_data_centre_rows((row,))
 
 
+def put_owner(context, cell_id, epoch):
+    context.version += 1
+    owner = encode(OwnerRow(epoch, "host-2", "aa", 0.0, DATA_CENTRE, ""))
+    row = StoreRow(CELL_TABLE, cell_id, OWNER_KEY, owner, context.version)
+    context.cells.on_owner_rows((row,))
+
+
 @given('a host that knows the loads of the cells "{names}"')
 def step_loads(context, names):
     context.version = 1
     context.cells = CellDirectory(DATA_CENTRE)
     for cell_id in names.split():
-        owner = encode(OwnerRow(1, "host-2", "aa", 0.0, DATA_CENTRE, ""))
-        row = StoreRow(CELL_TABLE, cell_id, OWNER_KEY, owner, 1)
-        context.cells.on_owner_rows((row,))
+        put_owner(context, cell_id, 1)
         put_load(context, cell_id, encode(LOAD))
     count_log(context)
 
@@ -132,3 +139,33 @@
     for fills in (False, True):
         step = Step(1, TaskDemand(1000, 100), fills=fills)
         assert reservations.reserve(step, "svc") in ("r1", "r2")
+
+
+@when(
+    'loads of "{cell_id}" under the epochs "{epochs}" and the owner row of epoch 1 '
+    "arrive"
+)
+def step_odd_epochs(context, cell_id, epochs):
+    for epoch in epochs.split():
+        put_load(context, cell_id, encode(replace(LOAD, epoch=int(epoch))))
+    step_owner(context, 1, cell_id)
+
+
+@when('the owner row of epoch {epoch:d} of "{cell_id}" arrives')
+def step_owner(context, epoch, cell_id):
+    put_owner(context, cell_id, epoch)
+
+
+@when(
+    'a load of "{cell_id}" with the free capacity {free:d} arrives under the epoch '
+    "{epoch:d}"
+)
+def step_load(context, cell_id, free, epoch):
+    summary = replace(LOAD.summary, cpu_free=free)
+    put_load(context, cell_id, encode(LoadRow(epoch, summary)))
+
+
+@then('the load of "{cell_id}" that counts has the free capacity {free:d}')
+def step_current(context, cell_id, free):
+    assert context.cells.summaries()[cell_id].cpu_free == free
+    assert context.cells.load_age_s(cell_id, now_s()) < 10.0
--- a/programs/beryl-host/src/berylcleat/host/_cell_directory.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_directory.py
@@ -37,6 +37,15 @@
         return max(0.0, self.row.unsettled_s - (now - self.observed_at))
 
 
+@dataclass(frozen=True, slots=True)
+class _ReceivedLoad:
+    """Load of a cell, its row's version, and when that was first received."""
+
+    row: LoadRow
+    version: int
+    received_at: float
+
+
 class CellDirectory:
     """Owners and last published loads by cell, and the liveness of remote owners."""
 
@@ -47,9 +56,11 @@
         # known, nobody may acquire the cell: an epoch could be used again.
         self.unreadable_version_by_cell: dict[str, int] = {}
         self.remote_liveness = RemoteLiveness()
-        self._load_by_cell: dict[str, LoadRow] = {}
-        # Version of each load row, and when it was first received.
-        self._receipt_by_cell: dict[str, tuple[int, float]] = {}
+        self._load_by_cell: dict[str, _ReceivedLoad] = {}
+        # Loads under a later epoch than the cell's owner row that was read last. They
+        # count once that epoch is read; one that the store never reaches replaces no
+        # other load.
+        self._early_load_by_cell: dict[str, _ReceivedLoad] = {}
         self._unreadable_rows = UnreadableRows()
 
     def on_owner_rows(self, rows: tuple[StoreRow, ...]) -> None:
@@ -69,6 +80,7 @@
             return
         self.unreadable_version_by_cell.pop(row.part, None)
         self.owner_by_cell[row.part] = ObservedOwner(owner, row.version, now_s())
+        self._sort_loads(row.part)
         logger.info(
             "cell %s: owner %s epoch %d",
             row.part,
@@ -104,17 +116,44 @@
             self._unreadable_rows.add(name, error)
             return
         self._unreadable_rows.discard(name)
+        received = _ReceivedLoad(load, row.version, now_s())
+        if self._is_early(cell_id, load):
+            self._early_load_by_cell[cell_id] = received
+        else:
+            self._keep_load(cell_id, received)
+
+    def _is_early(self, cell_id: str, load: LoadRow) -> bool:
+        owner = self.owner_by_cell.get(cell_id)
+        return owner is not None and load.epoch > owner.row.epoch
+
+    def _keep_load(self, cell_id: str, load: _ReceivedLoad) -> None:
+        """Replace a cell's load unless the new one is of an earlier owner.
+
+        A delayed write of an earlier owner may arrive last. A version that is read
+        again keeps the time of its first receipt.
+        """
         known = self._load_by_cell.get(cell_id)
-        # A delayed write of an earlier owner may arrive last.
-        if known is None or load.epoch >= known.epoch:
+        if known is None or (
+            load.row.epoch >= known.row.epoch and load.version != known.version
+        ):
             self._load_by_cell[cell_id] = load
-            if self._receipt_by_cell.get(cell_id, (-1, 0.0))[0] != row.version:
-                self._receipt_by_cell[cell_id] = (row.version, now_s())
+
+    def _sort_loads(self, cell_id: str) -> None:
+        """Tell a cell's early load from the one that counts, after a new owner row."""
+        loads = (
+            self._load_by_cell.pop(cell_id, None),
+            self._early_load_by_cell.pop(cell_id, None),
+        )
+        for load in filter(None, loads):
+            if self._is_early(cell_id, load.row):
+                self._early_load_by_cell[cell_id] = load
+            else:
+                self._keep_load(cell_id, load)
 
     def load_age_s(self, cell_id: str, now: float) -> float:
         """Return the seconds since a cell's load was received; infinity if none was."""
-        receipt = self._receipt_by_cell.get(cell_id)
-        return float("inf") if receipt is None else now - receipt[1]
+        load = self._load_by_cell.get(cell_id)
+        return float("inf") if load is None else now - load.received_at
 
     def count_owning_hosts(self) -> tuple[int, int]:
         """Return how many hosts own cells, in all and in this data centre."""
@@ -137,9 +176,9 @@
     def summaries(self) -> dict[str, CellSummary]:
         """Return the loads that current owners published last, by cell."""
         return {
-            cell_id: load.summary
+            cell_id: load.row.summary
             for cell_id, load in self._load_by_cell.items()
-            if self._is_current(cell_id, load)
+            if self._is_current(cell_id, load.row)
         }
 
     def _is_current(self, cell_id: str, load: LoadRow) -> bool:
@@ -150,7 +189,9 @@
 
     def last_summaries(self) -> dict[str, CellSummary]:
         """Return the load of each cell that any of its owners published last."""
-        return {cell_id: load.summary for cell_id, load in self._load_by_cell.items()}
+        return {
+            cell_id: load.row.summary for cell_id, load in self._load_by_cell.items()
+        }
 
     def epoch_of(self, cell_id: str) -> int:
         """Return the latest epoch of a cell that was read from the store, or 0."""
