Bound the time for which an owner row holds back inherited tasks

Each owner of a cell takes over from its predecessor's row for how long runs may be unaccounted for. A row with 1e300 s kept the inherited tasks of its cell from starting under every later owner.

Cause: the time was decoded with no upper bound, and passed on.

Change: it counts as the longest time that runs of an earlier owner can outlive the acquisition of the cell, 18.72 s from when the row was first read. Nothing is known to be safe earlier, and nothing can run later. Such a row is logged.

--- a/programs/beryl-host/features/odd_entries.feature
+++ b/programs/beryl-host/features/odd_entries.feature
@@ -142,6 +142,14 @@
       | {"epoch": 1e300, "host_id": "", "incarnation": ""}   |
       | {"epoch": 9007199254740993, "host_id": "", "incarnation": ""} |
 
+  # Guards against LOST: inherited tasks of the cell never started, under any owner.
+  Scenario: Earlier runs count as unaccounted for no longer than leases can last
+    Given a cell with recorded workers "w1 w2" that was released
+    And its owner row has runs unaccounted for 1e300 s
+    When a host acquires that cell
+    Then inherited tasks wait for at most 18.72 s, under it and the next owner
+    And the owner row was logged once
+
   # Guards against LOST: a cell was given up again and again because of a move, or of the
   # end of a moved task, with a step that the submission doesn't have.
   Scenario Outline: The <message> of a task that doesn't exist is ignored
--- a/programs/beryl-host/features/steps/odd_owner_steps.py
+++ b/programs/beryl-host/features/steps/odd_owner_steps.py
@@ -2,11 +2,11 @@
 
 from behave import given, then, when
 from host_parts import CELL
-from ownership_steps import make_live_manager, put_cell_row, read_owner
+from ownership_steps import make_live_manager, put_cell_row, read_owner, read_row
 
 from berylcleat.host._clock import now_s
 from berylcleat.host._membership import Coverage
-from berylcleat.host._records import OWNER_KEY, HostRow, encode
+from berylcleat.host._records import OWNER_KEY, HostRow, OwnerRow, encode
 from berylcleat.ports import StoreRow
 
 DEEP = '{"x": ' + "[" * 100_000 + "]" * 100_000 + "}"
@@ -97,3 +97,37 @@
         await manager.release_all()
 
     context.run(run())
+
+
+@given("its owner row has runs unaccounted for {seconds} s")
+def step_unsettled(context, seconds):
+    row = OwnerRow(2, "", "", float(seconds))
+    context.owner_value = encode(row)
+
+
+@when("a host acquires that cell")
+def step_acquire(context):
+    log = ErrorLog()
+    logger = logging.getLogger("berylcleat.host._cell_directory")
+    logger.addHandler(log)
+
+    async def run():
+        manager, cells = await make_live_manager(context.store, "dc-1")
+        cells.owner_by_cell.clear()
+        put_cell_row(context, OWNER_KEY, context.owner_value)
+        await read_owner(context.store, cells)
+        coverage = Coverage(now_s() - 10.0, now_s())
+        await manager.reconcile(coverage, coverage)
+        settled_at = manager.controller_by_cell[CELL]._settled_at
+        written = read_row(context, OWNER_KEY, OwnerRow)
+        context.waits = (settled_at - now_s(), written.unsettled_s)
+        await manager.release_all()
+
+    context.run(run())
+    logger.removeHandler(log)
+    context.logged = [text for text in log.messages if "owner row" in text]
+
+
+@then("inherited tasks wait for at most {seconds:f} s, under it and the next owner")
+def step_bounded_wait(context, seconds):
+    assert all(wait <= seconds for wait in context.waits), context.waits
--- a/programs/beryl-host/src/berylcleat/host/_cell_directory.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_directory.py
@@ -7,6 +7,7 @@
 
 from berylcleat.model import MalformedValueError, decode_json
 from berylcleat.ports import StoreRow
+from berylcleat.scheduling import LeaseTimes
 
 from ._clock import now_s
 from ._records import (
@@ -19,6 +20,8 @@
 from ._remote_liveness import RemoteLiveness
 from ._unreadable_rows import UnreadableRows
 
+# No run of an earlier owner outlives the acquisition of its cell by more.
+MAX_UNSETTLED_S = LeaseTimes().takeover_wait_s(owner_is_dead=False)
 logger = logging.getLogger(__name__)
 _owner_decoder = msgspec.json.Decoder(OwnerRow)
 _load_decoder = msgspec.json.Decoder(LoadRow)
@@ -34,7 +37,8 @@
 
     def unsettled_s(self, now: float) -> float:
         """Return the seconds for which earlier runs may be unaccounted for."""
-        return max(0.0, self.row.unsettled_s - (now - self.observed_at))
+        unsettled_s = min(self.row.unsettled_s, MAX_UNSETTLED_S)
+        return max(0.0, unsettled_s - (now - self.observed_at))
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +91,13 @@
             owner.host_id or "(none)",
             owner.epoch,
         )
+        if owner.unsettled_s > MAX_UNSETTLED_S:
+            logger.error(
+                "owner row of cell %s: runs unaccounted for %.3g s count as for %.1f s",
+                row.part,
+                owner.unsettled_s,
+                MAX_UNSETTLED_S,
+            )
 
     def _on_unreadable_owner(self, row: StoreRow, error: MalformedValueError) -> None:
         if self.unreadable_version_by_cell.get(row.part, -1) >= row.version:
