Ignore the target epoch of a move that its cell had not reached

A move to a cell under an epoch that the cell never had fenced out each of its owners in turn: they gave the cell up, and nothing started there.

Cause: a later epoch than the owner's is taken for the proof of a takeover.

Ruled out: a bound on how far ahead an epoch may be, as a cut-off owner may be many epochs behind. The store's versions tell more: a move that was stored before the owner row can't name the epoch that begins with that row, nor a later one.

Change: such an epoch counts as not known, so the task waits until runs of earlier owners have settled. A move that was stored later fences its owner out as before; the next owner row is newer than the move, so the cell is given up once at most.

Evidence: odd_records.feature, 4 new examples: before, the one of a move from before the owner row failed ("fenced out"), with the change 41 of 41 of the file pass, among them the one that a later move still fences out. Also passed: ownership, confirmation, moves.

--- a/programs/beryl-host/features/odd_records.feature
+++ b/programs/beryl-host/features/odd_records.feature
@@ -70,6 +70,21 @@
     When a host acquires the cell, and then reads later moves that are cut short
     Then tasks of both submissions start
 
+  # Guards against LOST: each owner of the cell took the move for the proof of a later one,
+  # and gave the cell up.
+  Scenario Outline: A task moved here under an epoch that its cell never had starts
+    Given a cell with recorded workers "w1"
+    And a submission with a task moved to it under the epoch <epoch>, stored <moment>
+    When a host acquires the cell under the epoch 2, and "w1" reports its runs
+    Then the cell is <state>
+
+    Examples:
+      | epoch | moment               | state      |
+      | 1000  | before its owner row | in use     |
+      | 2     | before its owner row | in use     |
+      | 1     | before its owner row | in use     |
+      | 1000  | after its owner row  | fenced out |
+
   # Guards against LOST and refused submissions: one number too large in a load ended the
   # mover of every cell, and each POST was answered 500.
   Scenario Outline: A load with an odd <number> is left out, and the others count
--- a/programs/beryl-host/features/steps/odd_record_steps.py
+++ b/programs/beryl-host/features/steps/odd_record_steps.py
@@ -5,16 +5,19 @@
 from host_parts import CELL, make_worker_entry
 from moves_steps import SUBMISSION_ID, settle
 from odd_entries_steps import DEEP, plan_starts
-from ownership_steps import make_owner
+from ownership_steps import make_owner, put_cell_row
 
 from berylcleat.host._client_api import ClientApi
 from berylcleat.host._clock import now_s
 from berylcleat.host._records import (
+    CELL_TABLE,
     MOVES_SUFFIX,
+    OWNER_KEY,
     SUBMISSION_TABLE,
     AcceptedRow,
     MoveRow,
     MovesRow,
+    OwnerRow,
     cell_submission_table,
     encode,
     submission_part,
@@ -155,11 +158,11 @@
 class OwnedCell:
     """Cell that a host acquires with both submissions and one worker."""
 
-    def __init__(self, context):
+    def __init__(self, context, moves_version=5):
         self.controller = make_owner(context, 0)
         self.directory = self.controller._directory
         add_submissions(context, self.directory)
-        put_moves(context, self.directory, context.odd_moves, 5)
+        put_moves(context, self.directory, context.odd_moves, moves_version)
 
     async def acquire(self):
         await self.controller.start({"w1": make_worker_entry("w1")})
@@ -202,3 +205,36 @@
 @then("the task of the first submission that wasn't moved starts once they can be read")
 def step_started_later(context):
     assert context.started_later == {TaskKey(context.ids[0], 0, 0, 1)}
+
+
+@given(
+    "a submission with a task moved to it under the epoch {epoch:d}, stored {moment} "
+    "its owner row"
+)
+def step_moved_under_epoch(context, epoch, moment):
+    context.ids = ["a" * 16]
+    moved = TaskKey(context.ids[0], 0, 0, 0)
+    move = TaskMove(CELL, 1, target_epoch=epoch)
+    context.odd_moves = encode(MovesRow((MoveRow(moved, move),)))
+    put_cell_row(context, OWNER_KEY, encode(OwnerRow(2, "host-1", "aa", 18.0)))
+    owner_version = context.store.rows_by_key(CELL_TABLE, CELL)[OWNER_KEY].version
+    context.moves_version = owner_version + (1 if moment == "after" else -1)
+
+
+@when('a host acquires the cell under the epoch 2, and "w1" reports its runs')
+def step_acquire_moved(context):
+    async def run():
+        cell = OwnedCell(context, context.moves_version)
+        await cell.acquire()
+        tasks = cell.start_tasks()
+        is_fenced_out = cell.controller.scheduler.is_fenced_out
+        assert is_fenced_out is not bool(tasks), tasks
+        context.state = "fenced out" if is_fenced_out else "in use"
+        await cell.controller.release()
+
+    context.run(run())
+
+
+@then("the cell is {state}")
+def step_state(context, state):
+    assert context.state == state, context.state
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -162,6 +162,7 @@
         self._unmatched_progress_by_id = progress_by_id
         for entry in self._directory.in_cell(self.cell_id):
             submission = entry.accepted.submission
+            entry.drop_odd_epochs(self.cell_id, self.owner.epoch, self.owner_version)
             if not self._is_record_readable(submission.submission_id, entry):
                 continue
             progress = progress_by_id.pop(submission.submission_id, Progress())
@@ -331,6 +332,7 @@
             return
         if not self._is_record_readable(submission_id, entry):
             return
+        entry.drop_odd_epochs(self.cell_id, self.owner.epoch, self.owner_version)
         now = now_s()
         age_ms = wall_ms() - entry.accepted.accepted_at_ms
         # Deadlines count from the acceptance in every cell that orders by them alike.
--- a/programs/beryl-host/src/berylcleat/host/_submission_directory.py
+++ b/programs/beryl-host/src/berylcleat/host/_submission_directory.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 import msgspec
+from msgspec.structs import replace
 
 from berylcleat.model import MalformedValueError, TaskKey, decode_json
 from berylcleat.ports import StoreRow
@@ -54,6 +55,23 @@
             logger.error("move of task %s ignored: there is no such task", task)
             del self.move_by_task[task]
 
+    def drop_odd_epochs(self, cell_id: str, epoch: int, owner_version: int) -> None:
+        """Forget target epochs that a cell hadn't reached when its moves were stored.
+
+        ``epoch`` began with the owner row of that version: earlier moves can't name it.
+        """
+        if self.moves_version > owner_version:
+            return
+        for task, move in self.move_by_task.items():
+            if move.cell_id == cell_id and move.target_epoch >= epoch:
+                logger.error(
+                    "move of task %s: cell %s had not reached epoch %d, it is ignored",
+                    task,
+                    cell_id,
+                    move.target_epoch,
+                )
+                self.move_by_task[task] = replace(move, target_epoch=0)
+
     def cells(self) -> set[str]:
         """Return the cells that run tasks of the submission."""
         if self.accepted is None:
