--- a/libs/model/src/berylcleat/model/__init__.py
+++ b/libs/model/src/berylcleat/model/__init__.py
@@ -27,6 +27,7 @@
     PortInUseError,
     RejectedWriteError,
     SettingsError,
+    UnreadableRecordError,
 )
 from ._jobs import (
     URGENT_PRIORITY,
@@ -37,6 +38,17 @@
     worker_labels,
 )
 from ._load import load_settings, parse_document
+from ._numbers import (
+    MAX_EXACT,
+    MAX_OCCURRENCES,
+    MAX_TASKS,
+    Amount,
+    Count,
+    Epoch,
+    Integer,
+    Number,
+    RunNumber,
+)
 from ._resources import Resources
 from ._selectors import Labels, Selector, parse_selector
 from ._submissions import (
@@ -55,22 +67,30 @@
 
 __all__ = [
     "ENDED_SUBMISSION_STATES",
+    "MAX_EXACT",
+    "MAX_OCCURRENCES",
+    "MAX_TASKS",
     "URGENT_PRIORITY",
     "AdvicePolicy",
+    "Amount",
     "BadRequestError",
     "BerylError",
     "ConfigDocument",
     "ConflictError",
+    "Count",
     "DocumentError",
     "EffectivePolicy",
+    "Epoch",
     "ErrorCode",
     "FencedError",
     "HostUnreachableError",
+    "Integer",
     "JobSpec",
     "Labels",
     "MalformedValueError",
     "NeverRunnableError",
     "NotFoundError",
+    "Number",
     "OutcomeUnknownError",
     "PlatformUnavailableError",
     "PortInUseError",
@@ -78,6 +98,7 @@
     "RejectedWriteError",
     "Resources",
     "Rule",
+    "RunNumber",
     "Selector",
     "Service",
     "SettingsError",
@@ -88,6 +109,7 @@
     "TaskDemand",
     "TaskKey",
     "Team",
+    "UnreadableRecordError",
     "WorkerSpec",
     "apply_rules",
     "check_config",
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -161,9 +161,11 @@
         self._operator.update(scheduler.evacuation, now)
         # An earlier owner's call for a machine may be under way.
         scheduler.awaits_cordon = bool(self._operator.wave_by_id)
+        self._unmatched_progress_by_id = progress_by_id
         for entry in self._directory.in_cell(self.cell_id):
             submission = entry.accepted.submission
-            if submission.submission_id in self._recorder.unreadable_ids:
+            entry.drop_odd_epochs(self.cell_id, self.owner.epoch, self.owner_version)
+            if not self._is_record_readable(submission.submission_id, entry):
                 continue
             progress = progress_by_id.pop(submission.submission_id, Progress())
             age_s = max(0.0, wall_ms() - entry.accepted.accepted_at_ms) / 1000
@@ -178,7 +180,6 @@
             )
             if entry.is_cancelled:
                 scheduler.cancel(submission.submission_id, now)
-        self._unmatched_progress_by_id = progress_by_id
         self.scheduler = scheduler
         self._update_confirmation()
         self._hold_loops = hold_loops = HoldLoops(
@@ -345,8 +346,9 @@
         """Add or update a submission of this cell, including its cancellation."""
         if self.scheduler is None or entry.accepted is None:
             return
-        if submission_id in self._recorder.unreadable_ids:
+        if not self._is_record_readable(submission_id, entry):
             return
+        entry.drop_odd_epochs(self.cell_id, self.owner.epoch, self.owner_version)
         now = now_s()
         age_ms = wall_ms() - entry.accepted.accepted_at_ms
         # Deadlines count from the acceptance in every cell that orders by them alike.
@@ -365,6 +367,27 @@
             self.scheduler.cancel(submission_id, now)
         self._plan_needed.set()
 
+    def _is_record_readable(self, submission_id: str, entry: SubmissionEntry) -> bool:
+        """Return whether it is known which tasks of a submission may start here.
+
+        If its moves are unknown, earlier owners may have moved any of its tasks away.
+        For one that is tracked that isn't so: since then only this owner moves them.
+        """
+        if submission_id in self._recorder.unreadable_ids:
+            return False
+        progress = self._unmatched_progress_by_id.get(submission_id, Progress())
+        odd_tasks = progress.find_odd_tasks(entry.accepted.submission)
+        if odd_tasks:
+            self._recorder.unreadable_ids.add(submission_id)
+            logger.error(
+                "submission %s: its progress names task %s, which it doesn't have, so "
+                "none of its tasks starts",
+                submission_id,
+                odd_tasks[0],
+            )
+            return False
+        return not entry.are_moves_unknown or self.tracks(submission_id)
+
     def tracks(self, submission_id: str) -> bool:
         """Return whether the cell tracks a submission."""
         return (
--- a/programs/beryl-host/src/berylcleat/host/_client_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_client_api.py
@@ -15,6 +15,7 @@
     PlatformUnavailableError,
     Submission,
     SubmissionState,
+    UnreadableRecordError,
 )
 from berylcleat.platform import (
     IngressKind,
@@ -351,7 +352,7 @@
                 may_run = self._may_be_stored_later(submission_id)
                 return make_response(504 if may_run else 410)
             entry = await self._store_cancel(submission_id, cell_id, deadline)
-        except PlatformUnavailableError as error:
+        except (PlatformUnavailableError, UnreadableRecordError) as error:
             logger.info("submission %s: cancellation refused: %s", submission_id, error)
             return make_response(503)
         except BerylError as error:
