Pass clients' requests on while a host is cut off from the store

What callers saw: of 171 submissions first sent in the 13 s in which 34 of 97 hosts didn't reach the store, 37 met such a host. 13 of them were never accepted and 24 at another host only, after 1.5 s (503) or 3.1 s (504).

Cause: a host tried the store only, with its timeout of 1.5 s, though its peers could store the submission at once.

Ruled out by the same log: 5 of the others started over 0.5 s late in a cell whose owner was cut off; 12 in sound cells.

Change: a host judges from its calls whether the store answers it. If not, or once a call is overdue, it passes submissions, cancellations and state requests on to a peer, which handles them as a client's. The acceptance is conditional on the id as before; what a silent peer may have stored is never refused. The order of peers moves out of the operator relay, the response builder out of the client API. Holds in every deployment; nothing is passed on while the store answers.

Evidence: request_relay_processes.feature. With the handler of before the first submission to a cut-off host is answered 504, now 200 within 1 s, and the host reports states. request_relay (25 scenarios), store_reachability (7), host (13), evacuation (51), operator (46), odd_entries (243), confirmation (16), config_storm (2) and size (8, one known red) pass.

--- a/programs/beryl-host/src/berylcleat/host/_client_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_client_api.py
@@ -31,6 +31,7 @@
 from ._cell_chooser import CellChooser
 from ._cell_directory import CellDirectory
 from ._cell_ownership import CellOwnershipManager
+from ._client_responses import make_response
 from ._clock import now_s, wall_ms
 from ._metrics import ADMISSION_ESTIMATES, REFUSALS
 from ._peers import PeerClient, SubmissionUpdate
@@ -38,8 +39,6 @@
 from ._submission_directory import SubmissionDirectory, SubmissionEntry
 from ._submission_store import SubmissionStore
 
-JSON_TYPE = ("content-type", "application/json")
-RETRY_AFTER_S = 1
 DEFAULT_TIMEOUT_S = 3.0
 # Part of the client's deadline that is reserved for sending the response.
 RESPONSE_MARGIN_S = 0.15
@@ -51,16 +50,6 @@
 logger = logging.getLogger(__name__)
 
 
-def make_response(
-    status: int, body: bytes = b"", retry_after_s: int = RETRY_AFTER_S
-) -> HttpResponse:
-    """Return a response with a JSON body, and with Retry-After for 429 and 503."""
-    headers = (JSON_TYPE,) if body else ()
-    if status in (429, 503):
-        headers += (("retry-after", str(retry_after_s)),)
-    return HttpResponse(status, headers, body)
-
-
 def _refuse_for_load(submission: Submission, refusal: Refuse) -> HttpResponse:
     logger.info(
         "submission %s: refused for load, %s: account %s, estimate %.1f s, "
@@ -110,17 +99,40 @@
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one client request."""
-        if self.config is None:
+        ingress = self.parse(request)
+        return await self.serve(ingress, request.body, self.find_deadline(ingress))
+
+    def parse(self, request: HttpRequest) -> IngressRequest | None:
+        """Return what a client asks for; None before the first configuration."""
+        return None if self.config is None else parse_ingress(request, self.config)
+
+    def find_deadline(self, ingress: IngressRequest | None) -> float:
+        """Return the time by which a request received now is to be answered."""
+        deadline_ms = ingress.deadline_ms if ingress is not None else None
+        timeout_s = (deadline_ms or DEFAULT_TIMEOUT_S * 1000) / 1000
+        return now_s() + timeout_s - RESPONSE_MARGIN_S
+
+    def needs_store(self, ingress: IngressRequest) -> bool:
+        """Return whether the answer takes the store, or an owner that it names."""
+        if ingress.kind is IngressKind.SUBMIT:
+            return self._known_home(ingress.submission_id) is None
+        if ingress.kind is IngressKind.READ_STATE:
+            home = self._known_home(ingress.submission_id)
+            return home not in self._ownership.controller_by_cell
+        return ingress.kind is IngressKind.CANCEL
+
+    async def serve(
+        self, ingress: IngressRequest | None, body: bytes, deadline: float
+    ) -> HttpResponse:
+        """Answer one request by ``deadline``."""
+        if ingress is None:
             return make_response(503)
-        ingress = parse_ingress(request, self.config)
         if ingress.kind is IngressKind.UNKNOWN:
             return make_response(404)
         if ingress.kind is IngressKind.COUNT_PENDING:
             return make_response(200, encode_pending(self._count_pending(ingress)))
-        timeout_s = (ingress.deadline_ms or DEFAULT_TIMEOUT_S * 1000) / 1000
-        deadline = now_s() + timeout_s - RESPONSE_MARGIN_S
         if ingress.kind is IngressKind.SUBMIT:
-            return await self._submit(ingress, request.body, deadline)
+            return await self._submit(ingress, body, deadline)
         if ingress.kind is IngressKind.CANCEL:
             return await self._cancel(ingress.submission_id, deadline)
         return await self._read_state(ingress.submission_id)
@@ -159,7 +171,7 @@
         accepted = AcceptedRow(cell_id, int(wall_ms()), submission, self._data_centre)
         status = await self._store_accepted(accepted, deadline)
         if status == 504:
-            self._remember_uncertain(submission_id)
+            self.remember_uncertain(submission_id)
         if status == 503:
             self._chooser.withdraw(submission_id)
             REFUSALS.labels(submission.queue.name, "store").inc()
@@ -185,7 +197,7 @@
         store can't tell, the submission is admitted and its commit decides.
         """
         submission_id = submission.submission_id
-        may_refuse = submission_id not in self._uncertain_ids
+        may_refuse = not self.is_uncertain(submission_id)
         decision = self._chooser.decide(submission, may_refuse=may_refuse)
         if not isinstance(decision, Refuse):
             return decision
@@ -201,7 +213,12 @@
             return self._chooser.decide(submission, may_refuse=False)
         return decision
 
-    def _remember_uncertain(self, submission_id: str) -> None:
+    def is_uncertain(self, submission_id: str) -> bool:
+        """Return whether the submission may have been stored by an earlier attempt."""
+        return submission_id in self._uncertain_ids
+
+    def remember_uncertain(self, submission_id: str) -> None:
+        """Remember a submission that may have been stored without an answer."""
         self._uncertain_ids[submission_id] = None
         while len(self._uncertain_ids) > MAX_UNCERTAIN_IDS:
             self._uncertain_ids.popitem(last=False)
--- a/programs/beryl-host/src/berylcleat/host/_metrics.py
+++ b/programs/beryl-host/src/berylcleat/host/_metrics.py
@@ -1,6 +1,6 @@
-"""Prometheus metrics of the client API and of the list of workers."""
+"""Prometheus metrics of the client API, the list of workers and the store."""
 
-from prometheus_client import Counter, Histogram
+from prometheus_client import Counter, Gauge, Histogram
 
 REFUSALS = Counter(
     "beryl_host_refusals",
@@ -24,3 +24,13 @@
     "Entries of the list of workers that name no worker to use, counted when they "
     "appear and when the reason changes",
 )
+STORE_UNREACHABLE = Gauge(
+    "beryl_host_store_unreachable",
+    "1 while the store is believed not to answer this host",
+)
+RELAYED_REQUESTS = Counter(
+    "beryl_host_relayed_requests",
+    "Client requests passed to other hosts by result: answered, refused, unknown or "
+    "declined",
+    ("result",),
+)
--- a/programs/beryl-host/src/berylcleat/host/_operator_relay.py
+++ b/programs/beryl-host/src/berylcleat/host/_operator_relay.py
@@ -3,8 +3,6 @@
 import asyncio
 from collections.abc import Callable
 
-import xxhash
-
 from berylcleat.platform import CONFIG_KEY, OPERATOR_TABLE
 from berylcleat.ports import StoreRow
 
@@ -13,6 +11,7 @@
 from ._follower import Follower
 from ._identity import HostIdentity
 from ._operator_state import OperatorState
+from ._peer_addresses import order_peers
 from ._peers import OperatorReply, PeerClient
 from ._records import HostRow
 
@@ -119,7 +118,8 @@
 
     async def poll(self) -> None:
         """Ask the next host and apply its answer."""
-        address = choose_address(self._n_polls, *self._addresses())
+        local, remote = order_peers(self._identity, self._live_hosts(), self._cells)
+        address = choose_address(self._n_polls, local, remote)
         if address is None:
             return
         self._n_polls += 1
@@ -129,24 +129,3 @@
         )
         if reply is not None:
             apply_operator_reply(self._state, reply, polled_at, address)
-
-    def _addresses(self) -> tuple[list[str], list[str]]:
-        """Return the addresses of hosts here and of owners in other data centres.
-
-        Every host has an order of its own, so that they don't all ask the same one.
-        """
-        local = {
-            host.peer_address
-            for host_id, host in self._live_hosts().items()
-            if host_id != self._identity.host_id
-        }
-        remote = {
-            owner.row.peer_address
-            for owner in self._cells.owner_by_cell.values()
-            if owner.row.host_id and owner.row.data_centre != self._identity.data_centre
-        }
-        remote -= {self._identity.peer_address, "", *local}
-        return sorted(local, key=self._rank), sorted(remote, key=self._rank)
-
-    def _rank(self, address: str) -> int:
-        return xxhash.xxh64_intdigest(f"{self._identity.host_id}/{address}".encode())
--- a/programs/beryl-host/src/berylcleat/host/_peer_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_peer_api.py
@@ -18,21 +18,25 @@
     ENDS_PATH,
     OPERATOR_PATH,
     OPERATOR_QUERY,
+    RELAY_PATH,
     STATE_PREFIX,
     TAKEOVER_PATH,
     UPDATE_PATH,
     MovedTaskEnds,
+    RelayedRequest,
     StateReply,
     SubmissionUpdate,
     TakeoverNotice,
     TakeoverReply,
 )
 from ._records import MOVES_SUFFIX, cell_submission_table
+from ._relayed_requests import RelayedRequests
 from ._submission_directory import SubmissionDirectory
 
 logger = logging.getLogger(__name__)
 _update_decoder = msgspec.json.Decoder(SubmissionUpdate)
 _ends_decoder = msgspec.json.Decoder(MovedTaskEnds)
+_relayed_decoder = msgspec.json.Decoder(RelayedRequest)
 _takeover_decoder = msgspec.json.Decoder(TakeoverNotice)
 
 
@@ -45,7 +49,9 @@
         directory: SubmissionDirectory,
         ownership: CellOwnershipManager,
         operator: OperatorState,
+        relayed: RelayedRequests | None = None,
     ):
+        self._relayed = relayed
         self._operator = operator
         self._identity = identity
         self._directory = directory
@@ -66,6 +72,8 @@
             return self._on_submission_update(request.body)
         if request.target == ENDS_PATH:
             return self._on_moved_task_ends(request.body)
+        if request.target == RELAY_PATH and self._relayed is not None:
+            return await self._serve_relayed(self._relayed, request.body)
         if request.target == TAKEOVER_PATH:
             return await self._on_takeover(request.body)
         if request.target.startswith(OPERATOR_PATH + OPERATOR_QUERY):
@@ -73,6 +81,14 @@
             return self._reply_operator_state(version)
         return HttpResponse(404)
 
+    async def _serve_relayed(
+        self, relayed: RelayedRequests, body: bytes
+    ) -> HttpResponse:
+        response = await relayed.serve(decode_json(_relayed_decoder, body))
+        if response is None:
+            return HttpResponse(409)
+        return HttpResponse(200, (), msgspec.json.encode(response))
+
     def _reply_operator_state(self, config_version: str) -> HttpResponse:
         if not (config_version.isascii() and config_version.isdigit()):
             return HttpResponse(400)
--- a/programs/beryl-host/src/berylcleat/host/_peers.py
+++ b/programs/beryl-host/src/berylcleat/host/_peers.py
@@ -1,11 +1,12 @@
 """Messages between hosts.
 
-State queries, submission updates, ends of moved tasks, takeover notices and what the
-operator asks for.
+State queries, submission updates, ends of moved tasks, takeover notices, what the
+operator asks for, and client requests that another host serves.
 """
 
 import asyncio
 import logging
+from enum import Enum
 from typing import Annotated
 
 import msgspec
@@ -17,6 +18,7 @@
 from ._records import AcceptedRow
 
 PEER_TIMEOUT_S = 0.5
+MAX_PEER_CONNECTIONS = 8
 STATE_PREFIX = "/state/"
 UPDATE_PATH = "/news"
 TAKEOVER_PATH = "/handover"
@@ -24,6 +26,10 @@
 OPERATOR_PATH = "/operator-state"
 # Names the version of the configuration that the requester has.
 OPERATOR_QUERY = "?config="
+RELAY_PATH = "/client-request"
+# 400: the request could not be decoded; 404: a host of an earlier version; 409: a host
+# that doesn't serve it; 413: too large a request between hosts.
+DECLINED_STATUSES = (400, 404, 409, 413)
 STATE_BY_VALUE = {state.value: state for state in SubmissionState}
 logger = logging.getLogger(__name__)
 
@@ -85,11 +91,41 @@
     config: bytes = b""
 
 
+class RelayedRequest(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Client request that the receiver serves and doesn't pass on."""
+
+    method: str
+    target: str
+    client_host: str
+    deadline_ms: Annotated[int, msgspec.Meta(ge=0)]
+    body: bytes = b""
+
+
+class RelayedResponse(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Response to a relayed request; ``retry_after_s`` is 0 if it names none."""
+
+    status: int
+    body: bytes = b""
+    retry_after_s: Annotated[int, msgspec.Meta(ge=0)] = 0
+
+
+class RelayResult(Enum):
+    """Result of a relayed request without a response."""
+
+    # The peer did nothing: it was not reached, or doesn't serve the request.
+    DECLINED = "declined"
+    # The peer may have served the request, or may still do so.
+    UNKNOWN = "unknown"
+
+
 class PeerClient:
     """Client for requests to other hosts."""
 
     def __init__(self):
         self._client_by_address: dict[str, HttpClient] = {}
+        # Relayed requests must not take the connections of takeover notices.
+        self._relay_client_by_address: dict[str, HttpClient] = {}
+        self._relayed_decoder = msgspec.json.Decoder(RelayedResponse)
         self._decoder = msgspec.json.Decoder(StateReply)
         self._takeover_decoder = msgspec.json.Decoder(TakeoverReply)
         self._operator_decoder = msgspec.json.Decoder(OperatorReply)
@@ -155,16 +191,47 @@
             logger.error("operator state of peer %s is malformed: %s", address, error)
             return None
 
+    async def relay(
+        self, address: str, request: RelayedRequest, timeout_s: float
+    ) -> RelayedResponse | RelayResult:
+        """Have the host at ``address`` serve a client request."""
+        client = _find_client(self._relay_client_by_address, address)
+        body = msgspec.json.encode(request)
+        message = HttpRequest("POST", RELAY_PATH, (), body)
+        try:
+            response = await client.exchange(message, timeout_s)
+        except ExchangeError as error:
+            logger.info("client request to peer %s failed: %s", address, error)
+            return RelayResult.UNKNOWN if error.request_sent else RelayResult.DECLINED
+        if response.status != 200:
+            return _result_of_status(response.status)
+        try:
+            return decode_json(self._relayed_decoder, response.body)
+        except MalformedValueError as error:
+            logger.error("relayed response of %s can't be decoded: %s", address, error)
+            return RelayResult.UNKNOWN
+
     async def _request(
         self, address: str, method: str, target: str, body: bytes = b""
     ) -> HttpResponse | None:
-        client = self._client_by_address.get(address)
-        if client is None:
-            client = HttpClient(address, max_connections=8)
-            self._client_by_address[address] = client
+        client = _find_client(self._client_by_address, address)
         request = HttpRequest(method, target, (), body)
         try:
             return await client.exchange(request, PEER_TIMEOUT_S)
         except ExchangeError as error:
             logger.info("request to peer %s failed: %s", address, error)
             return None
+
+
+def _find_client(client_by_address: dict[str, HttpClient], address: str) -> HttpClient:
+    client = client_by_address.get(address)
+    if client is None:
+        client = HttpClient(address, max_connections=MAX_PEER_CONNECTIONS)
+        client_by_address[address] = client
+    return client
+
+
+def _result_of_status(status: int) -> RelayResult:
+    """Return what a status without a relayed response says of the request."""
+    is_declined = status in DECLINED_STATUSES
+    return RelayResult.DECLINED if is_declined else RelayResult.UNKNOWN
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -39,6 +39,7 @@
 from ._maintained_cells import MaintainedCells
 from ._maintenance_waves import STEP_PERIOD_S, MaintenanceWaves
 from ._membership import Coverage, Membership
+from ._monitored_store import MonitoredStore
 from ._on_demand_follower import OnDemandFollower
 from ._operator_follower import OperatorFollower
 from ._operator_relay import OperatorRelay
@@ -48,7 +49,11 @@
 from ._peers import PeerClient
 from ._publisher import HostPublisher
 from ._records import CELL_TABLE, DIGEST_TABLE, data_centre_table
+from ._relayed_requests import RelayedRequests
+from ._relaying_api import RelayingApi
+from ._request_relay import RequestRelay
 from ._settings import HostSettings
+from ._store_reachability import StoreReachability
 from ._submission_directory import SubmissionDirectory
 from ._submission_feeds import SubmissionFeeds
 from ._submission_store import SubmissionStore
@@ -87,7 +92,10 @@
             settings.peer_address,
         )
         self.is_leaving = False
-        self.store = StoreClient(settings.store_address)
+        self.reachability = StoreReachability()
+        self.store = MonitoredStore(
+            StoreClient(settings.store_address), self.reachability
+        )
         self.operator = OperatorState(settings.evacuation_rules)
         self.operator.config_listeners.append(self._on_config)
         self.directory = SubmissionDirectory()
@@ -141,9 +149,6 @@
                 self.pairs,
             ),
         )
-        self.peer_api = PeerApi(
-            self.identity, self.directory, self.ownership, self.operator
-        )
         self.relay = OperatorRelay(
             self.identity,
             self.operator,
@@ -175,6 +180,23 @@
             peers,
             settings.data_centre if settings.admission_late_limit else "",
         )
+        self.front_api = RelayingApi(
+            self.client_api,
+            self.reachability,
+            RequestRelay(
+                self.identity,
+                lambda: self.membership.live_hosts(self._local_coverage()),
+                self.cells,
+                peers,
+            ),
+        )
+        self.peer_api = PeerApi(
+            self.identity,
+            self.directory,
+            self.ownership,
+            self.operator,
+            RelayedRequests(self.client_api, self.reachability, self.is_ready),
+        )
 
     def _make_advisor(self) -> AdviceClient | None:
         address = self.settings.advice_address
@@ -349,7 +371,7 @@
     host = Host(settings)
     tracer = Tracer("beryl-host")
     limits = HttpLimits(idle_timeout_s=60.0)
-    client_server = HttpServer(settings.front_address, host.client_api.handle, limits)
+    client_server = HttpServer(settings.front_address, host.front_api.handle, limits)
     readiness_server = HttpServer(settings.ready_address, host.on_ready)
     peer_server = HttpServer(settings.peer_address, host.peer_api.handle)
     admin_server = HttpServer(
