Ask more peers that decline, and wait longer for a peer's state

What callers saw, by reading: where a third of the hosts are cut off, a host that asks three peers finds none in one of 25 cases, and then passes nothing on for a second. A peer that waits 0.5 s for an owner's state was left out for 3 s, for submissions too.

Change: at most 6 peers are asked for a request, 2 of them without an answer; a state may take as long as the peer's own question to the owner.

--- a/programs/beryl-host/features/request_relay.feature
+++ b/programs/beryl-host/features/request_relay.feature
@@ -41,6 +41,15 @@
       | DELETE | known to be unreachable |
       | DELETE | silent                  |
 
+  # Guards against a peer that is left out because it had to wait for an owner's state.
+  Scenario: A peer may take longer for a state than for a submission
+    Given a peer "b" that takes 0.2 s for each read
+    And a submission that peer "b" has stored
+    And host "a" to which the store is known to be unreachable
+    When a GET of the submission is sent to host "a"
+    Then the answer is 200 within 1.5 s
+    And peer "b" was asked 1 times
+
   # Guards against peers that are asked while the store answers.
   Scenario: A host that reaches the store asks no peer
     Given a peer "b" that reaches the store
@@ -68,6 +77,14 @@
     Then every answer is 200
     And peer "b" was asked at most 1 time
 
+  # Guards against a host whose first peers happen to be cut off as well.
+  Scenario: Several peers decline before one serves
+    Given 5 peers to which the store is known to be unreachable
+    And a peer "c" that reaches the store
+    And host "a" to which the store is known to be unreachable
+    When a submission is sent to host "a"
+    Then the answer is 200 within 0.6 s
+
   # Guards against a refusal of what a silent peer may have stored.
   Scenario: What a silent peer may have stored is never refused
     Given a peer "b" that is silent
--- a/programs/beryl-host/features/steps/request_relay_steps.py
+++ b/programs/beryl-host/features/steps/request_relay_steps.py
@@ -50,6 +50,7 @@
 DATA_CENTRE = "dc-1"
 CELL = "r1"
 CALL_TIMEOUT_S = 1.5
+SLOW_READ_S = 0.2
 KNOWN = "known to be unreachable"
 
 
@@ -66,6 +67,8 @@
         if self.mode in ("silent", KNOWN):
             await asyncio.sleep(CALL_TIMEOUT_S)
             raise OutcomeUnknownError("store: no answer", "Try again")
+        if self.mode == "slow" and method == "read":
+            await asyncio.sleep(SLOW_READ_S)
         result = await getattr(self.memory, method)(*arguments)
         if self.mode == "losing answers":
             await asyncio.sleep(CALL_TIMEOUT_S)
@@ -86,6 +89,7 @@
         self.address = f"127.0.0.1:{find_free_ports(1)[0]}"
         self.identity = HostIdentity(name, DATA_CENTRE, "aa", self.address)
         self.is_silent = mode == "silent peer"
+        self.silence_end = asyncio.Event()
         self.n_asked = 0
         self.rows = {}
         self.reachability = StoreReachability()
@@ -127,7 +131,7 @@
     async def handle_peer(self, request):
         self.n_asked += request.target == RELAY_PATH
         if self.is_silent:
-            await asyncio.Event().wait()
+            await self.silence_end.wait()
         return await self.peer_api.handle(request)
 
 
@@ -162,6 +166,17 @@
     add_peer(context, name, "silent peer")
 
 
+@given('a peer "{name}" that takes 0.2 s for each read')
+def step_slow_peer(context, name):
+    add_peer(context, name, "slow")
+
+
+@given("{n:d} peers to which the store is known to be unreachable")
+def step_cut_off_peers(context, n):
+    for number in range(n):
+        add_peer(context, f"cut-off-{number}", KNOWN)
+
+
 @given('a peer "{name}" to which the store is known to be unreachable')
 def step_cut_off_peer(context, name):
     add_peer(context, name, KNOWN)
@@ -220,6 +235,8 @@
     started_at = time.monotonic()
     responses = [await context.host.front.handle(request) for request in requests]
     context.elapsed_s = time.monotonic() - started_at
+    for peer in context.peers.values():
+        peer.silence_end.set()
     for server in servers:
         await server.stop(0.1)
     context.statuses = [response.status for response in responses]
--- a/programs/beryl-host/src/berylcleat/host/_request_relay.py
+++ b/programs/beryl-host/src/berylcleat/host/_request_relay.py
@@ -12,12 +12,22 @@
 from ._identity import HostIdentity
 from ._metrics import RELAYED_REQUESTS
 from ._peer_addresses import order_peers
-from ._peers import PeerClient, RelayedRequest, RelayedResponse, RelayResult
+from ._peers import (
+    PEER_TIMEOUT_S,
+    PeerClient,
+    RelayedRequest,
+    RelayedResponse,
+    RelayResult,
+)
 from ._records import HostRow
 from ._relay_peers import RelayPeers
 
-MAX_ATTEMPTS = 3
+MAX_ATTEMPTS = 6
+# Peers without an answer that are waited for; those that decline do so at once.
+MAX_SILENT_ATTEMPTS = 2
 ATTEMPT_TIMEOUT_S = 0.3
+# A peer that reads a state may have to wait for the owner first.
+READ_TIMEOUT_S = PEER_TIMEOUT_S + ATTEMPT_TIMEOUT_S
 MAX_CONCURRENT_RELAYS = 16
 # Part of the client's deadline that remains for the response after an attempt.
 MIN_TIME_LEFT_S = 0.05
@@ -99,6 +109,8 @@
 
     async def _ask_in_turn(self, request: HttpRequest, deadline: float) -> RelayOutcome:
         is_unknown = False
+        n_silent = 0
+        timeout_s = READ_TIMEOUT_S if request.method == "GET" else ATTEMPT_TIMEOUT_S
         local, remote = order_peers(self._identity, self._live_hosts(), self._cells)
         for _ in range(MAX_ATTEMPTS):
             started_at = now_s()
@@ -106,12 +118,12 @@
             if time_left_s < MIN_TIME_LEFT_S:
                 return _unsettled(request, is_unknown)
             address = self._choice.choose([*local, *remote], started_at)
-            if address is None:
+            if address is None or n_silent >= MAX_SILENT_ATTEMPTS:
                 break
             result = await self._peers.relay(
                 address,
                 _make_message(request, time_left_s),
-                min(ATTEMPT_TIMEOUT_S, time_left_s),
+                min(timeout_s, time_left_s),
             )
             response = _usable_response(result)
             if response is not None:
@@ -127,6 +139,7 @@
                 return RelayOutcome(response, is_unknown)
             self._choice.on_not_served(address, now_s())
             is_unknown = is_unknown or _may_have_effect(result)
+            n_silent += now_s() - started_at >= timeout_s
         self._choice.on_given_up(now_s())
         return _unsettled(request, is_unknown)
 
