--- a/programs/beryl-host/src/berylcleat/host/_client_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_client_api.py
@@ -32,6 +32,7 @@
 from ._cell_chooser import CellChooser
 from ._cell_directory import CellDirectory
 from ._cell_ownership import CellOwnershipManager
+from ._client_responses import make_response
 from ._clock import now_s, wall_ms
 from ._metrics import ADMISSION_ESTIMATES, REFUSALS
 from ._peers import PeerClient, SubmissionUpdate
@@ -39,8 +40,6 @@
 from ._submission_directory import SubmissionDirectory, SubmissionEntry
 from ._submission_store import SubmissionStore
 
-JSON_TYPE = ("content-type", "application/json")
-RETRY_AFTER_S = 1
 DEFAULT_TIMEOUT_S = 3.0
 # Part of the client's deadline that is reserved for sending the response.
 RESPONSE_MARGIN_S = 0.15
@@ -54,16 +53,6 @@
 logger = logging.getLogger(__name__)
 
 
-def make_response(
-    status: int, body: bytes = b"", retry_after_s: int = RETRY_AFTER_S
-) -> HttpResponse:
-    """Return a response with a JSON body, and with Retry-After for 429 and 503."""
-    headers = (JSON_TYPE,) if body else ()
-    if status in (429, 503):
-        headers += (("retry-after", str(retry_after_s)),)
-    return HttpResponse(status, headers, body)
-
-
 def _refuse_for_load(submission: Submission, refusal: Refuse) -> HttpResponse:
     logger.info(
         "submission %s: refused for load, %s: account %s, estimate %.1f s, "
@@ -114,17 +103,40 @@
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one client request."""
-        if self.config is None:
+        ingress = self.parse(request)
+        return await self.serve(ingress, request.body, self.find_deadline(ingress))
+
+    def parse(self, request: HttpRequest) -> IngressRequest | None:
+        """Return what a client asks for; None before the first configuration."""
+        return None if self.config is None else parse_ingress(request, self.config)
+
+    def find_deadline(self, ingress: IngressRequest | None) -> float:
+        """Return the time by which a request received now is to be answered."""
+        deadline_ms = ingress.deadline_ms if ingress is not None else None
+        timeout_s = (deadline_ms or DEFAULT_TIMEOUT_S * 1000) / 1000
+        return now_s() + timeout_s - RESPONSE_MARGIN_S
+
+    def needs_store(self, ingress: IngressRequest) -> bool:
+        """Return whether the answer takes the store, or an owner that it names."""
+        if ingress.kind is IngressKind.SUBMIT:
+            return self._known_home(ingress.submission_id) is None
+        if ingress.kind is IngressKind.READ_STATE:
+            home = self._known_home(ingress.submission_id)
+            return home not in self._ownership.controller_by_cell
+        return ingress.kind is IngressKind.CANCEL
+
+    async def serve(
+        self, ingress: IngressRequest | None, body: bytes, deadline: float
+    ) -> HttpResponse:
+        """Answer one request by ``deadline``."""
+        if ingress is None:
             return make_response(503)
-        ingress = parse_ingress(request, self.config)
         if ingress.kind is IngressKind.UNKNOWN:
             return make_response(404)
         if ingress.kind is IngressKind.COUNT_PENDING:
             return make_response(200, encode_pending(self._count_pending(ingress)))
-        timeout_s = (ingress.deadline_ms or DEFAULT_TIMEOUT_S * 1000) / 1000
-        deadline = now_s() + timeout_s - RESPONSE_MARGIN_S
         if ingress.kind is IngressKind.SUBMIT:
-            return await self._submit(ingress, request.body, deadline)
+            return await self._submit(ingress, body, deadline)
         if ingress.kind is IngressKind.CANCEL:
             return await self._cancel(ingress.submission_id, deadline)
         return await self._read_state(ingress.submission_id)
@@ -188,7 +200,7 @@
         store can't tell, the submission is admitted and its commit decides.
         """
         submission_id = submission.submission_id
-        may_refuse = submission_id not in self._uncertain_since_by_id
+        may_refuse = not self.is_uncertain(submission_id)
         decision = self._chooser.decide(submission, may_refuse=may_refuse)
         if not isinstance(decision, Refuse):
             return decision
@@ -212,15 +224,25 @@
         """
         if self._known_home(submission_id) is not None:
             return 200
-        return 504 if submission_id in self._uncertain_since_by_id else 503
+        return 504 if self.is_uncertain(submission_id) else 503
 
-    def _remember_uncertain(self, submission_id: str) -> None:
+    def is_uncertain(self, submission_id: str) -> bool:
+        """Return whether a commit without an answer may have stored a submission."""
+        return submission_id in self._uncertain_since_by_id
+
+    def remember_uncertain(self, submission_id: str) -> None:
+        """Remember a submission that may be stored without an answer."""
         self._uncertain_since_by_id[submission_id] = now_s()
         self._uncertain_since_by_id.move_to_end(submission_id)
         while len(self._uncertain_since_by_id) > MAX_UNCERTAIN_IDS:
             self._uncertain_since_by_id.popitem(last=False)
 
-    def _may_be_stored_later(self, submission_id: str) -> bool:
+    def _forget_uncertain(self, submission_id: str, remembered_at: float) -> None:
+        """Forget a commit that was refused, unless another attempt came after it."""
+        if self._uncertain_since_by_id.get(submission_id) == remembered_at:
+            del self._uncertain_since_by_id[submission_id]
+
+    def may_be_stored_later(self, submission_id: str) -> bool:
         """Return whether an unanswered commit may still store a submission."""
         since = self._uncertain_since_by_id.get(submission_id, float("-inf"))
         return now_s() - since < MAX_COMMIT_DELAY_S
@@ -233,8 +255,9 @@
         once if the store refuses a later request.
         """
         submission_id = accepted.submission.submission_id
-        was_uncertain = submission_id in self._uncertain_since_by_id
-        self._remember_uncertain(submission_id)
+        was_uncertain = self.is_uncertain(submission_id)
+        self.remember_uncertain(submission_id)
+        remembered_at = self._uncertain_since_by_id[submission_id]
         is_outcome_unknown = False
         while True:
             try:
@@ -243,14 +266,14 @@
                 if not is_outcome_unknown:
                     logger.info("submission %s: refused: %s", submission_id, error)
                     if not was_uncertain:
-                        self._uncertain_since_by_id.pop(submission_id, None)
+                        self._forget_uncertain(submission_id, remembered_at)
                     return self._refusal_status(submission_id)
             except OutcomeUnknownError as error:
                 logger.info(
                     "submission %s: commit outcome unknown: %s", submission_id, error
                 )
                 is_outcome_unknown = True
-                self._remember_uncertain(submission_id)
+                self.remember_uncertain(submission_id)
             else:
                 self._uncertain_since_by_id.pop(submission_id, None)
                 if outcome.applied:
@@ -349,7 +372,7 @@
             cell_id = await self._find_home(submission_id)
             if cell_id is None:
                 # 410 promises that nothing runs from now on.
-                may_run = self._may_be_stored_later(submission_id)
+                may_run = self.may_be_stored_later(submission_id)
                 return make_response(504 if may_run else 410)
             entry = await self._store_cancel(submission_id, cell_id, deadline)
         except (PlatformUnavailableError, UnreadableRecordError) as error:
