Log how old the permission of a start and the worker's last report are

The logs didn't tell a start whose permission was old when it was written from one that was sent before its worker's restart was known, or that was executed late. Change: the line of a start that isn't accepted tells how long it waited, the age of its permission at the write, that of the worker's last report and whether the connection was opened for it. An accepted start is logged only if its permission was 0.05 s old or the report 1.5 s. The HTTP client lets its callers take a connection before they send. No change of what is sent.

--- a/libs/http/src/berylcleat/http/__init__.py
+++ b/libs/http/src/berylcleat/http/__init__.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 server and client based on h11."""
 
-from ._client import HttpClient
+from ._client import ClientConnection, HttpClient
 from ._messages import (
     AbandonConnectionError,
     ExchangeError,
@@ -13,6 +13,7 @@
 
 __all__ = [
     "AbandonConnectionError",
+    "ClientConnection",
     "ExchangeError",
     "ExchangeFailure",
     "HttpClient",
--- a/libs/http/src/berylcleat/http/_client.py
+++ b/libs/http/src/berylcleat/http/_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 
 import h11
 
@@ -19,8 +20,11 @@
 CONNECT_ERRORS = (OSError, TimeoutError, SettingsError, ValueError)
 
 
-class _ClientConnection(asyncio.Protocol):
-    """Client side of a connection; handles one request at a time."""
+class ClientConnection(asyncio.Protocol):
+    """Client side of a connection; handles one request at a time.
+
+    ``number`` counts the connections that its client has established.
+    """
 
     def __init__(self, client: "HttpClient"):
         self._client = client
@@ -31,9 +35,12 @@
         self._response_head: h11.Response | None = None
         self._response_body = bytearray()
         self.n_received = 0
+        self.number = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
+        self._client.n_established += 1
+        self.number = self._client.n_established
 
     @property
     def is_usable(self) -> bool:
@@ -139,8 +146,9 @@
         self.address = address
         self.max_connections = max_connections
         self.n_open = 0
+        self.n_established = 0
         self.n_bytes = 0
-        self._idle: deque[_ClientConnection] = deque()
+        self._idle: deque[ClientConnection] = deque()
 
     async def exchange(self, request: HttpRequest, timeout_s: float) -> HttpResponse:
         """Send ``request`` and return the complete response.
@@ -149,9 +157,28 @@
         arriving, up to ``MAX_TIMEOUT_PERIODS`` times its length. Raises
         ``ExchangeError``; the connection of a failed exchange is never reused.
         """
+        deadline = asyncio.get_running_loop().time() + timeout_s
+        connection = self.take_idle() or await self.connect(timeout_s)
+        return await self._exchange_until(connection, request, timeout_s, deadline)
+
+    async def exchange_on(
+        self, connection: ClientConnection, request: HttpRequest, timeout_s: float
+    ) -> HttpResponse:
+        """Exchange over a connection that was taken; it returns to the pool.
+
+        The request is written before this first gives way to other tasks.
+        """
+        deadline = asyncio.get_running_loop().time() + timeout_s
+        return await self._exchange_until(connection, request, timeout_s, deadline)
+
+    async def _exchange_until(
+        self,
+        connection: ClientConnection,
+        request: HttpRequest,
+        timeout_s: float,
+        deadline: float,
+    ) -> HttpResponse:
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + timeout_s
-        connection = await self._acquire(timeout_s)
         response_future = connection.send(request)
         try:
             for _ in range(MAX_TIMEOUT_PERIODS):
@@ -179,26 +206,39 @@
         while self._idle:
             self._discard(self._idle.pop())
 
-    async def _acquire(self, timeout_s: float) -> _ClientConnection:
-        while self._idle:
+    def take_idle(
+        self, suits: Callable[[ClientConnection], bool] | None = None
+    ) -> ClientConnection | None:
+        """Take the open idle connection that was used last, of those that suit."""
+        taken = None
+        unsuited: list[ClientConnection] = []
+        while self._idle and taken is None:
             connection = self._idle.pop()
-            if connection.is_usable:
-                return connection
-            self.n_open -= 1
+            if not connection.is_usable:
+                self.n_open -= 1
+            elif suits is None or suits(connection):
+                taken = connection
+            else:
+                unsuited.append(connection)
+        self._idle.extend(reversed(unsuited))
+        return taken
+
+    async def connect(self, timeout_s: float) -> ClientConnection:
+        """Establish a connection and take it."""
         if self.n_open >= self.max_connections:
             raise ExchangeError(
                 ExchangeFailure.CONNECT_FAILED, self.address, request_sent=False
             )
         return await self._open_connection(timeout_s)
 
-    async def _open_connection(self, timeout_s: float) -> _ClientConnection:
+    async def _open_connection(self, timeout_s: float) -> ClientConnection:
         loop = asyncio.get_running_loop()
         self.n_open += 1
         try:
             host, port = parse_address(self.address)
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: _ClientConnection(self), host, port
+                    lambda: ClientConnection(self), host, port
                 )
             return connection
         except BaseException as error:
@@ -209,13 +249,13 @@
                 ExchangeFailure.CONNECT_FAILED, self.address, request_sent=False
             ) from error
 
-    def release(self, connection: _ClientConnection) -> None:
+    def release(self, connection: ClientConnection) -> None:
         """Return a connection to the pool after a complete response."""
         if connection.is_usable:
             self._idle.append(connection)
         else:
             self.n_open -= 1
 
-    def _discard(self, connection: _ClientConnection) -> None:
+    def _discard(self, connection: ClientConnection) -> None:
         self.n_open -= 1
         connection.close()
--- a/libs/ports/src/berylcleat/ports/_task_workers.py
+++ b/libs/ports/src/berylcleat/ports/_task_workers.py
@@ -107,13 +107,30 @@
     NOT_CONNECTED = "not-connected"
 
 
+@dataclass(frozen=True, slots=True)
+class OrderTransmission:
+    """Circumstances under which an order was written to its connection.
+
+    ``waited_s`` is how long it waited for a connection, ``permission_age_s`` how long
+    before the write it was permitted.
+    """
+
+    waited_s: float
+    permission_age_s: float
+    is_new_connection: bool
+
+
 @dataclass(frozen=True, slots=True)
 class OrderAnswer:
-    """Result of an order, the worker's monotonic clock (0: unknown) and its report."""
+    """Result of an order, the worker's monotonic clock (0: unknown) and its report.
+
+    ``transmission`` is None if the order wasn't sent, or isn't a start.
+    """
 
     result: OrderResult
     clock_ms: int = 0
     report: WorkerReport | None = None
+    transmission: OrderTransmission | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -201,6 +201,11 @@
             if self.uneven_workers is not None:
                 self.uneven_workers.on_outage(view, now)
 
+    def report_age_s(self, worker_id: str, now: float) -> float:
+        """Return how long ago a worker last reported, for logs."""
+        view = self.worker_by_id.get(worker_id)
+        return float("inf") if view is None else now - view.clock.answered_at
+
     def on_other_incarnation(self, worker_id: str, now: float) -> None:
         """Handle an answer of a worker with another id at the worker's address.
 
--- a/programs/beryl-host/features/steps/confirmation_steps.py
+++ b/programs/beryl-host/features/steps/confirmation_steps.py
@@ -125,6 +125,9 @@
     def may_send_start(self, order, now):
         return True
 
+    def report_age_s(self, worker_id, now):
+        return 0.0
+
     def on_start_answer(self, worker_id, order, answer, now):
         pass
 
--- a/programs/beryl-host/features/steps/evacuation_steps.py
+++ b/programs/beryl-host/features/steps/evacuation_steps.py
@@ -376,6 +376,9 @@
     def may_send_start(self, order, now):
         return False
 
+    def report_age_s(self, worker_id, now):
+        return 0.0
+
     def on_start_answer(self, worker_id, order, answer, now):
         self.answers.append((worker_id, order, answer.result))
 
--- a/programs/beryl-host/src/berylcleat/host/_order_sender.py
+++ b/programs/beryl-host/src/berylcleat/host/_order_sender.py
@@ -7,6 +7,7 @@
 from berylcleat.ports import (
     AdviceRequest,
     Advisor,
+    OrderAnswer,
     OrderResult,
     PaceOrder,
     StartOrder,
@@ -17,6 +18,10 @@
 
 from ._clock import now_s
 
+# Seconds without a report, and between the permission and the write of a start, from
+# which on an accepted start is logged: a worker reports about once a second.
+UNUSUAL_REPORT_AGE_S = 1.5
+UNUSUAL_PERMISSION_AGE_S = 0.05
 logger = logging.getLogger(__name__)
 
 
@@ -49,9 +54,7 @@
             logger.warning("order dropped: no client for worker %s", worker_id)
             return
         if isinstance(order, StartOrder):
-            answer = await client.start(order, lambda: self._may_send_start(order))
-            if answer.result is not OrderResult.ACCEPTED:
-                _log_refused_start(worker_order, answer.result)
+            answer = await self._send_start(client, worker_order, order)
             self._scheduler.on_start_answer(worker_id, order, answer, now_s())
         elif isinstance(order, StopOrder):
             answer = await client.stop(order)
@@ -62,6 +65,21 @@
         if answer.result is not OrderResult.ACCEPTED:
             self._on_change()
 
+    async def _send_start(
+        self, client: WorkerPort, worker_order: WorkerOrder, order: StartOrder
+    ) -> OrderAnswer:
+        worker_id = worker_order.worker_id
+        report_age_s = 0.0
+
+        def may_send() -> bool:
+            nonlocal report_age_s
+            report_age_s = self._scheduler.report_age_s(worker_id, now_s())
+            return self._may_send_start(order)
+
+        answer = await client.start(order, may_send)
+        _log_start(worker_order, answer, report_age_s)
+        return answer
+
     def _may_send_start(self, order: StartOrder) -> bool:
         # The order may have waited for a connection.
         return self._may_act() and self._scheduler.may_send_start(order, now_s())
@@ -97,11 +115,33 @@
         self._on_change()
 
 
-def _log_refused_start(worker_order: WorkerOrder, result: OrderResult) -> None:
+def _log_start(
+    worker_order: WorkerOrder, answer: OrderAnswer, report_age_s: float
+) -> None:
+    """Log a start that wasn't accepted, or that was sent on old knowledge.
+
+    ``report_age_s`` is the age of the worker's last report when it was permitted.
+    """
+    sent = answer.transmission
+    is_accepted = answer.result is OrderResult.ACCEPTED
+    if is_accepted and (
+        sent is None
+        or (
+            report_age_s < UNUSUAL_REPORT_AGE_S
+            and sent.permission_age_s < UNUSUAL_PERMISSION_AGE_S
+        )
+    ):
+        return
     logger.info(
-        "start refused: task %s run %d on %s: %s",
+        "start %s: task %s run %d on %s: %s%s",
+        "sent late" if is_accepted else "refused",
         worker_order.order.task,
         worker_order.order.run,
         worker_order.worker_id,
-        result.value,
+        answer.result.value,
+        ""
+        if sent is None
+        else f", waited {sent.waited_s:.3f} s, permitted {sent.permission_age_s:.3f} s "
+        f"before the write, last report {report_age_s:.3f} s before that, "
+        f"new connection: {sent.is_new_connection}",
     )
