Send a start only to the incarnation that it was decided for

A start reached an incarnation of its worker that had forgotten the epoch of a later owner. Cause: WorkerClient.start asked for the permission, then the HTTP client opened a connection for up to 1 s, and wrote. Orders named the worker's id, under which it may start again. Either way the start of an owner that hadn't heard of the restart, or of the takeover, ran on the next incarnation. Ruled out: a check of the id (both incarnations have it), of the deadline (by the clock of the earlier one, which is ahead). Change: a start carries the start time of its incarnation and goes only over a connection known to reach that one or nobody: one established before a request that it answered. Others are verified by a hold over themselves, once. may_send is asked with no await before the write. A start refused because its worker has restarted stops further ones until the worker reports.

--- a/libs/http/src/berylcleat/http/_client.py
+++ b/libs/http/src/berylcleat/http/_client.py
@@ -191,10 +191,10 @@
                 deadline += timeout_s
         except (ExchangeError, asyncio.CancelledError):
             response_future.cancel()
-            self._discard(connection)
+            self.discard(connection)
             raise
         response_future.cancel()
-        self._discard(connection)
+        self.discard(connection)
         raise ExchangeError(ExchangeFailure.TIMED_OUT, self.address, request_sent=True)
 
     def has_idle_connection(self) -> bool:
@@ -204,7 +204,7 @@
     def close(self) -> None:
         """Close all idle connections."""
         while self._idle:
-            self._discard(self._idle.pop())
+            self.discard(self._idle.pop())
 
     def take_idle(
         self, suits: Callable[[ClientConnection], bool] | None = None
@@ -256,6 +256,7 @@
         else:
             self.n_open -= 1
 
-    def _discard(self, connection: ClientConnection) -> None:
+    def discard(self, connection: ClientConnection) -> None:
+        """Close a connection that was taken."""
         self.n_open -= 1
         connection.close()
--- a/libs/ports/src/berylcleat/ports/__init__.py
+++ b/libs/ports/src/berylcleat/ports/__init__.py
@@ -16,6 +16,7 @@
     WorkerControl,
 )
 from ._change_feed import ChangeFeed, Changes
+from ._connection_verifier import ConnectionVerifier
 from ._http_clients import HttpHostList, HttpObjectStore, HttpTable, HttpWorkerControl
 from ._list_source import ListSource
 from ._machines import (
@@ -78,6 +79,7 @@
     "CommitOutcome",
     "CommitResult",
     "Condition",
+    "ConnectionVerifier",
     "EndedTask",
     "ExchangeReply",
     "ExchangeRequest",
--- a/libs/ports/src/berylcleat/ports/_task_workers.py
+++ b/libs/ports/src/berylcleat/ports/_task_workers.py
@@ -135,7 +135,11 @@
 
 @dataclass(frozen=True, slots=True)
 class StartOrder:
-    """Order to start a run, valid until ``deadline_ms`` on the worker's clock."""
+    """Order to start a run, valid until ``deadline_ms`` on the worker's clock.
+
+    ``incarnation_ms`` is the start time of the worker incarnation that the run was
+    decided for. The order must reach no other, also one with the same worker id.
+    """
 
     task: TaskKey
     run: int
@@ -144,6 +148,7 @@
     epoch: int
     checkpoint: str = ""
     ticket: str = ""
+    incarnation_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -213,14 +218,15 @@
 
 
 class WorkerPort(Protocol):
-    """Client that sends orders to one incarnation of a worker."""
+    """Client that sends orders to one worker."""
 
     async def start(
         self, order: StartOrder, may_send: Callable[[], bool] | None = None
     ) -> OrderAnswer:
-        """Order the start of a run, unless ``may_send`` returns False by then.
+        """Order the start of a run over a connection to the order's incarnation.
 
-        The result is then ``NOT_SENT``.
+        ``may_send`` is asked with the write, with nothing in between; if it returns
+        False, the result is ``NOT_SENT``.
         """
 
     async def stop(self, order: StopOrder) -> OrderAnswer:
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -253,6 +253,9 @@
         """Apply the answer to a start order."""
         if answer.result is OrderResult.NO_ANSWER:
             self._on_start_unanswered(worker_id, order, now)
+        elif answer.result is OrderResult.OTHER_INCARNATION:
+            # It has restarted, and has not reported since.
+            self.on_hold_failed(worker_id, now)
         run = self.run_by_task.get(order.task)
         if run is None or run.number != order.run:
             return
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -638,5 +638,6 @@
             self.epoch,
             run.checkpoint,
             self.advice.ticket_of(run.task, view, now) or "",
+            run.incarnation_ms,
         )
         self._enqueue_order(run.worker_id, order)
