--- a/libs/ports/src/berylcleat/ports/_task_workers.py
+++ b/libs/ports/src/berylcleat/ports/_task_workers.py
@@ -107,18 +107,39 @@
     NOT_CONNECTED = "not-connected"
 
 
+@dataclass(frozen=True, slots=True)
+class OrderTransmission:
+    """Circumstances under which an order was written to its connection.
+
+    ``waited_s`` is how long it waited for a connection, ``permission_age_s`` how long
+    before the write it was permitted.
+    """
+
+    waited_s: float
+    permission_age_s: float
+    is_new_connection: bool
+
+
 @dataclass(frozen=True, slots=True)
 class OrderAnswer:
-    """Result of an order, the worker's monotonic clock (0: unknown) and its report."""
+    """Result of an order, the worker's monotonic clock (0: unknown) and its report.
+
+    ``transmission`` is None if the order wasn't sent, or isn't a start.
+    """
 
     result: OrderResult
     clock_ms: int = 0
     report: WorkerReport | None = None
+    transmission: OrderTransmission | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class StartOrder:
-    """Order to start a run, valid until ``deadline_ms`` on the worker's clock."""
+    """Order to start a run, valid until ``deadline_ms`` on the worker's clock.
+
+    ``incarnation_ms`` is the start time of the worker incarnation that the run was
+    decided for. The order must reach no other, also one with the same worker id.
+    """
 
     task: TaskKey
     run: int
@@ -127,6 +148,7 @@
     epoch: int
     checkpoint: str = ""
     ticket: str = ""
+    incarnation_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,14 +218,15 @@
 
 
 class WorkerPort(Protocol):
-    """Client that sends orders to one incarnation of a worker."""
+    """Client that sends orders to one worker."""
 
     async def start(
         self, order: StartOrder, may_send: Callable[[], bool] | None = None
     ) -> OrderAnswer:
-        """Order the start of a run, unless ``may_send`` returns False by then.
+        """Order the start of a run over a connection to the order's incarnation.
 
-        The result is then ``NOT_SENT``.
+        ``may_send`` is asked with the write, with nothing in between; if it returns
+        False, the result is ``NOT_SENT``.
         """
 
     async def stop(self, order: StopOrder) -> OrderAnswer:
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -201,6 +201,11 @@
             if self.uneven_workers is not None:
                 self.uneven_workers.on_outage(view, now)
 
+    def report_age_s(self, worker_id: str, now: float) -> float:
+        """Return how long ago a worker last reported, for logs."""
+        view = self.worker_by_id.get(worker_id)
+        return float("inf") if view is None else now - view.clock.answered_at
+
     def on_other_incarnation(self, worker_id: str, now: float) -> None:
         """Handle an answer of a worker with another id at the worker's address.
 
@@ -248,6 +253,9 @@
         """Apply the answer to a start order."""
         if answer.result is OrderResult.NO_ANSWER:
             self._on_start_unanswered(worker_id, order, now)
+        elif answer.result is OrderResult.OTHER_INCARNATION:
+            # It has restarted, and has not reported since.
+            self.on_hold_failed(worker_id, now)
         run = self.run_by_task.get(order.task)
         if run is None or run.number != order.run:
             return
