--- a/libs/scheduling/features/expected_finish.feature
+++ b/libs/scheduling/features/expected_finish.feature
@@ -29,7 +29,7 @@
   # Guards against long-running tasks that are held back as late.
   Scenario: A long-running task that lost its worker starts before urgent tasks
     Given a full cell ordered by expected finish
-    When a long-running task due 60 s ago and an urgent task wait
+    When a long-running task due 60 s ago loses its worker and an urgent task comes
     Then the long-running task starts first
 
   # Guards against expectations that a new owner can't know, or that never adapt.
--- a/libs/scheduling/features/steps/expected_finish_steps.py
+++ b/libs/scheduling/features/steps/expected_finish_steps.py
@@ -1,4 +1,5 @@
 import random
+from dataclasses import replace
 
 from behave import given, then, when
 from load_loop import FILLER_COST, Arrival, LoadLoop, work_of
@@ -177,12 +178,26 @@
     run_both(context, add(context.loop, 3, step, queue=urgent, age_s=60.0), second)
 
 
-@when("a long-running task due 60 s ago and an urgent task wait")
+@when("a long-running task due 60 s ago loses its worker and an urgent task comes")
 def step_long_running_waits(context):
+    loop = context.loop
     demand = TaskDemand(8000, 100)
-    second = add(context.loop, 2, Step(1, demand, estimate_s=0.5))
     step = Step(1, demand, estimate_s=0.5, is_long_running=True)
-    run_both(context, add(context.loop, 3, step, age_s=60.0), second)
+    first = add(loop, 3, step, age_s=60.0)
+    for _ in range(SETTLE_TICKS):
+        loop.tick()
+    assert any(task.submission_id == first for _, task in loop.started)
+    loop.started.clear()
+    restart_worker(loop, "r0-w0")
+    run_both(context, first, add(loop, 2, Step(1, demand, estimate_s=0.5)))
+
+
+def restart_worker(loop, worker_id):
+    """Crash a worker and list its next incarnation."""
+    worker = loop.workers[worker_id]
+    worker.crash(loop.now)
+    worker.entry = replace(worker.entry, started_at_ms=worker.started_at_ms)
+    loop.cells[0].list_worker(worker.entry, loop.now)
 
 
 @then("tasks of priority 1 start first")
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -332,6 +332,7 @@
         self._observe_rates(now)
         if self._may_start(now) and not self.is_fenced_out:
             self._start_tasks(now)
+            self._preempt_for_short_tasks(now)
         else:
             self._drop_presumptions(now)
         orders, self._orders = self._orders, []
@@ -347,6 +348,8 @@
             return {reason: len(self.worker_by_id)}
         task = ready.task(min(ready.waiting))
         counts: dict[str, int] = {}
+        if self._is_held(task, now):
+            return {"yields to short tasks": 1}
         doubt = self._explain_doubt(task, now)
         if doubt:
             n_workers = len(self._unsettled_workers) or len(self.worker_by_id)
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -8,7 +8,7 @@
     EndedTask,
 )
 
-from ._cell_relocations import CellRelocations
+from ._cell_preemptions import CellPreemptions
 from ._cell_starts import MAX_RESERVED_SHARE_TO_FORCE, STARVATION_S
 from ._moves import (
     CellHeadroom,
@@ -29,7 +29,7 @@
 logger = logging.getLogger(__name__)
 
 
-class CellMoves(CellRelocations):
+class CellMoves(CellPreemptions):
     """Tasks that move between cells; each is assigned to one cell at a time."""
 
     def update_moves(
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_relocations.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_relocations.py
@@ -127,7 +127,9 @@
         stopping = {
             run.task
             for run in self.run_by_task.values()
-            if run.step.is_long_running and run.phase is RunPhase.STOPPING
+            if run.step.is_long_running
+            and run.phase is RunPhase.STOPPING
+            and not self._has_yielded(run.task)
         }
         self._relocating_tasks = {
             task
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -24,6 +24,7 @@
 from ._moves import CellHeadroom, TaskMove
 from ._orders import WorkerOrder
 from ._pacing import LoadEstimator, plan_paces
+from ._preemption import Preemption
 from ._spill import SpillPlanner
 from ._submissions import SubmissionRegistry, TrackedSubmission
 from ._uneven_workers import UnevenWorkers
@@ -71,6 +72,8 @@
         if self.estimator is not None:
             self.finish_order = ExpectedFinishOrder(self.estimator)
         self.spill = SpillPlanner(cell_id) if expected_finish else None
+        # None where long-running tasks yield to no others.
+        self.preemption = Preemption() if expected_finish else None
         self.submissions = SubmissionRegistry(self.finish_order)
         self.interference = interference
         self.load_estimator = LoadEstimator()
@@ -305,8 +308,22 @@
             return
         views = [view for view in self.worker_by_id.values() if view.can_start(now)]
         waiting = list(self.submissions.iter_ready())
-        self.estimator.observe(views, waiting, now)
+        self.estimator.observe(views, waiting, now, self._cores_to_yield(views, now))
         self.estimator.keep_only(self.submissions.live_by_id)
+        self.preemption.keep_only(self.submissions.live_by_id)
+
+    def _cores_to_yield(self, views: list[WorkerView], now: float) -> float:
+        """Return the processors that long-running tasks can yield to short ones."""
+        n_allowed = self.preemption.n_allowed(views, now)
+        demands = [
+            run.step.allocation.cpu_millis
+            for view in views
+            for run in view.run_by_task.values()
+            if run.step.is_long_running and run.step.max_unavailable is None
+        ]
+        if not demands or n_allowed <= 0:
+            return 0.0
+        return n_allowed * sum(demands) / len(demands) / 1000
 
     def _learn_done(
         self, tracked: TrackedSubmission, task: TaskKey, now: float
@@ -530,6 +547,8 @@
     def _add_run(self, tracked: TrackedSubmission, run: Run) -> None:
         tracked.raise_run_floor(run.task, run.number)
         tracked.remove_waiting(run.task)
+        if self.preemption is not None:
+            self.preemption.on_start(run.task)
         self._presumed_end_by_task.pop(run.task, None)
         if not run.is_adopted:
             self._accounted_tasks.add(run.task)
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -1,6 +1,7 @@
 """Starts of a cell's waiting tasks and relocations of its running ones."""
 
 import logging
+from collections.abc import Callable
 
 from berylcleat.model import TaskKey
 from berylcleat.ports import (
@@ -10,8 +11,10 @@
 from ._cell_runs import NEVER_RAN, CellRuns
 from ._crashes import LIKELY_CAUSE_AGE_S, MAX_QUIET_WAIT_S
 from ._placement import choose_forced_worker, choose_worker
+from ._preemption import count_slots
 from ._progress import PresumedStart
 from ._submissions import ReadyStep, TrackedSubmission
+from ._urgency import is_past_due
 from ._workers import FORCED_START_WINDOW_S, Run, RunPhase, WorkerView
 
 # Seconds that a filler fits nowhere before it is forced onto the worker where it should
@@ -61,8 +64,7 @@
         self._unplaced_tasks.clear()
         self._prepared_tasks.clear()
         self._answering_workers = self._find_answering_workers(now)
-        for ready in self.submissions.ready_steps(now):
-            self._start_waiting(ready, now)
+        self._start_in_order(self.submissions.ready_steps(now), now)
         self._force_starving_fillers(now)
         self._answering_workers = None
         for tracked, task in self._unplaced_tasks:
@@ -71,6 +73,62 @@
         for task in self._keeper_by_task.keys() - self._prepared_tasks:
             self._release_capacity(task)
 
+    def _start_in_order(self, steps: list[ReadyStep], now: float) -> None:
+        """Start the tasks of steps, the most urgent step first.
+
+        Long-running tasks that have not run yet, or have yielded, come after the short
+        tasks of their priority that are in time: what they get they keep for good.
+        """
+        deferred: list[ReadyStep] = []
+        for ready in steps:
+            if deferred and not self._precedes_deferred(ready, deferred[0], now):
+                self._start_deferred(deferred, now)
+                deferred = []
+            if self.preemption is None or not ready.step.is_long_running:
+                self._start_waiting(ready, now)
+                continue
+            if ready.step.is_gang:
+                self._start_waiting(ready, now)
+                continue
+            self._start_waiting(ready, now, self._has_lost_its_run)
+            deferred.append(ready)
+        self._start_deferred(deferred, now)
+
+    def _start_deferred(self, deferred: list[ReadyStep], now: float) -> None:
+        for ready in deferred:
+            if not ready.waiting:
+                continue
+            if not self._leaves_gap(ready, now):
+                self._start_waiting(ready, now)
+            elif ready.stuck_since is None:
+                ready.stuck_since = now
+
+    def _leaves_gap(self, ready: ReadyStep, now: float) -> bool:
+        service = ready.tracked.submission.queue.service
+        n_slots = count_slots(ready.step, service, self._startable_workers(now))
+        step_key = ready.task(min(ready.waiting))[:3]
+        return self.preemption.leaves_gap(step_key, n_slots, now)
+
+    def _precedes_deferred(
+        self, ready: ReadyStep, deferred: ReadyStep, now: float
+    ) -> bool:
+        """Return whether a step comes before long-running tasks that were deferred."""
+        submission = ready.tracked.submission
+        if submission.queue.priority != deferred.tracked.submission.queue.priority:
+            return False
+        if ready.step.is_long_running:
+            return True
+        if ready.step.fills or is_past_due(ready, now):
+            return False
+        return not self.finish_order.is_late(submission.submission_id)
+
+    def _has_lost_its_run(self, task: TaskKey) -> bool:
+        """Return whether a long-running task has run, and didn't yield."""
+        tracked = self.submissions.by_id[task.submission_id]
+        if self._has_yielded(task):
+            return False
+        return bool(tracked.run_floor_by_task.get(task))
+
     def _keep_capacity(self, tracked: TrackedSubmission, task: TaskKey, view) -> None:
         """Keep capacity of a worker for a task that can't start in this round yet.
 
@@ -95,16 +153,26 @@
             for task in tasks
             if task not in self.run_by_task
             and task not in self._tasks_with_pending_move
+            and not self._is_held(task, now)
             and not self._explain_doubt(task, now)
         ]
 
+    def _has_yielded(self, task: TaskKey) -> bool:
+        return self.preemption is not None and self.preemption.has_yielded(task)
+
+    def _is_held(self, task: TaskKey, now: float) -> bool:
+        """Return whether a long-running task that has yielded mustn't start yet."""
+        return self.preemption is not None and self.preemption.is_held(task, now)
+
     def _is_whole_gang_startable(self, ready: ReadyStep, now: float) -> bool:
         return len(self._startable_tasks(ready, now)) == ready.step.n_tasks
 
     def _relocate_from_draining(self, now: float) -> None:
         """Stop long-running tasks of draining workers if another worker fits them."""
         n_relocating = sum(
-            run.step.is_long_running and run.phase is RunPhase.STOPPING
+            run.step.is_long_running
+            and run.phase is RunPhase.STOPPING
+            and not self._has_yielded(run.task)
             for run in self.run_by_task.values()
         )
         for view in self.worker_by_id.values():
@@ -245,11 +313,19 @@
             self.worker_by_id[run.worker_id].withdraw_run(run)
         return runs if len(runs) == len(tasks) else []
 
-    def _start_waiting(self, ready: ReadyStep, now: float) -> None:
+    def _start_waiting(
+        self,
+        ready: ReadyStep,
+        now: float,
+        selects: Callable[[TaskKey], bool] | None = None,
+    ) -> None:
+        """Start the waiting tasks of a step, only those that ``selects`` if given."""
         if ready.step.is_gang:
             self._start_gang(ready, now)
             return
         for task in self._startable_tasks(ready, now):
+            if selects is not None and not selects(task):
+                continue
             if self._give_up_crashing(ready.tracked, task, now):
                 return
             keeper = self._release_capacity(task)
--- a/libs/scheduling/src/berylcleat/scheduling/_finish_estimate.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_finish_estimate.py
@@ -187,15 +187,20 @@
             del self._begun_by_step[key]
 
     def observe(
-        self, views: list[WorkerView], waiting: list["ReadyStep"], now: float
+        self,
+        views: list[WorkerView],
+        waiting: list["ReadyStep"],
+        now: float,
+        cores_to_yield: float = 0.0,
     ) -> None:
         """Measure the processors that run and could run work.
 
         What is free counts only while no waiting step has failed to find a worker.
+        Long-running tasks can yield ``cores_to_yield`` to ordinary ones.
         """
         for fills, rate in self._rates.items():
             rate.running_core_s = rate.overdue_used_core_s = rate.overdue_core_s = 0.0
-            cores = 0.0
+            cores = 0.0 if fills else cores_to_yield
             cost = rate.cost.value(now)
             for view in views:
                 for run in view.run_by_task.values():
@@ -203,7 +208,9 @@
                         cores += run.step.demand.cpu_millis / 1000
                         self._observe_run(rate, cost, run, now)
             if not any(
-                r.stuck_since is not None for r in waiting if r.step.fills == fills
+                r.stuck_since is not None
+                for r in waiting
+                if r.step.fills == fills and not r.step.is_long_running
             ):
                 cores += sum(_free_cores(view, fills) for view in views)
             rate.observe_cores(cores, now)
--- a/libs/scheduling/src/berylcleat/scheduling/_urgency.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_urgency.py
@@ -45,11 +45,9 @@
     long-running step never counts as late: it is useful for as long as it runs.
     """
     tracked = ready.tracked
-    remaining_s = tracked.remaining_s_by_step[ready.number] * MIN_REMAINING_SHARE
-    is_late = now + remaining_s > tracked.due_at
     return (
         tracked.submission.queue.priority,
-        is_late and not ready.step.is_long_running,
+        is_past_due(ready, now) and not ready.step.is_long_running,
         tracked.due_at,
         tracked.submission.submission_id,
         ready.occurrence,
@@ -57,6 +55,13 @@
     )
 
 
+def is_past_due(ready: "ReadyStep", now: float) -> bool:
+    """Return whether a step can't meet its deadline even if it starts now."""
+    tracked = ready.tracked
+    remaining_s = tracked.remaining_s_by_step[ready.number] * MIN_REMAINING_SHARE
+    return now + remaining_s > tracked.due_at
+
+
 class DeadlineOrder:
     """Order by priority and deadline, judged by the declared estimates."""
 
