--- a/libs/scheduling/src/berylcleat/scheduling/_preemption.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_preemption.py
@@ -54,9 +54,13 @@
 
 
 class Preemption:
-    """Long-running tasks of one cell that yield; times are in seconds."""
+    """Long-running tasks of one cell that yield; times are in seconds.
+
+    ``n_yielded`` counts the runs that were chosen to yield.
+    """
 
     def __init__(self):
+        self.n_yielded = 0
         self._held_until_by_task: dict[TaskKey, float] = {}
         self._yielded_at = float("-inf")
         # When fewer than two tasks of a waiting step fitted, and when none, by step.
@@ -152,6 +156,7 @@
             step_key = short.task[:3]
             room.n_by_step[step_key] = room.n_by_step.get(step_key, 0) + 1
             chosen += runs
+        self.n_yielded += len(chosen)
         return chosen
 
     def _make_room(self, view: WorkerView, now: float) -> _Room:
--- a/programs/beryl-host/src/berylcleat/host/_order_metrics.py
+++ b/programs/beryl-host/src/berylcleat/host/_order_metrics.py
@@ -21,6 +21,11 @@
 _moved_counter = Counter(
     "beryl_host_tasks_moved", "Tasks moved to other cells, by reason", ("reason",)
 )
+_yielded_counter = Counter(
+    "beryl_host_runs_yielded",
+    "Runs of long-running tasks stopped for short tasks",
+    ("cell",),
+)
 
 
 def count_moved(reason: str, n_tasks: int) -> None:
@@ -34,6 +39,7 @@
     def __init__(self, cell_id: str):
         self._cell_id = cell_id
         self._updated_at = float("-inf")
+        self._n_yielded = 0
 
     def update(self, scheduler: CellScheduler) -> None:
         """Update the metrics once a second."""
@@ -47,6 +53,9 @@
         for (queue, fills), ratio in ratios.items():
             kind = "filler" if fills else "ordinary"
             _ratio_gauge.labels(self._cell_id, queue, kind).set(ratio)
+        n_yielded = scheduler.preemption.n_yielded
+        _yielded_counter.labels(self._cell_id).inc(n_yielded - self._n_yielded)
+        self._n_yielded = n_yielded
 
     def clear(self) -> None:
         """Remove the metrics of the cell from this process."""
