Log and expose how late the event loop's timers fire

What callers saw: submissions with an objective of some hundred milliseconds started late on the large deployment, and no log told whether their host lacked processor time or waited for the store. Cause: the delay of the event loop was neither logged nor exposed. Ruled out: process_cpu_seconds_total alone, which doesn't tell how long a ready timer waits, nor on a host whose core is shared.

--- a/libs/runtime/src/berylcleat/runtime/__init__.py
+++ b/libs/runtime/src/berylcleat/runtime/__init__.py
@@ -1,6 +1,7 @@
 """Process lifecycle shared by all programs: signals, periodic calls, admin endpoint."""
 
 from ._admin import AdminRouter, error_response, json_response
+from ._loop_delay import LoopDelayMonitor
 from ._process import (
     EXIT_FATAL_ERROR,
     StopSignal,
@@ -16,6 +17,7 @@
     "EXIT_FATAL_ERROR",
     "VERSION",
     "AdminRouter",
+    "LoopDelayMonitor",
     "StopSignal",
     "cancel_all",
     "error_response",
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -16,6 +16,7 @@
 from berylcleat.ports import OperatorConfig, StoreRow
 from berylcleat.runtime import (
     AdminRouter,
+    LoopDelayMonitor,
     StopSignal,
     cancel_all,
     keep_running,
@@ -284,7 +285,7 @@
     def start_tasks(self) -> list[asyncio.Task]:
         """Start the tasks that read and publish rows and own cells."""
         loops = [f.run for f in self.followers if f is not self.worker_follower]
-        loops += [self.publisher.run, self._log_store_traffic]
+        loops += [self.publisher.run, self._log_store_traffic, LoopDelayMonitor().run]
         if self.operator.has_evacuations:
             loops += [self.relay.run, self.evacuation_metrics.run]
         coroutines = [keep_running(run) for run in loops]
