Plan without summing each worker's runs for each waiting step

But a round is planned after each event, and its cost grows with what waits. Cause: in each round the processor time left, serving images and serving runs of every worker were summed anew for each waiting step; all waiting tasks of a step were checked although only the first that doesn't fit is tried; and the reserved share of the service was summed for each starving step. Ruled out: sorting and assessing the steps, the reports and the moves: 6% of the profile together. Change: a worker's view keeps what follows from its runs until they change; tasks are checked one by one; the reserved share is computed once a round.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -1,7 +1,8 @@
 """Starts of a cell's waiting tasks and relocations of its running ones."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from functools import cache
 
 from berylcleat.model import TaskKey
 from berylcleat.ports import (
@@ -147,15 +148,19 @@
 
     def _startable_tasks(self, ready: ReadyStep, now: float) -> list[TaskKey]:
         """Return the waiting tasks of a step that certainly run nowhere, in order."""
-        tasks = (ready.task(index) for index in sorted(ready.waiting))
-        return [
-            task
-            for task in tasks
-            if task not in self.run_by_task
-            and task not in self._tasks_with_pending_move
-            and not self._is_held(task, now)
-            and not self._explain_doubt(task, now)
-        ]
+        return list(self._iter_startable(ready, now))
+
+    def _iter_startable(self, ready: ReadyStep, now: float) -> Iterator[TaskKey]:
+        """Yield what ``_startable_tasks`` returns, for a caller that may stop early."""
+        for index in sorted(ready.waiting):
+            task = ready.task(index)
+            if (
+                task not in self.run_by_task
+                and task not in self._tasks_with_pending_move
+                and not self._is_held(task, now)
+                and not self._explain_doubt(task, now)
+            ):
+                yield task
 
     def _has_yielded(self, task: TaskKey) -> bool:
         return self.preemption is not None and self.preemption.has_yielded(task)
@@ -323,7 +328,7 @@
         if ready.step.is_gang:
             self._start_gang(ready, now)
             return
-        for task in self._startable_tasks(ready, now):
+        for task in self._iter_startable(ready, now):
             if selects is not None and not selects(task):
                 continue
             if self._give_up_crashing(ready.tracked, task, now):
@@ -555,6 +560,7 @@
 
         The least recently forced submission comes first.
         """
+        reserved_share_of = cache(lambda service: self._reserved_share(service, now))
         starving = [
             ready
             for ready in self.submissions.ready_steps(now)
@@ -563,7 +569,7 @@
             and ready.tracked.submission.queue.advice is None
             and ready.stuck_since is not None
             and now - ready.stuck_since > STARVATION_S
-            and self._reserved_share(ready.tracked.submission.queue.service, now)
+            and reserved_share_of(ready.tracked.submission.queue.service)
             < MAX_RESERVED_SHARE_TO_FORCE
         ]
         starving.sort(key=lambda ready: ready.tracked.last_forced_at)
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -114,6 +114,35 @@
     return step.demand.cpu_millis * use
 
 
+@dataclass(frozen=True, slots=True)
+class _RunSummary:
+    """What follows from the runs of a worker and its entry alone.
+
+    ``cpu_left`` is the processor time that the runs are expected to leave.
+    """
+
+    entry: WorkerEntry
+    fillers: list[Run]
+    serving: list[Run]
+    serving_images: set[str]
+    cpu_left: float
+
+
+def _summarize_runs(entry: WorkerEntry, runs: Iterable[Run]) -> _RunSummary:
+    runs = list(runs)
+    serving = [run for run in runs if run.step.target_latency_ms]
+    left = float(entry.capacity.cpu_millis)
+    for run in runs:
+        left -= _expected_cpu(run.step)
+    return _RunSummary(
+        entry,
+        [run for run in runs if run.step.fills],
+        serving,
+        {run.step.image for run in serving},
+        left,
+    )
+
+
 @dataclass(slots=True)
 class WorkerView:
     """Entry, clock, runs and run ends of one worker.
@@ -181,6 +210,8 @@
     is_recovering: bool = False
     # Processor use of runs that have ended recently, with the time of their end.
     past_uses: list[tuple[float, ImageUse]] = field(default_factory=list)
+    # None after a change of the runs; a planning round uses it for each waiting step.
+    _run_summary: _RunSummary | None = field(default=None, repr=False, compare=False)
 
     @property
     def is_leaving(self) -> bool:
@@ -347,6 +378,7 @@
     def add_run(self, run: Run) -> None:
         """Add ``run`` and reserve its capacity."""
         self.run_by_task[run.task] = run
+        self._run_summary = None
         self.released_until = float("-inf")
         self.used = self.used + run.step.allocation
 
@@ -363,6 +395,7 @@
     def withdraw_run(self, run: Run) -> None:
         """Remove ``run``, which was never sent, and release its capacity."""
         del self.run_by_task[run.task]
+        self._run_summary = None
         self.used = self.used - run.step.allocation
 
     def count_failure(self, now: float) -> None:
@@ -375,26 +408,31 @@
         """Reset the count of consecutive failures."""
         self.n_consecutive_failures = 0
 
+    def _summary(self) -> _RunSummary:
+        summary = self._run_summary
+        if summary is None or summary.entry is not self.entry:
+            summary = _summarize_runs(self.entry, self.run_by_task.values())
+            self._run_summary = summary
+        return summary
+
     def filler_runs(self) -> list[Run]:
         """Return the runs of fillers."""
-        return [run for run in self.run_by_task.values() if run.step.fills]
+        return self._summary().fillers
 
     def serving_runs(self) -> list[Run]:
         """Return the runs that have a latency target."""
-        return [run for run in self.run_by_task.values() if run.step.target_latency_ms]
+        return self._summary().serving
 
     def serving_images(self) -> set[str]:
         """Return the images of the runs that have a latency target."""
-        return {run.step.image for run in self.serving_runs()}
+        return self._summary().serving_images
 
     def cpu_left(self) -> int:
         """Return the processor time expected to be unused, in thousandths of a core.
 
         What is kept for tasks that are about to start counts as used.
         """
-        left = float(self.entry.capacity.cpu_millis)
-        for run in self.run_by_task.values():
-            left -= _expected_cpu(run.step)
+        left = self._summary().cpu_left
         for step in self.kept_step_by_task.values():
             left -= _expected_cpu(step)
         return int(left)
