Count a worker's crash only for starts that were permitted

Cause: a start that still waits for a connection, or for its verification, when its worker restarts counted as a possible crash of the worker, though it is then refused. A worker was also avoided for 1 s after a start that was refused because of its restart. Change: runs whose start hasn't been permitted aren't among those that may have crashed their worker. Simulated cells ask for the permission, as hosts do; what they draw is as before. Evidence: crashes.feature 39 scenarios pass; with _cell_runs.py of the new one fails. The other features of libs/scheduling but the histories: 315 scenarios passed.

--- a/libs/scheduling/features/crashes.feature
+++ b/libs/scheduling/features/crashes.feature
@@ -198,3 +198,16 @@
     Given a suspect's run whose start wasn't answered, and a later one that its worker has accepted
     When the list names the restart
     Then a crash of the first run is counted
+
+  # Guards against LOST: a submission is given up for a start that waits for a connection
+  # when its worker restarts, and is then refused.
+  Scenario Outline: Only a start that was permitted counts when its worker crashes
+    Given a start that <state> when its worker restarts
+    When the list names the restart
+    Then <n> crashes of it are counted
+    And the start is <outcome>
+
+    Examples:
+      | state                 | n | outcome           |
+      | waits to be permitted | 0 | no longer allowed |
+      | has been permitted    | 1 | still expected    |
--- a/libs/scheduling/features/steps/cell_simulation.py
+++ b/libs/scheduling/features/steps/cell_simulation.py
@@ -605,6 +605,8 @@
             self._check_beliefs(owner, item)
             if not owner.is_out_of_date:
                 self.checker.on_start_order(item.order.task, self.now)
+            if not owner.cell.may_send_start(item.order, self.now):
+                return
         self.send(owner, item.worker_id, item.order)
 
     def _check_beliefs(self, owner: SimOwner, item: WorkerOrder) -> None:
@@ -621,6 +623,7 @@
             and end.worker_id in owner.sim_cell.worker_ids
             and end.at > confirmed_at
             and (task, end.run) not in owner.reported_ends
+            and self.must_know_end(item, end)
         ):
             self.checker.violations.append(
                 f"{self.now:.2f}: {task} is ordered after an end that no worker told, "
@@ -635,8 +638,19 @@
                 f"{worker.clock_started_at:.2f}, owner confirmed at {confirmed_at:.2f}"
             )
 
-    def send(self, owner: SimOwner, worker_id: str, order) -> None:
-        """Send an order that may be delayed or lost, or whose answer may be lost."""
+    def must_know_end(self, item: WorkerOrder, end: ObservedEnd) -> bool:
+        """Return whether a start's owner must have been told of an end by a worker."""
+        return True
+
+    def send(
+        self, owner: SimOwner, worker_id: str, order, incarnation_ms: int | None = None
+    ) -> None:
+        """Send an order that may be delayed or lost, or whose answer may be lost.
+
+        It reaches only ``incarnation_ms``, or the present one.
+        """
+        if incarnation_ms is None:
+            incarnation_ms = self.workers[worker_id].started_at_ms
         fault_draw = self.rng.random()
         delay_s = self.rng.uniform(0.001, 0.06)
         if worker_id in owner.unreachable:
@@ -645,20 +659,20 @@
         if fault_draw < ORDER_FAULT_SHARE and not self.is_calm:
             # The order is executed, in time or late, and its answer is lost.
             order_delay_s = delay_s if fault_draw < 0.03 else self.rng.uniform(1.0, 9.0)
-            self._schedule_order(order_delay_s, worker_id, order)
+            self._schedule_order(order_delay_s, worker_id, order, incarnation_ms)
             self._deliver_answer(1.0, owner, worker_id, order, None)
             return
         sent_at = self.now
-        incarnation_ms = self.workers[worker_id].started_at_ms
         self.schedule_event(
             self.now + delay_s,
             lambda: self._exchange(owner, worker_id, order, sent_at, incarnation_ms),
         )
 
-    def _schedule_order(self, delay_s: float, worker_id: str, order) -> None:
+    def _schedule_order(
+        self, delay_s: float, worker_id: str, order, incarnation_ms: int
+    ) -> None:
         """Execute an order after a delay unless the worker crashes first."""
         worker = self.workers[worker_id]
-        incarnation_ms = worker.started_at_ms
 
         def execute_order() -> None:
             if worker.started_at_ms == incarnation_ms:
@@ -772,7 +786,7 @@
         for owner in sim_cell.owners:
             if worker_id not in owner.unreachable:
                 self.schedule_event(
-                    self.now + self.fault_rng.uniform(0.0, 0.06),
+                    self.now + self.fault_rng.uniform(0.0, 0.06) + self.news_delay_s(),
                     lambda owner=owner: owner.cell.on_hold_failed(worker_id, self.now),
                 )
         entry = replace(worker.entry, started_at_ms=worker.started_at_ms)
@@ -781,6 +795,10 @@
             lambda: self._list_worker(sim_cell, entry),
         )
 
+    def news_delay_s(self) -> float:
+        """Return how much later than usual an owner notices a worker's restart."""
+        return 0.0
+
     def _list_worker(self, sim_cell: SimCell, entry: WorkerEntry) -> None:
         """List a worker's incarnation, to a partitioned owner after the partition."""
         worker = self.workers[entry.worker_id]
--- a/libs/scheduling/features/steps/crash_steps.py
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -452,6 +452,41 @@
     scripted_cell.cell.on_start_answer("w0", item.order, answer, scripted_cell.now)
 
 
+@given("a start that waits to be permitted when its worker restarts")
+def step_unsent(context):
+    scripted_cell = context.scripted_cell = ScriptedCell(1, 8000)
+    scripted_cell.step()
+    scripted_cell.silent.add("w0")
+    scripted_cell.submit(Step(1, TaskDemand(1000, 100)))
+    scripted_cell.step()
+    context.order = scripted_cell.starts.pop().order
+
+
+@given("a start that has been permitted when its worker restarts")
+def step_permitted(context):
+    step_unsent(context)
+    scripted_cell = context.scripted_cell
+    assert scripted_cell.cell.may_send_start(context.order, scripted_cell.now)
+
+
+@then("{n:d} crashes of it are counted")
+def step_crashes_of_start(context, n):
+    tracked = context.scripted_cell.cell.submissions.by_id[SUBMISSION_ID]
+    assert tracked.n_crashes(context.order.task) == n
+
+
+@then("the start is no longer allowed")
+def step_start_withdrawn(context):
+    scripted_cell = context.scripted_cell
+    assert not scripted_cell.cell.may_send_start(context.order, scripted_cell.now)
+    assert context.order.task not in scripted_cell.cell.run_by_task
+
+
+@then("the start is still expected")
+def step_start_expected(context):
+    assert context.order.task in context.scripted_cell.cell.run_by_task
+
+
 @when("the list names the restart")
 def step_list_names_restart(context):
     cell = context.scripted_cell.cell
--- a/libs/scheduling/features/steps/crashing_workers.py
+++ b/libs/scheduling/features/steps/crashing_workers.py
@@ -348,7 +348,7 @@
             if worker.run_by_task.get(order.task, (0, 0))[0] == order.run:
                 worker.end(order.task, RunEnd.STOPPED)
             self._answer(worker_id, order, OrderResult.ACCEPTED)
-        elif isinstance(order, StartOrder):
+        elif self.cell.may_send_start(order, self.now):
             self._start(worker, worker_id, order)
 
     def _start(self, worker: CrashingWorker, worker_id: str, order) -> None:
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -36,6 +36,8 @@
 # capacity that the owner counted as free, and for another reason.
 NO_CAPACITY_COOLDOWN_S = 0.3
 REJECTION_COOLDOWN_S = 1.0
+# Rejections of a start that tell nothing of the worker in its present incarnation.
+UNRELATED_TO_WORKER = (OrderResult.OLD_RUN, OrderResult.OTHER_INCARNATION)
 STOP_RETRY_S = 0.5
 # Seconds for which a worker may still answer a hold that it received before it learned
 # of a later epoch.
@@ -335,7 +337,7 @@
                 self.advice.drop_ticket(run.task, run.worker_id)
             elif result is OrderResult.NO_ROOM:
                 view.avoid_until = max(view.avoid_until, now + NO_CAPACITY_COOLDOWN_S)
-            elif result is not OrderResult.OLD_RUN:
+            elif result not in UNRELATED_TO_WORKER:
                 view.avoid_until = max(view.avoid_until, now + REJECTION_COOLDOWN_S)
         self.crashes.on_survival((run,))
         self._mark_lost(run, result.value, now, ended_by=NEVER_RAN)
@@ -434,9 +436,11 @@
     def _count_crash(self, view: WorkerView, now: float) -> bool:
         """Count the crash of a worker; one that is leaving isn't taken for crashed.
 
-        Return whether a task crashed it that may have crashed a worker before.
+        Starts that wait for a connection didn't reach it, and won't: they aren't
+        counted. Return whether a task crashed it that may have crashed one before.
         """
-        runs = [*view.run_by_task.values(), *view.expired_runs]
+        sent = (run for run in view.run_by_task.values() if not run.is_unsent)
+        runs = [*sent, *view.expired_runs]
         was_crashed_by_task = False
         if view.is_leaving:
             self.crashes.on_survival(runs)
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -81,6 +81,11 @@
     stop_answered_at: float | None = None
     stop_sent_at: float | None = None
 
+    @property
+    def is_unsent(self) -> bool:
+        """Whether its start still waits to be sent."""
+        return self.phase is RunPhase.STARTING and not self.may_have_been_sent
+
     def update_reading(self, reading: float, now: float) -> None:
         """Store a reading, and the time since which the tail exceeds the target."""
         self.reading = reading
