Move gangs by what one rack holds, and start those wider than any

A gang that needs one rack moved to a cell of two racks by the sum over both, and waited there again. One wider than every rack never started.

Cause: loads told the free capacity of each worker, not its rack, and the start of such a gang was tried on single racks alone.

Ruled out: starting on several racks after a wait, however long: under load all gangs wait, and on two racks each member takes longer. So a rack that could hold the gang if it were empty is waited for, here or, as far as loads tell, elsewhere.

Change: the load of a cell of several racks tells how many of its workers are of which; loads without it count as of one rack, as before. A gang that no rack here can ever hold may use the whole of a rack elsewhere, not 0.7 of it; if none there could hold it, it starts across the racks of its cell. Where a cell is one rack, it still can't start.

--- a/libs/scheduling/features/gangs.feature
+++ b/libs/scheduling/features/gangs.feature
@@ -56,6 +56,38 @@
     When a gang of 5 tasks of 4 cores that needs one rack is added
     Then 0 members are started under one run number
 
+  # Guards against members that take longer on two racks because one of them was busy.
+  Scenario: A gang that needs one rack waits for one that could hold it
+    Given a cell with 4 workers of 8 cores in two racks
+    When 3 tasks of 4 cores with their data in the first rack are added
+    And 1 tasks of 4 cores with their data in the second rack are added
+    And a gang of 4 tasks of 4 cores that needs one rack is added
+    And the gang waits for 2 s
+    Then 0 members are started under one run number
+
+  # Guards against LOST: a gang wider than every rack never started.
+  Scenario: A gang wider than every rack starts on several racks
+    Given a cell with 4 workers of 8 cores in two racks
+    When a gang of 5 tasks of 4 cores that needs one rack is added
+    And another cell has 8 workers of 4 free cores in two racks, of 4 cores each
+    And the gang waits for 1 s
+    Then 5 members are started under one run number
+
+  # Guards against a move by the sum of two racks, and members that then run on both.
+  Scenario Outline: A gang that needs one rack moves to a cell where one rack holds it
+    Given a cell with 4 workers of 8 cores in two racks
+    When a gang of <n> tasks of 4 cores that needs one rack is added
+    And another cell has <workers> free cores in two racks, of <cores> cores each
+    And the gang waits for 1 s
+    Then <moved> members are proposed to move
+    And <started> members are started under one run number
+
+    Examples:
+      | n | workers              | cores | moved | started |
+      | 5 | 10 workers of 4      | 4     | 5     | 0       |
+      | 5 | 8 workers of 4       | 4     | 0     | 5       |
+      | 6 | 16 workers of 0      | 4     | 0     | 0       |
+
   # Guards against tasks that run far from their data beside free workers near it.
   Scenario: Tasks start in the rack of their data first
     Given a cell with 4 workers of 8 cores in two racks
--- a/libs/scheduling/features/steps/gang_steps.py
+++ b/libs/scheduling/features/steps/gang_steps.py
@@ -286,6 +286,49 @@
     context.scripted_cell.step()
 
 
+@when("{n:d} tasks of {cores:d} cores with their data in the first rack are added")
+def step_submit_in_first(context, n, cores):
+    step = Step(n, TaskDemand(cores * 1000, 100), data_rack="r1")
+    context.scripted_cell.submit(step, submission_id="b" * 16)
+    context.scripted_cell.step()
+
+
+@when(
+    "another cell has {n:d} workers of {free:d} free cores in two racks, of {cores:d} "
+    "cores each"
+)
+def step_other_racks(context, n, free, cores):
+    context.headroom = CellHeadroom(
+        "r2",
+        "svc",
+        n * free * 1000,
+        (),
+        0,
+        n * cores * 1000,
+        (free * 1000,) * n,
+        n_workers_by_rack=(n - n // 2, n // 2),
+    )
+
+
+@when("the gang waits for {seconds:d} s")
+def step_pass(context, seconds):
+    scripted_cell = context.scripted_cell
+    scripted_cell.starts.clear()
+    context.n_moved = 0
+    for _ in range(seconds * 5):
+        if hasattr(context, "headroom"):
+            proposals = scripted_cell.cell.propose_moves(
+                (context.headroom,), scripted_cell.now
+            )
+            context.n_moved += sum(len(item.move_by_task) for item in proposals)
+        scripted_cell.step()
+
+
+@then("{n:d} members are proposed to move")
+def step_members_moved(context, n):
+    assert context.n_moved == n, context.n_moved
+
+
 def count_starts_by_rack(context):
     starts = context.scripted_cell.starts
     return Counter(context.rack_by_worker[item.worker_id] for item in starts)
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -11,6 +11,7 @@
 from ._cell_relocations import CellRelocations
 from ._cell_starts import MAX_RESERVED_SHARE_TO_FORCE, STARVATION_S
 from ._moves import (
+    USABLE_HEADROOM_SHARE,
     CellHeadroom,
     FillerHeadroom,
     HeadroomReservations,
@@ -332,7 +333,9 @@
     ) -> dict[TaskKey, TaskMove]:
         if not self._is_whole_gang_startable(ready, now):
             return {}
-        cell_id = reservations.reserve_gang(ready.step, service)
+        # Where no rack here can ever hold it, the whole of another will do.
+        share = 1.0 if self._exceeds_racks_here(ready) else USABLE_HEADROOM_SHARE
+        cell_id = reservations.reserve_gang(ready.step, service, share)
         if cell_id is None:
             return {}
         tasks = self._startable_tasks(ready, now)
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -9,8 +9,10 @@
 
 from ._cell_runs import NEVER_RAN, CellRuns
 from ._crashes import LIKELY_CAUSE_AGE_S, MAX_QUIET_WAIT_S
+from ._moves import is_stuck
 from ._placement import choose_forced_worker, choose_worker
 from ._progress import PresumedStart
+from ._rack_fit import fits_empty_rack
 from ._submissions import ReadyStep, TrackedSubmission
 from ._workers import FORCED_START_WINDOW_S, Run, RunPhase, WorkerView
 
@@ -208,7 +210,8 @@
     ) -> list[Run]:
         """Return a run for each member of a gang, or none if not all of them fit.
 
-        Members that need one rack are tried on each of the racks. No run is added: a
+        Members that need one rack are tried on each of the racks, and on all together
+        if no rack can ever hold them: they take longer, but start. No run is added: a
         try that fails leaves workers and run numbers as they are.
         """
         for rack in self._racks_for_gang(ready, now):
@@ -219,11 +222,36 @@
 
     def _racks_for_gang(self, ready: ReadyStep, now: float) -> list[str | None]:
         """Return the racks to try for a gang, in order; None stands for all."""
-        if not ready.step.same_rack:
+        if not ready.step.same_rack or self._exceeds_all_racks(ready, now):
             return [None]
         racks = {view.entry.rack for view in self._startable_workers(now)}
         return sorted(racks, key=lambda rack: (rack != ready.step.data_rack, rack))
 
+    def _exceeds_all_racks(self, ready: ReadyStep, now: float) -> bool:
+        """Return whether no rack could hold a gang, as far as other cells tell.
+
+        Their loads are known by the time that the gang is stuck.
+        """
+        if not is_stuck(ready, now) or not self._exceeds_racks_here(ready):
+            return False
+        service = ready.tracked.submission.queue.service
+        return not any(
+            headroom.service == service and headroom.fits_empty_rack(ready.step)
+            for headroom in self._other_headrooms
+        )
+
+    def _exceeds_racks_here(self, ready: ReadyStep) -> bool:
+        """Return whether a gang needs one rack, and none here could ever hold it."""
+        if not ready.step.is_gang or not ready.step.same_rack:
+            return False
+        entries = (
+            view.entry
+            for view in self.worker_by_id.values()
+            if view.is_listed and not view.entry.is_draining
+        )
+        service = ready.tracked.submission.queue.service
+        return not fits_empty_rack(ready.step, service, entries)
+
     def _place_gang_in(
         self,
         rack: str | None,
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -55,7 +55,8 @@
     ``free_by_worker`` the part of ``free`` on each worker. ``age_s`` is the age of the
     load that reports it, ``is_near`` whether the cell is in the same data centre,
     ``epoch`` that of the cell's owner, or 0 if it isn't known. ``waiting`` is what the
-    cell's own waiting tasks would reserve.
+    cell's own waiting tasks would reserve. ``n_workers_by_rack`` tells how many of
+    ``free_by_worker`` are of each rack, one after the other; it is empty if all are.
     """
 
     cell_id: str
@@ -69,6 +70,7 @@
     is_near: bool = True
     epoch: int = 0
     waiting: int = 0
+    n_workers_by_rack: tuple[int, ...] = ()
 
     def free_for(self, cpu_millis: int) -> int:
         """Return the part of ``free`` that tasks of this size can use.
@@ -84,9 +86,32 @@
         """
         if not self.free_by_worker:
             return self.free
-        return sum(
-            free // max(cpu_millis, 1) * cpu_millis for free in self.free_by_worker
-        )
+        return _whole_slots(self.free_by_worker, cpu_millis)
+
+    def free_in_one_rack(self, cpu_millis: int) -> int:
+        """Return the part of ``free`` that tasks of this size can use in one rack."""
+        if not self.n_workers_by_rack:
+            return self.free_for(cpu_millis)
+        slots = []
+        first = 0
+        for n_workers in self.n_workers_by_rack:
+            workers = self.free_by_worker[first : first + n_workers]
+            slots.append(_whole_slots(workers, cpu_millis))
+            first += n_workers
+        return min(self.free, max(slots))
+
+    def fits_empty_rack(self, step: Step) -> bool:
+        """Return whether a rack could hold all tasks of a step if it were empty.
+
+        Its workers are taken to be equal: the load tells the sum of their capacities.
+        """
+        cpu_millis = max(step.demand.cpu_millis, 1)
+        n_workers = len(self.free_by_worker)
+        if not n_workers:
+            return self.capacity // cpu_millis >= step.n_tasks
+        n_in_rack = max(self.n_workers_by_rack, default=n_workers)
+        slots_by_worker = self.capacity // n_workers // cpu_millis
+        return n_in_rack * slots_by_worker >= step.n_tasks
 
     def headroom_for_filler(self, image: str, interference: InterferenceModel) -> int:
         """Return the processor time left where ``image`` interferes only mildly.
@@ -245,10 +270,15 @@
         self._add_reserved(step, chosen, 1)
         return chosen
 
-    def reserve_gang(self, step: Step, service: str) -> str | None:
-        """Reserve headroom for all tasks of ``step`` in one cell; return it or None."""
+    def reserve_gang(
+        self, step: Step, service: str, share: float = USABLE_HEADROOM_SHARE
+    ) -> str | None:
+        """Reserve headroom for all tasks of ``step`` in one cell; return it or None.
+
+        It is ``share`` of the headroom, in one rack if the step needs one.
+        """
         available_by_id = {
-            cell_id: self._headroom_for(step, headroom)
+            cell_id: self._headroom_for(step, headroom, share)
             for cell_id, headroom in self._headroom_by_id.items()
             if headroom.service == service
         }
@@ -265,17 +295,31 @@
         reserved[cell_id] += step.demand.cpu_millis * n_tasks
         self._n_moved[cell_id] += n_tasks
 
-    def _headroom_for(self, step: Step, headroom: CellHeadroom) -> float:
+    def _headroom_for(
+        self,
+        step: Step,
+        headroom: CellHeadroom,
+        share: float = USABLE_HEADROOM_SHARE,
+    ) -> float:
         if not step.fills:
-            free = headroom.free_for(step.allocation.cpu_millis)
-            return free * USABLE_HEADROOM_SHARE - self._reserved[headroom.cell_id]
-        left = (
-            headroom.headroom_for_filler(step.image, self._interference)
-            * USABLE_HEADROOM_SHARE
-        )
+            free = _free_for_step(step, headroom)
+            return free * share - self._reserved[headroom.cell_id]
+        left = headroom.headroom_for_filler(step.image, self._interference) * share
         return left - self._reserved_for_fillers[headroom.cell_id]
 
 
+def _whole_slots(free_by_worker: tuple[int, ...], cpu_millis: int) -> int:
+    return sum(free // max(cpu_millis, 1) * cpu_millis for free in free_by_worker)
+
+
+def _free_for_step(step: Step, headroom: CellHeadroom) -> int:
+    """Return what tasks of a step can use, in one rack if all must run in one."""
+    cpu_millis = step.allocation.cpu_millis
+    if step.is_gang and step.same_rack:
+        return headroom.free_in_one_rack(cpu_millis)
+    return headroom.free_for(cpu_millis)
+
+
 def is_stuck(ready: ReadyStep, now: float) -> bool:
     """Return whether tasks of a step have fitted on no worker for too long."""
     if ready.stuck_since is None:
--- a/programs/beryl-host/features/cell_layout.feature
+++ b/programs/beryl-host/features/cell_layout.feature
@@ -70,3 +70,15 @@
   Scenario: A host waits for a layout that can't be read
     Given a store with a layout that can't be decoded
     Then a host that wants cells of 2 racks waits
+
+  # Guards against gangs that need one rack and are moved by the sum of two.
+  Scenario Outline: The load of a cell tells what one of its racks holds
+    Given an owner of workers of 8 cores in the racks "<racks>"
+    When another host reads its load
+    Then tasks of 1 core have <cores> free cores there in one rack
+
+    Examples:
+      | racks             | cores |
+      | r1 r2 r1 r2 r1    | 24    |
+      | r1 r1             | 16    |
+      | r1 r2             | 8     |
--- a/programs/beryl-host/src/berylcleat/host/_cell_summary.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_summary.py
@@ -1,6 +1,7 @@
 """Load summary of an owned cell, and its periodic log lines."""
 
 import logging
+from collections import Counter
 
 from berylcleat.scheduling import BacklogMeter, CellScheduler, FillerHeadroom
 
@@ -22,6 +23,8 @@
     empty data centre at once.
     """
     views = [v for v in scheduler.worker_by_id.values() if v.can_start(now)]
+    views.sort(key=lambda view: view.entry.rack)
+    n_by_rack = Counter(view.entry.rack for view in views)
     live = scheduler.submissions.live_by_id.values()
     fill_waiting = sum(
         len(ready.waiting) * ready.step.demand.cpu_millis
@@ -47,6 +50,7 @@
         pending_by_queue=scheduler.submissions.n_pending_by_queue(),
         free_by_worker=free_by_worker,
         backlog=backlog,
+        n_workers_by_rack=tuple(n_by_rack.values()) if len(n_by_rack) > 1 else (),
     )
 
 
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -123,6 +123,8 @@
     free_by_worker: tuple[Integer, ...] = ()
     # None without admission control, and in loads of hosts that don't know of it.
     backlog: CellBacklog | None = None
+    # How many of free_by_worker are of each rack, in order; empty if all are of one.
+    n_workers_by_rack: tuple[Count, ...] = ()
 
     def count_slots(self, cpu_millis: int) -> int:
         """Return how many more tasks of this size fit beside those that wait here."""
@@ -142,6 +144,7 @@
         summary.cpu_capacity,
         summary.free_by_worker,
         waiting=summary.cpu_waiting,
+        n_workers_by_rack=summary.n_workers_by_rack,
     )
 
 
