--- a/programs/beryl-host/features/cell_layout.feature
+++ b/programs/beryl-host/features/cell_layout.feature
@@ -82,3 +82,15 @@
       | fail              |
       | are refused       |
       | fail unexpectedly |
+
+  # Guards against gangs that need one rack and are moved by the sum of two.
+  Scenario Outline: The load of a cell tells what one of its racks holds
+    Given an owner of workers of 8 cores in the racks "<racks>"
+    When another host reads its load
+    Then tasks of 1 core have <cores> free cores there in one rack
+
+    Examples:
+      | racks             | cores |
+      | r1 r2 r1 r2 r1    | 24    |
+      | r1 r1             | 16    |
+      | r1 r2             | 8     |
