Send no start once its owner has ended

What callers saw: two runs of a task are possible. A start that waited for its connection was still sent after its owner had read the next owner's row from the store, had failed with an unexpected error, or had been told to stop.

Cause: the planning loop asks whether the owner has ended, the permission of a start asked only whether the ownership was confirmed in the last 12 s, which stays true after the end. Between the end and the cancellation of the loops lies the next look at the host's cells.

Ruled out: the renewals of leases and the moves ask for both already.

Change: planning, moves and the permission of a start ask the same question.

--- a/programs/beryl-host/features/confirmation.feature
+++ b/programs/beryl-host/features/confirmation.feature
@@ -39,3 +39,16 @@
   Scenario: A start that waits for a connection isn't sent once the ownership is in doubt
     When a start order is to be sent while the ownership isn't confirmed
     Then it isn't sent
+
+  # Guards against TWICE: an owner that knew of the next one, or whose state was in doubt
+  # after an error, sent the starts that waited for a connection until it was stopped.
+  Scenario Outline: A start that waits for a connection isn't sent once its owner <event>
+    Given a cell with recorded workers "w1 w2"
+    When a start order of its owner is to be sent, and again after the owner <event>
+    Then only the first of the two was sent
+
+    Examples:
+      | event                       |
+      | has read another one's row  |
+      | has failed with an error    |
+      | was told to stop            |
--- a/programs/beryl-host/features/steps/confirmation_steps.py
+++ b/programs/beryl-host/features/steps/confirmation_steps.py
@@ -205,3 +205,59 @@
 @then("it isn't sent")
 def step_not_sent(context):
     assert not context.worker.is_sent
+
+
+@when(
+    "a start order of its owner is to be sent, and again after the owner "
+    "has read another one's row"
+)
+def step_send_after_loss(context):
+    async def lose(controller):
+        put_cell_row(context, OWNER_KEY, encode(OwnerRow(3, "host-2", "bb", 18.0)))
+        await controller._recorder.confirm_ownership()
+
+    context.run(send_before_and_after(context, lose))
+
+
+@when(
+    "a start order of its owner is to be sent, and again after the owner "
+    "has failed with an error"
+)
+def step_send_after_failure(context):
+    async def fail(controller):
+        controller.attempt({}.__getitem__, "missing")
+
+    context.run(send_before_and_after(context, fail))
+
+
+@when(
+    "a start order of its owner is to be sent, and again after the owner "
+    "was told to stop"
+)
+def step_send_after_stop(context):
+    async def stop(controller):
+        await controller.abandon()
+
+    context.run(send_before_and_after(context, stop))
+
+
+async def send_before_and_after(context, end_owner):
+    """Have an owner send a start, and once more after ``end_owner`` has ended it."""
+    controller = await start_unconfirmed_owner(context, 0.0)
+    sender = controller._sender
+    sender._scheduler = WillingScheduler()
+    order = StartOrder(TASK, 1, "s", 1000, 2)
+    context.were_sent = []
+    for before_sending in (None, end_owner):
+        if before_sending is not None:
+            await before_sending(controller)
+        worker = WaitingWorker()
+        sender._client_by_worker = {"w1": worker}
+        await sender.send(WorkerOrder("w1", order))
+        context.were_sent.append(worker.is_sent)
+    await controller.abandon()
+
+
+@then("only the first of the two was sent")
+def step_first_sent(context):
+    assert context.were_sent == [True, False], context.were_sent
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -108,7 +108,7 @@
         self._move_loops = CellMoveLoops(
             self,
             mover,
-            self._may_move,
+            self._may_act,
             self._spawn,
             SPILL_PERIOD_S if expected_finish else MOVE_PERIOD_S,
         )
@@ -194,7 +194,7 @@
             hold_loops.client_by_worker,
             self._advisor,
             self._plan_needed.set,
-            self._is_ownership_confirmed,
+            self._may_act,
         )
         if self._late_limit:
             self._backlog_meter = BacklogMeter(
@@ -445,6 +445,10 @@
         confirmed_at = max(read_at, self._recorder.confirmed_at)
         return now_s() - confirmed_at < self._times.owner_limit_s
 
+    def _may_act(self) -> bool:
+        """Return whether orders and moves may be sent now."""
+        return self._is_ownership_confirmed() and not self.is_inactive
+
     def _update_confirmation(self) -> None:
         confirmed_at = max(self._read_confirmed_at(), self._recorder.confirmed_at)
         self.scheduler.confirmation.confirmed_at = confirmed_at
@@ -485,7 +489,7 @@
             except TimeoutError:
                 pass
             self._plan_needed.clear()
-            if self._is_ownership_confirmed() and not self.is_inactive:
+            if self._may_act():
                 self._operator.update(self.scheduler.evacuation, now_s())
                 self._update_confirmation()
                 self.scheduler.workers_listed_at = self._worker_list.read_confirmed_at()
@@ -501,9 +505,6 @@
 
     # Moves and records
 
-    def _may_move(self) -> bool:
-        return self._is_ownership_confirmed() and not self.is_inactive
-
     def _observe_order(self) -> None:
         self._order_metrics.update(self.scheduler)
 
--- a/programs/beryl-host/src/berylcleat/host/_order_sender.py
+++ b/programs/beryl-host/src/berylcleat/host/_order_sender.py
@@ -29,7 +29,7 @@
     """Sender of orders that passes the answers to the scheduler.
 
     ``on_change`` is called when a new planning round is needed, ``may_act`` tells
-    whether the ownership was confirmed lately.
+    whether the ownership was confirmed lately and has not ended.
     """
 
     def __init__(
