Send no start to a worker that is out of use or full by then

What callers saw: a start waits for its turn and its connection behind the other orders of its worker, for seconds where these aren't answered. It was then sent although the worker had begun to drain more than the allowed time before, was no longer listed, or had reported runs that leave no room: a start on a draining worker is thrown away, and one on a worker that doesn't check its capacity exceeds it.

Cause: what makes a worker unusable was asked when the start was decided. The permission asked again only for a failed hold, a restart and maintenance.

Ruled out: cancellations, fences, evacuations and restarts are asked again already; the deadline in the order bounds the delay at 5 s, not below the 2 s in which a draining worker may still get starts.

Change: the permission asks for every reason that puts a worker out of use, and whether its runs exceed its capacity. A start that isn't sent is decided anew in the next round.

Evidence: the four new scenarios of confirmation.feature failed before and pass now; the features confirmation, takeover, runs_once, gangs, crashes, evacuation, maintenance, capacity, relocation, preemption, early_reports and fillers of libs/scheduling pass (238 scenarios), as do ownership and evacuation of beryl-host.

--- a/libs/scheduling/features/confirmation.feature
+++ b/libs/scheduling/features/confirmation.feature
@@ -81,3 +81,18 @@
     When a new task is added
     And the worker reports a restart
     Then the start may not be sent any more
+
+  # Guards against DRAIN and LIMIT: a start waits for its connection for seconds behind
+  # others, and was sent to a worker that was out of use or full by then.
+  Scenario Outline: A start isn't sent if its worker <event> after it was decided
+    Given a cell with 1 workers of 8 cores whose owner was just confirmed
+    When a new task is added
+    And the worker <event>
+    Then the start may not be sent any more
+
+    Examples:
+      | event                                      |
+      | begins to drain                            |
+      | is no longer listed                        |
+      | reports a run of an unknown submission     |
+      | reports a run of 5 cores that isn't wanted |
--- a/libs/scheduling/features/steps/confirmation_steps.py
+++ b/libs/scheduling/features/steps/confirmation_steps.py
@@ -4,10 +4,13 @@
 from gang_steps import SUBMISSION_ID, ScriptedCell
 from runs_once_steps import STEP, TASK, advance, start_task
 
-from berylcleat.model import QueuePolicy
+from berylcleat.model import QueuePolicy, TaskKey
 from berylcleat.ports import EndedTask, RunEnd
 from berylcleat.scheduling import TaskMove
 
+OTHER_ID = "b" * 16
+OTHER_TASK = TaskKey(OTHER_ID, 0, 0, 0)
+
 
 @given("a cell with {n:d} workers of {cores:d} cores whose owner was just confirmed")
 def step_confirmed_cell(context, n, cores):
@@ -45,6 +48,34 @@
     restart(context.scripted_cell, "w0")
 
 
+@when("the worker begins to drain")
+def step_drain(context):
+    scripted_cell = context.scripted_cell
+    entry = scripted_cell.cell.worker_by_id["w0"].entry
+    draining = replace(entry, is_draining=True)
+    scripted_cell.cell.list_worker(draining, scripted_cell.now)
+
+
+@when("the worker is no longer listed")
+def step_unlist(context):
+    context.scripted_cell.cell.unlist_worker("w0")
+
+
+@when("the worker reports a run of an unknown submission")
+def step_unknown_run(context):
+    context.scripted_cell.running["w0"][OTHER_TASK] = 1
+    context.scripted_cell.step()
+
+
+@when("the worker reports a run of 5 cores that isn't wanted")
+def step_unwanted_run(context):
+    scripted_cell = context.scripted_cell
+    scripted_cell.submit(STEP, submission_id=OTHER_ID)
+    scripted_cell.cell.cancel(OTHER_ID, scripted_cell.now)
+    scripted_cell.running["w0"][OTHER_TASK] = 1
+    scripted_cell.step()
+
+
 @when("a new task is added")
 def step_add(context):
     queue = QueuePolicy("q", "svc", max_attempts=2)
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -219,9 +219,9 @@
         could start a task that a new owner has started elsewhere.
         """
         view = self.worker_by_id.get(run.worker_id)
-        if self.awaits_cordon or (view is not None and view.is_cordoned):
+        if self.awaits_cordon or self.is_fenced_out or view is None:
             return False
-        if self.is_fenced_out or view is None or view.hold_failed_at is not None:
+        if view.explain_out_of_use() or view.is_overcommitted:
             return False
         if view.incarnation_ms != run.incarnation_ms:
             return False
