--- a/libs/ports/src/berylcleat/ports/_task_workers.py
+++ b/libs/ports/src/berylcleat/ports/_task_workers.py
@@ -87,7 +87,7 @@
     OTHER_INCARNATION: the order was meant for another incarnation of the worker.
     REJECTED: any other reason.
 
-    Without an answer:
+    Without an answer, or with one that doesn't show what was done:
     NO_ANSWER: the order was sent, so it may have been executed.
     NOT_SENT: the order was not sent, so it has no effect.
     NOT_CONNECTED: a lease renewal was not sent because no connection was open.
