Let a host that leaves acquire no further cell

What callers saw: none traced to it; found by reading. A cell waited for a host that had left.

Cause: whether the host leaves was checked once, before it acquired its cells one after the other. One that got SIGTERM in between had released its cells and went on acquiring others, each released after the questions to earlier owners only; if its process ended before that, the row named a host that is gone.

Ruled out: the cell whose acquisition is under way. It is released.

Change: the check is repeated before each acquisition.

Evidence: ownership.feature, PYTHONHASHSEED=0: the new scenario failed before (the second cell had been acquired under epoch 3); now 51 pass.

--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -225,6 +225,12 @@
     When a host acquires the first while another live host acquires the second
     Then the second cell has that owner
 
+  # Guards against LOST: a host that had released its cells acquired others and ended.
+  Scenario: A host that leaves while it acquires a cell acquires no other one
+    Given two cells without an owner
+    When a host that acquires the first leaves meanwhile
+    Then no cell has an owner
+
   # Guards against TWICE: a heartbeat of its earlier incarnation that the store carried out
   # after the acquisition made hosts take the new owner for stopped.
   Scenario Outline: A restarted host acquires <what> after the heartbeat of its <incarnation> one
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -854,6 +854,32 @@
     context.run(acquire())
 
 
+@when("a host that acquires the first leaves meanwhile")
+def step_leave_meanwhile(context):
+    async def acquire():
+        manager, cells = await make_live_manager(context.store, "dc-1")
+        manager._workers.data_centre_by_cell()["r2"] = "dc-1"
+        await read_owners_of(context.store, cells, "r2")
+
+        async def leave():
+            context.store.before_commit = None
+            await manager.release_all()
+
+        context.store.before_commit = leave
+        context.manager = manager
+        await reconcile(context)
+
+    context.run(acquire())
+
+
+@then("no cell has an owner")
+def step_no_cell_owner(context):
+    for cell_id, epoch in ((CELL, 3), ("r2", 2)):
+        row = context.store.rows_by_key(CELL_TABLE, cell_id)[OWNER_KEY]
+        owner = msgspec.json.decode(row.value, type=OwnerRow)
+        assert (owner.host_id, owner.epoch) == ("", epoch), (cell_id, owner)
+
+
 @then("the second cell has that owner")
 def step_second_owner(context):
     row = context.store.rows_by_key(CELL_TABLE, "r2")[OWNER_KEY]
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -144,6 +144,8 @@
         for cell_id in self._eligible_since_by_cell.keys() - assigned:
             del self._eligible_since_by_cell[cell_id]
         for cell_id in sorted(assigned - self.controller_by_cell.keys()):
+            if self.is_leaving:
+                return
             if self._has_changed(cell_id, observed_by_cell.get(cell_id)):
                 # Acquired by another host while this one acquired another cell.
                 continue
