Count spared workers of other cells when a spared worker is released

Cause: a spared worker gets a start if less than half of the service is reserved. The share counts the spared workers of the cell itself, but a load tells the workers only on which something may start. At 62.3 s cells r1 and r2 each spared an empty worker of 4 cores: r3 computed 0.63 for a share of 0.34, and kept its own spared.

Ruled out: the order of the waiting tasks and the limit on moves. The tasks that came first didn't start either, and other cells had no room to move to.

Change: a load tells the capacity of the workers that answer but may start nothing for now, and what of it is free; the release counts both. Loads without them count as before. A cell of which all workers are spared names its service, so that they count at all. The share that the forcing of fillers uses is left as it is.

--- a/libs/scheduling/features/steps/liveness_simulation.py
+++ b/libs/scheduling/features/steps/liveness_simulation.py
@@ -320,6 +320,7 @@
     cell = sim_cell.owner.cell
     views = [view for view in cell.worker_by_id.values() if view.can_start(now)]
     free_by_worker = tuple(view.effective_free_millis() for view in views)
+    avoided = cell.avoided_capacity(now)
     fillers = (r for r in cell.submissions.iter_ready() if r.step.fills)
     return CellHeadroom(
         sim_cell.cell_id,
@@ -330,4 +331,6 @@
         sum(view.effective_cpu_millis() for view in views),
         free_by_worker,
         waiting=cell.waiting_cpu(),
+        avoided_capacity=avoided.total,
+        avoided_free=avoided.free,
     )
--- a/libs/scheduling/features/steps/uneven_steps.py
+++ b/libs/scheduling/features/steps/uneven_steps.py
@@ -12,6 +12,7 @@
     TaskKey,
 )
 from berylcleat.scheduling import (
+    CellHeadroom,
     InterferenceModel,
     Progress,
     Run,
@@ -354,6 +355,29 @@
             view.condition = WorkerCondition(is_on_probation=True, may_start_at=until)
 
 
+@given(
+    "another cell of {reserved:d} reserved cores spares workers of {total:d} cores "
+    "with {free:d} free"
+)
+def step_spared_elsewhere(context, reserved, total, free):
+    headroom = CellHeadroom(
+        "r2",
+        "svc",
+        0,
+        (),
+        0,
+        reserved * 1000,
+        avoided_capacity=total * 1000,
+        avoided_free=free * 1000,
+    )
+    context.scripted_cell.cell.propose_moves((headroom,), context.scripted_cell.now)
+
+
+@then("{n:d} tasks are started")
+def step_n_started(context, n):
+    assert len(context.scripted_cell.starts) == n, context.scripted_cell.starts
+
+
 @when("{seconds:d} s pass")
 def step_pass(context, seconds):
     for _ in range(seconds * 5 - 1):
--- a/libs/scheduling/features/uneven_workers.feature
+++ b/libs/scheduling/features/uneven_workers.feature
@@ -132,3 +132,20 @@
     When another task of 5 cores is added
     And 3 s pass
     Then no task is started
+
+  # Guards against LOST: cells that spare workers took each other for full, and their tasks
+  # waited beside empty workers (LivenessSimulation(7014, 3)).
+  Scenario Outline: A spared worker gets a task if much is free on workers that others spare
+    Given a cell with 2 workers of 8 cores
+    When a task of 8 cores is added
+    Then the task of 8 cores is started
+    Given each worker is avoided for 8 s
+    And another cell of 8 reserved cores spares workers of 16 cores with <free> free
+    When another task of 5 cores is added
+    And 3 s pass
+    Then <n> tasks are started
+
+    Examples:
+      | free | n |
+      | 16   | 1 |
+      | 4    | 0 |
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -23,7 +23,7 @@
 from ._orders import ProgressWrite, RecordBatch, WorkerOrder
 from ._placement import explain_rejection
 from ._progress import Progress, decode_progress, encode_progress
-from ._releases import release_workers
+from ._releases import AvoidedCapacity, count_avoided, release_workers
 from ._step_waits import StepWait, WaitReason, explain_capacity
 from ._submissions import ReadyStep
 from ._wave_record import WorkerOccupancy
@@ -337,6 +337,10 @@
         orders, self._orders = self._orders, []
         return orders
 
+    def avoided_capacity(self, now: float) -> AvoidedCapacity:
+        """Return the capacity of workers that may start nothing for now."""
+        return count_avoided(self.worker_by_id.values(), now)
+
     def explain_waiting(self, ready: ReadyStep, now: float) -> dict[str, int]:
         """Return why the first waiting task of a step doesn't start.
 
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -57,6 +57,8 @@
     ``epoch`` that of the cell's owner, or 0 if it isn't known. ``waiting`` is what the
     cell's own waiting tasks would reserve. ``n_workers_by_rack`` tells how many of
     ``free_by_worker`` are of each rack, one after the other; it is empty if all are.
+    ``avoided_capacity`` and ``avoided_free`` are what workers have on which nothing may
+    start for now, beside ``capacity`` and ``free``.
     """
 
     cell_id: str
@@ -71,6 +73,8 @@
     epoch: int = 0
     waiting: int = 0
     n_workers_by_rack: tuple[int, ...] = ()
+    avoided_capacity: int = 0
+    avoided_free: int = 0
 
     def free_for(self, cpu_millis: int) -> int:
         """Return the part of ``free`` that tasks of this size can use.
--- a/libs/scheduling/src/berylcleat/scheduling/_releases.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_releases.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from ._interference import InterferenceModel
 from ._moves import CellHeadroom
@@ -21,6 +22,33 @@
 MAX_RESERVED_SHARE = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class AvoidedCapacity:
+    """Processors of workers that answer but may start nothing for now.
+
+    The unit is a thousandth of a core.
+    """
+
+    total: int
+    free: int
+
+
+def count_avoided(views: Iterable[WorkerView], now: float) -> AvoidedCapacity:
+    """Return the capacity of workers that are avoided or on probation.
+
+    A service whose cells avoid much of it isn't as full as what may start tells.
+    """
+    avoided = [
+        view
+        for view in views
+        if not view.explain_no_answer(now) and not view.can_start(now)
+    ]
+    return AvoidedCapacity(
+        sum(view.effective_cpu_millis() for view in avoided),
+        sum(view.effective_free_millis() for view in avoided),
+    )
+
+
 def release_workers(
     views: Iterable[WorkerView],
     waiting: Iterable[ReadyStep],
@@ -68,7 +96,8 @@
     free = sum(max(0, left.cpu_millis) for _, left in entries)
     for headroom in others:
         if headroom.service == service:
-            capacity += headroom.capacity
+            capacity += headroom.capacity + headroom.avoided_capacity
+            free += headroom.avoided_free
             # Unlike ``free``, it isn't reduced by what waits in the cell.
             free += sum(headroom.free_by_worker) or max(0, headroom.free)
     return 1 - free / capacity if capacity else 1.0
--- a/programs/beryl-host/src/berylcleat/host/_cell_summary.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_summary.py
@@ -3,7 +3,12 @@
 import logging
 from collections import Counter
 
-from berylcleat.scheduling import BacklogMeter, CellScheduler, FillerHeadroom
+from berylcleat.scheduling import (
+    BacklogMeter,
+    CellScheduler,
+    FillerHeadroom,
+    WorkerView,
+)
 
 from ._records import CellSummary
 
@@ -35,11 +40,12 @@
     evacuation = scheduler.evacuation
     share = 1.0 if evacuation is None else evacuation.capacity_share(now)
     free_by_worker = tuple(int(v.effective_free_millis() * share) for v in views)
+    avoided = scheduler.avoided_capacity(now)
     backlog = None
     if meter is not None:
         backlog = meter.count(live, scheduler.run_by_task.values(), views, now)
     return CellSummary(
-        service=views[0].entry.service if views else "",
+        service=_service(scheduler, views),
         data_centre=data_centre,
         cpu_capacity=sum(v.effective_cpu_millis() for v in views),
         cpu_free=sum(free_by_worker),
@@ -51,9 +57,17 @@
         free_by_worker=free_by_worker,
         backlog=backlog,
         n_workers_by_rack=tuple(n_by_rack.values()) if len(n_by_rack) > 1 else (),
+        avoided_capacity=avoided.total,
+        avoided_free=int(avoided.free * share),
     )
 
 
+def _service(scheduler: CellScheduler, usable: list[WorkerView]) -> str:
+    """Return the service of a cell's workers, also while none is usable."""
+    views = usable or [v for v in scheduler.worker_by_id.values() if v.is_listed]
+    return views[0].entry.service if views else ""
+
+
 def _share_headrooms(
     headrooms: tuple[FillerHeadroom, ...], share: float
 ) -> tuple[FillerHeadroom, ...]:
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -125,6 +125,9 @@
     backlog: CellBacklog | None = None
     # How many of free_by_worker are of each rack, in order; empty if all are of one.
     n_workers_by_rack: tuple[Count, ...] = ()
+    # Capacity of workers on which nothing may start for now, not in cpu_capacity.
+    avoided_capacity: Count = 0
+    avoided_free: Count = 0
 
     def count_slots(self, cpu_millis: int) -> int:
         """Return how many more tasks of this size fit beside those that wait here."""
@@ -145,6 +148,8 @@
         summary.free_by_worker,
         waiting=summary.cpu_waiting,
         n_workers_by_rack=summary.n_workers_by_rack,
+        avoided_capacity=summary.avoided_capacity,
+        avoided_free=summary.avoided_free,
     )
 
 
