--- a/libs/scheduling/src/berylcleat/scheduling/_cell_preemptions.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_preemptions.py
@@ -12,7 +12,7 @@
 from ._urgency import deadline_key, is_past_due
 
 # Seconds that a step waits for a move to another cell that reports capacity.
-MOVE_WAIT_S = 0.3
+MOVE_WAIT_S = 0.1
 # Maximum tasks for which one planning round makes room.
 MAX_TASKS_PER_ROUND = 16
 logger = logging.getLogger(__name__)
