Look a submission up before refusing it for want of a cell

What callers saw: a client that sends a submission again, after an attempt whose answer was lost, got 503 where the host knew no cell for it, as after all data centres of its service have been evacuated. 503 promises that it never runs, but another host had stored it and it ran.

Cause: the look-up before a refusal was made for refusals for load only.

Ruled out: commits of this host without an outcome are remembered, and are answered with 504.

What is stored is answered 200. While the store doesn't answer, a host without a cell refuses as before. The log line of a failed look-up names no reason any more.

--- a/programs/beryl-host/features/admission.feature
+++ b/programs/beryl-host/features/admission.feature
@@ -31,6 +31,20 @@
     When it arrives again
     Then it is answered 200
 
+  # Guards against a 503, which promises that a submission never runs, for one that an
+  # earlier request has stored through another host.
+  Scenario: A submission that another host has stored is not refused for want of a cell
+    Given a host that knows a cell with capacity
+    And a submission that another host has stored
+    When no cell is known any more and the submission arrives again
+    Then it is answered 200 after at most 0 commit
+
+  # Guards against a submission that is accepted though no cell can run it.
+  Scenario: A new submission that no cell suits is refused
+    Given a host that knows a cell with capacity
+    When no cell is known any more and the submission arrives again
+    Then it is answered 503 after at most 0 commit
+
   Scenario: While the store is unavailable a submission is answered as without admission
     Given a host that knows an overloaded cell
     When a submission arrives while the store is unavailable
--- a/programs/beryl-host/src/berylcleat/host/_client_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_client_api.py
@@ -159,13 +159,15 @@
         received_at = now_s()
         decision = await self._decide(submission, deadline)
         if decision is None:
-            logger.info(
-                "submission %s: refused, %s",
-                submission_id,
-                self._chooser.explain_refusal(),
-            )
-            REFUSALS.labels(submission.queue.name, "no-cell").inc()
-            return make_response(self._refusal_status(submission_id))
+            status = self._refusal_status(submission_id)
+            if status == 503:
+                logger.info(
+                    "submission %s: refused, %s",
+                    submission_id,
+                    self._chooser.explain_refusal(),
+                )
+                REFUSALS.labels(submission.queue.name, "no-cell").inc()
+            return make_response(status)
         _observe_estimate(submission, decision)
         if isinstance(decision, Refuse):
             status = self._refusal_status(submission_id)
@@ -197,19 +199,20 @@
         """Choose the home cell, or refuse what is certainly not stored.
 
         An earlier attempt may have stored the submission through another host. If the
-        store can't tell, the submission is admitted and its commit decides.
+        store can't tell, the submission is admitted and its commit decides; None if
+        there is no cell for it.
         """
         submission_id = submission.submission_id
         may_refuse = not self.is_uncertain(submission_id)
         decision = self._chooser.decide(submission, may_refuse=may_refuse)
-        if not isinstance(decision, Refuse):
+        if isinstance(decision, Admit):
             return decision
         try:
             async with asyncio.timeout(min(REFUSAL_CHECK_S, deadline - now_s())):
                 await self._submissions.find_home(submission_id)
         except (BerylError, TimeoutError) as error:
             logger.info(
-                "submission %s: not refused for load, store lookup failed: %s",
+                "submission %s: store lookup before a refusal failed: %s",
                 submission_id,
                 error,
             )
