Don't take the capacity kept for a prepared start from its gap

What callers saw: a long-running task that may have crashed a worker, inherited or stopped for short ones, waited 3.2 s beside capacity for two of it, where others had yielded lately; the platform allows 3 s.

Cause: the start of such a task is recorded first, and capacity is kept for it meanwhile. The count of the tasks that fit left this capacity out, so that the gap counted as too small in the next round: the capacity was released and the gap was waited for a second time, 1.5 s each.

Ruled out: a task that hasn't crashed a worker starts in the round in which the gap ends (the other example, 1.6 s).

Change: a task for which capacity is kept goes on with its start; the gap is waited for once.

--- a/libs/scheduling/features/preemption.feature
+++ b/libs/scheduling/features/preemption.feature
@@ -47,3 +47,15 @@
     Given a full worker of long-running tasks, one of which is cancelled
     When a long-running task that hasn't run and a short task in time wait
     Then the short task starts first and the long-running task after it
+
+  # Guards against LOST: capacity that was kept for a prepared start counted as taken, and
+  # the task that it was kept for left it to short tasks once more.
+  Scenario Outline: A long-running task that <history> starts beside capacity for two
+    Given a worker with capacity for two long-running tasks, where one has just yielded
+    When a long-running task that <history> waits
+    Then it starts within 3.0 s
+
+    Examples:
+      | history                           |
+      | hasn't run                        |
+      | may have crashed a worker before  |
--- a/libs/scheduling/features/steps/gang_steps.py
+++ b/libs/scheduling/features/steps/gang_steps.py
@@ -34,7 +34,15 @@
     With ``settled_at`` the cell was taken over from an owner of all these workers.
     """
 
-    def __init__(self, n_workers, cpu_millis, *, settled_at=0.0, epoch=None):
+    def __init__(
+        self,
+        n_workers,
+        cpu_millis,
+        *,
+        settled_at=0.0,
+        epoch=None,
+        expected_finish=False,
+    ):
         self.now = 1.0
         self.running = {f"w{n}": {} for n in range(n_workers)}
         self.ended = {worker_id: [] for worker_id in self.running}
@@ -56,6 +64,7 @@
             settled_at,
             entries if settled_at else (),
             InterferenceModel(),
+            expected_finish=expected_finish,
         )
         for entry in entries:
             self.cell.list_worker(entry, self.now)
--- a/libs/scheduling/features/steps/preemption_steps.py
+++ b/libs/scheduling/features/steps/preemption_steps.py
@@ -1,9 +1,11 @@
 import random
 
 from behave import given, then, when
+from gang_steps import SUBMISSION_ID, ScriptedCell
 from load_loop import WORKER_CAPACITY, Arrival, LoadLoop
 
-from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand
+from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
+from berylcleat.scheduling import CrashEvidence, Progress
 
 LASTING_QUEUE = QueuePolicy("watch", "svc", priority=1, objective_ms=2500)
 SHORT_QUEUE = QueuePolicy("check", "svc", priority=1, stretch=1.5, objective_ms=500)
@@ -260,3 +262,40 @@
     order = [task.submission_id for _, task in context.loop.started]
     expected = [short(1).submission_id, lasting(3, 1).submission_id]
     assert order == expected, order
+
+
+@given("a worker with capacity for two long-running tasks, where one has just yielded")
+def step_room_for_two(context):
+    scripted_cell = ScriptedCell(1, 2 * CORES * 1000, expected_finish=True)
+    scripted_cell.step()
+    scripted_cell.cell.confirmation.confirmed_at = float("inf")
+    scripted_cell.cell.preemption._yielded_at = scripted_cell.now
+    context.scripted_cell = scripted_cell
+
+
+@when("a long-running task that hasn't run waits")
+def step_new_lasting(context):
+    wait_for_start(context, Progress())
+
+
+@when("a long-running task that may have crashed a worker before waits")
+def step_suspect_lasting(context):
+    task = TaskKey(SUBMISSION_ID, 0, 0, 0)
+    crashes = {task: {1: CrashEvidence.POSSIBLE}}
+    wait_for_start(context, Progress(crashed_runs_by_task=crashes))
+
+
+def wait_for_start(context, progress):
+    """Let a task that takes half the worker wait for its start, for at most 10 s."""
+    scripted_cell = context.scripted_cell
+    step = Step(1, TaskDemand(CORES * 1000, 100), is_long_running=True)
+    scripted_cell.submit(step, queue=LASTING_QUEUE, progress=progress)
+    began_at = scripted_cell.now
+    while not scripted_cell.starts and scripted_cell.now - began_at < 10.0:
+        scripted_cell.step(0.1)
+    context.waited_s = scripted_cell.now - began_at
+
+
+@then("it starts within {seconds:f} s")
+def step_starts_within(context, seconds):
+    assert context.waited_s <= seconds, context.waited_s
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -90,7 +90,7 @@
             if ready.step.is_gang:
                 self._start_waiting(ready, now)
                 continue
-            self._start_waiting(ready, now, self._has_lost_its_run)
+            self._start_waiting(ready, now, self._needs_no_gap)
             deferred.append(ready)
         self._start_deferred(deferred, now)
 
@@ -122,6 +122,14 @@
             return False
         return not self.finish_order.is_late(submission.submission_id)
 
+    def _needs_no_gap(self, task: TaskKey) -> bool:
+        """Return whether a long-running task starts before short ones.
+
+        It does if it has run and didn't yield, or if its start is being prepared: the
+        gap was there, and the capacity that is kept for it no longer counts as free.
+        """
+        return task in self._keeper_by_task or self._has_lost_its_run(task)
+
     def _has_lost_its_run(self, task: TaskKey) -> bool:
         """Return whether a long-running task has run, and didn't yield."""
         tracked = self.submissions.by_id[task.submission_id]
