Close connections on which unasked answers arrive

What callers saw: two runs of a task are possible. After a peer had answered a request twice, each later request of that connection got the answer of the one before: a rejected start counted as accepted, an accepted one as rejected.

Cause: bytes that came after a response, with it or while the connection was idle, stayed in the buffer and were read as the next response.

Ruled out: late answers of requests that were given up; their connections are closed.

Change: a connection on which something arrives without a request, or beyond the response, is closed and not used again.

Evidence: both examples of odd_answers.feature failed before with [200, 200] and pass now; platform (280 scenarios), request_relay (30), host (13) and operator_relay (19) of beryl-host pass.

--- a/libs/http/src/berylcleat/http/_client.py
+++ b/libs/http/src/berylcleat/http/_client.py
@@ -74,6 +74,10 @@
     def data_received(self, data: bytes) -> None:
         self._client.n_bytes += len(data)
         self.n_received += len(data)
+        if self._response_future is None or self._response_future.done():
+            # It would be read as the response to the next request.
+            self.close()
+            return
         self._h11.receive_data(data)
         self._process_events()
 
@@ -122,7 +126,8 @@
         response = HttpResponse(
             self._response_head.status_code, headers, bytes(self._response_body)
         )
-        if self._h11.our_state is h11.DONE:
+        left_over, _ = self._h11.trailing_data
+        if self._h11.our_state is h11.DONE and not left_over:
             self._h11.start_next_cycle()
         else:
             self._transport.close()
