Count a submission as uncertain while a peer is asked to store it

What callers saw: while a host without the store waited for a peer that might store a submission, it answered another attempt with 503, which promises that the submission never runs, and a cancellation with 410, which promises that nothing runs from then on. The peer could store and run it after both.

Cause: the host noted that the outcome was uncertain only once the first peer's answer was overdue. Its own commits are noted before they are sent.

Ruled out: attempts after that one; they are answered with 504, as before.

Change: a submission that is passed on first is noted before, and the note is taken back once no peer can have stored it.

--- a/programs/beryl-host/features/request_relay.feature
+++ b/programs/beryl-host/features/request_relay.feature
@@ -93,6 +93,26 @@
     When a submission is sent to host "a"
     Then the answer is 504 within 3.0 s
 
+  # Guards against a refusal of what another attempt, still under way, may have stored.
+  Scenario Outline: A <method> that comes while a peer is asked to store is answered 504
+    Given a peer "b" that is silent
+    And a peer "c" that reaches the store
+    And host "a" to which the store is known to be unreachable
+    When peer "c", without a cell, gets the <method> while peer "b" is asked to store
+    Then the second answer is 504
+
+    Examples:
+      | method |
+      | POST   |
+      | DELETE |
+
+  # Guards against a host that never refuses: what no peer could store has not run.
+  Scenario: A submission that a peer has refused may be refused again
+    Given a peer "c" that reaches the store
+    And host "a" to which the store is known to be unreachable
+    When peer "c", without a cell, gets 2 submissions for one id
+    Then every answer is 503
+
   # Guards against requests that all hosts pass on while the store is down for all.
   Scenario: No peer is asked for a while after none could serve
     Given a peer "b" to which the store is known to be unreachable
--- a/programs/beryl-host/features/steps/request_relay_steps.py
+++ b/programs/beryl-host/features/steps/request_relay_steps.py
@@ -96,7 +96,7 @@
         store = MonitoredStore(HostView(memory, mode), self.reachability)
         if mode == KNOWN:
             self.note_silence()
-        cells = make_cells()
+        cells = self.cells = make_cells()
         operator = OperatorState(NO_EVACUATIONS)
         ownership = SimpleNamespace(controller_by_cell={}, summaries=dict)
         chooser = CellChooser(
@@ -258,6 +258,48 @@
     context.run(send(context, [make_request(method, make_id(0))]))
 
 
+@when(
+    'peer "{second}", without a cell, gets the {method} while peer "{first}" is asked '
+    "to store"
+)
+def step_during_submission(context, second, method, first):
+    context.peers[second].cells.owner_by_cell.clear()
+    host, silent_peer = context.host, context.peers[first]
+
+    async def send_both():
+        servers = [HttpServer(p.address, p.handle_peer) for p in context.peers.values()]
+        for server in servers:
+            await server.start()
+        submitting = asyncio.create_task(
+            host.front.handle(make_request("POST", make_id(0)))
+        )
+        while not silent_peer.n_asked:
+            await asyncio.sleep(0)
+        # Another request has found the first peer silent meanwhile.
+        host.relay._choice.on_not_served(silent_peer.address, now_s())
+        assert not submitting.done(), "the first request has ended before"
+        response = await host.front.handle(make_request(method, make_id(0)))
+        await submitting
+        silent_peer.silence_end.set()
+        for server in servers:
+            await server.stop(0.1)
+        return response.status
+
+    context.statuses = [context.run(send_both())]
+
+
+@when('peer "{name}", without a cell, gets {n:d} submissions for one id')
+def step_refused_twice(context, name, n):
+    context.peers[name].cells.owner_by_cell.clear()
+    requests = [make_request("POST", make_id(0)) for _ in range(n)]
+    context.run(send(context, requests))
+
+
+@then("the second answer is {status:d}")
+def step_second_answer(context, status):
+    assert context.statuses == [status], context.statuses
+
+
 @then("the answer is {status:d} within {seconds:f} s")
 def step_answer(context, status, seconds):
     assert context.statuses == [status], context.statuses
--- a/programs/beryl-host/src/berylcleat/host/_client_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_client_api.py
@@ -233,14 +233,16 @@
         """Return whether a commit without an answer may have stored a submission."""
         return submission_id in self._uncertain_since_by_id
 
-    def remember_uncertain(self, submission_id: str) -> None:
-        """Remember a submission that may be stored without an answer."""
-        self._uncertain_since_by_id[submission_id] = now_s()
+    def remember_uncertain(self, submission_id: str) -> float:
+        """Remember a submission that may be stored without an answer; return when."""
+        remembered_at = now_s()
+        self._uncertain_since_by_id[submission_id] = remembered_at
         self._uncertain_since_by_id.move_to_end(submission_id)
         while len(self._uncertain_since_by_id) > MAX_UNCERTAIN_IDS:
             self._uncertain_since_by_id.popitem(last=False)
+        return remembered_at
 
-    def _forget_uncertain(self, submission_id: str, remembered_at: float) -> None:
+    def forget_uncertain(self, submission_id: str, remembered_at: float) -> None:
         """Forget a commit that was refused, unless another attempt came after it."""
         if self._uncertain_since_by_id.get(submission_id) == remembered_at:
             del self._uncertain_since_by_id[submission_id]
@@ -259,8 +261,7 @@
         """
         submission_id = accepted.submission.submission_id
         was_uncertain = self.is_uncertain(submission_id)
-        self.remember_uncertain(submission_id)
-        remembered_at = self._uncertain_since_by_id[submission_id]
+        remembered_at = self.remember_uncertain(submission_id)
         is_outcome_unknown = False
         while True:
             try:
@@ -269,7 +270,7 @@
                 if not is_outcome_unknown:
                     logger.info("submission %s: refused: %s", submission_id, error)
                     if not was_uncertain:
-                        self._forget_uncertain(submission_id, remembered_at)
+                        self.forget_uncertain(submission_id, remembered_at)
                     return self._refusal_status(submission_id)
             except OutcomeUnknownError as error:
                 logger.info(
--- a/programs/beryl-host/src/berylcleat/host/_relaying_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_relaying_api.py
@@ -39,15 +39,34 @@
     async def _forward_first(
         self, request: HttpRequest, ingress: IngressRequest, deadline: float
     ) -> HttpResponse:
-        relayed = await self._forward(request, ingress, deadline)
-        is_submit = ingress.kind is IngressKind.SUBMIT
-        if is_submit and self._api.is_uncertain(ingress.submission_id):
-            relayed = RelayOutcome(relayed.response, is_unknown=True)
+        if ingress.kind is IngressKind.SUBMIT:
+            relayed = await self._forward_submission(request, ingress, deadline)
+        else:
+            relayed = await self._forward(request, ingress, deadline)
         if relayed.response is not None:
             return merge_responses(relayed.response, relayed)
         own = await self._api.serve(ingress, request.body, deadline)
         return merge_responses(own, relayed)
 
+    async def _forward_submission(
+        self, request: HttpRequest, ingress: IngressRequest, deadline: float
+    ) -> RelayOutcome:
+        """Pass a submission on; it counts as uncertain until the outcome is known.
+
+        The outcome is unknown as long as that of another attempt is.
+        """
+        submission_id = ingress.submission_id
+        if self._api.is_uncertain(submission_id):
+            outcome = await self._forward(request, ingress, deadline)
+        else:
+            remembered_at = self._api.remember_uncertain(submission_id)
+            outcome = await self._forward(request, ingress, deadline)
+            if not outcome.is_unknown:
+                self._api.forget_uncertain(submission_id, remembered_at)
+        if self._api.is_uncertain(submission_id):
+            return RelayOutcome(outcome.response, is_unknown=True)
+        return outcome
+
     async def _serve_and_forward(
         self, request: HttpRequest, ingress: IngressRequest, deadline: float
     ) -> HttpResponse:
