Renew no lease at an incarnation whose report is ignored

What callers saw: nothing ran of a task whose worker had started again after its clock had gone back. In a scratch run of the scheduler its run still counted as running after 60 s, while another worker was free.

Cause: a report with an earlier start time than the known one is ignored, but the hold counted as accepted. The next holds renewed the lease, as the owner took it, so that the run never expired; they also acknowledged ends up to a number of the incarnation before.

Ruled out: nothing starts on such a worker until its start time is later; that stays so, as a listed entry of the incarnation before can't be told from a newer one.

Change: such an answer counts as a failed hold. The next one is a probe that renews and acknowledges nothing, and the leases of the known incarnation expire.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell_reports.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_reports.py
@@ -33,14 +33,18 @@
 
     def on_report(
         self, worker_id: str, report: WorkerReport, requested_at: float, now: float
-    ) -> None:
-        """Process a worker's report in answer to a hold sent at ``requested_at``."""
+    ) -> bool:
+        """Process a worker's report in answer to a hold sent at ``requested_at``.
+
+        Return False if it is ignored, as its incarnation has an earlier start time than
+        the one that is known: no lease of that one was renewed.
+        """
         view = self.worker_by_id.get(worker_id)
         if view is None:
-            return
+            return False
         if report.started_at_ms != view.incarnation_ms:
             if report.started_at_ms < view.incarnation_ms:
-                return
+                return False
             if view.incarnation_ms:
                 started_by = latest_start(report.clock_ms, now)
                 self._end_incarnation(view, "worker restarted", now, started_by)
@@ -77,6 +81,7 @@
             self.interference.observe(view.image_uses(now), view.readings())
             if self.uneven_workers is not None:
                 self.uneven_workers.on_readings(view, now)
+        return True
 
     def _process_deferred_reports(self, submission_id: str, now: float) -> None:
         """Process ends and runs that were reported before they could be counted."""
--- a/programs/beryl-host/features/confirmation.feature
+++ b/programs/beryl-host/features/confirmation.feature
@@ -52,3 +52,17 @@
       | has read another one's row  |
       | has failed with an error    |
       | was told to stop            |
+
+  # Guards against LOST: the lease of a run was renewed, as its owner took it, by the next
+  # incarnation of its worker, whose clock had gone back. The run never counted as lost.
+  # Guards against ends of that incarnation that are acknowledged before they are recorded.
+  Scenario Outline: A worker answers as an incarnation of <start> start time
+    Given a cell with recorded workers "w1 w2"
+    When a hold is answered by an incarnation of "w1" with <start> start time
+    Then the next hold <renews> the lease
+
+    Examples:
+      | start      | renews      |
+      | the same   | renews      |
+      | a later    | renews      |
+      | an earlier | only probes |
--- a/programs/beryl-host/features/steps/confirmation_steps.py
+++ b/programs/beryl-host/features/steps/confirmation_steps.py
@@ -2,10 +2,11 @@
 import logging
 
 from behave import then, when
-from host_parts import CELL, LogCollector, make_controller
+from host_parts import CELL, LogCollector, make_controller, make_worker_entry
 from ownership_steps import make_live_manager, put_cell_row, reconcile
 
 from berylcleat.host._clock import now_s
+from berylcleat.host._hold_loops import HoldLoops
 from berylcleat.host._order_sender import OrderSender
 from berylcleat.host._records import CELL_TABLE, OWNER_KEY, OwnerRow, encode
 from berylcleat.model import (
@@ -16,7 +17,13 @@
     TaskDemand,
     TaskKey,
 )
-from berylcleat.ports import OrderAnswer, OrderResult, StartOrder
+from berylcleat.ports import (
+    HoldOrder,
+    OrderAnswer,
+    OrderResult,
+    StartOrder,
+    WorkerReport,
+)
 from berylcleat.scheduling import Progress, WorkerOrder
 
 SUBMISSION = Submission(
@@ -261,3 +268,49 @@
 @then("only the first of the two was sent")
 def step_first_sent(context):
     assert context.were_sent == [True, False], context.were_sent
+
+
+class AnsweringWorker:
+    """Worker client that answers the first hold as one incarnation, then as another."""
+
+    def __init__(self, later_incarnation_ms):
+        self.orders = []
+        self._later_incarnation_ms = later_incarnation_ms
+
+    async def hold(self, order):
+        incarnation_ms = self._later_incarnation_ms if self.orders else 1000
+        self.orders.append(order)
+        report = WorkerReport(10_000, incarnation_ms, (), ())
+        return OrderAnswer(OrderResult.ACCEPTED, 10_000, report)
+
+
+@when('a hold is answered by an incarnation of "{name}" with {start} start time')
+def step_hold_answered(context, name, start):
+    incarnation_ms = {"the same": 1000, "a later": 2000, "an earlier": 500}[start]
+    worker = context.worker = AnsweringWorker(incarnation_ms)
+
+    async def hold_three_times():
+        controller = await start_unconfirmed_owner(context, 0.0)
+        controller.scheduler.list_worker(make_worker_entry(name), now_s())
+        loops = HoldLoops(
+            controller.scheduler,
+            lambda: len(worker.orders) < 3,
+            lambda: True,
+            lambda: None,
+            lambda: None,
+        )
+        await loops._run(name, worker)
+        await controller.abandon()
+
+    context.run(hold_three_times())
+
+
+@then("the next hold renews the lease")
+def step_renews(context):
+    assert context.worker.orders[2].deadline_ms is not None
+
+
+@then("the next hold only probes the lease")
+def step_probes(context):
+    assert context.worker.orders[1].deadline_ms is not None
+    assert context.worker.orders[2] == HoldOrder(2, 0, None, 0)
--- a/programs/beryl-host/src/berylcleat/host/_hold_loops.py
+++ b/programs/beryl-host/src/berylcleat/host/_hold_loops.py
@@ -102,7 +102,13 @@
         requested_at = now_s()
         answer = await client.hold(self._hold_order(view, must_probe, requested_at))
         if answer.result is OrderResult.ACCEPTED:
-            self._scheduler.on_report(worker_id, answer.report, requested_at, now_s())
+            is_applied = self._scheduler.on_report(
+                worker_id, answer.report, requested_at, now_s()
+            )
+            if not is_applied:
+                # Another incarnation: the leases of the known one must expire.
+                self._scheduler.on_hold_failed(worker_id, now_s())
+                return OrderResult.REJECTED
             self._on_report()
             await self._wait_for_recording(view)
         elif answer.result is OrderResult.FENCED:
