--- a/review/standin.py
+++ b/review/standin.py
@@ -9,6 +9,7 @@
 import bisect
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -32,6 +33,7 @@
 STOP_S = 0.1
 HEARTBEAT_S = 1.5
 TX_S = 0.004
+PORT_RANGE = (11_000, 30_000)
 FORBIDDEN_TABLES = ("op", "servers")
 Handler = Callable[[str, str, dict[str, str], bytes], Awaitable[tuple[int, Any] | None]]
 
@@ -111,15 +113,29 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return loopback addresses with ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
+    """Return loopback addresses with ports that are free now.
+
+    They lie below the ports that outgoing channels take, so they stay free.
+    """
+    sockets: list[socket.socket] = []
+    addresses: list[str] = []
     try:
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [f"127.0.0.1:{each.getsockname()[1]}" for each in sockets]
+        for port in random.sample(range(*PORT_RANGE), 20 * count):
+            if len(addresses) == count:
+                break
+            each = socket.socket()
+            sockets.append(each)
+            try:
+                each.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            addresses.append(f"127.0.0.1:{port}")
     finally:
         for each in sockets:
             each.close()
+    if len(addresses) < count:
+        raise CaseError("too few free ports")
+    return addresses
 
 
 # Store
@@ -372,7 +388,8 @@
             self._note(worker, task, run.number, "crashed")
             if run.step.get("gang"):
                 for other, member in self._members(task, run.number):
-                    self._end(other, member, "broken")
+                    if member in other.runs:
+                        self._end(other, member, "broken")
         self.record(f"worker {worker_id} ({worker.rack}) crashed")
 
     def running(self, submission_id: str) -> list[tuple[str, int, str]]:
@@ -428,7 +445,9 @@
     def _advance(self, worker: Worker, now: float, elapsed_s: float) -> None:
         if now > worker.lease_until:
             for task in tuple(worker.runs):
-                self._end(worker, task, "lapsed")
+                # The end of one member of a gang ends the others.
+                if task in worker.runs:
+                    self._end(worker, task, "lapsed")
         for task, run in tuple(worker.runs.items()):
             if task not in worker.runs:
                 continue
@@ -466,7 +485,8 @@
         self._note(worker, task, run.number, how)
         if run.step.get("gang") and how != "broken":
             for other, member in self._members(task, run.number):
-                self._end(other, member, "done" if how == "done" else "broken")
+                if member in other.runs:
+                    self._end(other, member, "done" if how == "done" else "broken")
 
     def _note(self, worker: Worker, task: str, number: int, what: str) -> None:
         self.events.append((time.monotonic(), task, number, worker.worker_id, what))
@@ -623,6 +643,8 @@
             shutil.copytree(self.temporary, logs, dirs_exist_ok=True)
         shutil.rmtree(self.temporary, ignore_errors=True)
         for task in self._tasks:
+            if task.done():
+                raise CaseError(f"a stand-in has ended: {task.exception()!r}")
             task.cancel()
 
     def start_host(self, number: int) -> subprocess.Popen:
