--- a/review/standin.py
+++ b/review/standin.py
@@ -34,6 +34,9 @@
 HEARTBEAT_S = 1.5
 TX_S = 0.004
 PORT_RANGE = (11_000, 30_000)
+PORTS_PER_BLOCK = 100
+# Sockets that keep a block of ports for this process.
+_claims: list[socket.socket] = []
 FORBIDDEN_TABLES = ("op", "servers")
 Handler = Callable[[str, str, dict[str, str], bytes], Awaitable[tuple[int, Any] | None]]
 
@@ -115,27 +118,32 @@
 def free_addresses(count: int) -> list[str]:
     """Return loopback addresses with ports that are free now.
 
-    They lie below the ports that outgoing channels take, so they stay free.
+    They lie below the ports that outgoing channels take, in a block that this process
+    keeps for itself by its first port.
     """
-    sockets: list[socket.socket] = []
-    addresses: list[str] = []
-    try:
-        for port in random.sample(range(*PORT_RANGE), 20 * count):
-            if len(addresses) == count:
-                break
-            each = socket.socket()
-            sockets.append(each)
-            try:
-                each.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            addresses.append(f"127.0.0.1:{port}")
-    finally:
-        for each in sockets:
-            each.close()
-    if len(addresses) < count:
-        raise CaseError("too few free ports")
-    return addresses
+    for first in random.sample(range(*PORT_RANGE, PORTS_PER_BLOCK), 50):
+        claim = socket.socket()
+        try:
+            claim.bind(("127.0.0.1", first))
+            claim.listen()
+        except OSError:
+            claim.close()
+            continue
+        ports = [p for p in range(first + 1, first + PORTS_PER_BLOCK) if _is_free(p)]
+        if len(ports) >= count:
+            _claims.append(claim)
+            return [f"127.0.0.1:{port}" for port in ports[:count]]
+        claim.close()
+    raise CaseError("too few free ports")
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as each:
+        try:
+            each.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 # Store
