Give each recorded cell an owner, also while none of its workers is listed

Cause: the cells to assign, the relinquished ones to acquire and the data centres whose requests are read came from WorkerList.data_centre_by_cell, which holds what the process has seen listed since its start. A host that starts after the loss doesn't know the cell, and leaves its released owner row alone. Change: KnownCells joins listed cells and owner rows. The owner row records the cell's data centre; hosts of the version before keep no such field, so a cell of an unknown one is adopted by a draw that all hosts agree on. A cell without a live owner for 4 s may be acquired by hosts of any data centre: no disagreement leaves it alone. An owner that didn't know the data centre learns it from the workers that come back. Related paths read: relinquished cells, operator's requests by data centre, evacuation metrics, controller's data centre (all mended here); _start_unacknowledged, LiveOwners, CellChooser (go by owner rows or loads already). A submission can't be accepted for a cell before its first owner row: home and target cells come from loads of current owners. A cell with an owner row is never forgotten: cells are as many as racks were ever named; one without workers costs its owner a load row a second at most and no renewal.

--- a/programs/beryl-host/features/steps/evacuation_steps.py
+++ b/programs/beryl-host/features/steps/evacuation_steps.py
@@ -4,7 +4,7 @@
 from types import SimpleNamespace
 
 from behave import given, then, when
-from host_parts import make_controller, make_worker_entry
+from host_parts import make_controller, make_known_cells, make_worker_entry
 from prometheus_client import REGISTRY
 
 from berylcleat.host._cell_chooser import CellChooser
@@ -25,7 +25,6 @@
 from berylcleat.host._submission_directory import SubmissionDirectory
 from berylcleat.host._submission_store import SubmissionStore
 from berylcleat.host._task_mover import TaskMover
-from berylcleat.host._worker_list import WorkerList
 from berylcleat.http import HttpRequest
 from berylcleat.model import QueuePolicy, Step, Submission, TaskDemand, TaskKey
 from berylcleat.platform import decode_config
@@ -210,7 +209,7 @@
 @then('after {seconds:d} s a warning names "{name}"')
 def step_unknown_warning(context, seconds, name):
     recorder = LogRecorder()
-    metrics = EvacuationMetrics(context.operator, WorkerList(), {})
+    metrics = EvacuationMetrics(context.operator, make_known_cells(), {})
     for now in (0.0, seconds - 0.5, seconds + 0.5, seconds + 1.0):
         metrics.observe(now)
         assert len(recorder.messages) == (now > seconds), (now, recorder.messages)
@@ -228,7 +227,7 @@
     controller = SimpleNamespace(data_centre=name, scheduler=context.scheduler)
     context.name = name
     context.metrics = EvacuationMetrics(
-        context.operator, WorkerList(), {"r1": controller}
+        context.operator, make_known_cells(), {"r1": controller}
     )
 
 
--- a/programs/beryl-host/features/steps/host_parts.py
+++ b/programs/beryl-host/features/steps/host_parts.py
@@ -9,6 +9,7 @@
 from berylcleat.host._components import Connections, Knowledge, OwnerFeeds
 from berylcleat.host._follower import TableFollower
 from berylcleat.host._identity import HostIdentity
+from berylcleat.host._known_cells import KnownCells
 from berylcleat.host._membership import Membership
 from berylcleat.host._on_demand_follower import OnDemandFollower
 from berylcleat.host._operator_state import OperatorState
@@ -115,6 +116,10 @@
     )
 
 
+def make_known_cells():
+    return KnownCells(WorkerList(), CellDirectory("dc-1"))
+
+
 def make_worker_follower(store):
     return OnDemandFollower(
         store,
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -13,6 +13,7 @@
 from berylcleat.runtime import cancel_all, report_failure, run_periodically
 from berylcleat.scheduling import (
     BacklogMeter,
+    CellEvacuation,
     CellScheduler,
     LeaseTimes,
     MovedTaskEnd,
@@ -157,8 +158,7 @@
             scheduler.uneven_workers = UnevenWorkers()
             observe_uneven_workers(scheduler)
         now = now_s()
-        scheduler.evacuation = self._operator.make_cell_evacuation(self.data_centre)
-        self._operator.update(scheduler.evacuation, now)
+        scheduler.evacuation = self._make_evacuation()
         # An earlier owner's call for a machine may be under way.
         scheduler.awaits_cordon = bool(self._operator.wave_by_id)
         self._unmatched_progress_by_id = progress_by_id
@@ -304,7 +304,12 @@
             unsettled_s = max(unsettled_s, lease_left_s)
             earlier_owners = None
         return OwnerRow(
-            self.owner.epoch, "", "", unsettled_s, earlier_owners=earlier_owners
+            self.owner.epoch,
+            "",
+            "",
+            unsettled_s,
+            earlier_owners=earlier_owners,
+            cell_data_centre=self.data_centre,
         )
 
     def lease_left_s_by_worker(self) -> dict[str, float] | None:
@@ -406,6 +411,23 @@
             self.scheduler.unlist_worker(worker_id)
         self._wake_loops()
 
+    def learn_data_centre(self, data_centre: str) -> None:
+        """Set the cell's data centre, which isn't known while no worker was listed.
+
+        A cell without workers is also acquired when its owner row doesn't name it.
+        """
+        if self.data_centre or not data_centre:
+            return
+        self.data_centre = data_centre
+        if self.scheduler is not None:
+            self.scheduler.evacuation = self._make_evacuation()
+
+    def _make_evacuation(self) -> CellEvacuation | None:
+        """Return the evacuation state of the cell's data centre, as known now."""
+        evacuation = self._operator.make_cell_evacuation(self.data_centre)
+        self._operator.update(evacuation, now_s())
+        return evacuation
+
     def state_of(self, submission_id: str) -> SubmissionState | None:
         """Return the state to report to clients, or None if it isn't known."""
         return self.scheduler.state_of(submission_id) if self.scheduler else None
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -21,6 +21,7 @@
 from ._clock import now_s
 from ._components import Connections, Knowledge, OwnerFeeds
 from ._identity import HostIdentity
+from ._known_cells import KnownCells
 from ._membership import Coverage, assign_cells
 from ._peers import TakeoverNotice, TakeoverReply
 from ._records import (
@@ -41,6 +42,9 @@
 REMOTE_TAKEOVER_DELAY_S = 1.0
 # The same delay for a cell that its owner released: live hosts are known by then.
 RELEASED_TAKEOVER_DELAY_S = 0.3
+# Time after which hosts of any data centre may acquire a cell without a live owner:
+# those that should may not know it, or may not reach the store.
+ORPHANED_CELL_DELAY_S = 4.0
 # Time for which this host doesn't acquire a cell that it has given up after an
 # unexpected exception: one that comes again at once must not load the store.
 FAILED_CELL_DELAY_S = 1.0
@@ -94,6 +98,8 @@
         self._identity = identity
         # When each cell was first assigned to this host; removed when it is acquired.
         self._eligible_since_by_cell: dict[str, float] = {}
+        # When each cell was first seen without a live owner.
+        self._ownerless_since_by_cell: dict[str, float] = {}
         # Leases that cells abandoned by this host may still have, by cell id.
         self._remaining_leases_by_cell: dict[str, RemainingLeases] = {}
         # Highest epoch under which this host must no longer run a cell, by cell id.
@@ -106,6 +112,7 @@
         self._membership = knowledge.membership
         self._cells = knowledge.cells
         self._workers = knowledge.workers
+        self._known_cells = KnownCells(knowledge.workers, knowledge.cells)
         self._feeds = feeds
         self._times = times
         self._expected_finish = expected_finish
@@ -149,7 +156,7 @@
             if self._has_changed(cell_id, observed_by_cell.get(cell_id)):
                 # Acquired by another host while this one acquired another cell.
                 continue
-            data_centre = self._workers.data_centre_by_cell()[cell_id]
+            data_centre = self._known_cells.data_centre_of(cell_id)
             failed_at = self._failed_at_by_cell.get(cell_id, float("-inf"))
             if now - failed_at < FAILED_CELL_DELAY_S:
                 continue
@@ -226,24 +233,39 @@
         }
         live_centres = self._cells.remote_liveness.live_data_centres(remote)
         live_centres.add(self._identity.data_centre)
+        data_centre_by_cell = self._known_cells.data_centre_by_cell()
+        ownerless = data_centre_by_cell.keys() - live_owner_by_cell.keys()
+        orphaned = self._find_orphaned(ownerless, now_s())
         cell_ids = {
             cell_id
-            for cell_id, data_centre in self._workers.data_centre_by_cell().items()
-            if self._is_responsible(cell_id, data_centre, live_centres)
+            for cell_id, data_centre in data_centre_by_cell.items()
+            if cell_id in orphaned
+            or self._is_responsible(cell_id, data_centre, live_centres)
         }
         return assign_cells(cell_ids, live_owner_by_cell, live_hosts)
 
+    def _find_orphaned(self, ownerless: Set[str], now: float) -> set[str]:
+        """Return the cells that have been without a live owner for long."""
+        since_by_cell = {
+            cell_id: self._ownerless_since_by_cell.get(cell_id, now)
+            for cell_id in ownerless
+        }
+        self._ownerless_since_by_cell = since_by_cell
+        return {
+            cell_id
+            for cell_id, since in since_by_cell.items()
+            if now - since >= ORPHANED_CELL_DELAY_S
+        }
+
     def _relinquished_cells(self) -> set[str]:
-        """Return the listed cells whose rows still name an epoch that ended here.
+        """Return the cells whose rows still name an epoch that ended here.
 
         Other hosts take this one for their live owner, so only it may acquire them.
         """
-        owner_by_cell = self._cells.owner_by_cell
         return {
             cell_id
-            for cell_id in self._workers.data_centre_by_cell()
-            if cell_id in owner_by_cell
-            and self._has_relinquished(cell_id, owner_by_cell[cell_id].row)
+            for cell_id, owner in self._cells.owner_by_cell.items()
+            if self._has_relinquished(cell_id, owner.row)
         }
 
     def _has_relinquished(self, cell_id: str, row: OwnerRow) -> bool:
@@ -303,6 +325,7 @@
             self._identity.data_centre,
             self._identity.peer_address,
             self._earlier_owners(previous),
+            self._known_cells.data_centre_of(cell_id),
         )
         row_key = (CELL_TABLE, cell_id, OWNER_KEY)
         commit = Commit(
@@ -374,7 +397,7 @@
         wait_s = self._times.takeover_wait_s(owner_is_dead=reply is not None)
         controller = CellController(
             cell_id,
-            self._workers.data_centre_by_cell().get(cell_id, ""),
+            self._known_cells.data_centre_of(cell_id),
             row,
             version,
             self._connections,
@@ -532,4 +555,5 @@
     def _on_workers(self, by_cell: dict[str, dict[str, WorkerEntry]]) -> None:
         for cell_id, controller in self.controller_by_cell.items():
             workers = by_cell.get(cell_id, {})
+            controller.learn_data_centre(self._known_cells.data_centre_of(cell_id))
             controller.attempt(controller.update_workers, workers)
--- a/programs/beryl-host/src/berylcleat/host/_evacuation_metrics.py
+++ b/programs/beryl-host/src/berylcleat/host/_evacuation_metrics.py
@@ -8,9 +8,9 @@
 from prometheus_client import Counter, Gauge
 
 from ._clock import now_s
+from ._known_cells import KnownCells
 from ._operator_state import OperatorState
 from ._owned_cells import OwnedCell
-from ._worker_list import WorkerList
 
 CHECK_PERIOD_S = 0.5
 # Time for the list of workers to be read before a data centre counts as unknown.
@@ -44,11 +44,11 @@
     def __init__(
         self,
         state: OperatorState,
-        workers: WorkerList,
+        known_cells: KnownCells,
         controller_by_cell: dict[str, OwnedCell],
     ):
         self._state = state
-        self._workers = workers
+        self._known_cells = known_cells
         self._controller_by_cell = controller_by_cell
         self._published: set[str] = set()
         self._empty_cells: set[str] = set()
@@ -104,8 +104,8 @@
             _running_gauge.remove(name)
 
     def _report_unknown(self, evacuated: frozenset[str], now: float) -> None:
-        """Log requests for data centres in which no worker was ever listed."""
-        unknown = evacuated - self._workers.data_centres()
+        """Log requests for data centres that have no cell."""
+        unknown = evacuated - self._known_cells.data_centres()
         self._unknown_since_by_data_centre = {
             name: self._unknown_since_by_data_centre.get(name, now) for name in unknown
         }
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -35,6 +35,7 @@
 from ._evacuation_metrics import EvacuationMetrics
 from ._follower import Follower, TableFollower
 from ._identity import HostIdentity
+from ._known_cells import KnownCells
 from ._layout_agreement import agree_on_layout
 from ._live_owners import LiveOwners
 from ._maintained_cells import MaintainedCells
@@ -104,6 +105,7 @@
         self.membership = Membership()
         self.cells = CellDirectory(settings.data_centre)
         self.workers = WorkerList()
+        self.known_cells = KnownCells(self.workers, self.cells)
         self.interference = InterferenceModel()
         self.live_owners = LiveOwners(
             self.identity, self.membership, self.cells, self._local_coverage
@@ -159,7 +161,7 @@
             peers,
         )
         self.evacuation_metrics = EvacuationMetrics(
-            self.operator, self.workers, self.ownership.controller_by_cell
+            self.operator, self.known_cells, self.ownership.controller_by_cell
         )
         self.maintenance = self._make_maintenance()
         self.client_api = ClientApi(
@@ -364,7 +366,7 @@
         )
 
     def _data_centres(self) -> set[str]:
-        return {self.identity.data_centre, *self.workers.data_centres()}
+        return {self.identity.data_centre, *self.known_cells.data_centres()}
 
 
 async def serve_host(settings: HostSettings, stop: StopSignal) -> None:
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -76,6 +76,8 @@
     For ``unsettled_s`` seconds after the row was written, earlier owners may still have
     runs that are unaccounted for. ``earlier_owners`` names the ones that may still have
     been running then; None if they aren't known, so that none can be asked.
+    ``data_centre`` is the owner's, ``cell_data_centre`` that of the cell's workers; it
+    is empty in rows of hosts that don't record it.
     """
 
     epoch: Epoch
@@ -85,6 +87,7 @@
     data_centre: str = ""
     peer_address: str = ""
     earlier_owners: tuple[EarlierOwner, ...] | None = None
+    cell_data_centre: str = ""
 
 
 class WorkersRow(msgspec.Struct, frozen=True):
--- a/programs/beryl-host/src/berylcleat/host/_worker_list.py
+++ b/programs/beryl-host/src/berylcleat/host/_worker_list.py
@@ -60,13 +60,9 @@
         return self._by_cell().get(cell_id, {})
 
     def data_centre_by_cell(self) -> dict[str, str]:
-        """Return the data centre of every cell that ever had a listed worker."""
+        """Return the data centre of the cells that have had workers since the start."""
         return self._data_centre_by_cell
 
-    def data_centres(self) -> set[str]:
-        """Return every data centre that ever had a listed worker."""
-        return set(self._data_centre_by_cell.values())
-
     def _apply(self, row: StoreRow) -> None:
         """Apply a row; one that names no worker to use counts as removed.
 
