Record the cancellation of a submission that isn't stored before answering 410

Cause: 410 was read from the absence of a row, while the store may still carry out another host's write, whose condition is that absence; only the sending host knew. Change: the cancellation of an unknown id writes, if there is no row, an index row that says so; the late write then fails its condition. If the row meets a submission, that is cancelled. Sent again, the submission is accepted as cancelled and shown so; never sent, it stays 410. Store commits can remove rows now. admission.feature: 504 "right after" a lost commit becomes 410, and the lost commits are then carried out and must store nothing: the check is stricter than the status was.

--- a/libs/ports/src/berylcleat/ports/_store.py
+++ b/libs/ports/src/berylcleat/ports/_store.py
@@ -38,9 +38,18 @@
     value: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class RowRemoval:
+    """Removal of a row; one that doesn't exist stays so."""
+
+    table: str
+    part: str
+    key: str
+
+
 @dataclass(frozen=True, slots=True)
 class Commit:
-    """Conditional transaction: all of its writes take effect, or none.
+    """Conditional transaction: all writes and removals take effect, or none.
 
     All rows belong to one part unless ``spans_parts`` is set.
     """
@@ -48,6 +57,7 @@
     conditions: tuple[Condition, ...] = ()
     writes: tuple[RowWrite, ...] = ()
     spans_parts: bool = False
+    removals: tuple[RowRemoval, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/programs/beryl-host/features/admission.feature
+++ b/programs/beryl-host/features/admission.feature
@@ -78,16 +78,17 @@
     Then neither request is answered 503
 
   # Guards against UNASKED: a submission that starts after its cancellation was answered.
-  Scenario Outline: Cancelled <when> a commit without an outcome it is answered <status>
+  Scenario Outline: Cancelled <when> a commit without an outcome it is never stored
     Given a host that knows a cell with capacity
     When a submission arrives while commits have no outcome
     And it is cancelled <when> that
-    Then it is answered <status>
+    Then it is answered 410
+    And the commits without an outcome, carried out late, store nothing
 
     Examples:
-      | when        | status |
-      | right after | 504    |
-      | 10 s after  | 410    |
+      | when        |
+      | right after |
+      | 10 s after  |
 
   # Guards against a host that never refuses: what the store refused has not run.
   Scenario: A submission that the store refused before is refused again
--- a/programs/beryl-host/features/steps/admission_steps.py
+++ b/programs/beryl-host/features/steps/admission_steps.py
@@ -27,7 +27,7 @@
 )
 from berylcleat.host._settings import HostSettings, check_host_settings
 from berylcleat.host._submission_directory import SubmissionDirectory
-from berylcleat.host._submission_store import SubmissionStore
+from berylcleat.host._submission_store import AcceptResult, SubmissionStore
 from berylcleat.model import (
     OutcomeUnknownError,
     PlatformUnavailableError,
@@ -59,6 +59,10 @@
     commit_error = None
     n_commits = 0
 
+    def __init__(self):
+        super().__init__()
+        self.failed_commits = []
+
     async def read(self, *arguments, **options):
         if self.read_error is not None:
             raise self.read_error
@@ -67,6 +71,7 @@
     async def commit(self, commit):
         self.n_commits += 1
         if self.commit_error is not None:
+            self.failed_commits.append(commit)
             raise self.commit_error
         return await super().commit(commit)
 
@@ -165,7 +170,7 @@
 def step_stored(context):
     other = SubmissionStore(context.memory)
     accepted = AcceptedRow(CELL, 0, make_submission())
-    assert context.run(other.accept(accepted)).applied
+    assert context.run(other.accept(accepted)) is AcceptResult.STORED
 
 
 @when("a submission arrives")
@@ -248,7 +253,18 @@
         since = context.api._uncertain_since_by_id[SUBMISSION_ID]
         context.api._uncertain_since_by_id[SUBMISSION_ID] = since - 10.0
     deadline = now_s() + 1.0
-    context.response = context.run(context.api._cancel(SUBMISSION_ID, deadline))
+    cancel = context.api._cancellations.cancel
+    context.response = context.run(cancel(SUBMISSION_ID, deadline))
+
+
+@then("the commits without an outcome, carried out late, store nothing")
+def step_late_commits(context):
+    assert context.memory.failed_commits
+    for commit in context.memory.failed_commits:
+        assert not context.run(context.memory.commit(commit)).applied
+    part = submission_part(SUBMISSION_ID)
+    table = cell_submission_table(CELL)
+    assert not context.memory.rows_by_key(table, part)
 
 
 @then("neither request is answered {status:d}")
--- a/programs/beryl-host/features/steps/moves_steps.py
+++ b/programs/beryl-host/features/steps/moves_steps.py
@@ -14,6 +14,7 @@
 )
 from berylcleat.host._submission_directory import SubmissionDirectory, SubmissionEntry
 from berylcleat.host._submission_store import (
+    AcceptResult,
     MoveCommit,
     SubmissionStore,
     make_owner_condition,
@@ -54,7 +55,7 @@
         context.memory.put(CELL_TABLE, cell, OWNER_KEY, owner)
     context.submissions = SubmissionStore(context.memory)
     accepted = accepted or make_accepted(cell_id)
-    assert context.run(context.submissions.accept(accepted)).applied
+    assert context.run(context.submissions.accept(accepted)) is AcceptResult.STORED
 
 
 @given('a standing submission with a task moved from cell "{cell_id}" to "{target}"')
@@ -106,7 +107,8 @@
 
 @when('it is accepted again for cell "{cell_id}"')
 def step_accept_again(context, cell_id):
-    assert not context.run(context.submissions.accept(make_accepted(cell_id))).applied
+    result = context.run(context.submissions.accept(make_accepted(cell_id)))
+    assert result is AcceptResult.ALREADY_STORED, result
 
 
 @then('it is cancelled in the cells "{names}"')
--- a/programs/beryl-host/features/steps/odd_record_steps.py
+++ b/programs/beryl-host/features/steps/odd_record_steps.py
@@ -124,7 +124,7 @@
         context.run(call).status
         for call in (
             api._read_state(SUBMISSION_ID),
-            api._cancel(SUBMISSION_ID, now_s() + 1.0),
+            api._cancellations.cancel(SUBMISSION_ID, now_s() + 1.0),
         )
     ]
 
--- a/programs/beryl-host/features/steps/odd_rows_steps.py
+++ b/programs/beryl-host/features/steps/odd_rows_steps.py
@@ -153,7 +153,7 @@
     return Reader(
         ("submissions", "0", ID),
         encode(HomeRow("r1")),
-        homes._remember_rows,
+        homes._decode_homes,
         lambda: homes.cached_home(ID) == "r1",
     )
 
--- a/programs/beryl-host/src/berylcleat/host/_client_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_client_api.py
@@ -15,7 +15,6 @@
     PlatformUnavailableError,
     Submission,
     SubmissionState,
-    UnreadableRecordError,
 )
 from berylcleat.platform import (
     IngressKind,
@@ -29,6 +28,7 @@
 from berylcleat.ports import OperatorConfig, Store
 from berylcleat.scheduling import Admit, Progress, Refuse, decode_progress
 
+from ._cancellations import Cancellations
 from ._cell_chooser import CellChooser
 from ._cell_directory import CellDirectory
 from ._cell_ownership import CellOwnershipManager
@@ -38,7 +38,7 @@
 from ._peers import PeerClient, SubmissionUpdate
 from ._records import PROGRESS_TABLE, AcceptedRow
 from ._submission_directory import SubmissionDirectory, SubmissionEntry
-from ._submission_store import SubmissionStore
+from ._submission_store import AcceptResult, SubmissionStore
 
 DEFAULT_TIMEOUT_S = 3.0
 # Part of the client's deadline that is reserved for sending the response.
@@ -96,6 +96,9 @@
         self._ownership = ownership
         self._chooser = chooser
         self._peers = peers
+        self._cancellations = Cancellations(
+            submissions, self._known_home, self._on_cancelled
+        )
         self._data_centre = data_centre
         # Submissions of which a commit without an answer may have taken effect, or may
         # still do so, oldest first, and when the newest one was given up.
@@ -138,7 +141,7 @@
         if ingress.kind is IngressKind.SUBMIT:
             return await self._submit(ingress, body, deadline)
         if ingress.kind is IngressKind.CANCEL:
-            return await self._cancel(ingress.submission_id, deadline)
+            return await self._cancellations.cancel(ingress.submission_id, deadline)
         return await self._read_state(ingress.submission_id)
 
     # Submitting
@@ -265,7 +268,7 @@
         is_outcome_unknown = False
         while True:
             try:
-                outcome = await self._submissions.accept(accepted)
+                result = await self._submissions.accept(accepted)
             except PlatformUnavailableError as error:
                 if not is_outcome_unknown:
                     logger.info("submission %s: refused: %s", submission_id, error)
@@ -280,8 +283,10 @@
                 self.remember_uncertain(submission_id)
             else:
                 self._uncertain_since_by_id.pop(submission_id, None)
-                if outcome.applied:
+                if result is AcceptResult.STORED:
                     self._on_accepted(accepted)
+                if result is AcceptResult.CANCELLED:
+                    logger.info("submission %s: it was cancelled before", submission_id)
                 return 200
             if now_s() + COMMIT_RETRY_S >= deadline:
                 return 504
@@ -312,22 +317,25 @@
     # States
 
     async def _read_state(self, submission_id: str) -> HttpResponse:
-        try:
-            cell_id = await self._find_home(submission_id)
-        except BerylError as error:
-            logger.info("submission %s: state lookup failed: %s", submission_id, error)
-            return make_response(503)
-        if cell_id is None:
+        if not is_submission_id(submission_id):
             return make_response(410)
+        cell_id = self._known_home(submission_id)
+        if cell_id is None:
+            try:
+                home = await self._submissions.read_home(submission_id)
+            except BerylError as error:
+                logger.info(
+                    "submission %s: state lookup failed: %s", submission_id, error
+                )
+                return make_response(503)
+            if home is None or (home.is_early_cancellation and not home.is_submitted):
+                return make_response(410)
+            if home.is_early_cancellation:
+                return make_response(200, encode_state(SubmissionState.CANCELLED))
+            cell_id = home.cell_id
         state = await self._state_of(submission_id, cell_id)
         return make_response(200, encode_state(state))
 
-    async def _find_home(self, submission_id: str) -> str | None:
-        if not is_submission_id(submission_id):
-            return None
-        known = self._known_home(submission_id)
-        return known or await self._submissions.find_home(submission_id)
-
     async def _state_of(self, submission_id: str, cell_id: str) -> SubmissionState:
         state = None
         controller = self._ownership.controller_by_cell.get(cell_id)
@@ -371,52 +379,6 @@
 
     # Cancelling
 
-    async def _cancel(self, submission_id: str, deadline: float) -> HttpResponse:
-        try:
-            cell_id = await self._find_home(submission_id)
-            if cell_id is None:
-                # 410 promises that nothing runs from now on.
-                may_run = self.may_be_stored_later(submission_id)
-                return make_response(504 if may_run else 410)
-            entry = await self._store_cancel(submission_id, cell_id, deadline)
-        except (PlatformUnavailableError, UnreadableRecordError) as error:
-            logger.info("submission %s: cancellation refused: %s", submission_id, error)
-            return make_response(503)
-        except BerylError as error:
-            logger.info(
-                "submission %s: cancellation outcome unknown: %s", submission_id, error
-            )
-            return make_response(504)
-        self._on_cancelled(submission_id, entry)
-        return make_response(200)
-
-    async def _store_cancel(
-        self, submission_id: str, cell_id: str, deadline: float
-    ) -> SubmissionEntry:
-        """Store a cancellation in all cells of a submission; return its entry.
-
-        Repeats it while tasks are being moved to other cells. Raises
-        ``OutcomeUnknownError`` at the deadline.
-        """
-        while now_s() < deadline:
-            entry = await self._submissions.read_entry(submission_id, cell_id)
-            if entry.accepted is None:
-                raise OutcomeUnknownError(
-                    f"submission {submission_id} is missing in cell {cell_id}",
-                    "Send the cancellation again",
-                )
-            if entry.is_cancelled:
-                return entry
-            outcome = await self._submissions.cancel(entry)
-            if outcome.applied:
-                return entry
-            logger.info(
-                "submission %s: tasks were moved during its cancellation", submission_id
-            )
-        raise OutcomeUnknownError(
-            f"submission {submission_id}: deadline passed", "Send it again"
-        )
-
     def _on_cancelled(self, submission_id: str, entry: SubmissionEntry) -> None:
         """Apply a stored cancellation here and notify the other owners."""
         update = SubmissionUpdate(cancelled_id=submission_id)
--- a/programs/beryl-host/src/berylcleat/host/_metrics.py
+++ b/programs/beryl-host/src/berylcleat/host/_metrics.py
@@ -34,3 +34,9 @@
     "declined",
     ("result",),
 )
+EARLY_CANCELLATIONS = Counter(
+    "beryl_host_early_cancellations",
+    "Cancellations of submissions that aren't stored, by result: recorded, refused "
+    "because there were too many, or removed after their time",
+    ("result",),
+)
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -32,6 +32,7 @@
 from ._client_api import ClientApi
 from ._clock import now_s
 from ._components import Connections, Knowledge, OwnerFeeds
+from ._early_cancellation_cleaner import CLEAN_PERIOD_S, EarlyCancellationCleaner
 from ._evacuation_metrics import EvacuationMetrics
 from ._follower import Follower, TableFollower
 from ._identity import HostIdentity
@@ -163,6 +164,9 @@
         self.evacuation_metrics = EvacuationMetrics(
             self.operator, self.known_cells, self.ownership.controller_by_cell
         )
+        self.early_cancellations = EarlyCancellationCleaner(
+            self.store, lambda: self.live_owners.rank() == 0
+        )
         self.maintenance = self._make_maintenance()
         self.client_api = ClientApi(
             self.store,
@@ -293,6 +297,9 @@
         coroutines = [keep_running(run) for run in loops]
         coroutines.append(self._follow_workers())
         coroutines.append(run_periodically(RECONCILE_PERIOD_S, self.reconcile_cells))
+        coroutines.append(
+            run_periodically(CLEAN_PERIOD_S, self.early_cancellations.clean)
+        )
         if self.maintenance is not None:
             coroutines += [
                 run_periodically(STEP_PERIOD_S, self.maintenance.read_list),
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -16,6 +16,8 @@
 
 # Home cell of each submission, by submission id. No host follows this table.
 SUBMISSION_TABLE = "submissions"
+# Ids whose cancellation came before they were stored; they are removed after a time.
+EARLY_CANCELLATION_TABLE = "early-cancellations"
 # Owner of each cell; every host follows it, so it holds rows that rarely change only.
 CELL_TABLE = "cells"
 # Workers on which the owner of each cell may have started tasks.
@@ -42,10 +44,28 @@
 N_CELL_SUBMISSION_TABLES = 84
 
 
-class HomeRow(msgspec.Struct, frozen=True):
-    """Home cell of an accepted submission."""
+class HomeRow(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Home cell of an accepted submission, or its cancellation before it was stored.
 
-    cell_id: str
+    The latter has no cell, and a row of its id keeps a write that the store carries out
+    late from storing the submission. ``is_submitted`` tells that it was submitted
+    after that, and was cancelled thereby. Hosts that don't know of early cancellations
+    can't decode their rows, and answer that the store can't tell.
+    """
+
+    cell_id: str = ""
+    cancelled_at_ms: Count = 0
+    is_submitted: bool = False
+
+    def __post_init__(self) -> None:
+        """Reject a row that is neither."""
+        if bool(self.cell_id) == bool(self.cancelled_at_ms):
+            raise ValueError("a home row names a cell or an early cancellation")
+
+    @property
+    def is_early_cancellation(self) -> bool:
+        """Whether the submission was cancelled before it was stored."""
+        return bool(self.cancelled_at_ms)
 
 
 class AcceptedRow(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/programs/beryl-host/src/berylcleat/host/_submission_store.py
+++ b/programs/beryl-host/src/berylcleat/host/_submission_store.py
@@ -4,14 +4,20 @@
 table of its home cell and of each cell that tasks of it were moved to, so that an owner
 follows the submissions of its own cells only. All rows of a submission share one part;
 each transaction writes all copies of what it changes.
+
+The store may carry out an unanswered write seconds later if its condition still holds,
+so that no read tells that a submission will not be stored. A row of the index that says
+so does: no submission is stored over it.
 """
 
 from collections import OrderedDict
+from enum import Enum
 
 import msgspec
 
 from berylcleat.model import (
     MalformedValueError,
+    OutcomeUnknownError,
     TaskKey,
     UnreadableRecordError,
     decode_json,
@@ -29,6 +35,7 @@
 from ._records import (
     CANCEL_SUFFIX,
     CELL_TABLE,
+    EARLY_CANCELLATION_TABLE,
     MOVES_SUFFIX,
     OWNER_KEY,
     SUBMISSION_TABLE,
@@ -46,9 +53,19 @@
 # Home cells remembered by a host; others are read again when they are asked for.
 MAX_CACHED_HOMES = 20_000
 READ_AGAIN_REMEDY = "Read it again once it has been repaired"
+# Attempts to submit what was cancelled early, while its row changes.
+MAX_ATTEMPTS = 3
 _home_decoder = msgspec.json.Decoder(HomeRow)
 
 
+class AcceptResult(Enum):
+    """Outcome of an answered attempt to store a submission."""
+
+    STORED = "stored"
+    ALREADY_STORED = "already stored"
+    CANCELLED = "cancelled before"
+
+
 class SubmissionStore:
     """Reader and writer of the rows of submissions.
 
@@ -70,33 +87,77 @@
         """Return the home cell of a submission, or None if there is no such one."""
         if submission_id in self._home_by_id:
             return self._home_by_id[submission_id]
+        row = await self.read_home(submission_id)
+        return None if row is None else row.cell_id or None
+
+    async def read_home(self, submission_id: str) -> HomeRow | None:
+        """Return the index row of an id, or None if there is none."""
         part = submission_part(submission_id)
         page = await self._store.read(
             SUBMISSION_TABLE, part, submission_id, submission_id + "\x00"
         )
-        self._remember_rows(page.rows)
+        homes = self._decode_homes(page.rows)
         name = _home_name(submission_id)
         if page.rows and name in self._unreadable_rows:
             raise UnreadableRecordError(f"{name} is unreadable", READ_AGAIN_REMEDY)
-        return self._home_by_id.get(submission_id)
+        return next((home for _, home in homes), None)
 
-    async def accept(self, accepted: AcceptedRow) -> CommitOutcome:
-        """Store a submission unless there is one with its id."""
+    async def accept(self, accepted: AcceptedRow) -> AcceptResult:
+        """Store a submission unless there is one with its id, or it was cancelled."""
         submission_id = accepted.submission.submission_id
         part = submission_part(submission_id)
-        condition = Condition(SUBMISSION_TABLE, part, submission_id, 0)
-        home = HomeRow(accepted.cell_id)
+        key = (SUBMISSION_TABLE, part, submission_id)
         table = cell_submission_table(accepted.cell_id)
         writes = (
-            RowWrite(SUBMISSION_TABLE, part, submission_id, encode(home)),
+            RowWrite(*key, encode(HomeRow(accepted.cell_id))),
             RowWrite(table, part, submission_id, encode(accepted)),
         )
-        outcome = await self._store.commit(Commit((condition,), writes))
+        for _ in range(MAX_ATTEMPTS):
+            outcome = await self._store.commit(Commit((Condition(*key, 0),), writes))
+            if outcome.applied:
+                self._remember(submission_id, accepted.cell_id)
+                return AcceptResult.STORED
+            early = self._find_early(outcome.current)
+            if early is None:
+                return AcceptResult.ALREADY_STORED
+            if await self._submit_cancelled(submission_id, *early):
+                return AcceptResult.CANCELLED
+        raise OutcomeUnknownError(
+            f"submission {submission_id}: its cancellation has changed", "Send it again"
+        )
+
+    async def cancel_early(self, submission_id: str, cancelled_at_ms: int) -> bool:
+        """Cancel a submission that isn't stored; return False if it is stored.
+
+        From then on no write stores it that was sent before.
+        """
+        part = submission_part(submission_id)
+        key = (SUBMISSION_TABLE, part, submission_id)
+        home = HomeRow(cancelled_at_ms=cancelled_at_ms)
+        commit = Commit((Condition(*key, 0),), _early_writes(submission_id, home))
+        outcome = await self._store.commit(commit)
         if outcome.applied:
-            self._remember(submission_id, accepted.cell_id)
-        else:
-            self._remember_rows(outcome.current)
-        return outcome
+            return True
+        return self._find_early(outcome.current) is not None
+
+    async def _submit_cancelled(
+        self, submission_id: str, version: int, home: HomeRow
+    ) -> bool:
+        """Record that a submission was handed in; return whether that is stored."""
+        if home.is_submitted:
+            return True
+        part = submission_part(submission_id)
+        condition = Condition(SUBMISSION_TABLE, part, submission_id, version)
+        submitted = HomeRow(cancelled_at_ms=home.cancelled_at_ms, is_submitted=True)
+        commit = Commit((condition,), _early_writes(submission_id, submitted))
+        return (await self._store.commit(commit)).applied
+
+    def _find_early(self, rows: tuple[StoreRow, ...]) -> tuple[int, HomeRow] | None:
+        """Return the early cancellation among rows, with its version."""
+        for row, home in self._decode_homes(rows):
+            if home.is_early_cancellation:
+                return row.version, home
+        return None
 
     async def read_entry(self, submission_id: str, cell_id: str) -> SubmissionEntry:
         """Return what is stored of a submission with tasks in a cell."""
@@ -149,7 +210,11 @@
         """
         return await self._store.commit(move.commit())
 
-    def _remember_rows(self, rows: tuple[StoreRow, ...]) -> None:
+    def _decode_homes(
+        self, rows: tuple[StoreRow, ...]
+    ) -> list[tuple[StoreRow, HomeRow]]:
+        """Return the index rows that can be decoded; remember the homes they name."""
+        homes = []
         for row in rows:
             if row.table != SUBMISSION_TABLE:
                 continue
@@ -160,7 +225,10 @@
                 self._unreadable_rows.add(name, error)
                 continue
             self._unreadable_rows.discard(name)
-            self._remember(row.key, home.cell_id)
+            homes.append((row, home))
+            if not home.is_early_cancellation:
+                self._remember(row.key, home.cell_id)
+        return homes
 
     def _remember(self, submission_id: str, cell_id: str) -> None:
         self._home_by_id[submission_id] = cell_id
@@ -217,6 +285,15 @@
     return Condition(CELL_TABLE, cell_id, OWNER_KEY, owner_version)
 
 
+def _early_writes(submission_id: str, home: HomeRow) -> tuple[RowWrite, ...]:
+    """Return the index row of an early cancellation, and the row to remove it by."""
+    part = submission_part(submission_id)
+    return (
+        RowWrite(SUBMISSION_TABLE, part, submission_id, encode(home)),
+        RowWrite(EARLY_CANCELLATION_TABLE, part, submission_id, b"{}"),
+    )
+
+
 def _home_name(submission_id: str) -> str:
     return f"home of submission {submission_id}"
 
--- a/standins/src/berylcleat/standins/_memory_store.py
+++ b/standins/src/berylcleat/standins/_memory_store.py
@@ -9,7 +9,6 @@
 from berylcleat.ports import (
     Commit,
     CommitOutcome,
-    Condition,
     HistoryLostError,
     RowPage,
     RowWrite,
@@ -40,7 +39,8 @@
 
     def put(self, table: str, part: str, key: str, value: bytes) -> None:
         """Write a row without conditions."""
-        self._execute_transaction((), (RowWrite(table, part, key, value),))
+        write = RowWrite(table, part, key, value)
+        self._execute_transaction(Commit(writes=(write,)))
 
     def remove(self, table: str, part: str, key: str) -> None:
         """Remove a row without conditions."""
@@ -63,7 +63,7 @@
         """
         if self.before_commit is not None:
             await self.before_commit()
-        status, body = self._execute_transaction(commit.conditions, commit.writes)
+        status, body = self._execute_transaction(commit)
         if status == 400:
             raise RejectedWriteError(body["error"], "Write less at once")
         if self.n_lost_answers:
@@ -99,12 +99,10 @@
         """Return the parts of ``table`` that hold rows."""
         return tuple(self._rows.list_parts(table)["parts"])
 
-    def _execute_transaction(
-        self, conditions: tuple[Condition, ...], writes: tuple[RowWrite, ...]
-    ) -> tuple[int, dict[str, Any]]:
+    def _execute_transaction(self, commit: Commit) -> tuple[int, dict[str, Any]]:
         expected = [
             {"table": c.table, "part": c.part, "key": c.key, "ver": c.version}
-            for c in conditions
+            for c in commit.conditions
         ]
         puts = [
             {
@@ -113,9 +111,14 @@
                 "key": write.key,
                 "value": base64.b64encode(write.value).decode(),
             }
-            for write in writes
+            for write in commit.writes
         ]
-        return self._rows.transact({"expectedRev": expected, "puts": puts})
+        removed = [
+            {"table": row.table, "part": row.part, "key": row.key}
+            for row in commit.removals
+        ]
+        body = {"expectedRev": expected, "puts": puts, "remove": removed}
+        return self._rows.transact(body)
 
 
 def _to_row(row: dict[str, Any]) -> StoreRow:
