Choose cells by label, memory and accelerators too

Cause: cells told each other of processor time alone, and every choice of a cell (reserve, reserve_slot, reserve_standing, reserve_gang, reserve_beside_any, spill, home cell, preemption's "fits elsewhere") went by it. Change: loads tell label sets, free memory and free accelerators of each worker (WorkerRooms); one pure function, count_slots, says how many tasks of a step fit, and all choices use it. What fits nowhere known stays; its waiting line tells how many fit elsewhere and how often it has moved. A cell without workers now says so there (before: an empty reason). Loads of hosts of the version before count as before. Not changed: a cell is told by the service of its first worker; a submission that no listed worker can ever hold isn't refused at once, as workers come and go.

--- a/libs/scheduling/src/berylcleat/scheduling/__init__.py
+++ b/libs/scheduling/src/berylcleat/scheduling/__init__.py
@@ -54,10 +54,13 @@
     encode_wave_record,
 )
 from ._worker_health import RunOutcome, WorkerHealth
+from ._worker_rooms import WorkerRooms, count_slots, find_rooms
 from ._worker_speed import WorkerSpeeds
 from ._workers import Run, RunPhase, WorkerCondition, WorkerView
 
 __all__ = [
+    "count_slots",
+    "find_rooms",
     "CLOCK_DRIFT",
     "MACHINE_GONE_S",
     "MACHINE_LEASE_S",
@@ -117,6 +120,7 @@
     "WorkerOccupancy",
     "WorkerOrder",
     "WorkerSpeeds",
+    "WorkerRooms",
     "WorkerView",
     "apply_actions",
     "choose_fillers_to_stop",
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -33,6 +33,8 @@
 HANDOVER_GRACE_S = 5.0
 # Answers to a start after which the worker may run the task.
 MAY_RUN_RESULTS = (OrderResult.ACCEPTED, OrderResult.NO_ANSWER)
+# Other cells that a log line names for a waiting step.
+MAX_LOGGED_CELLS = 4
 logger = logging.getLogger(__name__)
 
 
@@ -368,6 +370,8 @@
             return {doubt: n_workers}
         if task in self._tasks_with_pending_move:
             return {"move pending": 1}
+        if not self.worker_by_id:
+            return {"no worker in the cell": 1}
         service = ready.tracked.submission.queue.service
         for worker_id, view in self.worker_by_id.items():
             reason = view.explain_unavailable(now)
@@ -391,6 +395,24 @@
         usable = self._startable_workers(now)
         return explain_capacity(ready, usable, self._other_headrooms, self.interference)
 
+    def explain_other_cells(self, ready: ReadyStep) -> str:
+        """Return how many tasks of a step the cells hold that report the most room.
+
+        A task that none of them can hold stays here.
+        """
+        step, service = ready.step, ready.tracked.submission.queue.service
+        slots_by_cell = {
+            headroom.cell_id: headroom.n_slots(step)
+            for headroom in self._other_headrooms
+            if headroom.service == service
+        }
+        best = sorted(slots_by_cell, key=slots_by_cell.__getitem__, reverse=True)
+        names = ", ".join(
+            f"{cell_id} {slots_by_cell[cell_id]}" for cell_id in best[:MAX_LOGGED_CELLS]
+        )
+        n_moves = ready.tracked.n_moves_by_task.get(ready.task(min(ready.waiting)), 0)
+        return f", fit elsewhere: {names or 'no cell known'}, moved {n_moves} times"
+
     def explain_record(self, ready: ReadyStep) -> str:
         """Return what is recorded of the first waiting task's next run.
 
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_preemptions.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_preemptions.py
@@ -74,7 +74,7 @@
         cpu_millis = max(1, ready.step.allocation.cpu_millis)
         service = ready.tracked.submission.queue.service
         n_slots = sum(
-            max(0, headroom.free_for(cpu_millis)) // cpu_millis
+            max(0, headroom.free_for(ready.step)) // cpu_millis
             for headroom in self._other_headrooms
             if headroom.service == service and headroom.age_s <= MAX_LOAD_AGE_S
         )
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -1,5 +1,6 @@
 """Moves of stuck tasks to cells with headroom."""
 
+import sys
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -10,6 +11,7 @@
 from ._interference import InterferenceLevel, InterferenceModel
 from ._progress import CrashEvidence
 from ._submissions import ReadyStep, TrackedSubmission
+from ._worker_rooms import WorkerRooms, count_slots
 
 # Seconds that a task, or a filler, fits on no worker before it may move elsewhere.
 MOVE_AFTER_STUCK_S = 0.5
@@ -58,7 +60,8 @@
     cell's own waiting tasks would reserve. ``n_workers_by_rack`` tells how many of
     ``free_by_worker`` are of each rack, one after the other; it is empty if all are.
     ``avoided_capacity`` and ``avoided_free`` are what workers have on which nothing may
-    start for now, beside ``capacity`` and ``free``.
+    start for now, beside ``capacity`` and ``free``. ``rooms`` is what the workers of
+    ``free_by_worker`` have beside processor time; None if the load doesn't tell.
     """
 
     cell_id: str
@@ -75,34 +78,52 @@
     n_workers_by_rack: tuple[int, ...] = ()
     avoided_capacity: int = 0
     avoided_free: int = 0
+    rooms: WorkerRooms | None = None
 
-    def free_for(self, cpu_millis: int) -> int:
-        """Return the part of ``free`` that tasks of this size can use.
+    def can_hold(self, step: Step) -> bool:
+        """Return whether a worker has a filler's label, memory and accelerators free.
 
-        What is left over on each worker holds none of them.
+        Processor time doesn't count: that for fillers isn't told by worker.
         """
-        return min(self.free, self.whole_slots(cpu_millis))
+        if self.rooms is None or not self.free_by_worker:
+            return True
+        unlimited = (sys.maxsize,) * len(self.free_by_worker)
+        return count_slots(step, unlimited, self.rooms) > 0
+
+    def has_label(self, step: Step) -> bool:
+        """Return whether a worker, maybe a full one, has the label of a step."""
+        return self.rooms is None or self.rooms.has_label(step)
+
+    def n_slots(self, step: Step) -> int:
+        """Return how many tasks of a step fit, of a filler by its needs alone."""
+        if step.fills:
+            left = sum(headroom.cpu_left for headroom in self.filler_headrooms)
+            return left // max(step.demand.cpu_millis, 1) * self.can_hold(step)
+        return self.whole_slots(step) // max(step.demand.cpu_millis, 1)
+
+    def free_for(self, step: Step) -> int:
+        """Return the part of ``free`` that tasks of a step can use.
+
+        What is left over on each worker holds none of them, and no task starts on a
+        worker without its label, memory or accelerators.
+        """
+        return min(self.free, self.whole_slots(step))
 
-    def whole_slots(self, cpu_millis: int) -> int:
-        """Return the processor time of all slots for tasks of this size.
+    def whole_slots(self, step: Step) -> int:
+        """Return the processor time of all slots for tasks of a step.
 
         Unlike ``free`` it isn't reduced by what waits in the cell.
         """
         if not self.free_by_worker:
             return self.free
-        return _whole_slots(self.free_by_worker, cpu_millis)
+        return self._slots_of(step)
 
-    def free_in_one_rack(self, cpu_millis: int) -> int:
-        """Return the part of ``free`` that tasks of this size can use in one rack."""
+    def free_in_one_rack(self, step: Step) -> int:
+        """Return the part of ``free`` that tasks of a step can use in one rack."""
         if not self.n_workers_by_rack:
-            return self.free_for(cpu_millis)
-        slots = []
-        first = 0
-        for n_workers in self.n_workers_by_rack:
-            workers = self.free_by_worker[first : first + n_workers]
-            slots.append(_whole_slots(workers, cpu_millis))
-            first += n_workers
-        return min(self.free, max(slots))
+            return self.free_for(step)
+        racks = self._workers_by_rack()
+        return min(self.free, max(self._slots_of(step, rack) for rack in racks))
 
     def fits_empty_rack(self, step: Step) -> bool:
         """Return whether a rack could hold all tasks of a step if it were empty.
@@ -113,10 +134,24 @@
         n_workers = len(self.free_by_worker)
         if not n_workers:
             return self.capacity // cpu_millis >= step.n_tasks
-        n_in_rack = max(self.n_workers_by_rack, default=n_workers)
+        n_in_rack = max(map(len, self._workers_by_rack()))
         slots_by_worker = self.capacity // n_workers // cpu_millis
         return n_in_rack * slots_by_worker >= step.n_tasks
 
+    def _workers_by_rack(self) -> list[range]:
+        """Return the places of each rack's workers in ``free_by_worker``."""
+        first = 0
+        racks = []
+        for n_workers in self.n_workers_by_rack or (len(self.free_by_worker),):
+            racks.append(range(first, first + n_workers))
+            first += n_workers
+        return racks
+
+    def _slots_of(self, step: Step, workers: range | None = None) -> int:
+        """Return the processor time of the slots for tasks of a step on workers."""
+        n_slots = count_slots(step, self.free_by_worker, self.rooms, workers)
+        return n_slots * step.allocation.cpu_millis
+
     def headroom_for_filler(self, image: str, interference: InterferenceModel) -> int:
         """Return the processor time left where ``image`` interferes only mildly.
 
@@ -216,13 +251,12 @@
         core, ``beside_waiting`` less what waits in the cell. Cells whose load is older
         than ``max_age_s`` are left out.
         """
-        cpu_millis = step.allocation.cpu_millis
         left_by_id = {
             cell_id: int(
                 (
-                    headroom.free_for(cpu_millis)
+                    headroom.free_for(step)
                     if beside_waiting
-                    else headroom.whole_slots(cpu_millis)
+                    else headroom.whole_slots(step)
                 )
                 * share
                 - self._reserved[cell_id]
@@ -266,6 +300,7 @@
             - self._reserved_for_fillers[cell_id]
             for cell_id, headroom in self._headroom_by_id.items()
             if headroom.service == service
+            and headroom.can_hold(step)
             and self._n_moved[cell_id] < MAX_MOVES_PER_CELL
         }
         chosen = max(left_by_id, key=left_by_id.__getitem__, default=None)
@@ -308,20 +343,17 @@
         if not step.fills:
             free = _free_for_step(step, headroom)
             return free * share - self._reserved[headroom.cell_id]
+        if not headroom.can_hold(step):
+            return 0.0
         left = headroom.headroom_for_filler(step.image, self._interference) * share
         return left - self._reserved_for_fillers[headroom.cell_id]
 
 
-def _whole_slots(free_by_worker: tuple[int, ...], cpu_millis: int) -> int:
-    return sum(free // max(cpu_millis, 1) * cpu_millis for free in free_by_worker)
-
-
 def _free_for_step(step: Step, headroom: CellHeadroom) -> int:
     """Return what tasks of a step can use, in one rack if all must run in one."""
-    cpu_millis = step.allocation.cpu_millis
     if step.is_gang and step.same_rack:
-        return headroom.free_in_one_rack(cpu_millis)
-    return headroom.free_for(cpu_millis)
+        return headroom.free_in_one_rack(step)
+    return headroom.free_for(step)
 
 
 def is_stuck(ready: ReadyStep, now: float) -> bool:
--- a/libs/scheduling/src/berylcleat/scheduling/_spill.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_spill.py
@@ -237,7 +237,7 @@
         holds.
         """
         cpu_millis = max(1, step.demand.cpu_millis)
-        n_free = headroom.free_for(step.allocation.cpu_millis) // cpu_millis
+        n_free = headroom.free_for(step) // cpu_millis
         if n_free <= 0:
             return 0
         n_usable = max(1, int(n_free * USABLE_HEADROOM_SHARE))
@@ -255,7 +255,7 @@
         interference: InterferenceModel,
     ) -> int:
         """Return how many more fillers this cell's part of another holds."""
-        if not n_sharing:
+        if not n_sharing or not headroom.can_hold(step):
             return 0
         left = headroom.headroom_for_filler(step.image, interference)
         part = int(left * USABLE_HEADROOM_SHARE) // n_sharing
--- a/libs/scheduling/src/berylcleat/scheduling/_step_waits.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_step_waits.py
@@ -106,10 +106,9 @@
     """Return how many cells had a worker that holds a task, by their last loads."""
     if step.fills:
         return 0
-    cpu_millis = step.allocation.cpu_millis
     return sum(
         headroom.service == service
         and headroom.age_s <= MAX_LOAD_AGE_S
-        and headroom.free_for(cpu_millis) >= cpu_millis
+        and headroom.free_for(step) >= step.allocation.cpu_millis
         for headroom in headrooms
     )
--- a/programs/beryl-host/features/steps/rack_load_steps.py
+++ b/programs/beryl-host/features/steps/rack_load_steps.py
@@ -7,6 +7,7 @@
 
 from berylcleat.host._cell_summary import make_summary
 from berylcleat.host._records import LoadRow, encode, headroom_from_summary
+from berylcleat.model import Step, TaskDemand
 from berylcleat.ports import WorkerReport
 
 
@@ -32,5 +33,6 @@
 @then("tasks of 1 core have {cores:d} free cores there in one rack")
 def step_free(context, cores):
     headroom = headroom_from_summary("r1", context.load)
-    assert headroom.free_in_one_rack(1000) == cores * 1000, headroom
+    step = Step(1, TaskDemand(1000))
+    assert headroom.free_in_one_rack(step) == cores * 1000, headroom
     assert sum(headroom.n_workers_by_rack) in (0, len(headroom.free_by_worker))
--- a/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_chooser.py
@@ -43,6 +43,35 @@
     return xxhash.xxh64_intdigest(f"{image}/{cell_id}".encode())
 
 
+def _keep_labelled(
+    step: Step, summary_by_cell: dict[str, CellSummary]
+) -> dict[str, CellSummary]:
+    """Return the cells with a worker that has a step's label, or all if none has."""
+    if not step.required_label:
+        return summary_by_cell
+    labelled = {
+        cell_id: summary
+        for cell_id, summary in summary_by_cell.items()
+        if headroom_from_summary(cell_id, summary).has_label(step)
+    }
+    return labelled or summary_by_cell
+
+
+def _keep_holders(
+    step: Step, summary_by_cell: dict[str, CellSummary]
+) -> dict[str, CellSummary]:
+    """Return the cells with a worker that has what a task needs beside processors.
+
+    All if none has.
+    """
+    holders = {
+        cell_id: summary
+        for cell_id, summary in summary_by_cell.items()
+        if headroom_from_summary(cell_id, summary).can_hold(step)
+    }
+    return holders or summary_by_cell
+
+
 @dataclass(frozen=True, slots=True)
 class _RecentAssignment:
     """Work recently assigned to a cell; ``cpu`` in thousandths of a core."""
@@ -101,6 +130,7 @@
         }
         if not suitable:
             return None
+        suitable = _keep_labelled(submission.steps[0], suitable)
         oldest = now_s() - ASSIGNMENT_MEMORY_S
         self._recent_assignments = [
             item for item in self._recent_assignments if item.assigned_at >= oldest
@@ -153,8 +183,7 @@
             headroom = headroom_from_summary(cell_id, summary)
             room = headroom.headroom_for_filler(step.image, self._interference)
         else:
-            cpu = step.demand.cpu_millis
-            room = summary.count_slots(cpu) * cpu
+            room = summary.count_slots(step) * step.demand.cpu_millis
         return CellLoad(cell_id, summary.backlog, age_s, max(0, room))
 
     def _missing_loads(
@@ -216,7 +245,6 @@
     ) -> str:
         """Draw a cell among those that can hold the first step."""
         step = submission.steps[0]
-        cpu = max(step.allocation.cpu_millis, 1)
         if step.fills:
             needed = float(step.n_tasks * step.demand.cpu_millis)
             headroom_by_cell = {
@@ -226,7 +254,7 @@
         else:
             needed = float(step.n_tasks)
             headroom_by_cell = {
-                cell_id: float(self._n_slots_left(cell_id, summary, cpu))
+                cell_id: float(self._n_slots_left(cell_id, summary, step))
                 for cell_id, summary in suitable.items()
             }
         candidates = find_candidates(headroom_by_cell, needed)
@@ -240,27 +268,28 @@
             return self._choose_for_fillers(step, suitable)
         return self._choose_by_slots(step, suitable)
 
-    def _n_slots_left(self, cell_id: str, summary: CellSummary, cpu: int) -> int:
+    def _n_slots_left(self, cell_id: str, summary: CellSummary, step: Step) -> int:
         """Return how many more tasks fit beside those that this host assigned there."""
+        cpu = max(step.allocation.cpu_millis, 1)
         n_assigned = self._recently_assigned_cpu(cell_id, fills=False) // cpu
-        return summary.count_slots(cpu) - n_assigned
+        return summary.count_slots(step) - n_assigned
 
     def _choose_by_slots(self, step: Step, suitable: dict[str, CellSummary]) -> str:
         """Return the cell where most tasks of a step start at once.
 
         Among equals it is the least loaded one.
         """
-        cpu = max(step.allocation.cpu_millis, 1)
 
         def rank(cell_id: str) -> tuple[int, float]:
             summary = suitable[cell_id]
-            n_slots = self._n_slots_left(cell_id, summary, cpu)
+            n_slots = self._n_slots_left(cell_id, summary, step)
             return -min(n_slots, step.n_tasks), self._load(cell_id, summary)
 
         return min(suitable, key=rank)
 
     def _choose_for_image(self, step: Step, suitable: dict[str, CellSummary]) -> str:
         """Return the first cell with headroom in the image's hash order."""
+        suitable = _keep_holders(step, suitable)
         cpu = step.n_tasks * step.demand.cpu_millis
         ranked = sorted(suitable, key=lambda cell_id: image_rank(step.image, cell_id))
         for cell_id in ranked:
@@ -296,9 +325,10 @@
 
     def _filler_cpu_left(self, cell_id: str, summary: CellSummary, step: Step) -> int:
         """Return the processor time left beside images that a step doesn't disturb."""
-        cpu_left = headroom_from_summary(cell_id, summary).headroom_for_filler(
-            step.image, self._interference
-        )
+        headroom = headroom_from_summary(cell_id, summary)
+        if not headroom.can_hold(step):
+            return 0
+        cpu_left = headroom.headroom_for_filler(step.image, self._interference)
         return cpu_left - self._recently_assigned_cpu(cell_id, fills=True)
 
     def _recently_assigned_cpu(self, cell_id: str, *, fills: bool) -> int:
--- a/programs/beryl-host/src/berylcleat/host/_cell_summary.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_summary.py
@@ -8,6 +8,7 @@
     CellScheduler,
     FillerHeadroom,
     WorkerView,
+    find_rooms,
 )
 
 from ._records import CellSummary
@@ -59,6 +60,7 @@
         n_workers_by_rack=tuple(n_by_rack.values()) if len(n_by_rack) > 1 else (),
         avoided_capacity=avoided.total,
         avoided_free=int(avoided.free * share),
+        rooms=find_rooms(views),
     )
 
 
@@ -95,11 +97,12 @@
         )
     for ready in scheduler.submissions.ready_steps(now):
         logger.info(
-            "waiting: %d tasks, the first is %s (filler %s, long-running %s): %s%s",
+            "waiting: %d tasks, the first is %s (filler %s, long-running %s): %s%s%s",
             len(ready.waiting),
             ready.task(min(ready.waiting)),
             ready.step.fills,
             ready.step.is_long_running,
             scheduler.explain_waiting(ready, now),
+            scheduler.explain_other_cells(ready),
             scheduler.explain_record(ready),
         )
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -5,13 +5,15 @@
 import msgspec
 import xxhash
 
-from berylcleat.model import Count, Epoch, Integer, Submission, TaskKey
+from berylcleat.model import Count, Epoch, Integer, Step, Submission, TaskKey
 from berylcleat.ports import WorkerEntry
 from berylcleat.scheduling import (
     CellBacklog,
     CellHeadroom,
     FillerHeadroom,
     TaskMove,
+    WorkerRooms,
+    count_slots,
 )
 
 # Home cell of each submission, by submission id. No host follows this table.
@@ -156,12 +158,14 @@
     # Capacity of workers on which nothing may start for now, not in cpu_capacity.
     avoided_capacity: Count = 0
     avoided_free: Count = 0
+    # None in loads of hosts that don't publish it.
+    rooms: WorkerRooms | None = None
 
-    def count_slots(self, cpu_millis: int) -> int:
-        """Return how many more tasks of this size fit beside those that wait here."""
-        cpu = max(cpu_millis, 1)
+    def count_slots(self, step: Step) -> int:
+        """Return how many more tasks of a step fit beside those that wait here."""
+        cpu = max(step.allocation.cpu_millis, 1)
         n_waiting = -(-max(0, self.cpu_waiting - self.cpu_stuck) // cpu)
-        return sum(free // cpu for free in self.free_by_worker) - n_waiting
+        return count_slots(step, self.free_by_worker, self.rooms) - n_waiting
 
 
 def headroom_from_summary(cell_id: str, summary: CellSummary) -> CellHeadroom:
@@ -178,6 +182,7 @@
         n_workers_by_rack=summary.n_workers_by_rack,
         avoided_capacity=summary.avoided_capacity,
         avoided_free=summary.avoided_free,
+        rooms=summary.rooms,
     )
 
 
