Move standing tasks from a cell that has no worker left for them to full cells

Cause: a move needs room in the target's load, and a full cell never reports any: the tasks that wait there take what becomes free. Change: after 1.5 s a standing task whose cell has no listed, undrained worker that could hold it if empty moves to a cell in proportion to its capacity, full or not, with its label. There it has lost its run, so it starts before short tasks that wait. Test: spill.feature, which fails before in 3 of 5 examples (the others say when it stays); spill 30 passed, 0 failed after.

--- a/libs/scheduling/features/spill.feature
+++ b/libs/scheduling/features/spill.feature
@@ -73,6 +73,21 @@
     When it proposes moves to a cell with 2 slots of 4 cores, where 16 cores are waited for
     Then 1 tasks are moved, to each cell some but no more than it has capacity for
 
+  # Guards against LOST: the tasks of a lost rack waited for room that full cells never
+  # report, as short tasks that wait there take what becomes free.
+  Scenario Outline: A standing task whose cell has <workers> <moves> to a full cell <switch> expected finish
+    Given a cell <switch> expected finish with <workers>, in which a standing task of 4 cores is stuck for <stuck> s
+    When it proposes moves to a full cell of 40 cores
+    Then <n> tasks are moved there
+
+    Examples:
+      | switch  | workers                 | stuck | moves       | n |
+      | with    | no worker               | 2.0   | moves       | 1 |
+      | without | no worker               | 2.0   | moves       | 1 |
+      | with    | no worker               | 1.0   | can't move  | 0 |
+      | with    | a full worker           | 2.0   | can't move  | 0 |
+      | with    | a worker that is drained | 2.0  | moves       | 1 |
+
   # Guards against LOST: without ``expected_finish`` only a share of a cell's headroom, less
   # than its only slot, was used, and nothing where other tasks wait.
   Scenario Outline: A standing task moves to one slot, <waiting> cores waited for, without expected finish
--- a/libs/scheduling/features/steps/spill_steps.py
+++ b/libs/scheduling/features/steps/spill_steps.py
@@ -255,6 +255,35 @@
     assert len(cells) == (moves == "moves") and {"t0", "t1"}.issuperset(cells), cells
 
 
+@given(
+    "a cell {switch} expected finish with {workers}, in which a standing task of 4 "
+    "cores is stuck for {stuck_s:f} s"
+)
+def step_stranded(context, switch, workers, stuck_s):
+    fill_with_standing(
+        context, 1, 1, expected_finish=switch == "with", stuck_s=stuck_s + 0.2
+    )
+    cell = context.loop.cells[0]
+    for worker_id, view in tuple(cell.worker_by_id.items()):
+        if workers == "no worker":
+            cell.unlist_worker(worker_id)
+        elif workers == "a worker that is drained":
+            view.entry = replace(view.entry, is_draining=True)
+
+
+@when("it proposes moves to a full cell of {cores:d} cores")
+def step_propose_to_full(context, cores):
+    load = CellHeadroom(
+        "t0", "svc", 0, (), 0, 1000 * cores, free_by_worker=(0,) * 10, waiting=20000
+    )
+    context.moves = propose(context, 0, (load,), context.loop.now)
+
+
+@then("{n:d} tasks are moved there")
+def step_moved_there(context, n):
+    assert [move.cell_id for move in context.moves] == ["t0"] * n, context.moves
+
+
 @when('each proposes moves twice to cells of "{cores}" cores on loads {age_s:f} s old')
 def step_propose_standing(context, cores, age_s):
     context.slots = {f"t{n}": int(c) // 4 for n, c in enumerate(cores.split())}
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -21,7 +21,7 @@
     is_stuck,
     make_move,
 )
-from ._placement import can_hold_forced_filler
+from ._placement import can_ever_hold, can_hold_forced_filler
 from ._spill import LAST_RESORT_STUCK_S, MOVE_S, may_move
 from ._submissions import ReadyStep, TrackedSubmission
 
@@ -278,12 +278,18 @@
 
         Standing tasks are spread, except in an evacuated cell, where only a few move at
         a time. Where the usual share holds none, a slot will do for a standing or a
-        starving task. Fillers that can't stay go beside images that they may disturb.
+        starving task, and capacity for a stranded standing one. Fillers that can't stay
+        go beside images that they may disturb.
         """
         is_standing = ready.step.is_long_running and not ready.step.fills
         if self.spill is not None and is_standing and not self._is_evacuated():
             return self.spill.reserve_standing(
-                ready.step, service, reservations, self._wall_ms, now
+                ready.step,
+                service,
+                reservations,
+                self._wall_ms,
+                now,
+                is_stranded=self._is_stranded(ready, now),
             )
         cell_id = reservations.reserve(ready.step, service)
         if cell_id is not None:
@@ -291,11 +297,30 @@
         if not ready.step.fills:
             if self._is_evacuated() or not (is_standing or self._starves(ready, now)):
                 return None
-            return reservations.reserve_slot(ready.step, service)
+            cell_id = reservations.reserve_slot(ready.step, service)
+            if cell_id is None and is_standing and self._is_stranded(ready, now):
+                cell_id = reservations.reserve_capacity(ready.step, service)
+            return cell_id
         if self._is_evacuated() or self._can_only_start_elsewhere(ready, now):
             return reservations.reserve_beside_any(ready.step, service)
         return None
 
+    def _is_stranded(self, ready: ReadyStep, now: float) -> bool:
+        """Return whether no worker of the cell can hold a stuck step, now or later.
+
+        All may be gone. In other cells the tasks that wait there start first, so that
+        none of them ever reports room for it.
+        """
+        if ready.stuck_since is None or now - ready.stuck_since <= STARVATION_S:
+            return False
+        service = ready.tracked.submission.queue.service
+        return not any(
+            view.is_listed
+            and not view.entry.is_draining
+            and can_ever_hold(ready.step, service, view.entry)
+            for view in self.worker_by_id.values()
+        )
+
     def _starves(self, ready: ReadyStep, now: float) -> bool:
         """Return whether an ordinary step is stuck while much isn't reserved."""
         if ready.step.fills or ready.stuck_since is None:
--- a/libs/scheduling/src/berylcleat/scheduling/_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_moves.py
@@ -125,6 +125,15 @@
         racks = self._workers_by_rack()
         return min(self.free, max(self._slots_of(step, rack) for rack in racks))
 
+    def fits_empty_worker(self, step: Step) -> bool:
+        """Return whether a worker with the label of a step could hold a task if empty.
+
+        The workers are taken to be equal: the load tells the sum of their capacities.
+        """
+        n_workers = max(len(self.free_by_worker), 1)
+        is_large_enough = self.capacity // n_workers >= step.demand.cpu_millis
+        return is_large_enough and self.has_label(step)
+
     def fits_empty_rack(self, step: Step) -> bool:
         """Return whether a rack could hold all tasks of a step if it were empty.
 
@@ -284,6 +293,29 @@
         self.add_task(step, chosen)
         return chosen
 
+    def capacities(self, step: Step, service: str) -> dict[str, int]:
+        """Return the processor capacity of the cells that a task could ever run in.
+
+        Full cells count too. It is less what this round has reserved there.
+        """
+        left_by_id = {
+            cell_id: headroom.capacity - self._reserved[cell_id]
+            for cell_id, headroom in self._headroom_by_id.items()
+            if headroom.service == service
+            and headroom.fits_empty_worker(step)
+            and self._n_moved[cell_id] < MAX_MOVES_PER_CELL
+        }
+        return {cell_id: left for cell_id, left in left_by_id.items() if left > 0}
+
+    def reserve_capacity(self, step: Step, service: str) -> str | None:
+        """Reserve capacity, not headroom, for a task; return its cell or None."""
+        capacities = self.capacities(step, service)
+        if not capacities:
+            return None
+        chosen = max(capacities, key=capacities.__getitem__)
+        self.add_task(step, chosen)
+        return chosen
+
     def add_task(self, step: Step, cell_id: str) -> None:
         """Reserve headroom of a cell for a task of ``step``."""
         self._add_reserved(step, cell_id, 1)
--- a/libs/scheduling/src/berylcleat/scheduling/_placement.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_placement.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 
 from berylcleat.model import Step, TaskKey
+from berylcleat.ports import WorkerEntry
 
 from ._interference import DISTURBED_RATIO, InterferenceLevel, InterferenceModel
 from ._pacing import MIN_START_PACE_PERCENT, pace_with_new_filler
@@ -87,6 +88,15 @@
     return any(_can_hold_filler(task, step, service, worker) for worker in workers)
 
 
+def can_ever_hold(step: Step, service: str, entry: WorkerEntry) -> bool:
+    """Return whether a worker could hold a task of a step if it were empty."""
+    if entry.service != service:
+        return False
+    if step.required_label and step.required_label not in entry.labels:
+        return False
+    return step.allocation.fits_in(entry.capacity)
+
+
 def explain_rejection(
     task: TaskKey,
     step: Step,
--- a/libs/scheduling/src/berylcleat/scheduling/_spill.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_spill.py
@@ -145,13 +145,17 @@
         reservations: HeadroomReservations,
         wall_ms: float,
         now: float,
+        *,
+        is_stranded: bool = False,
     ) -> str | None:
         """Take headroom for a stuck standing task; return its cell, or None.
 
         Cells are chosen in proportion to the room left: the cells whose tasks are stuck
         choose evenly spaced points of all the room, and so do the tasks of each. Where
-        the usual share of no headroom holds the task, the whole headroom counts, at
-        last also what the tasks that wait in its cell would take.
+        the usual share of no headroom holds the task, the whole headroom counts, then
+        also what the tasks that wait in its cell would take. One that is stranded in a
+        cell without workers moves to a full cell at last: there it is among the first
+        to start.
         """
         for share, beside_waiting in STANDING_ROOMS:
             rooms = reservations.rooms(
@@ -159,7 +163,9 @@
             )
             if rooms:
                 break
-        else:
+        if not rooms and is_stranded:
+            rooms = reservations.capacities(step, service)
+        if not rooms:
             return None
         names = {self._cell_id, *reservations.cell_ids}
         place = self._draw_place("", names, int(wall_ms // SHARE_PERIOD_MS))
