Let a starving gang use all of another cell

Change: after 1.5 s, if others leave much of the service free, all of it counts, as for ordinary tasks. Test: gangs.feature, one example fails before (0 of 5 members move), 18 passed, 0 failed after; in a full service nothing changes.

--- a/libs/scheduling/features/gangs.feature
+++ b/libs/scheduling/features/gangs.feature
@@ -44,6 +44,21 @@
     And another cell has 40 free cores
     Then a move of all 5 members to that cell is proposed
 
+  # Guards against LOST: only 0.7 of another cell counted, so that a gang of more than that
+  # never moved to an idle one.
+  Scenario Outline: A gang that needs most of another cell of <cores>-core workers moves after <seconds> s: <moved>
+    Given a cell with 2 workers of 8 cores
+    When a gang of 5 tasks of 4 cores is added
+    And another cell has 6 workers of 4 free cores in two racks, of <cores> cores each
+    And the gang waits for <seconds> s
+    Then <moved> members are proposed to move
+
+    Examples:
+      | seconds | cores | moved |
+      | 1       | 4     | 0     |
+      | 3       | 4     | 5     |
+      | 3       | 16    | 0     |
+
   # Guards against gangs split over the racks of a cell, where each member takes longer.
   Scenario: A gang that needs one rack starts in one rack of its cell
     Given a cell with 4 workers of 8 cores in two racks
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_moves.py
@@ -358,8 +358,10 @@
     ) -> dict[TaskKey, TaskMove]:
         if not self._is_whole_gang_startable(ready, now):
             return {}
-        # Where no rack here can ever hold it, the whole of another will do.
-        share = 1.0 if self._exceeds_racks_here(ready) else USABLE_HEADROOM_SHARE
+        # The whole of another cell will do where no rack here can ever hold it, and
+        # after a while, if others leave much of the service free.
+        needs_all = self._exceeds_racks_here(ready) or self._starves(ready, now)
+        share = 1.0 if needs_all else USABLE_HEADROOM_SHARE
         cell_id = reservations.reserve_gang(ready.step, service, share)
         if cell_id is None:
             return {}
