Connect to a worker that comes back at another address

Cause: HoldLoops.connect keeps the first address of a worker, and so does the record that the next owner reads. Change: an entry of a later incarnation at another address ends the loop to the earlier one, whose incarnation has ended, and starts one there; the record is written again before a task starts. An earlier entry changes nothing. Test: ownership.feature, one example fails before; 55 passed, 0 failed after. Not played with real processes.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -108,8 +108,12 @@
             return
         if entry.started_at_ms > view.incarnation_ms and view.incarnation_ms:
             self._end_incarnation(view, "listed with a later start", now)
-        if entry.is_draining != view.entry.is_draining:
-            # The next owner must know of a worker that has left whether it drained.
+        if (entry.is_draining, entry.address) != (
+            view.entry.is_draining,
+            view.entry.address,
+        ):
+            # The next owner must know of a worker that has left whether it drained, and
+            # where to reach it.
             self._recorded_workers.discard(entry.worker_id)
         view.entry = entry
         view.is_listed = True
--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -313,3 +313,15 @@
     When the first report of "w1" raises an unexpected error in its owner
     Then the next report of "w1" is processed
     And no lease was asked for between the two
+
+  # Guards against LOST: workers that came back under their ids at other addresses were not
+  # used by the present owner, which went on to ask at the earlier ones.
+  Scenario Outline: A worker that <returns> is <used>
+    Given a cell with recorded workers "w1 w2"
+    When "w1" <returns> while its cell has an owner
+    Then it is <used>
+
+    Examples:
+      | returns                                          | used                           |
+      | comes back at another address                    | used and recorded there        |
+      | is named at another address by an earlier entry  | asked at its address as before |
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -1147,3 +1147,43 @@
 @when("a host acquires it and that earlier owner tells of leases for {seconds:f} s")
 def step_told_by_earlier(context, seconds):
     context.run(acquire_unobserved(context, {"w1": seconds, "w2": seconds}))
+
+
+@when('"{name}" {returns} while its cell has an owner')
+def step_other_address(context, name, returns):
+    entry = replace(make_worker_entry(name), started_at_ms=5)
+    is_later = returns == "comes back at another address"
+    other = replace(entry, address="127.0.0.1:10", started_at_ms=9 if is_later else 1)
+
+    async def return_to_owner():
+        controller = make_owner(context, 0.0)
+        await controller.start({name: entry})
+        clients = controller._hold_loops.client_by_worker
+        earlier = clients[name]
+        controller.update_workers({name: other})
+        context.is_same_client = clients[name] is earlier
+
+        async def hold(order):
+            await asyncio.sleep(0.05)
+            return OrderAnswer(OrderResult.ACCEPTED, 1, WorkerReport(50, 9, (), ()))
+
+        clients[name].hold = hold
+        await asyncio.sleep(1.0)
+        view = controller.scheduler.worker_by_id[name]
+        context.can_start = view.can_start(now_s())
+        await controller.abandon()
+
+    context.run(return_to_owner())
+
+
+@then("it is used and recorded there")
+def step_used_there(context):
+    assert not context.is_same_client
+    assert context.can_start
+    row = read_row(context, WORKERS_KEY, WorkersRow)
+    assert "127.0.0.1:10" in [worker.address for worker in row.workers], row
+
+
+@then("it is asked at its address as before")
+def step_asked_as_before(context):
+    assert context.is_same_client
--- a/programs/beryl-host/src/berylcleat/host/_hold_loops.py
+++ b/programs/beryl-host/src/berylcleat/host/_hold_loops.py
@@ -1,6 +1,7 @@
 """Renew the leases on a cell's workers and process what they report."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 
 from berylcleat.platform import WorkerClient
@@ -17,6 +18,7 @@
 # While reported ends aren't recorded yet, the next hold request is delayed by up to 1.5
 # times this value: a worker answers at once while it lists unacknowledged ends.
 ACK_WAIT_S = 0.1
+logger = logging.getLogger(__name__)
 
 
 class HoldLoops:
@@ -42,12 +44,26 @@
         self._on_report = on_report
         self._on_forgotten = on_forgotten
         self._task_by_worker: dict[str, asyncio.Task] = {}
+        self._entry_by_worker: dict[str, WorkerEntry] = {}
 
     def connect(self, entry: WorkerEntry) -> None:
-        """Start the loop of a worker unless it has one."""
+        """Start the loop of a worker unless it has one to the same address.
+
+        A later incarnation may have another address: the earlier one has ended.
+        """
         worker_id = entry.worker_id
-        if worker_id in self._task_by_worker:
-            return
+        known = self._entry_by_worker.get(worker_id)
+        if known is not None:
+            if not _has_moved(known, entry):
+                return
+            logger.info(
+                "worker %s: listed at %s instead of %s, connecting anew",
+                worker_id,
+                entry.address,
+                known.address,
+            )
+            self._disconnect(worker_id)
+        self._entry_by_worker[worker_id] = entry
         client = WorkerClient(worker_id, entry.address)
         self.client_by_worker[worker_id] = client
         loop = asyncio.get_running_loop()
@@ -140,8 +156,23 @@
                 return
             await asyncio.sleep(ACK_WAIT_S / 2)
 
-    def _forget(self, worker_id: str) -> None:
+    def _disconnect(self, worker_id: str) -> None:
+        """End the loop of a worker; a hold under way renews no lease of another one."""
+        self._task_by_worker.pop(worker_id).cancel()
+        self._drop_client(worker_id)
+
+    def _drop_client(self, worker_id: str) -> None:
         self.client_by_worker.pop(worker_id).close()
+        del self._entry_by_worker[worker_id]
+
+    def _forget(self, worker_id: str) -> None:
+        self._drop_client(worker_id)
         del self._task_by_worker[worker_id]
         self._scheduler.worker_by_id.pop(worker_id, None)
         self._on_forgotten()
+
+
+def _has_moved(known: WorkerEntry, entry: WorkerEntry) -> bool:
+    """Return whether an entry is of a later incarnation at another address."""
+    is_later = entry.started_at_ms > known.started_at_ms
+    return is_later and entry.address != known.address
--- a/programs/beryl-host/src/berylcleat/host/_recorder.py
+++ b/programs/beryl-host/src/berylcleat/host/_recorder.py
@@ -180,12 +180,14 @@
             return False
         self._on_confirmed(requested_at)
         self._workers_version = outcome.version
-        # Workers that began to drain during the write are recorded by the next one.
+        # Workers that began to drain, or came back at another address, during the write
+        # are recorded by the next one.
         scheduler.on_workers_recorded(
             frozenset(
                 worker_id
                 for worker_id, entry in entry_by_worker.items()
                 if views[worker_id].entry.is_draining == entry.is_draining
+                and views[worker_id].entry.address == entry.address
             )
         )
         return True
