--- a/libs/scheduling/features/steps/worker_room_steps.py
+++ b/libs/scheduling/features/steps/worker_room_steps.py
@@ -3,11 +3,13 @@
 from behave import given, then, when
 from cell_loop import make_entry
 
-from berylcleat.model import Step, TaskDemand
+from berylcleat.model import Step, TaskDemand, TaskKey
 from berylcleat.scheduling import (
     CellHeadroom,
     FillerHeadroom,
     InterferenceModel,
+    Run,
+    RunPhase,
     WorkerRooms,
     WorkerView,
     count_slots,
@@ -128,6 +130,25 @@
     context.views = make_views(text.split() for text in (first, second, third))
 
 
+@given(
+    "a worker of {memory:d} MB on which a filler holds {filler:d} MB and another task "
+    "{other:d} MB"
+)
+def step_filled_worker(context, memory, filler, other):
+    context.views = make_views([["a"]])
+    for number, (held, fills) in enumerate(((filler, True), (other, False))):
+        step = Step(1, TaskDemand(1000, held), fills=fills)
+        task = TaskKey("a" * 16, 0, number, 0)
+        run = Run(task, 1, "w0", step, RunPhase.RUNNING, 0.0, 0.0)
+        context.views[0].add_run(run)
+
+
+@then("its rooms tell of {memory:d} MB")
+def step_free_memory(context, memory):
+    rooms = find_rooms(context.views)
+    assert rooms.free_memory_mb == (memory,), rooms
+
+
 @given("workers with {n:d} labels of {length:d} characters")
 def step_long_labels(context, n, length):
     labels = [f"{number:0{length}d}" for number in range(n)]
--- a/libs/scheduling/features/worker_rooms.feature
+++ b/libs/scheduling/features/worker_rooms.feature
@@ -56,6 +56,11 @@
     Given workers with the labels "a r1", "b r1" and "a r1"
     Then their rooms hold 2 sets of labels and 3 workers
 
+  # Guards against steps that stay in full cells because short fillers hold memory elsewhere.
+  Scenario: Memory that fillers hold counts as free, that of other tasks doesn't
+    Given a worker of 64000 MB on which a filler holds 20000 MB and another task 10000 MB
+    Then its rooms tell of 54000 MB
+
   # Bounds the bytes of a load.
   Scenario: Labels that are too long aren't published
     Given workers with 30 labels of 100 characters
--- a/libs/scheduling/src/berylcleat/scheduling/_worker_rooms.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_worker_rooms.py
@@ -116,7 +116,11 @@
 
 
 def find_rooms(views: Iterable[WorkerView]) -> WorkerRooms | None:
-    """Return the rooms of workers in order; None if their labels are too long."""
+    """Return the rooms of workers in order; None if their labels are too long.
+
+    What fillers hold counts as free: they end within seconds, while a load is relied on
+    for as long, and cells full of fillers would get no other task.
+    """
     number_by_labels: dict[tuple[str, ...], int] = {}
     label_set_by_worker = []
     free_memory_mb = []
@@ -126,8 +130,11 @@
         number = number_by_labels.setdefault(labels, len(number_by_labels))
         label_set_by_worker.append(number)
         free = view.free()
-        free_memory_mb.append(free.memory_mb)
-        free_accelerators.append(free.accelerators)
+        fillers = [run.step.demand for run in view.filler_runs()]
+        free_memory_mb.append(free.memory_mb + sum(d.memory_mb for d in fillers))
+        free_accelerators.append(
+            free.accelerators + sum(d.accelerators for d in fillers)
+        )
     n_chars = sum(len(label) for labels in number_by_labels for label in labels)
     if n_chars > MAX_LABEL_CHARS:
         return None
