--- a/programs/beryl-host/features/steps/loopback_proxy.py
+++ b/programs/beryl-host/features/steps/loopback_proxy.py
@@ -1,10 +1,13 @@
 """TCP proxy on loopback that delays, blocks, refuses or resets connections."""
 
 import asyncio
+import socket
 from enum import Enum
 
 CHUNK_BYTES = 65536
 DELAY_S = 0.3
+# Connections that fill the backlog of a listener with a backlog of 0.
+N_BACKLOG_FILLERS = 3
 
 
 class LinkMode(Enum):
@@ -19,6 +22,15 @@
     REFUSED = "refused"
 
 
+class ConnectFault(Enum):
+    """What attempts to connect meet while nothing reaches the server."""
+
+    # They time out, as those to a machine that is cut off.
+    HANGS = "hangs"
+    # They are refused, as those to a process that has exited.
+    REFUSED = "refused"
+
+
 class LoopbackProxy:
     """Proxy that forwards connections to ``target``; ``mode`` selects the fault.
 
@@ -32,12 +44,54 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
+        self._connect_fault: ConnectFault | None = None
+        # Hold the address while connections to it hang or are refused.
+        self._sockets: list[socket.socket] = []
 
     async def start(self) -> None:
         """Start listening."""
         host, port = self.address.rsplit(":", 1)
         self._server = await asyncio.start_server(self._serve, host, int(port))
 
+    async def set_connect_fault(self, fault: ConnectFault | None) -> None:
+        """Cut the link so that attempts to connect hang or are refused; None ends it.
+
+        Open connections forward nothing meanwhile and are reset at its end.
+        """
+        if fault is self._connect_fault:
+            return
+        self._connect_fault = fault
+        self._server.close()
+        self._close_sockets()
+        if fault is None:
+            self.reset()
+            await self.start()
+            return
+        self._sockets.append(self._bind())
+        if fault is ConnectFault.HANGS:
+            self._fill_backlog()
+
+    def _bind(self) -> socket.socket:
+        host, port = self.address.rsplit(":", 1)
+        bound = socket.socket()
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind((host, int(port)))
+        return bound
+
+    def _fill_backlog(self) -> None:
+        listener = self._sockets[0]
+        listener.listen(0)
+        for _ in range(N_BACKLOG_FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+            self._sockets.append(filler)
+
+    def _close_sockets(self) -> None:
+        for held in self._sockets:
+            held.close()
+        self._sockets.clear()
+
     def reset(self) -> None:
         """Reset every open connection."""
         for writer in tuple(self._writers):
@@ -46,6 +100,7 @@
     async def stop(self) -> None:
         """Stop listening and close all connections."""
         self._server.close()
+        self._close_sockets()
         self.reset()
         for task in tuple(self._tasks):
             task.cancel()
@@ -75,7 +130,8 @@
     async def _forward(self, reader, writer, cut: LinkMode) -> None:
         try:
             while data := await reader.read(CHUNK_BYTES):
-                if self.mode in (cut, LinkMode.SILENT):
+                is_cut = self.mode in (cut, LinkMode.SILENT)
+                if is_cut or self._connect_fault is not None:
                     # The bytes read are dropped, so never forward later ones.
                     await asyncio.Event().wait()
                 if self.mode is LinkMode.DELAYED:
--- a/standins/src/berylcleat/standins/_row_store.py
+++ b/standins/src/berylcleat/standins/_row_store.py
@@ -53,7 +53,7 @@
             self._put({**put, "ver": self.version})
         for removed in body.get("remove", ()):
             self._remove(removed)
-        self._notify_waiters()
+        self.wake_waiters()
         return 200, {"ver": self.version}
 
     def write(self, table: str, key: str, value: bytes) -> None:
@@ -112,7 +112,8 @@
         key_fields = {name: key_body[name] for name in ("table", "part", "key")}
         self.changes.append({**key_fields, "ver": self.version, "tombstone": True})
 
-    def _notify_waiters(self) -> None:
+    def wake_waiters(self) -> None:
+        """Let all waits for a change return."""
         self.change_event.set()
         self.change_event = asyncio.Event()
 
--- a/standins/src/berylcleat/standins/_task_platform.py
+++ b/standins/src/berylcleat/standins/_task_platform.py
@@ -35,6 +35,7 @@
 from ._ports import find_free_ports
 from ._row_store import RowStore
 from ._task_worker import TaskWorker
+from ._worker_entries import WorkerEntries
 
 JSON_HEADERS = (("content-type", "application/json"),)
 REASON_BY_RESULT = {
@@ -151,6 +152,9 @@
         self.run_recorder = RunRecorder()
         self.steps_by_id: dict[str, tuple[Step, ...]] = {}
         self.outage_mode = ""
+        self.entries = WorkerEntries(
+            self._write_entry, lambda worker_id: self.store.remove("servers", worker_id)
+        )
         self.settings_by_worker = {
             worker_settings.worker_id: worker_settings
             for worker_settings in settings.workers
@@ -163,9 +167,11 @@
             tuple(self.worker_by_id), self, self._read_wave, settings.maintenance_s
         )
         self._server_by_worker: dict[str, HttpServer] = {}
+        self._store_address = settings.store_address
+        self._store_server: HttpServer | None = None
         self.store.write("op", "config", json.dumps(settings.config).encode())
         for worker_settings in settings.workers:
-            self.publish_worker(worker_settings, "ready")
+            self.entries.publish(worker_settings.worker_id, "ready")
 
     def _make_worker(self, worker_settings: WorkerSettings) -> TaskWorker:
         entry = WorkerEntry(
@@ -185,8 +191,8 @@
         worker.started_at_ms = entry.started_at_ms
         return worker
 
-    def publish_worker(self, worker_settings: WorkerSettings, state: str) -> None:
-        """Write the worker's entry with ``state`` into the store."""
+    def _write_entry(self, worker_id: str, state: str) -> None:
+        worker_settings = self.settings_by_worker[worker_id]
         entry = {
             "service": "svc",
             "address": worker_settings.listed_address or worker_settings.address,
@@ -198,12 +204,31 @@
                 "gpu": 0,
             },
             "labels": ["a", worker_settings.rack],
-            "born": self.worker_by_id[worker_settings.worker_id].started_at_ms,
+            "born": self.worker_by_id[worker_id].started_at_ms,
             "seq": 1,
         }
-        self.store.write(
-            "servers", worker_settings.worker_id, json.dumps(entry).encode()
-        )
+        self.store.write("servers", worker_id, json.dumps(entry).encode())
+
+    async def start_store(self) -> None:
+        """Begin to serve the store at its address."""
+        server = HttpServer(self._store_address, self.handle_store_request)
+        await server.start()
+        self._store_server = server
+
+    async def close_store(self, duration_s: float) -> None:
+        """Close the store's connections and refuse new ones for some seconds.
+
+        All entries of workers are gone when it returns; the workers write them again.
+        """
+        server, self._store_server = self._store_server, None
+        if server is None:
+            return
+        self.store.wake_waiters()
+        await server.stop(0.0)
+        self.entries.remove_all()
+        await asyncio.sleep(duration_s)
+        await self.start_store()
+        self.entries.return_all(time.monotonic())
 
     async def start_worker(self, worker_id: str) -> None:
         """Begin to serve a worker at its address."""
@@ -217,9 +242,17 @@
         worker = self.worker_by_id[worker_id]
         worker.crash(time.monotonic())
         worker.is_up = False
-        self.store.remove("servers", worker_id)
+        self.entries.leave(worker_id)
         await self._server_by_worker.pop(worker_id).stop(0.0)
 
+    async def return_worker(self, worker_id: str) -> None:
+        """Start an ended worker again, which knows nothing of before."""
+        worker = self.worker_by_id[worker_id]
+        worker.clock_started_at = time.monotonic()
+        worker.is_up = True
+        await self.start_worker(worker_id)
+        self.entries.publish(worker_id, "ready")
+
     async def join_worker(self, worker_id: str, new_worker_id: str) -> None:
         """Start the worker that replaces an ended one, at another address."""
         worker_settings = replace(
@@ -231,7 +264,7 @@
         self.settings_by_worker[new_worker_id] = worker_settings
         self.worker_by_id[new_worker_id] = self._make_worker(worker_settings)
         await self.start_worker(new_worker_id)
-        self.publish_worker(worker_settings, "ready")
+        self.entries.publish(new_worker_id, "ready")
 
     def _read_wave(self, wave_id: int) -> dict[str, Any] | None:
         return self._read_row("op", f"wave/{wave_id}")
@@ -251,6 +284,8 @@
             raise AbandonConnectionError
         if self.outage_mode == "busy":
             return HttpResponse(503)
+        if self._store_server is None:
+            raise AbandonConnectionError
         answer = await self._execute_store_request(request)
         if self.outage_mode == "lost" and request.method == "POST":
             raise AbandonConnectionError
@@ -283,6 +318,8 @@
             if rows is None:
                 return HttpResponse(410)
             remaining_s = deadline - time.monotonic()
+            if self._store_server is None:
+                raise AbandonConnectionError
             if rows or remaining_s <= 0:
                 return _json_response({"rows": rows, "ver": self.store.version})
             await self.store.wait_for_change(remaining_s)
@@ -350,12 +387,14 @@
         while True:
             for worker in tuple(self.worker_by_id.values()):
                 worker.advance(time.monotonic())
+            self.entries.advance(time.monotonic())
             await asyncio.sleep(ADVANCE_PERIOD_S)
 
     async def handle_control_request(self, request: HttpRequest) -> HttpResponse:
         """Execute a test's control request.
 
-        It reads the run record, sets the outage mode, drains a worker, writes a row,
+        It reads the run record, sets the outage mode, closes the store, drains a
+        worker, ends one, starts it again, cuts one off from the store, writes a row,
         removes one, drops the store's change history, reads what the machine service
         recorded of a wave, or loses answers of that service.
         """
@@ -376,7 +415,19 @@
         if request.target == "/outage":
             self.outage_mode = body["mode"]
         elif request.target == "/drain":
-            self.publish_worker(self.settings_by_worker[body["worker"]], "draining")
+            self.entries.publish(body["worker"], "draining")
+        elif request.target == "/exit":
+            await self.end_worker(body["worker"])
+        elif request.target == "/return":
+            await self.return_worker(body["worker"])
+        elif request.target == "/cut-off":
+            self.entries.cut_off(
+                body["worker"], time.monotonic(), body["heartbeat_age_s"]
+            )
+        elif request.target == "/reconnect":
+            self.entries.reconnect(body["worker"])
+        elif request.target == "/close-store":
+            await self.close_store(body["duration_s"])
         elif request.target == "/write":
             self.store.write(body["table"], body["key"], body["value"].encode())
         elif request.target == "/remove":
@@ -441,13 +492,13 @@
     """Serve the store, the control address and all workers until the stop signal."""
     platform = TaskPlatform(settings)
     servers = [
-        HttpServer(settings.store_address, platform.handle_store_request),
         HttpServer(settings.control_address, platform.handle_control_request),
     ]
     if settings.machine_address:
         servers.append(HttpServer(settings.machine_address, platform.machines.handle))
     for server in servers:
         await server.start()
+    await platform.start_store()
     for worker_id in tuple(platform.worker_by_id):
         await platform.start_worker(worker_id)
     advance_task = asyncio.get_running_loop().create_task(platform.advance_workers())
