Wait for the leases of a draining worker that can't be reached

Cause: a draining worker whose entry had gone counted as exited at the first probe that wasn't sent, and all its reported runs as lost. A probe isn't sent after a refusal, but also after a connect timeout, without a route or a descriptor. A worker that is cut off from its owner and the store for three heartbeats looks the same, and runs on until its lease ends. The next owner believed the same of each recorded draining worker, without any heartbeat.

The scenario of the next owner that didn't wait for a worker that "drained and left" asserted the fault: it is replaced by one that asks for the recorded wait, from below (5.1 s) and from above (6.3 s).

Change: no failed connection ends an incarnation any more, only the worker's word, another one at its address, or its lease. The record of a cell's workers tells for how long leases of draining ones may last; an owner grants none beyond that before a later limit is recorded, so the next owner waits 5.2 to 6.2 s for such a worker, not 18.7 s, whether or not the earlier one still runs. A limit of another owner, or of another incarnation, allows nothing.

--- a/libs/scheduling/features/steps/runs_once_steps.py
+++ b/libs/scheduling/features/steps/runs_once_steps.py
@@ -308,9 +308,7 @@
     scripted_cell = context.scripted_cell
     end = scripted_cell.now + seconds - 0.1
     while scripted_cell.now < end:
-        scripted_cell.cell.on_connection_refused(
-            context.item.worker_id, scripted_cell.now
-        )
+        scripted_cell.cell.on_hold_failed(context.item.worker_id, scripted_cell.now)
         scripted_cell.step()
 
 
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -164,15 +164,30 @@
             or self._recorded_workers != self.worker_by_id.keys()
         )
 
-    def on_recording_workers(self, worker_ids: frozenset[str]) -> None:
-        """Prevent starts on workers that a write lacks; call it before the write."""
+    def on_recording_workers(
+        self, worker_ids: frozenset[str], now: float
+    ) -> dict[str, float]:
+        """Prevent starts on workers that a write lacks; call it before the write.
+
+        Return for how many seconds leases on draining workers last at most, to record.
+        """
         self._recorded_workers &= worker_ids
         self._is_worker_record_in_doubt = True
+        views = [self.worker_by_id[worker_id] for worker_id in worker_ids]
+        lease_left_s_by_worker = {}
+        for worker_id, limit_ms in self._drain_limits.propose(views, now).items():
+            view = self.worker_by_id[worker_id]
+            lease_left_s_by_worker[worker_id] = max(
+                self._lease_left_s(worker_id, view, now),
+                view.clock.latest_reach_time(limit_ms) - now,
+            )
+        return lease_left_s_by_worker
 
     def on_workers_recorded(self, worker_ids: frozenset[str]) -> None:
         """Allow starts on recorded workers, which the next owner will know."""
         self._recorded_workers = set(worker_ids)
         self._is_worker_record_in_doubt = False
+        self._drain_limits.on_recorded()
 
     def is_settled(self, worker_id: str) -> bool:
         """Return whether all runs of earlier owners on a worker are known."""
@@ -231,17 +246,6 @@
                 reason = "another worker has its address"
                 self._mark_lost(run, reason, now, may_have_crashed=True)
 
-    def on_connection_refused(self, worker_id: str, now: float) -> None:
-        """Handle a refused connection to a worker.
-
-        A draining worker that is no longer listed has then exited.
-        """
-        view = self.worker_by_id.get(worker_id)
-        if view is None or view.is_listed or not view.entry.is_draining:
-            return
-        self._unsettled_workers.discard(worker_id)
-        self._end_incarnation(view, "drained worker exited", now)
-
     def on_fenced(self, worker_id: str) -> None:
         """Mark this owner as fenced: a worker has seen a higher epoch."""
         if self.is_fenced_out:
@@ -332,6 +336,7 @@
         self.confirmation.is_awaited = False
         self._observe_time(now)
         self._expire_leases(now)
+        self._settle_gone(now)
         self._retry_stops(now)
         self._limit_interference(now)
         self._refresh_conditions(now)
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -16,6 +16,7 @@
 from ._backlog_meter import CompletedWork
 from ._confirmation import OwnershipConfirmation
 from ._crashes import CrashTracker
+from ._drain_limits import DrainLimits
 from ._evacuation import MAX_PAUSE_S, AvailabilityTracker, CellEvacuation
 from ._filler_stops import choose_fillers_to_stop, must_stop_all_fillers
 from ._finish_estimate import FinishEstimator
@@ -111,6 +112,7 @@
         self._unsettled_workers = {entry.worker_id for entry in earlier_workers}
         self._recorded_workers = set(self._unsettled_workers)
         self._is_worker_record_in_doubt = False
+        self._drain_limits = DrainLimits(times)
         self._inherited_submissions: set[str] = set()
         self._tasks_with_known_run: set[TaskKey] = set()
         # Tasks that earlier owners have certainly not started unknown to this one.
@@ -204,6 +206,33 @@
         for worker_id, left_s in lease_left_s_by_worker.items():
             self._settled_at_by_worker[worker_id] = now + min(left_s, longest_s)
 
+    def on_recorded_leases(
+        self, lease_left_s_by_worker: Mapping[str, float], now: float
+    ) -> None:
+        """Wait no longer for runs on draining workers than the record of them tells.
+
+        No earlier owner, stopped or not, requests a lease that outlasts it.
+        """
+        for worker_id, left_s in lease_left_s_by_worker.items():
+            if worker_id in self._unsettled_workers:
+                settled_at = min(self._settled_at, now + left_s)
+                self._settled_at_by_worker[worker_id] = settled_at
+                self._drain_limits.on_inherited(worker_id)
+
+    def _settle_gone(self, now: float) -> None:
+        """Count drained workers as settled that have left without an answer.
+
+        Once every lease has expired, nothing more is to be learned from them.
+        """
+        for worker_id in tuple(self._unsettled_workers):
+            view = self.worker_by_id.get(worker_id)
+            if view is None or view.is_listed or not view.entry.is_draining:
+                continue
+            settled_at = self._settled_at_by_worker.get(worker_id, self._settled_at)
+            if now >= settled_at and self.confirmation.covers(settled_at):
+                logger.info("worker %s: drained, every lease has expired", worker_id)
+                self._unsettled_workers.discard(worker_id)
+
     def on_earlier_owner_stopped(self, earlier_unsettled_s: float, now: float) -> None:
         """Shorten the wait for runs of the previous owner, which has stopped.
 
@@ -366,7 +395,10 @@
 
     def lease_until_ms(self, view: WorkerView, now: float) -> int:
         """Return the lease end to request, and count the lease as possibly granted."""
-        until_ms = view.clock.earliest_ms(now) + int(self.times.worker_lease_s * 1000)
+        worker_id = view.entry.worker_id
+        lease_s = self.times.lease_s(view.entry.is_draining)
+        until_ms = view.clock.earliest_ms(now) + int(lease_s * 1000)
+        until_ms = self._drain_limits.cap(worker_id, until_ms)
         view.clock.extend_lease(until_ms)
         return until_ms
 
@@ -468,6 +500,8 @@
                 run.phase_since = now
         view.clock.assume_longest_lease(now, self.times.max_lease_s)
         view.expect_late_start(self.times)
+        if self._drain_limits.on_incarnation_ended(view.entry.worker_id):
+            self._recorded_workers.discard(view.entry.worker_id)
         view.incarnation_ms = 0
         view.has_seen_epoch = False
         view.handled_number = 0
--- a/libs/scheduling/src/berylcleat/scheduling/_leases.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_leases.py
@@ -17,12 +17,22 @@
     ``owner_limit_s`` bounds how long an owner continues to send orders and renew leases
     after the store last confirmed its ownership; it must exceed the store outages that
     running work should survive. ``max_lease_s`` is the longest lease that a worker
-    grants.
+    grants. A draining worker gets ``draining_lease_s`` at most: one that has exited
+    can't be told from one that is cut off, so its tasks wait for the end of its lease.
+    The record of a cell's workers allows it leases for ``recorded_lease_s``.
     """
 
     worker_lease_s: float = 5.0
     max_lease_s: float = 6.0
     owner_limit_s: float = 12.0
+    draining_lease_s: float = 2.0
+    recorded_lease_s: float = 5.0
+
+    def lease_s(self, is_draining: bool) -> float:
+        """Return how long a lease to request lasts."""
+        if is_draining:
+            return min(self.worker_lease_s, self.draining_lease_s)
+        return self.worker_lease_s
 
     def takeover_wait_s(self, owner_is_dead: bool) -> float:
         """Return how long runs of an earlier owner can outlive a takeover."""
--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -29,18 +29,43 @@
     Then the workers must be written again
 
   # Guards against LOST: the next owner waited 18.7 s for runs on a worker that had
-  # drained and left while the cell had no owner.
-  Scenario Outline: The next owner doesn't wait for a worker that <drains> and left
+  # drained and left while the cell had no owner. Guards against TWICE (issue 52): it
+  # didn't wait for their leases, though one that is cut off looks the same.
+  Scenario Outline: The next owner waits for the recorded leases of a worker that <drains>
     Given a cell with recorded workers "w1 w2"
     When "w1" <drains> and the owner's process ends
     And the next owner finds "w1" neither listed nor reachable, and "w2" reports
-    Then the next owner knows all runs of earlier owners
+    Then the next owner doesn't know all runs of earlier owners
+    And after 5.1 seconds the next owner doesn't know all runs of earlier owners
+    And after 6.3 seconds the next owner knows all runs of earlier owners
 
     Examples:
       | drains                                |
       | drained                               |
       | drained during a write of the workers |
 
+  # Guards against TWICE: an owner after the next one relied on a record of leases that
+  # the next one had outlasted.
+  Scenario: The next owner records its leases on a draining worker before it grants any
+    Given a cell with recorded workers "w1 w2"
+    When "w1" drained and the owner's process ends
+    And the next owner finds a run on "w1"
+    Then it grants "w1" no lease
+    When the workers are recorded until nothing is left to record
+    Then it grants "w1" a lease of 2 s
+    And the record allows "w1" leases of 5 s
+
+  # Guards against TWICE: which worker's clock the record means isn't told.
+  Scenario: A draining worker that restarts gets no lease before it is recorded again
+    Given a cell with recorded workers "w1 w2"
+    When "w1" drained and the owner's process ends
+    And the next owner finds a run on "w1"
+    And the workers are recorded until nothing is left to record
+    And "w1" restarts and has a run
+    Then it grants "w1" no lease
+    When the workers are recorded until nothing is left to record
+    Then it grants "w1" a lease of 2 s
+
   # Guards against TWICE: a worker that isn't known to drain may restart.
   Scenario: The next owner waits for a worker that left without draining
     Given a cell with recorded workers "w1 w2"
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -48,6 +48,7 @@
     OrderAnswer,
     OrderResult,
     RowPage,
+    RunningTask,
     StartOrder,
     StoreRow,
     WorkerReport,
@@ -426,6 +427,7 @@
 @when('"{name}" drained and the owner\'s process ends')
 def step_worker_drained(context, name):
     make_owning_scheduler(context)
+    renew_lease(context.scheduler, name)
     list_as_draining(context.scheduler, name)
     step_record_workers(context)
 
@@ -433,6 +435,7 @@
 @when('"{name}" drained during a write of the workers and the owner\'s process ends')
 def step_worker_drained_meanwhile(context, name):
     make_owning_scheduler(context)
+    renew_lease(context.scheduler, name)
     context.scheduler.list_worker(make_worker_entry("w3"), 1.0)
 
     async def drain():
@@ -457,6 +460,13 @@
     context.run(context.recorder.read_workers())
 
 
+def renew_lease(scheduler, name):
+    """Let a worker report, and grant it the usual lease."""
+    now = now_s()
+    scheduler.on_report(name, WorkerReport(100_000, 1, (), ()), now, now)
+    scheduler.lease_until_ms(scheduler.worker_by_id[name], now)
+
+
 def list_as_draining(scheduler, name):
     scheduler.list_worker(replace(make_worker_entry(name), is_draining=True), 1.0)
 
@@ -465,14 +475,15 @@
     'the next owner finds "{left}" neither listed nor reachable, and "{name}" reports'
 )
 def step_next_owner(context, left, name):
-    workers = read_row(context, WORKERS_KEY, WorkersRow).workers
+    recorder = make_recorder(context)
+    workers = context.run(recorder.read_workers())
     scheduler = CellScheduler(
-        CELL, 3, LeaseTimes(), 0.0, 18.0, workers, InterferenceModel()
+        CELL, 3, LeaseTimes(), 0.0, 19.7, workers, InterferenceModel()
     )
+    scheduler.on_recorded_leases(recorder.lease_left_s_by_worker, 1.0)
     for worker in workers:
         if worker.worker_id == left:
             scheduler.on_hold_failed(left, 1.0)
-            scheduler.on_connection_refused(left, 1.0)
         else:
             scheduler.list_worker(worker, 1.0)
             report = WorkerReport(1000, 1, (), ())
@@ -480,11 +491,70 @@
     context.scheduler = scheduler
 
 
+def report_run(context, name, started_at_ms, clock_ms):
+    """Let a worker report that it runs the first task, number 1."""
+    now = now_s()
+    running = (RunningTask(TASK, 1, "", 100),)
+    report = WorkerReport(clock_ms, started_at_ms, running, ())
+    context.scheduler.on_report(name, report, now, now)
+
+
+@when('the next owner finds a run on "{name}"')
+def step_run_found(context, name):
+    context.recorder = make_recorder(context)
+    workers = context.run(context.recorder.read_workers())
+    context.scheduler = CellScheduler(
+        CELL, 3, LeaseTimes(), 0.0, 0.0, workers, InterferenceModel()
+    )
+    leases = context.recorder.lease_left_s_by_worker
+    context.scheduler.on_recorded_leases(leases, now_s())
+    for worker in workers:
+        context.scheduler.list_worker(worker, now_s())
+    context.scheduler.add_submission(SUBMISSION, Progress(), 1.0, 1.0, inherited=True)
+    report_run(context, name, 1, 100_000)
+
+
+@when('"{name}" restarts and has a run')
+def step_restarts_with_run(context, name):
+    report_run(context, name, 2, 1000)
+
+
+def lease_s(context, name):
+    """Return how long the lease lasts that a worker is granted now."""
+    view = context.scheduler.worker_by_id[name]
+    now = now_s()
+    until_ms = context.scheduler.lease_until_ms(view, now)
+    return (until_ms - view.clock.earliest_ms(now)) / 1000
+
+
+@then('it grants "{name}" no lease')
+def step_no_lease(context, name):
+    assert lease_s(context, name) <= 0
+
+
+@then('it grants "{name}" a lease of {seconds:g} s')
+def step_lease(context, name, seconds):
+    assert abs(lease_s(context, name) - seconds) < 0.1, lease_s(context, name)
+
+
+@then('the record allows "{name}" leases of {seconds:g} s')
+def step_recorded_lease(context, name, seconds):
+    row = read_row(context, WORKERS_KEY, WorkersRow)
+    left_s = row.lease_left_s_by_worker[name]
+    # The first lease may be that of an earlier owner, 6 s.
+    assert seconds <= left_s <= 1.1 * LeaseTimes().max_lease_s, left_s
+
+
 @then("the next owner {knows} all runs of earlier owners")
 def step_knows_runs(context, knows):
     assert context.scheduler.has_settled(1.0) == (knows == "knows")
 
 
+@then("after {seconds:g} seconds the next owner {knows} all runs of earlier owners")
+def step_knows_runs_later(context, seconds, knows):
+    assert context.scheduler.has_settled(1.0 + seconds) == (knows == "knows")
+
+
 @when("the workers are recorded until nothing is left to record")
 def step_record_workers(context):
     async def record():
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -154,6 +154,7 @@
             self._interference,
             expected_finish=self._expected_finish,
         )
+        scheduler.on_recorded_leases(self._recorder.lease_left_s_by_worker, now_s())
         if self._learns_uneven_workers:
             scheduler.uneven_workers = UnevenWorkers()
             observe_uneven_workers(scheduler)
--- a/programs/beryl-host/src/berylcleat/host/_hold_loops.py
+++ b/programs/beryl-host/src/berylcleat/host/_hold_loops.py
@@ -131,8 +131,6 @@
             self._scheduler.on_fenced(worker_id)
         else:
             self._scheduler.on_hold_failed(worker_id, now_s())
-            if answer.result is OrderResult.NOT_SENT:
-                self._scheduler.on_connection_refused(worker_id, now_s())
             if answer.result is OrderResult.OTHER_INCARNATION:
                 self._scheduler.on_other_incarnation(worker_id, now_s())
                 self._on_report()
--- a/programs/beryl-host/src/berylcleat/host/_recorder.py
+++ b/programs/beryl-host/src/berylcleat/host/_recorder.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from itertools import accumulate
+from typing import Annotated
 
 import msgspec
 
@@ -77,7 +78,15 @@
     workers: tuple[msgspec.Raw, ...]
 
 
+class _RawLeasesRow(msgspec.Struct, frozen=True):
+    """How long leases last at most, by worker, each still to be decoded."""
+
+    lease_left_s_by_worker: dict[str, msgspec.Raw] = msgspec.field(default_factory=dict)
+
+
 _row_decoder = msgspec.json.Decoder(_RawWorkersRow)
+_leases_decoder = msgspec.json.Decoder(_RawLeasesRow)
+_lease_decoder = msgspec.json.Decoder(Annotated[float, msgspec.Meta(ge=0)])
 _entry_decoder = msgspec.json.Decoder(WorkerEntry)
 
 
@@ -123,6 +132,8 @@
         self._compact_ids: set[str] = set()
         self._retry_at_by_rejected_id: dict[str, float] = {}
         self._workers_version = 0
+        # How long leases on recorded workers last at most, in seconds from the read.
+        self.lease_left_s_by_worker: dict[str, float] = {}
 
     async def confirm_ownership(self) -> None:
         """Read the owner row. Raises ``BerylError`` if the store doesn't answer."""
@@ -149,9 +160,21 @@
         page = await self._store.read(RECORDED_WORKER_TABLE, self._cell_id, WORKERS_KEY)
         for row in page.rows:
             self._workers_version = row.version
+            self.lease_left_s_by_worker = self._decode_leases(row.value)
             return self._decode_workers(row.value)
         return ()
 
+    def _decode_leases(self, value: bytes) -> dict[str, float]:
+        """Return how long leases last at most, as far as it can be decoded."""
+        left_s_by_worker = {}
+        try:
+            raw_by_worker = decode_json(_leases_decoder, value).lease_left_s_by_worker
+            for worker_id, raw in raw_by_worker.items():
+                left_s_by_worker[worker_id] = decode_json(_lease_decoder, raw)
+        except MalformedValueError as error:
+            self._log_workers(error)
+        return left_s_by_worker
+
     def _decode_workers(self, value: bytes) -> tuple[WorkerEntry, ...]:
         try:
             raw_entries = decode_json(_row_decoder, value).workers
@@ -188,12 +211,12 @@
     async def record_workers(self, scheduler: CellScheduler) -> bool:
         """Record the cell's workers; return whether they are durable."""
         views = dict(scheduler.worker_by_id)
-        scheduler.on_recording_workers(frozenset(views))
+        requested_at = now_s()
+        leases = scheduler.on_recording_workers(frozenset(views), requested_at)
         entry_by_worker = {worker_id: view.entry for worker_id, view in views.items()}
-        row = WorkersRow(tuple(entry_by_worker.values()))
+        row = WorkersRow(tuple(entry_by_worker.values()), leases)
         row_key = (RECORDED_WORKER_TABLE, self._cell_id, WORKERS_KEY)
         conditions = (self._owner_condition, Condition(*row_key, self._workers_version))
-        requested_at = now_s()
         try:
             outcome = await self._store.commit(
                 Commit(conditions, (RowWrite(*row_key, encode(row)),))
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -118,9 +118,16 @@
 
 
 class WorkersRow(msgspec.Struct, frozen=True):
-    """Workers on which the owner of a cell may have started tasks."""
+    """Workers on which the owner of a cell may have started tasks.
+
+    No lease on a worker of ``lease_left_s_by_worker`` lasts longer than so many seconds
+    from the time when the row was written, whether or not that owner goes on.
+    """
 
     workers: tuple[WorkerEntry, ...]
+    lease_left_s_by_worker: dict[str, Annotated[float, msgspec.Meta(ge=0)]] = (
+        msgspec.field(default_factory=dict)
+    )
 
 
 class MoveRow(msgspec.Struct, frozen=True, array_like=True):
