Tell a lost connection from a malformed response

Cause: an EOF in place of a response makes h11's state ERROR, and ClientConnection took every protocol error before the head for a malformed response. All connect errors were one kind.

Change: an EOF before the head, with nothing but the start of a response received, is CONNECTION_LOST; MALFORMED stays for other bytes, CUT_SHORT for what ends after the head. Connect errors are CONNECT_REFUSED, CONNECT_TIMED_OUT or CONNECT_FAILED (no descriptor, no route); request_sent is False for all three.

Callers read: StoreClient, MachineClient, WorkerClient, PeerClient, the platform client of libs/ports and berylctl decide by request_sent alone, so a write whose connection is lost still counts as possibly performed and is retried as before. beryl-entry counts the attempt as lost instead of cut short; both are retried and reported alike.

--- a/libs/http/src/berylcleat/http/_client.py
+++ b/libs/http/src/berylcleat/http/_client.py
@@ -15,6 +15,8 @@
 # A response that keeps arriving, such as a large one on a slow link, may take up to
 # this many times the timeout.
 MAX_TIMEOUT_PERIODS = 4
+# First bytes of every response.
+HTTP_PREFIX = b"HTTP/"
 # Errors of an attempt to connect. ValueError and SettingsError: an address that another
 # process has sent is no address; a host name with a zero byte, say.
 CONNECT_ERRORS = (OSError, TimeoutError, SettingsError, ValueError)
@@ -82,6 +84,9 @@
         self._process_events()
 
     def eof_received(self) -> bool:
+        if self._response_head is None and self._received_response_start():
+            self._fail(ExchangeFailure.CONNECTION_LOST)
+            return False
         self._h11.receive_data(b"")
         self._process_events()
         return False
@@ -90,6 +95,11 @@
         failure = ExchangeFailure.CONNECTION_LOST
         self._fail(ExchangeFailure.CUT_SHORT if self._response_head else failure)
 
+    def _received_response_start(self) -> bool:
+        """Return whether what arrived before the head may be the start of one."""
+        received, _ = self._h11.trailing_data
+        return HTTP_PREFIX.startswith(received[: len(HTTP_PREFIX)])
+
     def _process_events(self) -> None:
         try:
             while self._response_future and not self._response_future.done():
@@ -144,7 +154,7 @@
     """HTTP client of one address with at most ``max_connections`` connections.
 
     Requests aren't queued: if all connections are in use, an exchange fails with
-    ``CONNECT_FAILED``.
+    ``CONNECT_FAILED``, as after any connect error that isn't a refusal or a timeout.
     """
 
     def __init__(self, address: str, *, max_connections: int = 64):
@@ -251,7 +261,7 @@
             if not isinstance(error, CONNECT_ERRORS):
                 raise
             raise ExchangeError(
-                ExchangeFailure.CONNECT_FAILED, self.address, request_sent=False
+                _connect_failure(error), self.address, request_sent=False
             ) from error
 
     def release(self, connection: ClientConnection) -> None:
@@ -265,3 +275,12 @@
         """Close a connection that was taken."""
         self.n_open -= 1
         connection.close()
+
+
+def _connect_failure(error: BaseException) -> ExchangeFailure:
+    """Return the kind of a failed attempt to connect."""
+    if isinstance(error, ConnectionRefusedError):
+        return ExchangeFailure.CONNECT_REFUSED
+    if isinstance(error, TimeoutError):
+        return ExchangeFailure.CONNECT_TIMED_OUT
+    return ExchangeFailure.CONNECT_FAILED
--- a/libs/http/src/berylcleat/http/_messages.py
+++ b/libs/http/src/berylcleat/http/_messages.py
@@ -56,9 +56,24 @@
 
 
 class ExchangeFailure(Enum):
-    """Kind of failure of an exchange (a request and its response)."""
+    """Kind of failure of an exchange (a request and its response).
+
+    Without a connection, so that nothing was sent:
+    CONNECT_REFUSED: the host at the address refused it.
+    CONNECT_TIMED_OUT: there was no answer in time.
+    CONNECT_FAILED: any other reason, no free descriptor or no route say.
+
+    After the request was sent:
+    CONNECTION_LOST: it was closed or reset before the head was complete.
+    TIMED_OUT: no complete response arrived in time.
+    CUT_SHORT: the response ended, or was no longer one, after its head.
+    TOO_LARGE: the body exceeds the limit.
+    MALFORMED: what arrived isn't a response.
+    """
 
     CONNECT_FAILED = "connect-failed"
+    CONNECT_REFUSED = "connect-refused"
+    CONNECT_TIMED_OUT = "connect-timed-out"
     CONNECTION_LOST = "connection-lost"
     TIMED_OUT = "timed-out"
     CUT_SHORT = "cut-short"
--- a/libs/ports/src/berylcleat/ports/_task_workers.py
+++ b/libs/ports/src/berylcleat/ports/_task_workers.py
@@ -5,6 +5,7 @@
 from enum import Enum
 from typing import Protocol
 
+from berylcleat.http import ExchangeFailure
 from berylcleat.model import StepKey, TaskKey
 
 
@@ -124,13 +125,15 @@
 class OrderAnswer:
     """Result of an order, the worker's monotonic clock (0: unknown) and its report.
 
-    ``transmission`` is None if the order wasn't sent, or isn't a start.
+    ``transmission`` is None if the order wasn't sent, or isn't a start. ``failure``
+    tells why there is no answer, if an exchange was attempted.
     """
 
     result: OrderResult
     clock_ms: int = 0
     report: WorkerReport | None = None
     transmission: OrderTransmission | None = None
+    failure: ExchangeFailure | None = None
 
 
 @dataclass(frozen=True, slots=True)
