--- a/programs/beryl-host/src/berylcleat/host/_hold_loops.py
+++ b/programs/beryl-host/src/berylcleat/host/_hold_loops.py
@@ -10,6 +10,7 @@
 from berylcleat.scheduling import CellScheduler, WorkerView
 
 from ._clock import now_s
+from ._probe_log import ProbeLog
 
 # Long-poll timeout of a hold request: a worker answers it when a task ends or after
 # this time, so this also bounds the time between two lease renewals.
@@ -45,6 +46,7 @@
         self._on_forgotten = on_forgotten
         self._task_by_worker: dict[str, asyncio.Task] = {}
         self._entry_by_worker: dict[str, WorkerEntry] = {}
+        self._probe_log = ProbeLog()
 
     def connect(self, entry: WorkerEntry) -> None:
         """Start the loop of a worker unless it has one to the same address.
@@ -131,6 +133,7 @@
             self._scheduler.on_fenced(worker_id)
         else:
             self._scheduler.on_hold_failed(worker_id, now_s())
+            self._probe_log.on_failure(self._scheduler, worker_id, answer, now_s())
             if answer.result is OrderResult.NOT_SENT:
                 self._scheduler.on_connection_refused(worker_id, now_s())
             if answer.result is OrderResult.OTHER_INCARNATION:
