Keep a worker that left while a run of an unknown submission is there

What callers would see: TWICE. An owner forgets a worker whose entry is gone, after one lost hold, although the worker reported a run of a submission that the owner's feed hadn't delivered yet. The submission arrives, counts as settled, and its task starts on another worker beside the run. Entries of all workers may be missing for seconds while the store is closed and right after.

Evidence: read, not taken from the users' record. Two scenarios of runs_once.feature fail without the change: the task starts on the other worker, and the worker is forgotten at once.

--- a/libs/scheduling/features/runs_once.feature
+++ b/libs/scheduling/features/runs_once.feature
@@ -96,6 +96,30 @@
     When the end is recorded
     Then the worker may be forgotten
 
+  # Guards against TWICE: an entry that is missing for a moment, as after a restart of the
+  # store, and a lost hold let the owner forget the worker and its run. The feed delivered
+  # the submission afterwards.
+  Scenario: A worker that is gone from the list stays known while a run there is unknown
+    Given a cell with 2 workers of 8 cores
+    When a worker reports a run of a task whose submission is unknown
+    And the worker is silent and no longer listed, and is forgotten if it may be
+    And the submission is added
+    And 3 seconds pass
+    Then the task isn't started a second time
+    When 5 seconds pass
+    Then the task has started on "w1" alone
+
+  # Guards against probes without end of a worker that has left.
+  Scenario: A worker that left with an unknown run is forgotten after its lease
+    Given a cell with 2 workers of 8 cores
+    When a worker reports a run of a task whose submission is unknown
+    And the worker is silent and no longer listed, and is forgotten if it may be
+    And 3 seconds pass
+    Then the owner knows "w0"
+    When 5 seconds pass
+    And the worker is silent and no longer listed, and is forgotten if it may be
+    Then the owner doesn't know "w0"
+
   # Guards against LOST: each refused connection counted the longest lease anew.
   Scenario: A start on a drained worker that has exited is repeated after every lease
     Given a cell with 2 workers of 8 cores
--- a/libs/scheduling/features/steps/early_report_steps.py
+++ b/libs/scheduling/features/steps/early_report_steps.py
@@ -78,3 +78,29 @@
 @then("the run is stopped")
 def step_unknown_run_stopped(context):
     assert context.scripted_cell.stops[0].order.task == TASK
+
+
+@when("the worker is silent and no longer listed, and is forgotten if it may be")
+def step_forget(context):
+    cell = context.scripted_cell.cell
+    context.scripted_cell.silent.add("w0")
+    cell.unlist_worker("w0")
+    cell.on_hold_failed("w0", context.scripted_cell.now)
+    if cell.can_forget("w0"):
+        del cell.worker_by_id["w0"]
+
+
+@then('the owner knows "{name}"')
+def step_known(context, name):
+    assert name in context.scripted_cell.cell.worker_by_id
+
+
+@then('the owner doesn\'t know "{name}"')
+def step_not_known(context, name):
+    assert name not in context.scripted_cell.cell.worker_by_id
+
+
+@then('the task has started on "{name}" alone')
+def step_started_on(context, name):
+    started = [item.worker_id for item in context.scripted_cell.starts]
+    assert started == [name], started
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -504,6 +504,8 @@
     def _expire_leases(self, now: float) -> None:
         for view in self.worker_by_id.values():
             expires_at = view.leases_expire_at()
+            if now > expires_at and self.confirmation.covers(expires_at):
+                view.unknown_run_by_task.clear()
             # A later owner may have renewed the lease.
             if (
                 view.run_by_task
