Answer the first request of a follower after an outage at once

What callers would see: LOST, and time without work. After a store was closed, a follower of the cells or of submissions sent a long poll of 1.8 s; until it was answered the host didn't know that the store was back. An owner whose last confirmation was older than 12 s sent no hold and started nothing for that time (its own read of the owner row is only asked for by a planning round, which needs the confirmation), and no host acquired a cell (reconcile waits for the follower of cells).

Cause: Follower.run followed with its full wait although the last request had failed.

Change: while it is failing, it follows without a wait.

Evidence: store_closed.feature. Before, "A follower of the cells" and "of the submissions knows at once that the store is back" fail: not confirmed 0.5 s after the return. The other six scenarios pass before and after: entries that lapse, also with the history lost (410), take no run from an owner, and a submission stored as the store closes reaches the follower.

--- a/programs/beryl-host/src/berylcleat/host/_follower.py
+++ b/programs/beryl-host/src/berylcleat/host/_follower.py
@@ -65,7 +65,10 @@
                     await self._read_all()
                     must_reread = False
                 else:
-                    await self._follow(self._wait_s)
+                    # Owners, and cells to be acquired, wait for the first answer after
+                    # an outage: it comes without a change, too.
+                    is_failing = self.failing_since is not None
+                    await self._follow(0.0 if is_failing else self._wait_s)
             except HistoryLostError as error:
                 logger.info("table %s: %s", self._table, error)
                 must_reread = True
