Drop a move that the store refuses for a second

What callers would see: while a store is closed, tasks whose move to another cell was proposed just before can't start in their own cell, also if a worker there becomes free; once the store is open they move on a load of before the outage, where there may be no room any more.

Cause: TaskMover.move sent a move again without end, also one that was certainly not carried out.

Change: after one second without an attempt whose outcome is unknown, the move is settled as not made; the next round proposes it again if it is still wanted. After an attempt without an answer it is repeated until the outcome is known, as before.

Evidence: "A move that the store refuses for long is dropped" of store_closed.feature fails before (not settled after 1.5 s) and passes now; "A move without an answer isn't dropped" passes in both.

--- a/programs/beryl-host/features/steps/store_closed_steps.py
+++ b/programs/beryl-host/features/steps/store_closed_steps.py
@@ -2,11 +2,20 @@
 
 from behave import given, then, when
 from host_parts import CELL, make_controller, make_worker_entry
+from moves_steps import (
+    HOME,
+    SUBMISSION_ID,
+    TASK,
+    Ownership,
+    RecordingOwner,
+    make_accepted,
+)
 from odd_entries_steps import plan_starts
 
 from berylcleat.host._clock import now_s
 from berylcleat.host._follower import TableFollower
 from berylcleat.host._on_demand_follower import OnDemandFollower
+from berylcleat.host._operator_state import OperatorState
 from berylcleat.host._records import (
     CELL_TABLE,
     OWNER_KEY,
@@ -14,6 +23,9 @@
     OwnerRow,
     encode,
 )
+from berylcleat.host._submission_directory import SubmissionDirectory
+from berylcleat.host._submission_store import AcceptResult, SubmissionStore
+from berylcleat.host._task_mover import TaskMover
 from berylcleat.model import (
     OutcomeUnknownError,
     PlatformUnavailableError,
@@ -23,7 +35,7 @@
     TaskDemand,
 )
 from berylcleat.ports import OrderAnswer, OrderResult, WorkerReport
-from berylcleat.scheduling import Progress
+from berylcleat.scheduling import MoveProposal, Progress, TaskMove
 from berylcleat.standins import MemoryStore
 
 # Wait of a long poll, as that of a host.
@@ -57,6 +69,10 @@
         self._check_open()
         return await super().list_parts(table)
 
+    async def commit(self, commit):
+        self._check_open()
+        return await super().commit(commit)
+
     async def follow(self, table, after, wait_s):
         self._check_open()
         deadline = now_s() + wait_s
@@ -256,3 +272,76 @@
 def step_known(context):
     context.run(wait_and_stop(context, 1.0))
     assert [row.key for row in context.received] == ["a" * 16], context.received
+
+
+# Moves
+
+
+@given("an owner that moves a task while the store is closed")
+def step_move(context, n_lost_answers=0):
+    context.store = ClosableStore()
+    owner_row = encode(OwnerRow(1, "host-1", "aa"))
+    context.store.put(CELL_TABLE, HOME, OWNER_KEY, owner_row)
+    submissions = SubmissionStore(context.store)
+    assert context.run(submissions.accept(make_accepted(HOME))) is AcceptResult.STORED
+    directory = SubmissionDirectory()
+    directory.add_entry(
+        SUBMISSION_ID, context.run(submissions.read_entry(SUBMISSION_ID, HOME))
+    )
+    context.submissions = submissions
+    context.owner = RecordingOwner(HOME, records=True)
+    rows = context.store.rows_by_key(CELL_TABLE, HOME)
+    context.owner.owner_version = rows[OWNER_KEY].version
+    mover = TaskMover(
+        submissions, directory, None, None, Ownership([]), OperatorState()
+    )
+    context.store.n_lost_answers = n_lost_answers
+    context.store.is_closed = not n_lost_answers
+    proposal = MoveProposal(SUBMISSION_ID, {TASK: TaskMove("r2", 1)})
+
+    async def start():
+        loop = asyncio.get_running_loop()
+        context.move = loop.create_task(mover.move(context.owner, proposal))
+        await asyncio.sleep(0.1)
+        context.store.is_closed = True
+
+    context.run(start())
+
+
+@given(
+    "an owner that moves a task while the store is closed, after an attempt without an "
+    "answer"
+)
+def step_unanswered_move(context):
+    step_move(context, n_lost_answers=1)
+
+
+@then("the move is dropped within {seconds:f} s")
+def step_dropped(context, seconds):
+    context.run(asyncio.sleep(seconds))
+    assert len(context.owner.settled) == 1
+
+
+@then("the move isn't dropped within {seconds:f} s")
+def step_not_dropped(context, seconds):
+    context.run(asyncio.sleep(seconds))
+    assert not context.owner.settled
+
+
+def open_store(context):
+    """Open the store; return the cells of the submission a second later."""
+    context.store.is_closed = False
+    context.run(asyncio.sleep(1.0))
+    assert context.move.done()
+    return context.run(context.submissions.read_entry(SUBMISSION_ID, HOME)).cells()
+
+
+@then("nothing has moved once the store is open")
+def step_nothing_moved(context):
+    assert open_store(context) == {HOME}
+
+
+@then("it is settled once the store is open")
+def step_settled(context):
+    assert open_store(context) == {HOME, "r2"}
+    assert len(context.owner.settled) == 1
--- a/programs/beryl-host/features/store_closed.feature
+++ b/programs/beryl-host/features/store_closed.feature
@@ -44,3 +44,16 @@
       | history                   |
       | its history is kept       |
       | its history is lost       |
+
+  # Guards against LOST: tasks to be moved couldn't start in their cell while the store was
+  # closed, and moved on a load of before.
+  Scenario: A move that the store refuses for long is dropped
+    Given an owner that moves a task while the store is closed
+    Then the move is dropped within 1.5 s
+    And nothing has moved once the store is open
+
+  # Guards against TWICE: the store may have carried it out.
+  Scenario: A move without an answer isn't dropped
+    Given an owner that moves a task while the store is closed, after an attempt without an answer
+    Then the move isn't dropped within 1.5 s
+    And it is settled once the store is open
--- a/programs/beryl-host/src/berylcleat/host/_task_mover.py
+++ b/programs/beryl-host/src/berylcleat/host/_task_mover.py
@@ -20,6 +20,9 @@
 from ._submission_store import MoveCommit, SubmissionStore, make_owner_condition
 
 MOVE_RETRY_S = 0.3
+# Seconds for which a move is sent again that the store hasn't carried out: its tasks
+# can't start meanwhile, and the load that it relies on gets old.
+MAX_UNSENT_MOVE_S = 1.0
 logger = logging.getLogger(__name__)
 
 
@@ -72,8 +75,11 @@
     async def move(self, controller: OwnedCell, proposal: MoveProposal) -> None:
         """Record a proposed move; retry until the outcome is known or ownership ends.
 
-        The scheduler doesn't start the proposed tasks before the outcome is known.
+        The scheduler doesn't start the proposed tasks before the outcome is known. A
+        move that the store has certainly not carried out is soon dropped.
         """
+        proposed_at = now_s()
+        is_outcome_unknown = False
         entry = self._directory.by_id[proposal.submission_id]
         if entry.are_moves_unknown:
             # Moves are stored as a whole: these would replace the unreadable ones.
@@ -92,9 +98,19 @@
                 )
                 controller.scheduler.on_move_settled(proposal, now_s())
                 return
-            except PlatformUnavailableError:
+            except PlatformUnavailableError as error:
+                is_old = now_s() - proposed_at >= MAX_UNSENT_MOVE_S
+                if is_old and not is_outcome_unknown:
+                    logger.info(
+                        "submission %s: tasks not moved: %s",
+                        proposal.submission_id,
+                        error,
+                    )
+                    controller.scheduler.on_move_settled(proposal, now_s())
+                    return
                 await asyncio.sleep(MOVE_RETRY_S)
             except BerylError as error:
+                is_outcome_unknown = True
                 logger.info(
                     "submission %s: move of tasks not confirmed, retrying: %s",
                     proposal.submission_id,
