Count recorded leases of draining workers from their write

Cause: the next owner counted the recorded time from its own read, since it didn't know when the row was written.

Change: all writes of the store are numbered by one counter, and each answer tells the newest number, so a row was written before any answer with its number or a later one. A follower keeps when it got each; the next owner counts from there. Neither clocks of other machines nor the store's are needed.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -207,15 +207,16 @@
             self._settled_at_by_worker[worker_id] = now + min(left_s, longest_s)
 
     def on_recorded_leases(
-        self, lease_left_s_by_worker: Mapping[str, float], now: float
+        self, lease_left_s_by_worker: Mapping[str, float], written_by: float
     ) -> None:
         """Wait no longer for runs on draining workers than the record of them tells.
 
-        No earlier owner, stopped or not, requests a lease that outlasts it.
+        It was written by ``written_by``. No earlier owner, stopped or not, requests a
+        lease that outlasts it.
         """
         for worker_id, left_s in lease_left_s_by_worker.items():
             if worker_id in self._unsettled_workers:
-                settled_at = min(self._settled_at, now + left_s)
+                settled_at = min(self._settled_at, written_by + left_s)
                 self._settled_at_by_worker[worker_id] = settled_at
                 self._drain_limits.on_inherited(worker_id)
 
--- a/programs/beryl-host/features/ownership.feature
+++ b/programs/beryl-host/features/ownership.feature
@@ -44,6 +44,19 @@
       | drained                               |
       | drained during a write of the workers |
 
+  # Guards against LOST: the next owner counted the recorded leases from its own read of
+  # a record that was written long before. Guards against TWICE: from before the write.
+  Scenario Outline: The next owner counts recorded leases from <from>
+    Given a cell with recorded workers "w1 w2"
+    When "w1" drained and the owner's process ends
+    And a host reads the record 4 seconds later, whose last answer was <answer> it
+    Then it waits for "w1" for <low> to <high> s
+
+    Examples:
+      | from                                | answer | low | high |
+      | an answer that tells a later write  | after  | 1.0 | 2.3  |
+      | its read if no answer was later     | before | 5.0 | 6.3  |
+
   # Guards against TWICE: an owner after the next one relied on a record of leases that
   # the next one had outlasted.
   Scenario: The next owner records its leases on a draining worker before it grants any
--- a/programs/beryl-host/features/steps/ownership_steps.py
+++ b/programs/beryl-host/features/steps/ownership_steps.py
@@ -34,6 +34,7 @@
     encode,
 )
 from berylcleat.host._settings import HostSettings
+from berylcleat.host._version_times import VersionTimes
 from berylcleat.host._worker_list import WorkerList
 from berylcleat.model import (
     OutcomeUnknownError,
@@ -545,6 +546,34 @@
     assert seconds <= left_s <= 1.1 * LeaseTimes().max_lease_s, left_s
 
 
+@when(
+    "a host reads the record {seconds:d} seconds later, whose last answer was "
+    "{answer} it"
+)
+def step_read_later(context, seconds, answer):
+    recorder = make_recorder(context)
+    workers = context.run(recorder.read_workers())
+    version = recorder.workers_version
+    version_times = VersionTimes()
+    version_times.observe(version if answer == "after" else version - 1, now_s())
+    context.read_at = now_s() + seconds
+    context.scheduler = CellScheduler(
+        CELL, 3, LeaseTimes(), 0.0, now_s() + 30.0, workers, InterferenceModel()
+    )
+    context.scheduler.on_recorded_leases(
+        recorder.lease_left_s_by_worker,
+        version_times.written_by(version, context.read_at),
+    )
+    report = WorkerReport(1000, 1, (), ())
+    context.scheduler.on_report("w2", report, now_s(), now_s())
+
+
+@then('it waits for "w1" for {low:g} to {high:g} s')
+def step_waits_for_worker(context, low, high):
+    assert not context.scheduler.has_settled(context.read_at + low)
+    assert context.scheduler.has_settled(context.read_at + high)
+
+
 @then("the next owner {knows} all runs of earlier owners")
 def step_knows_runs(context, knows):
     assert context.scheduler.has_settled(1.0) == (knows == "knows")
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -41,6 +41,7 @@
 from ._submission_directory import SubmissionEntry
 from ._task_mover import TaskMover
 from ._uneven_metrics import ignore_uneven_workers, observe_uneven_workers
+from ._version_times import VersionTimes
 from ._waiting_log import WaitingLog
 
 PLAN_PERIOD_S = 0.1
@@ -86,6 +87,7 @@
         mover: TaskMover,
         *,
         expected_finish: bool = False,
+        version_times: VersionTimes | None = None,
     ):
         self.cell_id = cell_id
         self.data_centre = data_centre
@@ -101,6 +103,7 @@
         self._created_at = now_s()
         self._settled_at = settled_at
         self._read_confirmed_at = read_confirmed_at
+        self._version_times = version_times or VersionTimes()
         self._interference = knowledge.interference
         self._operator = knowledge.operator
         self._learns_uneven_workers = knowledge.learns_uneven_workers
@@ -154,7 +157,10 @@
             self._interference,
             expected_finish=self._expected_finish,
         )
-        scheduler.on_recorded_leases(self._recorder.lease_left_s_by_worker, now_s())
+        scheduler.on_recorded_leases(
+            self._recorder.lease_left_s_by_worker,
+            self._version_times.written_by(self._recorder.workers_version, now_s()),
+        )
         if self._learns_uneven_workers:
             scheduler.uneven_workers = UnevenWorkers()
             observe_uneven_workers(scheduler)
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -410,6 +410,7 @@
             partial(self._confirmed_at, cell_id, row),
             self._mover,
             expected_finish=self._expected_finish,
+            version_times=self._feeds.cells.version_times,
         )
         # A shutdown or a takeover notice may have come during the commit or the request
         # to the previous owner.
--- a/programs/beryl-host/src/berylcleat/host/_follower.py
+++ b/programs/beryl-host/src/berylcleat/host/_follower.py
@@ -9,6 +9,7 @@
 from berylcleat.runtime import report_failure
 
 from ._clock import now_s
+from ._version_times import VersionTimes
 
 RETRY_DELAY_S = 0.2
 RowsListener = Callable[[tuple[StoreRow, ...]], None]
@@ -20,6 +21,7 @@
 
     ``confirmed_at`` is the time at which the last answered request was sent: every
     earlier write is known. ``recovered_at`` is the end of the last outage.
+    ``version_times`` tells when rows, of whichever table, had been written.
 
     Set ``rereads_on_failure`` if the rows change often: after an outage the backlog of
     changes is longer than the rows.
@@ -43,6 +45,7 @@
         self.confirmed_at = float("-inf")
         self.failing_since: float | None = None
         self.recovered_at = 0.0
+        self.version_times = VersionTimes()
 
     @property
     def has_synced(self) -> bool:
@@ -105,6 +108,7 @@
             self.failing_since = None
             self.recovered_at = now_s()
         self.confirmed_at = requested_at
+        self.version_times.observe(self.version, now_s())
 
 
 class TableFollower(Follower):
--- a/programs/beryl-host/src/berylcleat/host/_recorder.py
+++ b/programs/beryl-host/src/berylcleat/host/_recorder.py
@@ -132,7 +132,7 @@
         self._compact_ids: set[str] = set()
         self._retry_at_by_rejected_id: dict[str, float] = {}
         self._workers_version = 0
-        # How long leases on recorded workers last at most, in seconds from the read.
+        # How long leases on recorded workers last at most, in seconds from the write.
         self.lease_left_s_by_worker: dict[str, float] = {}
 
     async def confirm_ownership(self) -> None:
@@ -208,6 +208,11 @@
             "cell %s: recorded workers can't be decoded: %s", self._cell_id, error
         )
 
+    @property
+    def workers_version(self) -> int:
+        """Version of the row of recorded workers that was read or written last."""
+        return self._workers_version
+
     async def record_workers(self, scheduler: CellScheduler) -> bool:
         """Record the cell's workers; return whether they are durable."""
         views = dict(scheduler.worker_by_id)
