Keep a worker that left until the runs of unknown submissions have ended

Callers would see a task run twice: after a takeover a worker reports a run whose submission the owner hasn't received yet, leaves the list (all entries may be gone at once while the store is away) and a hold fails. The worker was forgotten at once, with the run, and the task started elsewhere when its submission came in, while the lease of its run went on for up to 6 s.

Cause: can_forget looked at the runs of known submissions only.

Change: such a worker stays known until its leases have expired; the runs of unknown submissions are forgotten then, and with the incarnation, and so is the time since which they were unknown.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -181,10 +181,11 @@
     def can_forget(self, worker_id: str) -> bool:
         """Return whether a worker that left needs no further answer.
 
-        The next owner doesn't ask it: all its ends must be recorded.
+        The next owner doesn't ask it: all its ends must be recorded. Runs of unknown
+        submissions may go on until its leases have expired.
         """
         view = self.worker_by_id[worker_id]
-        if view.is_listed or view.run_by_task:
+        if view.is_listed or view.run_by_task or view.unknown_run_by_task:
             return False
         if view.acked_number < view.handled_number:
             return False
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -474,7 +474,7 @@
         view.acked_number = 0
         view.deferred_end_by_number.clear()
         view.unreadable_ends.clear()
-        view.unknown_run_by_task.clear()
+        view.forget_unknown_runs()
         view.used_by_unwanted = TaskDemand()
         view.expired_runs.clear()
 
@@ -506,7 +506,7 @@
             expires_at = view.leases_expire_at()
             # A later owner may have renewed the lease.
             if (
-                view.run_by_task
+                (view.run_by_task or view.unknown_run_by_task)
                 and now > expires_at
                 and self.confirmation.covers(expires_at)
             ):
@@ -518,6 +518,7 @@
                     view.clock.clock_ms,
                     view.clock.lease_until_ms,
                 )
+                view.forget_unknown_runs()
                 runs = list(view.run_by_task.values())
                 if view.is_leaving:
                     self.crashes.on_survival(runs)
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -270,6 +270,11 @@
         self.unreadable_ends.update(numbers)
         self.handled_number = max(self.handled_number, *self.unreadable_ends, 0)
 
+    def forget_unknown_runs(self) -> None:
+        """Forget the runs of unknown submissions, which have ended."""
+        self.unknown_run_by_task.clear()
+        self.unknown_since = None
+
     def can_start(self, now: float) -> bool:
         """Return whether new runs may start on this worker now."""
         return not self.explain_unavailable(now)
