Let fillers join a round beside tasks over their targets

Where all workers of a cell recover, fillers are forced onto one that is over its targets by the serving tasks' own load. Callers saw fillers of several submissions wait for over 4 s there although 0.3 of the service was reserved.

Cause: such a round opens for half a second, and only fillers that had waited for 2 s took part. One that had waited for 1.1 s was left to the next round, and the worker takes fillers again only 4.2 s after the first (run time, stop and reading).

While a round is open, each submission without a run now gets a task into it if the cell has no worker below its targets that could take the task. The length of the round and the time of each run are unchanged, and so is what bounds the harm.

--- a/libs/scheduling/features/starvation.feature
+++ b/libs/scheduling/features/starvation.feature
@@ -84,6 +84,19 @@
     When a filler waits, and another submission's begins to wait 0.7 s after it
     Then all 2 have run within 3.0 seconds
 
+  # Guards against LOST: a filler that didn't starve yet when others were forced beside tasks
+  # over their targets waited until that worker took fillers again, over 4 s later.
+  Scenario Outline: A filler that waits <later> s less than one forced beside a task over its target runs with it
+    Given a cell whose only worker runs 1 tasks that stay at 1.2 of their target, and a filler "press" waits
+    When another submission's filler begins to wait <later> s after it
+    Then all 2 have run within 3.0 seconds
+
+    Examples:
+      | later |
+      | 0.3   |
+      | 1.0   |
+      | 1.8   |
+
   # Guards against LOST: the time until an avoided worker is released began anew in each cell.
   Scenario: A task that has waited in another cell starts on an avoided worker
     Given a cell whose only worker runs a task "web", beside which "press" is heavy
--- a/libs/scheduling/features/steps/starvation_steps.py
+++ b/libs/scheduling/features/steps/starvation_steps.py
@@ -19,7 +19,8 @@
     forcible_workers,
 )
 
-WAITING_ID = f"{2:016x}"
+FILLER_ID = 2
+WAITING_ID = f"{FILLER_ID:016x}"
 ADVISED = QueuePolicy("q", "svc", advice=AdvicePolicy(0.1, 0.01, 60.0))
 
 
@@ -145,6 +146,15 @@
     context.submitted_at = worker.now
 
 
+@when("another submission's filler begins to wait {later_s:f} s after it")
+def step_waits_later(context, later_s):
+    worker = context.worker
+    context.submitted_at = worker.now
+    assert FILLER_ID not in run_until(context, later_s)
+    add_submission(context, 3, make_step(FILLER, "press"))
+    context.submitted_at = worker.now
+
+
 @when(
     "its worker is avoided, and a task arrives that had no run for {idle_s:f} s in "
     "another cell"
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -13,7 +13,13 @@
 from ._cell_runs import NEVER_RAN, CellRuns
 from ._crashes import LIKELY_CAUSE_AGE_S, MAX_QUIET_WAIT_S
 from ._moves import is_stuck
-from ._placement import choose_forced_worker, choose_worker, forcible_workers
+from ._placement import (
+    can_force_filler,
+    choose_forced_worker,
+    choose_worker,
+    forcible_workers,
+    is_own_load_round_open,
+)
 from ._preemption import count_slots
 from ._progress import PresumedStart
 from ._rack_fit import fits_empty_rack
@@ -602,30 +608,60 @@
         their worker then recovers. A task of each submission without a run comes first,
         then the least recently forced submission.
         """
-        reserved_share_of = cache(lambda service: self._reserved_share(service, now))
-        starving = [
-            ready
-            for ready in self.submissions.ready_steps(now)
-            if ready.step.fills
-            and not ready.step.is_gang
-            and ready.starved_s(now) > STARVATION_S
-            and reserved_share_of(ready.tracked.submission.queue.service)
-            < MAX_RESERVED_SHARE
-        ]
-        if not starving:
-            return
+        forcible = self._forcible_steps(now)
+        starving = [r for r in forcible if r.starved_s(now) > STARVATION_S]
         with_run = {task.submission_id for task in self.run_by_task}
         starving.sort(key=lambda ready: -ready.starved_s(now))
         for ready in starving:
             if ready.tracked.submission.submission_id not in with_run:
                 is_last_resort = ready.starved_s(now) > LAST_RESORT_S
                 self._force_tasks(ready, 1, now, is_last_resort=is_last_resort)
+        self._join_rounds_beside_own_load(forcible, now)
         if not any(view.can_force_filler(now) for view in self.worker_by_id.values()):
             return
         starving.sort(key=lambda ready: ready.tracked.last_forced_at)
         for ready in starving:
             self._force_tasks(ready, MAX_FORCED_PER_STEP, now)
 
+    def _forcible_steps(self, now: float) -> list[ReadyStep]:
+        """Return the waiting fillers of services of which enough isn't reserved."""
+        reserved_share_of = cache(lambda service: self._reserved_share(service, now))
+        return [
+            ready
+            for ready in self.submissions.ready_steps(now)
+            if ready.step.fills
+            and not ready.step.is_gang
+            and ready.stuck_since is not None
+            and reserved_share_of(ready.tracked.submission.queue.service)
+            < MAX_RESERVED_SHARE
+        ]
+
+    def _join_rounds_beside_own_load(
+        self, forcible: list[ReadyStep], now: float
+    ) -> None:
+        """Force a task of each submission without a run where others just were.
+
+        Only where no worker is below its targets, for submissions that don't starve
+        yet: once they do, these workers may not take fillers again for over 3 s.
+        """
+        if not any(is_own_load_round_open(v, now) for v in self.worker_by_id.values()):
+            return
+        with_run = {task.submission_id for task in self.run_by_task}
+        for ready in forcible:
+            if ready.tracked.submission.submission_id in with_run:
+                continue
+            if not self._can_force_below_target(ready, now):
+                self._force_tasks(ready, 1, now, is_last_resort=True, joins_round=True)
+
+    def _can_force_below_target(self, ready: ReadyStep, now: float) -> bool:
+        """Return whether a filler can be forced onto a worker that isn't recovering."""
+        queue = ready.tracked.submission.queue
+        task = ready.task(min(ready.waiting))
+        workers = self._startable_workers(now)
+        if queue.advice is not None:
+            workers = self._advised_workers(task, workers, now)
+        return can_force_filler(task, ready.step, queue.service, workers)
+
     def _force_tasks(
         self,
         ready: ReadyStep,
@@ -633,16 +669,18 @@
         now: float,
         *,
         is_last_resort: bool = False,
+        joins_round: bool = False,
     ) -> None:
         """Start up to ``n_tasks`` of a step despite interference, or prepare that.
 
         As a last resort any worker with room will do, unless it recovers from what
-        fillers did there.
+        fillers did there. One that ``joins_round`` starts only where others have just
+        been forced beside tasks over their targets.
         """
         for task in islice(self._iter_startable(ready, now), n_tasks):
             self._release_capacity(task)
             view = self._choose_forced_worker(
-                ready, task, now, is_last_resort=is_last_resort
+                ready, task, now, is_last_resort=is_last_resort, joins_round=joins_round
             )
             if view is None:
                 self._unplaced_tasks.append((ready.tracked, task))
@@ -659,7 +697,13 @@
         return reserved_share(service, views, self._other_headrooms, now)
 
     def _choose_forced_worker(
-        self, ready: ReadyStep, task: TaskKey, now: float, *, is_last_resort: bool
+        self,
+        ready: ReadyStep,
+        task: TaskKey,
+        now: float,
+        *,
+        is_last_resort: bool,
+        joins_round: bool,
     ) -> WorkerView | None:
         """Return the worker where a filler should interfere least, if it fits any."""
         queue = ready.tracked.submission.queue
@@ -668,7 +712,9 @@
             for view in self._startable_workers(now)
             if view.entry.service == queue.service
         ]
-        if not is_last_resort:
+        if joins_round:
+            workers = [view for view in workers if is_own_load_round_open(view, now)]
+        elif not is_last_resort:
             workers = forcible_workers(workers, now)
         if queue.advice is not None:
             workers = self._advised_workers(task, workers, now)
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starvation.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starvation.py
@@ -11,7 +11,7 @@
 
 from ._cell_preemptions import CellPreemptions
 from ._moves import is_stuck
-from ._placement import can_ever_hold, can_force_filler
+from ._placement import can_ever_hold
 from ._service_use import MAX_RESERVED_SHARE, STARVATION_S
 from ._spill import may_move
 from ._submissions import ReadyStep
@@ -95,16 +95,11 @@
 
         As fillers are, they move only while much of the service isn't reserved.
         """
-        queue = ready.tracked.submission.queue
         if not ready.step.fills or not self._may_start(now):
             return False
         if not self._starves(ready, now):
             return False
-        task = ready.task(min(ready.waiting))
-        workers = self._startable_workers(now)
-        if queue.advice is not None:
-            workers = self._advised_workers(task, workers, now)
-        return not can_force_filler(task, ready.step, queue.service, workers)
+        return not self._can_force_below_target(ready, now)
 
     def explain_stay(self, ready: ReadyStep, now: float) -> str:
         """Return why a step doesn't move, and for how long nothing of it has run."""
--- a/libs/scheduling/src/berylcleat/scheduling/_placement.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_placement.py
@@ -16,7 +16,7 @@
 
 from ._interference import DISTURBED_RATIO, InterferenceLevel, InterferenceModel
 from ._pacing import MIN_START_PACE_PERCENT, pace_with_new_filler
-from ._workers import FORCED_PERIOD_S, WorkerView
+from ._workers import FORCED_PERIOD_S, FORCED_START_WINDOW_S, WorkerView
 
 Score = tuple[float, ...]
 # Parts of the workers that begin their periods of forced fillers one after the other.
@@ -117,6 +117,15 @@
     ]
 
 
+def is_own_load_round_open(worker: WorkerView, now: float) -> bool:
+    """Return whether fillers were just forced beside tasks over their targets.
+
+    Those were so by their own load, and others may join within the window.
+    """
+    since_s = now - worker.forced_beside_own_load_at
+    return worker.is_recovering and since_s < FORCED_START_WINDOW_S
+
+
 def can_force_filler(
     task: TaskKey, step: Step, service: str, workers: Iterable[WorkerView]
 ) -> bool:
