Let a starving filler stay for the trial of a suspect on its worker

Cause: for 0.3 s after a suspect of a crash has started nothing else starts on its worker. A worker in such a trial counted as one that a filler can't be forced onto. When suspects were forced onto all workers in turn, a filler next in order moved instead of waiting for the end of the trial. A trial has an end, unlike a recovery, so such a worker now counts.

The new scenario proposes a move before and none now.

--- a/libs/scheduling/features/starvation.feature
+++ b/libs/scheduling/features/starvation.feature
@@ -97,6 +97,14 @@
       | 1.0   |
       | 1.8   |
 
+  # Guards against LOST: a filler moved, and waited again there, because a suspect of a crash
+  # had started 0.3 s ago on the only worker that it could be forced onto.
+  Scenario: A starving filler waits for the trial of a suspect on its worker rather than move
+    Given a cell whose only worker runs a task "web", beside which "press" is heavy
+    When a filler waits beside a cell with room, and a suspect of a crash starts here 1.4 s later
+    Then no move was proposed for it
+    And it has run within 2.5 seconds
+
   # Guards against LOST: the time until an avoided worker is released began anew in each cell.
   Scenario: A task that has waited in another cell starts on an avoided worker
     Given a cell whose only worker runs a task "web", beside which "press" is heavy
--- a/libs/scheduling/features/starvation_histories.feature
+++ b/libs/scheduling/features/starvation_histories.feature
@@ -30,7 +30,7 @@
     Examples:
       | n_cells | seeds             |
       | 2       | 1 4 7 11 14 24 29 |
-      | 3       | 2 3 8             |
+      | 3       | 2 3 8 10          |
 
   # Guards against LOST (issue 49) in the stricter reading: of a serving task only what it
   # really uses, about half of what it reserves, counts as in use.
--- a/libs/scheduling/features/steps/starvation_steps.py
+++ b/libs/scheduling/features/steps/starvation_steps.py
@@ -21,6 +21,8 @@
 
 FILLER_ID = 2
 WAITING_ID = f"{FILLER_ID:016x}"
+# Seconds for which nothing else starts on a worker after a suspect of a crash.
+TRIAL_S = 0.3
 ADVISED = QueuePolicy("q", "svc", advice=AdvicePolicy(0.1, 0.01, 60.0))
 
 
@@ -155,6 +157,30 @@
     context.submitted_at = worker.now
 
 
+@when(
+    "a filler waits beside a cell with room, and a suspect of a crash starts here "
+    "{later_s:f} s later"
+)
+def step_suspect_starts(context, later_s):
+    worker = context.worker
+    add_submission(context, FILLER_ID, make_step(FILLER, "press"))
+    context.submitted_at = worker.now
+    run_until(context, later_s)
+    view = worker.cell.worker_by_id["w"]
+    view.trial_until = worker.now + TRIAL_S
+    rooms = (FillerHeadroom(("web",), 16000),)
+    load = CellHeadroom("r2", "svc", 24000, rooms, 0, 32000, free_by_worker=(24000,))
+    context.moves = []
+    while worker.now < view.trial_until - 0.05:
+        worker.step()
+        context.moves += worker.cell.propose_moves((load,), worker.now)
+
+
+@then("no move was proposed for it")
+def step_no_move(context):
+    assert not context.moves, context.moves
+
+
 @when(
     "its worker is avoided, and a task arrives that had no run for {idle_s:f} s in "
     "another cell"
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -654,10 +654,13 @@
                 self._force_tasks(ready, 1, now, is_last_resort=True, joins_round=True)
 
     def _can_force_below_target(self, ready: ReadyStep, now: float) -> bool:
-        """Return whether a filler can be forced onto a worker that isn't recovering."""
+        """Return whether a filler can be forced onto a worker that isn't recovering.
+
+        One where a suspect of a crash has just started counts: it soon takes others.
+        """
         queue = ready.tracked.submission.queue
         task = ready.task(min(ready.waiting))
-        workers = self._startable_workers(now)
+        workers = self._usable_workers(now)
         if queue.advice is not None:
             workers = self._advised_workers(task, workers, now)
         return can_force_filler(task, ready.step, queue.service, workers)
