Tell no start in time of a cell without workers in the waiting line

The waiting line of a filler said "may start here in time" from 1.0 to 1.5 s after it was stuck, also in a cell without a worker that could hold it. Such a step stays only until it counts as stranded, or for lack of headroom elsewhere: the line says so now.

The scenario with 1.4 s fails before ("stays: may start here in time, 1.00 of the service reserved, no run for 1.3 s") and passes now.

--- a/libs/scheduling/features/starvation.feature
+++ b/libs/scheduling/features/starvation.feature
@@ -146,3 +146,15 @@
       | n | waited | stays                         | reason                       |
       | 7 | 0.5    | has not waited for long       | not stuck for long           |
       | 7 | 2.5    | waits while much is reserved  | much of the service reserved |
+
+  # Guards against waiting lines that tell a start of a cell that has no worker for it.
+  Scenario Outline: The waiting line promises no start in a cell without workers, <waited> s
+    Given a cell without workers in which a filler "press" waits
+    When it has waited for <waited> s beside a full cell
+    Then the line says that it stays because it is "<reason>"
+
+    Examples:
+      | waited | reason                |
+      | 0.5    | not stuck for long    |
+      | 1.4    | no headroom elsewhere |
+      | 2.5    | no headroom elsewhere |
--- a/libs/scheduling/features/steps/starvation_steps.py
+++ b/libs/scheduling/features/steps/starvation_steps.py
@@ -339,8 +339,13 @@
 
 @when("a filler has waited for {waited_s:f} s beside a full cell")
 def step_waits_beside_full(context, waited_s):
-    worker = context.worker
     add_submission(context, 2, make_step(FILLER, "press"))
+    wait_beside_full(context, waited_s)
+
+
+@when("it has waited for {waited_s:f} s beside a full cell")
+def wait_beside_full(context, waited_s):
+    worker = context.worker
     load = CellHeadroom("r2", "svc", 0, (), 0, 32000, free_by_worker=(0,))
     started_at = worker.now
     while worker.now < started_at + waited_s:
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starvation.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starvation.py
@@ -72,8 +72,12 @@
         """
         if self._is_evacuated() or ready.starved_s(now) <= STARVATION_S:
             return False
+        return not self._can_ever_hold(ready)
+
+    def _can_ever_hold(self, ready: ReadyStep) -> bool:
+        """Return whether a worker of the cell can hold a step, now or later."""
         service = ready.tracked.submission.queue.service
-        return not any(
+        return any(
             view.is_listed
             and not view.entry.is_draining
             and can_ever_hold(ready.step, service, view.entry)
@@ -124,4 +128,6 @@
             return StayReason.NO_HEADROOM
         if ready.starved_s(now) > STARVATION_S and not self._starves(ready, now):
             return StayReason.IN_USE
-        return StayReason.MAY_START_HERE if ready.step.fills else StayReason.NO_HEADROOM
+        if ready.step.fills and self._can_ever_hold(ready):
+            return StayReason.MAY_START_HERE
+        return StayReason.NO_HEADROOM
