Guard that fillers join no round without need

The new scenario has a second worker that soon takes others. It fails if fillers join a round beside tasks over their targets whatever the other workers can take.

--- a/libs/scheduling/features/starvation.feature
+++ b/libs/scheduling/features/starvation.feature
@@ -97,6 +97,14 @@
       | 1.0   |
       | 1.8   |
 
+  # Guards against fillers that are forced beside tasks over their targets although another
+  # worker may soon take them.
+  Scenario: A filler that may be forced onto another worker joins none beside a task over its target
+    Given a cell whose only worker runs 1 tasks that stay at 1.2 of their target, and a filler "press" waits
+    And a second worker on which a suspect of a crash has just started
+    When another submission's filler begins to wait 1.0 s after it
+    Then only the first has run within 1.6 seconds
+
   # Guards against LOST: a filler moved, and waited again there, because a suspect of a crash
   # had started 0.3 s ago on the only worker that it could be forced onto.
   Scenario: A starving filler waits for the trial of a suspect on its worker rather than move
--- a/libs/scheduling/features/steps/starvation_steps.py
+++ b/libs/scheduling/features/steps/starvation_steps.py
@@ -1,5 +1,12 @@
 from behave import given, then, when
-from filler_steps import FILLER, SERVING, add_submission, make_step, make_view
+from filler_steps import (
+    FILLER,
+    SERVING,
+    SingleWorkerCell,
+    add_submission,
+    make_step,
+    make_view,
+)
 from spill_steps import ESTIMATE_S, INTERACTIVE, LoadLoop, propose, remove_workers
 
 from berylcleat.model import (
@@ -10,7 +17,7 @@
     TaskDemand,
     TaskKey,
 )
-from berylcleat.ports import OrderAnswer, OrderResult, Ticket
+from berylcleat.ports import OrderAnswer, OrderResult, Ticket, WorkerReport
 from berylcleat.scheduling import (
     CellHeadroom,
     FillerHeadroom,
@@ -148,6 +155,30 @@
     context.submitted_at = worker.now
 
 
+class TwoWorkerCell(SingleWorkerCell):
+    """Cell scheduler with a second worker that starts nothing for now."""
+
+    def __init__(self, cell, now, reading):
+        super().__init__(cell)
+        self.now = now
+        self.reading = reading
+        cell.list_worker(make_view("w2").entry, now)
+        cell.on_workers_recorded(frozenset({"w", "w2"}))
+        cell.worker_by_id["w2"].trial_until = float("inf")
+
+    def report(self):
+        super().report()
+        report = WorkerReport(int(self.now * 1000) + 1, 1, (), ())
+        self.cell.on_report("w2", report, self.now, self.now)
+
+
+@given("a second worker on which a suspect of a crash has just started")
+def step_second_worker(context):
+    first = context.worker
+    context.worker = TwoWorkerCell(first.cell, first.now, first.reading)
+    context.worker.running = first.running
+
+
 @when("another submission's filler begins to wait {later_s:f} s after it")
 def step_waits_later(context, later_s):
     worker = context.worker
@@ -279,6 +310,12 @@
     assert 2 not in run_until(context, seconds)
 
 
+@then("only the first has run within {seconds:f} seconds")
+def step_only_first_ran(context, seconds):
+    ran = run_until(context, seconds)
+    assert FILLER_ID in ran and FILLER_ID + 1 not in ran, ran
+
+
 @given("{n:d} workers that may take forced fillers")
 def step_forcible(context, n):
     context.views = [make_view(f"w{number}") for number in range(n)]
