--- a/libs/scheduling/features/starvation.feature
+++ b/libs/scheduling/features/starvation.feature
@@ -84,6 +84,35 @@
     When a filler waits, and another submission's begins to wait 0.7 s after it
     Then all 2 have run within 3.0 seconds
 
+  # Guards against LOST: a filler that didn't starve yet when others were forced beside tasks
+  # over their targets waited until that worker took fillers again, over 4 s later.
+  Scenario Outline: A filler that waits <later> s less than one forced beside a task over its target runs with it
+    Given a cell whose only worker runs 1 tasks that stay at 1.2 of their target, and a filler "press" waits
+    When another submission's filler begins to wait <later> s after it
+    Then all 2 have run within 3.0 seconds
+
+    Examples:
+      | later |
+      | 0.3   |
+      | 1.0   |
+      | 1.8   |
+
+  # Guards against fillers that are forced beside tasks over their targets although another
+  # worker may soon take them.
+  Scenario: A filler that may be forced onto another worker joins none beside a task over its target
+    Given a cell whose only worker runs 1 tasks that stay at 1.2 of their target, and a filler "press" waits
+    And a second worker on which a suspect of a crash has just started
+    When another submission's filler begins to wait 1.0 s after it
+    Then only the first has run within 1.6 seconds
+
+  # Guards against LOST: a filler moved, and waited again there, because a suspect of a crash
+  # had started 0.3 s ago on the only worker that it could be forced onto.
+  Scenario: A starving filler waits for the trial of a suspect on its worker rather than move
+    Given a cell whose only worker runs a task "web", beside which "press" is heavy
+    When a filler waits beside a cell with room, and a suspect of a crash starts here 1.4 s later
+    Then no move was proposed for it
+    And it has run within 2.5 seconds
+
   # Guards against LOST: the time until an avoided worker is released began anew in each cell.
   Scenario: A task that has waited in another cell starts on an avoided worker
     Given a cell whose only worker runs a task "web", beside which "press" is heavy
@@ -125,3 +154,15 @@
       | n | waited | stays                         | reason                       |
       | 7 | 0.5    | has not waited for long       | not stuck for long           |
       | 7 | 2.5    | waits while much is reserved  | much of the service reserved |
+
+  # Guards against waiting lines that tell a start of a cell that has no worker for it.
+  Scenario Outline: The waiting line promises no start in a cell without workers, <waited> s
+    Given a cell without workers in which a filler "press" waits
+    When it has waited for <waited> s beside a full cell
+    Then the line says that it stays because it is "<reason>"
+
+    Examples:
+      | waited | reason                |
+      | 0.5    | not stuck for long    |
+      | 1.4    | no headroom elsewhere |
+      | 2.5    | no headroom elsewhere |
--- a/libs/scheduling/features/steps/starvation_steps.py
+++ b/libs/scheduling/features/steps/starvation_steps.py
@@ -1,5 +1,12 @@
 from behave import given, then, when
-from filler_steps import FILLER, SERVING, add_submission, make_step, make_view
+from filler_steps import (
+    FILLER,
+    SERVING,
+    SingleWorkerCell,
+    add_submission,
+    make_step,
+    make_view,
+)
 from spill_steps import ESTIMATE_S, INTERACTIVE, LoadLoop, propose, remove_workers
 
 from berylcleat.model import (
@@ -10,7 +17,7 @@
     TaskDemand,
     TaskKey,
 )
-from berylcleat.ports import OrderAnswer, OrderResult, Ticket
+from berylcleat.ports import OrderAnswer, OrderResult, Ticket, WorkerReport
 from berylcleat.scheduling import (
     CellHeadroom,
     FillerHeadroom,
@@ -19,7 +26,10 @@
     forcible_workers,
 )
 
-WAITING_ID = f"{2:016x}"
+FILLER_ID = 2
+WAITING_ID = f"{FILLER_ID:016x}"
+# Seconds for which nothing else starts on a worker after a suspect of a crash.
+TRIAL_S = 0.3
 ADVISED = QueuePolicy("q", "svc", advice=AdvicePolicy(0.1, 0.01, 60.0))
 
 
@@ -145,6 +155,63 @@
     context.submitted_at = worker.now
 
 
+class TwoWorkerCell(SingleWorkerCell):
+    """Cell scheduler with a second worker that starts nothing for now."""
+
+    def __init__(self, cell, now, reading):
+        super().__init__(cell)
+        self.now = now
+        self.reading = reading
+        cell.list_worker(make_view("w2").entry, now)
+        cell.on_workers_recorded(frozenset({"w", "w2"}))
+        cell.worker_by_id["w2"].trial_until = float("inf")
+
+    def report(self):
+        super().report()
+        report = WorkerReport(int(self.now * 1000) + 1, 1, (), ())
+        self.cell.on_report("w2", report, self.now, self.now)
+
+
+@given("a second worker on which a suspect of a crash has just started")
+def step_second_worker(context):
+    first = context.worker
+    context.worker = TwoWorkerCell(first.cell, first.now, first.reading)
+    context.worker.running = first.running
+
+
+@when("another submission's filler begins to wait {later_s:f} s after it")
+def step_waits_later(context, later_s):
+    worker = context.worker
+    context.submitted_at = worker.now
+    assert FILLER_ID not in run_until(context, later_s)
+    add_submission(context, 3, make_step(FILLER, "press"))
+    context.submitted_at = worker.now
+
+
+@when(
+    "a filler waits beside a cell with room, and a suspect of a crash starts here "
+    "{later_s:f} s later"
+)
+def step_suspect_starts(context, later_s):
+    worker = context.worker
+    add_submission(context, FILLER_ID, make_step(FILLER, "press"))
+    context.submitted_at = worker.now
+    run_until(context, later_s)
+    view = worker.cell.worker_by_id["w"]
+    view.trial_until = worker.now + TRIAL_S
+    rooms = (FillerHeadroom(("web",), 16000),)
+    load = CellHeadroom("r2", "svc", 24000, rooms, 0, 32000, free_by_worker=(24000,))
+    context.moves = []
+    while worker.now < view.trial_until - 0.05:
+        worker.step()
+        context.moves += worker.cell.propose_moves((load,), worker.now)
+
+
+@then("no move was proposed for it")
+def step_no_move(context):
+    assert not context.moves, context.moves
+
+
 @when(
     "its worker is avoided, and a task arrives that had no run for {idle_s:f} s in "
     "another cell"
@@ -243,6 +310,12 @@
     assert 2 not in run_until(context, seconds)
 
 
+@then("only the first has run within {seconds:f} seconds")
+def step_only_first_ran(context, seconds):
+    ran = run_until(context, seconds)
+    assert FILLER_ID in ran and FILLER_ID + 1 not in ran, ran
+
+
 @given("{n:d} workers that may take forced fillers")
 def step_forcible(context, n):
     context.views = [make_view(f"w{number}") for number in range(n)]
@@ -303,8 +376,13 @@
 
 @when("a filler has waited for {waited_s:f} s beside a full cell")
 def step_waits_beside_full(context, waited_s):
-    worker = context.worker
     add_submission(context, 2, make_step(FILLER, "press"))
+    wait_beside_full(context, waited_s)
+
+
+@when("it has waited for {waited_s:f} s beside a full cell")
+def wait_beside_full(context, waited_s):
+    worker = context.worker
     load = CellHeadroom("r2", "svc", 0, (), 0, 32000, free_by_worker=(0,))
     started_at = worker.now
     while worker.now < started_at + waited_s:
