--- a/programs/beryl-host/features/steps/loopback_proxy.py
+++ b/programs/beryl-host/features/steps/loopback_proxy.py
@@ -47,6 +47,7 @@
         self._connect_fault: ConnectFault | None = None
         # Hold the address while connections to it hang or are refused.
         self._sockets: list[socket.socket] = []
+        self._connect_fault_lock = asyncio.Lock()
 
     async def start(self) -> None:
         """Start listening."""
@@ -58,18 +59,19 @@
 
         Open connections forward nothing meanwhile and are reset at its end.
         """
-        if fault is self._connect_fault:
-            return
-        self._connect_fault = fault
-        self._server.close()
-        self._close_sockets()
-        if fault is None:
-            self.reset()
-            await self.start()
-            return
-        self._sockets.append(self._bind())
-        if fault is ConnectFault.HANGS:
-            self._fill_backlog()
+        async with self._connect_fault_lock:
+            if fault is self._connect_fault:
+                return
+            self._connect_fault = fault
+            self._server.close()
+            self._close_sockets()
+            if fault is None:
+                self.reset()
+                await self.start()
+                return
+            self._sockets.append(self._bind())
+            if fault is ConnectFault.HANGS:
+                self._fill_backlog()
 
     def _bind(self) -> socket.socket:
         host, port = self.address.rsplit(":", 1)
--- a/programs/beryl-host/features/steps/soak.py
+++ b/programs/beryl-host/features/steps/soak.py
@@ -9,6 +9,7 @@
 
 from host_group import HostGroup
 from loopback_proxy import LinkMode, LoopbackProxy
+from worker_faults import WorkerFaultInjector, make_worker_plan
 
 from berylcleat.standins import find_free_ports, make_submission_body
 
@@ -21,6 +22,17 @@
 FAULT_INTERVAL_RANGE_S = (0.2, 1.5)
 FAULT_DURATION_RANGE_S = (0.5, 5.0)
 OUTAGES = ("silent", "busy", "lost")
+RUN_RANGE_S = (0.05, 1.5)
+N_TASKS = 3
+# With drains: runs that outlast the removal of a cut-off worker's entry, fewer of them,
+# and fewer faults of hosts, as those end leases as well.
+DRAINS_RUN_RANGE_S = (1.0, 9.0)
+DRAINS_N_TASKS = 2
+DRAINS_SUBMIT_PERIOD_S = 0.75
+DRAINS_HOST_KINDS = ("kill", "stop", "pause", "store link", "reset")
+DRAINS_SEED_OFFSET = 1_000_000
+# Number of the first submission that is sent after the recovery.
+FIRST_LATE_NUMBER = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +65,12 @@
     return tuple(plan)
 
 
+def make_host_plan(random_state: int, length_s: float) -> tuple[Fault, ...]:
+    """Return the faults of hosts that go with those of draining workers."""
+    plan = make_plan(random_state, length_s)
+    return tuple(fault for fault in plan if fault.kind in DRAINS_HOST_KINDS)[::2]
+
+
 class ProxiedGroup(HostGroup):
     """Hosts that reach the store and the workers through fault-injecting proxies."""
 
@@ -78,10 +96,24 @@
 
 
 class Soak:
-    """Soak test of one seed that collects every violated invariant."""
-
-    def __init__(self, random_state: int, length_s: float):
-        self.plan = make_plan(random_state, length_s)
+    """Soak test of one seed that collects every violated invariant.
+
+    With ``has_drains`` workers drain, exit and return, are cut off and lose their
+    entries, and the store is closed.
+    """
+
+    def __init__(self, random_state: int, length_s: float, *, has_drains: bool = False):
+        self.has_drains = has_drains
+        if has_drains:
+            self.plan = make_host_plan(random_state, length_s)
+            drains_state = random_state + DRAINS_SEED_OFFSET
+            self.worker_plan = make_worker_plan(drains_state, length_s, N_WORKERS)
+        else:
+            self.plan = make_plan(random_state, length_s)
+            self.worker_plan = ()
+        self.run_range_s = DRAINS_RUN_RANGE_S if has_drains else RUN_RANGE_S
+        self.n_tasks = DRAINS_N_TASKS if has_drains else N_TASKS
+        self.submit_period_s = DRAINS_SUBMIT_PERIOD_S if has_drains else SUBMIT_PERIOD_S
         self.length_s = length_s
         self.rng = random.Random(random_state + 1)
         self.answers = SubmissionAnswers()
@@ -96,8 +128,15 @@
         try:
             await self.group.wait_ready()
             self._started_at = time.monotonic()
-            await asyncio.gather(self._submit_all(), *map(self._inject, self.plan))
+            injector = WorkerFaultInjector(self.group, self.group.links[N_HOSTS:])
+            await asyncio.gather(
+                self._submit_all(),
+                *map(self._inject, self.plan),
+                *map(injector.inject, self.worker_plan),
+            )
             await self._wait_for_recovery()
+            if self.has_drains:
+                await self._check_work_goes_on()
             await self._check_ledger()
         finally:
             for link in self.group.links:
@@ -106,19 +145,20 @@
         return self.violations
 
     async def _submit_all(self) -> None:
-        """Send a submission to a random host every ``SUBMIT_PERIOD_S``."""
+        """Send a submission to a random host every ``submit_period_s``."""
         number = 0
         pending = []
         while time.monotonic() - self._started_at < self.length_s:
             submission_id = f"{number:016x}"
             number += 1
             pending.append(asyncio.create_task(self._submit(submission_id)))
-            await asyncio.sleep(SUBMIT_PERIOD_S)
+            await asyncio.sleep(self.submit_period_s)
         await asyncio.gather(*pending)
 
     async def _submit(self, submission_id: str) -> None:
         host = self.rng.randrange(N_HOSTS)
-        body = make_submission_body(run_s=self.rng.uniform(0.05, 1.5))
+        run_s = self.rng.uniform(*self.run_range_s)
+        body = make_submission_body(run_s, self.n_tasks)
         status = await self._post(host, submission_id, body)
         if status == 200:
             self.answers.accepted.add(submission_id)
@@ -217,6 +257,21 @@
             state = last_state.get((host, submission_id))
             self.violations.append(f"{submission_id}: still {state} at host {host}")
 
+    async def _check_work_goes_on(self) -> None:
+        """Check that each host accepts a submission that is then done."""
+        for host in range(N_HOSTS):
+            submission_id = f"{FIRST_LATE_NUMBER + host:016x}"
+            body = make_submission_body()
+            status = await self.group.submit(host, submission_id, body)
+            if status != 200:
+                self.violations.append(f"host {host} answers {status} after recovery")
+                continue
+            self.answers.accepted.add(submission_id)
+            try:
+                await self.group.wait_state(host, submission_id, "done")
+            except AssertionError as error:
+                self.violations.append(f"after recovery: {error}")
+
     async def _check_ledger(self) -> None:
         ledger = await self.group.ledger()
         self.violations += [f"ran twice: {text}" for text in ledger["overlaps"]]
--- a/programs/beryl-host/features/steps/soak_steps.py
+++ b/programs/beryl-host/features/steps/soak_steps.py
@@ -10,6 +10,12 @@
     context.violations = context.run(context.soak.run())
 
 
+@when("a soak test with drains of {seconds:d} seconds runs with seed {seed:d}")
+def step_soak_with_drains(context, seconds, seed):
+    context.soak = Soak(seed, seconds, has_drains=True)
+    context.violations = context.run(context.soak.run())
+
+
 @then("no task ran twice, no accepted submission was lost, no refused one ran")
 def step_no_violations(context):
     folder = context.soak.group.folder
--- a/standins/src/berylcleat/standins/_task_platform.py
+++ b/standins/src/berylcleat/standins/_task_platform.py
@@ -215,18 +215,15 @@
         await server.start()
         self._store_server = server
 
-    async def close_store(self, duration_s: float) -> None:
-        """Close the store's connections and refuse new ones for some seconds.
-
-        All entries of workers are gone when it returns; the workers write them again.
-        """
+    async def close_store(self) -> None:
+        """Close the store's connections and refuse new ones; all entries lapse."""
         server, self._store_server = self._store_server, None
-        if server is None:
-            return
         self.store.wake_waiters()
         await server.stop(0.0)
         self.entries.remove_all()
-        await asyncio.sleep(duration_s)
+
+    async def open_store(self) -> None:
+        """Serve the closed store again; the workers write their entries anew."""
         await self.start_store()
         self.entries.return_all(time.monotonic())
 
@@ -393,8 +390,8 @@
     async def handle_control_request(self, request: HttpRequest) -> HttpResponse:
         """Execute a test's control request.
 
-        It reads the run record, sets the outage mode, closes the store, drains a
-        worker, ends one, starts it again, cuts one off from the store, writes a row,
+        It reads the run record, sets the outage mode, closes or opens the store, drains
+        a worker, ends one, starts it again, cuts one off from the store, writes a row,
         removes one, drops the store's change history, reads what the machine service
         recorded of a wave, or loses answers of that service.
         """
@@ -427,7 +424,9 @@
         elif request.target == "/reconnect":
             self.entries.reconnect(body["worker"])
         elif request.target == "/close-store":
-            await self.close_store(body["duration_s"])
+            await self.close_store()
+        elif request.target == "/open-store":
+            await self.open_store()
         elif request.target == "/write":
             self.store.write(body["table"], body["key"], body["value"].encode())
         elif request.target == "/remove":
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -13,15 +13,19 @@
 
 
 async def run_seed(
-    seed: int, length_s: float, concurrency_limit: asyncio.Semaphore
+    seed: int,
+    length_s: float,
+    concurrency_limit: asyncio.Semaphore,
+    *,
+    has_drains: bool,
 ) -> bool:
     """Run one seed; return whether all invariants held."""
     async with concurrency_limit:
-        soak = Soak(seed, length_s)
+        soak = Soak(seed, length_s, has_drains=has_drains)
         violations = await soak.run()
         outcomes = soak.answers
         print(
-            f"seed {seed}: {len(soak.plan)} faults,"
+            f"seed {seed}: {len(soak.plan) + len(soak.worker_plan)} faults,"
             f" {len(outcomes.accepted)} accepted, {len(outcomes.refused)} refused,"
             f" {len(outcomes.unknown)} unknown: {'broken' if violations else 'kept'}",
             flush=True,
@@ -36,13 +40,16 @@
 
 
 async def run_seeds(
-    first: int, n_seeds: int, length_s: float, n_concurrent: int
+    first: int, n_seeds: int, length_s: float, n_concurrent: int, *, has_drains: bool
 ) -> int:
     """Run ``n_seeds`` seeds; return how many violated an invariant."""
     concurrency_limit = asyncio.Semaphore(n_concurrent)
     seeds = range(first, first + n_seeds)
     passed = await asyncio.gather(
-        *(run_seed(seed, length_s, concurrency_limit) for seed in seeds)
+        *(
+            run_seed(seed, length_s, concurrency_limit, has_drains=has_drains)
+            for seed in seeds
+        )
     )
     print(f"{sum(passed)} kept, {len(passed) - sum(passed)} broken")
     return len(passed) - sum(passed)
@@ -62,9 +69,20 @@
     parser.add_argument(
         "--side", type=int, default=3, help="number of concurrent seeds"
     )
+    parser.add_argument(
+        "--drains",
+        action="store_true",
+        help="let workers drain and exit, cut them off, close the store",
+    )
     arguments = parser.parse_args()
     n_violated = asyncio.run(
-        run_seeds(arguments.first, arguments.seeds, arguments.length, arguments.side)
+        run_seeds(
+            arguments.first,
+            arguments.seeds,
+            arguments.length,
+            arguments.side,
+            has_drains=arguments.drains,
+        )
     )
     sys.exit(1 if n_violated else 0)
 
