Publish the heartbeat again at once after a call that timed out

What callers would see: after a store was cut off from all hosts, a live host counts as dead and its cells are taken over. Hosts count silence from the end of the outage on, and 3 s of it as death. A host whose commit had just begun when the store came back waited for its time-out of 1.5 s, then a pause of 1 s, then up to 0.25 s for the next check: 2.75 s, and the commit itself.

Change: the pause of a second counts from the start of the failed call. A refused call is repeated as before.

Evidence: read. "A heartbeat follows soon after a call that timed out" of store_closed.feature fails before: the heartbeat isn't stored 2.0 s after the store answers again. It passes now.

--- a/programs/beryl-host/features/steps/store_closed_steps.py
+++ b/programs/beryl-host/features/steps/store_closed_steps.py
@@ -14,13 +14,17 @@
 
 from berylcleat.host._clock import now_s
 from berylcleat.host._follower import TableFollower
+from berylcleat.host._identity import HostIdentity
 from berylcleat.host._on_demand_follower import OnDemandFollower
 from berylcleat.host._operator_state import OperatorState
+from berylcleat.host._publisher import HostPublisher
 from berylcleat.host._records import (
     CELL_TABLE,
+    HOST_PREFIX,
     OWNER_KEY,
     SUBMISSION_PARTS,
     OwnerRow,
+    data_centre_table,
     encode,
 )
 from berylcleat.host._submission_directory import SubmissionDirectory
@@ -345,3 +349,40 @@
 def step_settled(context):
     assert open_store(context) == {HOME, "r2"}
     assert len(context.owner.settled) == 1
+
+
+# Heartbeats
+
+
+@given("a host whose heartbeats aren't answered for {timeout_s:f} s")
+def step_unanswered_heartbeats(context, timeout_s):
+    context.store = MemoryStore()
+    context.is_silent = True
+
+    async def time_out():
+        if context.is_silent:
+            await asyncio.sleep(timeout_s)
+            raise OutcomeUnknownError("store: no answer", "Retry")
+
+    context.store.before_commit = time_out
+
+
+@when("the store answers from {seconds:f} s after the first on")
+def step_answers(context, seconds):
+    identity = HostIdentity("host-1", "dc-1", "aa", "127.0.0.1:9")
+    publisher = HostPublisher(context.store, identity, 1.0, ())
+
+    async def start():
+        loop = asyncio.get_running_loop()
+        context.task = loop.create_task(publisher.run())
+        await asyncio.sleep(seconds)
+        context.is_silent = False
+
+    context.run(start())
+
+
+@then("the host's heartbeat is stored {seconds:f} s later")
+def step_heartbeat(context, seconds):
+    context.run(wait_and_stop(context, seconds))
+    rows = context.store.rows_by_key(data_centre_table("dc-1"), "dc-1")
+    assert HOST_PREFIX + "host-1" in rows, rows
--- a/programs/beryl-host/features/store_closed.feature
+++ b/programs/beryl-host/features/store_closed.feature
@@ -57,3 +57,10 @@
     Given an owner that moves a task while the store is closed, after an attempt without an answer
     Then the move isn't dropped within 1.5 s
     And it is settled once the store is open
+
+  # Guards against a live host that counts as dead 3 s after an outage: its heartbeat came
+  # after the rest of a call that timed out, a pause of a second and the next check.
+  Scenario: A heartbeat follows soon after a call that timed out
+    Given a host whose heartbeats aren't answered for 1.5 s
+    When the store answers from 0.2 s after the first on
+    Then the host's heartbeat is stored 2.0 s later
--- a/programs/beryl-host/src/berylcleat/host/_publisher.py
+++ b/programs/beryl-host/src/berylcleat/host/_publisher.py
@@ -52,6 +52,7 @@
         """Publish periodically; log the first of several failures in a row."""
         is_failing = False
         while True:
+            started_at = now_s()
             try:
                 await self.publish_if_due()
                 is_failing = False
@@ -62,7 +63,9 @@
                 if not is_failing:
                     logger.warning("could not publish the heartbeat: %s", error)
                 is_failing = True
-                await asyncio.sleep(HEARTBEAT_PERIOD_S)
+                # No further pause after a call that timed out: a host whose heartbeat
+                # is missing for 3 s after an outage counts as dead.
+                await asyncio.sleep(HEARTBEAT_PERIOD_S - (now_s() - started_at))
             await asyncio.sleep(CHECK_PERIOD_S)
 
     async def publish_if_due(self) -> None:
