Count the time to stop runs into a lease

What callers could see: TWICE. An owner takes a lease for ended 4% after its duration, 0.08 s after a lease of 2 s. A worker that is busy, or that stops its runs as it does on an order (a stop takes up to 0.4 s by the sheets), may still run them then.

Change: a lease counts for 0.4 s longer than was requested.

Evidence: "A draining worker may take 0.4 s to stop its runs once their lease has ended" fails before (started 0.4 s after the lease) and passes now; runs_once, takeover, end_evidence, crashes and confirmation pass as before.

--- a/libs/scheduling/features/draining_workers.feature
+++ b/libs/scheduling/features/draining_workers.feature
@@ -59,3 +59,9 @@
     When all entries go and the draining worker can't be reached for 1 s
     And the entry of the other worker comes back 1 s before that of the draining one
     Then the run goes on and its task isn't started again
+
+  # Guards against TWICE: 4% of a lease of 2 s is less than a busy worker may take to end
+  # its runs, and a stop may take 0.4 s.
+  Scenario: A draining worker may take 0.4 s to stop its runs once their lease has ended
+    When the draining worker falls silent right after a renewal of its lease
+    Then its task isn't started within 0.4 s of the end of that lease
--- a/libs/scheduling/features/steps/draining_worker_steps.py
+++ b/libs/scheduling/features/steps/draining_worker_steps.py
@@ -6,7 +6,7 @@
 from gang_steps import SUBMISSION_ID, ScriptedCell
 
 from berylcleat.model import Step, TaskDemand, TaskKey
-from berylcleat.scheduling import CellScheduler, InterferenceModel
+from berylcleat.scheduling import CellScheduler, InterferenceModel, LeaseTimes
 
 TASK = TaskKey(SUBMISSION_ID, 0, 0, 0)
 STEP = Step(1, TaskDemand(5000, 100))
@@ -228,3 +228,26 @@
     scripted_cell.silent.clear()
     scripted_cell.cell.list_worker(context.entry, scripted_cell.now)
     pass_time(scripted_cell, scripted_cell.now + 2)
+
+
+# Stops after a lease
+
+
+@when("the draining worker falls silent right after a renewal of its lease")
+def step_silent_after_renewal(context):
+    scripted_cell = context.scripted_cell
+    # A first report counts as the longest lease, which ends meanwhile.
+    pass_time(scripted_cell, scripted_cell.now + LeaseTimes().max_lease_s)
+    view = scripted_cell.cell.worker_by_id[context.worker_id]
+    # The clocks of the workers began at 0.
+    until_ms = scripted_cell.cell.lease_until_ms(view, scripted_cell.now)
+    context.lease_ends_at = until_ms / 1000
+    scripted_cell.silent.add(context.worker_id)
+    scripted_cell.cell.unlist_worker(context.worker_id)
+
+
+@then("its task isn't started within {seconds:f} s of the end of that lease")
+def step_not_started_within(context, seconds):
+    scripted_cell = context.scripted_cell
+    pass_time(scripted_cell, context.lease_ends_at + seconds)
+    assert not scripted_cell.starts, (scripted_cell.now, context.lease_ends_at)
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -21,7 +21,7 @@
 from ._filler_stops import choose_fillers_to_stop, must_stop_all_fillers
 from ._finish_estimate import FinishEstimator
 from ._interference import InterferenceModel
-from ._leases import LeaseTimes
+from ._leases import RUN_STOP_MS, LeaseTimes
 from ._moves import CellHeadroom, TaskMove
 from ._orders import WorkerOrder
 from ._pacing import LoadEstimator, plan_paces
@@ -400,7 +400,7 @@
         lease_s = self.times.lease_s(view.entry.is_draining)
         until_ms = view.clock.earliest_ms(now) + int(lease_s * 1000)
         until_ms = self._drain_limits.cap(worker_id, until_ms)
-        view.clock.extend_lease(until_ms)
+        view.clock.extend_lease(until_ms + RUN_STOP_MS)
         return until_ms
 
     def _stop_duplicate_run(self, task: TaskKey, now: float) -> None:
