Record leases of draining workers again when their limit can't be raised

What callers would see: a run on a draining worker lapses though its worker answers.

Cause: a limit was raised only if all orders to the worker were known, and only for runs of known submissions. After a start whose run was reported before its answer was given up, no later limit was asked for during 12 s, and the one in effect ended after 5 s. The next owner, which grants nothing before a limit of its own, didn't ask for one while the submission of the run wasn't received.

Change: a worker with a limit is recorded again whenever the next lease needs it; with orders that aren't known it is recorded without a limit, so the next owner waits in full. Runs of unknown submissions count as runs. A limit that the write under way raises isn't asked for again.

--- a/libs/scheduling/src/berylcleat/scheduling/_drain_limits.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_drain_limits.py
@@ -60,12 +60,21 @@
         return min(until_ms, self._limit_ms_by_worker.get(worker_id, until_ms))
 
     def must_raise(self, view: WorkerView, now: float) -> bool:
-        """Return whether a later limit has to be recorded for the next leases."""
-        if not view.entry.is_draining or not view.run_by_task:
+        """Return whether the next leases need a record with a later limit, or none.
+
+        One that the write under way records counts as recorded.
+        """
+        has_runs = view.run_by_task or view.unknown_run_by_task
+        if not view.entry.is_draining or not has_runs:
             return False
-        if not _has_known_orders(view, now):
+        worker_id = view.entry.worker_id
+        is_limited = worker_id in self._limit_ms_by_worker
+        if not is_limited and not _has_known_orders(view, now):
             return False
-        limit_ms = self._limit_ms_by_worker.get(view.entry.worker_id, 0)
+        limit_ms = max(
+            self._limit_ms_by_worker.get(worker_id, 0),
+            self._proposed_ms_by_worker.get(worker_id, 0),
+        )
         lease_ms = int(self._times.lease_s(is_draining=True) * 1000)
         return view.clock.earliest_ms(now) + lease_ms + LIMIT_MARGIN_MS > limit_ms
 
--- a/programs/beryl-host/features/drain_limits.feature
+++ b/programs/beryl-host/features/drain_limits.feature
@@ -31,6 +31,20 @@
     When the workers are recorded until nothing is left to record
     Then it grants "w1" a lease of 2 s
 
+  # Guards against lapsed runs: no later limit was recorded for 12 s after a start without
+  # an answer, or while the submission of a run wasn't known, and none allows no lease.
+  Scenario Outline: A run on a draining worker gets leases after <event>
+    Given a cell with recorded workers "w1 w2"
+    When "w1" has a run, and drained with a recorded limit before <event>
+    Then the workers must be written again
+    When the workers are recorded until nothing is left to record
+    Then it grants "w1" a lease of 2 s
+
+    Examples:
+      | event                             |
+      | the answer to its start is lost   |
+      | a takeover without the submission |
+
   # Guards against TWICE: tasks started on a worker that is recorded as draining, with
   # the limit of a life that had been forgotten.
   Scenario Outline: A drained worker that returns <when> is recorded before a start on it
--- a/programs/beryl-host/features/steps/drain_limits_steps.py
+++ b/programs/beryl-host/features/steps/drain_limits_steps.py
@@ -8,6 +8,7 @@
 from ownership_steps import (
     CELL,
     SUBMISSION,
+    TASK,
     list_as_draining,
     make_owning_scheduler,
     make_recorder,
@@ -19,6 +20,13 @@
 
 from berylcleat.host._clock import now_s
 from berylcleat.host._records import OWNER_KEY, OwnerRow, encode
+from berylcleat.ports import (
+    OrderAnswer,
+    OrderResult,
+    RunningTask,
+    StartOrder,
+    WorkerReport,
+)
 from berylcleat.scheduling import (
     CellScheduler,
     InterferenceModel,
@@ -114,3 +122,25 @@
         record_during(context, return_ready)
     else:
         return_ready()
+
+
+@when('"w1" has a run, and drained with a recorded limit before {event}')
+def step_has_run(context, event):
+    make_owning_scheduler(context)
+    if event == "a takeover without the submission":
+        step_drained(context)
+        take_over(context)
+        step_record_workers(context)
+        report_run(context, "w1", 1, 100_000)
+        return
+    scheduler = context.scheduler
+    scheduler.add_submission(SUBMISSION, Progress(), 1.0, 1.0, inherited=True)
+    report_run(context, "w1", 1, 100_000)
+    list_as_draining(scheduler, "w1")
+    step_record_workers(context)
+    now = now_s()
+    order = StartOrder(TASK, 1, "s", 104_000, 2, incarnation_ms=1)
+    scheduler.on_start_answer("w1", order, OrderAnswer(OrderResult.NO_ANSWER), now)
+    running = (RunningTask(TASK, 1, "", 100),)
+    report = WorkerReport(102_000, 1, running, ())
+    scheduler.on_report("w1", report, now + 2.0, now + 2.0)
