--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -158,7 +158,7 @@
             expected_finish=self._expected_finish,
         )
         scheduler.on_recorded_leases(
-            self._recorder.lease_left_s_by_worker,
+            self._recorder.recorded_leases(self.owner.epoch - 1),
             self._version_times.written_by(self._recorder.workers_version, now_s()),
         )
         if self._learns_uneven_workers:
