--- a/libs/scheduling/features/steps/cell_simulation.py
+++ b/libs/scheduling/features/steps/cell_simulation.py
@@ -457,10 +457,14 @@
         )
         for submission_id in self.submission_by_id:
             self.add_submission_to(cell, sim_cell, submission_id, inherited=epoch > 1)
-        for worker_id in sim_cell.worker_ids:
-            cell.list_worker(self.workers[worker_id].entry, self.now)
+        for entry in self.listed_entries(sim_cell):
+            cell.list_worker(entry, self.now)
         return cell
 
+    def listed_entries(self, sim_cell: SimCell) -> list[WorkerEntry]:
+        """Return the entries of a cell's workers on the list."""
+        return [self.workers[worker_id].entry for worker_id in sim_cell.worker_ids]
+
     def add_submission_to(
         self,
         cell: CellScheduler,
@@ -513,7 +517,12 @@
         )
         if self.disabled_mechanism == "takeover wait":
             wait_s = 0.0
-        sim_cell.owners.append(SimOwner(self, sim_cell, self.now + wait_s, workers))
+        owner = self.make_owner(sim_cell, self.now + wait_s, workers)
+        sim_cell.owners.append(owner)
+
+    def make_owner(self, sim_cell: SimCell, settled_at: float, workers) -> SimOwner:
+        """Create a host that owns a cell under its present epoch."""
+        return SimOwner(self, sim_cell, settled_at, workers)
 
     def other_headrooms(self, owner: SimOwner) -> tuple[CellHeadroom, ...]:
         """Return the headroom of all cells but that of ``owner``."""
