Adapt the scenarios of draining workers to recorded leases

The scenarios record the workers with the leases of draining ones, as the recorder does, and the next owner is told of them, counted from the write. An owner that is cut off gets no lease beyond the recorded one, so the bound of its last lease is taken while that lease lasts: afterwards leases_expire_at tells the time of the last answer.

--- a/libs/scheduling/features/steps/draining_worker_steps.py
+++ b/libs/scheduling/features/steps/draining_worker_steps.py
@@ -1,11 +1,12 @@
 """Steps of a cell whose draining worker can't be reached while its runs go on."""
 
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from behave import given, then, when
 from gang_steps import SUBMISSION_ID, ScriptedCell
 
 from berylcleat.model import Step, TaskDemand, TaskKey
+from berylcleat.ports import WorkerEntry
 from berylcleat.scheduling import CellScheduler, InterferenceModel
 
 TASK = TaskKey(SUBMISSION_ID, 0, 0, 0)
@@ -14,6 +15,15 @@
 N_WORKERS = 2
 
 
+@dataclass(frozen=True, slots=True)
+class RecordedWorkers:
+    """Recorded workers, and how long leases on draining ones last from the write."""
+
+    entries: tuple[WorkerEntry, ...]
+    lease_left_s_by_worker: dict[str, float]
+    written_at: float
+
+
 def hold_workers(scripted_cell: ScriptedCell, unreachable=frozenset()) -> None:
     """Renew leases and handle failed holds as the hold loops of a host do."""
     cell, now = scripted_cell.cell, scripted_cell.now
@@ -23,8 +33,6 @@
                 cell.lease_until_ms(view, now)
             continue
         cell.on_hold_failed(worker_id, now)
-        if hasattr(cell, "on_connection_refused"):
-            cell.on_connection_refused(worker_id, now)
         if cell.can_forget(worker_id):
             del cell.worker_by_id[worker_id]
 
@@ -41,15 +49,18 @@
     return view.leases_expire_at()
 
 
-def record_workers(scripted_cell: ScriptedCell) -> tuple:
+def record_workers(scripted_cell: ScriptedCell) -> RecordedWorkers:
     """Record the workers as the owner does and return what is recorded."""
-    views = scripted_cell.cell.worker_by_id
-    scripted_cell.cell.on_workers_recorded(frozenset(views))
-    return tuple(view.entry for view in views.values())
+    cell = scripted_cell.cell
+    worker_ids = frozenset(cell.worker_by_id)
+    leases = cell.on_recording_workers(worker_ids, scripted_cell.now)
+    cell.on_workers_recorded(worker_ids)
+    entries = tuple(view.entry for view in cell.worker_by_id.values())
+    return RecordedWorkers(entries, leases, scripted_cell.now)
 
 
 def take_over(
-    earlier: ScriptedCell, recorded_workers, *, is_dead: bool
+    earlier: ScriptedCell, recorded: RecordedWorkers, *, is_dead: bool
 ) -> ScriptedCell:
     """Return the cell as its next owner sees it, which reaches all but silent workers.
 
@@ -68,9 +79,10 @@
         times,
         now,
         cell.settled_at,
-        recorded_workers,
+        recorded.entries,
         InterferenceModel(),
     )
+    cell.cell.on_recorded_leases(recorded.lease_left_s_by_worker, recorded.written_at)
     for view in earlier_cell.worker_by_id.values():
         if view.is_listed:
             cell.cell.list_worker(view.entry, now)
@@ -92,7 +104,7 @@
     scripted_cell.cell.list_worker(replace(entry, is_draining=True), scripted_cell.now)
     pass_time(scripted_cell, scripted_cell.now + 1)
     context.entry = scripted_cell.cell.worker_by_id[item.worker_id].entry
-    context.recorded_workers = record_workers(scripted_cell)
+    context.recorded = record_workers(scripted_cell)
 
 
 @when("the draining worker falls silent and its entry goes after {seconds:d} s")
@@ -160,17 +172,20 @@
 def step_owner_cut_off(context, seconds):
     earlier = context.scripted_cell
     replace_owner(context, is_dead=False)
-    pass_time(earlier, earlier.now + seconds)
-    hold_workers(earlier)
     view = earlier.cell.worker_by_id[context.worker_id]
-    context.leases_end_at = view.leases_expire_at()
+    end = earlier.now + seconds
+    while earlier.now < end:
+        pass_time(earlier, earlier.now + TICK_S)
+        if view.clock.lease_until_ms > view.clock.clock_ms:
+            # Else it has ended already, as no later one is recorded.
+            context.leases_end_at = view.leases_expire_at()
 
 
 def replace_owner(context, *, is_dead: bool = True) -> None:
     """Replace the owner by another one, which can't reach the draining worker."""
     earlier = context.scripted_cell
     context.earlier_owners.append(earlier)
-    owner = take_over(earlier, context.recorded_workers, is_dead=is_dead)
+    owner = take_over(earlier, context.recorded, is_dead=is_dead)
     owner.silent.add(context.worker_id)
     context.scripted_cell = owner
 
@@ -179,7 +194,7 @@
 def step_second_dies(context, seconds):
     second = context.scripted_cell
     pass_time(second, second.now + seconds)
-    context.recorded_workers = record_workers(second)
+    context.recorded = record_workers(second)
     replace_owner(context)
 
 
