Histories of draining workers with recorded leases

Owners record the workers as the recorder does: the write takes time, is rejected after a takeover, and its answer may be lost; the next owner is told how long leases on draining workers last, counted from the write. Histories run with leases of 2 s and, as a mistaken exit shows more often then, of 5 s for draining workers. Both the wait for the lease and the recorded leases can be left out, and a task then runs twice.

--- a/libs/scheduling/features/steps/cell_simulation.py
+++ b/libs/scheduling/features/steps/cell_simulation.py
@@ -308,10 +308,13 @@
             )
         self.cell.on_recorded(batch)
         if self.cell.must_record_workers():
-            self.sim_cell.recorded_workers = tuple(
-                view.entry for view in self.cell.worker_by_id.values()
-            )
-            self.cell.on_workers_recorded(frozenset(self.cell.worker_by_id))
+            self._record_workers()
+
+    def _record_workers(self) -> None:
+        self.sim_cell.recorded_workers = tuple(
+            view.entry for view in self.cell.worker_by_id.values()
+        )
+        self.cell.on_workers_recorded(frozenset(self.cell.worker_by_id))
 
     def _propose_moves(self) -> None:
         """Propose moves of stuck tasks; a partition delays their commit."""
@@ -387,6 +390,9 @@
 class Simulation:
     """One simulated history, determined by its seed."""
 
+    # Lease durations of the owners.
+    times = TIMES
+
     def __init__(
         self,
         random_state: int,
@@ -448,7 +454,7 @@
         cell = CellScheduler(
             sim_cell.cell_id,
             epoch,
-            TIMES,
+            self.times,
             self.now,
             settled_at,
             workers,
--- a/libs/scheduling/features/steps/drain_simulation.py
+++ b/libs/scheduling/features/steps/drain_simulation.py
@@ -13,15 +13,22 @@
 
 from berylcleat.model import TaskKey
 from berylcleat.ports import HoldOrder, OrderAnswer, OrderResult, RunEnd, WorkerEntry
+from berylcleat.scheduling import CellScheduler
 from berylcleat.standins import TaskWorker
 
-# Mechanism that a history can do without.
+# Mechanisms that a history can do without.
 WAIT_FOR_LEASE = "wait for the lease"
+RECORDED_LEASES = "recorded leases"
 HEARTBEAT_S = 1.5
 ENTRY_LIFE_S = 3 * HEARTBEAT_S
 LIST_READ_PERIOD_S = 0.25
 MAX_CONNECT_S = 1.0
 MAX_REFUSAL_S = 0.3
+# Seconds until a record of workers is written, and then until it is answered; share of
+# those that aren't answered.
+MAX_WRITE_S = 0.3
+CALM_WRITE_S = 0.05
+LOST_WRITE_SHARE = 0.1
 # Shares of the ticks of a cell in which a worker begins to drain or is cut off, or all
 # entries are lost.
 DRAIN_SHARE = 0.006
@@ -69,6 +76,14 @@
     first_epoch: float
 
 
+@dataclass(frozen=True, slots=True)
+class WorkersRecord:
+    """Recorded workers, and how long leases on draining ones last at most."""
+
+    workers: tuple[WorkerEntry, ...]
+    lease_left_s_by_worker: dict[str, float]
+
+
 class DrainOwner(SimOwner):
     """Owner that reads the list, and forgets workers as a host does."""
 
@@ -76,6 +91,9 @@
         super().__init__(sim, sim_cell, settled_at, workers)
         self.pending_holds: set[str] = set()
         self.reads_list_at = sim.now
+        self.is_recording_workers = False
+        # The record of workers that was written and is still to be answered.
+        self.written_row: WorkersRecord | None = None
 
     def step(self) -> None:
         """Read the list, then act as any owner."""
@@ -85,6 +103,59 @@
             self._read_list()
         super().step()
 
+    def _record_workers(self) -> None:
+        """Record the workers and how long leases on them last, unless it is under way.
+
+        The write is rejected once the cell was taken over, and its answer may be lost.
+        """
+        if self.is_recording_workers:
+            return
+        self.is_recording_workers = True
+        rng, now = self.sim.drain_rng, self.sim.now
+        entry_by_worker = {
+            worker_id: view.entry for worker_id, view in self.cell.worker_by_id.items()
+        }
+        leases = self.cell.on_recording_workers(frozenset(entry_by_worker), now)
+        if self.sim.disabled_mechanism == RECORDED_LEASES:
+            leases = dict.fromkeys(leases, 0.0)
+        row = WorkersRecord(tuple(entry_by_worker.values()), leases)
+        max_write_s = CALM_WRITE_S if self.sim.is_calm else MAX_WRITE_S
+        is_answered = self.sim.is_calm or rng.random() >= LOST_WRITE_SHARE
+        written_at = now + rng.uniform(0.0, max_write_s)
+        self.sim.schedule_event(written_at, lambda: self._write_workers(row))
+        answered_at = written_at + rng.uniform(0.0, max_write_s)
+        self.sim.schedule_event(
+            answered_at, lambda: self._on_workers_written(entry_by_worker, is_answered)
+        )
+
+    def _write_workers(self, row: WorkersRecord) -> None:
+        if self.epoch == self.sim_cell.epoch and not self.is_partitioned:
+            self.written_row = row
+            self.sim_cell.recorded_workers = row.workers
+            self.sim.leases_by_cell[self.sim_cell.cell_id] = (
+                row.lease_left_s_by_worker,
+                self.sim.now,
+            )
+
+    def _on_workers_written(
+        self, entry_by_worker: dict[str, WorkerEntry], is_answered: bool
+    ) -> None:
+        """Take note of a written record, except of workers that have changed since."""
+        self.is_recording_workers = False
+        is_written, self.written_row = self.written_row is not None, None
+        if not (is_answered and is_written) or self.is_out_of_touch:
+            return
+        views = self.cell.worker_by_id
+        self.cell.on_workers_recorded(
+            frozenset(
+                worker_id
+                for worker_id, entry in entry_by_worker.items()
+                if worker_id in views
+                and views[worker_id].entry.is_draining == entry.is_draining
+                and views[worker_id].entry.address == entry.address
+            )
+        )
+
     def _read_list(self) -> None:
         entries = self.sim.listed_entries(self.sim_cell)
         for entry in entries:
@@ -117,8 +188,6 @@
         cell.on_hold_failed(worker_id, now)
         if result is OrderResult.NOT_SENT:
             self.sim.on_probe_not_sent(self, worker_id)
-            if hasattr(cell, "on_connection_refused"):
-                cell.on_connection_refused(worker_id, now)
         may_act = now - self.confirmed_at < TIMES.owner_limit_s
         if may_act and not cell.is_fenced_out and cell.can_forget(worker_id):
             del cell.worker_by_id[worker_id]
@@ -128,7 +197,14 @@
 class DrainFaults:
     """Workers that drain and are cut off, for histories of any kind."""
 
-    def __init__(self, random_state: int, *args, **options):
+    def __init__(
+        self,
+        random_state: int,
+        *args,
+        draining_lease_s: float = TIMES.draining_lease_s,
+        **options,
+    ):
+        self.times = replace(TIMES, draining_lease_s=draining_lease_s)
         self.drain_rng = random.Random(f"drains {random_state}")
         self.entry_by_worker: dict[str, WorkerEntry] = {}
         self.heard_at: dict[str, float] = {}
@@ -136,13 +212,17 @@
         self.cut_by_worker: dict[str, Cut] = {}
         self.returns_at: dict[str, float] = {}
         self.store_returns_at = 0.0
+        # How long leases on draining workers last at most, as recorded by the owner,
+        # and when that was written.
+        self.leases_by_cell: dict[str, tuple[dict[str, float], float]] = {}
         # Submissions just before a drain, whose first tasks run long.
         self.long_submissions: set[str] = set()
         self.n_drains = 0
         self.n_exits = 0
         self.n_cuts = 0
         self.n_forgotten = 0
-        # Probes not sent to a worker that lives, drains, has runs and isn't listed.
+        self.n_recorded_leases = 0
+        # Probes not sent to a draining worker that lives but isn't listed.
         self.n_mistakable = 0
         super().__init__(random_state, *args, **options)
 
@@ -150,6 +230,14 @@
         """Create a host that owns a cell under its present epoch."""
         return DrainOwner(self, sim_cell, settled_at, workers)
 
+    def make_cell(self, sim_cell: SimCell, settled_at: float, workers) -> CellScheduler:
+        """Create a new owner's scheduler from the recorded state."""
+        cell = super().make_cell(sim_cell, settled_at, workers)
+        leases, written_at = self.leases_by_cell.get(sim_cell.cell_id, ({}, 0.0))
+        self.n_recorded_leases += len(leases)
+        cell.on_recorded_leases(leases, written_at)
+        return cell
+
     def listed_entries(self, sim_cell: SimCell) -> list[WorkerEntry]:
         """Return the entries of a cell's workers on the list."""
         found = (self.entry_by_worker.get(w) for w in sim_cell.worker_ids)
@@ -360,8 +448,7 @@
         view = owner.cell.worker_by_id[worker_id]
         if view.is_listed or not view.entry.is_draining:
             return
-        worker = self.workers[worker_id]
-        if worker.is_up and worker.run_by_task:
+        if self.workers[worker_id].is_up:
             self.n_mistakable += 1
         if self.disabled_mechanism == WAIT_FOR_LEASE:
             owner.cell.on_other_incarnation(worker_id, self.now)
@@ -370,21 +457,6 @@
 class DrainSimulation(DrainFaults, Simulation):
     """History with workers that drain and are cut off."""
 
-    def __init__(
-        self,
-        random_state: int,
-        disabled_mechanism: str = "",
-        n_cells: int = 1,
-        *,
-        has_unaware_owners: bool = False,
-    ):
-        super().__init__(
-            random_state,
-            disabled_mechanism,
-            n_cells,
-            has_unaware_owners=has_unaware_owners,
-        )
-
 
 class DrainConnectionSimulation(DrainFaults, ConnectionSimulation):
     """History in which connections open late and workers drain and are cut off."""
