--- a/libs/scheduling/features/steps/cell_simulation.py
+++ b/libs/scheduling/features/steps/cell_simulation.py
@@ -308,10 +308,13 @@
             )
         self.cell.on_recorded(batch)
         if self.cell.must_record_workers():
-            self.sim_cell.recorded_workers = tuple(
-                view.entry for view in self.cell.worker_by_id.values()
-            )
-            self.cell.on_workers_recorded(frozenset(self.cell.worker_by_id))
+            self._record_workers()
+
+    def _record_workers(self) -> None:
+        self.sim_cell.recorded_workers = tuple(
+            view.entry for view in self.cell.worker_by_id.values()
+        )
+        self.cell.on_workers_recorded(frozenset(self.cell.worker_by_id))
 
     def _propose_moves(self) -> None:
         """Propose moves of stuck tasks; a partition delays their commit."""
@@ -387,6 +390,9 @@
 class Simulation:
     """One simulated history, determined by its seed."""
 
+    # Lease durations of the owners.
+    times = TIMES
+
     def __init__(
         self,
         random_state: int,
@@ -448,7 +454,7 @@
         cell = CellScheduler(
             sim_cell.cell_id,
             epoch,
-            TIMES,
+            self.times,
             self.now,
             settled_at,
             workers,
@@ -457,10 +463,14 @@
         )
         for submission_id in self.submission_by_id:
             self.add_submission_to(cell, sim_cell, submission_id, inherited=epoch > 1)
-        for worker_id in sim_cell.worker_ids:
-            cell.list_worker(self.workers[worker_id].entry, self.now)
+        for entry in self.listed_entries(sim_cell):
+            cell.list_worker(entry, self.now)
         return cell
 
+    def listed_entries(self, sim_cell: SimCell) -> list[WorkerEntry]:
+        """Return the entries of a cell's workers on the list."""
+        return [self.workers[worker_id].entry for worker_id in sim_cell.worker_ids]
+
     def add_submission_to(
         self,
         cell: CellScheduler,
@@ -513,7 +523,12 @@
         )
         if self.disabled_mechanism == "takeover wait":
             wait_s = 0.0
-        sim_cell.owners.append(SimOwner(self, sim_cell, self.now + wait_s, workers))
+        owner = self.make_owner(sim_cell, self.now + wait_s, workers)
+        sim_cell.owners.append(owner)
+
+    def make_owner(self, sim_cell: SimCell, settled_at: float, workers) -> SimOwner:
+        """Create a host that owns a cell under its present epoch."""
+        return SimOwner(self, sim_cell, settled_at, workers)
 
     def other_headrooms(self, owner: SimOwner) -> tuple[CellHeadroom, ...]:
         """Return the headroom of all cells but that of ``owner``."""
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -17,6 +17,7 @@
 )
 
 from ._cell_moves import CellMoves
+from ._leases import RUN_STOP_MS
 from ._moves import (
     TaskMove,
 )
@@ -200,7 +201,7 @@
             view = self.worker_by_id[worker_id]
             lease_left_s_by_worker[worker_id] = max(
                 self._lease_left_s(worker_id, view, now),
-                view.clock.latest_reach_time(limit_ms) - now,
+                view.clock.latest_reach_time(limit_ms + RUN_STOP_MS) - now,
             )
         return lease_left_s_by_worker
 
