--- a/libs/scheduling/features/steps/drain_simulation.py
+++ b/libs/scheduling/features/steps/drain_simulation.py
@@ -84,6 +84,15 @@
     lease_left_s_by_worker: dict[str, float]
 
 
+@dataclass(frozen=True, slots=True)
+class RecordedLeases:
+    """How long leases on draining workers last, from a write by an epoch's owner."""
+
+    epoch: int
+    written_at: float
+    left_s_by_worker: dict[str, float]
+
+
 class DrainOwner(SimOwner):
     """Owner that reads the list, and forgets workers as a host does."""
 
@@ -132,9 +141,8 @@
         if self.epoch == self.sim_cell.epoch and not self.is_partitioned:
             self.written_row = row
             self.sim_cell.recorded_workers = row.workers
-            self.sim.leases_by_cell[self.sim_cell.cell_id] = (
-                row.lease_left_s_by_worker,
-                self.sim.now,
+            self.sim.leases_by_cell[self.sim_cell.cell_id] = RecordedLeases(
+                self.epoch, self.sim.now, row.lease_left_s_by_worker
             )
 
     def _on_workers_written(
@@ -212,9 +220,7 @@
         self.cut_by_worker: dict[str, Cut] = {}
         self.returns_at: dict[str, float] = {}
         self.store_returns_at = 0.0
-        # How long leases on draining workers last at most, as recorded by the owner,
-        # and when that was written.
-        self.leases_by_cell: dict[str, tuple[dict[str, float], float]] = {}
+        self.leases_by_cell: dict[str, RecordedLeases] = {}
         # Submissions just before a drain, whose first tasks run long.
         self.long_submissions: set[str] = set()
         self.n_drains = 0
@@ -233,9 +239,11 @@
     def make_cell(self, sim_cell: SimCell, settled_at: float, workers) -> CellScheduler:
         """Create a new owner's scheduler from the recorded state."""
         cell = super().make_cell(sim_cell, settled_at, workers)
-        leases, written_at = self.leases_by_cell.get(sim_cell.cell_id, ({}, 0.0))
-        self.n_recorded_leases += len(leases)
-        cell.on_recorded_leases(leases, written_at)
+        leases = self.leases_by_cell.get(sim_cell.cell_id)
+        # Leases of an owner that has recorded none aren't limited.
+        if leases is not None and leases.epoch == cell.epoch - 1:
+            self.n_recorded_leases += len(leases.left_s_by_worker)
+            cell.on_recorded_leases(leases.left_s_by_worker, leases.written_at)
         return cell
 
     def listed_entries(self, sim_cell: SimCell) -> list[WorkerEntry]:
