--- a/libs/scheduling/features/crashes.feature
+++ b/libs/scheduling/features/crashes.feature
@@ -173,7 +173,7 @@
   # so that only the later run was a suspect.
   Scenario: An answer of a restarted worker doesn't clear the run that crashed it
     Given a run that its worker has accepted, and a later one that the restarted worker has
-    When the list, and then the worker, tell of the restart
+    When the list names the restart
     Then a crash of the first run is counted
 
   # Guards against BUDGET: the answers counted as those of a worker that was only silent,
@@ -196,14 +196,14 @@
   # late, was taken back, as another run had just started when its worker crashed.
   Scenario: A recorded start without an answer may have crashed a worker later
     Given a suspect's run whose start wasn't answered, and a later one that its worker has accepted
-    When the list, and then the worker, tell of the restart
+    When the list names the restart
     Then a crash of the first run is counted
 
   # Guards against LOST: a submission is given up for a start that waits for a connection
   # when its worker restarts, and is then refused.
   Scenario Outline: Only a start that was permitted counts when its worker crashes
     Given a start that <state> when its worker restarts
-    When the list, and then the worker, tell of the restart
+    When the list names the restart
     Then <n> crashes of it are counted
     And the start is <outcome>
 
--- a/libs/scheduling/features/steps/crash_steps.py
+++ b/libs/scheduling/features/steps/crash_steps.py
@@ -11,7 +11,7 @@
     TaskDemand,
     TaskKey,
 )
-from berylcleat.ports import OrderAnswer, OrderResult, RunEnd, WorkerReport
+from berylcleat.ports import OrderAnswer, OrderResult, RunEnd
 from berylcleat.scheduling import (
     CrashEvidence,
     Progress,
@@ -495,15 +495,6 @@
     cell.list_worker(listed, context.scripted_cell.now)
 
 
-@when("the list, and then the worker, tell of the restart")
-def step_restart_told(context):
-    step_list_names_restart(context)
-    scripted_cell = context.scripted_cell
-    scripted_cell.started_at_ms["w0"] += 1
-    report = WorkerReport(1, scripted_cell.started_at_ms["w0"], (), ())
-    scripted_cell.cell.on_report("w0", report, scripted_cell.now, scripted_cell.now)
-
-
 @when("the restarted worker answers after the run's lease has expired")
 def step_answer_after_expiry(context):
     scripted_cell = context.scripted_cell
--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -100,11 +100,7 @@
         return SubmissionState.RUNNING if started else SubmissionState.QUEUED
 
     def list_worker(self, entry: WorkerEntry, now: float) -> None:
-        """Add a listed worker or update the entry of a known one.
-
-        A later start in an entry ends no run: another writer may have written it. The
-        worker's own answer tells of its restart.
-        """
+        """Add a listed worker or update the entry of a known one."""
         view = self.worker_by_id.get(entry.worker_id)
         if view is None:
             is_cordoned = entry.worker_id in (self._cordoned or ())
@@ -113,7 +109,8 @@
             # The record may still name it as it was before it was forgotten.
             self._require_record(entry.worker_id)
             return
-        had_restart_listed = view.is_restart_listed
+        if entry.started_at_ms > view.incarnation_ms and view.incarnation_ms:
+            self._end_incarnation(view, "listed with a later start", now)
         if (entry.is_draining, entry.address) != (
             view.entry.is_draining,
             view.entry.address,
@@ -123,21 +120,6 @@
             self._require_record(entry.worker_id)
         view.entry = entry
         view.is_listed = True
-        if view.is_restart_listed and not had_restart_listed:
-            self._on_restart_listed(view, now)
-
-    def _on_restart_listed(self, view: WorkerView, now: float) -> None:
-        """Wait for runs that a worker may have accepted since a restart.
-
-        No report has named them, and their leases are by its new clock.
-        """
-        logger.info(
-            "worker %s: listed with a later start, not confirmed", view.entry.worker_id
-        )
-        if all(run.was_reported for run in view.run_by_task.values()):
-            return
-        longest_s = self.times.takeover_wait_s(owner_is_dead=True)
-        view.unseen_lease_until = now + longest_s
 
     def set_cordoned(self, worker_ids: frozenset[str]) -> None:
         """Take exactly these workers out of use, those of machines in maintenance.
@@ -254,16 +236,11 @@
         """Handle an answer of a worker with another id at the worker's address.
 
         The worker has ended, and the other one executes no order meant for it. Runs
-        whose start is still to be answered are handled at the next call. The address in
-        an entry with a start that the worker hasn't confirmed may be wrong: the leases
-        of the incarnation that is known must expire.
+        whose start is still to be answered are handled at the next call.
         """
         view = self.worker_by_id.get(worker_id)
         if view is None:
             return
-        if view.is_restart_listed:
-            self.on_hold_failed(worker_id, now)
-            return
         if worker_id in self._unsettled_workers and not view.is_leaving:
             self.crashes.has_lost_worker = True
         self._unsettled_workers.discard(worker_id)
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -172,8 +172,6 @@
     unanswered_deadline_ms: int = 0
     late_lease_until: float = float("-inf")
     late_deadline_ms: int = 0
-    # Until when leases may last that a restart granted which only the list names.
-    unseen_lease_until: float = float("-inf")
     # When this incarnation had certainly started, as told by its clock.
     started_by: float = 0.0
     # When this incarnation first answered under the owner's epoch.
@@ -231,11 +229,6 @@
         """Whether the worker is expected to end, so that its end is no crash."""
         return self.entry.is_draining or self.is_cordoned
 
-    @property
-    def is_restart_listed(self) -> bool:
-        """Whether the entry names a later start than the incarnation that answered."""
-        return 0 < self.incarnation_ms < self.entry.started_at_ms
-
     @property
     def has_ever_answered(self) -> bool:
         """Whether any incarnation has answered under the owner's epoch.
@@ -249,11 +242,7 @@
         late_lease_until = min(
             self.late_lease_until, self.clock.latest_reach_time(self.late_deadline_ms)
         )
-        return max(
-            self.clock.all_leases_expire_at(),
-            late_lease_until,
-            self.unseen_lease_until,
-        )
+        return max(self.clock.all_leases_expire_at(), late_lease_until)
 
     def expect_late_start(self, times: LeaseTimes) -> None:
         """Expect a start without an answer that was sent to an earlier incarnation.
@@ -337,8 +326,6 @@
             return "in maintenance"
         if self.unknown_run_by_task:
             return "runs of unknown submissions"
-        if self.is_restart_listed:
-            return "its restart isn't confirmed"
         if 0 < self.entry.started_at_ms < self.incarnation_ms:
             return "capacity since its restart unknown"
         return ""
