--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -99,15 +99,18 @@
         return SubmissionState.RUNNING if started else SubmissionState.QUEUED
 
     def list_worker(self, entry: WorkerEntry, now: float) -> None:
-        """Add a listed worker or update the entry of a known one."""
+        """Add a listed worker or update the entry of a known one.
+
+        A later start in an entry ends no run: another writer may have written it. The
+        worker's own answer tells of its restart.
+        """
         view = self.worker_by_id.get(entry.worker_id)
         if view is None:
             is_cordoned = entry.worker_id in (self._cordoned or ())
             view = WorkerView(entry, is_cordoned=is_cordoned)
             self.worker_by_id[entry.worker_id] = view
             return
-        if entry.started_at_ms > view.incarnation_ms and view.incarnation_ms:
-            self._end_incarnation(view, "listed with a later start", now)
+        had_restart_listed = view.is_restart_listed
         if (entry.is_draining, entry.address) != (
             view.entry.is_draining,
             view.entry.address,
@@ -117,6 +120,21 @@
             self._recorded_workers.discard(entry.worker_id)
         view.entry = entry
         view.is_listed = True
+        if view.is_restart_listed and not had_restart_listed:
+            self._on_restart_listed(view, now)
+
+    def _on_restart_listed(self, view: WorkerView, now: float) -> None:
+        """Wait for runs that a worker may have accepted since a restart.
+
+        No report has named them, and their leases are by its new clock.
+        """
+        logger.info(
+            "worker %s: listed with a later start, not confirmed", view.entry.worker_id
+        )
+        if all(run.was_reported for run in view.run_by_task.values()):
+            return
+        longest_s = self.times.takeover_wait_s(owner_is_dead=True)
+        view.unseen_lease_until = now + longest_s
 
     def set_cordoned(self, worker_ids: frozenset[str]) -> None:
         """Take exactly these workers out of use, those of machines in maintenance.
@@ -164,15 +182,30 @@
             or self._recorded_workers != self.worker_by_id.keys()
         )
 
-    def on_recording_workers(self, worker_ids: frozenset[str]) -> None:
-        """Prevent starts on workers that a write lacks; call it before the write."""
+    def on_recording_workers(
+        self, worker_ids: frozenset[str], now: float
+    ) -> dict[str, float]:
+        """Prevent starts on workers that a write lacks; call it before the write.
+
+        Return for how many seconds leases on draining workers last at most, to record.
+        """
         self._recorded_workers &= worker_ids
         self._is_worker_record_in_doubt = True
+        views = [self.worker_by_id[worker_id] for worker_id in worker_ids]
+        lease_left_s_by_worker = {}
+        for worker_id, limit_ms in self._drain_limits.propose(views, now).items():
+            view = self.worker_by_id[worker_id]
+            lease_left_s_by_worker[worker_id] = max(
+                self._lease_left_s(worker_id, view, now),
+                view.clock.latest_reach_time(limit_ms) - now,
+            )
+        return lease_left_s_by_worker
 
     def on_workers_recorded(self, worker_ids: frozenset[str]) -> None:
         """Allow starts on recorded workers, which the next owner will know."""
         self._recorded_workers = set(worker_ids)
         self._is_worker_record_in_doubt = False
+        self._drain_limits.on_recorded()
 
     def is_settled(self, worker_id: str) -> bool:
         """Return whether all runs of earlier owners on a worker are known."""
@@ -181,10 +214,11 @@
     def can_forget(self, worker_id: str) -> bool:
         """Return whether a worker that left needs no further answer.
 
-        The next owner doesn't ask it: all its ends must be recorded.
+        The next owner doesn't ask it: all its ends must be recorded. Runs of unknown
+        submissions may go on until its leases have expired.
         """
         view = self.worker_by_id[worker_id]
-        if view.is_listed or view.run_by_task:
+        if view.is_listed or view.run_by_task or view.unknown_run_by_task:
             return False
         if view.acked_number < view.handled_number:
             return False
@@ -216,11 +250,16 @@
         """Handle an answer of a worker with another id at the worker's address.
 
         The worker has ended, and the other one executes no order meant for it. Runs
-        whose start is still to be answered are handled at the next call.
+        whose start is still to be answered are handled at the next call. The address in
+        an entry with a start that the worker hasn't confirmed may be wrong: the leases
+        of the incarnation that is known must expire.
         """
         view = self.worker_by_id.get(worker_id)
         if view is None:
             return
+        if view.is_restart_listed:
+            self.on_hold_failed(worker_id, now)
+            return
         if worker_id in self._unsettled_workers and not view.is_leaving:
             self.crashes.has_lost_worker = True
         self._unsettled_workers.discard(worker_id)
@@ -231,17 +270,6 @@
                 reason = "another worker has its address"
                 self._mark_lost(run, reason, now, may_have_crashed=True)
 
-    def on_connection_refused(self, worker_id: str, now: float) -> None:
-        """Handle a refused connection to a worker.
-
-        A draining worker that is no longer listed has then exited.
-        """
-        view = self.worker_by_id.get(worker_id)
-        if view is None or view.is_listed or not view.entry.is_draining:
-            return
-        self._unsettled_workers.discard(worker_id)
-        self._end_incarnation(view, "drained worker exited", now)
-
     def on_fenced(self, worker_id: str) -> None:
         """Mark this owner as fenced: a worker has seen a higher epoch."""
         if self.is_fenced_out:
@@ -332,6 +360,7 @@
         self.confirmation.is_awaited = False
         self._observe_time(now)
         self._expire_leases(now)
+        self._settle_gone(now)
         self._retry_stops(now)
         self._limit_interference(now)
         self._refresh_conditions(now)
