Count the time to stop runs into the leases of draining workers only

Cause: every lease counted for 0.4 s longer, so tasks of a lost worker waited longer everywhere.

Change: only leases of draining workers count for 0.4 s longer.

Seen to run: both scenarios pass now, and the starvation histories of 2 cells; "A draining worker may take 0.4 s to stop its runs" is checked as before.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -410,7 +410,8 @@
         lease_s = self.times.lease_s(view.entry.is_draining)
         until_ms = view.clock.earliest_ms(now) + int(lease_s * 1000)
         until_ms = self._drain_limits.cap(worker_id, until_ms)
-        view.clock.extend_lease(until_ms + RUN_STOP_MS)
+        stop_ms = RUN_STOP_MS if view.entry.is_draining else 0
+        view.clock.extend_lease(until_ms + stop_ms)
         return until_ms
 
     def _stop_duplicate_run(self, task: TaskKey, now: float) -> None:
