--- a/libs/scheduling/src/berylcleat/scheduling/_leases.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_leases.py
@@ -8,8 +8,8 @@
 
 # Relative amount by which a worker's clock may run slower than the owner's.
 CLOCK_DRIFT = 0.02
-# Milliseconds that a worker may take to stop its runs once a short lease has expired: as
-# long as for any other stop.
+# Milliseconds that a worker may take to stop its runs once a lease has expired: as long
+# as for any other stop.
 RUN_STOP_MS = 400
 
 
