Log the workers on which runs of earlier owners may be unknown

The waiting lines name the reason, not the worker that holds the cell back, nor for how long. Change: one line for each change of these workers while an earlier owner hasn't confirmed its stop. No logic changes.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -195,6 +195,13 @@
             for worker_id in self._unsettled_workers
         )
 
+    def unsettled_for_s(self, now: float) -> dict[str, float]:
+        """Return how long runs of earlier owners may be unknown, by worker, for logs."""
+        return {
+            worker_id: self._settled_at_by_worker.get(worker_id, self._settled_at) - now
+            for worker_id in self._unsettled_workers
+        }
+
     def on_leases_told(
         self, lease_left_s_by_worker: Mapping[str, float], now: float
     ) -> None:
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -41,6 +41,7 @@
 from ._submission_directory import SubmissionEntry
 from ._task_mover import TaskMover
 from ._uneven_metrics import ignore_uneven_workers, observe_uneven_workers
+from ._unsettled_log import UnsettledLog
 from ._version_times import VersionTimes
 from ._waiting_log import WaitingLog
 
@@ -129,6 +130,7 @@
         self._confirmation_needed = asyncio.Event()
         self._order_metrics = OrderMetrics(cell_id)
         self._waiting_log = WaitingLog()
+        self._unsettled_log = UnsettledLog(cell_id)
 
     @property
     def is_inactive(self) -> bool:
@@ -254,6 +256,7 @@
         """Ask the earlier owners, which may be cut off, until their runs are known."""
         while not self.scheduler.has_settled(now_s()):
             await asyncio.sleep(HANDOVER_RETRY_S)
+            self._unsettled_log.update(self.scheduler.unsettled_for_s(now_s()))
             reply = await confirm_stop()
             if reply is None:
                 continue
