Begin a cell soon although its earlier owner doesn't answer

Cause: a host that had acquired a cell first asked the earlier owner whether it had stopped, for 0.5 s if that one is dark, and sent the first holds only then. A lease lasts for 4 to 5 s after the owner's going and the takeover comes after 3.8 s, so these 0.5 s let most of them run out. Ruled out: the time to load the cell (0.1 s).

Change: the reply is waited for for 0.1 s; without one the cell begins as it did after a failed question, and the question is repeated. An earlier owner in this very process is stopped before, without a limit.

--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Set
+from collections.abc import Awaitable, Callable, Set
 from dataclasses import dataclass
 from functools import partial
 
@@ -48,6 +48,9 @@
 # Time for which this host doesn't acquire a cell that it has given up after an
 # unexpected exception: one that comes again at once must not load the store.
 FAILED_CELL_DELAY_S = 1.0
+# Time for the earlier owners of a cell to tell that they have stopped before the cell
+# begins; they are asked again later.
+STOP_REPLY_TIMEOUT_S = 0.1
 logger = logging.getLogger(__name__)
 
 
@@ -66,6 +69,20 @@
         }
 
 
+async def _reply_in_time(
+    confirm_stop: Callable[[], Awaitable[TakeoverReply | None]],
+) -> TakeoverReply | None:
+    """Return the earlier owners' reply, or None if it doesn't come soon.
+
+    Leases on all workers run out meanwhile, so the cell begins without it.
+    """
+    try:
+        async with asyncio.timeout(STOP_REPLY_TIMEOUT_S):
+            return await confirm_stop()
+    except TimeoutError:
+        return None
+
+
 def _as_earlier_owners(observed: ObservedOwner) -> tuple[EarlierOwner, ...]:
     """Return the owner that an owner row names, if any."""
     row = observed.row
@@ -396,7 +413,8 @@
         confirm_stop = partial(
             self._confirm_stops, cell_id, owners or (), row, released
         )
-        reply = await confirm_stop()
+        await self._relinquish_own(cell_id, owners or ())
+        reply = await _reply_in_time(confirm_stop)
         wait_s = self._times.takeover_wait_s(owner_is_dead=reply is not None)
         controller = CellController(
             cell_id,
@@ -447,6 +465,15 @@
             self._end_epoch(cell_id, controller)
             await controller.release()
 
+    async def _relinquish_own(
+        self, cell_id: str, owners: tuple[EarlierOwner, ...]
+    ) -> None:
+        """Stop earlier owners that this incarnation of the host runs itself."""
+        for owner in owners:
+            is_own = owner.host_id == self._identity.host_id
+            if is_own and owner.incarnation == self._identity.incarnation:
+                await self.relinquish(cell_id, owner.epoch)
+
     async def _confirm_stops(
         self,
         cell_id: str,
