Count an owner's limit, and the wait for it, from its last heartbeat

Cause: an owner that can't be asked went on for 12 s after its last confirmation, each of its leases for 6 s more, and the next owner counted both from its own takeover, 4 s after the last sign of the earlier one. The rule leaves 10 s from the fault (contactMs 3 s, 4 s and 3 s of calm). The class: a wait counted from the moment of learning instead of from the last proof, with a limit that nobody had checked against the rule.

Ruled out: the store, moves, capacity.

Change: an owner acts, and its runs have stopped, at most 9 s after it sent a heartbeat that was stored before the store last named it. Its leases are cut to that, with 0.4 s to stop runs; nothing starts with less than 1 s left; holds come each 0.25 s while leases are cut. Its owner row tells the limit; the next owner reads the heartbeat's row after its own commit and knows from the store's version numbers by when it was written. A row without a limit means 18.7 s as before. Owners that stopped beside one that is gone are waited for as well (found by the review: their leases were counted nowhere).

Why it is safe: the heartbeat that an owner counts from was acknowledged before the read that confirmed it was sent, so it was stored before the next owner's commit, and no row that is read after that commit is older.

--- a/libs/scheduling/src/berylcleat/scheduling/__init__.py
+++ b/libs/scheduling/src/berylcleat/scheduling/__init__.py
@@ -24,7 +24,13 @@
     InterferenceModel,
     ServingReading,
 )
-from ._leases import CLOCK_DRIFT, LeaseTimes, WorkerClock
+from ._leases import (
+    CLOCK_DRIFT,
+    MAX_UNSETTLED_S,
+    LeaseTimes,
+    WorkerClock,
+    wait_for_limit_s,
+)
 from ._machine_list import MACHINE_GONE_S, MachineList
 from ._maintenance import MACHINE_LEASE_S, plan_maintenance
 from ._moves import CellHeadroom, FillerHeadroom, MovedTaskEnd, MoveProposal, TaskMove
@@ -72,6 +78,7 @@
     "CLOCK_DRIFT",
     "MACHINE_GONE_S",
     "MACHINE_LEASE_S",
+    "MAX_UNSETTLED_S",
     "Account",
     "AdmissionController",
     "Admit",
@@ -143,4 +150,5 @@
     "encode_wave_record",
     "plan_maintenance",
     "plan_paces",
+    "wait_for_limit_s",
 ]
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -21,7 +21,7 @@
 from ._filler_stops import choose_fillers_to_stop, must_stop_all_fillers
 from ._finish_estimate import FinishEstimator
 from ._interference import InterferenceModel
-from ._leases import RUN_STOP_MS, LeaseTimes
+from ._leases import MAX_UNSETTLED_S, RUN_STOP_MS, LeaseTimes
 from ._moves import CellHeadroom, TaskMove
 from ._orders import WorkerOrder
 from ._pacing import LoadEstimator, plan_paces
@@ -41,6 +41,8 @@
 # Rejections of a start that tell nothing of the worker in its present incarnation.
 UNRELATED_TO_WORKER = (OrderResult.OLD_RUN, OrderResult.OTHER_INCARNATION)
 STOP_RETRY_S = 0.5
+# Seconds for which the lease of a start must last at least.
+MIN_START_LEASE_S = 1.0
 # Deadline of an order, if it isn't known: later than any clock of a worker.
 UNKNOWN_DEADLINE_MS = 2**53
 # Seconds for which a worker may still answer a hold that it received before it learned
@@ -159,6 +161,8 @@
         """Return why no task may start in the cell, or an empty string."""
         if self.awaits_cordon:
             return "maintenance not known"
+        if self._longest_lease_s(now) < MIN_START_LEASE_S:
+            return "ownership not confirmed for long"
         return "" if self.evacuation is None else self.evacuation.explain(now)
 
     def _has_evacuations(self) -> bool:
@@ -196,7 +200,7 @@
         )
 
     def unsettled_for_s(self, now: float) -> dict[str, float]:
-        """Return how long runs of earlier owners may be unknown, by worker, for logs."""
+        """Return for how long runs of earlier owners may be unknown, by worker."""
         return {
             worker_id: self._settled_at_by_worker.get(worker_id, self._settled_at) - now
             for worker_id in self._unsettled_workers
@@ -211,9 +215,8 @@
         that may be carried out late. The wait for a worker that it didn't name stays as
         it is.
         """
-        longest_s = self.times.takeover_wait_s(owner_is_dead=False)
         for worker_id, left_s in lease_left_s_by_worker.items():
-            self._settled_at_by_worker[worker_id] = now + min(left_s, longest_s)
+            self._settled_at_by_worker[worker_id] = now + min(left_s, MAX_UNSETTLED_S)
 
     def on_recorded_leases(
         self, lease_left_s_by_worker: Mapping[str, float], written_by: float
@@ -268,6 +271,10 @@
             for worker_id, view in self.worker_by_id.items()
         }
 
+    def on_earlier_owners_dated(self, settled_at: float) -> None:
+        """Shorten the wait for runs of owners whose last confirmation is now known."""
+        self._settled_at = min(self._settled_at, settled_at)
+
     def give_up_starts(self, now: float) -> None:
         """Take note that the starts under way get no answer any more.
 
@@ -411,10 +418,19 @@
         is_late = self.finish_order.is_late(task.submission_id)
         self.estimator.on_done(tracked, task, is_late, now)
 
+    def _longest_lease_s(self, now: float) -> float:
+        """Return how long a lease may last for its runs to have stopped in time."""
+        return self.confirmation.leases_end_by - now - RUN_STOP_MS / 1000
+
+    def are_leases_capped(self, now: float) -> bool:
+        """Return whether leases are shorter than usual for want of a confirmation."""
+        return self._longest_lease_s(now) < self.times.worker_lease_s
+
     def lease_until_ms(self, view: WorkerView, now: float) -> int:
         """Return the lease end to request, and count the lease as possibly granted."""
         worker_id = view.entry.worker_id
-        lease_s = self.times.lease_s(view.entry.is_draining)
+        usual_s = self.times.lease_s(view.entry.is_draining)
+        lease_s = max(0.0, min(usual_s, self._longest_lease_s(now)))
         until_ms = view.clock.earliest_ms(now) + int(lease_s * 1000)
         until_ms = self._drain_limits.cap(worker_id, until_ms)
         stop_ms = RUN_STOP_MS if view.entry.is_draining else 0
--- a/libs/scheduling/src/berylcleat/scheduling/_confirmation.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_confirmation.py
@@ -11,11 +11,13 @@
     ``confirmed_at`` is when the newest request was sent whose answer named this owner:
     no later owner had acted by then. It is infinite where nobody else can own the cell.
     ``is_awaited`` tells whether a decision of this planning round waits for a newer
-    one.
+    one. ``leases_end_by`` is the time by which all runs must have stopped unless this
+    owner is confirmed anew: the next owner, if it can't ask this one, waits no longer.
     """
 
     def __init__(self):
         self.confirmed_at = float("inf")
+        self.leases_end_by = float("inf")
         self.is_awaited = False
 
     def confirm(self, requested_at: float) -> None:
--- a/libs/scheduling/src/berylcleat/scheduling/_leases.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_leases.py
@@ -11,23 +11,29 @@
 # Milliseconds that a worker may take to stop its runs once a lease has expired: as long
 # as for any other stop.
 RUN_STOP_MS = 400
+# Seconds after its last confirmation for which runs of an owner last that doesn't tell
+# its limit: hosts of versions that didn't limit the leases themselves.
+UNTOLD_LIMIT_S = 18.0
+# Longest time for which runs of an earlier owner can outlive its last confirmation.
+MAX_UNSETTLED_S = UNTOLD_LIMIT_S * (1 + 2 * CLOCK_DRIFT)
 
 
 @dataclass(frozen=True, slots=True)
 class LeaseTimes:
     """Lease durations, in seconds.
 
-    ``owner_limit_s`` bounds how long an owner continues to send orders and renew leases
-    after the store last confirmed its ownership; it must exceed the store outages that
-    running work should survive. ``max_lease_s`` is the longest lease that a worker
-    grants. A draining worker gets ``draining_lease_s`` at most: one that has exited
-    can't be told from one that is cut off, so its tasks wait for the end of its lease.
-    The record of a cell's workers allows it leases for ``recorded_lease_s``.
+    ``owner_limit_s`` bounds how long an owner sends orders, and its leases last, after
+    the store last confirmed it: a next owner that can't ask it waits that long. It must
+    exceed the store outages that running work should survive. ``max_lease_s`` is the
+    longest lease that a worker grants. A draining worker gets ``draining_lease_s`` at
+    most: one that has exited can't be told from one that is cut off, so its tasks wait
+    for the end of its lease. The record of a cell's workers allows it leases for
+    ``recorded_lease_s``.
     """
 
     worker_lease_s: float = 5.0
     max_lease_s: float = 6.0
-    owner_limit_s: float = 12.0
+    owner_limit_s: float = 9.0
     draining_lease_s: float = 2.0
     recorded_lease_s: float = 5.0
 
@@ -38,9 +44,21 @@
         return self.worker_lease_s
 
     def takeover_wait_s(self, owner_is_dead: bool) -> float:
-        """Return how long runs of an earlier owner can outlive a takeover."""
-        renewals_s = 0.0 if owner_is_dead else self.owner_limit_s
-        return (renewals_s + self.max_lease_s) * (1 + 2 * CLOCK_DRIFT)
+        """Return how long runs of an earlier owner can outlive its last confirmation.
+
+        If it has certainly stopped, its leases end that long after its stop.
+        """
+        return wait_for_limit_s(
+            self.max_lease_s if owner_is_dead else self.owner_limit_s
+        )
+
+
+def wait_for_limit_s(limit_s: float) -> float:
+    """Return how long a limit that another host's or a worker's clock measures lasts.
+
+    The limit is 0 if it isn't told.
+    """
+    return (limit_s or UNTOLD_LIMIT_S) * (1 + 2 * CLOCK_DRIFT)
 
 
 def latest_start(clock_ms: int, now: float) -> float:
--- a/programs/beryl-host/features/confirmation.feature
+++ b/programs/beryl-host/features/confirmation.feature
@@ -5,7 +5,7 @@
   # LOST: the decision waited for the next read of all cells.
   Scenario: The owner row is read when a task waits for a confirmation
     Given a cell with recorded workers "w1 w2"
-    When its owner, last confirmed 10 s ago, has a task that waits for a confirmation
+    When its owner, last confirmed 6 s ago, has a task that waits for a confirmation
     Then the task no longer waits for it
     And the owner row was read at most 3 times
 
--- a/programs/beryl-host/features/steps/confirmation_steps.py
+++ b/programs/beryl-host/features/steps/confirmation_steps.py
@@ -66,7 +66,7 @@
 
 async def wait_for_confirmation(context, before_wait):
     """Let a task wait for 0.8 s, the store having changed before."""
-    controller = await start_unconfirmed_owner(context, 10.0)
+    controller = await start_unconfirmed_owner(context, 6.0)
     before_wait()
     add_waiting_task(controller)
     await asyncio.sleep(0.8)
@@ -75,7 +75,7 @@
     await controller.abandon()
 
 
-@when("its owner, last confirmed 10 s ago, has a task that waits for a confirmation")
+@when("its owner, last confirmed 6 s ago, has a task that waits for a confirmation")
 def step_wait(context):
     context.run(wait_for_confirmation(context, lambda: None))
 
--- a/programs/beryl-host/features/steps/drain_limits_steps.py
+++ b/programs/beryl-host/features/steps/drain_limits_steps.py
@@ -32,9 +32,11 @@
     InterferenceModel,
     LeaseTimes,
     Progress,
+    wait_for_limit_s,
 )
 
-FULL_WAIT_S = LeaseTimes().takeover_wait_s(owner_is_dead=False)
+# That of owners whose rows tell no limit.
+FULL_WAIT_S = wait_for_limit_s(0.0)
 
 
 @when(
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -71,7 +71,8 @@
     for. ``has_failed`` is true after an unexpected exception: what the scheduler holds
     may then contradict itself, so the cell must be given up. ``read_confirmed_at``
     returns when the newest read of the cells was sent that showed this owner, or minus
-    infinity if one showed another.
+    infinity if one showed another. ``heartbeat_before`` returns when the last heartbeat
+    of this host was sent that was stored before a time.
     """
 
     def __init__(
@@ -89,6 +90,7 @@
         *,
         expected_finish: bool = False,
         version_times: VersionTimes | None = None,
+        heartbeat_before: Callable[[float], float] = lambda at: at,
     ):
         self.cell_id = cell_id
         self.data_centre = data_centre
@@ -105,6 +107,7 @@
         self._settled_at = settled_at
         self._read_confirmed_at = read_confirmed_at
         self._version_times = version_times or VersionTimes()
+        self._heartbeat_before = heartbeat_before
         self._interference = knowledge.interference
         self._operator = knowledge.operator
         self._learns_uneven_workers = knowledge.learns_uneven_workers
@@ -236,15 +239,19 @@
         reply: TakeoverReply | None,
         confirm_stop: Callable[[], Awaitable[TakeoverReply | None]],
         unsettled_until: float,
+        date_lease_ends: Callable[[], Awaitable[float]] | None = None,
     ) -> None:
         """Apply the earlier owners' reply; without one, repeat the question.
 
-        Owners that can't be asked may have runs until ``unsettled_until``.
+        Their heartbeats tell meanwhile by when their leases have ended. Owners that
+        aren't known may have runs until ``unsettled_until``.
         """
         if self.is_inactive or self.scheduler is None:
             return
         if reply is None:
             self._spawn(self._handover_loop(confirm_stop, unsettled_until))
+            if date_lease_ends is not None:
+                self._spawn(self._date_loop(date_lease_ends, unsettled_until))
         elif reply.lease_left_s_by_worker is not None:
             self.scheduler.on_leases_told(reply.lease_left_s_by_worker, now_s())
 
@@ -270,6 +277,29 @@
             self._plan_needed.set()
             return
 
+    async def _date_loop(
+        self, date_lease_ends: Callable[[], Awaitable[float]], unsettled_until: float
+    ) -> None:
+        """Learn by when the leases of the earlier owners have ended."""
+        while not self.scheduler.has_settled(now_s()):
+            try:
+                ended_by = await date_lease_ends()
+            except BerylError as error:
+                logger.info(
+                    "cell %s: heartbeats of earlier owners not read: %s",
+                    self.cell_id,
+                    error,
+                )
+                await asyncio.sleep(HANDOVER_RETRY_S)
+                continue
+            logger.info(
+                "cell %s: leases of the earlier owners have ended in %.1f s",
+                self.cell_id,
+                ended_by - now_s(),
+            )
+            self.scheduler.on_earlier_owners_dated(max(ended_by, unsettled_until))
+            return
+
     async def _forget_unknown_worker(self) -> None:
         """Forget it once all leases of earlier owners have expired."""
         while not self.scheduler.has_settled(now_s()):
@@ -480,11 +510,19 @@
 
     def _is_ownership_confirmed(self) -> bool:
         """Return whether the store has named this owner recently enough to act."""
+        return now_s() < self._limit_at()
+
+    def _limit_at(self) -> float:
+        """Return until when this owner may act, and its leases last.
+
+        The time counts from a heartbeat that was stored before the store last named
+        this owner: the next owner can read when that was.
+        """
         read_at = self._read_confirmed_at()
         if read_at == float("-inf"):
-            return False
+            return read_at
         confirmed_at = max(read_at, self._recorder.confirmed_at)
-        return now_s() - confirmed_at < self._times.owner_limit_s
+        return self._heartbeat_before(confirmed_at) + self._times.owner_limit_s
 
     def _may_act(self) -> bool:
         """Return whether orders and moves may be sent now."""
@@ -493,6 +531,7 @@
     def _update_confirmation(self) -> None:
         confirmed_at = max(self._read_confirmed_at(), self._recorder.confirmed_at)
         self.scheduler.confirmation.confirmed_at = confirmed_at
+        self.scheduler.confirmation.leases_end_by = self._limit_at()
 
     async def _confirm_loop(self) -> None:
         """Read the owner row when decisions wait for a confirmation.
--- a/programs/beryl-host/src/berylcleat/host/_cell_directory.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_directory.py
@@ -7,7 +7,7 @@
 
 from berylcleat.model import MalformedValueError, decode_json
 from berylcleat.ports import StoreRow
-from berylcleat.scheduling import LeaseTimes
+from berylcleat.scheduling import MAX_UNSETTLED_S
 
 from ._clock import now_s
 from ._records import (
@@ -20,8 +20,6 @@
 from ._remote_liveness import RemoteLiveness
 from ._unreadable_rows import UnreadableRows
 
-# No run of an earlier owner outlives the acquisition of its cell by more.
-MAX_UNSETTLED_S = LeaseTimes().takeover_wait_s(owner_is_dead=False)
 logger = logging.getLogger(__name__)
 _owner_decoder = msgspec.json.Decoder(OwnerRow)
 _load_decoder = msgspec.json.Decoder(LoadRow)
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -14,12 +14,13 @@
     StoreRow,
     WorkerEntry,
 )
-from berylcleat.scheduling import LeaseTimes
+from berylcleat.scheduling import LeaseTimes, wait_for_limit_s
 
 from ._cell_controller import CellController
 from ._cell_directory import ObservedOwner
 from ._clock import now_s
 from ._components import Connections, Knowledge, OwnerFeeds
+from ._earlier_owners import latest_lease_end, read_latest_lease_end
 from ._identity import HostIdentity
 from ._known_cells import KnownCells
 from ._membership import Coverage, assign_cells
@@ -89,7 +90,13 @@
     if not row.host_id:
         return ()
     owner = EarlierOwner(
-        row.epoch, row.host_id, row.incarnation, row.peer_address, observed.version
+        row.epoch,
+        row.host_id,
+        row.incarnation,
+        row.peer_address,
+        observed.version,
+        row.data_centre,
+        row.limit_s,
     )
     return (owner,)
 
@@ -109,6 +116,7 @@
         times: LeaseTimes,
         *,
         expected_finish: bool = False,
+        heartbeat_before: Callable[[float], float] = lambda at: at,
     ):
         self.controller_by_cell: dict[str, CellController] = {}
         self.is_leaving = False
@@ -133,6 +141,8 @@
         self._feeds = feeds
         self._times = times
         self._expected_finish = expected_finish
+        # Returns when the last heartbeat was sent that was stored before a time.
+        self._heartbeat_before = heartbeat_before
         self._mover = TaskMover(
             SubmissionStore(connections.store),
             knowledge.directory,
@@ -343,6 +353,7 @@
             self._identity.peer_address,
             self._earlier_owners(previous),
             self._known_cells.data_centre_of(cell_id),
+            limit_s=self._times.owner_limit_s,
         )
         row_key = (CELL_TABLE, cell_id, OWNER_KEY)
         commit = Commit(
@@ -370,7 +381,7 @@
         remaining_s = previous.unsettled_s(now_s())
         if not previous.row.host_id:
             return remaining_s
-        return max(remaining_s, self._times.takeover_wait_s(owner_is_dead=False))
+        return max(remaining_s, wait_for_limit_s(previous.row.limit_s))
 
     def _earlier_owners(
         self, previous: ObservedOwner | None
@@ -402,6 +413,7 @@
         version: int,
         previous: ObservedOwner | None,
     ) -> None:
+        acquired_at = now_s()
         owners, remaining_s = row.earlier_owners, 0.0
         if owners is None and previous is not None:
             # A row that was acquired without an answer is the new one itself.
@@ -415,7 +427,11 @@
         )
         await self._relinquish_own(cell_id, owners or ())
         reply = await _reply_in_time(confirm_stop)
-        wait_s = self._times.takeover_wait_s(owner_is_dead=reply is not None)
+        settled_at = now_s() + self._times.takeover_wait_s(owner_is_dead=True)
+        earliest_at = 0.0
+        if reply is None:
+            earliest_at = self._other_leases_end_at(owners, row, previous, acquired_at)
+            settled_at = max(earliest_at, latest_lease_end(owners, acquired_at))
         controller = CellController(
             cell_id,
             self._known_cells.data_centre_of(cell_id),
@@ -424,11 +440,12 @@
             self._connections,
             self._knowledge,
             self._times,
-            max(now_s() + wait_s, unsettled_until),
+            max(settled_at, unsettled_until),
             partial(self._confirmed_at, cell_id, row),
             self._mover,
             expected_finish=self._expected_finish,
             version_times=self._feeds.cells.version_times,
+            heartbeat_before=self._heartbeat_before,
         )
         # A shutdown or a takeover notice may have come during the commit or the request
         # to the previous owner.
@@ -445,7 +462,12 @@
             await controller.start(self._workers.in_cell(cell_id))
             # The list may have changed while the recorded state was read.
             controller.update_workers(self._workers.in_cell(cell_id))
-            controller.complete_handover(reply, confirm_stop, unsettled_until)
+            controller.complete_handover(
+                reply,
+                confirm_stop,
+                unsettled_until,
+                partial(self._date_lease_ends, owners, acquired_at, earliest_at),
+            )
         except BerylError as error:
             logger.warning("cell %s: could not start: %s", cell_id, error)
             await self._give_up(cell_id, controller)
@@ -474,6 +496,41 @@
             if is_own and owner.incarnation == self._identity.incarnation:
                 await self.relinquish(cell_id, owner.epoch)
 
+    def _other_leases_end_at(
+        self,
+        owners: tuple[EarlierOwner, ...],
+        row: OwnerRow,
+        previous: ObservedOwner | None,
+        acquired_at: float,
+    ) -> float:
+        """Return by when leases have ended of owners that have certainly stopped.
+
+        They aren't among ``owners``: each has released the cell, or restarted, before
+        the one after it acquired it. That was ``row``'s owner if ``owners`` lack the
+        one right before it, otherwise that one or an earlier one.
+        """
+        wait_s = self._times.takeover_wait_s(owner_is_dead=True)
+        may_last_run = any(owner.epoch == row.epoch - 1 for owner in owners)
+        if may_last_run and previous is not None and previous.row.epoch < row.epoch:
+            return previous.observed_at + wait_s
+        return acquired_at + wait_s
+
+    async def _date_lease_ends(
+        self,
+        owners: tuple[EarlierOwner, ...],
+        acquired_at: float,
+        earliest_at: float,
+    ) -> float:
+        """Return by when the leases of earlier owners have ended, by their heartbeats.
+
+        Those of others have ended by ``earliest_at``. Raises ``BerylError`` if the
+        store doesn't answer.
+        """
+        ended_by = await read_latest_lease_end(
+            self._store, owners, acquired_at, self._feeds.cells.version_times
+        )
+        return max(earliest_at, ended_by)
+
     async def _confirm_stops(
         self,
         cell_id: str,
--- a/programs/beryl-host/src/berylcleat/host/_follower.py
+++ b/programs/beryl-host/src/berylcleat/host/_follower.py
@@ -107,7 +107,7 @@
             )
             self.failing_since = None
             self.recovered_at = now_s()
-        self.confirmed_at = requested_at
+        self.confirmed_at = max(self.confirmed_at, requested_at)
         self.version_times.observe(self.version, now_s())
 
 
@@ -136,6 +136,15 @@
         self._parts = parts
         self._version_by_row: dict[tuple[str, str], int] = {}
 
+    async def confirm(self) -> None:
+        """Receive all changes up to now, concurrently with ``run``.
+
+        Raises ``BerylError`` if the store doesn't answer, or has lost the history.
+        """
+        requested_at = now_s()
+        await self._follow(wait_s=0.0)
+        self.confirmed_at = max(self.confirmed_at, requested_at)
+
     async def refresh(self, version: int) -> None:
         """Catch up to ``version`` at once, concurrently with ``run``."""
         try:
--- a/programs/beryl-host/src/berylcleat/host/_hold_loops.py
+++ b/programs/beryl-host/src/berylcleat/host/_hold_loops.py
@@ -15,6 +15,9 @@
 # Long-poll timeout of a hold request: a worker answers it when a task ends or after
 # this time, so this also bounds the time between two lease renewals.
 HOLD_TIMEOUT_MS = 1000
+# The same while leases are short for want of a confirmation: once that has come, they
+# must be renewed before they end.
+CAPPED_HOLD_TIMEOUT_MS = 250
 HOLD_RETRY_S = 0.25
 # While reported ends aren't recorded yet, the next hold request is delayed by up to 1.5
 # times this value: a worker answers at once while it lists unacknowledged ends.
@@ -148,7 +151,9 @@
         if must_probe or not view.has_seen_epoch:
             return HoldOrder(epoch, 0, None, 0)
         until_ms = self._scheduler.lease_until_ms(view, now)
-        return HoldOrder(epoch, view.acked_number, until_ms, HOLD_TIMEOUT_MS)
+        is_capped = self._scheduler.are_leases_capped(now)
+        timeout_ms = CAPPED_HOLD_TIMEOUT_MS if is_capped else HOLD_TIMEOUT_MS
+        return HoldOrder(epoch, view.acked_number, until_ms, timeout_ms)
 
     async def _wait_for_recording(self, view: WorkerView) -> None:
         """Wait for a limited time until the worker's reported ends are recorded."""
--- a/programs/beryl-host/src/berylcleat/host/_monitored_store.py
+++ b/programs/beryl-host/src/berylcleat/host/_monitored_store.py
@@ -14,14 +14,19 @@
 
 from ._clock import now_s
 from ._store_reachability import StoreReachability
+from ._version_times import VersionTimes
 
 # Errors with which the store answers a call.
 ANSWER_ERRORS = (HistoryLostError, RejectedWriteError)
 T = TypeVar("T")
+Answer = TypeVar("Answer", CommitOutcome, RowPage)
 
 
 class MonitoredStore:
-    """Store that reports the start and the result of each call."""
+    """Store that reports the start and the result of each call.
+
+    ``version_times`` tells by when the store had reached its versions.
+    """
 
     def __init__(
         self,
@@ -32,16 +37,19 @@
         self._store = store
         self._reachability = reachability
         self._clock = clock
+        self.version_times = VersionTimes()
 
     async def commit(self, commit: Commit) -> CommitOutcome:
         """Apply ``commit``, or return the rows that conflict with its conditions."""
-        return await self._report(self._store.commit(commit), is_commit=True)
+        call = self._store.commit(commit)
+        return self._observe(await self._report(call, is_commit=True))
 
     async def read(
         self, table: str, part: str, first: str = "", end: str = ""
     ) -> RowPage:
         """Return the rows of a part with keys from ``first`` to before ``end``."""
-        return await self._report(self._store.read(table, part, first, end))
+        call = self._store.read(table, part, first, end)
+        return self._observe(await self._report(call))
 
     async def list_parts(self, table: str) -> tuple[str, ...]:
         """Return the parts of ``table`` that contain rows."""
@@ -50,7 +58,11 @@
     async def follow(self, table: str, after: int, wait_s: float) -> RowPage:
         """Long-poll for rows changed after version ``after``."""
         call = self._store.follow(table, after, wait_s)
-        return await self._report(call, wait_s=wait_s)
+        return self._observe(await self._report(call, wait_s=wait_s))
+
+    def _observe(self, result: Answer) -> Answer:
+        self.version_times.observe(result.version, self._clock())
+        return result
 
     async def _report(
         self, call: Awaitable[T], *, wait_s: float = 0.0, is_commit: bool = False
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -63,6 +63,7 @@
 from ._worker_list import WorkerList
 
 RECONCILE_PERIOD_S = 0.25
+CONFIRM_PERIOD_S = 0.25
 TRAFFIC_LOG_PERIOD_S = 10.0
 # Long-poll timeout of a table follower: a dead connection is detected after this time
 # plus a margin.
@@ -135,6 +136,7 @@
             OwnerFeeds(self.cell_follower, self.worker_follower, self.feeds),
             LeaseTimes(worker_lease_s=settings.worker_lease_s),
             expected_finish=settings.expected_finish,
+            heartbeat_before=lambda at: self.publisher.heartbeats.last_before(at),
         )
         self.publisher = HostPublisher(
             self.store,
@@ -253,6 +255,8 @@
             wait_s=FOLLOW_TIMEOUT_S,
             min_period_s=CELL_POLL_PERIOD_S,
         )
+        # The answers to all calls tell more closely when a row had been written.
+        self.cell_follower.version_times = self.store.version_times
         self.data_centre_follower = TableFollower(
             self.store,
             data_centre_table(data_centre),
@@ -297,6 +301,7 @@
         coroutines = [keep_running(run) for run in loops]
         coroutines.append(self._follow_workers())
         coroutines.append(run_periodically(RECONCILE_PERIOD_S, self.reconcile_cells))
+        coroutines.append(run_periodically(CONFIRM_PERIOD_S, self._confirm_cells))
         coroutines.append(
             run_periodically(CLEAN_PERIOD_S, self.early_cancellations.clean)
         )
@@ -308,6 +313,14 @@
         loop = asyncio.get_running_loop()
         return [loop.create_task(coroutine) for coroutine in coroutines]
 
+    async def _confirm_cells(self) -> None:
+        """Read the owner rows after each heartbeat: owners' limits count from both."""
+        if not self.ownership.controller_by_cell:
+            return
+        if self.publisher.heartbeats.last_acked_at <= self.cell_follower.confirmed_at:
+            return
+        await self.cell_follower.confirm()
+
     async def _follow_workers(self) -> None:
         """Follow the list of workers once the hosts agree on the cells."""
         self.workers.layout = await agree_on_layout(
--- a/programs/beryl-host/src/berylcleat/host/_publisher.py
+++ b/programs/beryl-host/src/berylcleat/host/_publisher.py
@@ -8,6 +8,7 @@
 from berylcleat.ports import Commit, CommitOutcome, Condition, RowWrite, Store
 
 from ._clock import now_s
+from ._heartbeat_times import HeartbeatTimes
 from ._identity import HostIdentity
 from ._records import HOST_PREFIX, HostRow, data_centre_table, encode
 
@@ -31,7 +32,10 @@
 
 
 class HostPublisher:
-    """Writer of this host's heartbeat and of the rows of its sources."""
+    """Writer of this host's heartbeat and of the rows of its sources.
+
+    ``heartbeats`` tells when the last heartbeats were sent and acknowledged.
+    """
 
     def __init__(
         self,
@@ -41,6 +45,7 @@
         sources: tuple[RowSource, ...],
     ):
         self.is_leaving = False
+        self.heartbeats = HeartbeatTimes()
         self._store = store
         self._identity = identity
         self._cpu_power = cpu_power
@@ -93,6 +98,7 @@
             self._on_conflict(outcome)
         self._heartbeat_version = outcome.version
         self._published_at = now
+        self.heartbeats.add(now, now_s())
         for source in self._sources:
             source.on_written()
 
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -82,7 +82,8 @@
 class EarlierOwner(msgspec.Struct, frozen=True, array_like=True):
     """Owner that a later one replaced without knowing whether it had stopped.
 
-    ``version`` is the version of the owner row that it wrote.
+    ``version`` is the version of the owner row that it wrote, ``data_centre`` the
+    owner's, empty if it isn't known, and ``limit_s`` as in that row.
     """
 
     epoch: Epoch
@@ -90,6 +91,8 @@
     incarnation: str
     peer_address: str
     version: Count
+    data_centre: str = ""
+    limit_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class OwnerRow(msgspec.Struct, frozen=True):
@@ -101,7 +104,9 @@
     ``data_centre`` is the owner's, ``cell_data_centre`` that of the cell's workers; it
     is empty in rows of hosts that don't record it. A released row tells for how long
     the leases on each worker may last, in seconds from the time it was written; None
-    if that isn't known.
+    if that isn't known. For ``limit_s`` seconds after a heartbeat of the owner that
+    came before its last confirmation it acts and grants leases; 0 in rows of hosts that
+    don't limit their leases so.
     """
 
     epoch: Epoch
@@ -115,6 +120,7 @@
     lease_left_s_by_worker: dict[str, Annotated[float, msgspec.Meta(ge=0)]] | None = (
         None
     )
+    limit_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class WorkersRow(msgspec.Struct, frozen=True):
--- a/programs/beryl-host/src/berylcleat/host/_unsettled_log.py
+++ b/programs/beryl-host/src/berylcleat/host/_unsettled_log.py
@@ -26,6 +26,5 @@
             "cell %s: runs of earlier owners may be unknown on %d workers: %s",
             self._cell_id,
             len(worker_ids),
-            ", ".join(f"{worker_id} for {s:.1f} s" for worker_id, s in named)
-            or "none",
+            ", ".join(f"{worker_id} for {s:.1f} s" for worker_id, s in named) or "none",
         )
