Test the limit of an owner and its leases

What they guard against: TWICE, where a lease of an earlier owner lasts beyond the time for which the next one waits, and LOST, where an owner starts nothing although the store confirms it.

lease_ends.feature: when the last heartbeat before a confirmation was sent; an owner whose heartbeats succeed again after it has lost its cell; 1,000 simulated takeovers with lost, late and refused calls, freezes and clocks 2% apart.

--- a/programs/beryl-host/features/lease_ends.feature
+++ b/programs/beryl-host/features/lease_ends.feature
@@ -41,3 +41,47 @@
       | fails        | heartbeat          | n | event           |
       | isn't read   | of its incarnation | 2 | the heartbeat   |
       | is malformed | unreadable         | 0 | the acquisition |
+
+  # Guards against TWICE: the next owner starts a task while a lease of the earlier one
+  # lasts. Its heartbeats and reads fail, are answered or carried out late, it freezes,
+  # and its clock, the workers' and the next owner's run up to 2% apart.
+  Scenario: No lease of an owner that can't be asked outlasts the wait of the next one
+    When 1000 takeovers from owners that can't be asked are simulated from seed 1
+    Then no lease outlasts the wait of the next owner
+    And some waits end less than 1 s after the last lease
+
+  # Guards against a check that finds nothing.
+  Scenario: Leases outlast the wait if the limit counts from confirmations alone
+    When 100 such takeovers with limits counted from confirmations are simulated from seed 1
+    Then some leases outlast the wait of the next owner
+
+  # Guards against TWICE: heartbeats that are stored again after the cell was lost must not
+  # make an owner act longer, as the next one counted from the earlier ones.
+  Scenario Outline: When the last heartbeat before a confirmation was sent
+    Given heartbeats sent at 1, 2 and 9 s that were acknowledged at 1.5, 4 and 9.5 s
+    Then the last one acknowledged by <at> s was sent at <sent> s
+
+    Examples:
+      | at  | sent |
+      | 1.4 | -inf |
+      | 1.5 | 1    |
+      | 3.9 | 1    |
+      | 4   | 2    |
+      | 9.4 | 2    |
+      | 9.6 | 9    |
+
+  # Guards against TWICE: a heartbeat that is no longer kept counted as sent at its time.
+  Scenario: More heartbeats than are kept
+    Given 100 heartbeats, one each 0.25 s, acknowledged at once
+    Then the last one acknowledged by 24.8 s was sent at 24.75 s
+    And the last one acknowledged by 9.1 s was sent at 9 s
+    And the last one acknowledged by 8 s was sent at -inf s
+
+  # Guards against TWICE: the owner's heartbeats fail for 7 s and succeed again after it
+  # has lost the cell, of which it hasn't heard.
+  Scenario: An owner whose heartbeats succeed again after it has lost its cell
+    Given a cell with recorded workers "w1 w2"
+    When its owner's last heartbeat before its last confirmation was sent 8 s ago
+    And one that it sends now is acknowledged
+    Then it acts for at most 1 s more
+    And no lease that it asks for ends later than that
--- a/programs/beryl-host/features/steps/host_parts.py
+++ b/programs/beryl-host/features/steps/host_parts.py
@@ -85,6 +85,7 @@
     data_centre="dc-1",
     operator=None,
     read_confirmed_at=now_s,
+    heartbeat_before=lambda at: at,
 ):
     """Return a controller; earlier runs count as unknown until ``settled_at``."""
     cells = CellDirectory(data_centre)
@@ -99,6 +100,7 @@
         settled_at,
         read_confirmed_at,
         IdleMover(),
+        heartbeat_before=heartbeat_before,
     )
 
 
--- a/programs/beryl-host/features/steps/lease_end_steps.py
+++ b/programs/beryl-host/features/steps/lease_end_steps.py
@@ -5,9 +5,12 @@
 
 from behave import given, then, when
 from host_parts import CELL, make_controller, make_worker_entry
+from lease_end_simulation import LeaseEndSimulation
+from ownership_steps import renew_lease
 
 from berylcleat.host._clock import now_s
 from berylcleat.host._earlier_owners import read_latest_lease_end
+from berylcleat.host._heartbeat_times import HeartbeatTimes
 from berylcleat.host._records import (
     CELL_TABLE,
     HOST_PREFIX,
@@ -143,3 +146,117 @@
 def step_counts(context, seconds, event):
     waited_s = context.settled_at - context.time_by_event[event]
     assert abs(waited_s - seconds) < TOLERANCE_S, waited_s
+
+
+def simulate(context, n, first, **options):
+    simulations = {
+        seed: LeaseEndSimulation(seed, **options) for seed in range(first, first + n)
+    }
+    context.overlap_s_by_seed = {
+        seed: context.run(simulation.overlap_s())
+        for seed, simulation in simulations.items()
+    }
+
+
+@when(
+    "{n:d} takeovers from owners that can't be asked are simulated from seed {first:d}"
+)
+def step_simulate(context, n, first):
+    simulate(context, n, first)
+
+
+@when(
+    "{n:d} such takeovers with limits counted from confirmations are simulated from "
+    "seed {first:d}"
+)
+def step_simulate_confirmations(context, n, first):
+    simulate(context, n, first, counts_from_heartbeats=False)
+
+
+@then("no lease outlasts the wait of the next owner")
+def step_no_overlap(context):
+    found = [(s, seed) for seed, s in context.overlap_s_by_seed.items() if s > 0]
+    assert not found, sorted(found, reverse=True)[:5]
+
+
+@then("some waits end less than 1 s after the last lease")
+def step_close(context):
+    assert any(-1.0 < s <= 0.0 for s in context.overlap_s_by_seed.values())
+
+
+@then("some leases outlast the wait of the next owner")
+def step_overlap(context):
+    assert any(s > 0 for s in context.overlap_s_by_seed.values())
+
+
+@given("heartbeats sent at 1, 2 and 9 s that were acknowledged at 1.5, 4 and 9.5 s")
+def step_heartbeats(context):
+    context.heartbeats = HeartbeatTimes()
+    for sent_at, acked_at in ((1.0, 1.5), (2.0, 4.0), (9.0, 9.5)):
+        context.heartbeats.add(sent_at, acked_at)
+
+
+@given("{n:d} heartbeats, one each {period_s:g} s, acknowledged at once")
+def step_many_heartbeats(context, n, period_s):
+    context.heartbeats = HeartbeatTimes()
+    for number in range(n):
+        context.heartbeats.add(number * period_s, number * period_s)
+
+
+@then("the last one acknowledged by {at:g} s was sent at {sent} s")
+def step_last_before(context, at, sent):
+    assert context.heartbeats.last_before(at) == float(sent)
+
+
+@when(
+    "its owner's last heartbeat before its last confirmation was sent {age_s:d} s ago"
+)
+def step_old_heartbeat(context, age_s):
+    context.began_at = now = now_s()
+    context.heartbeats = HeartbeatTimes()
+    context.heartbeats.add(now - age_s, now - age_s + 0.1)
+    context.controller = make_controller(
+        context.store,
+        OwnerRow(2, "host-1", "aa", 18.0),
+        now,
+        read_confirmed_at=lambda: now - 1.0,
+        heartbeat_before=context.heartbeats.last_before,
+    )
+
+
+@when("one that it sends now is acknowledged")
+def step_heartbeat_now(context):
+    context.heartbeats.add(now_s(), now_s())
+
+
+@then("it acts for at most 1 s more")
+def step_acts(context):
+    controller = context.controller
+    context.lease_ends = []
+
+    async def refuse(*_):
+        raise PlatformUnavailableError("store down", "Wait")
+
+    async def act():
+        await controller.start({})
+        # It doesn't learn of the next owner.
+        context.store.read = context.store.commit = refuse
+        renew_lease(controller.scheduler, "w1")
+        view = controller.scheduler.worker_by_id["w1"]
+        while controller._may_act():
+            now = now_s()
+            until_ms = controller.scheduler.lease_until_ms(view, now)
+            lease_ms = until_ms - view.clock.earliest_ms(now)
+            context.lease_ends.append(now + lease_ms / 1000)
+            await asyncio.sleep(0.02)
+        context.acted_s = now_s() - context.began_at
+        await controller.abandon()
+
+    context.run(act())
+    assert 0.5 < context.acted_s < 1.2, context.acted_s
+
+
+@then("no lease that it asks for ends later than that")
+def step_leases_end(context):
+    last = max(context.lease_ends) - context.began_at
+    assert last <= 1.0 + TOLERANCE_S, last
