Leave the reads of an outage to the follower of the owner rows

What callers would see: nothing by itself. A host whose last heartbeat was answered just before the store began to refuse its calls asked for the owner rows four times a second until the end of the outage, beside the follower of these rows, which asks five times a second. All calls are priced, refused ones too, and load the store that recovers.

Cause: the read after a heartbeat was repeated for as long as the last confirmation was older than the heartbeat.

Change: none while the follower fails; it confirms with its first answer.

--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -314,12 +314,15 @@
         return [loop.create_task(coroutine) for coroutine in coroutines]
 
     async def _confirm_cells(self) -> None:
-        """Read the owner rows after each heartbeat: owners' limits count from both."""
-        if not self.ownership.controller_by_cell:
-            return
-        if self.publisher.heartbeats.last_acked_at <= self.cell_follower.confirmed_at:
+        """Read the owner rows after each heartbeat: owners' limits count from both.
+
+        During an outage the follower of the rows asks by itself until it has an answer.
+        """
+        follower = self.cell_follower
+        if not self.ownership.controller_by_cell or follower.failing_since is not None:
             return
-        await self.cell_follower.confirm()
+        if self.publisher.heartbeats.last_acked_at > follower.confirmed_at:
+            await follower.confirm()
 
     async def _follow_workers(self) -> None:
         """Follow the list of workers once the hosts agree on the cells."""
