Test the wait for two owners in turn that can't be asked

What it guards against: TWICE, where the owner before the last one is left out or dated by another one's heartbeat; LOST, where it is waited for after its leases have ended.

--- a/programs/beryl-host/features/steps/takeover_start_steps.py
+++ b/programs/beryl-host/features/steps/takeover_start_steps.py
@@ -1,6 +1,7 @@
 """Steps of cells that begin beside an earlier owner that doesn't answer."""
 
 import asyncio
+from dataclasses import replace
 
 import msgspec
 from behave import given, then, when
@@ -20,9 +21,12 @@
 from berylcleat.host._peers import TakeoverReply
 from berylcleat.host._records import (
     CELL_TABLE,
+    HOST_PREFIX,
     OWNER_KEY,
     EarlierOwner,
+    HostRow,
     OwnerRow,
+    data_centre_table,
     encode,
 )
 
@@ -242,3 +246,55 @@
         row.epoch + 1, "host-7", "ee", 18.72, "dc-1", "127.0.0.1:9", (earlier,), "dc-1"
     )
     put_cell_row(context, OWNER_KEY, msgspec.json.encode(between))
+
+
+@given('a cell with recorded workers "{names}", taken over {seconds:g} s ago')
+def step_taken_over(context, names, seconds):
+    step_cell(context, names)
+    before = EarlierOwner(2, "host-8", "cc", "127.0.0.1:9", 1, "dc-1", 9.0)
+    row = msgspec.structs.replace(OWNER, earlier_owners=(before,))
+    put_cell_row(context, OWNER_KEY, encode(row))
+    context.taken_over_s = seconds
+
+
+@given(
+    "its last owner's last heartbeat is {last:g} s old, the one before's {before:g} s"
+)
+def step_heartbeats(context, last, before):
+    context.heartbeats = sorted(
+        ((last, "gone", "aa"), (before, "host-8", "cc")), reverse=True
+    )
+
+
+@when("a host takes it over and reads these heartbeats")
+def step_take_over_dated(context):
+    async def take_over():
+        manager, cells = await make_live_manager(context.store, "dc-1")
+        manager._connections.peers.send_takeover = answer_never
+        now = now_s()
+        observed = cells.owner_by_cell[CELL]
+        cells.owner_by_cell[CELL] = replace(
+            observed, observed_at=now - context.taken_over_s
+        )
+        for age_s, host_id, incarnation in context.heartbeats:
+            value = encode(HostRow(incarnation, "127.0.0.1:9", 1.0))
+            key = HOST_PREFIX + host_id
+            context.store.put(data_centre_table("dc-1"), "dc-1", key, value)
+            version = context.store.rows_by_key(data_centre_table("dc-1"), "dc-1")[key]
+            times = manager._feeds.cells.version_times
+            times.observe(version.version, now - age_s)
+        context.manager = manager
+        await reconcile(context)
+        await asyncio.sleep(0.5)
+        controller = manager.controller_by_cell[CELL]
+        context.settled_after_s = controller.scheduler._settled_at - now
+        await manager.release_all()
+
+    context.run(take_over())
+
+
+@then("it waits for runs of earlier owners for {seconds:g} s")
+def step_waits(context, seconds):
+    # The wait counts from the acquisition, some milliseconds after the beginning.
+    late_s = context.settled_after_s - seconds
+    assert -1e-6 <= late_s < 0.1, context.settled_after_s
--- a/programs/beryl-host/features/takeover_start.feature
+++ b/programs/beryl-host/features/takeover_start.feature
@@ -61,3 +61,19 @@
     When a host of the version before takes it over and is lost at once
     And a host takes it over
     Then it waits for runs of earlier owners for 18 to 19 s
+
+  # Guards against TWICE: the owner before the last one, which none of the two could ask,
+  # was left out or dated by the heartbeat of the last one. Guards against LOST: it was
+  # waited for although its leases had ended.
+  Scenario Outline: The owner before the last one can't be asked either, <case>
+    Given a cell with recorded workers "w1 w2", taken over <taken> s ago
+    And its last owner's last heartbeat is <last> s old, the one before's <before> s
+    When a host takes it over and reads these heartbeats
+    Then it waits for runs of earlier owners for <wait> s
+
+    Examples:
+      | case                             | taken | last | before | wait |
+      | and both were lost just now      | 0     | 0    | 0      | 9.36 |
+      | and was lost before the last one | 5     | 4    | 5      | 5.36 |
+      | and its heartbeats go on         | 5     | 4    | 0      | 9.36 |
+      | and its leases have ended        | 9.5   | 4    | 0      | 5.36 |
