Let the histories act and wait by the limit that counts from heartbeats

In the simulations an owner's limit of 9 s now counts from its last heartbeat that was answered before its last confirmation, its leases end by then, and the next owner counts 9.36 s from the last heartbeat that the store had at the takeover: its sending time, the earliest that the rule allows. An owner that is known to have stopped is waited for at most 6.24 s, as before. Waits for several earlier owners in turn now add up to the longest; until now a takeover from a stopped owner forgot those before it. New: owners whose heartbeats fail for 4 to 8 s while reads succeed.

--- a/libs/scheduling/features/gone_owner_histories.feature
+++ b/libs/scheduling/features/gone_owner_histories.feature
@@ -20,7 +20,33 @@
       | 2       |
       | 4       |
 
+  # Guards against TWICE (issue 55): an owner's limit counts from a heartbeat that the next
+  # owner doesn't know of. Heartbeats fail while reads succeed, and succeed again after the
+  # takeover, which the owner reads late.
+  Scenario: No task runs twice though the heartbeats of its owner fail and succeed again
+    When 4 histories of 45 seconds with 2 cells and an owner whose heartbeats fail are simulated from seed 30
+    Then no task ran twice, before its dependencies, or beyond its attempts
+    And no end was acknowledged before it was recorded
+
+  # Guards against LOST (issue 55): the same wait for an owner whose heartbeats fail.
+  Scenario Outline: No long-running task waits for long for an owner whose heartbeats fail, from seed <seed>
+    When <n> histories of 45 seconds with 2 cells and an owner whose heartbeats fail are simulated from seed <seed>
+    Then no task ran twice, before its dependencies, or beyond its attempts
+    And no end was acknowledged before it was recorded
+    And no work waited for long beside free capacity
+
+    Examples:
+      | n | seed |
+      | 8 | 1    |
+      | 1 | 30   |
+
   # Guards against a check that finds nothing.
-  Scenario: Histories with a pair that never comes back show a second run without the takeover wait
-    When histories with a pair that never comes back are simulated without "takeover wait" until a task runs twice
+  Scenario Outline: Histories with a pair that never comes back show a second run without <mechanism>
+    When histories with a pair that never comes back are simulated without "<mechanism>" until a task runs twice
     Then a violation was found
+
+    Examples:
+      | mechanism                         |
+      | takeover wait                     |
+      | limit of leases                   |
+      | heartbeat before the confirmation |
--- a/libs/scheduling/features/steps/cell_simulation.py
+++ b/libs/scheduling/features/steps/cell_simulation.py
@@ -55,11 +55,17 @@
 MAX_CRASHES = 3
 MAX_STARTS_AFTER_CRASHES = 2
 CRASHING_SHARE = 0.2
+# Mechanisms that a history can do without.
+LIMIT_OF_LEASES = "limit of leases"
+HEARTBEAT_BEFORE_CONFIRMATION = "heartbeat before the confirmation"
 ORDER_FAULT_SHARE = 0.06
 # Seconds that the store takes to record a move while nothing disturbs it.
 CALM_COMMIT_S = 0.05
 QUEUE = QueuePolicy("q", "svc", max_attempts=3, stretch=2.0, objective_ms=1000)
-TIMES = LeaseTimes(worker_lease_s=5.0, max_lease_s=6.0, owner_limit_s=12.0)
+TIMES = LeaseTimes(worker_lease_s=5.0, max_lease_s=6.0, owner_limit_s=9.0)
+# Seconds between two heartbeats of a host, and until the store has one and answers.
+HOST_HEARTBEAT_S = 1.0
+MAX_HEARTBEAT_WRITE_S = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -190,6 +196,15 @@
             self.violations.append(f"{end.task} acknowledged before it was recorded")
 
 
+@dataclass(frozen=True, slots=True)
+class SimHeartbeat:
+    """Heartbeat of a host that the store has; times are in seconds."""
+
+    sent_at: float
+    stored_at: float
+    answered_at: float
+
+
 class SimCell:
     """Stored rows of one cell, its workers and all its owners so far."""
 
@@ -223,6 +238,14 @@
         self.is_unaware = False
         self.paused_until = 0.0
         self.unreachable: set[str] = set()
+        # Time until which the store takes no heartbeat of the host.
+        self.heartbeats_fail_until = 0.0
+        # When the newest request was sent whose answer named this owner.
+        self.confirmation_requested_at = sim.now
+        # By when its leases have ended, as the next owner counts; known once replaced.
+        self.leases_ended_by = float("inf")
+        heartbeat_at = sim.now - sim.heartbeat_rng.uniform(0.0, HOST_HEARTBEAT_S)
+        self.heartbeats = [SimHeartbeat(heartbeat_at, heartbeat_at, heartbeat_at)]
         self.cell = sim.make_cell(sim_cell, settled_at, workers)
         if sim.disabled_mechanism != "confirmation by the store":
             self.cell.confirmation.confirmed_at = sim.now
@@ -238,6 +261,26 @@
         """Return whether the host is suspended."""
         return self.sim.now < self.paused_until
 
+    @property
+    def limit_at(self) -> float:
+        """Return until when the owner may act, and its leases last.
+
+        The time counts from a heartbeat that was answered before the store last named
+        this owner.
+        """
+        if self.sim.disabled_mechanism == HEARTBEAT_BEFORE_CONFIRMATION:
+            return self.confirmed_at + TIMES.owner_limit_s
+        return TIMES.owner_limit_s + next(
+            heartbeat.sent_at
+            for heartbeat in reversed(self.heartbeats)
+            if heartbeat.answered_at <= self.confirmation_requested_at
+        )
+
+    @property
+    def may_act(self) -> bool:
+        """Return whether the owner may send orders."""
+        return self.sim.now < self.limit_at
+
     @property
     def is_out_of_touch(self) -> bool:
         """Return whether the host neither reads the store nor answers other hosts."""
@@ -253,6 +296,7 @@
         now = self.sim.now
         if self.is_dead or self.is_paused or self.cell.is_fenced_out:
             return
+        self._send_heartbeat()
         if self.is_unaware:
             if self.sim.fault_rng.random() <= 0.2:
                 self._propose_moves()
@@ -264,6 +308,9 @@
                 self.is_dead = True
                 return
             # The answer to a read that was sent in the previous tick.
+            self.confirmation_requested_at = max(
+                self.confirmation_requested_at, now - TICK_S
+            )
             self.cell.confirmation.confirm(now - TICK_S)
             self._record()
             if self.sim.rng.random() <= 0.2:
@@ -272,8 +319,10 @@
                 self._settle_stray_ends()
         elif self.sim.fault_rng.random() <= 0.2:
             self._propose_moves()
-        if now - self.confirmed_at >= TIMES.owner_limit_s:
+        if not self.may_act:
             return
+        if self.sim.disabled_mechanism != LIMIT_OF_LEASES:
+            self.cell.confirmation.leases_end_by = self.limit_at
         for worker_id in self.cell.worker_by_id:
             if now >= self.next_hold_at.get(worker_id, 0.0):
                 self.next_hold_at[worker_id] = now + HOLD_PERIOD_S
@@ -281,6 +330,30 @@
         for item in self.cell.plan(now, now * 1000):
             self.sim.dispatch(self, item)
 
+    def _send_heartbeat(self) -> None:
+        """Send a heartbeat if the last one is old and the store takes it."""
+        now = self.sim.now
+        if self.is_partitioned or now < self.heartbeats_fail_until:
+            return
+        if now - self.heartbeats[-1].sent_at >= HOST_HEARTBEAT_S:
+            draw = self.sim.heartbeat_rng.uniform
+            stored_at = now + draw(0.0, MAX_HEARTBEAT_WRITE_S)
+            answered_at = stored_at + draw(0.0, MAX_HEARTBEAT_WRITE_S)
+            self.heartbeats.append(SimHeartbeat(now, stored_at, answered_at))
+
+    def date_lease_ends(self, *, is_dead: bool) -> None:
+        """Tell by when the leases have ended, as early as the next owner may count.
+
+        Its last heartbeat in the store can't be dated earlier than it was sent.
+        """
+        now = self.sim.now
+        stored = (h for h in reversed(self.heartbeats) if h.stored_at <= now)
+        heartbeat_at = next(stored).sent_at
+        self.leases_ended_by = heartbeat_at + TIMES.takeover_wait_s(owner_is_dead=False)
+        if is_dead:
+            stopped_by = now + TIMES.takeover_wait_s(owner_is_dead=True)
+            self.leases_ended_by = min(self.leases_ended_by, stopped_by)
+
     def _hold(self, worker_id: str) -> None:
         view = self.cell.worker_by_id[worker_id]
         needs_probe = self.needs_probe.get(worker_id, True) or not view.has_seen_epoch
@@ -406,6 +479,7 @@
         self.rng = random.Random(random_state)
         # Separate, so that the draws of ``rng`` stay as they are for a seed.
         self.fault_rng = random.Random(f"faults {random_state}")
+        self.heartbeat_rng = random.Random(f"heartbeats {random_state}")
         self.disabled_mechanism = disabled_mechanism
         self.has_crashing_tasks = has_crashing_tasks
         self.expected_finish = expected_finish
@@ -515,15 +589,17 @@
     def take_over(self, sim_cell: SimCell, *, is_dead: bool) -> None:
         """Create a new owner of a cell under the next epoch."""
         sim_cell.epoch += 1
-        wait_s = TIMES.takeover_wait_s(is_dead) if sim_cell.epoch > 1 else 0.0
+        if sim_cell.owners:
+            sim_cell.owner.date_lease_ends(is_dead=is_dead)
+        settled_at = max((o.leases_ended_by for o in sim_cell.owners), default=self.now)
         workers = (
             ()
             if self.disabled_mechanism == "recorded workers"
             else sim_cell.recorded_workers
         )
         if self.disabled_mechanism == "takeover wait":
-            wait_s = 0.0
-        owner = self.make_owner(sim_cell, self.now + wait_s, workers)
+            settled_at = self.now
+        owner = self.make_owner(sim_cell, settled_at, workers)
         sim_cell.owners.append(owner)
 
     def make_owner(self, sim_cell: SimCell, settled_at: float, workers) -> SimOwner:
--- a/libs/scheduling/features/steps/connection_simulation.py
+++ b/libs/scheduling/features/steps/connection_simulation.py
@@ -9,7 +9,6 @@
 
 from cell_simulation import (
     MAX_UNAWARE_S,
-    TIMES,
     ObservedEnd,
     SimCell,
     SimOwner,
@@ -253,8 +252,7 @@
         owner.receive_answer(item.worker_id, item.order, OrderAnswer(result), self.now)
 
     def _is_allowed(self, owner: SimOwner, item: WorkerOrder) -> bool:
-        is_confirmed = self.now - owner.confirmed_at < TIMES.owner_limit_s
-        return is_confirmed and owner.cell.may_send_start(item.order, self.now)
+        return owner.may_act and owner.cell.may_send_start(item.order, self.now)
 
     def _write(
         self, owner: SimOwner, item: WorkerOrder, connection: SimConnection
--- a/libs/scheduling/features/steps/drain_simulation.py
+++ b/libs/scheduling/features/steps/drain_simulation.py
@@ -196,8 +196,7 @@
         cell.on_hold_failed(worker_id, now)
         if result is OrderResult.NOT_SENT:
             self.sim.on_probe_not_sent(self, worker_id)
-        may_act = now - self.confirmed_at < TIMES.owner_limit_s
-        if may_act and not cell.is_fenced_out and cell.can_forget(worker_id):
+        if self.may_act and not cell.is_fenced_out and cell.can_forget(worker_id):
             del cell.worker_by_id[worker_id]
             self.sim.n_forgotten += 1
 
--- a/libs/scheduling/features/steps/gone_owner_simulation.py
+++ b/libs/scheduling/features/steps/gone_owner_simulation.py
@@ -34,6 +34,10 @@
 # the store.
 SUSPENDED_S = (4.5, 20.0)
 MAX_READ_S = 1.0
+# Bounds in seconds of the time for which heartbeats fail though reads succeed, and
+# longest time from a takeover until such an owner reads it.
+HEARTBEATS_FAIL_S = (4.0, 8.0)
+MAX_TAKEOVER_READ_S = 4.0
 # Shares of the ticks of a cell in which something is submitted or a worker restarts.
 SUBMIT_SHARE = 0.02
 RESTART_SHARE = 0.002
@@ -51,6 +55,16 @@
     CUT_OFF_FROM_STORE = "cut off from the store"
     CUT_OFF_WITH_WORKER = "cut off together with a worker"
     SUSPENDED = "suspended"
+    HEARTBEATS_FAIL = "heartbeats fail"
+
+
+# Faults that are drawn unless a history is to have a given one.
+DRAWN_FAULTS = (
+    OwnerFault.GONE,
+    OwnerFault.CUT_OFF_FROM_STORE,
+    OwnerFault.CUT_OFF_WITH_WORKER,
+    OwnerFault.SUSPENDED,
+)
 
 
 class ReachableRoomChecker(LivenessChecker):
@@ -69,8 +83,14 @@
     """History in which an owner goes for good together with a worker."""
 
     def __init__(
-        self, random_state: int, disabled_mechanism: str = "", n_cells: int = 2
+        self,
+        random_state: int,
+        disabled_mechanism: str = "",
+        n_cells: int = 2,
+        *,
+        faults: tuple[OwnerFault, ...] = DRAWN_FAULTS,
     ):
+        self.faults = faults
         self.gone_rng = random.Random(f"gone owners {random_state}")
         self.calm_since: float | None = None
         self.silent_workers: set[str] = set()
@@ -127,7 +147,7 @@
 
     def _lose_pair(self, sim_cell: SimCell) -> None:
         """Let a busy worker of a cell fall silent, and then the cell's owner go."""
-        fault = self.gone_rng.choice(list(OwnerFault))
+        fault = self.gone_rng.choice(self.faults)
         workers = [self.workers[worker_id] for worker_id in sim_cell.worker_ids]
         worker_id = max(workers, key=lambda w: len(w.run_by_task)).entry.worker_id
         with_owner = fault is OwnerFault.CUT_OFF_WITH_WORKER
@@ -157,13 +177,17 @@
         self.schedule_event(takeover_at, lambda: self._replace(owner))
         if owner.epoch == 1 and self.gone_rng.random() < NEXT_GOES_SHARE:
             at = takeover_at + self.gone_rng.uniform(*GOES_NEXT_S)
-            next_fault = self.gone_rng.choice(list(OwnerFault))
+            next_fault = self.gone_rng.choice(self.faults)
             self.schedule_event(at, lambda: self._lose_owner(sim_cell, next_fault))
 
     def _apply(self, owner: SimOwner, fault: OwnerFault) -> None:
         if fault is OwnerFault.GONE:
             owner.is_dead = True
             return
+        if fault is OwnerFault.HEARTBEATS_FAIL:
+            fail_s = self.gone_rng.uniform(*HEARTBEATS_FAIL_S)
+            owner.heartbeats_fail_until = self.now + fail_s
+            return
         owner.is_partitioned = True
         if fault is OwnerFault.CUT_OFF_WITH_WORKER:
             owner.unreachable |= set(owner.sim_cell.worker_ids) - self.silent_workers
@@ -175,5 +199,11 @@
             )
 
     def _replace(self, owner: SimOwner) -> None:
-        if owner.sim_cell.epoch == owner.epoch:
-            self.take_over(owner.sim_cell, is_dead=False)
+        """Take an owner's cell over; one that still reads learns of it late."""
+        if owner.sim_cell.epoch != owner.epoch:
+            return
+        self.take_over(owner.sim_cell, is_dead=False)
+        if not owner.is_out_of_touch:
+            owner.is_unaware = True
+            learns_at = self.now + self.gone_rng.uniform(0.0, MAX_TAKEOVER_READ_S)
+            self.schedule_event(learns_at, lambda: setattr(owner, "is_unaware", False))
