--- a/programs/beryl-host/features/steps/lease_end_simulation.py
+++ b/programs/beryl-host/features/steps/lease_end_simulation.py
@@ -31,7 +31,7 @@
 TIMES = LeaseTimes()
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class Call:
     """One call to the store: when it was sent, carried out and answered."""
 
