Wait for an owner that restarted after the next one had acquired its cell

Owner B is cut off and acts on, C acquires the cell and is gone at once, B's host restarts, and D acquires the cell. D left B out as restarted and took it for stopped since before C's acquisition, so it waited from there (6.24 s), and 9.36 s from C's last heartbeat, which may be older than C's acquisition. B's last leases may have been granted just before its restart.

Cause: _other_leases_end_at knew two kinds of owners that it needn't ask: those before the previous row, and the one right before the new one. B is named by the previous row, and stopped after it was written.

Change: if the previous row, while it still counts, names an owner that isn't asked any more, the wait counts from the acquisition, as for a last owner that has restarted.

--- a/programs/beryl-host/features/steps/takeover_start_steps.py
+++ b/programs/beryl-host/features/steps/takeover_start_steps.py
@@ -29,6 +29,7 @@
     data_centre_table,
     encode,
 )
+from berylcleat.ports import StoreRow
 
 OWNER = OwnerRow(
     3,
@@ -268,6 +269,17 @@
 
 @when("a host takes it over and reads these heartbeats")
 def step_take_over_dated(context):
+    take_over_dated(context)
+
+
+@when("a host takes it over, and the one before has restarted")
+def step_take_over_restarted(context):
+    take_over_dated(context, has_restarted=True)
+
+
+def take_over_dated(context, *, has_restarted=False):
+    """Let a host take the cell over and read the heartbeats of earlier owners."""
+
     async def take_over():
         manager, cells = await make_live_manager(context.store, "dc-1")
         manager._connections.peers.send_takeover = answer_never
@@ -283,6 +295,12 @@
             version = context.store.rows_by_key(data_centre_table("dc-1"), "dc-1")[key]
             times = manager._feeds.cells.version_times
             times.observe(version.version, now - age_s)
+        if has_restarted:
+            value = encode(HostRow("ff", "127.0.0.1:9", 1.0, is_leaving=True))
+            row = StoreRow(
+                data_centre_table("dc-1"), "dc-1", HOST_PREFIX + "host-8", value, 99
+            )
+            manager._membership.on_host_rows((row,))
         context.manager = manager
         await reconcile(context)
         await asyncio.sleep(0.5)
--- a/programs/beryl-host/features/takeover_start.feature
+++ b/programs/beryl-host/features/takeover_start.feature
@@ -77,3 +77,11 @@
       | and was lost before the last one | 5     | 4    | 5      | 5.36 |
       | and its heartbeats go on         | 5     | 4    | 0      | 9.36 |
       | and its leases have ended        | 9.5   | 4    | 0      | 5.36 |
+
+  # Guards against TWICE: an owner that restarted after the next one's acquisition counted
+  # as stopped since before it, so the leases of its last seconds weren't waited for.
+  Scenario: The owner before the last one has restarted just now
+    Given a cell with recorded workers "w1 w2", taken over 2 s ago
+    And its last owner's last heartbeat is 3.5 s old, the one before's 0 s
+    When a host takes it over, and the one before has restarted
+    Then it waits for runs of earlier owners for 6.24 s
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -506,14 +506,18 @@
         """Return by when leases have ended of owners that have certainly stopped.
 
         They aren't among ``owners``: each has released the cell, or restarted, before
-        the one after it acquired it. That was ``row``'s owner if ``owners`` lack the
-        one right before it, otherwise that one or an earlier one.
+        ``previous`` was acquired, unless it is one of those that ``previous`` names or
+        its owner.
         """
         wait_s = self._times.takeover_wait_s(owner_is_dead=True)
         may_last_run = any(owner.epoch == row.epoch - 1 for owner in owners)
-        if may_last_run and previous is not None and previous.row.epoch < row.epoch:
-            return previous.observed_at + wait_s
-        return acquired_at + wait_s
+        if previous is None or previous.row.epoch >= row.epoch or not may_last_run:
+            return acquired_at + wait_s
+        named = previous.row.earlier_owners or ()
+        if previous.unsettled_s(acquired_at) and not set(named) <= set(owners):
+            # One of them has restarted since.
+            return acquired_at + wait_s
+        return previous.observed_at + wait_s
 
     async def _date_lease_ends(
         self,
