Soak with owners and workers that never return

That happens once among the faults of hosts and once 7 s after all others. Nine long-running tasks are handed in first. Besides the usual checks none of them may be without a run for over 10 s after the last fault: 3 s of contact, 4 s until the next owner acts, 3 s to start.

Traced for seed 1 of soak.feature: the new owner of r1 waits from 11:18:30.7 to 11:18:49.5, "runs of earlier owner unknown".

The plans and seeds of the other kinds of soak are as they were.

--- a/programs/beryl-host/features/soak.feature
+++ b/programs/beryl-host/features/soak.feature
@@ -2,7 +2,7 @@
   Three hosts and six workers behind loopback proxies. Links are delayed, silenced, cut
   in one direction, refused and reset; the store fails; hosts are killed, stopped and
   paused. With drains, workers drain and exit, are cut off and lose their entries, and
-  the store is closed.
+  the store is closed. Owners and workers of their cells may go together and never return.
 
   Scenario Outline: Seed <seed> violates no invariant
     When a soak test of <seconds> seconds runs with seed <seed>
@@ -35,3 +35,14 @@
       | seed | seconds |
       | 3    | 10      |
       | 5    | 20      |
+
+  # Guards against long-running tasks that wait for over 10 s after the last fault: the
+  # next owner waited for runs on a worker that never answers.
+  Scenario Outline: Seed <seed> with hosts and workers that never return passes
+    When a soak test with hosts and workers that never return, of <seconds> seconds, runs with seed <seed>
+    Then no task ran twice, none was lost, and no long-running one waited for over 10 s after the last fault
+
+    Examples:
+      | seed | seconds |
+      | 1    | 6       |
+      | 2    | 6       |
--- a/programs/beryl-host/features/steps/soak.py
+++ b/programs/beryl-host/features/steps/soak.py
@@ -5,8 +5,9 @@
 import random
 import signal
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
+from gone_faults import GoneFaultInjector, make_gone_plan
 from host_group import HostGroup
 from loopback_proxy import LinkMode, LoopbackProxy
 from worker_faults import WorkerFaultInjector, make_worker_plan
@@ -31,6 +32,13 @@
 DRAINS_SUBMIT_PERIOD_S = 0.75
 DRAINS_HOST_KINDS = ("kill", "stop", "pause", "store link", "reset")
 DRAINS_SEED_OFFSET = 1_000_000
+# With hosts and workers that never return: long-running submissions come before the
+# faults, of which those of other kinds end before the last of these.
+GONE_SEED_OFFSET = 2_000_000
+FIRST_LASTING_NUMBER = 2_000_000
+N_LASTING = 3
+N_LASTING_TASKS = 3
+LASTING_RUN_S = 3600.0
 # Number of the first submission that is sent after the recovery.
 FIRST_LATE_NUMBER = 1_000_000
 
@@ -71,10 +79,34 @@
     return tuple(fault for fault in plan if fault.kind in DRAINS_HOST_KINDS)[::2]
 
 
+def make_ending_host_plan(random_state: int, length_s: float) -> tuple[Fault, ...]:
+    """Return the same faults, all of which end within ``length_s``."""
+    return tuple(
+        replace(fault, duration_s=min(fault.duration_s, length_s - fault.at_s))
+        for fault in make_host_plan(random_state, length_s)
+    )
+
+
+def make_lasting_body() -> dict:
+    """Return a long-running submission."""
+    step = {
+        "count": N_LASTING_TASKS,
+        "cpu": 1000,
+        "memMb": 100,
+        "estimateMs": 1000,
+        "longRunning": True,
+    }
+    return {"spec": json.dumps({"run_s": LASTING_RUN_S}), "steps": [step]}
+
+
 class ProxiedGroup(HostGroup):
-    """Hosts that reach the store and the workers through fault-injecting proxies."""
+    """Hosts that reach the store and the workers through fault-injecting proxies.
+
+    Another host may take the place of one that has gone.
+    """
 
     def _prepare(self) -> None:
+        self._n_replaced_by_host = [0] * len(self.hosts)
         ports = find_free_ports(len(self.hosts) + len(self.workers))
         addresses = [f"127.0.0.1:{port}" for port in ports]
         targets = [self.store] * len(self.hosts) + self.workers
@@ -85,6 +117,22 @@
         self.store_by_host = addresses[: len(self.hosts)]
         self.listed_by_worker = addresses[len(self.hosts) :]
 
+    def host_id(self, number: int) -> str:
+        """Return the id of the host that has this place now."""
+        n_replaced = self._n_replaced_by_host[number]
+        return f"host-{number}-{n_replaced}" if n_replaced else f"host-{number}"
+
+    async def replace_host(self, number: int, after_s: float) -> None:
+        """Start a host under another id and at other addresses."""
+        process = self.processes[number]
+        self._n_replaced_by_host[number] += 1
+        self.hosts[number] = [f"127.0.0.1:{port}" for port in find_free_ports(4)]
+        self.links[number].reset()
+        await asyncio.sleep(after_s)
+        # A fault that restarts the host may have done it already.
+        if self.processes[number] is process:
+            self.processes[number] = self.start_host(number)
+
 
 @dataclass(slots=True)
 class SubmissionAnswers:
@@ -99,41 +147,64 @@
     """Soak test of one seed that collects every violated invariant.
 
     With ``has_drains`` workers drain, exit and return, are cut off and lose their
-    entries, and the store is closed.
+    entries, and the store is closed. With ``has_gone`` owners and workers of their
+    cells go together and never return; the long-running tasks must run again in time.
     """
 
-    def __init__(self, random_state: int, length_s: float, *, has_drains: bool = False):
+    def __init__(
+        self,
+        random_state: int,
+        length_s: float,
+        *,
+        has_drains: bool = False,
+        has_gone: bool = False,
+    ):
         self.has_drains = has_drains
         if has_drains:
             self.plan = make_host_plan(random_state, length_s)
             drains_state = random_state + DRAINS_SEED_OFFSET
             self.worker_plan = make_worker_plan(drains_state, length_s, N_WORKERS)
         else:
-            self.plan = make_plan(random_state, length_s)
+            make = make_ending_host_plan if has_gone else make_plan
+            self.plan = make(random_state, length_s)
             self.worker_plan = ()
+        gone_state = random_state + GONE_SEED_OFFSET
+        self.gone_plan = make_gone_plan(gone_state, length_s) if has_gone else ()
         self.run_range_s = DRAINS_RUN_RANGE_S if has_drains else RUN_RANGE_S
         self.n_tasks = DRAINS_N_TASKS if has_drains else N_TASKS
-        self.submit_period_s = DRAINS_SUBMIT_PERIOD_S if has_drains else SUBMIT_PERIOD_S
-        self.length_s = length_s
+        is_sparse = has_drains or has_gone
+        self.submit_period_s = DRAINS_SUBMIT_PERIOD_S if is_sparse else SUBMIT_PERIOD_S
+        self.length_s = max([length_s, *(fault.at_s for fault in self.gone_plan)])
         self.rng = random.Random(random_state + 1)
         self.answers = SubmissionAnswers()
         self.violations: list[str] = []
         self.group = ProxiedGroup(N_HOSTS, N_WORKERS, n_racks=N_RACKS)
         self._started_at = 0.0
 
+    @property
+    def n_faults(self) -> int:
+        """The number of planned faults."""
+        return len(self.plan) + len(self.worker_plan) + len(self.gone_plan)
+
     async def run(self) -> list[str]:
         """Inject the planned faults, wait for recovery and return the violations."""
         for link in self.group.links:
             await link.start()
+        worker_links = self.group.links[N_HOSTS:]
+        injector = WorkerFaultInjector(self.group, worker_links)
+        gone_injector = GoneFaultInjector(self.group, worker_links, N_RACKS)
         try:
             await self.group.wait_ready()
+            lasting_tasks = await self._submit_lasting() if self.gone_plan else ()
             self._started_at = time.monotonic()
-            injector = WorkerFaultInjector(self.group, self.group.links[N_HOSTS:])
             await asyncio.gather(
                 self._submit_all(),
                 *map(self._inject, self.plan),
                 *map(injector.inject, self.worker_plan),
+                *map(gone_injector.inject, self.gone_plan),
             )
+            for task in await gone_injector.find_idle_tasks(lasting_tasks):
+                self.violations.append(f"{task}: lasts, but didn't run again in time")
             await self._wait_for_recovery()
             if self.has_drains:
                 await self._check_work_goes_on()
@@ -141,9 +212,21 @@
         finally:
             for link in self.group.links:
                 await link.stop()
+            await gone_injector.stop()
             self.group.stop()
         return self.violations
 
+    async def _submit_lasting(self) -> tuple[str, ...]:
+        """Hand the long-running submissions in; return their tasks."""
+        tasks = []
+        for number in range(FIRST_LASTING_NUMBER, FIRST_LASTING_NUMBER + N_LASTING):
+            submission_id = f"{number:016x}"
+            status = await self.group.submit(0, submission_id, make_lasting_body())
+            if status != 200:
+                self.violations.append(f"{submission_id}: lasts, answered {status}")
+            tasks += [f"{submission_id}.0.0.{task}" for task in range(N_LASTING_TASKS)]
+        return tuple(tasks)
+
     async def _submit_all(self) -> None:
         """Send a submission to a random host every ``submit_period_s``."""
         number = 0
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -18,14 +18,15 @@
     concurrency_limit: asyncio.Semaphore,
     *,
     has_drains: bool,
+    has_gone: bool,
 ) -> bool:
     """Run one seed; return whether all invariants held."""
     async with concurrency_limit:
-        soak = Soak(seed, length_s, has_drains=has_drains)
+        soak = Soak(seed, length_s, has_drains=has_drains, has_gone=has_gone)
         violations = await soak.run()
         outcomes = soak.answers
         print(
-            f"seed {seed}: {len(soak.plan) + len(soak.worker_plan)} faults,"
+            f"seed {seed}: {soak.n_faults} faults,"
             f" {len(outcomes.accepted)} accepted, {len(outcomes.refused)} refused,"
             f" {len(outcomes.unknown)} unknown: {'broken' if violations else 'kept'}",
             flush=True,
@@ -40,14 +41,26 @@
 
 
 async def run_seeds(
-    first: int, n_seeds: int, length_s: float, n_concurrent: int, *, has_drains: bool
+    first: int,
+    n_seeds: int,
+    length_s: float,
+    n_concurrent: int,
+    *,
+    has_drains: bool,
+    has_gone: bool,
 ) -> int:
     """Run ``n_seeds`` seeds; return how many violated an invariant."""
     concurrency_limit = asyncio.Semaphore(n_concurrent)
     seeds = range(first, first + n_seeds)
     passed = await asyncio.gather(
         *(
-            run_seed(seed, length_s, concurrency_limit, has_drains=has_drains)
+            run_seed(
+                seed,
+                length_s,
+                concurrency_limit,
+                has_drains=has_drains,
+                has_gone=has_gone,
+            )
             for seed in seeds
         )
     )
@@ -69,11 +82,17 @@
     parser.add_argument(
         "--side", type=int, default=3, help="number of concurrent seeds"
     )
-    parser.add_argument(
+    kinds = parser.add_mutually_exclusive_group()
+    kinds.add_argument(
         "--drains",
         action="store_true",
         help="let workers drain and exit, cut them off, close the store",
     )
+    kinds.add_argument(
+        "--gone",
+        action="store_true",
+        help="let owners and workers of their cells go together and never return",
+    )
     arguments = parser.parse_args()
     n_violated = asyncio.run(
         run_seeds(
@@ -82,6 +101,7 @@
             arguments.length,
             arguments.side,
             has_drains=arguments.drains,
+            has_gone=arguments.gone,
         )
     )
     sys.exit(1 if n_violated else 0)
