Date an earlier owner's heartbeat by the store's clock

What callers see: LOST, tasks that wait for over 10 s after their owner went for good, if the next owner is a host that started after that: it has seen no version of the time before, so it counted the last heartbeat from its own start. Where a host is replaced for good, its replacement is such a host.

Change: a heartbeat tells what the store's clock showed at most when it was sent, reckoned from the store's answers; the next owner compares that with the clock in the answer to its read. The earlier of both proofs counts, the version and the clock. A row or an answer without the clock tells nothing.

--- a/libs/ports/src/berylcleat/ports/_store.py
+++ b/libs/ports/src/berylcleat/ports/_store.py
@@ -65,20 +65,26 @@
     """Outcome of a commit.
 
     ``version`` is the store's version after an applied commit. After a conflict,
-    ``current`` holds the present rows that the conditions name.
+    ``current`` holds the present rows that the conditions name. ``store_ms`` is what
+    the store's steady clock showed, None if it wasn't told.
     """
 
     applied: bool
     version: int = 0
     current: tuple[StoreRow, ...] = ()
+    store_ms: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class RowPage:
-    """Rows, and the store's version at which they were read."""
+    """Rows, and the store's version at which they were read.
+
+    ``store_ms`` is what the store's steady clock showed, None if it wasn't told.
+    """
 
     rows: tuple[StoreRow, ...]
     version: int
+    store_ms: float | None = None
 
 
 class HistoryLostError(BerylError):
--- a/programs/beryl-host/src/berylcleat/host/_earlier_owners.py
+++ b/programs/beryl-host/src/berylcleat/host/_earlier_owners.py
@@ -10,6 +10,7 @@
 
 from ._clock import now_s
 from ._records import HOST_PREFIX, EarlierOwner, HostRow, data_centre_table
+from ._store_clock import shown_by
 from ._version_times import VersionTimes
 
 logger = logging.getLogger(__name__)
@@ -52,20 +53,29 @@
 async def _read_heartbeat_time(
     store: Store, owner: EarlierOwner, version_times: VersionTimes
 ) -> float:
-    """Return a time by which the owner's last heartbeat was stored, or now."""
+    """Return a time by which the owner's last heartbeat was sent, or now.
+
+    The row's version tells it only to a host that was running then; what the store's
+    clock showed tells it to any.
+    """
     key = HOST_PREFIX + owner.host_id
     table = data_centre_table(owner.data_centre)
     page = await store.read(table, owner.data_centre, key, key + "\x00")
+    now = now_s()
     for row in page.rows:
-        if _is_of_incarnation(row, owner.incarnation):
-            return version_times.written_by(row.version, now_s())
-    return now_s()
+        heartbeat = _decode_heartbeat(row)
+        if heartbeat is not None and heartbeat.incarnation == owner.incarnation:
+            written_by = version_times.written_by(row.version, now)
+            return min(
+                written_by, shown_by(heartbeat.sent_store_ms, page.store_ms, now)
+            )
+    return now
 
 
-def _is_of_incarnation(row: StoreRow, incarnation: str) -> bool:
-    """Return whether a heartbeat is of an incarnation; not if it can't be decoded."""
+def _decode_heartbeat(row: StoreRow) -> HostRow | None:
+    """Return a heartbeat, or None if it can't be decoded."""
     try:
-        return decode_json(_host_decoder, row.value).incarnation == incarnation
+        return decode_json(_host_decoder, row.value)
     except MalformedValueError as error:
         logger.error("heartbeat %s can't be decoded: %s", row.key, error)
-        return False
+        return None
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -154,6 +154,7 @@
                 self.live_owners,
                 self.pairs,
             ),
+            self.store.store_clock,
         )
         self.relay = OperatorRelay(
             self.identity,
--- a/programs/beryl-host/src/berylcleat/host/_publisher.py
+++ b/programs/beryl-host/src/berylcleat/host/_publisher.py
@@ -11,6 +11,7 @@
 from ._heartbeat_times import HeartbeatTimes
 from ._identity import HostIdentity
 from ._records import HOST_PREFIX, HostRow, data_centre_table, encode
+from ._store_clock import StoreClock
 
 HEARTBEAT_PERIOD_S = 1.0
 CONFLICT_RETRY_S = 0.2
@@ -43,6 +44,7 @@
         identity: HostIdentity,
         cpu_power: float,
         sources: tuple[RowSource, ...],
+        store_clock: StoreClock | None = None,
     ):
         self.is_leaving = False
         self.heartbeats = HeartbeatTimes()
@@ -50,6 +52,7 @@
         self._identity = identity
         self._cpu_power = cpu_power
         self._sources = sources
+        self._store_clock = store_clock or StoreClock()
         self._heartbeat_version = 0
         self._published_at = float("-inf")
 
@@ -85,7 +88,7 @@
         Raises ``ConflictError`` if the heartbeat row has another version than expected.
         """
         now = now_s()
-        heartbeat = self._heartbeat_write()
+        heartbeat = self._heartbeat_write(now)
         writes = [heartbeat]
         for source in self._sources:
             writes += source.due_writes(now)
@@ -107,13 +110,14 @@
             self._heartbeat_version = current.version
         raise ConflictError("heartbeat: the host row has changed", "Write it again")
 
-    def _heartbeat_write(self) -> RowWrite:
+    def _heartbeat_write(self, now: float) -> RowWrite:
         identity = self._identity
         row = HostRow(
             identity.incarnation,
             identity.peer_address,
             self._cpu_power,
             self.is_leaving,
+            self._store_clock.latest_ms(now),
         )
         table = data_centre_table(identity.data_centre)
         key = HOST_PREFIX + identity.host_id
--- a/programs/beryl-host/src/berylcleat/host/_records.py
+++ b/programs/beryl-host/src/berylcleat/host/_records.py
@@ -235,12 +235,17 @@
 
 
 class HostRow(msgspec.Struct, frozen=True, array_like=True):
-    """Heartbeat row of one host, read by the hosts of its data centre."""
+    """Heartbeat row of one host, read by the hosts of its data centre.
+
+    ``sent_store_ms`` is what the store's clock showed at most when it was sent, 0 if
+    that wasn't known.
+    """
 
     incarnation: str
     peer_address: str
     cpu_power: Annotated[float, msgspec.Meta(gt=0)]
     is_leaving: bool = False
+    sent_store_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 def data_centre_table(data_centre: str) -> str:
--- a/standins/src/berylcleat/standins/_memory_store.py
+++ b/standins/src/berylcleat/standins/_memory_store.py
@@ -77,7 +77,7 @@
             self.n_lost_answers -= 1
             raise OutcomeUnknownError("store: no answer", REMEDY)
         current = tuple(map(_to_row, body.get("rows", ())))
-        return CommitOutcome(status == 200, body["ver"], current)
+        return CommitOutcome(status == 200, body["ver"], current, body["nowMs"])
 
     async def read(
         self, table: str, part: str, first: str = "", end: str = ""
@@ -85,7 +85,8 @@
         """Return the rows of a part from key ``first`` up to ``end``, exclusive."""
         await self.reads_allowed.wait()
         body = self._rows.read(table, part, first, end)
-        return RowPage(tuple(map(_to_row, body["rows"])), body["ver"])
+        rows = tuple(map(_to_row, body["rows"]))
+        return RowPage(rows, body["ver"], body["nowMs"])
 
     async def follow(self, table: str, after: int, wait_s: float) -> RowPage:
         """Return the rows that changed after version ``after``.
--- a/standins/src/berylcleat/standins/_row_store.py
+++ b/standins/src/berylcleat/standins/_row_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import time
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -47,14 +48,14 @@
             if row:
                 current.append(row)
         if failed:
-            return 412, {"rows": current, "ver": self.version}
+            return 412, {"rows": current, **self.stamp()}
         self.version += 1
         for put in body.get("puts", ()):
             self._put({**put, "ver": self.version})
         for removed in body.get("remove", ()):
             self._remove(removed)
         self.wake_waiters()
-        return 200, {"ver": self.version}
+        return 200, self.stamp()
 
     def write(self, table: str, key: str, value: bytes) -> None:
         """Write a row of the unnamed part without conditions."""
@@ -76,7 +77,11 @@
             if t == table and p == part and key >= first and (not end or key < end)
         ]
         more = len(rows) > limit
-        return {"rows": rows[:limit], "morePages": more, "ver": self.version}
+        return {"rows": rows[:limit], "morePages": more, **self.stamp()}
+
+    def stamp(self) -> dict[str, Any]:
+        """Return the newest version and the store's steady clock, for an answer."""
+        return {"ver": self.version, "nowMs": int(time.monotonic() * 1000)}
 
     def list_parts(self, table: str) -> dict[str, Any]:
         """Return the parts of a table that hold rows."""
--- a/standins/src/berylcleat/standins/_task_platform.py
+++ b/standins/src/berylcleat/standins/_task_platform.py
@@ -339,7 +339,7 @@
             if self._store_server is None:
                 raise AbandonConnectionError
             if rows or remaining_s <= 0:
-                return _json_response({"rows": rows, "ver": self.store.version})
+                return _json_response({"rows": rows, **self.store.stamp()})
             await self.store.wait_for_change(remaining_s)
 
     def make_worker_handler(self, worker_id: str):
