--- a/libs/scheduling/features/gone_owner_histories.feature
+++ b/libs/scheduling/features/gone_owner_histories.feature
@@ -46,7 +46,11 @@
     Then a violation was found
 
     Examples:
-      | mechanism                         |
-      | takeover wait                     |
-      | limit of leases                   |
-      | heartbeat before the confirmation |
+      | mechanism       |
+      | takeover wait   |
+      | limit of leases |
+
+  # Guards against a check that finds nothing.
+  Scenario: Histories with heartbeats that fail show a second run without the heartbeat before the confirmation
+    When histories with an owner whose heartbeats fail are simulated without "heartbeat before the confirmation" until a task runs twice
+    Then a violation was found
--- a/libs/scheduling/features/steps/gone_owner_history_steps.py
+++ b/libs/scheduling/features/steps/gone_owner_history_steps.py
@@ -42,11 +42,23 @@
     "until a task runs twice"
 )
 def step_simulate_without(context, mechanism):
-    context.violation = None
+    context.violation = find_second_run(mechanism, DRAWN_FAULTS)
+
+
+@when(
+    "histories with an owner whose heartbeats fail are simulated without "
+    '"{mechanism}" until a task runs twice'
+)
+def step_simulate_heartbeats_without(context, mechanism):
+    context.violation = find_second_run(mechanism, (OwnerFault.HEARTBEATS_FAIL,))
+
+
+def find_second_run(mechanism: str, faults: tuple[OwnerFault, ...]) -> str | None:
+    """Return the first second run of a task in histories without a mechanism."""
     for seed in range(1, SEED_LIMIT):
-        sim = GoneOwnerSimulation(seed, mechanism, n_cells=N_CELLS)
+        sim = GoneOwnerSimulation(seed, mechanism, n_cells=N_CELLS, faults=faults)
         sim.simulate(40, 0.0)
         twice = [text for text in sim.checker.violations if "runs twice" in text]
         if twice:
-            context.violation = twice[0]
-            return
+            return twice[0]
+    return None
