Soak tells how late its proxies were; it ends its processes first

The soak's process runs the proxies of all seeds that run side by side. Each seed's line now tells the longest delay. It changes no verdict.

A soak that was interrupted, or whose injector failed, left up to four processes behind: the end of its proxies was cancelled before the processes were ended. They end first now.

--- a/programs/beryl-host/features/steps/soak.py
+++ b/programs/beryl-host/features/steps/soak.py
@@ -39,6 +39,8 @@
 N_LASTING = 3
 N_LASTING_TASKS = 3
 LASTING_RUN_S = 3600.0
+# Period at which the delay of this process is measured, which runs all proxies.
+DELAY_PERIOD_S = 0.1
 # Number of the first submission that is sent after the recovery.
 FIRST_LATE_NUMBER = 1_000_000
 
@@ -179,6 +181,8 @@
         self.answers = SubmissionAnswers()
         self.violations: list[str] = []
         self.group = ProxiedGroup(N_HOSTS, N_WORKERS, n_racks=N_RACKS)
+        # The longest time for which this process, and so all proxies, stood still.
+        self.longest_delay_s = 0.0
         self._started_at = 0.0
 
     @property
@@ -193,6 +197,7 @@
         worker_links = self.group.links[N_HOSTS:]
         injector = WorkerFaultInjector(self.group, worker_links)
         gone_injector = GoneFaultInjector(self.group, worker_links, N_RACKS)
+        delay_task = asyncio.create_task(self._measure_delay())
         try:
             await self.group.wait_ready()
             lasting_tasks = await self._submit_lasting() if self.gone_plan else ()
@@ -210,12 +215,21 @@
                 await self._check_work_goes_on()
             await self._check_ledger()
         finally:
+            # The processes first: the test may end here while it is cancelled.
+            self.group.stop()
+            delay_task.cancel()
             for link in self.group.links:
                 await link.stop()
             await gone_injector.stop()
-            self.group.stop()
         return self.violations
 
+    async def _measure_delay(self) -> None:
+        while True:
+            slept_at = time.monotonic()
+            await asyncio.sleep(DELAY_PERIOD_S)
+            delay_s = time.monotonic() - slept_at - DELAY_PERIOD_S
+            self.longest_delay_s = max(self.longest_delay_s, delay_s)
+
     async def _submit_lasting(self) -> tuple[str, ...]:
         """Hand the long-running submissions in; return their tasks."""
         tasks = []
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -28,7 +28,8 @@
         print(
             f"seed {seed}: {soak.n_faults} faults,"
             f" {len(outcomes.accepted)} accepted, {len(outcomes.refused)} refused,"
-            f" {len(outcomes.unknown)} unknown: {'broken' if violations else 'kept'}",
+            f" {len(outcomes.unknown)} unknown, proxies late by up to"
+            f" {soak.longest_delay_s:.1f} s: {'broken' if violations else 'kept'}",
             flush=True,
         )
         for text in violations:
