--- a/standins/src/berylcleat/standins/__init__.py
+++ b/standins/src/berylcleat/standins/__init__.py
@@ -13,6 +13,7 @@
 from ._memory_store import MemoryStore
 from ._platform import Faults, PlatformSettings
 from ._ports import find_free_ports
+from ._process_usage import ProcessUsage, read_process_usage
 from ._rack import RackSettings, WorkerFault
 from ._row_store import RowStore
 from ._task_client import (
@@ -24,6 +25,7 @@
 )
 from ._task_platform import TaskPlatformSettings
 from ._task_worker import TaskWorker, WorkerRun
+from ._unruly_clients import Onslaught, OnslaughtResult, run_onslaught
 from ._worker import WorkerStandin
 
 __all__ = [
@@ -36,8 +38,11 @@
     "HistoryEvent",
     "Host",
     "MemoryStore",
+    "Onslaught",
+    "OnslaughtResult",
     "PATH_PREFIX",
     "PlatformSettings",
+    "ProcessUsage",
     "RackSettings",
     "RowStore",
     "TaskPlatformSettings",
@@ -54,6 +59,8 @@
     "platform_main",
     "rack_main",
     "read_history",
+    "read_process_usage",
+    "run_onslaught",
     "send_request",
     "task_platform_main",
 ]
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -1,7 +1,8 @@
 """Run all features, several at a time; failures that KNOWN-RED.txt lists don't count.
 
 Each feature file runs in a behave process of its own. Its output is printed when it has
-ended. The last line of the output is the number of passed and failed scenarios.
+ended. Files named ``unruly_*`` run last, one at a time: their clients load the machine.
+The last line of the output is the number of passed and failed scenarios.
 """
 
 import argparse
@@ -10,12 +11,14 @@
 import subprocess
 import sys
 import tempfile
+from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor, as_completed
 from dataclasses import dataclass
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+ALONE_PREFIX = "unruly_"
 LOG_STARTS = ("LOG_DEBUG:", "LOG_INFO:")
 # Characters of a failed feature's output that are printed again at the end.
 MAX_FAILURE_CHARS = 6000
@@ -82,6 +85,23 @@
     return FeatureResult(path, cases, drop_captured_logs(completed.stdout), True)
 
 
+def run_features(
+    paths: list[Path], n_jobs: int, behave_arguments: list[str]
+) -> Iterator[FeatureResult]:
+    """Run feature files, ``n_jobs`` at a time; yield each result when it has ended."""
+    alone = [path for path in paths if path.name.startswith(ALONE_PREFIX)]
+    with ThreadPoolExecutor(n_jobs) as pool:
+        futures = [
+            pool.submit(run_feature, path, behave_arguments)
+            for path in paths
+            if path not in alone
+        ]
+        for future in as_completed(futures):
+            yield future.result()
+    for path in alone:
+        yield run_feature(path, behave_arguments)
+
+
 def drop_captured_logs(output: str) -> str:
     """Remove the captured log lines of failed steps below level warning.
 
@@ -123,16 +143,13 @@
     cases: list[Case] = []
     failed_results = []
     features_not_run = []
-    with ThreadPoolExecutor(arguments.jobs) as pool:
-        futures = [pool.submit(run_feature, p, arguments.behave) for p in paths]
-        for future in as_completed(futures):
-            result = future.result()
-            print(f"== {result.path.relative_to(ROOT)}\n{result.output}", flush=True)
-            cases += result.cases
-            if has_new_failure(result, read_known_red_names()):
-                failed_results.append(result)
-            if not result.behave_ran:
-                features_not_run.append(result.path)
+    for result in run_features(paths, arguments.jobs, arguments.behave):
+        print(f"== {result.path.relative_to(ROOT)}\n{result.output}", flush=True)
+        cases += result.cases
+        if has_new_failure(result, read_known_red_names()):
+            failed_results.append(result)
+        if not result.behave_ran:
+            features_not_run.append(result.path)
     # Often only the end of the output is kept, so failures are shown there again.
     for result in failed_results:
         path = result.path.relative_to(ROOT)
