Read requests only as fast as they are answered

Callers saw a process end for lack of memory when clients sent many requests ahead and left the answers unread.

Cause: the connection of a server never paused reading. What arrived while a request was handled went into h11's buffer without a bound, and the next request began while the transport had paused writing, so that responses piled up as well.

Change: a connection reads 16 KB at a time (asyncio.BufferedProtocol with a buffer that all connections share, in place of up to 256 KB a read). If data arrives while a request is handled or a response is unsent, reading pauses until that is done: a client of one request at a time never sees it, and one that goes away is still noticed. The next request waits while more than 16 KB of a response are unsent. The time for a request to arrive counts from its first byte instead of the end of its headers. A connection that closes with unsent bytes is aborted after the send timeout; one whose client has closed its sending side closes after the last response, where it stayed for the idle timeout. The connection has a module of its own.

--- /dev/null
+++ b/libs/http/src/berylcleat/http/_server_connection.py
@@ -0,0 +1,251 @@
+"""Server side of one HTTP/1.1 connection."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import h11
+
+from ._messages import AbandonConnectionError, HttpLimits, HttpRequest, HttpResponse
+
+# Bytes of the line and the headers of a request, and of a chunk's size line.
+MAX_HEAD_BYTES = 65_536
+# Bytes that a connection reads at a time. What a client sends ahead waits in the
+# kernel, but for two such reads.
+READ_BYTES = 16_384
+# Unsent bytes of a response above which the next request waits.
+MAX_UNSENT_BYTES = 16_384
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+logger = logging.getLogger(__name__)
+
+
+class Server(Protocol):
+    """What a connection uses of its server."""
+
+    handler: Handler
+    limits: HttpLimits
+    is_stopping: bool
+    n_client_disconnects: int
+    # Shared by all connections: it is emptied before the next connection reads.
+    read_buffer: memoryview
+    connections: set["ServerConnection"]
+
+
+class ServerConnection(asyncio.BufferedProtocol):
+    """Server side of a connection; handles one request at a time.
+
+    Reading pauses while a request is handled or a response is unread, as soon as more
+    arrives than the one read that notices a client that has gone.
+    """
+
+    def __init__(self, server: Server):
+        self._server = server
+        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._transport: asyncio.Transport | None = None
+        self._request_head: h11.Request | None = None
+        self._request_body = bytearray()
+        self._timer: asyncio.TimerHandle | None = None
+        self._send_timer: asyncio.TimerHandle | None = None
+        self._handler_task: asyncio.Task | None = None
+        self._is_receiving = False
+        self._is_write_paused = False
+        self._awaits_next_cycle = False
+        self._has_received_eof = False
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+        transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
+        self._server.connections.add(self)
+        self._start_timer(self._server.limits.idle_timeout_s, self._close)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._server.connections.discard(self)
+        self._cancel_timer()
+        self._cancel_send_timer()
+
+    def pause_writing(self) -> None:
+        # Abort the connection if the client doesn't read its response in time.
+        self._is_write_paused = True
+        self._cancel_send_timer()
+        timeout_s = self._server.limits.send_timeout_s
+        self._send_timer = asyncio.get_running_loop().call_later(
+            timeout_s, self._transport.abort
+        )
+
+    def resume_writing(self) -> None:
+        self._is_write_paused = False
+        self._cancel_send_timer()
+        if self._awaits_next_cycle:
+            self._start_next_cycle()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._server.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self._h11.receive_data(bytes(self._server.read_buffer[:nbytes]))
+        if self._is_busy:
+            self._transport.pause_reading()
+        else:
+            self._process_events()
+
+    def eof_received(self) -> bool:
+        # Keep the transport open while a request is handled: a client that has only
+        # closed its sending side still reads the response.
+        self._has_received_eof = True
+        return self._is_busy
+
+    @property
+    def _is_busy(self) -> bool:
+        """Whether a request is handled or its response still being sent."""
+        return self._handler_task is not None or self._awaits_next_cycle
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being received or handled."""
+        return not self._is_busy and self._h11.their_state is h11.IDLE
+
+    def close_when_idle(self) -> None:
+        """Close the connection unless a request is being handled.
+
+        Otherwise it is closed after the response.
+        """
+        if self._handler_task is None:
+            self._close()
+
+    def _start_timer(self, seconds: float, action: Callable[[], None]) -> None:
+        self._cancel_timer()
+        self._timer = asyncio.get_running_loop().call_later(seconds, action)
+
+    def _cancel_timer(self) -> None:
+        if self._timer:
+            self._timer.cancel()
+            self._timer = None
+
+    def _cancel_send_timer(self) -> None:
+        if self._send_timer:
+            self._send_timer.cancel()
+            self._send_timer = None
+
+    def _close(self) -> None:
+        """Close the connection once what has been written is sent, or in time."""
+        self._awaits_next_cycle = False
+        self._transport.close()
+        self._start_timer(self._server.limits.send_timeout_s, self._transport.abort)
+
+    def _process_events(self) -> None:
+        try:
+            while not self._is_busy and not self._transport.is_closing():
+                event = self._h11.next_event()
+                if event in (h11.NEED_DATA, h11.PAUSED):
+                    self._await_data()
+                    break
+                self._handle_event(event)
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint, str(error))
+
+    def _await_data(self) -> None:
+        if self._has_received_eof:
+            self._close()
+            return
+        unparsed, _ = self._h11.trailing_data
+        if unparsed or self._h11.their_state is not h11.IDLE:
+            self._start_receiving()
+        self._transport.resume_reading()
+
+    def _start_receiving(self) -> None:
+        """Limit the time in which the whole request must arrive."""
+        if self._is_receiving:
+            return
+        self._is_receiving = True
+        timeout_s = self._server.limits.receive_timeout_s
+        self._start_timer(
+            timeout_s, lambda: self._reject(408, "request not received in time")
+        )
+
+    def _handle_event(self, event: h11.Event) -> None:
+        if isinstance(event, h11.Request):
+            self._request_head = event
+            self._start_receiving()
+        elif isinstance(event, h11.Data):
+            self._request_body += event.data
+            if len(self._request_body) > self._server.limits.max_body_bytes:
+                raise h11.RemoteProtocolError("body too large", error_status_hint=413)
+        elif isinstance(event, h11.EndOfMessage):
+            self._start_handling()
+        elif isinstance(event, h11.ConnectionClosed):
+            self._close()
+            # Stops the event processing; nothing is sent on the closing transport.
+            raise h11.RemoteProtocolError("closed")
+
+    def _start_handling(self) -> None:
+        self._cancel_timer()
+        self._is_receiving = False
+        headers = tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in self._request_head.headers
+        )
+        method = self._request_head.method.decode("latin-1")
+        target = self._request_head.target.decode("latin-1")
+        request = HttpRequest(method, target, headers, bytes(self._request_body))
+        self._request_body = bytearray()
+        self._handler_task = asyncio.get_running_loop().create_task(
+            self._handle_request(request)
+        )
+
+    async def _handle_request(self, request: HttpRequest) -> None:
+        try:
+            response = await self._server.handler(request)
+        except AbandonConnectionError:
+            self._handler_task = None
+            self._transport.abort()
+            return
+        except Exception:
+            logger.exception("unhandled exception in the handler of %s", request.target)
+            response = HttpResponse(500, (("beryl-outcome", "unknown"),), b"")
+        self._send(response, request.method)
+        self._handler_task = None
+        if self._is_write_paused and not self._transport.is_closing():
+            self._awaits_next_cycle = True
+        else:
+            self._start_next_cycle()
+
+    def _start_next_cycle(self) -> None:
+        self._awaits_next_cycle = False
+        if self._transport.is_closing():
+            return
+        is_last = self._server.is_stopping or self._h11.our_state is not h11.DONE
+        if is_last or self._h11.their_state is not h11.DONE:
+            self._close()
+            return
+        self._h11.start_next_cycle()
+        self._start_timer(self._server.limits.idle_timeout_s, self._close)
+        self._process_events()
+
+    def _send(self, response: HttpResponse, method: str = "GET") -> None:
+        if self._transport.is_closing():
+            self._server.n_client_disconnects += 1
+            return
+        body = b"" if method == "HEAD" else response.body
+        headers = [*response.headers, ("content-length", str(len(response.body)))]
+        if self._server.is_stopping:
+            headers.append(("connection", "close"))
+        head = h11.Response(status_code=response.status, headers=headers)
+        parts = [self._h11.send(head)]
+        if body:
+            parts.append(self._h11.send(h11.Data(data=body)))
+        parts.append(self._h11.send(h11.EndOfMessage()))
+        self._transport.write(b"".join(parts))
+
+    def _reject(self, status: int, reason: str) -> None:
+        if self._transport.is_closing():
+            return
+        if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            headers = (
+                ("beryl-outcome", "not-run"),
+                ("retry-after", "1"),
+                ("connection", "close"),
+                ("content-type", "text/plain"),
+            )
+            self._send(HttpResponse(status, headers, reason.encode()))
+        self._close()
