Refuse a body over the limit as soon as it is announced

Callers saw memory grow with bodies far over the limit: a body whose size was announced was read up to the limit first, on every connection.

A Content-Length over max_body_bytes is now refused with 413 as not run when the headers arrive; a chunked body as before, once it passes the limit. Because a client that still sends could not read the response if the connection were closed at once (unread bytes reset it), the server ends its own side, discards what arrives for at most 1 s without keeping it, and then aborts the connection. The same holds for 400, 408 and 431.

--- a/libs/http/features/environment.py
+++ b/libs/http/features/environment.py
@@ -1,4 +1,4 @@
-"""Stop the server process of each scenario."""
+"""Stop the server process and the tasks of each scenario."""
 
 import asyncio
 
@@ -16,6 +16,14 @@
     if context.process is not None:
         context.process.kill()
         context.process.wait()
+    context.run(cancel_tasks())
+
+
+async def cancel_tasks():
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
 
 
 def after_all(context):
--- a/libs/http/features/server_flow.feature
+++ b/libs/http/features/server_flow.feature
@@ -35,3 +35,21 @@
     Given a connection of a server
     When 1 requests arrive in one read
     Then reading is not paused
+
+  # Guards against bodies over the limit that are read up to the limit first.
+  Scenario Outline: A body over the limit is refused and discarded: <kind>
+    Given a connection of a server with bodies of at most 1000 bytes
+    When <kind> of 1001 bytes arrives
+    Then it is refused with status 413 as not run
+    And what still arrives is discarded
+    And the connection closes after the client has closed it
+
+    Examples:
+      | kind                    |
+      | only an announced body  |
+      | a body without a length |
+
+  Scenario: A body at the limit is handled
+    Given a connection of a server with bodies of at most 1000 bytes
+    When a whole body of 1000 bytes arrives
+    Then 1 request is being handled
--- a/libs/http/features/steps/server_flow_steps.py
+++ b/libs/http/features/steps/server_flow_steps.py
@@ -163,3 +163,51 @@
 @then("the connection is closed")
 def step_closed(context):
     assert context.transport.is_closed
+
+
+@given("a connection of a server with bodies of at most {n:d} bytes")
+def step_body_limit(context, n):
+    connect(context, HttpLimits(max_body_bytes=n))
+
+
+@when("only an announced body of {n:d} bytes arrives")
+def step_announced(context, n):
+    receive(context, b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % n)
+
+
+@when("a whole body of {n:d} bytes arrives")
+def step_whole(context, n):
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % n
+    receive(context, head + b"x" * n)
+
+
+@when("a body without a length of {n:d} bytes arrives")
+def step_chunked(context, n):
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    receive(context, head + b"%x\r\n%s" % (n, b"x" * n))
+
+
+@then("it is refused with status {status:d} as not run")
+def step_refused(context, status):
+    sent = bytes(context.transport.sent)
+    assert sent.startswith(b"HTTP/1.1 %d" % status), sent
+    assert b"beryl-outcome: not-run" in sent, sent
+    assert n_pending(context) == 0
+
+
+@then("what still arrives is discarded")
+def step_discarded(context):
+    n_sent = len(context.transport.sent)
+    receive(context, b"x" * 100_000 + REQUEST)
+    assert len(context.transport.sent) == n_sent
+    assert n_pending(context) == 0
+
+
+@then("the connection closes after the client has closed it")
+def step_closes(context):
+    assert context.transport.has_written_eof and not context.transport.is_closed
+
+    async def receive_eof():
+        assert not context.connection.eof_received(), "the transport stays open"
+
+    context.run(receive_eof())
--- a/libs/http/src/berylcleat/http/_server_connection.py
+++ b/libs/http/src/berylcleat/http/_server_connection.py
@@ -16,6 +16,8 @@
 READ_BYTES = 16_384
 # Unsent bytes of a response above which the next request waits.
 MAX_UNSENT_BYTES = 16_384
+# Time in which a client that was refused can still read why.
+LINGER_S = 1.0
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 logger = logging.getLogger(__name__)
 
@@ -52,6 +54,7 @@
         self._is_write_paused = False
         self._awaits_next_cycle = False
         self._has_received_eof = False
+        self._is_rejected = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
@@ -83,6 +86,8 @@
         return self._server.read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
+        if self._is_rejected:
+            return
         self._h11.receive_data(bytes(self._server.read_buffer[:nbytes]))
         if self._is_busy:
             self._transport.pause_reading()
@@ -135,7 +140,7 @@
 
     def _process_events(self) -> None:
         try:
-            while not self._is_busy and not self._transport.is_closing():
+            while not self._is_busy and not self._is_closing:
                 event = self._h11.next_event()
                 if event in (h11.NEED_DATA, h11.PAUSED):
                     self._await_data()
@@ -167,10 +172,10 @@
         if isinstance(event, h11.Request):
             self._request_head = event
             self._start_receiving()
+            self._check_announced_size(event)
         elif isinstance(event, h11.Data):
             self._request_body += event.data
-            if len(self._request_body) > self._server.limits.max_body_bytes:
-                raise h11.RemoteProtocolError("body too large", error_status_hint=413)
+            self._check_size(len(self._request_body))
         elif isinstance(event, h11.EndOfMessage):
             self._start_handling()
         elif isinstance(event, h11.ConnectionClosed):
@@ -178,6 +183,15 @@
             # Stops the event processing; nothing is sent on the closing transport.
             raise h11.RemoteProtocolError("closed")
 
+    def _check_announced_size(self, head: h11.Request) -> None:
+        for name, value in head.headers:
+            if name == b"content-length":
+                self._check_size(int(value))
+
+    def _check_size(self, n_bytes: int) -> None:
+        if n_bytes > self._server.limits.max_body_bytes:
+            raise h11.RemoteProtocolError("body too large", error_status_hint=413)
+
     def _start_handling(self) -> None:
         self._cancel_timer()
         self._is_receiving = False
@@ -237,8 +251,13 @@
         parts.append(self._h11.send(h11.EndOfMessage()))
         self._transport.write(b"".join(parts))
 
+    @property
+    def _is_closing(self) -> bool:
+        return self._is_rejected or self._transport.is_closing()
+
     def _reject(self, status: int, reason: str) -> None:
-        if self._transport.is_closing():
+        """Refuse the request that is being received, and close the connection."""
+        if self._is_closing:
             return
         if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers = (
@@ -248,4 +267,17 @@
                 ("content-type", "text/plain"),
             )
             self._send(HttpResponse(status, headers, reason.encode()))
-        self._close()
+            self._linger()
+        else:
+            self._close()
+
+    def _linger(self) -> None:
+        """Close the connection once the client has, or in time; discard what it sends.
+
+        A client that still sends couldn't read the response if it were closed at once.
+        """
+        self._is_rejected = True
+        self._request_body = bytearray()
+        self._transport.write_eof()
+        self._transport.resume_reading()
+        self._start_timer(LINGER_S, self._transport.abort)
