Limit the connections of a server and what they hold together

Callers saw a process end for lack of memory: each connection kept up to 1 MB of an unfinished body, a large submission took many times its size once decoded, and the number of connections had no limit, so that memory and descriptors grew with the crowd.

Change: a process has a ByteBudget (max_held_bytes, 48 MiB) of bodies, unfinished headers and unsent responses beyond 16 KB a connection. Over it, the connection that holds most is refused (503, not run) while it sends, or closed if it doesn't read. A request that is being handled may have run and goes on; it counts as a multiple of its body (16 where submissions are decoded), and a large one that finds no room is refused before it is handled. With more than max_connections (2,000 clients, 600 peers, 64 for probes and operators) the one that has waited longest for a request is closed; a request whose client has gone is handled to its end, since silence must stay true, and counts until then. Listening sockets have receive buffers of 32 KB (peers 64 KB).

--- a/libs/http/src/berylcleat/http/_body_budget.py
+++ b/libs/http/src/berylcleat/http/_byte_budget.py
@@ -28,14 +28,29 @@
         self._bytes_by_holder: dict[Holder, int] = {}
         self._bytes_by_busy_holder: dict[Holder, int] = {}
 
-    def hold(self, holder: Holder, n_bytes: int, *, is_busy: bool = False) -> None:
+    def hold(self, holder: Holder, n_bytes: int) -> None:
         """Count ``n_bytes`` for ``holder``, instead of what it held before."""
         self.release(holder)
         if n_bytes <= UNCOUNTED_BYTES:
             return
-        held = self._bytes_by_busy_holder if is_busy else self._bytes_by_holder
-        held[holder] = n_bytes
+        self._bytes_by_holder[holder] = n_bytes
         self.n_bytes += n_bytes
+        self._make_room()
+
+    def hold_busy(self, holder: Holder, n_bytes: int, factor: int) -> bool:
+        """Count a request that is to be handled ``factor`` times, if there is room."""
+        self.release(holder)
+        if n_bytes <= UNCOUNTED_BYTES:
+            return True
+        n_busy = sum(self._bytes_by_busy_holder.values())
+        if self._bytes_by_busy_holder and n_busy + factor * n_bytes > self.max_bytes:
+            return False
+        self._bytes_by_busy_holder[holder] = factor * n_bytes
+        self.n_bytes += factor * n_bytes
+        self._make_room()
+        return True
+
+    def _make_room(self) -> None:
         while self.n_bytes > self.max_bytes and self._bytes_by_holder:
             largest = max(self._bytes_by_holder, key=self._bytes_by_holder.get)
             self.release(largest)
--- a/libs/http/src/berylcleat/http/_messages.py
+++ b/libs/http/src/berylcleat/http/_messages.py
@@ -46,13 +46,22 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpLimits:
-    """Server limits for each connection."""
+    """Server limits.
+
+    A connection holds up to ``max_body_bytes`` of a body; handling a request takes
+    ``handling_factor`` times its body in memory. The kernel keeps about
+    ``kernel_buffer_bytes`` of what a connection has sent ahead. With more than
+    ``max_connections`` the one that has waited longest for a request is closed.
+    """
 
     max_body_bytes: int = 1_048_576
     receive_timeout_s: float = 10.0
     idle_timeout_s: float = 60.0
     send_timeout_s: float = 10.0
     headers: Headers = field(default_factory=tuple)
+    max_connections: int = 2000
+    kernel_buffer_bytes: int = 32_768
+    handling_factor: int = 2
 
 
 class ExchangeFailure(Enum):
--- a/libs/http/src/berylcleat/http/_server.py
+++ b/libs/http/src/berylcleat/http/_server.py
@@ -1,15 +1,21 @@
 """HTTP/1.1 server based on h11 and asyncio."""
 
 import asyncio
+import contextlib
 import errno
+import socket
+from collections import OrderedDict
 
 from berylcleat.model import PortInUseError, SettingsError
 
+from ._byte_budget import ByteBudget
 from ._messages import HttpLimits
 from ._server_connection import READ_BYTES, Handler, ServerConnection
+from ._server_metrics import Closing, RefusalReport
 
 # Highest port number of TCP.
 MAX_PORT = 65_535
+BACKLOG = 1024
 
 
 def parse_address(address: str) -> tuple[str, int]:
@@ -22,15 +28,28 @@
 
 
 class HttpServer:
-    """HTTP server on one address; ``handler`` returns the response to a request."""
+    """HTTP server on one address; ``handler`` returns the response to a request.
+
+    Servers of one process share ``budget``.
+    """
 
     def __init__(
-        self, address: str, handler: Handler, limits: HttpLimits | None = None
+        self,
+        address: str,
+        handler: Handler,
+        limits: HttpLimits | None = None,
+        budget: ByteBudget | None = None,
     ):
         self.address = address
         self.handler = handler
         self.limits = limits or HttpLimits()
+        self.budget = budget or ByteBudget()
+        self.report = RefusalReport(address)
         self.connections: set[ServerConnection] = set()
+        # Those that have closed, but whose request is still being handled.
+        self.abandoned: set[ServerConnection] = set()
+        # Those that wait for a request or the rest of one, longest first.
+        self.waiting: OrderedDict[ServerConnection, None] = OrderedDict()
         self.is_stopping = False
         self.n_client_disconnects = 0
         self.read_buffer = memoryview(bytearray(READ_BYTES))
@@ -46,8 +65,14 @@
         loop = asyncio.get_running_loop()
         try:
             self._server = await loop.create_server(
-                lambda: ServerConnection(self), host, port, backlog=1024
+                lambda: ServerConnection(self),
+                host,
+                port,
+                backlog=BACKLOG,
+                start_serving=False,
             )
+            self._limit_kernel_buffers()
+            await self._server.start_serving()
         except OSError as error:
             if error.errno != errno.EADDRINUSE:
                 raise SettingsError(
@@ -57,6 +82,28 @@
                 f"{self.address} is in use", "Stop the other process or change the port"
             ) from error
 
+    def _limit_kernel_buffers(self) -> None:
+        """Limit the receive buffers of the connections, which inherit them."""
+        for listener in self._server.sockets:
+            # Without the option the kernel's own limits hold.
+            with contextlib.suppress(OSError):
+                listener.setsockopt(
+                    socket.SOL_SOCKET,
+                    socket.SO_RCVBUF,
+                    self.limits.kernel_buffer_bytes,
+                )
+
+    def make_room(self) -> bool:
+        """Close a waiting connection if there are too many; return if there is room."""
+        n_connections = len(self.connections) + len(self.abandoned)
+        if n_connections < self.limits.max_connections:
+            return True
+        self.report.count_closed(Closing.TOO_MANY_CONNECTIONS)
+        if not self.waiting:
+            return False
+        next(iter(self.waiting)).abort()
+        return True
+
     async def stop(self, grace_s: float = 10.0) -> None:
         """Stop listening and close the connections that handle no request.
 
--- a/libs/http/src/berylcleat/http/_server_connection.py
+++ b/libs/http/src/berylcleat/http/_server_connection.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import logging
+from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 import h11
 
+from ._byte_budget import ByteBudget
 from ._messages import AbandonConnectionError, HttpLimits, HttpRequest, HttpResponse
+from ._server_metrics import Closing, RefusalReport
 
 # Bytes of the line and the headers of a request, and of a chunk's size line.
 MAX_HEAD_BYTES = 65_536
@@ -32,6 +35,13 @@
     # Shared by all connections: it is emptied before the next connection reads.
     read_buffer: memoryview
     connections: set["ServerConnection"]
+    abandoned: set["ServerConnection"]
+    waiting: OrderedDict["ServerConnection", None]
+    budget: ByteBudget
+    report: RefusalReport
+
+    def make_room(self) -> bool:
+        """Close a waiting connection if there are too many; return if there is room."""
 
 
 class ServerConnection(asyncio.BufferedProtocol):
@@ -58,12 +68,22 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
+        if not self._server.make_room():
+            self._is_rejected = True
+            transport.abort()
+            return
         transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
         self._server.connections.add(self)
+        self._server.waiting[self] = None
         self._start_timer(self._server.limits.idle_timeout_s, self._close)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.connections.discard(self)
+        self._server.waiting.pop(self, None)
+        if self._handler_task is not None:
+            self._server.abandoned.add(self)
+        else:
+            self._server.budget.release(self)
         self._cancel_timer()
         self._cancel_send_timer()
 
@@ -73,9 +93,26 @@
         self._cancel_send_timer()
         timeout_s = self._server.limits.send_timeout_s
         self._send_timer = asyncio.get_running_loop().call_later(
-            timeout_s, self._transport.abort
+            timeout_s, self._abort_unread
         )
 
+    def _abort_unread(self) -> None:
+        self._server.report.count_closed(Closing.UNREAD_RESPONSE)
+        self._transport.abort()
+
+    def abort(self) -> None:
+        """Close the connection at once, in place of one that has more to do."""
+        self._server.connections.discard(self)
+        self._server.waiting.pop(self, None)
+        self._transport.abort()
+
+    def give_up(self) -> None:
+        self._server.report.count_closed(Closing.TOO_MANY_BYTES)
+        if self._is_receiving:
+            self._reject(503, "too many large requests at once")
+        else:
+            self._transport.abort()
+
     def resume_writing(self) -> None:
         self._is_write_paused = False
         self._cancel_send_timer()
@@ -156,7 +193,10 @@
         unparsed, _ = self._h11.trailing_data
         if unparsed or self._h11.their_state is not h11.IDLE:
             self._start_receiving()
-        self._transport.resume_reading()
+            n_bytes = len(unparsed) + len(self._request_body)
+            self._server.budget.hold(self, n_bytes)
+        if not self._is_closing:
+            self._transport.resume_reading()
 
     def _start_receiving(self) -> None:
         """Limit the time in which the whole request must arrive."""
@@ -176,6 +216,7 @@
         elif isinstance(event, h11.Data):
             self._request_body += event.data
             self._check_size(len(self._request_body))
+            self._server.budget.hold(self, len(self._request_body))
         elif isinstance(event, h11.EndOfMessage):
             self._start_handling()
         elif isinstance(event, h11.ConnectionClosed):
@@ -193,6 +234,13 @@
             raise h11.RemoteProtocolError("body too large", error_status_hint=413)
 
     def _start_handling(self) -> None:
+        n_bytes = len(self._request_body)
+        factor = self._server.limits.handling_factor
+        if not self._server.budget.hold_busy(self, n_bytes, factor):
+            self._server.report.count_closed(Closing.TOO_MANY_BYTES)
+            self._reject(503, "too many large requests at once")
+            return
+        self._server.waiting.pop(self, None)
         self._cancel_timer()
         self._is_receiving = False
         headers = tuple(
@@ -211,21 +259,32 @@
         try:
             response = await self._server.handler(request)
         except AbandonConnectionError:
-            self._handler_task = None
+            self._finish_handling()
             self._transport.abort()
             return
+        except asyncio.CancelledError:
+            self._finish_handling()
+            raise
         except Exception:
             logger.exception("unhandled exception in the handler of %s", request.target)
             response = HttpResponse(500, (("beryl-outcome", "unknown"),), b"")
+        self._finish_handling()
         self._send(response, request.method)
-        self._handler_task = None
         if self._is_write_paused and not self._transport.is_closing():
             self._awaits_next_cycle = True
+            n_unsent = self._transport.get_write_buffer_size()
+            self._server.budget.hold(self, n_unsent)
         else:
             self._start_next_cycle()
 
+    def _finish_handling(self) -> None:
+        self._handler_task = None
+        self._server.abandoned.discard(self)
+        self._server.budget.release(self)
+
     def _start_next_cycle(self) -> None:
         self._awaits_next_cycle = False
+        self._server.budget.release(self)
         if self._transport.is_closing():
             return
         is_last = self._server.is_stopping or self._h11.our_state is not h11.DONE
@@ -233,6 +292,7 @@
             self._close()
             return
         self._h11.start_next_cycle()
+        self._server.waiting[self] = None
         self._start_timer(self._server.limits.idle_timeout_s, self._close)
         self._process_events()
 
@@ -259,6 +319,7 @@
         """Refuse the request that is being received, and close the connection."""
         if self._is_closing:
             return
+        self._server.report.count_rejected(status)
         if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers = (
                 ("beryl-outcome", "not-run"),
@@ -277,7 +338,9 @@
         A client that still sends couldn't read the response if it were closed at once.
         """
         self._is_rejected = True
+        self._is_receiving = False
         self._request_body = bytearray()
+        self._server.budget.release(self)
         self._transport.write_eof()
         self._transport.resume_reading()
         self._start_timer(LINGER_S, self._transport.abort)
--- a/libs/runtime/src/berylcleat/runtime/__init__.py
+++ b/libs/runtime/src/berylcleat/runtime/__init__.py
@@ -1,6 +1,6 @@
 """Process lifecycle shared by all programs: signals, periodic calls, admin endpoint."""
 
-from ._admin import AdminRouter, error_response, json_response
+from ._admin import ADMIN_LIMITS, AdminRouter, error_response, json_response
 from ._loop_delay import LoopDelayMonitor
 from ._process import (
     EXIT_FATAL_ERROR,
@@ -14,6 +14,7 @@
 from ._version import VERSION
 
 __all__ = [
+    "ADMIN_LIMITS",
     "EXIT_FATAL_ERROR",
     "VERSION",
     "AdminRouter",
--- a/libs/runtime/src/berylcleat/runtime/_admin.py
+++ b/libs/runtime/src/berylcleat/runtime/_admin.py
@@ -6,7 +6,7 @@
 import msgspec
 from prometheus_client import REGISTRY, generate_latest
 
-from berylcleat.http import HttpRequest, HttpResponse
+from berylcleat.http import HttpLimits, HttpRequest, HttpResponse
 from berylcleat.model import BerylError, ErrorCode
 from berylcleat.telemetry import Tracer
 
@@ -19,6 +19,8 @@
     ErrorCode.OUTCOME_UNKNOWN: 500,
     ErrorCode.NEVER_RUNNABLE: 422,
 }
+# Limits of servers that only operators, scrapers and probes call.
+ADMIN_LIMITS = HttpLimits(max_connections=64)
 RouteHandler = Callable[[HttpRequest], Awaitable[Any]]
 
 
--- a/programs/beryl-entry/src/berylcleat/entry/_process.py
+++ b/programs/beryl-entry/src/berylcleat/entry/_process.py
@@ -5,7 +5,7 @@
 import random
 import secrets
 
-from berylcleat.http import HttpLimits, HttpServer
+from berylcleat.http import ByteBudget, HttpLimits, HttpServer
 from berylcleat.ownership import incarnation_id
 from berylcleat.peers import (
     CONFIG_HEAD_KEY,
@@ -16,7 +16,13 @@
     PeerTransport,
 )
 from berylcleat.ports import ChangeFeed, HttpHostList, HttpTable, ListedHost, ListSource
-from berylcleat.runtime import AdminRouter, StopSignal, cancel_all, run_periodically
+from berylcleat.runtime import (
+    ADMIN_LIMITS,
+    AdminRouter,
+    StopSignal,
+    cancel_all,
+    run_periodically,
+)
 from berylcleat.telemetry import Tracer
 
 from . import _metrics
@@ -61,9 +67,18 @@
             self._on_document,
         )
         self.admin = AdminRouter(self.tracer, self._is_ready)
-        limits = HttpLimits(settings.max_body_bytes, settings.receive_timeout_s)
-        self.server = HttpServer(settings.entry_address, self.proxy.handle, limits)
-        self.admin_server = HttpServer(settings.admin_address, self.admin.handle)
+        limits = HttpLimits(
+            settings.max_body_bytes,
+            settings.receive_timeout_s,
+            max_connections=settings.max_connections,
+        )
+        budget = ByteBudget(settings.max_held_bytes)
+        self.server = HttpServer(
+            settings.entry_address, self.proxy.handle, limits, budget
+        )
+        self.admin_server = HttpServer(
+            settings.admin_address, self.admin.handle, ADMIN_LIMITS, budget
+        )
         self._register_byte_gauges()
 
     def _register_byte_gauges(self) -> None:
--- a/programs/beryl-entry/src/berylcleat/entry/_settings.py
+++ b/programs/beryl-entry/src/berylcleat/entry/_settings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from berylcleat.http import DEFAULT_BUDGET_BYTES
 from berylcleat.model import SettingsError
 
 
@@ -24,6 +25,8 @@
     list_period_s: float = 1.0
     config_period_s: float = 1.0
     traces_kept: int = 5000
+    max_connections: int = 2000
+    max_held_bytes: int = DEFAULT_BUDGET_BYTES
 
 
 def check_entry_settings(settings: EntrySettings) -> None:
@@ -37,7 +40,6 @@
             raise SettingsError(
                 f"{name} must be greater than 0", "Set a positive number of seconds"
             )
-    if settings.n_waiting_places < 1:
-        raise SettingsError(
-            "n_waiting_places must be at least 1", "Set a positive integer"
-        )
+    for name in ("n_waiting_places", "max_connections", "max_held_bytes"):
+        if getattr(settings, name) < 1:
+            raise SettingsError(f"{name} must be at least 1", "Set a positive integer")
--- a/programs/beryl-host/features/steps/unruly_client_steps.py
+++ b/programs/beryl-host/features/steps/unruly_client_steps.py
@@ -18,6 +18,8 @@
 RECOVERY_TIMEOUT_S = 60.0
 BODY = b"x" * 900_000
 STEPS = b'{"steps":[' + b'{"count":1},' * 75_000 + b'{"count":1}]}'
+# Within the limit of the client address.
+FEWER_STEPS = b'{"steps":[' + b'{"count":1},' * 41_000 + b'{"count":1}]}'
 RELAYED = (
     b'{"method":"POST","target":"/proofs/00000000000000b7","client_host":"%s",'
     b'"deadline_ms":3000,"body":"%s"}' % (HOST_NAME.encode(), b"eHh4" * 225_000)
@@ -48,6 +50,10 @@
         "GETs of the metrics": Onslaught(n, b"", make_get(b"/metrics")),
         "GETs of a state": Onslaught(n, b"", make_get(b"/state/00000000000000b7")),
         "submissions of 900 KB": Onslaught(n, b"", make_post(submission, STEPS)),
+        "submissions of 500 KB": Onslaught(n, b"", make_post(submission, FEWER_STEPS)),
+        "520 KB of 521 KB, then silence": Onslaught(
+            n, make_post(submission, b"x" * 520_000, 521_000)
+        ),
         "relayed requests of 900 KB": Onslaught(
             n, b"", make_post(b"/client-request", RELAYED)
         ),
--- a/programs/beryl-host/features/unruly_clients.feature
+++ b/programs/beryl-host/features/unruly_clients.feature
@@ -21,6 +21,8 @@
       | relayed requests of 900 KB | peer    | 40   |
       | GETs of the readiness path | front   | 1000 |
       | submissions of 900 KB      | front   | 1000 |
+      | submissions of 500 KB      | front   | 40   |
+      | submissions of 500 KB      | front   | 1000 |
 
   # Guards against bodies over the limit, and against many unfinished ones within it.
   Scenario Outline: Bodies that never end well: <what> to <server>
@@ -36,6 +38,7 @@
       | 999 KB of 1 MB, then silence | front  | 400  |
       | 999 KB of 1 MB, then silence | peer   | 400  |
       | 999 KB of 1 MB, then silence | front  | 1500 |
+      | 520 KB of 521 KB, then silence | front | 1500 |
       | headers without end          | front  | 400  |
       | 1 byte of a body at a time   | front  | 400  |
 
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -4,7 +4,13 @@
 import logging
 import secrets
 
-from berylcleat.http import HttpLimits, HttpRequest, HttpResponse, HttpServer
+from berylcleat.http import (
+    ByteBudget,
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
 from berylcleat.model import BerylError
 from berylcleat.platform import (
     WORKER_TABLE,
@@ -15,6 +21,7 @@
 )
 from berylcleat.ports import OperatorConfig, StoreRow
 from berylcleat.runtime import (
+    ADMIN_LIMITS,
     AdminRouter,
     LoopDelayMonitor,
     StopSignal,
@@ -77,6 +84,12 @@
 CELL_POLL_PERIOD_S = 0.05
 # Time for clients to be routed to other hosts before the listening socket closes.
 CLIENT_REDIRECT_S = 2.2
+# Connections of all peers together, of which each needs a few at a time.
+MAX_PEER_CONNECTIONS = 600
+# Messages between hosts are larger than those of clients, and their time is short.
+PEER_KERNEL_BUFFER_BYTES = 65_536
+# Memory of a submission while it is decoded and stored, as a multiple of its body.
+DECODING_FACTOR = 16
 logger = logging.getLogger(__name__)
 
 
@@ -393,18 +406,39 @@
         return {self.identity.data_centre, *self.known_cells.data_centres()}
 
 
+def _make_servers(
+    settings: HostSettings, host: Host, tracer: Tracer
+) -> tuple[HttpServer, ...]:
+    """Return the servers of clients, readiness probes, peers and operators."""
+    budget = ByteBudget(settings.max_held_bytes)
+    client_limits = HttpLimits(
+        idle_timeout_s=60.0,
+        max_body_bytes=settings.max_body_bytes,
+        max_connections=settings.max_connections,
+        handling_factor=DECODING_FACTOR,
+    )
+    peer_limits = HttpLimits(
+        max_connections=MAX_PEER_CONNECTIONS,
+        kernel_buffer_bytes=PEER_KERNEL_BUFFER_BYTES,
+        handling_factor=DECODING_FACTOR,
+    )
+    admin = AdminRouter(tracer, host.is_ready)
+    return (
+        HttpServer(
+            settings.front_address, host.front_api.handle, client_limits, budget
+        ),
+        HttpServer(settings.ready_address, host.on_ready, ADMIN_LIMITS, budget),
+        HttpServer(settings.peer_address, host.peer_api.handle, peer_limits, budget),
+        HttpServer(settings.metrics_address, admin.handle, ADMIN_LIMITS, budget),
+    )
+
+
 async def serve_host(settings: HostSettings, stop: StopSignal) -> None:
     """Serve until the stop signal, then release all cells and shut down gracefully."""
     host = Host(settings)
     tracer = Tracer("beryl-host")
-    limits = HttpLimits(idle_timeout_s=60.0)
-    client_server = HttpServer(settings.front_address, host.front_api.handle, limits)
-    readiness_server = HttpServer(settings.ready_address, host.on_ready)
-    peer_server = HttpServer(settings.peer_address, host.peer_api.handle)
-    admin_server = HttpServer(
-        settings.metrics_address, AdminRouter(tracer, host.is_ready).handle
-    )
-    for server in (readiness_server, client_server, peer_server, admin_server):
+    client_server, *other_servers = _make_servers(settings, host, tracer)
+    for server in (*other_servers, client_server):
         await server.start()
     logger.info(
         "host %s incarnation %s started", settings.host_id, host.identity.incarnation
--- a/programs/beryl-host/src/berylcleat/host/_settings.py
+++ b/programs/beryl-host/src/berylcleat/host/_settings.py
@@ -3,6 +3,7 @@
 import math
 from dataclasses import dataclass, replace
 
+from berylcleat.http import DEFAULT_BUDGET_BYTES
 from berylcleat.model import SettingsError
 from berylcleat.platform import decode_contracts, has_operator_duties
 from berylcleat.scheduling import EvacuationRules
@@ -26,6 +27,9 @@
     cell; it must be the same on all hosts. Without a ``machine_service_address``, or
     with a list of ``operator_duties`` that is empty, maintenance waves are ignored.
 
+    ``max_body_bytes`` limits the body of a client's request, ``max_connections`` the
+    connections of clients, and ``max_held_bytes`` what all connections together hold.
+
     No task is started in an evacuated data centre later than ``evacuation_deadline_ms``
     after the request, and by a host without news of the requests no later than
     ``evacuation_outage_allowance_ms`` after that. A deadline of 0 means that the
@@ -54,6 +58,9 @@
     racks_per_cell: int = 1
     machine_service_address: str = ""
     operator_duties: tuple[str, ...] | None = None
+    max_body_bytes: int = 524_288
+    max_connections: int = 2000
+    max_held_bytes: int = DEFAULT_BUDGET_BYTES
 
     @property
     def cpu_power(self) -> float:
@@ -94,6 +101,9 @@
             raise SettingsError(
                 f"{name} must be greater than 0", "Set a number greater than 0"
             )
+    for name in ("max_body_bytes", "max_connections", "max_held_bytes"):
+        if getattr(settings, name) < 1:
+            raise SettingsError(f"{name} must be at least 1", "Set a positive integer")
     _check_evacuation_settings(settings)
     limit = settings.admission_late_limit
     if limit != 0 and not 1 <= limit < math.inf:
--- a/programs/beryl-planner/src/berylcleat/planner/_process.py
+++ b/programs/beryl-planner/src/berylcleat/planner/_process.py
@@ -22,7 +22,13 @@
     HttpWorkerControl,
     ListSource,
 )
-from berylcleat.runtime import AdminRouter, StopSignal, cancel_all, run_periodically
+from berylcleat.runtime import (
+    ADMIN_LIMITS,
+    AdminRouter,
+    StopSignal,
+    cancel_all,
+    run_periodically,
+)
 from berylcleat.telemetry import Tracer
 
 from . import _metrics
@@ -82,7 +88,9 @@
         )
         self.admin = AdminRouter(self.tracer, self._is_ready)
         OperatorApi(self).add_routes(self.admin)
-        self.admin_server = HttpServer(settings.admin_address, self.admin.handle)
+        self.admin_server = HttpServer(
+            settings.admin_address, self.admin.handle, ADMIN_LIMITS
+        )
         self._register_gauges()
         self._subscribe()
 
