--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -20,7 +20,11 @@
 from ._cell_directory import ObservedOwner
 from ._clock import now_s
 from ._components import Connections, Knowledge, OwnerFeeds
-from ._earlier_owners import latest_lease_end, read_latest_lease_end
+from ._earlier_owners import (
+    latest_lease_end,
+    read_latest_lease_end,
+    stopped_leases_end_at,
+)
 from ._identity import HostIdentity
 from ._known_cells import KnownCells
 from ._membership import Coverage, assign_cells
@@ -430,7 +434,10 @@
         settled_at = now_s() + self._times.takeover_wait_s(owner_is_dead=True)
         earliest_at = 0.0
         if reply is None:
-            earliest_at = self._other_leases_end_at(owners, row, previous, acquired_at)
+            stop_wait_s = self._times.takeover_wait_s(owner_is_dead=True)
+            earliest_at = stopped_leases_end_at(
+                owners, row, previous, acquired_at, stop_wait_s
+            )
             settled_at = max(earliest_at, latest_lease_end(owners, acquired_at))
         controller = CellController(
             cell_id,
@@ -496,29 +503,6 @@
             if is_own and owner.incarnation == self._identity.incarnation:
                 await self.relinquish(cell_id, owner.epoch)
 
-    def _other_leases_end_at(
-        self,
-        owners: tuple[EarlierOwner, ...],
-        row: OwnerRow,
-        previous: ObservedOwner | None,
-        acquired_at: float,
-    ) -> float:
-        """Return by when leases have ended of owners that have certainly stopped.
-
-        They aren't among ``owners``: each has released the cell, or restarted, before
-        ``previous`` was acquired, unless it is one of those that ``previous`` names or
-        its owner.
-        """
-        wait_s = self._times.takeover_wait_s(owner_is_dead=True)
-        may_last_run = any(owner.epoch == row.epoch - 1 for owner in owners)
-        if previous is None or previous.row.epoch >= row.epoch or not may_last_run:
-            return acquired_at + wait_s
-        named = previous.row.earlier_owners or ()
-        if previous.unsettled_s(acquired_at) and not set(named) <= set(owners):
-            # One of them has restarted since.
-            return acquired_at + wait_s
-        return previous.observed_at + wait_s
-
     async def _date_lease_ends(
         self,
         owners: tuple[EarlierOwner, ...],
--- a/programs/beryl-host/src/berylcleat/host/_earlier_owners.py
+++ b/programs/beryl-host/src/berylcleat/host/_earlier_owners.py
@@ -8,8 +8,15 @@
 from berylcleat.ports import Store, StoreRow
 from berylcleat.scheduling import wait_for_limit_s
 
+from ._cell_directory import ObservedOwner
 from ._clock import now_s
-from ._records import HOST_PREFIX, EarlierOwner, HostRow, data_centre_table
+from ._records import (
+    HOST_PREFIX,
+    EarlierOwner,
+    HostRow,
+    OwnerRow,
+    data_centre_table,
+)
 from ._store_clock import shown_by
 from ._version_times import VersionTimes
 
@@ -28,13 +35,36 @@
     )
 
 
+def stopped_leases_end_at(
+    owners: tuple[EarlierOwner, ...],
+    row: OwnerRow,
+    previous: ObservedOwner | None,
+    acquired_at: float,
+    stop_wait_s: float,
+) -> float:
+    """Return by when leases have ended of owners that have certainly stopped.
+
+    They aren't among ``owners`` of ``row``, and none lasts longer than ``stop_wait_s``
+    after the stop. Each has released the cell, or restarted, before ``previous`` was
+    acquired, unless it is one of those that ``previous`` names or its owner.
+    """
+    may_last_run = any(owner.epoch == row.epoch - 1 for owner in owners)
+    if previous is None or previous.row.epoch >= row.epoch or not may_last_run:
+        return acquired_at + stop_wait_s
+    named = previous.row.earlier_owners or ()
+    if previous.unsettled_s(acquired_at) and not set(named) <= set(owners):
+        # One of them has restarted since.
+        return acquired_at + stop_wait_s
+    return previous.observed_at + stop_wait_s
+
+
 async def read_latest_lease_end(
     store: Store,
     owners: tuple[EarlierOwner, ...],
     acquired_at: float,
     version_times: VersionTimes,
 ) -> float:
-    """Return the same, counted from the last heartbeats of the owners.
+    """Return by when leases have ended, counted from the owners' last heartbeats.
 
     An owner's limit counts from a heartbeat that was stored before its last
     confirmation, so before ``acquired_at``, and none of those is newer than the one
