Log what workers tell a new owner first, and why inherited tasks may start

The logs can't tell whether the worker of the first run had answered, whether its run was adopted, or why the wait for it didn't hold. No decision changes.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell_reports.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_reports.py
@@ -25,6 +25,8 @@
 MIN_LEARN_PERIOD_S = 0.45
 # Maximum run ends in one worker report; a full report may lack later ends.
 MAX_ENDS_IN_REPORT = 500
+# Runs that the log line of a worker's first report names.
+MAX_LOGGED_RUNS = 12
 logger = logging.getLogger(__name__)
 
 
@@ -66,6 +68,7 @@
             view.has_seen_epoch = True
             view.started_by = latest_start(report.clock_ms, now)
             view.epoch_seen_at = now
+            self._log_first_report(worker_id, report, now - requested_at)
         if report.n_ends < MAX_ENDS_IN_REPORT and not report.has_unreadable_runs:
             self._unsettled_workers.discard(worker_id)
         for end in report.ended:
@@ -85,6 +88,21 @@
                 self.uneven_workers.on_readings(view, now)
         return True
 
+    def _log_first_report(
+        self, worker_id: str, report: WorkerReport, answered_in_s: float
+    ) -> None:
+        """Log what a worker tells an owner first: the runs that it inherits."""
+        logger.info(
+            "worker %s: first report to epoch %d after %.2f s: %d runs, %d ends, "
+            "lists %s",
+            worker_id,
+            self.epoch,
+            answered_in_s,
+            len(report.running),
+            report.n_ends,
+            " ".join(f"{r.task}:{r.run}" for r in report.running[:MAX_LOGGED_RUNS]),
+        )
+
     def _process_deferred_reports(self, submission_id: str, now: float) -> None:
         """Process ends and runs that were reported before they could be counted."""
         for view in self.worker_by_id.values():
--- a/programs/beryl-host/src/berylcleat/host/_cell_controller.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_controller.py
@@ -227,11 +227,12 @@
         self._spawn(self._move_loops.run_moves(self._observe_order))
         self._spawn(self._move_loops.run_stray_ends(self._record_needed.set))
         logger.info(
-            "cell %s: epoch %d begins with %d submissions and %d workers",
+            "cell %s: epoch %d begins with %d submissions and %d workers, %d recorded",
             self.cell_id,
             self.owner.epoch,
             len(scheduler.submissions.live_by_id),
             len(entry_by_worker),
+            len(earlier_workers),
         )
 
     def complete_handover(
--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -439,6 +439,15 @@
                 owners, row, previous, acquired_at, stop_wait_s
             )
             settled_at = max(earliest_at, latest_lease_end(owners, acquired_at))
+        logger.info(
+            "cell %s: epoch %d after %s, %s, runs on silent workers end in %.1f s",
+            cell_id,
+            row.epoch,
+            ", ".join(f"{o.host_id} epoch {o.epoch}" for o in owners or ())
+            or "no owner that may run",
+            "no answer" if reply is None else "all have stopped",
+            max(settled_at, unsettled_until) - now_s(),
+        )
         controller = CellController(
             cell_id,
             self._known_cells.data_centre_of(cell_id),
