Check that a run which can't be read isn't taken for ended after a takeover

A worker that lists a run which can't be read stays unsettled, but its owner renews its leases. Once the leases of the earlier owner have ended, by settled_at, the owner counts the inherited tasks without a known run as ended although its own leases keep that run going.

--- a/libs/scheduling/features/runs_once.feature
+++ b/libs/scheduling/features/runs_once.feature
@@ -171,3 +171,11 @@
       | what   | n |
       | an end | 0 |
       | a run  | 2 |
+
+  # Guards against TWICE (issue 58): the next owner renewed the leases of a worker that
+  # listed a run that can't be read, and started its task elsewhere once the leases of the
+  # earlier owner would have ended.
+  Scenario: A task isn't started again after a takeover while a run that can't be read goes on
+    Given a cell taken over while "w0" runs a task
+    When "w0" lists a run that can't be read instead of the task
+    Then the task isn't started again within 15 s
--- a/libs/scheduling/features/steps/runs_once_steps.py
+++ b/libs/scheduling/features/steps/runs_once_steps.py
@@ -398,6 +398,18 @@
     scripted_cell.submit(Step(2, TaskDemand(9000, 100)), submission_id="b" * 16)
 
 
+@given('a cell taken over while "{worker_id}" runs a task')
+def step_taken_over_running(context, worker_id):
+    """Let the leases of the earlier owner end after 7 s."""
+    context.scripted_cell = ScriptedCell(2, 8000, settled_at=8.0)
+    context.scripted_cell.submit(STEP, inherited=True)
+
+
+@when('"{worker_id}" lists a run that can\'t be read instead of the task')
+def step_lists_unreadable(context, worker_id):
+    context.scripted_cell.unreadable_runs.add(worker_id)
+
+
 @then("the task isn't started again within {seconds:d} s")
 def step_not_started_again(context, seconds):
     for _ in range(seconds * 5):
