Count a worker as known only once its whole report is handled

Callers could see a task run twice after a takeover: the owner counted a worker as known before it handled the runs that its report lists, so that an unexpected exception in between let the tasks of the remaining runs start elsewhere at once, while no lease of the first run was renewed. A failed report also forgot the runs of unknown submissions that the report before had listed. The worker now leaves the unsettled ones last, and the unknown runs are replaced as a whole. The five scenarios of failed_reports.feature failed before and pass.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell_reports.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_reports.py
@@ -69,8 +69,6 @@
             view.started_by = latest_start(report.clock_ms, now)
             view.epoch_seen_at = now
             self._log_first_report(worker_id, report, now - requested_at)
-        if report.n_ends < MAX_ENDS_IN_REPORT and not report.has_unreadable_runs:
-            self._unsettled_workers.discard(worker_id)
         for end in report.ended:
             if end.number > view.handled_number:
                 self._on_end(view, end, now)
@@ -78,6 +76,9 @@
         if report.ended:
             view.handled_number = max(view.handled_number, report.ended[-1].number)
         self._reconcile_running(view, report, requested_at, now)
+        # Only now: a report whose processing fails before tells nothing of the runs.
+        if report.n_ends < MAX_ENDS_IN_REPORT and not report.has_unreadable_runs:
+            self._unsettled_workers.discard(worker_id)
         if self._drain_limits.must_raise(view, now):
             self._require_record(worker_id)
         self.load_estimator.observe(view, now)
@@ -237,30 +238,33 @@
         self, view: WorkerView, report: WorkerReport, requested_at: float, now: float
     ) -> None:
         reported = {}
-        view.unknown_run_by_task.clear()
+        unknown_run_by_task = {}
         view.used_by_unwanted = TaskDemand()
         for running in report.running:
             reported[(running.task, running.run)] = running
             if running.task.submission_id in self.submissions.by_id:
                 self._on_running(view, running, requested_at, now)
             else:
-                self._on_unknown_run(view, running, now)
-        if not view.unknown_run_by_task:
-            view.unknown_since = None
+                unknown_run_by_task[running.task] = running
+        self._replace_unknown_runs(view, unknown_run_by_task, now)
         for run in tuple(view.run_by_task.values()):
             if (run.task, run.number) not in reported:
                 self._on_unreported_run(run, report, requested_at, now)
 
-    def _on_unknown_run(
-        self, view: WorkerView, running: RunningTask, now: float
+    def _replace_unknown_runs(
+        self, view: WorkerView, run_by_task: dict[TaskKey, RunningTask], now: float
     ) -> None:
-        """Store a run until its submission is known; stop it after a timeout."""
-        view.unknown_run_by_task[running.task] = running
+        """Store runs until their submissions are known; stop them after a timeout."""
+        view.unknown_run_by_task = run_by_task
+        if not run_by_task:
+            view.unknown_since = None
+            return
         if view.unknown_since is None:
             view.unknown_since = now
         if now - view.unknown_since > UNKNOWN_RUN_TIMEOUT_S:
-            stop = StopOrder(running.task, running.run, self.epoch)
-            self._enqueue_order(view.entry.worker_id, stop)
+            for running in run_by_task.values():
+                stop = StopOrder(running.task, running.run, self.epoch)
+                self._enqueue_order(view.entry.worker_id, stop)
 
     def _on_running(
         self, view: WorkerView, running: RunningTask, requested_at: float, now: float
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -342,9 +342,7 @@
             reason = "leases of earlier owners have ended on the other workers"
         else:
             reason = "all workers have answered"
-        logger.info(
-            "inherited task free: task %s run %d: %s", task, run.number, reason
-        )
+        logger.info("inherited task free: task %s run %d: %s", task, run.number, reason)
 
     def _has_certainly_settled(self, now: float) -> bool:
         """Return whether runs of earlier owners had settled at the last confirmation.
