--- a/libs/scheduling/features/steps/connection_simulation.py
+++ b/libs/scheduling/features/steps/connection_simulation.py
@@ -66,7 +66,12 @@
     """History with connections; owners that are cut off learn late of restarts."""
 
     def __init__(
-        self, random_state: int, disabled_mechanism: str = "", n_cells: int = 2
+        self,
+        random_state: int,
+        disabled_mechanism: str = "",
+        n_cells: int = 2,
+        *,
+        expected_finish: bool = False,
     ):
         self.connection_rng = random.Random(f"connections {random_state}")
         self.links: dict[tuple[SimOwner, str], SimLink] = {}
@@ -77,7 +82,11 @@
         self.n_frozen = 0
         self.n_refused = 0
         super().__init__(
-            random_state, disabled_mechanism, n_cells, has_unaware_owners=True
+            random_state,
+            disabled_mechanism,
+            n_cells,
+            expected_finish=expected_finish,
+            has_unaware_owners=True,
         )
 
     @property
--- a/libs/scheduling/features/steps/gone_owner_simulation.py
+++ b/libs/scheduling/features/steps/gone_owner_simulation.py
@@ -52,6 +52,7 @@
     """How an owner goes that never tells that it has stopped."""
 
     GONE = "gone"
+    RESTARTED = "restarted"
     CUT_OFF_FROM_STORE = "cut off from the store"
     CUT_OFF_WITH_WORKER = "cut off together with a worker"
     SUSPENDED = "suspended"
@@ -89,6 +90,7 @@
         n_cells: int = 2,
         *,
         faults: tuple[OwnerFault, ...] = DRAWN_FAULTS,
+        **options,
     ):
         self.faults = faults
         self.gone_rng = random.Random(f"gone owners {random_state}")
@@ -97,7 +99,7 @@
         self.n_by_fault: Counter = Counter()
         # Runs on workers at the time at which they fall silent.
         self.n_silent_runs = 0
-        super().__init__(random_state, disabled_mechanism, n_cells)
+        super().__init__(random_state, disabled_mechanism, n_cells, **options)
         self.liveness = ReachableRoomChecker(self)
         sim_cell = self.gone_rng.choice(list(self.cell_by_id.values()))
         at = self.gone_rng.uniform(*GOES_AT_S)
@@ -181,7 +183,7 @@
             self.schedule_event(at, lambda: self._lose_owner(sim_cell, next_fault))
 
     def _apply(self, owner: SimOwner, fault: OwnerFault) -> None:
-        if fault is OwnerFault.GONE:
+        if fault in (OwnerFault.GONE, OwnerFault.RESTARTED):
             owner.is_dead = True
             return
         if fault is OwnerFault.HEARTBEATS_FAIL:
