Wait for runs that can't be read as long as this owner renews their leases

Callers could see a task run twice after a takeover: a worker whose report has a row that can't be read stays unsettled, its leases are renewed, and once the leases of the earlier owner would have ended its owner took the tasks without a known run for ended. Such a worker now settles only after the longest lease from its last answer, and after those granted since. The scenario of runs_once.feature and the histories with rows that can't be read failed before and pass.

--- a/libs/scheduling/src/berylcleat/scheduling/_cell.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell.py
@@ -141,9 +141,9 @@
         view = self.worker_by_id.get(worker_id)
         if view is None:
             return WorkerOccupancy(is_empty=False, forbids_maintenance=True)
-        settled_at = self._settled_at_by_worker.get(worker_id, self._settled_at)
         is_known = not view.unknown_run_by_task and (
-            self.is_settled(worker_id) or self._planned_at >= settled_at
+            self.is_settled(worker_id)
+            or self._planned_at >= self._settles_at(worker_id)
         )
         n_runs = len(view.run_by_task) + len(view.unknown_run_by_task)
         return WorkerOccupancy(
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -195,14 +195,27 @@
     def has_settled(self, now: float) -> bool:
         """Return whether every run of earlier owners is known or has expired."""
         return all(
-            now >= self._settled_at_by_worker.get(worker_id, self._settled_at)
-            for worker_id in self._unsettled_workers
+            now >= self._settles_at(worker_id) for worker_id in self._unsettled_workers
         )
 
+    def _settles_at(self, worker_id: str) -> float:
+        """Return when runs of earlier owners on an unsettled worker have ended.
+
+        A worker that has answered and is unsettled listed what can't be read: such a
+        run goes on for the longest lease after that, and for those granted since.
+        """
+        settled_at = self._settled_at_by_worker.get(worker_id, self._settled_at)
+        view = self.worker_by_id.get(worker_id)
+        if view is None or not view.has_seen_epoch:
+            return settled_at
+        wait_s = self.times.takeover_wait_s(owner_is_dead=True)
+        ended_by = max(view.clock.answered_at + wait_s, view.leases_expire_at())
+        return max(settled_at, ended_by)
+
     def unsettled_for_s(self, now: float) -> dict[str, float]:
         """Return for how long runs of earlier owners may be unknown, by worker."""
         return {
-            worker_id: self._settled_at_by_worker.get(worker_id, self._settled_at) - now
+            worker_id: self._settles_at(worker_id) - now
             for worker_id in self._unsettled_workers
         }
 
@@ -249,7 +262,7 @@
             view = self.worker_by_id.get(worker_id)
             if view is None or view.is_listed or not view.entry.is_draining:
                 continue
-            settled_at = self._settled_at_by_worker.get(worker_id, self._settled_at)
+            settled_at = self._settles_at(worker_id)
             if now >= settled_at and self.confirmation.covers(settled_at):
                 logger.info("worker %s: drained, every lease has expired", worker_id)
                 self._unsettled_workers.discard(worker_id)
@@ -307,8 +320,7 @@
             # It may have restarted unnoticed, and granted a lease by its new clock.
             left_s = max(left_s, self.times.takeover_wait_s(owner_is_dead=True))
         if worker_id in self._unsettled_workers:
-            settled_at = self._settled_at_by_worker.get(worker_id, self._settled_at)
-            left_s = max(left_s, settled_at - now)
+            left_s = max(left_s, self._settles_at(worker_id) - now)
         return max(0.0, left_s)
 
     def _may_have_unknown_run(self, task: TaskKey, now: float) -> bool:
@@ -352,9 +364,7 @@
         if not self.has_settled(now):
             return False
         return all(
-            self.confirmation.covers(
-                self._settled_at_by_worker.get(worker_id, self._settled_at)
-            )
+            self.confirmation.covers(self._settles_at(worker_id))
             for worker_id in self._unsettled_workers
         )
 
