--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -340,21 +340,21 @@
                 return False
         return not self._has_certainly_settled(now)
 
-    def _log_certainty(self, run: Run) -> None:
-        """Log why an inherited task has certainly no other run, at its first start."""
-        task = run.task
+    def _explain_certainty(self, task: TaskKey) -> str:
+        """Return why an inherited task has no other run, or an empty string.
+
+        Empty for a task that no earlier owner may have started unknown to this one.
+        """
         if task in self._accounted_tasks:
-            return
+            return ""
         is_moved_later = task in self._tasks_moved_to_earlier_owner
         if not is_moved_later and task.submission_id not in self._inherited_submissions:
-            return
+            return ""
         if task in self._tasks_moved_to_owner:
-            reason = "moved here under this epoch"
-        elif self._unsettled_workers:
-            reason = "leases of earlier owners have ended on the other workers"
-        else:
-            reason = "all workers have answered"
-        logger.info("inherited task free: task %s run %d: %s", task, run.number, reason)
+            return "moved here under this epoch"
+        if self._unsettled_workers:
+            return f"leases have ended on {len(self._unsettled_workers)} silent workers"
+        return "all workers have answered"
 
     def _has_certainly_settled(self, now: float) -> bool:
         """Return whether runs of earlier owners had settled at the last confirmation.
@@ -679,7 +679,7 @@
             self.preemption.on_start(run.task)
         self._presumed_end_by_task.pop(run.task, None)
         if not run.is_adopted:
-            self._log_certainty(run)
+            run.certainty = self._explain_certainty(run.task)
             self._accounted_tasks.add(run.task)
             self._tasks_moved_to_earlier_owner.discard(run.task)
         if run.task.submission_id in self._inherited_submissions:
--- a/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_starts.py
@@ -817,13 +817,14 @@
         if tracked.n_crashes(run.task):
             view.trial_until = now + LIKELY_CAUSE_AGE_S
         logger.info(
-            "run started: task %s run %d on %s, %d of %d left, %.1f s before due",
+            "run started: task %s run %d on %s, %d of %d left, %.1f s before due%s",
             run.task,
             run.number,
             run.worker_id,
             view.cpu_left(),
             view.entry.capacity.cpu_millis,
             tracked.due_at - now,
+            f", inherited: {run.certainty}" if run.certainty else "",
         )
         order = StartOrder(
             run.task,
--- a/libs/scheduling/src/berylcleat/scheduling/_workers.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_workers.py
@@ -72,6 +72,8 @@
     over_target_since: float | None = None
     # Whether an earlier owner started it; then ``started_at`` is when it was found.
     is_adopted: bool = False
+    # Why its task, if inherited, had no other run when it started, for logs.
+    certainty: str = ""
     # Whether it began from a checkpoint.
     is_resumed: bool = False
     was_accepted: bool = False
