Accept connections at most 32 at a time

Cause: asyncio accepts as many connections in a turn of its loop as its parameter backlog says (1,024), and opens them before the server is asked. connection_made, in which the server closes the one that has waited longest, runs two turns after the accept, and the descriptor is closed in the third. So up to three times 1,024 connections were open beyond the limit, as many as wait when the loop was busy. The test's own process isn't counted, and no descriptor leaks: after the turns the count is the limit again.

Change: asyncio gets 32 as its backlog, and the listening sockets are told 1,024 afterwards, so that as many still wait in the kernel. At most 96 connections of an address are open beyond its limit, whatever the machine.

--- a/libs/http/features/server_limits.feature
+++ b/libs/http/features/server_limits.feature
@@ -12,6 +12,15 @@
     When connection 5 is opened
     Then 2 closed connections were counted as "too-many-connections", and logged once
 
+  # Guards against a crowd that is accepted faster than closed connections free their
+  # descriptors: 1,024 at a time, which passed the limit by up to 3,072.
+  Scenario: A crowd that waits to be accepted takes no more descriptors than are allowed
+    Given a listening server with at most 20 connections
+    When 400 clients have connected before it accepts any
+    And it has closed 380 of them as "too-many-connections"
+    Then it used at most 100 descriptors beyond its limit
+    And 20 of its connections are open
+
   Scenario: A request that is being handled is never closed to make room
     Given a server with at most 2 connections
     When connections 1 and 2 are opened
--- a/libs/http/features/steps/server_limits_steps.py
+++ b/libs/http/features/steps/server_limits_steps.py
@@ -1,6 +1,9 @@
 import asyncio
 import logging
+import os
 import re
+import socket
+import time
 
 from behave import given, then, when
 from prometheus_client import REGISTRY
@@ -8,8 +11,12 @@
 
 from berylcleat.http import ByteBudget, HttpLimits, HttpResponse, HttpServer
 from berylcleat.http._server_connection import ServerConnection
+from berylcleat.standins import find_free_ports
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+# Patience with a connect to the loopback address, and with a crowd that is accepted.
+CONNECT_TIMEOUT_S = 5.0
+CROWD_TIMEOUT_S = 30.0
 
 
 CLOSED_METRIC = "beryl_http_closed_connections_total"
@@ -30,7 +37,7 @@
         self.lines.append(record.getMessage())
 
 
-def make_server(context, limits, budget=None):
+def make_server(context, limits, budget=None, address="127.0.0.1:0"):
     context.n_closed_before = count_closed("too-many-connections")
     context.collector = LineCollector()
     logging.getLogger("berylcleat.http").addHandler(context.collector)
@@ -42,7 +49,7 @@
         context.answers.append(asyncio.get_running_loop().create_future())
         return await context.answers[-1]
 
-    context.server = HttpServer("127.0.0.1:0", handle, limits, budget)
+    context.server = HttpServer(address, handle, limits, budget)
 
 
 class Transport(FakeTransport):
@@ -82,6 +89,10 @@
     await settle()
 
 
+def count_descriptors():
+    return len(os.listdir("/proc/self/fd"))
+
+
 async def answer_all(context):
     for answer in context.answers:
         if not answer.done():
@@ -99,6 +110,15 @@
     make_server(context, HttpLimits(max_connections=n))
 
 
+@given("a listening server with at most {n:d} connections")
+def step_listening(context, n):
+    context.port = find_free_ports(1)[0]
+    address = f"127.0.0.1:{context.port}"
+    make_server(context, HttpLimits(max_connections=n), address=address)
+    context.run(context.server.start())
+    context.add_cleanup(lambda: context.run(context.server.stop(0.0)))
+
+
 @given("a server whose connections hold at most {n:d} bytes")
 def step_max_bytes(context, n):
     make_server(context, HttpLimits(handling_factor=1), ByteBudget(n))
@@ -121,6 +141,44 @@
     context.run(answer_all(context))
 
 
+@when("{n:d} clients have connected before it accepts any")
+def step_crowd(context, n):
+    for _ in range(n):
+        address = ("127.0.0.1", context.port)
+        client = socket.create_connection(address, CONNECT_TIMEOUT_S)
+        context.add_cleanup(client.close)
+
+
+@when('it has closed {n:d} of them as "{reason}"')
+def step_closed_crowd(context, n, reason):
+    n_before = count_descriptors()
+    context.peak = 0
+
+    async def watch():
+        deadline = time.monotonic() + CROWD_TIMEOUT_S
+        while time.monotonic() < deadline:
+            context.peak = max(context.peak, count_descriptors() - n_before)
+            n_closed = count_closed(reason) - context.n_closed_before
+            if n_closed == n:
+                return
+            await asyncio.sleep(0)
+        raise AssertionError(f"{n_closed} closed")
+
+    context.run(watch())
+    context.run(settle())
+
+
+@then("it used at most {n:d} descriptors beyond its limit")
+def step_descriptors(context, n):
+    limit = context.server.limits.max_connections
+    assert context.peak <= limit + n, context.peak
+
+
+@then("{n:d} of its connections are open")
+def step_n_open(context, n):
+    assert len(context.server.connections) == n, len(context.server.connections)
+
+
 @when("connections {numbers} send a request")
 def step_send(context, numbers):
     for number in read_numbers(numbers):
--- a/libs/http/src/berylcleat/http/_server.py
+++ b/libs/http/src/berylcleat/http/_server.py
@@ -15,7 +15,12 @@
 
 # Highest port number of TCP.
 MAX_PORT = 65_535
+# Connections that wait in the kernel until they are accepted.
 BACKLOG = 1024
+# Connections accepted in one turn of the event loop. The descriptor of a connection
+# that makes room is free three turns after the accept that asked for it, so up to three
+# times this number are open beyond ``max_connections``.
+MAX_ACCEPTS_PER_TURN = 32
 
 
 def parse_address(address: str) -> tuple[str, int]:
@@ -68,11 +73,12 @@
                 lambda: ServerConnection(self),
                 host,
                 port,
-                backlog=BACKLOG,
+                backlog=MAX_ACCEPTS_PER_TURN,
                 start_serving=False,
             )
             self._limit_kernel_buffers()
             await self._server.start_serving()
+            self._extend_backlog()
         except OSError as error:
             if error.errno != errno.EADDRINUSE:
                 raise SettingsError(
@@ -93,6 +99,15 @@
                     self.limits.kernel_buffer_bytes,
                 )
 
+    def _extend_backlog(self) -> None:
+        """Let more connections wait in the kernel than are accepted in one turn.
+
+        asyncio has one parameter for both numbers.
+        """
+        for listener in self._server.sockets:
+            with listener.dup() as duplicate:
+                duplicate.listen(BACKLOG)
+
     def make_room(self) -> bool:
         """Close a waiting connection if there are too many; return if there is room."""
         n_connections = len(self.connections) + len(self.abandoned)
