Refuse submissions that no row holds before the store is asked

Cause: a submission lies in one row of the store, which holds 65,536 bytes (rowBytes). Its 41,001 steps of 12 bytes each are decoded (10 MB, traced) and take 327 bytes each in the row: 13.4 MB, base64 of it in the call. Only the store's answer told that it can't be stored (the stand-in takes 1 MB a transaction). RSS rose by 56 to 60 MB for each submission in flight, 5 of them, with 205,005 steps alive, at 390 MB; the limit of held bytes counted 8 MB for each (16 times the body) and let 6 pass.

Change: decoding counts the specification and each step as a row holds them, and stops at the first step that passes max_row_bytes (setting of beryl-host, 65,536; the platform's rowBytes from the template). The answer stays 503, or 504 if a commit of that id has no outcome. What is counted doesn't depend on cell, time or queue, so no host refuses what another one has stored. Peers that pass a submission on get the same answer.

The step that renders the settings template now treats any section as it treated that of evacuateMs.

--- a/libs/model/src/berylcleat/model/__init__.py
+++ b/libs/model/src/berylcleat/model/__init__.py
@@ -27,6 +27,7 @@
     PortInUseError,
     RejectedWriteError,
     SettingsError,
+    SubmissionTooLargeError,
     UnreadableRecordError,
 )
 from ._jobs import (
@@ -106,6 +107,7 @@
     "StepKey",
     "Submission",
     "SubmissionState",
+    "SubmissionTooLargeError",
     "TaskDemand",
     "TaskKey",
     "Team",
--- a/libs/model/src/berylcleat/model/_errors.py
+++ b/libs/model/src/berylcleat/model/_errors.py
@@ -102,6 +102,12 @@
     code = ErrorCode.BAD_REQUEST
 
 
+class SubmissionTooLargeError(BerylError):
+    """Submission that no row of the platform's store holds."""
+
+    code = ErrorCode.TOO_LARGE
+
+
 class HostUnreachableError(BerylError):
     """Host of this scheduler that doesn't respond."""
 
--- a/programs/beryl-host/features/steps/evacuation_settings_steps.py
+++ b/programs/beryl-host/features/steps/evacuation_settings_steps.py
@@ -18,6 +18,7 @@
     "bounds.evacuateMs": "5000",
     "bounds.maxStretchMs": "6000",
     "orders": "push",
+    "platform.rowBytes": "65536",
     "cloud.duties|json": "[]",
     "contracts|json": '["base", "health"]',
 }
@@ -46,8 +47,8 @@
 @given("the settings template, rendered {case} the bound")
 def step_template(context, case):
     text = TEMPLATE.read_text(encoding="utf-8")
-    section = r"\{\{#bounds\.evacuateMs\}\}(.*?)\{\{/bounds\.evacuateMs\}\}"
-    text = re.sub(section, r"\1" if case == "with" else "", text)
+    section = r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}"
+    text = re.sub(section, r"\2" if case == "with" else "", text)
     text = re.sub(
         r"\{\{([\w.|]+)\}\}", lambda match: VALUE_BY_NAME.get(match[1], "x"), text
     )
--- a/programs/beryl-host/src/berylcleat/host/_client_api.py
+++ b/programs/beryl-host/src/berylcleat/host/_client_api.py
@@ -15,6 +15,7 @@
     PlatformUnavailableError,
     Submission,
     SubmissionState,
+    SubmissionTooLargeError,
 )
 from berylcleat.platform import (
     IngressKind,
@@ -38,6 +39,7 @@
 from ._metrics import ADMISSION_ESTIMATES, REFUSALS
 from ._peers import PeerClient, SubmissionUpdate
 from ._records import PROGRESS_TABLE, AcceptedRow
+from ._settings import MAX_ROW_BYTES
 from ._submission_directory import SubmissionDirectory, SubmissionEntry
 from ._submission_store import AcceptResult, SubmissionStore
 from ._uncounted_submissions import UncountedSubmissions
@@ -89,6 +91,7 @@
         chooser: CellChooser,
         peers: PeerClient,
         data_centre: str = "",
+        max_row_bytes: int = MAX_ROW_BYTES,
     ):
         self.config: OperatorConfig | None = None
         self._store = store
@@ -102,6 +105,7 @@
             submissions, self._known_home, self._on_cancelled
         )
         self._data_centre = data_centre
+        self._max_row_bytes = max_row_bytes
         self._uncounted = UncountedSubmissions(store)
         # Submissions of which a commit without an answer may have taken effect, or may
         # still do so, oldest first, and when the newest one was given up.
@@ -157,7 +161,20 @@
         if self._known_home(submission_id) is not None:
             return make_response(200)
         try:
-            submission = decode_submission(submission_id, ingress.queue.policy, body)
+            submission = decode_submission(
+                submission_id, ingress.queue.policy, body, self._max_row_bytes
+            )
+        except SubmissionTooLargeError as error:
+            status = self._refusal_status(submission_id)
+            logger.info(
+                "submission %s: answered %d, no row holds it: %s",
+                submission_id,
+                status,
+                error,
+            )
+            if status == 503:
+                REFUSALS.labels(ingress.queue.policy.name, "too-large").inc()
+            return make_response(status)
         except BadRequestError as error:
             logger.info(
                 "submission %s: rejected as malformed: %s", submission_id, error
--- a/programs/beryl-host/src/berylcleat/host/_process.py
+++ b/programs/beryl-host/src/berylcleat/host/_process.py
@@ -202,6 +202,7 @@
             ),
             peers,
             settings.data_centre if settings.admission_late_limit else "",
+            settings.max_row_bytes,
         )
         self.front_api = RelayingApi(
             self.client_api,
--- a/programs/beryl-host/src/berylcleat/host/_settings.py
+++ b/programs/beryl-host/src/berylcleat/host/_settings.py
@@ -11,6 +11,8 @@
 # Time that start orders need to arrive: a host whose news of the evacuations is older
 # than the deadline and the allowance together, less this time, starts nothing.
 ORDER_FLIGHT_MS = 1000
+# Largest row of the platform's store, unless a deployment tells another one.
+MAX_ROW_BYTES = 65_536
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +31,7 @@
 
     ``max_body_bytes`` limits the body of a client's request, ``max_connections`` the
     connections of clients, and ``max_held_bytes`` what all connections together hold.
+    A submission that no row of ``max_row_bytes`` holds is refused before it is stored.
 
     No task is started in an evacuated data centre later than ``evacuation_deadline_ms``
     after the request, and by a host without news of the requests no later than
@@ -61,6 +64,7 @@
     max_body_bytes: int = 524_288
     max_connections: int = 2000
     max_held_bytes: int = DEFAULT_BUDGET_BYTES
+    max_row_bytes: int = MAX_ROW_BYTES
 
     @property
     def cpu_power(self) -> float:
@@ -101,7 +105,12 @@
             raise SettingsError(
                 f"{name} must be greater than 0", "Set a number greater than 0"
             )
-    for name in ("max_body_bytes", "max_connections", "max_held_bytes"):
+    for name in (
+        "max_body_bytes",
+        "max_connections",
+        "max_held_bytes",
+        "max_row_bytes",
+    ):
         if getattr(settings, name) < 1:
             raise SettingsError(f"{name} must be at least 1", "Set a positive integer")
     _check_evacuation_settings(settings)
