Require the leases in a reply to a takeover notice

Callers could see a task run twice: any 200 with a JSON object, such as one of another process at the address of an earlier owner, counted as its stop, which shortens the wait from its limit of 9.4 s to 6.24 s while it may go on; a negative time counted as a lease that has ended. The field must be there, as every version sends it, and no time is negative.

--- a/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
+++ b/programs/beryl-host/src/berylcleat/host/_cell_ownership.py
@@ -542,7 +542,7 @@
         granted; those that an earlier one tells of lack what came after it. If it has
         released the cell, its row tells.
         """
-        reply = TakeoverReply()
+        reply = TakeoverReply(None)
         for owner in reversed(owners):
             reply = await self._confirm_stop(cell_id, owner)
             if reply is None:
@@ -551,7 +551,7 @@
             if is_last and reply.lease_left_s_by_worker is not None:
                 return reply
         if previous is None or previous.row.epoch != row.epoch - 1:
-            return TakeoverReply()
+            return TakeoverReply(None)
         return TakeoverReply(previous.released_leases(now_s()))
 
     async def _confirm_stop(
@@ -560,10 +560,10 @@
         """Return what is known of an earlier owner's leases; None if it may run."""
         if owner.host_id == self._identity.host_id:
             if owner.incarnation != self._identity.incarnation:
-                return TakeoverReply()
+                return TakeoverReply(None)
             return TakeoverReply(await self.relinquish(cell_id, owner.epoch))
         if self._is_replaced(owner):
-            return TakeoverReply()
+            return TakeoverReply(None)
         if not owner.peer_address:
             return None
         return await self._connections.peers.send_takeover(
--- a/programs/beryl-host/src/berylcleat/host/_peers.py
+++ b/programs/beryl-host/src/berylcleat/host/_peers.py
@@ -81,7 +81,7 @@
     ``lease_left_s_by_worker`` tells how long its leases may last; None if unknown.
     """
 
-    lease_left_s_by_worker: dict[str, float] | None = None
+    lease_left_s_by_worker: dict[str, Annotated[float, msgspec.Meta(ge=0)]] | None
 
 
 class OperatorReply(msgspec.Struct, frozen=True, omit_defaults=True):
