--- a/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
+++ b/libs/scheduling/src/berylcleat/scheduling/_cell_runs.py
@@ -202,8 +202,8 @@
     def _settles_at(self, worker_id: str) -> float:
         """Return when runs of earlier owners on an unsettled worker have ended.
 
-        One that can't be read goes on for the longest lease after the last report, and
-        for the leases granted since.
+        A run that can't be read goes on for the longest lease after the last report,
+        and for the leases granted since.
         """
         settled_at = self._settled_at_by_worker.get(worker_id, self._settled_at)
         view = self.worker_by_id.get(worker_id)
