Show that hosts exceed their memory after some hours of submissions

Cause: neither the hosts nor the store ever forget a submission, and an owner reads all of its cell's at its start.

--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -111,14 +111,15 @@
         path = self._write_settings("platform", settings)
         self._spawn("platform", [str(PLATFORM), "--settings", str(path)], {})
         for number in range(n_hosts):
-            self._start_host(number)
+            self.start_host(number)
 
     def _write_settings(self, name, settings):
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings), encoding="utf-8")
         return path
 
-    def _start_host(self, number):
+    def start_host(self, number):
+        """Start a host with the command of the deploy file."""
         front, ready, peer, metrics = self.hosts[number]
         settings = {
             "host_id": f"host-{number}",
--- a/review/platform_2.py
+++ b/review/platform_2.py
@@ -1,11 +1,13 @@
 """The project's stand-in platform with what its pages say besides.
 
 A row has a limited size, a worker lists the reading of each run that the run's ``spec``
-names, and takes orders on pace.
+names, and takes orders on pace. The store finds rows by an index, as it may hold many.
 """
 
+import bisect
 import json
 import time
+from collections import defaultdict
 from functools import partial
 
 import berylcleat.standins._task_platform as standin
@@ -19,6 +21,58 @@
 _make_response = standin._order_response
 
 
+class IndexedStore(standin.RowStore):
+    """Rows with the keys of each part, and the changes of each table, in order."""
+
+    def __init__(self, **options):
+        super().__init__(**options)
+        self._keys_by_part = defaultdict(list)
+        self._changes_by_table = defaultdict(list)
+
+    def read(self, table, part, first, end, limit=500):
+        """Return the first rows of a part in key order."""
+        keys = self._keys_by_part[table, part]
+        start = bisect.bisect_left(keys, first)
+        stop = bisect.bisect_left(keys, end) if end else len(keys)
+        found = keys[start : min(stop, start + limit)]
+        rows = [self.row_by_key[table, part, key] for key in found]
+        more = stop - start > limit
+        return {"rows": rows, "morePages": more, **self.stamp()}
+
+    def list_parts(self, table):
+        """Return the parts of a table that hold rows."""
+        parts = {
+            p for (t, p), keys in self._keys_by_part.items() if t == table and keys
+        }
+        return {"parts": sorted(parts)}
+
+    def changes_after(self, table, after):
+        """Return a table's changes after a version, or None if they were dropped."""
+        if after < self.oldest_version:
+            return None
+        changes = self._changes_by_table[table]
+        return changes[bisect.bisect_right(changes, after, key=lambda r: r["ver"]) :]
+
+    def forget_history(self):
+        """Drop the change history and keep the rows."""
+        super().forget_history()
+        self._changes_by_table.clear()
+
+    def _put(self, row):
+        table, part, key = row["table"], row["part"], row["key"]
+        if (table, part, key) not in self.row_by_key:
+            bisect.insort(self._keys_by_part[table, part], key)
+        super()._put(row)
+        self._changes_by_table[table].append(self.changes.pop())
+
+    def _remove(self, key_body):
+        table, part, key = (key_body[name] for name in ("table", "part", "key"))
+        if (table, part, key) in self.row_by_key:
+            self._keys_by_part[table, part].remove(key)
+        super()._remove(key_body)
+        self._changes_by_table[table].append(self.changes.pop())
+
+
 class Platform(standin.TaskPlatform):
     """Stand-in whose workers tell readings."""
 
@@ -53,7 +107,7 @@
 
 standin.TaskPlatform = Platform
 standin._order_response = _order_response
-standin.RowStore = partial(standin.RowStore, max_row_bytes=MAX_ROW_BYTES)
+standin.RowStore = partial(IndexedStore, max_row_bytes=MAX_ROW_BYTES)
 
 if __name__ == "__main__":
     task_platform_main()
