--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -7,6 +7,7 @@
 import json
 import os
 import shutil
+import signal
 import subprocess
 import sys
 import tempfile
@@ -39,6 +40,8 @@
 CPU_MILLIS = 32_000
 MEMORY_MB = 125_000
 START_TIMEOUT_S = 40.0
+# A script that takes longer ends as one that couldn't run.
+MAX_SCRIPT_S = 115
 # How long a client of the site waits for a response, and how often it asks again.
 CLIENT_TIMEOUT_S = 3.0
 N_CLIENT_RETRIES = 4
@@ -233,15 +236,32 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def _give_up(*_):
+    """End the script, by its own time limit or because it is told to."""
+    raise SystemExit(NOT_RUN)
+
+
 def run_case(folder, play, n_hosts, n_workers, n_racks):
-    """Run ``play`` with a lab; exit with what it returns."""
+    """Run ``play`` with a lab; exit with what it returns.
+
+    An error of the script itself doesn't count as a broken rule.
+    """
     record = Record(Path(folder) / "record.txt")
-    lab = Lab(record, n_hosts, n_workers, n_racks)
+    signal.signal(signal.SIGALRM, _give_up)
+    signal.signal(signal.SIGTERM, _give_up)
+    signal.alarm(MAX_SCRIPT_S)
+    lab = None
     try:
+        lab = Lab(record, n_hosts, n_workers, n_racks)
         lab.wait_ready()
         is_broken = play(lab, is_disturbed())
+    except Exception as error:
+        record.write(f"the case couldn't run: {type(error).__name__}: {error}")
+        raise SystemExit(NOT_RUN) from error
     finally:
-        lab.stop()
+        signal.alarm(0)
+        if lab is not None:
+            lab.stop()
     record.write("the rule was broken" if is_broken else "the rule held")
     raise SystemExit(BROKEN if is_broken else HELD)
 
